Decide pools, budgets, moves and waves in pure code

Cause: nothing existed. The decisions are the product's worth, so they come as code without clock, I/O or threads that any driver can step.

Change: labels and selectors, pool sizing that outlives the named failure domain with the least buffer, sticky membership by cheapest augmenting chains, one guard for every act that takes an instance out, wave planning, one control step, invariants, JSON configuration with positions, and the ledger's codec. A step loop over fakes drives them.

Ruled out: raising the permitted members of one domain together with a loan for a wave.

--- /dev/null
+++ b/include/lanemoor/state/json_document.h
@@ -0,0 +1,119 @@
+#pragma once
+/// \file
+/// JSON text that knows where each of its values stands, and readers that check it whole.
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lanemoor {
+
+/// A place in a text, 1-based; columns count bytes.
+struct SourcePosition {
+    std::size_t line = 1;
+    std::size_t column = 1;
+
+    [[nodiscard]] bool operator==(const SourcePosition&) const = default;
+};
+
+/// What is wrong with a document.
+enum class DocumentFaultCode {
+    Syntax,
+    DuplicateField,
+    UnknownField,
+    MissingField,
+    WrongType,
+    OutOfRange,
+    BadValue,
+    BadSelector,
+    DuplicateName,
+    InsecureAddress,
+};
+
+/// \returns A short English text for `code`.
+[[nodiscard]] std::string_view describe(DocumentFaultCode code) noexcept;
+
+/// One fault with its place.
+struct DocumentFault {
+    DocumentFaultCode code = DocumentFaultCode::Syntax;
+    std::string field; ///< JSON pointer, for example `/pools/0/budget/minimum`.
+    SourcePosition position;
+    std::string detail; ///< What was found or expected.
+
+    [[nodiscard]] bool operator==(const DocumentFault&) const = default;
+};
+
+/// \returns `file:line:column: field: text (detail)`, as compilers print it.
+[[nodiscard]] std::string formatFault(std::string_view file, const DocumentFault& fault);
+
+/// \brief A parsed JSON text with the position of each value.
+///
+/// \code
+/// JsonDocument document;
+/// if (!document.parse(text))
+///     report(document.faults());
+/// \endcode
+class JsonDocument {
+public:
+    /// \returns Whether `text` is JSON without doubled fields; else `faults()` says why not.
+    [[nodiscard]] bool parse(std::string_view text);
+
+    [[nodiscard]] const nlohmann::json& root() const noexcept { return m_root; }
+
+    /// \returns The position of the value at JSON pointer `field`, or of its nearest parent.
+    [[nodiscard]] SourcePosition positionOf(std::string_view field) const;
+
+    /// \brief Records a fault found while reading the values.
+    void addFault(DocumentFaultCode code, const std::string& field, std::string detail);
+
+    [[nodiscard]] const std::vector<DocumentFault>& faults() const noexcept { return m_faults; }
+
+private:
+    nlohmann::json m_root;
+    std::map<std::string, SourcePosition, std::less<>> m_positions;
+    std::vector<DocumentFault> m_faults;
+};
+
+/// \brief Reads one object of a document field by field and records every fault.
+///
+/// Fields that were not asked for are recorded as unknown by `finish`.
+class ObjectReader {
+public:
+    /// \param field JSON pointer of the object; empty for the root.
+    ObjectReader(JsonDocument& document, const nlohmann::json& value, std::string field);
+
+    /// \name Fields
+    /// Each returns nothing, and records the fault, if the field is there and wrong;
+    /// an absent field is a fault only if it is required.
+    ///@{
+    [[nodiscard]] std::optional<std::string> string(const char* name, bool required = false);
+    [[nodiscard]] std::optional<std::int64_t> integer(const char* name, std::int64_t least, std::int64_t most, bool required = false);
+    [[nodiscard]] std::optional<bool> boolean(const char* name);
+    [[nodiscard]] std::vector<std::string> strings(const char* name);
+    void object(const char* name, const std::function<void(ObjectReader&)>& read, bool required = false);
+    void objects(const char* name, const std::function<void(ObjectReader&)>& read);
+    ///@}
+
+    /// \brief Records `detail` against field `name` (or the object itself, if empty).
+    void fault(DocumentFaultCode code, const char* name, std::string detail);
+
+    /// \brief Records every field that was not asked for.
+    void finish();
+
+private:
+    [[nodiscard]] const nlohmann::json* take(const char* name, bool required);
+    [[nodiscard]] std::string pointerTo(const std::string& name) const;
+
+    JsonDocument& m_document;
+    const nlohmann::json& m_value;
+    std::string m_field;
+    std::vector<std::string> m_asked;
+};
+
+} // namespace lanemoor
--- /dev/null
+++ b/src/decisions/controller.cpp
@@ -0,0 +1,220 @@
+#include "lanemoor/decisions/controller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lanemoor {
+
+namespace {
+
+/// A failing instance is quarantined after this long.
+constexpr Millis quarantineAfter = std::chrono::seconds(60);
+/// At most one in this many listed instances is in quarantine at once.
+constexpr std::size_t quarantineDivisor = 10;
+
+bool isDrainAsked(const Configuration& configuration, std::string_view id)
+{
+    return std::find(configuration.drains.begin(), configuration.drains.end(), id) != configuration.drains.end();
+}
+
+/// Adds a line for each new instance and drops those of instances that are gone.
+void followList(const FleetView& view, Ledger& next)
+{
+    std::vector<LedgerEntry> entries;
+    entries.reserve(view.instances.size());
+    for (const Instance& instance : view.instances) {
+        if (instance.state == InstanceState::Gone)
+            continue;
+        LedgerEntry* known = next.find(instance.id);
+        if (known)
+            entries.push_back(std::move(*known));
+        else
+            entries.push_back({ .instance = instance.id, .pool = {}, .maintainedAt = view.now, .grant = std::nullopt });
+    }
+    next.entries = std::move(entries);
+}
+
+bool isBack(const Instance& instance, const Grant& grant) noexcept
+{
+    return isHealthy(instance) && !instance.drained && instance.bootId != grant.bootIdBefore;
+}
+
+/// Advances or ends the grant of one entry by what is observed of its instance.
+void advanceGrant(const FleetView& view, const Instance& instance, LedgerEntry& entry)
+{
+    Grant& grant = *entry.grant;
+    switch (grant.phase) {
+    case GrantPhase::Draining:
+        if (instance.drained)
+            grant.phase = grant.reason == GrantReason::OperatorDrain ? GrantPhase::Held : GrantPhase::Rebooting;
+        return;
+    case GrantPhase::Rebooting:
+        if (!isBack(instance, grant))
+            return;
+        entry.grant.reset();
+        entry.maintainedAt = view.now;
+        return;
+    case GrantPhase::Held:
+        if (!isDrainAsked(view.configuration, entry.instance) && isHealthy(instance) && !instance.drained)
+            entry.grant.reset();
+        return;
+    }
+}
+
+void advanceGrants(const FleetView& view, Ledger& next)
+{
+    for (LedgerEntry& entry : next.entries) {
+        const Instance* instance = findInstance(view.instances, entry.instance);
+        if (entry.grant && instance)
+            advanceGrant(view, *instance, entry);
+    }
+}
+
+/// Gives grants in the ledger of one step.
+class GrantWriter {
+public:
+    GrantWriter(const FleetView& view, std::uint64_t epoch, Ledger& next)
+        : m_view(view)
+        , m_epoch(epoch)
+        , m_next(next)
+    {
+    }
+
+    void give(std::string_view id, GrantReason reason)
+    {
+        LedgerEntry* entry = m_next.find(id);
+        const Instance* instance = findInstance(m_view.instances, id);
+        if (!entry || !instance)
+            return;
+        entry->grant = Grant {
+            .id = m_next.nextGrant++,
+            .epoch = m_epoch,
+            .reason = reason,
+            .phase = GrantPhase::Draining,
+            .bootIdBefore = instance->bootId,
+            .deadline = m_view.now + std::chrono::minutes(m_view.configuration.maintenance.returnMinutes),
+        };
+    }
+
+private:
+    const FleetView& m_view;
+    std::uint64_t m_epoch;
+    Ledger& m_next;
+};
+
+/// What new grants are decided on and written to.
+struct GrantStep {
+    const FleetView& view; ///< With the ledger as changed so far in this step.
+    DisruptionGuard& guard;
+    GrantWriter& writer;
+};
+
+void grantDrains(const GrantStep& step, ControlPlan& plan)
+{
+    for (const std::string& id : step.view.configuration.drains) {
+        const LedgerEntry* entry = step.view.ledger.find(id);
+        if (entry && entry->grant && entry->grant->reason == GrantReason::OperatorDrain)
+            continue;
+        if (const std::optional<DisruptionRefusal> refusal = step.guard.refusalFor(id)) {
+            plan.refusedDrains.push_back({ .instance = id, .reason = *refusal });
+            continue;
+        }
+        step.guard.take(id);
+        step.writer.give(id, GrantReason::OperatorDrain);
+    }
+}
+
+void grantQuarantine(const GrantStep& step)
+{
+    const FleetView& view = step.view;
+    const auto inQuarantine = [](const LedgerEntry& entry) { return entry.grant && entry.grant->reason == GrantReason::Quarantine; };
+    auto standing = static_cast<std::size_t>(std::count_if(view.ledger.entries.begin(), view.ledger.entries.end(), inQuarantine));
+    const std::size_t most = std::max<std::size_t>(1, view.instances.size() / quarantineDivisor);
+    for (const Instance& instance : view.instances) {
+        const bool long_ = instance.outSince && view.now >= *instance.outSince + quarantineAfter;
+        if (!instance.failing || instance.state != InstanceState::Live || !long_ || standing >= most)
+            continue;
+        if (step.guard.refusalFor(instance.id))
+            continue;
+        step.guard.take(instance.id);
+        step.writer.give(instance.id, GrantReason::Quarantine);
+        ++standing;
+    }
+}
+
+void grantMaintenance(const GrantStep& step, const WavePlanner& waves)
+{
+    for (const std::string& id : waves.next(step.view, step.guard))
+        step.writer.give(id, GrantReason::Maintenance);
+}
+
+} // namespace
+
+std::string_view nameOf(ActionKind kind) noexcept
+{
+    switch (kind) {
+    case ActionKind::Drain:
+        return "drain";
+    case ActionKind::Reboot:
+        return "reboot";
+    case ActionKind::Undrain:
+        return "undrain";
+    }
+    return "unknown";
+}
+
+Controller::Controller(std::unique_ptr<const MembershipPlanner> planner)
+    : m_planner(std::move(planner))
+{
+}
+
+ControlPlan Controller::step(const FleetView& view, std::uint64_t epoch) const
+{
+    ControlPlan plan { .next = view.ledger };
+    Ledger& next = plan.next;
+    followList(view, next);
+    advanceGrants(view, next);
+
+    const FleetView current { .configuration = view.configuration, .ledger = next, .instances = view.instances, .now = view.now };
+    const FleetIndex index(view.configuration, view.instances);
+    MembershipPlan membership = m_planner->plan(current, index, m_waves.boosts(current, index));
+    for (const Move& move : membership.moves)
+        next.find(move.instance)->pool = move.to;
+    plan.moves = std::move(membership.moves);
+    plan.conditions = std::move(membership.conditions);
+
+    // The guard sees the ledger with the moves in it and counts each grant given below.
+    const Ledger decided = next;
+    const FleetView moved { .configuration = view.configuration, .ledger = decided, .instances = view.instances, .now = view.now };
+    DisruptionGuard guard(moved);
+    GrantWriter writer(view, epoch, next);
+    const GrantStep grants { .view = moved, .guard = guard, .writer = writer };
+    grantQuarantine(grants);
+    grantDrains(grants, plan);
+    grantMaintenance(grants, m_waves);
+
+    next.epoch = std::max(view.ledger.epoch, epoch);
+    plan.changed = next != view.ledger;
+    return plan;
+}
+
+std::vector<Action> Controller::actionsFor(const Ledger& ledger, const Configuration& configuration, const Instances& instances)
+{
+    std::vector<Action> actions;
+    for (const LedgerEntry& entry : ledger.entries) {
+        const Instance* instance = findInstance(instances, entry.instance);
+        if (!entry.grant || !instance)
+            continue;
+        const Grant& grant = *entry.grant;
+        const auto act = [&](ActionKind kind) { actions.push_back({ .kind = kind, .instance = entry.instance, .grant = grant.id, .epoch = grant.epoch }); };
+        if (grant.phase == GrantPhase::Draining && !instance->drained)
+            act(ActionKind::Drain);
+        else if (grant.phase == GrantPhase::Rebooting && instance->bootId == grant.bootIdBefore)
+            act(ActionKind::Reboot);
+        else if (grant.phase == GrantPhase::Held && instance->drained && !isDrainAsked(configuration, entry.instance))
+            act(ActionKind::Undrain);
+    }
+    return actions;
+}
+
+} // namespace lanemoor
--- /dev/null
+++ b/src/decisions/membership.cpp
@@ -0,0 +1,513 @@
+#include "lanemoor/decisions/membership.h"
+
+#include "lanemoor/decisions/disruption_guard.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <deque>
+#include <limits>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace lanemoor {
+
+namespace {
+
+constexpr int spare = -1;
+/// Cost of one move; large against all tie-breaks of one chain together.
+constexpr std::int64_t moveCost = 1'000'000;
+/// Cost added for each long session that a move risks.
+constexpr std::int64_t sessionCost = 100;
+constexpr std::uint32_t countedSessions = 1'000;
+/// Cost of taking an instance that a pool of lower priority wanted: a last resort.
+constexpr std::int64_t takeFromLowerPriorityCost = 1'000'000'000;
+constexpr std::int64_t unreachable = std::numeric_limits<std::int64_t>::max();
+/// How long a lost member is waited for before it is replaced.
+constexpr Millis replaceAfter = std::chrono::seconds(60);
+/// Plans are made again without the moves that a budget refused, this often at most.
+constexpr int maximumAttempts = 8;
+
+/// Numbers the failure domains of one kind.
+class DomainIndex {
+public:
+    DomainIndex(const Instances& instances, FailureDomain kind)
+    {
+        std::unordered_map<std::string_view, std::size_t> numbers;
+        m_of.reserve(instances.size());
+        for (const Instance& instance : instances)
+            m_of.push_back(numbers.emplace(domainOf(instance, kind), numbers.size()).first->second);
+        m_count = numbers.size();
+    }
+
+    [[nodiscard]] std::size_t of(std::size_t instance) const { return m_of[instance]; }
+    [[nodiscard]] std::size_t count() const noexcept { return m_count; }
+
+private:
+    std::vector<std::size_t> m_of;
+    std::size_t m_count = 0;
+};
+
+/// The domain indexes of all kinds.
+class DomainIndexes {
+public:
+    explicit DomainIndexes(const Instances& instances)
+        : m_instance(instances, FailureDomain::Instance)
+        , m_rack(instances, FailureDomain::Rack)
+        , m_dataHall(instances, FailureDomain::DataHall)
+    {
+    }
+
+    [[nodiscard]] const DomainIndex& of(FailureDomain kind) const noexcept
+    {
+        if (kind == FailureDomain::Rack)
+            return m_rack;
+        if (kind == FailureDomain::DataHall)
+            return m_dataHall;
+        return m_instance;
+    }
+
+private:
+    DomainIndex m_instance;
+    DomainIndex m_rack;
+    DomainIndex m_dataHall;
+};
+
+/// A pool while a plan is made.
+struct PoolState {
+    PoolSize size;
+    const DomainIndex* domains = nullptr;
+    std::vector<std::uint32_t> members; ///< By domain; those that match and serve, or are expected back.
+    std::uint32_t effective = 0; ///< Members that count towards the target.
+    std::int64_t slack = 0; ///< Members in service that its budget can still miss.
+
+    void add(std::size_t domain)
+    {
+        if (members[domain]++ < size.perDomain)
+            ++effective;
+    }
+
+    void remove(std::size_t domain)
+    {
+        if (--members[domain] < size.perDomain)
+            --effective;
+    }
+};
+
+/// An instance while a plan is made.
+struct InstancePlacement {
+    int home = spare; ///< Pool in the ledger.
+    int at = spare; ///< Pool in the plan so far.
+    bool movable = false; ///< In service and not asked to leave.
+    bool counted = false; ///< Counts in its pool: matches and serves or is expected back.
+    std::int64_t cost = moveCost; ///< Of moving it away from home.
+};
+
+/// How the search reached a pool that needs a member.
+struct SearchLabel {
+    std::int64_t cost = unreachable;
+    int previous = spare; ///< The pool that takes `instance` from this one.
+    std::size_t instance = 0; ///< Instance taken from this pool.
+    bool hasInstance = false;
+};
+
+/// Where a chain ends: an instance that nobody has to replace.
+struct ChainEnd {
+    std::int64_t cost = unreachable;
+    int taker = spare;
+    std::size_t instance = 0;
+};
+
+/// Makes one plan; pools in `frozen` give no instance away.
+class PlanBuilder {
+public:
+    PlanBuilder(const FleetView& view, const FleetIndex& index, const std::unordered_set<std::string>& frozen);
+
+    /// Fills all pools to their targets, by descending priority.
+    void fillPools();
+
+    /// Fills pools beyond their targets.
+    void fillBoosts(const std::vector<PoolBoost>& boosts);
+
+    [[nodiscard]] std::vector<Move> moves() const;
+    [[nodiscard]] const std::vector<PoolCondition>& conditions() const noexcept { return m_conditions; }
+
+    /// \returns Ids of movable members that no longer match their pool and found no other.
+    [[nodiscard]] std::vector<std::string> strays() const;
+
+private:
+    void readPools();
+    void readInstances();
+    [[nodiscard]] int poolIndex(std::string_view name) const;
+    [[nodiscard]] bool expectedBack(const LedgerEntry& entry, const Instance& instance) const;
+    [[nodiscard]] const std::vector<std::size_t>& candidatesOf(int pool) const { return m_fits[static_cast<std::size_t>(pool)]; }
+
+    [[nodiscard]] std::int64_t costAt(std::size_t instance, int pool) const;
+    [[nodiscard]] bool hasRoom(int pool, std::size_t instance, const SearchLabel& label) const;
+    [[nodiscard]] bool mayGive(int pool) const;
+    [[nodiscard]] bool isStray(std::size_t instance) const;
+    [[nodiscard]] bool endsChain(std::size_t instance, int requester, std::int64_t& cost) const;
+    [[nodiscard]] ChainEnd searchChain(int start);
+    void relax(int pool, int start, std::deque<int>& queue, std::vector<bool>& queued, ChainEnd& best);
+    [[nodiscard]] bool onPath(int pool, int from) const;
+    void applyChain(ChainEnd end);
+    void place(std::size_t instance, int pool);
+    void fill(int pool);
+
+    const FleetView& m_view;
+    const FleetIndex& m_index;
+    const std::unordered_set<std::string>& m_frozen;
+    DomainIndexes m_domains;
+    std::vector<PoolState> m_pools;
+    std::vector<InstancePlacement> m_instances;
+    std::vector<std::vector<std::size_t>> m_fits; ///< By pool: movable instances that match.
+    std::vector<SearchLabel> m_labels;
+    std::vector<PoolCondition> m_conditions;
+};
+
+PlanBuilder::PlanBuilder(const FleetView& view, const FleetIndex& index, const std::unordered_set<std::string>& frozen)
+    : m_view(view)
+    , m_index(index)
+    , m_frozen(frozen)
+    , m_domains(view.instances)
+{
+    readPools();
+    readInstances();
+}
+
+int PlanBuilder::poolIndex(std::string_view name) const
+{
+    const Pool* pool = m_view.configuration.findPool(name);
+    return pool ? static_cast<int>(pool - m_view.configuration.pools.data()) : spare;
+}
+
+void PlanBuilder::readPools()
+{
+    const DisruptionGuard guard(m_view);
+    for (const Pool& pool : m_view.configuration.pools) {
+        PoolState state;
+        state.slack = guard.availability(pool.name).slack();
+        state.size = m_index.size(m_pools.size());
+        state.domains = &m_domains.of(pool.budget.survives);
+        state.members.resize(state.domains->count());
+        m_pools.push_back(std::move(state));
+    }
+}
+
+bool PlanBuilder::expectedBack(const LedgerEntry& entry, const Instance& instance) const
+{
+    if (entry.grant)
+        return entry.grant->reason == GrantReason::Maintenance && m_view.now < entry.grant->deadline;
+    return isHealthy(instance) || !instance.outSince || m_view.now < *instance.outSince + replaceAfter;
+}
+
+void PlanBuilder::readInstances()
+{
+    const std::vector<Pool>& pools = m_view.configuration.pools;
+    const std::vector<std::string>& drains = m_view.configuration.drains;
+    m_instances.resize(m_view.instances.size());
+    m_fits.resize(pools.size());
+    for (std::size_t i = 0; i < m_view.instances.size(); ++i) {
+        const Instance& instance = m_view.instances[i];
+        const LedgerEntry* entry = m_view.ledger.find(instance.id);
+        if (!entry)
+            continue;
+        InstancePlacement& state = m_instances[i];
+        const bool drained = std::find(drains.begin(), drains.end(), instance.id) != drains.end();
+        state.home = poolIndex(entry->pool);
+        state.at = state.home;
+        state.movable = isInService(*entry, &instance) && !drained;
+        state.cost = moveCost + sessionCost * std::min(instance.longSessions, countedSessions);
+        for (std::size_t pool = 0; pool < pools.size(); ++pool) {
+            const bool isHome = static_cast<int>(pool) == state.home;
+            if ((!state.movable && !isHome) || !m_index.matches(pool, i))
+                continue;
+            if (state.movable)
+                m_fits[pool].push_back(i);
+            state.counted = state.counted || (isHome && !drained && expectedBack(*entry, instance));
+        }
+        if (state.counted)
+            m_pools[static_cast<std::size_t>(state.home)].add(m_pools[static_cast<std::size_t>(state.home)].domains->of(i));
+    }
+}
+
+std::int64_t PlanBuilder::costAt(std::size_t instance, int pool) const
+{
+    const InstancePlacement& state = m_instances[instance];
+    const bool strayAtHome = pool == state.home && !state.counted && pool != spare;
+    if (pool == state.home && !strayAtHome)
+        return 0;
+    return state.cost;
+}
+
+bool PlanBuilder::hasRoom(int pool, std::size_t instance, const SearchLabel& label) const
+{
+    const PoolState& state = m_pools[static_cast<std::size_t>(pool)];
+    const std::size_t domain = state.domains->of(instance);
+    std::uint32_t members = state.members[domain];
+    if (label.hasInstance && state.domains->of(label.instance) == domain)
+        --members;
+    return members < state.size.perDomain;
+}
+
+bool PlanBuilder::mayGive(int pool) const
+{
+    return pool == spare || !m_frozen.contains(m_view.configuration.pools[static_cast<std::size_t>(pool)].name);
+}
+
+bool PlanBuilder::isStray(std::size_t instance) const
+{
+    const InstancePlacement& state = m_instances[instance];
+    return state.at != spare && state.at == state.home && !state.counted;
+}
+
+bool PlanBuilder::endsChain(std::size_t instance, int requester, std::int64_t& cost) const
+{
+    const InstancePlacement& state = m_instances[instance];
+    if (state.at == spare || isStray(instance))
+        return true;
+    const PoolState& owner = m_pools[static_cast<std::size_t>(state.at)];
+    if (owner.slack <= 0)
+        return false;
+    const bool beyondDomain = owner.members[owner.domains->of(instance)] > owner.size.perDomain;
+    if (beyondDomain || owner.effective > owner.size.target)
+        return true;
+    const std::vector<Pool>& pools = m_view.configuration.pools;
+    const bool lowerPriority = pools[static_cast<std::size_t>(state.at)].priority < pools[static_cast<std::size_t>(requester)].priority;
+    if (!lowerPriority || owner.effective <= owner.size.budgetTarget)
+        return false;
+    cost += takeFromLowerPriorityCost;
+    return true;
+}
+
+bool PlanBuilder::onPath(int pool, int from) const
+{
+    for (int at = from; at != spare; at = m_labels[static_cast<std::size_t>(at)].previous) {
+        if (at == pool)
+            return true;
+    }
+    return false;
+}
+
+void PlanBuilder::relax(int pool, int start, std::deque<int>& queue, std::vector<bool>& queued, ChainEnd& best)
+{
+    const SearchLabel label = m_labels[static_cast<std::size_t>(pool)];
+    const PoolState& taker = m_pools[static_cast<std::size_t>(pool)];
+    for (const std::size_t i : candidatesOf(pool)) {
+        const int owner = m_instances[i].at;
+        if (owner == pool || !mayGive(owner) || !hasRoom(pool, i, label))
+            continue;
+        const std::int64_t spread = taker.members[taker.domains->of(i)];
+        std::int64_t cost = label.cost + costAt(i, pool) - costAt(i, owner) + spread;
+        std::int64_t endCost = cost;
+        if (endsChain(i, start, endCost)) {
+            if (endCost < best.cost)
+                best = { .cost = endCost, .taker = pool, .instance = i };
+            continue;
+        }
+        SearchLabel& next = m_labels[static_cast<std::size_t>(owner)];
+        if (cost >= next.cost || onPath(owner, pool))
+            continue;
+        next = { .cost = cost, .previous = pool, .instance = i, .hasInstance = true };
+        if (!queued[static_cast<std::size_t>(owner)]) {
+            queued[static_cast<std::size_t>(owner)] = true;
+            queue.push_back(owner);
+        }
+    }
+}
+
+ChainEnd PlanBuilder::searchChain(int start)
+{
+    m_labels.assign(m_pools.size(), SearchLabel {});
+    m_labels[static_cast<std::size_t>(start)].cost = 0;
+    std::deque<int> queue { start };
+    std::vector<bool> queued(m_pools.size(), false);
+    ChainEnd best;
+    while (!queue.empty()) {
+        const int pool = queue.front();
+        queue.pop_front();
+        queued[static_cast<std::size_t>(pool)] = false;
+        relax(pool, start, queue, queued, best);
+    }
+    return best;
+}
+
+void PlanBuilder::place(std::size_t instance, int pool)
+{
+    InstancePlacement& state = m_instances[instance];
+    if (state.at != spare && !isStray(instance))
+        m_pools[static_cast<std::size_t>(state.at)].remove(m_pools[static_cast<std::size_t>(state.at)].domains->of(instance));
+    state.at = pool;
+    m_pools[static_cast<std::size_t>(pool)].add(m_pools[static_cast<std::size_t>(pool)].domains->of(instance));
+}
+
+void PlanBuilder::applyChain(ChainEnd end)
+{
+    int taker = end.taker;
+    std::size_t instance = end.instance;
+    if (m_instances[instance].at != spare)
+        --m_pools[static_cast<std::size_t>(m_instances[instance].at)].slack;
+    while (taker != spare) {
+        const SearchLabel label = m_labels[static_cast<std::size_t>(taker)];
+        place(instance, taker);
+        instance = label.instance;
+        taker = label.previous;
+    }
+}
+
+void PlanBuilder::fill(int pool)
+{
+    const PoolState& state = m_pools[static_cast<std::size_t>(pool)];
+    while (state.effective < state.size.target) {
+        const ChainEnd end = searchChain(pool);
+        if (end.cost == unreachable)
+            return;
+        applyChain(end);
+    }
+}
+
+void PlanBuilder::fillBoosts(const std::vector<PoolBoost>& boosts)
+{
+    // All targets are raised before the first is filled, so that no boosted pool gives to another.
+    for (const PoolBoost& boost : boosts) {
+        const int pool = poolIndex(boost.pool);
+        if (pool == spare)
+            continue;
+        PoolState& state = m_pools[static_cast<std::size_t>(pool)];
+        state.size.target += boost.instances; // Not perDomain: the slack is to grow, not the largest domain.
+    }
+    for (const PoolBoost& boost : boosts) {
+        const int pool = poolIndex(boost.pool);
+        if (pool == spare)
+            continue;
+        fill(pool);
+        const PoolState& state = m_pools[static_cast<std::size_t>(pool)];
+        if (state.effective < state.size.target && state.slack <= 0)
+            m_conditions.push_back({ .pool = boost.pool, .code = PoolConditionCode::WaveStalled, .instances = state.size.target - state.effective });
+    }
+}
+
+void PlanBuilder::fillPools()
+{
+    const std::vector<Pool>& pools = m_view.configuration.pools;
+    std::vector<int> order;
+    for (std::size_t pool = 0; pool < pools.size(); ++pool)
+        order.push_back(static_cast<int>(pool));
+    std::stable_sort(order.begin(), order.end(), [&](int a, int b) { return pools[static_cast<std::size_t>(a)].priority > pools[static_cast<std::size_t>(b)].priority; });
+    for (const int pool : order) {
+        fill(pool);
+        const PoolState& state = m_pools[static_cast<std::size_t>(pool)];
+        if (state.effective >= state.size.target)
+            continue;
+        const auto code = state.size.feasible ? PoolConditionCode::TooFewInstances : PoolConditionCode::BudgetNeverHolds;
+        m_conditions.push_back({ .pool = pools[static_cast<std::size_t>(pool)].name, .code = code, .instances = state.size.target - state.effective });
+    }
+}
+
+std::vector<Move> PlanBuilder::moves() const
+{
+    std::vector<Move> result;
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        if (m_instances[i].at == m_instances[i].home)
+            continue;
+        const std::string& id = m_view.instances[i].id;
+        result.push_back({ .instance = id, .from = m_view.ledger.find(id)->pool, .to = m_view.configuration.pools[static_cast<std::size_t>(m_instances[i].at)].name });
+    }
+    return result;
+}
+
+std::vector<std::string> PlanBuilder::strays() const
+{
+    std::vector<std::string> result;
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        const InstancePlacement& state = m_instances[i];
+        const LedgerEntry* entry = m_view.ledger.find(m_view.instances[i].id);
+        const bool named = entry && !entry->pool.empty();
+        if (named && state.movable && !state.counted && state.at == state.home)
+            result.push_back(m_view.instances[i].id);
+    }
+    return result;
+}
+
+Ledger withMoves(Ledger ledger, const std::vector<Move>& moves)
+{
+    for (const Move& move : moves)
+        ledger.find(move.instance)->pool = move.to;
+    return ledger;
+}
+
+/// \returns Pools that would give instances which their budgets can't miss.
+std::vector<std::string> refusingPools(const FleetView& view, const std::vector<Move>& moves)
+{
+    const Ledger next = withMoves(view.ledger, moves);
+    const DisruptionGuard before(view);
+    const DisruptionGuard after({ .configuration = view.configuration, .ledger = next, .instances = view.instances, .now = view.now });
+    std::vector<std::string> refusing;
+    for (const Move& move : moves) {
+        const std::int64_t slackAfter = after.availability(move.from).slack();
+        if (slackAfter < 0 && slackAfter < before.availability(move.from).slack())
+            refusing.push_back(move.from);
+    }
+    return refusing;
+}
+
+/// Lets members that no longer match go to the spare set, as far as budgets permit.
+void releaseStrays(const FleetView& view, const std::vector<std::string>& strays, MembershipPlan& plan)
+{
+    const Ledger next = withMoves(view.ledger, plan.moves);
+    DisruptionGuard guard({ .configuration = view.configuration, .ledger = next, .instances = view.instances, .now = view.now });
+    for (const std::string& stray : strays) {
+        const std::string& pool = next.find(stray)->pool;
+        if (!guard.refusalFor(stray)) {
+            guard.take(stray);
+            plan.moves.push_back({ .instance = stray, .from = pool, .to = {} });
+            continue;
+        }
+        const auto known = std::find_if(plan.conditions.begin(), plan.conditions.end(), [&](const PoolCondition& condition) { return condition.pool == pool && condition.code == PoolConditionCode::AwaitingReplacement; });
+        if (known != plan.conditions.end())
+            ++known->instances;
+        else
+            plan.conditions.push_back({ .pool = pool, .code = PoolConditionCode::AwaitingReplacement, .instances = 1 });
+    }
+}
+
+} // namespace
+
+std::string_view describe(PoolConditionCode code) noexcept
+{
+    switch (code) {
+    case PoolConditionCode::BudgetNeverHolds:
+        return "the matching instances can never hold the availability budget";
+    case PoolConditionCode::TooFewInstances:
+        return "too few free instances match the selector";
+    case PoolConditionCode::AwaitingReplacement:
+        return "members that no longer match stay until the budget lets them go";
+    case PoolConditionCode::WaveStalled:
+        return "instances are due for maintenance and no spare can be lent";
+    }
+    return "unknown condition";
+}
+
+MembershipPlan StickyMembershipPlanner::plan(const FleetView& view, const FleetIndex& index, const std::vector<PoolBoost>& boosts) const
+{
+    std::unordered_set<std::string> frozen;
+    for (int attempt = 0;; ++attempt) {
+        if (attempt == maximumAttempts) {
+            // Only the spare set gives now, which no budget can refuse.
+            for (const Pool& pool : view.configuration.pools)
+                frozen.insert(pool.name);
+        }
+        PlanBuilder builder(view, index, frozen);
+        builder.fillPools();
+        builder.fillBoosts(boosts);
+        MembershipPlan plan { .moves = builder.moves(), .conditions = builder.conditions() };
+        const std::vector<std::string> refusing = refusingPools(view, plan.moves);
+        if (refusing.empty()) {
+            releaseStrays(view, builder.strays(), plan);
+            return plan;
+        }
+        frozen.insert(refusing.begin(), refusing.end());
+    }
+}
+
+} // namespace lanemoor
--- /dev/null
+++ b/tests/support/control_loop.cpp
@@ -0,0 +1,56 @@
+#include "support/control_loop.h"
+
+namespace lanemoor::test {
+
+std::optional<Ledger> FakeLedgerStore::read() const
+{
+    if (m_away)
+        return std::nullopt;
+    return m_ledger;
+}
+
+bool FakeLedgerStore::write(const Ledger& next)
+{
+    if (m_away || next.version != m_ledger.version || next.epoch < m_ledger.epoch)
+        return false;
+    m_ledger = next;
+    ++m_ledger.version;
+    ++m_writes;
+    if (m_answersToLose == 0)
+        return true;
+    --m_answersToLose;
+    return false;
+}
+
+FakeHolder::FakeHolder(std::uint64_t epoch, std::unique_ptr<const MembershipPlanner> planner)
+    : m_epoch(epoch)
+    , m_controller(std::move(planner))
+{
+}
+
+void FakeHolder::decide(const FakeLedgerStore& store, const Configuration& configuration, const FakeFleet& fleet)
+{
+    const std::optional<Ledger> ledger = store.read();
+    m_decided = ledger.has_value();
+    if (!m_decided)
+        return;
+    m_plan = m_controller.step({ .configuration = configuration, .ledger = *ledger, .instances = fleet.listed(), .now = fleet.now() }, m_epoch);
+}
+
+std::vector<Action> FakeHolder::commit(FakeLedgerStore& store, const Configuration& configuration, FakeFleet& fleet)
+{
+    if (!m_decided)
+        return {};
+    m_decided = false;
+    if (m_plan.changed) {
+        if (!store.write(m_plan.next))
+            return {};
+        m_acceptedMoves += m_plan.moves.size();
+    }
+    std::vector<Action> actions = Controller::actionsFor(m_plan.next, configuration, fleet.listed());
+    for (const Action& action : actions)
+        fleet.perform(action);
+    return actions;
+}
+
+} // namespace lanemoor::test
