--- /dev/null
+++ b/include/lanemoor/adapters/metrics.h
@@ -0,0 +1,77 @@
+#pragma once
+/// \file
+/// Counters, gauges and histograms, in the text format of Prometheus.
+
+#include "lanemoor/decisions/invariants.h"
+#include "lanemoor/decisions/request.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace lanemoor {
+
+/// A finished request.
+struct RequestMeasure {
+    RequestClass requestClass = RequestClass::Check;
+    std::string team; ///< Of the configuration, or empty.
+    RequestOutcome outcome = RequestOutcome::NotRun;
+    std::optional<RequestRefusal> refusal;
+    double seconds = 0; ///< From its arrival to the end of its answer.
+    double waitedSeconds = 0; ///< From its arrival to its start.
+};
+
+/// Counters of events that have no labels of their own.
+enum class EventCounter {
+    Retries,
+    StoreCalls,
+    StoreFaults,
+    ListFaults,
+    LedgerWrites,
+    LedgerConflicts,
+    Moves,
+    Grants,
+    Actions,
+    PeerMessagesSent,
+    PeerMessagesReceived,
+    PeerMessagesBad,
+    PeerBytesSent,
+    ClaimsMade,
+    ClaimsRefused,
+};
+
+/// Gauges of the process's state.
+enum class StateGauge {
+    Ready,
+    ConfigurationRevision,
+    LedgerVersion,
+    HoldsControl,
+    Listeners,
+    InFlight,
+    PoolsBelowBudget,
+    WaveDue,
+};
+
+/// \brief The metrics of one process. Safe for several threads.
+class Metrics {
+public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics&) = delete;
+    Metrics& operator=(const Metrics&) = delete;
+
+    void onRequest(const RequestMeasure& measure);
+    void onBreach(InvariantCode code);
+    void count(EventCounter counter, std::uint64_t times = 1);
+    void set(StateGauge gauge, double value);
+
+    /// \returns All metrics as text.
+    [[nodiscard]] std::string text() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace lanemoor
--- /dev/null
+++ b/include/lanemoor/client/text_report.h
@@ -0,0 +1,24 @@
+#pragma once
+/// \file
+/// Answers of an entry instance as text for people. Each function takes the JSON body.
+
+#include <string>
+
+namespace lanemoor {
+
+/// \returns A problem's title and faults.
+[[nodiscard]] std::string problemText(const std::string& body);
+
+/// \returns The accepted revision.
+[[nodiscard]] std::string acceptedText(const std::string& body);
+
+[[nodiscard]] std::string poolsText(const std::string& body);
+[[nodiscard]] std::string instancesText(const std::string& body);
+[[nodiscard]] std::string wavesText(const std::string& body);
+[[nodiscard]] std::string statusText(const std::string& body);
+[[nodiscard]] std::string instanceText(const std::string& body);
+
+/// \param patch A JSON patch (RFC 6902). \returns One line for each change.
+[[nodiscard]] std::string patchText(const std::string& patch);
+
+} // namespace lanemoor
--- a/include/lanemoor/decisions/configuration.h
+++ b/include/lanemoor/decisions/configuration.h
@@ -73,6 +73,7 @@
 /// \brief One accepted version of the operators' configuration. Immutable.
 struct Configuration {
     std::uint64_t revision = 0; ///< The store's version of the document; 0 is no configuration.
+    std::string changeId; ///< Of the change that brought it; settles writes whose answer was lost.
     std::vector<Pool> pools; ///< Ordered by name.
     std::vector<Team> teams; ///< Ordered by name.
     std::vector<std::string> drains; ///< Instances that operators want out of service.
--- /dev/null
+++ b/include/lanemoor/net/http_message.h
@@ -0,0 +1,87 @@
+#pragma once
+/// \file
+/// HTTP messages as plain values. Compiles as C++17, like all headers under net/.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lanemoor {
+
+/// One header field.
+struct HttpHeader {
+    std::string name;
+    std::string value;
+};
+
+/// \brief Header fields in the order they came; names compare without case.
+class HttpHeaders {
+public:
+    HttpHeaders() = default;
+    explicit HttpHeaders(std::vector<HttpHeader> headers);
+
+    /// \returns The first value of `name`, or nothing.
+    [[nodiscard]] std::optional<std::string_view> find(std::string_view name) const noexcept;
+
+    /// \returns How often `name` stands.
+    [[nodiscard]] std::size_t count(std::string_view name) const noexcept;
+
+    void add(std::string name, std::string value);
+
+    /// \brief Replaces all values of `name` by `value`.
+    void set(std::string_view name, std::string value);
+
+    void remove(std::string_view name);
+
+    [[nodiscard]] const std::vector<HttpHeader>& all() const noexcept { return m_headers; }
+
+private:
+    std::vector<HttpHeader> m_headers;
+};
+
+/// A whole request.
+struct HttpRequest {
+    std::string method = "GET";
+    std::string target = "/"; ///< Path and query.
+    HttpHeaders headers;
+    std::string body;
+};
+
+/// Status and headers of an answer.
+struct HttpResponseHead {
+    unsigned status = 200;
+    HttpHeaders headers;
+};
+
+/// A whole answer.
+struct HttpResponse {
+    unsigned status = 200;
+    HttpHeaders headers;
+    std::string body;
+};
+
+/// An IP number and a port.
+struct HttpAddress {
+    std::string ip;
+    std::uint16_t port = 0;
+};
+
+/// \returns Whether `a` and `b` are the same but for the case of ASCII letters.
+[[nodiscard]] bool equalsIgnoringCase(std::string_view a, std::string_view b) noexcept;
+
+/// \param text Digits only. \returns Nothing if `text` is not a number below 2^63.
+[[nodiscard]] std::optional<std::uint64_t> parseDecimal(std::string_view text) noexcept;
+
+/// \returns The standard phrase of `status`.
+[[nodiscard]] const char* reasonPhrase(unsigned status) noexcept;
+
+/// \returns The value of `name` in the query part of `target`, or nothing. Percent
+/// escapes are left as they are.
+[[nodiscard]] std::optional<std::string_view> queryValue(std::string_view target, std::string_view name) noexcept;
+
+/// \returns `target` without its query part.
+[[nodiscard]] std::string_view pathOf(std::string_view target) noexcept;
+
+} // namespace lanemoor
--- /dev/null
+++ b/include/lanemoor/serve/process/shared_state.h
@@ -0,0 +1,143 @@
+#pragma once
+/// \file
+/// What the threads of one entry instance share.
+
+#include "lanemoor/adapters/event_log.h"
+#include "lanemoor/adapters/metrics.h"
+#include "lanemoor/serve/process/endpoint_registry.h"
+#include "lanemoor/serve/process/readiness.h"
+#include "lanemoor/serve/version/routing_table.h"
+#include "lanemoor/state/observation_merger.h"
+#include "lanemoor/state/settings.h"
+#include "lanemoor/state/snapshot.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lanemoor {
+
+/// \name Keys of the store
+///@{
+inline constexpr std::string_view configurationKey = "configuration";
+inline constexpr std::string_view ledgerKey = "ledger";
+inline constexpr std::string_view controlLease = "control";
+///@}
+
+/// A document of the store as last accepted, kept for the peers.
+struct KeptDocument {
+    std::uint64_t version = 0;
+    std::string body;
+};
+
+/// How another entry instance was last heard to stand.
+struct PeerStanding {
+    std::string name;
+    std::string address;
+    std::uint64_t configurationRevision = 0;
+    std::uint64_t ledgerVersion = 0;
+    Instant heardAt;
+};
+
+/// \brief State of the process, shared by its threads.
+class SharedState {
+public:
+    SharedState(Settings settings, std::string holder, Metrics& metrics, EventLog& log);
+
+    [[nodiscard]] const Settings& settings() const noexcept { return m_settings; }
+
+    /// \returns Name of this incarnation, unique over restarts.
+    [[nodiscard]] const std::string& holder() const noexcept { return m_holder; }
+    [[nodiscard]] Metrics& metrics() noexcept { return m_metrics; }
+    [[nodiscard]] EventLog& log() noexcept { return m_log; }
+    [[nodiscard]] EndpointRegistry& endpoints() noexcept { return m_endpoints; }
+
+    /// \name Versions in force
+    ///@{
+    [[nodiscard]] std::shared_ptr<const Snapshot> snapshot() const noexcept { return m_snapshots.load(); }
+    [[nodiscard]] std::shared_ptr<const RoutingTable> routes() const noexcept { return m_routes.load(std::memory_order_acquire); }
+
+    /// \brief Takes a configuration from the store or a peer; an older one is ignored.
+    void acceptConfiguration(std::uint64_t version, const std::string& body);
+
+    /// \brief Takes a ledger from the store or a peer; an older one is ignored.
+    void acceptLedger(std::uint64_t version, const std::string& body);
+
+    void onList(Instances listed);
+    void onPeerSigns(const std::string& peer, std::set<std::string> failing, std::set<std::string> leaving);
+
+    /// \brief Merges observations anew and publishes them.
+    void refreshObservations();
+
+    void setSeat(Seat seat);
+    [[nodiscard]] Seat seat() const;
+
+    /// \returns Instances that this entry itself, not a peer, found leaving.
+    [[nodiscard]] std::set<std::string> leavingFoundHere() const;
+
+    [[nodiscard]] KeptDocument configurationDocument() const;
+    [[nodiscard]] KeptDocument ledgerDocument() const;
+    ///@}
+
+    /// \name Contact with others
+    ///@{
+    void onStoreReached() noexcept { m_storeReachedAt.store(currentInstant(), std::memory_order_release); }
+    [[nodiscard]] Instant storeReachedAt() const noexcept { return m_storeReachedAt.load(std::memory_order_acquire); }
+    /// \brief Notes that another entry instance reached the store at `instant`.
+    void onStoreReachedByPeer(Instant instant) noexcept;
+    /// \returns When the store was last reached by this or, as far as known, any other entry instance.
+    [[nodiscard]] Instant storeReachedByAnyAt() const noexcept;
+    [[nodiscard]] Instant listReadAt() const noexcept { return m_listReadAt.load(std::memory_order_acquire); }
+    /// \param known Peers that should be there, heard or not.
+    /// \param heard Peers heard within the last seconds.
+    void setPeers(std::size_t known, std::size_t heard, std::vector<PeerStanding> standings);
+    [[nodiscard]] std::vector<PeerStanding> peers() const;
+    [[nodiscard]] Readiness readiness() const;
+    ///@}
+
+    /// \name Stopping
+    ///@{
+    void stop();
+    [[nodiscard]] bool isStopping() const noexcept { return m_stopping.load(std::memory_order_acquire); }
+
+    /// \brief Ends the background threads, after the last request has ended.
+    void quit();
+    [[nodiscard]] bool isQuitting() const noexcept { return m_quitting.load(std::memory_order_acquire); }
+
+    /// \brief Sleeps for `time`, or until `quit`.
+    /// \returns Whether to go on.
+    bool pause(Millis time);
+    ///@}
+
+private:
+    void publishRoutes();
+
+    Settings m_settings;
+    std::string m_holder;
+    Metrics& m_metrics;
+    EventLog& m_log;
+    EndpointRegistry m_endpoints;
+    SnapshotHolder m_snapshots;
+    std::atomic<std::shared_ptr<const RoutingTable>> m_routes { std::make_shared<const RoutingTable>() };
+    mutable std::mutex m_mutex;
+    std::condition_variable m_quitChanged;
+    ObservationMerger m_merger;
+    KeptDocument m_configuration;
+    KeptDocument m_ledger;
+    Seat m_seat;
+    std::vector<PeerStanding> m_peers;
+    std::atomic<Instant> m_storeReachedAt { Instant {} };
+    std::atomic<Instant> m_storeReachedByPeerAt { Instant {} };
+    std::atomic<Instant> m_listReadAt { Instant {} };
+    std::atomic<std::size_t> m_peersKnown { 0 };
+    std::atomic<std::size_t> m_peersHeard { 0 };
+    std::atomic<bool> m_stopping { false };
+    std::atomic<bool> m_quitting { false };
+};
+
+} // namespace lanemoor
--- a/include/lanemoor/state/configuration_document.h
+++ b/include/lanemoor/state/configuration_document.h
@@ -34,7 +34,8 @@
     std::vector<DocumentFault> m_faults;
 };
 
-/// \returns `configuration` as `ConfigurationReader` reads it, indented. The revision is not in it.
+/// \returns `configuration` as `ConfigurationReader` reads it, indented.
+/// The revision is not in it.
 [[nodiscard]] std::string formatConfiguration(const Configuration& configuration);
 
 } // namespace lanemoor
--- /dev/null
+++ b/src/adapters/http_platform.cpp
@@ -0,0 +1,294 @@
+#include "lanemoor/adapters/http_platform.h"
+
+#include "lanemoor/net/http_connection.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace lanemoor {
+
+namespace {
+
+constexpr Millis callLimit { 2'000 };
+/// Beyond the time that a watch may wait.
+constexpr Millis watchSlack { 2'000 };
+constexpr std::size_t mostAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t mostValueBytes = 1024 * 1024;
+
+/// Sends calls over one connection, which is opened again when it was closed. A call
+/// that may have left is never sent again.
+class Caller {
+public:
+    explicit Caller(HttpAddress address)
+        : m_address(std::move(address))
+        , m_connection(m_address)
+    {
+    }
+
+    /// \returns The whole answer, or nothing; then `lastResult()` says why.
+    [[nodiscard]] std::optional<HttpResponse> call(const HttpRequest& request, Millis limit)
+    {
+        if (!m_connection.isReusable())
+            m_connection = HttpConnection(m_address);
+        BufferSink sink(mostAnswerBytes);
+        m_lastResult = m_connection.exchange(request, sink, { .deadline = currentInstant() + limit });
+        if (m_lastResult.fault != ExchangeFault::None)
+            return std::nullopt;
+        return sink.response();
+    }
+
+    [[nodiscard]] const ExchangeResult& lastResult() const noexcept { return m_lastResult; }
+
+private:
+    HttpAddress m_address;
+    HttpConnection m_connection;
+    ExchangeResult m_lastResult;
+};
+
+HttpRequest requestOf(std::string method, std::string target, std::string body = {})
+{
+    HttpRequest request;
+    request.method = std::move(method);
+    request.target = std::move(target);
+    request.body = std::move(body);
+    return request;
+}
+
+/// Reads an entity tag such as `"7"`.
+std::optional<std::uint64_t> versionOf(const HttpHeaders& headers)
+{
+    const std::optional<std::string_view> tag = headers.find("ETag");
+    if (!tag || tag->size() < 3 || tag->front() != '"' || tag->back() != '"')
+        return std::nullopt;
+    return parseDecimal(tag->substr(1, tag->size() - 2));
+}
+
+std::string tagOf(std::uint64_t version)
+{
+    return '"' + std::to_string(version) + '"';
+}
+
+class HttpStore final : public Store {
+public:
+    explicit HttpStore(const HttpAddress& address)
+        : m_caller(address)
+    {
+    }
+
+    [[nodiscard]] std::optional<StoredValue> get(const std::string& key) override
+    {
+        return read(requestOf("GET", "/v1/kv/" + key), callLimit);
+    }
+
+    [[nodiscard]] std::optional<StoredValue> watch(const std::string& key, std::uint64_t after, Millis wait) override
+    {
+        const std::string target = "/v1/kv/" + key + "?after=" + std::to_string(after) + "&waitMs=" + std::to_string(wait.count());
+        return read(requestOf("GET", target), wait + watchSlack);
+    }
+
+    [[nodiscard]] std::optional<std::uint64_t> put(const std::string& key, const std::string& body, std::uint64_t expected) override
+    {
+        if (body.size() > mostValueBytes) {
+            m_lastFault = StoreFault::TooLarge;
+            return std::nullopt;
+        }
+        HttpRequest request = requestOf("PUT", "/v1/kv/" + key, body);
+        if (expected == 0)
+            request.headers.add("If-None-Match", "*");
+        else
+            request.headers.add("If-Match", tagOf(expected));
+        const std::optional<HttpResponse> response = call(request, callLimit);
+        return response ? versionOf(response->headers) : std::nullopt;
+    }
+
+    [[nodiscard]] std::optional<Lease> acquire(const std::string& name, const std::string& holder, Millis time) override
+    {
+        const Instant before = currentInstant();
+        const nlohmann::json body { { "holder", holder }, { "ttlMs", time.count() } };
+        const std::optional<HttpResponse> response = call(requestOf("POST", "/v1/leases/" + name, body.dump()), callLimit);
+        if (!response)
+            return std::nullopt;
+        const nlohmann::json answer = nlohmann::json::parse(response->body, nullptr, false);
+        if (!answer.is_object() || !answer.contains("epoch") || !answer["epoch"].is_number_unsigned()) {
+            m_lastFault = StoreFault::Refused;
+            return std::nullopt;
+        }
+        return Lease { .epoch = answer["epoch"].get<std::uint64_t>(), .expiresAt = before + time };
+    }
+
+    void release(const std::string& name, const std::string& holder) override
+    {
+        static_cast<void>(call(requestOf("DELETE", "/v1/leases/" + name + "?holder=" + holder), callLimit));
+    }
+
+    [[nodiscard]] StoreFault lastFault() const noexcept override { return m_lastFault; }
+
+private:
+    [[nodiscard]] std::optional<StoredValue> read(const HttpRequest& request, Millis limit)
+    {
+        std::optional<HttpResponse> response = call(request, limit);
+        if (!response)
+            return std::nullopt;
+        const std::optional<std::uint64_t> version = versionOf(response->headers);
+        if (!version) {
+            m_lastFault = response->status == 204 ? StoreFault::NotFound : StoreFault::Refused;
+            return std::nullopt;
+        }
+        return StoredValue { .version = *version, .body = std::move(response->body) };
+    }
+
+    [[nodiscard]] std::optional<HttpResponse> call(const HttpRequest& request, Millis limit)
+    {
+        std::optional<HttpResponse> response = m_caller.call(request, limit);
+        if (!response) {
+            m_lastFault = m_caller.lastResult().anySent ? StoreFault::NoAnswer : StoreFault::Unreachable;
+            return std::nullopt;
+        }
+        if (response->status < 300)
+            return response;
+        m_lastFault = faultOf(response->status);
+        return std::nullopt;
+    }
+
+    [[nodiscard]] static StoreFault faultOf(unsigned status) noexcept
+    {
+        if (status == 404)
+            return StoreFault::NotFound;
+        if (status == 409 || status == 412)
+            return StoreFault::Conflict;
+        if (status == 413)
+            return StoreFault::TooLarge;
+        return StoreFault::Refused;
+    }
+
+    Caller m_caller;
+    StoreFault m_lastFault = StoreFault::Unreachable;
+};
+
+class HttpPlatform final : public Platform {
+public:
+    explicit HttpPlatform(const HttpAddress& address)
+        : m_caller(address)
+    {
+    }
+
+    [[nodiscard]] std::optional<Instances> list() override
+    {
+        const std::optional<HttpResponse> response = m_caller.call(requestOf("GET", "/v1/instances"), callLimit);
+        m_lastFault = response ? PlatformFault::Refused : PlatformFault::Unreachable;
+        if (!response || response->status != 200)
+            return std::nullopt;
+        std::optional<Instances> instances = parseInstanceList(response->body);
+        if (!instances)
+            m_lastFault = PlatformFault::Malformed;
+        return instances;
+    }
+
+    [[nodiscard]] bool perform(const Action& action) override
+    {
+        const std::string target = "/v1/instances/" + action.instance + '/' + std::string(nameOf(action.kind)) + "?grant=" + std::to_string(action.grant) + "&epoch=" + std::to_string(action.epoch);
+        const std::optional<HttpResponse> response = m_caller.call(requestOf("POST", target), callLimit);
+        m_lastFault = response ? PlatformFault::Refused : PlatformFault::Unreachable;
+        return response && response->status < 300;
+    }
+
+    [[nodiscard]] PlatformFault lastFault() const noexcept override { return m_lastFault; }
+
+private:
+    Caller m_caller;
+    PlatformFault m_lastFault = PlatformFault::Unreachable;
+};
+
+InstanceState stateFrom(const std::string& text) noexcept
+{
+    if (text == "live")
+        return InstanceState::Live;
+    return text == "gone" ? InstanceState::Gone : InstanceState::Leaving;
+}
+
+Instance instanceFrom(const nlohmann::json& json)
+{
+    Instance instance;
+    instance.id = json.at("id").get<std::string>();
+    instance.address = json.at("ip").get<std::string>();
+    instance.port = json.at("port").get<std::uint16_t>();
+    instance.dataHall = json.at("dataHall").get<std::string>();
+    instance.rack = json.at("rack").get<std::string>();
+    instance.state = stateFrom(json.at("state").get<std::string>());
+    instance.bootId = json.value("bootId", std::uint64_t { 0 });
+    instance.drained = json.value("drained", false);
+    instance.slots = json.value("slots", instance.slots);
+    instance.connections = json.value("connections", instance.connections);
+    instance.longSessions = json.value("longSessions", instance.longSessions);
+    std::vector<Label> labels;
+    for (const auto& [key, value] : json.at("labels").items())
+        labels.push_back({ .key = key, .value = value.get<std::string>() });
+    instance.labels = LabelSet(std::move(labels));
+    return instance;
+}
+
+} // namespace
+
+std::string_view describe(StoreFault fault) noexcept
+{
+    switch (fault) {
+    case StoreFault::Unreachable:
+        return "the store can't be reached";
+    case StoreFault::NoAnswer:
+        return "the store gave no answer";
+    case StoreFault::NotFound:
+        return "the store has no such value";
+    case StoreFault::Conflict:
+        return "the store holds another version";
+    case StoreFault::TooLarge:
+        return "the value is too large for the store";
+    case StoreFault::Refused:
+        return "the store refused the call";
+    }
+    return "unknown fault";
+}
+
+std::string_view describe(PlatformFault fault) noexcept
+{
+    switch (fault) {
+    case PlatformFault::Unreachable:
+        return "the platform can't be reached";
+    case PlatformFault::Refused:
+        return "the platform refused the call";
+    case PlatformFault::Malformed:
+        return "the platform's answer can't be read";
+    }
+    return "unknown fault";
+}
+
+std::optional<Instances> parseInstanceList(std::string_view text)
+{
+    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_array())
+        return std::nullopt;
+    Instances instances;
+    try {
+        for (const nlohmann::json& element : json)
+            instances.push_back(instanceFrom(element));
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    }
+    return instances;
+}
+
+HttpStoreFactory::HttpStoreFactory(HttpAddress address)
+    : m_address(std::move(address))
+{
+}
+
+std::unique_ptr<Store> HttpStoreFactory::make() const
+{
+    return std::make_unique<HttpStore>(m_address);
+}
+
+std::unique_ptr<Platform> makeHttpPlatform(const HttpAddress& address)
+{
+    return std::make_unique<HttpPlatform>(address);
+}
+
+} // namespace lanemoor
--- /dev/null
+++ b/src/client/command_line.cpp
@@ -0,0 +1,319 @@
+#include "lanemoor/client/command_line.h"
+
+#include "lanemoor/client/operator_client.h"
+#include "lanemoor/client/text_report.h"
+#include "lanemoor/serve/process/daemon.h"
+#include "lanemoor/state/configuration_document.h"
+#include "lanemoor/state/settings.h"
+
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <getopt.h>
+#include <iostream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#ifndef LANEMOOR_VERSION
+#define LANEMOOR_VERSION "unknown"
+#endif
+
+namespace lanemoor {
+
+namespace {
+
+/// A command's arguments after its options were read.
+struct Invocation {
+    std::vector<std::string> operands;
+    std::string settingsFile;
+    OperatorClientOptions client;
+    bool asJson = false;
+};
+
+/// One command of the binary.
+struct Command {
+    std::string_view name;
+    std::string_view operands; ///< As the help shows them.
+    std::string_view help;
+    std::size_t leastOperands;
+    std::size_t mostOperands;
+    std::function<ExitCode(const Invocation&)> run;
+};
+
+std::optional<std::string> readFile(const std::string& name)
+{
+    std::ifstream in(name, std::ios::binary);
+    if (!in)
+        return std::nullopt;
+    return std::string(std::istreambuf_iterator<char>(in), {});
+}
+
+ExitCode complain(const std::string& text)
+{
+    std::cerr << "lanemoor: " << text << '\n';
+    return ExitCode::Refused;
+}
+
+/// Prints what an entry answered. \returns Whether it was a success.
+ExitCode show(const Invocation& invocation, const HttpResponse& response, const std::function<std::string(const std::string&)>& asText)
+{
+    constexpr unsigned firstFailure = 300;
+    if (response.status >= firstFailure) {
+        if (invocation.asJson)
+            std::cout << response.body << '\n';
+        return complain(problemText(response.body));
+    }
+    std::cout << (invocation.asJson ? response.body : asText(response.body)) << '\n';
+    return ExitCode::Done;
+}
+
+ExitCode callAndShow(const Invocation& invocation, std::string_view method, const std::string& target, const std::function<std::string(const std::string&)>& asText)
+{
+    OperatorClient client(invocation.client);
+    const std::optional<HttpResponse> response = client.call(method, target);
+    if (!response)
+        return complain(client.lastReason());
+    return show(invocation, *response, asText);
+}
+
+ExitCode serve(const Invocation& invocation)
+{
+    if (invocation.settingsFile.empty()) {
+        std::cerr << "lanemoor serve: --settings FILE is needed\n";
+        return ExitCode::WrongUsage;
+    }
+    const std::optional<std::string> text = readFile(invocation.settingsFile);
+    if (!text)
+        return complain(invocation.settingsFile + ": can't be read");
+    SettingsReader reader;
+    const std::optional<Settings> settings = reader.read(*text);
+    for (const DocumentFault& fault : reader.faults())
+        std::cerr << formatFault(invocation.settingsFile, fault) << '\n';
+    if (!settings)
+        return ExitCode::Refused;
+    return runDaemon(*settings) == 0 ? ExitCode::Done : ExitCode::Refused;
+}
+
+/// Settings name a platform; a configuration never does.
+std::vector<DocumentFault> faultsOf(const std::string& text)
+{
+    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    if (json.is_object() && (json.contains("platform") || json.contains("front"))) {
+        SettingsReader reader;
+        static_cast<void>(reader.read(text));
+        return reader.faults();
+    }
+    ConfigurationReader reader;
+    static_cast<void>(reader.read(text, 1));
+    return reader.faults();
+}
+
+ExitCode check(const Invocation& invocation)
+{
+    ExitCode code = ExitCode::Done;
+    for (const std::string& file : invocation.operands) {
+        const std::optional<std::string> text = readFile(file);
+        if (!text) {
+            code = complain(file + ": can't be read");
+            continue;
+        }
+        for (const DocumentFault& fault : faultsOf(*text)) {
+            std::cout << formatFault(file, fault) << '\n';
+            code = ExitCode::Refused;
+        }
+    }
+    return code;
+}
+
+ExitCode get(const Invocation& invocation)
+{
+    return callAndShow(invocation, "GET", "/v1/configuration", [](const std::string& body) { return body; });
+}
+
+/// Without a base the change is made on what is in force at the entry asked.
+ExitCode apply(const Invocation& invocation)
+{
+    const std::string& file = invocation.operands.front();
+    const std::optional<std::string> text = readFile(file);
+    if (!text)
+        return complain(file + ": can't be read");
+    const std::vector<DocumentFault> faults = faultsOf(*text);
+    for (const DocumentFault& fault : faults)
+        std::cerr << formatFault(file, fault) << '\n';
+    if (!faults.empty())
+        return ExitCode::Refused;
+    OperatorClient client(invocation.client);
+    std::string base = invocation.operands.size() > 1 ? '"' + invocation.operands[1] + '"' : std::string();
+    if (base.empty()) {
+        const std::optional<HttpResponse> current = client.call("GET", "/v1/configuration");
+        if (!current)
+            return complain(client.lastReason());
+        base = std::string(current->headers.find("ETag").value_or("\"0\""));
+    }
+    const std::optional<HttpResponse> response = client.call("PUT", "/v1/configuration", *text, base == "\"0\"" ? "*" : base);
+    if (!response)
+        return complain(client.lastReason());
+    return show(invocation, *response, acceptedText);
+}
+
+ExitCode diff(const Invocation& invocation)
+{
+    const std::string& file = invocation.operands.front();
+    const std::optional<std::string> text = readFile(file);
+    if (!text)
+        return complain(file + ": can't be read");
+    ConfigurationReader reader;
+    const std::optional<Configuration> mine = reader.read(*text, 1);
+    for (const DocumentFault& fault : reader.faults())
+        std::cerr << formatFault(file, fault) << '\n';
+    if (!mine)
+        return ExitCode::Refused;
+    OperatorClient client(invocation.client);
+    const std::optional<HttpResponse> current = client.call("GET", "/v1/configuration");
+    if (!current)
+        return complain(client.lastReason());
+    const nlohmann::json patch = nlohmann::json::diff(nlohmann::json::parse(current->body), nlohmann::json::parse(formatConfiguration(*mine)));
+    std::cout << (invocation.asJson ? patch.dump() : patchText(patch.dump()));
+    return ExitCode::Done;
+}
+
+ExitCode waves(const Invocation& invocation)
+{
+    if (invocation.operands.empty())
+        return callAndShow(invocation, "GET", "/v1/waves", wavesText);
+    if (invocation.operands.front() != "start") {
+        std::cerr << "lanemoor waves: the operand can be start only\n";
+        return ExitCode::WrongUsage;
+    }
+    return callAndShow(invocation, "POST", "/v1/waves", acceptedText);
+}
+
+const std::vector<Command>& commands()
+{
+    static const std::vector<Command> all {
+        { "serve", "--settings FILE", "run an entry instance", 0, 0, serve },
+        { "check", "FILE...", "check settings and configurations, all faults at once", 1, 1000, check },
+        { "apply", "FILE [REVISION]", "replace the configuration, made on REVISION or on the one in force", 1, 2, apply },
+        { "get", "", "print the configuration in force", 0, 0, get },
+        { "diff", "FILE", "print what applying FILE would change", 1, 1, diff },
+        { "pools", "", "show pools, budgets and conditions", 0, 0, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/pools", poolsText); } },
+        { "instances", "", "show instances, their pools and grants", 0, 0, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/instances", instancesText); } },
+        { "waves", "[start]", "show or start a maintenance wave", 0, 1, waves },
+        { "drain", "INSTANCE", "take an instance out of service when its budget permits", 1, 1, [](const Invocation& invocation) { return callAndShow(invocation, "POST", "/v1/instances/" + invocation.operands.front() + "/drain", acceptedText); } },
+        { "undrain", "INSTANCE", "let an instance serve again", 1, 1, [](const Invocation& invocation) { return callAndShow(invocation, "POST", "/v1/instances/" + invocation.operands.front() + "/undrain", acceptedText); } },
+        { "status", "", "show an entry instance, its peers and what is in force on each", 0, 0, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/status", statusText); } },
+        { "explain", "INSTANCE", "tell why an instance is in its pool and whether it may be taken", 1, 1, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/instances/" + invocation.operands.front(), instanceText); } },
+    };
+    return all;
+}
+
+void printUsage(std::ostream& out)
+{
+    out << "usage: lanemoor COMMAND [--entry IP:PORT] [--token-file FILE] [--json] [OPERAND...]\n"
+           "       lanemoor COMMAND --help | lanemoor --version\n\n";
+    for (const Command& command : commands())
+        out << "  " << command.name << ' ' << command.operands << "\n      " << command.help << '\n';
+    out << "\nExit codes: 0 done, 1 refused or failed, 2 wrong usage.\n";
+}
+
+void printHelp(const Command& command)
+{
+    std::cout << "usage: lanemoor " << command.name << ' ' << command.operands << "\n  " << command.help
+              << "\n  --entry IP:PORT    operators' port to ask (default 127.0.0.1:7300)"
+                 "\n  --token-file FILE  file that holds the operators' token"
+                 "\n  --json             answer as JSON\n";
+}
+
+/// Reads a command's options. \returns Nothing if they are wrong or help was asked for;
+/// then `code` is the exit code.
+std::optional<Invocation> readInvocation(const Command& command, int count, char** arguments, ExitCode& code)
+{
+    static const std::array<option, 6> options { {
+        { "settings", required_argument, nullptr, 's' },
+        { "entry", required_argument, nullptr, 'e' },
+        { "token-file", required_argument, nullptr, 't' },
+        { "json", no_argument, nullptr, 'j' },
+        { "help", no_argument, nullptr, 'h' },
+        { nullptr, 0, nullptr, 0 },
+    } };
+    Invocation invocation;
+    code = ExitCode::WrongUsage;
+    optind = 1;
+    for (int found = 0; (found = getopt_long(count, arguments, "h", options.data(), nullptr)) != -1;) {
+        switch (found) {
+        case 's':
+            invocation.settingsFile = optarg;
+            break;
+        case 'j':
+            invocation.asJson = true;
+            break;
+        case 'e': {
+            const std::optional<HttpAddress> address = parseAddress(optarg);
+            if (!address) {
+                std::cerr << "lanemoor: --entry needs IP:PORT\n";
+                return std::nullopt;
+            }
+            invocation.client.address = *address;
+            break;
+        }
+        case 't': {
+            std::optional<std::string> token = readFile(optarg);
+            if (!token) {
+                std::cerr << "lanemoor: " << optarg << " can't be read\n";
+                return std::nullopt;
+            }
+            token->erase(token->find_last_not_of(" \r\n") + 1);
+            invocation.client.token = *token;
+            break;
+        }
+        case 'h':
+            printHelp(command);
+            code = ExitCode::Done;
+            return std::nullopt;
+        default:
+            return std::nullopt;
+        }
+    }
+    invocation.operands.assign(arguments + optind, arguments + count);
+    if (invocation.operands.size() < command.leastOperands || invocation.operands.size() > command.mostOperands) {
+        std::cerr << "usage: lanemoor " << command.name << ' ' << command.operands << '\n';
+        return std::nullopt;
+    }
+    return invocation;
+}
+
+ExitCode runNamed(int count, char** arguments)
+{
+    const std::string_view name = count > 1 ? arguments[1] : "";
+    if (name == "--version") {
+        std::cout << "lanemoor " LANEMOOR_VERSION "\n";
+        return ExitCode::Done;
+    }
+    if (name == "--help" || name == "-h") {
+        printUsage(std::cout);
+        return ExitCode::Done;
+    }
+    for (const Command& command : commands()) {
+        if (command.name != name)
+            continue;
+        ExitCode code = ExitCode::WrongUsage;
+        const std::optional<Invocation> invocation = readInvocation(command, count - 1, arguments + 1, code);
+        return invocation ? command.run(*invocation) : code;
+    }
+    printUsage(std::cerr);
+    return ExitCode::WrongUsage;
+}
+
+} // namespace
+
+int runCommandLine(int count, char** arguments)
+{
+    return static_cast<int>(runNamed(count, arguments));
+}
+
+} // namespace lanemoor
--- /dev/null
+++ b/src/client/operator_client.cpp
@@ -0,0 +1,55 @@
+#include "lanemoor/client/operator_client.h"
+
+#include "lanemoor/decisions/time.h"
+#include "lanemoor/net/http_connection.h"
+
+#include <utility>
+
+namespace lanemoor {
+
+namespace {
+
+constexpr Millis callLimit { 10'000 };
+constexpr std::size_t mostAnswerBytes = 64 * 1024 * 1024;
+constexpr std::uint64_t mostPort = 65'535;
+
+} // namespace
+
+OperatorClient::OperatorClient(OperatorClientOptions options)
+    : m_options(std::move(options))
+{
+}
+
+std::optional<HttpResponse> OperatorClient::call(std::string_view method, std::string_view target, std::string_view body, std::string_view condition)
+{
+    HttpRequest request;
+    request.method = method;
+    request.target = target;
+    request.body = body;
+    if (condition == "*")
+        request.headers.add("If-None-Match", "*");
+    else if (!condition.empty())
+        request.headers.add("If-Match", std::string(condition));
+    if (!m_options.token.empty())
+        request.headers.add("Authorization", "Bearer " + m_options.token);
+    HttpConnection connection(m_options.address);
+    BufferSink sink(mostAnswerBytes);
+    const ExchangeResult result = connection.exchange(request, sink, { .deadline = currentInstant() + callLimit });
+    if (result.fault == ExchangeFault::None)
+        return sink.response();
+    m_lastReason = m_options.address.ip + ':' + std::to_string(m_options.address.port) + ": " + describe(result.fault);
+    return std::nullopt;
+}
+
+std::optional<HttpAddress> parseAddress(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return std::nullopt;
+    const std::optional<std::uint64_t> port = parseDecimal(text.substr(colon + 1));
+    if (!port || *port == 0 || *port > mostPort)
+        return std::nullopt;
+    return HttpAddress { std::string(text.substr(0, colon)), static_cast<std::uint16_t>(*port) };
+}
+
+} // namespace lanemoor
--- /dev/null
+++ b/src/client/text_report.cpp
@@ -0,0 +1,142 @@
+#include "lanemoor/client/text_report.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace lanemoor {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+/// \returns The value as text, strings without quotes.
+std::string plain(const Json& value)
+{
+    if (value.is_string())
+        return value.get<std::string>();
+    if (value.is_boolean())
+        return value.get<bool>() ? "yes" : "no";
+    if (value.is_null())
+        return "-";
+    return value.dump();
+}
+
+/// A table with a line of titles.
+class Table {
+public:
+    explicit Table(std::vector<std::string> titles) { add(std::move(titles)); }
+
+    void add(std::vector<std::string> cells)
+    {
+        m_widths.resize(std::max(m_widths.size(), cells.size()));
+        for (std::size_t i = 0; i < cells.size(); ++i)
+            m_widths[i] = std::max(m_widths[i], cells[i].size());
+        m_rows.push_back(std::move(cells));
+    }
+
+    [[nodiscard]] std::string text() const
+    {
+        std::string text;
+        for (const std::vector<std::string>& row : m_rows) {
+            std::string line;
+            for (std::size_t i = 0; i < row.size(); ++i)
+                line += row[i] + std::string(m_widths[i] - row[i].size() + 2, ' ');
+            line.erase(line.find_last_not_of(' ') + 1);
+            text += line + '\n';
+        }
+        text.pop_back();
+        return text;
+    }
+
+private:
+    std::vector<std::vector<std::string>> m_rows;
+    std::vector<std::size_t> m_widths;
+};
+
+std::string keyValueText(const Json& json)
+{
+    std::string text;
+    for (const auto& [key, value] : json.items())
+        text += key + ": " + plain(value) + '\n';
+    text.erase(text.find_last_not_of('\n') + 1);
+    return text;
+}
+
+std::string conditionsText(const Json& conditions)
+{
+    std::string text;
+    for (const Json& condition : conditions)
+        text += (text.empty() ? "" : "; ") + plain(condition["text"]) + " (" + plain(condition["instances"]) + ')';
+    return text;
+}
+
+} // namespace
+
+std::string problemText(const std::string& body)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    if (!json.is_object() || !json.contains("title"))
+        return "the entry refused the call";
+    std::string text = plain(json["title"]);
+    for (const Json& fault : json.value("faults", Json::array()))
+        text += "\n  " + plain(fault["line"]) + ':' + plain(fault["column"]) + ": " + plain(fault["field"]) + ": " + plain(fault["text"]) + " (" + plain(fault["detail"]) + ')';
+    return text;
+}
+
+std::string acceptedText(const std::string& body)
+{
+    return "accepted as revision " + plain(Json::parse(body)["revision"]);
+}
+
+std::string poolsText(const std::string& body)
+{
+    const Json json = Json::parse(body);
+    Table table({ "POOL", "MEMBERS", "TARGET", "IN SERVICE", "MINIMUM", "SLACK", "GRANTS", "CONDITIONS" });
+    for (const Json& pool : json["pools"])
+        table.add({ plain(pool["name"]), plain(pool["members"]), plain(pool["target"]), plain(pool["inService"]), plain(pool["minimum"]), plain(pool["slack"]), plain(pool["granted"]), conditionsText(pool["conditions"]) });
+    return table.text() + "\nspare instances: " + plain(json["spare"]);
+}
+
+std::string instancesText(const std::string& body)
+{
+    Table table({ "INSTANCE", "POOL", "DATA HALL", "RACK", "STATE", "SERVES", "GRANT", "MAINTAINED AT" });
+    const Json json = Json::parse(body);
+    for (const Json& instance : json["instances"]) {
+        const std::string grant = instance.contains("grant") ? plain(instance["grant"]["reason"]) + ", " + plain(instance["grant"]["phase"]) : "-";
+        table.add({ plain(instance["id"]), plain(instance["pool"]), plain(instance.value("dataHall", Json())), plain(instance.value("rack", Json())), plain(instance["state"]), plain(instance["inService"]), grant, plain(instance["maintainedAt"]) });
+    }
+    return table.text();
+}
+
+std::string wavesText(const std::string& body)
+{
+    return keyValueText(Json::parse(body));
+}
+
+std::string statusText(const std::string& body)
+{
+    Json json = Json::parse(body);
+    const Json peers = json["peers"];
+    json.erase("peers");
+    Table table({ "PEER", "ADDRESS", "REVISION", "LEDGER", "HEARD AT" });
+    for (const Json& peer : peers)
+        table.add({ plain(peer["name"]), plain(peer["address"]), plain(peer["configurationRevision"]), plain(peer["ledgerVersion"]), plain(peer["heardAt"]) });
+    return keyValueText(json) + "\n\n" + table.text();
+}
+
+std::string instanceText(const std::string& body)
+{
+    return keyValueText(Json::parse(body));
+}
+
+std::string patchText(const std::string& patch)
+{
+    std::string text;
+    const Json json = Json::parse(patch);
+    for (const Json& change : json)
+        text += plain(change["op"]) + ' ' + plain(change["path"]) + (change.contains("value") ? ' ' + change["value"].dump() : std::string()) + '\n';
+    return text.empty() ? "no difference\n" : text;
+}
+
+} // namespace lanemoor
--- a/src/decisions/controller.cpp
+++ b/src/decisions/controller.cpp
@@ -17,21 +17,23 @@
     return std::find(configuration.drains.begin(), configuration.drains.end(), id) != configuration.drains.end();
 }
 
-/// Adds a line for each new instance and drops those of instances that are gone.
+/// Drops the lines of instances that are gone and adds one for each new instance.
+/// An instance that the list does not show keeps its line: lists lag and flap.
 void followList(const FleetView& view, Ledger& next)
 {
-    std::vector<LedgerEntry> entries;
-    entries.reserve(view.instances.size());
+    std::erase_if(next.entries, [&](const LedgerEntry& entry) {
+        const Instance* instance = findInstance(view.instances, entry.instance);
+        return instance && instance->state == InstanceState::Gone;
+    });
+    std::vector<LedgerEntry> added;
     for (const Instance& instance : view.instances) {
-        if (instance.state == InstanceState::Gone)
-            continue;
-        LedgerEntry* known = next.find(instance.id);
-        if (known)
-            entries.push_back(std::move(*known));
-        else
-            entries.push_back({ .instance = instance.id, .pool = {}, .maintainedAt = view.now, .grant = std::nullopt });
+        if (instance.state != InstanceState::Gone && !next.find(instance.id))
+            added.push_back({ .instance = instance.id, .pool = {}, .maintainedAt = view.now, .grant = std::nullopt });
     }
-    next.entries = std::move(entries);
+    if (added.empty())
+        return;
+    next.entries.insert(next.entries.end(), added.begin(), added.end());
+    std::sort(next.entries.begin(), next.entries.end(), [](const LedgerEntry& a, const LedgerEntry& b) { return a.instance < b.instance; });
 }
 
 bool isBack(const Instance& instance, const Grant& grant) noexcept
--- /dev/null
+++ b/src/decisions/endpoint_choice.cpp
@@ -0,0 +1,56 @@
+#include "lanemoor/decisions/endpoint_choice.h"
+
+#include <string_view>
+#include <tuple>
+
+namespace lanemoor {
+
+namespace {
+
+/// FNV-1a: the same on every entry instance, whatever its library.
+std::uint64_t stableHash(std::string_view text) noexcept
+{
+    constexpr std::uint64_t offsetBasis = 14695981039346656037ULL;
+    constexpr std::uint64_t prime = 1099511628211ULL;
+    std::uint64_t hash = offsetBasis;
+    for (const char c : text) {
+        hash ^= static_cast<unsigned char>(c);
+        hash *= prime;
+    }
+    return hash;
+}
+
+} // namespace
+
+std::optional<std::size_t> chooseEndpoint(const std::vector<EndpointCandidate>& candidates, std::uint64_t turn) noexcept
+{
+    const EndpointCandidate* best = nullptr;
+    std::tuple<bool, double> bestRank;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const EndpointCandidate& candidate = candidates[(i + turn) % candidates.size()];
+        if (candidate.tried || candidate.ejected || candidate.inFlight >= candidate.share)
+            continue;
+        const double load = static_cast<double>(candidate.inFlight) / candidate.share;
+        const std::tuple<bool, double> rank { candidate.sameDomainAsTried, load };
+        if (!best || rank < bestRank) {
+            best = &candidate;
+            bestRank = rank;
+        }
+    }
+    if (!best)
+        return std::nullopt;
+    return best->index;
+}
+
+std::uint32_t shareOfSeat(const std::string& instance, std::uint32_t slots, std::uint32_t seat, std::uint32_t seats) noexcept
+{
+    if (seats == 0 || seat >= seats)
+        return 0;
+    const std::uint32_t even = slots / seats;
+    const std::uint32_t rest = slots % seats;
+    const auto first = static_cast<std::uint32_t>(stableHash(instance) % seats);
+    const std::uint32_t place = (seat + seats - first) % seats;
+    return even + (place < rest ? 1 : 0);
+}
+
+} // namespace lanemoor
--- /dev/null
+++ b/src/net/response_reader.h
@@ -0,0 +1,67 @@
+#pragma once
+/// \file
+/// Frames the bytes of one HTTP/1.1 answer.
+
+#include "lanemoor/net/http_connection.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace lanemoor {
+
+/// What a reader made of the bytes so far.
+enum class ReadState {
+    NeedsMore,
+    Complete,
+    Malformed,
+    Refused, ///< The sink gave up.
+};
+
+/// \brief Reads an answer from bytes as they come and hands it to a sink.
+class ResponseReader {
+public:
+    /// \param headRequest Whether the request was HEAD: the answer has no body.
+    ResponseReader(AnswerSink& sink, bool headRequest);
+
+    [[nodiscard]] ReadState consume(std::string_view bytes);
+
+    /// \returns Complete if the peer's close ends the answer, else Malformed.
+    [[nodiscard]] ReadState finishAtClose() noexcept;
+
+    [[nodiscard]] bool headSeen() const noexcept { return m_phase != Phase::Head; }
+
+    /// \returns Whether the connection may carry another request after the answer.
+    [[nodiscard]] bool keepsAlive() const noexcept { return m_keepAlive && m_phase == Phase::Done && m_buffer.empty(); }
+
+private:
+    enum class Phase {
+        Head,
+        Length,
+        ChunkSize,
+        ChunkData,
+        ChunkEnd,
+        Trailer,
+        UntilClose,
+        Done,
+    };
+
+    [[nodiscard]] ReadState step(bool& progressed);
+    [[nodiscard]] ReadState readHead(bool& progressed);
+    [[nodiscard]] ReadState parseHead(std::string_view text);
+    [[nodiscard]] ReadState chooseFraming(const HttpResponseHead& head);
+    [[nodiscard]] ReadState readCounted(bool& progressed, Phase after);
+    [[nodiscard]] ReadState readChunkSize(bool& progressed);
+    [[nodiscard]] ReadState readLineEnd(bool& progressed);
+    [[nodiscard]] ReadState readTrailer(bool& progressed);
+    [[nodiscard]] ReadState passOnAll(bool& progressed);
+
+    AnswerSink& m_sink;
+    std::string m_buffer;
+    std::uint64_t m_left = 0; ///< Bytes left of the body or of the chunk.
+    Phase m_phase = Phase::Head;
+    bool m_headRequest;
+    bool m_keepAlive = true;
+};
+
+} // namespace lanemoor
--- /dev/null
+++ b/src/serve/process/background.cpp
@@ -0,0 +1,143 @@
+#include "lanemoor/serve/process/background.h"
+
+#include "lanemoor/decisions/endpoint_choice.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lanemoor {
+
+namespace {
+
+constexpr Millis watchWait { 2'000 };
+constexpr Millis pauseAfterFault { 500 };
+constexpr Millis listInterval { 500 };
+/// A lease is renewed this often within its time.
+constexpr int renewalsPerLease = 3;
+
+std::string seatLease(std::uint32_t number)
+{
+    return "seat-" + std::to_string(number);
+}
+
+} // namespace
+
+DocumentWatch::DocumentWatch(SharedState& state, std::unique_ptr<Store> store, std::string key, DocumentTaker taker)
+    : m_state(state)
+    , m_store(std::move(store))
+    , m_key(std::move(key))
+    , m_taker(std::move(taker))
+{
+}
+
+void DocumentWatch::run()
+{
+    std::uint64_t seen = 0;
+    while (!m_state.isQuitting()) {
+        m_state.metrics().count(EventCounter::StoreCalls);
+        const std::optional<StoredValue> value = m_store->watch(m_key, seen, watchWait);
+        if (value) {
+            m_state.onStoreReached();
+            seen = std::max(seen, value->version);
+            m_taker(value->version, value->body);
+        } else if (m_store->lastFault() == StoreFault::NotFound) {
+            m_state.onStoreReached();
+        } else {
+            m_state.metrics().count(EventCounter::StoreFaults);
+            m_state.pause(pauseAfterFault);
+        }
+    }
+}
+
+ListPoller::ListPoller(SharedState& state, std::unique_ptr<Platform> platform)
+    : m_state(state)
+    , m_platform(std::move(platform))
+{
+}
+
+void ListPoller::run()
+{
+    do {
+        std::optional<Instances> listed = m_platform->list();
+        const bool away = !listed;
+        if (away != m_listAway)
+            m_state.log().change(away ? "list-away" : "list-back");
+        m_listAway = away;
+        if (listed) {
+            m_state.onList(std::move(*listed));
+        } else {
+            m_state.metrics().count(EventCounter::ListFaults);
+            m_state.refreshObservations();
+        }
+    } while (m_state.pause(listInterval));
+}
+
+SeatKeeper::SeatKeeper(SharedState& state, std::unique_ptr<Store> store)
+    : m_state(state)
+    , m_store(std::move(store))
+{
+}
+
+void SeatKeeper::run()
+{
+    const Millis interval = m_state.settings().leaseTime / renewalsPerLease;
+    do {
+        if (m_number)
+            renew();
+        else
+            takeAny();
+        if (m_number && currentInstant() >= m_usableFrom)
+            m_state.setSeat({ .number = *m_number, .seats = m_state.settings().seats });
+    } while (m_state.pause(m_number && currentInstant() >= m_usableFrom ? interval : interval / renewalsPerLease));
+    m_state.setSeat({});
+    if (m_number)
+        m_store->release(seatLease(*m_number), m_state.holder());
+}
+
+void SeatKeeper::takeAny()
+{
+    const std::uint32_t seats = m_state.settings().seats;
+    for (std::uint32_t number = 0; number < seats; ++number) {
+        m_state.metrics().count(EventCounter::StoreCalls);
+        const std::optional<Lease> lease = m_store->acquire(seatLease(number), m_state.holder(), m_state.settings().leaseTime);
+        if (!lease && m_store->lastFault() != StoreFault::Conflict)
+            return; // The store is away; the next round asks again.
+        if (!lease)
+            continue;
+        const bool wasAnothers = lease->epoch > 1;
+        m_number = number;
+        m_lease = *lease;
+        m_usableFrom = currentInstant() + (wasAnothers ? m_state.settings().leaseTime : Millis(0));
+        m_state.log().change("seat-taken", { { "seat", std::int64_t { number } } });
+        return;
+    }
+}
+
+void SeatKeeper::renew()
+{
+    m_state.metrics().count(EventCounter::StoreCalls);
+    const std::optional<Lease> lease = m_store->acquire(seatLease(*m_number), m_state.holder(), m_state.settings().leaseTime);
+    if (lease && lease->epoch == m_lease.epoch) {
+        m_state.onStoreReached();
+        m_lease = *lease;
+        return;
+    }
+    if (lease || m_store->lastFault() == StoreFault::Conflict) {
+        loseSeat("another holder");
+        return;
+    }
+    // The store is out of reach. If a peer has reached it since the lease ran out, then
+    // the seat may be another's by now; if nobody has, nobody can have taken it.
+    m_state.metrics().count(EventCounter::StoreFaults);
+    if (currentInstant() >= m_lease.expiresAt && m_state.storeReachedByAnyAt() > m_lease.expiresAt)
+        loseSeat("cut off from the store");
+}
+
+void SeatKeeper::loseSeat(const char* reason)
+{
+    m_state.log().change("seat-lost", { { "seat", std::int64_t { *m_number } }, { "reason", std::string(reason) } });
+    m_number.reset();
+    m_state.setSeat({});
+}
+
+} // namespace lanemoor
--- /dev/null
+++ b/src/serve/process/control_role.cpp
@@ -0,0 +1,155 @@
+#include "lanemoor/serve/process/control_role.h"
+
+#include "lanemoor/state/ledger_codec.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace lanemoor {
+
+namespace {
+
+constexpr Millis roundInterval { 500 };
+/// A new holder listens to the list and the peers this long before it decides.
+constexpr Millis listenFirst { 1'500 };
+/// Nothing new is decided on a list older than this.
+constexpr Millis listFreshFor { 10'000 };
+constexpr int renewalsPerLease = 3;
+
+} // namespace
+
+ControlRole::ControlRole(SharedState& state, std::unique_ptr<Store> store, std::unique_ptr<Platform> platform)
+    : m_state(state)
+    , m_store(std::move(store))
+    , m_platform(std::move(platform))
+    , m_controller(std::make_unique<StickyMembershipPlanner>())
+{
+}
+
+void ControlRole::run()
+{
+    do {
+        keepLease();
+        if (holdsLease() && currentInstant() >= m_actsFrom)
+            round();
+    } while (m_state.pause(roundInterval));
+    if (m_lease)
+        m_store->release(std::string(controlLease), m_state.holder());
+}
+
+bool ControlRole::holdsLease() const
+{
+    return m_lease && currentInstant() < m_lease->expiresAt;
+}
+
+void ControlRole::keepLease()
+{
+    const Instant now = currentInstant();
+    if (m_lease && now < m_nextRenewal)
+        return;
+    if (m_state.isStopping()) {
+        if (m_lease) {
+            m_store->release(std::string(controlLease), m_state.holder());
+            dropLease("stopping");
+        }
+        return;
+    }
+    const Millis time = m_state.settings().leaseTime;
+    m_state.metrics().count(EventCounter::StoreCalls);
+    const std::optional<Lease> lease = m_store->acquire(std::string(controlLease), m_state.holder(), time);
+    m_nextRenewal = now + time / renewalsPerLease;
+    if (!lease) {
+        const bool another = m_store->lastFault() == StoreFault::Conflict;
+        if (m_lease && (another || !holdsLease()))
+            dropLease(another ? "another holder" : "lapsed");
+        return;
+    }
+    m_state.onStoreReached();
+    const bool fresh = !m_lease || m_lease->epoch != lease->epoch;
+    m_lease = lease;
+    if (!fresh)
+        return;
+    m_actsFrom = now + listenFirst;
+    m_state.metrics().set(StateGauge::HoldsControl, 1);
+    m_state.log().change("control-taken", { { "epoch", static_cast<std::int64_t>(lease->epoch) } });
+}
+
+void ControlRole::dropLease(const char* reason)
+{
+    m_lease.reset();
+    m_state.metrics().set(StateGauge::HoldsControl, 0);
+    m_state.log().change("control-lost", { { "reason", std::string(reason) } });
+}
+
+bool ControlRole::readLedger()
+{
+    m_state.metrics().count(EventCounter::StoreCalls);
+    const std::optional<StoredValue> stored = m_store->get(std::string(ledgerKey));
+    if (!stored)
+        return m_store->lastFault() == StoreFault::NotFound;
+    m_state.acceptLedger(stored->version, stored->body);
+    return true;
+}
+
+void ControlRole::round()
+{
+    const std::shared_ptr<const Snapshot> snapshot = m_state.snapshot();
+    const Instant now = currentInstant();
+    if (snapshot->configuration->revision == 0 || now >= m_state.listReadAt() + listFreshFor)
+        return;
+    if (snapshot->ledger->version == 0 && !readLedger())
+        return;
+    checkInvariants(*snapshot);
+    const ControlPlan plan = m_controller.step(snapshot->view(now), m_lease->epoch);
+    const bool accepted = !plan.changed || (holdsLease() && writeLedger(plan));
+    if (accepted)
+        perform(plan.next, *snapshot);
+}
+
+bool ControlRole::writeLedger(const ControlPlan& plan)
+{
+    const std::string body = encodeLedger(plan.next);
+    m_state.metrics().count(EventCounter::StoreCalls);
+    std::optional<std::uint64_t> version = m_store->put(std::string(ledgerKey), body, plan.next.version);
+    if (!version && m_store->lastFault() == StoreFault::NoAnswer) {
+        // The write may have taken effect: what the store holds now tells.
+        const std::optional<StoredValue> stored = m_store->get(std::string(ledgerKey));
+        if (stored && stored->body == body)
+            version = stored->version;
+    }
+    if (!version) {
+        m_state.metrics().count(m_store->lastFault() == StoreFault::Conflict ? EventCounter::LedgerConflicts : EventCounter::StoreFaults);
+        static_cast<void>(readLedger());
+        return false;
+    }
+    m_state.metrics().count(EventCounter::LedgerWrites);
+    m_state.metrics().count(EventCounter::Moves, plan.moves.size());
+    m_state.acceptLedger(*version, body);
+    return true;
+}
+
+void ControlRole::perform(const Ledger& ledger, const Snapshot& snapshot)
+{
+    for (const Action& action : Controller::actionsFor(ledger, *snapshot.configuration, *snapshot.instances)) {
+        if (!holdsLease())
+            return;
+        m_state.metrics().count(EventCounter::Actions);
+        static_cast<void>(m_platform->perform(action));
+    }
+}
+
+void ControlRole::checkInvariants(const Snapshot& snapshot)
+{
+    const FleetView view = snapshot.view(currentInstant());
+    for (const InvariantBreach& breach : m_invariant.check(view)) {
+        m_state.metrics().onBreach(breach.code);
+        m_state.log().change("invariant-broken", { { "invariant", std::string(describe(breach.code)) }, { "subject", breach.subject } });
+    }
+    const std::vector<PoolStanding> all = standings(view);
+    const auto below = std::count_if(all.begin(), all.end(), [](const PoolStanding& standing) { return standing.inService < standing.minimum; });
+    m_state.metrics().set(StateGauge::PoolsBelowBudget, static_cast<double>(below));
+    m_state.metrics().set(StateGauge::WaveDue, waveProgress(view).due);
+}
+
+} // namespace lanemoor
--- /dev/null
+++ b/src/serve/process/pool_gate.cpp
@@ -0,0 +1,114 @@
+#include "lanemoor/serve/process/pool_gate.h"
+
+#include "lanemoor/decisions/endpoint_choice.h"
+
+#include <algorithm>
+#include <poll.h>
+
+namespace lanemoor {
+
+namespace {
+
+/// How often a waiting request looks whether its caller has gone.
+constexpr Millis callerCheck { 50 };
+
+} // namespace
+
+bool hasCallerGone(int descriptor) noexcept
+{
+    pollfd watched { .fd = descriptor, .events = POLLRDHUP, .revents = 0 };
+    return ::poll(&watched, 1, 0) > 0 && (watched.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+PoolGate::PoolGate(std::uint32_t mostWaiting)
+    : m_mostWaiting(mostWaiting)
+    , m_queue({ .slots = 0, .mostWaiting = mostWaiting })
+{
+}
+
+void PoolGate::startWaiting(Instant now)
+{
+    while (const std::optional<std::uint64_t> ticket = m_queue.start(now)) {
+        Waiter& waiter = *m_waiters.at(*ticket);
+        waiter.started = true;
+        waiter.changed.notify_one();
+    }
+}
+
+void PoolGate::expireWaiting(Instant now)
+{
+    for (const ExpiredTicket& expired : m_queue.expire(now)) {
+        Waiter& waiter = *m_waiters.at(expired.id);
+        waiter.refusal = expired.refusal;
+        waiter.changed.notify_one();
+    }
+}
+
+std::variant<std::uint64_t, AdmissionRefusal, CallerGone> PoolGate::enter(const RequestContext& context, const PoolRoutes& routes, std::uint32_t teamQuota, int descriptor)
+{
+    std::unique_lock lock(m_mutex);
+    m_queue.setLimits({ .slots = routes.slots, .mostWaiting = m_mostWaiting });
+    m_queue.setQuota(context.team, teamQuota);
+    const std::uint64_t ticket = m_nextTicket++;
+    const Ticket offered { .id = ticket, .requestClass = context.requestClass, .team = context.team, .deadline = context.deadline };
+    if (const std::optional<AdmissionRefusal> refusal = m_queue.offer(offered, currentInstant()))
+        return *refusal;
+    Waiter waiter;
+    m_waiters.emplace(ticket, &waiter);
+    startWaiting(currentInstant());
+    while (!waiter.started && !waiter.refusal) {
+        waiter.changed.wait_until(lock, std::min<Instant>(context.deadline, currentInstant() + callerCheck));
+        if (!waiter.started && !waiter.refusal)
+            expireWaiting(currentInstant());
+        if (!waiter.started && !waiter.refusal && hasCallerGone(descriptor)) {
+            m_queue.cancel(ticket);
+            m_waiters.erase(ticket);
+            return CallerGone {};
+        }
+    }
+    m_waiters.erase(ticket);
+    if (waiter.refusal)
+        return *waiter.refusal;
+    return ticket;
+}
+
+const Route* PoolGate::takeEndpoint(const PoolRoutes& routes, const EndpointRegistry& registry, const TriedEndpoints& tried)
+{
+    const std::vector<std::string> ejected = registry.ejected(routes.members);
+    std::vector<EndpointCandidate> candidates;
+    for (std::size_t i = 0; i < routes.routes.size(); ++i) {
+        const Route& route = routes.routes[i];
+        candidates.push_back({
+            .index = i,
+            .inFlight = route.endpoint->inFlight(),
+            .share = route.slots,
+            .ejected = std::find(ejected.begin(), ejected.end(), route.endpoint->id()) != ejected.end(),
+            .sameDomainAsTried = tried.racks.contains(route.rack),
+            .tried = tried.endpoints.contains(route.endpoint->id()),
+        });
+    }
+    std::uint64_t turn = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        turn = m_turn++;
+    }
+    while (const std::optional<std::size_t> chosen = chooseEndpoint(candidates, turn)) {
+        const Route& route = routes.routes[*chosen];
+        if (route.endpoint->takeSlot(route.slots))
+            return &route;
+        candidates[*chosen].tried = true; // Another thread was faster.
+    }
+    return nullptr;
+}
+
+void PoolGate::leave(std::uint64_t ticket, bool ran)
+{
+    const std::lock_guard lock(m_mutex);
+    if (ran)
+        m_queue.finish(ticket, currentInstant());
+    else
+        m_queue.cancel(ticket);
+    startWaiting(currentInstant());
+}
+
+} // namespace lanemoor
--- /dev/null
+++ b/src/serve/version/routing_table.cpp
@@ -0,0 +1,50 @@
+#include "lanemoor/serve/version/routing_table.h"
+
+#include "lanemoor/decisions/endpoint_choice.h"
+
+#include <algorithm>
+
+namespace lanemoor {
+
+namespace {
+
+Route routeTo(const Instance& instance, Seat seat, EndpointRegistry& registry)
+{
+    const std::uint32_t slots = shareOfSeat(instance.id, instance.slots, seat.number, seat.seats);
+    const std::uint32_t connections = shareOfSeat(instance.id, instance.connections, seat.number, seat.seats);
+    return {
+        .endpoint = registry.at(instance.id, { instance.address, instance.port }),
+        .rack = instance.rack,
+        .slots = std::min(slots, connections),
+        .listeners = connections - std::min(slots, connections),
+    };
+}
+
+} // namespace
+
+RoutingTable::RoutingTable(const Snapshot& snapshot, Seat seat, EndpointRegistry& registry)
+{
+    for (const Pool& pool : snapshot.configuration->pools)
+        m_pools.push_back({ .pool = pool.name });
+    for (const LedgerEntry& entry : snapshot.ledger->entries) {
+        const Instance* instance = findInstance(*snapshot.instances, entry.instance);
+        const auto* pool = find(entry.pool);
+        if (!pool || !instance || instance->state != InstanceState::Live || entry.grant)
+            continue;
+        PoolRoutes& routes = m_pools[static_cast<std::size_t>(pool - m_pools.data())];
+        routes.routes.push_back(routeTo(*instance, seat, registry));
+        routes.members.push_back(instance->id);
+        routes.slots += routes.routes.back().slots;
+    }
+}
+
+const PoolRoutes* RoutingTable::find(std::string_view pool) const noexcept
+{
+    const auto before = [](const PoolRoutes& routes, std::string_view wanted) { return routes.pool < wanted; };
+    const auto found = std::lower_bound(m_pools.begin(), m_pools.end(), pool, before);
+    if (found == m_pools.end() || found->pool != pool)
+        return nullptr;
+    return &*found;
+}
+
+} // namespace lanemoor
--- a/src/state/configuration_document.cpp
+++ b/src/state/configuration_document.cpp
@@ -126,6 +126,7 @@
 Configuration readConfiguration(ObjectReader& reader)
 {
     Configuration configuration;
+    configuration.changeId = reader.string("changeId").value_or(std::string());
     reader.objects("pools", [&](ObjectReader& pool) { configuration.pools.push_back(readPool(pool)); });
     reader.objects("teams", [&](ObjectReader& team) {
         const std::string name = readName(team);
@@ -196,6 +197,8 @@
         json["pools"].push_back(poolToJson(pool));
     for (const Team& team : configuration.teams)
         json["teams"].push_back({ { "name", team.name }, { "quota", team.quota } });
+    if (!configuration.changeId.empty())
+        json["changeId"] = configuration.changeId;
     if (configuration.maintenance.waveRequestedAt != Instant {})
         json["maintenance"]["waveRequestedAt"] = formatInstant(configuration.maintenance.waveRequestedAt);
     constexpr int indent = 2;
--- /dev/null
+++ b/standins/fleet_standin.cpp
@@ -0,0 +1,158 @@
+#include "fleet_standin.h"
+
+#include "lanemoor/net/http_connection.h"
+
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace lanemoor::standins {
+
+namespace {
+
+constexpr std::chrono::milliseconds observeInterval { 50 };
+constexpr std::chrono::milliseconds callLimit { 500 };
+constexpr std::size_t mostAnswerBytes = 65536;
+constexpr std::string_view listPath = "/v1/instances";
+
+/// \returns The worker's answer, or nothing if it can't be reached.
+std::string ask(const HttpAddress& address, const std::string& method, const std::string& target)
+{
+    HttpRequest request;
+    request.method = method;
+    request.target = target;
+    request.headers.add("Connection", "close");
+    HttpConnection connection(address);
+    BufferSink sink(mostAnswerBytes);
+    const ExchangeOptions options { std::chrono::system_clock::now() + callLimit };
+    const ExchangeResult result = connection.exchange(request, sink, options);
+    return result.fault == ExchangeFault::None ? sink.response().body : std::string();
+}
+
+} // namespace
+
+FleetStandin::FleetStandin(std::chrono::milliseconds lag)
+    : m_lag(lag)
+    , m_observer([this] { observe(); })
+{
+}
+
+FleetStandin::~FleetStandin()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_observer.join();
+}
+
+void FleetStandin::setListAway(bool away)
+{
+    const std::lock_guard lock(m_mutex);
+    m_listAway = away;
+}
+
+void FleetStandin::handle(HttpExchange& exchange)
+{
+    const std::string path(pathOf(exchange.request().target));
+    if (path == listPath && exchange.request().method == "POST") {
+        registerWorker(exchange);
+        return;
+    }
+    if (path == listPath) {
+        const std::lock_guard lock(m_mutex);
+        if (m_listAway)
+            exchange.abort();
+        else
+            exchange.respond({ 200, {}, listing() });
+        return;
+    }
+    const std::string rest = path.substr(listPath.size() + 1);
+    const std::size_t slash = rest.find('/');
+    if (slash == std::string::npos)
+        exchange.respond({ 404, {}, {} });
+    else
+        control(exchange, rest.substr(0, slash), rest.substr(slash + 1));
+}
+
+void FleetStandin::registerWorker(HttpExchange& exchange)
+{
+    const nlohmann::json json = nlohmann::json::parse(exchange.request().body, nullptr, false);
+    if (!json.is_object()) {
+        exchange.respond({ 400, {}, {} });
+        return;
+    }
+    const std::lock_guard lock(m_mutex);
+    Worker& worker = m_workers[json["id"].get<std::string>()];
+    worker.address = { json["ip"].get<std::string>(), json["port"].get<std::uint16_t>() };
+    worker.description = json.dump();
+    exchange.respond({ 204, {}, {} });
+}
+
+void FleetStandin::control(HttpExchange& exchange, const std::string& id, const std::string& act)
+{
+    const std::string& target = exchange.request().target;
+    const std::uint64_t grant = parseDecimal(queryValue(target, "grant").value_or("0")).value_or(0);
+    const std::uint64_t epoch = parseDecimal(queryValue(target, "epoch").value_or("0")).value_or(0);
+    HttpAddress address;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto worker = m_workers.find(id);
+        if (worker == m_workers.end() || epoch < m_newestEpoch[id]) {
+            exchange.respond({ worker == m_workers.end() ? 404U : 409U, {}, {} });
+            return;
+        }
+        m_newestEpoch[id] = epoch;
+        address = worker->second.address;
+        // A repeat of the same act under the same grant changes nothing.
+        if (act == "reboot" && !m_rebooted.emplace(id, grant).second) {
+            exchange.respond({ 202, {}, {} });
+            return;
+        }
+    }
+    ask(address, "POST", "/platform/" + act);
+    exchange.respond({ 202, {}, {} });
+}
+
+std::string FleetStandin::listing() const
+{
+    const Clock::time_point shown = Clock::now() - m_lag;
+    const std::string* text = nullptr;
+    for (const Listing& listing : m_listings) {
+        if (listing.at <= shown || !text)
+            text = &listing.text;
+    }
+    return text ? *text : "[]";
+}
+
+void FleetStandin::observe()
+{
+    while (true) {
+        std::vector<std::pair<std::string, HttpAddress>> workers;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_stopping)
+                return;
+            for (const auto& [id, worker] : m_workers)
+                workers.emplace_back(id, worker.address);
+        }
+        std::map<std::string, std::string> states;
+        for (const auto& [id, address] : workers)
+            states[id] = ask(address, "GET", "/platform/state");
+        nlohmann::json list = nlohmann::json::array();
+        const std::lock_guard lock(m_mutex);
+        for (const auto& [id, state] : states) {
+            const nlohmann::json told = nlohmann::json::parse(state, nullptr, false);
+            if (!told.is_object())
+                continue;
+            nlohmann::json one = nlohmann::json::parse(m_workers[id].description);
+            one.update(told);
+            list.push_back(std::move(one));
+        }
+        m_listings.push_back({ Clock::now(), list.dump() });
+        while (m_listings.size() > 1 && m_listings[1].at <= Clock::now() - m_lag)
+            m_listings.pop_front();
+        std::this_thread::sleep_for(observeInterval);
+    }
+}
+
+} // namespace lanemoor::standins
--- /dev/null
+++ b/standins/fleet_standin.h
@@ -0,0 +1,66 @@
+#pragma once
+/// \file
+/// A stand-in for the platform's instance list and worker control.
+
+#include "lanemoor/net/http_server.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace lanemoor::standins {
+
+/// \brief Workers that registered, as seen a little while ago.
+///
+/// A thread asks each worker how it is; the list shows what it said `lag` ago. A worker
+/// that can't be reached is missing from the list.
+class FleetStandin {
+public:
+    explicit FleetStandin(std::chrono::milliseconds lag);
+    ~FleetStandin();
+    FleetStandin(const FleetStandin&) = delete;
+    FleetStandin& operator=(const FleetStandin&) = delete;
+
+    /// \brief Answers a call whose path begins with /v1/instances.
+    void handle(HttpExchange& exchange);
+
+    void setListAway(bool away);
+
+private:
+    using Clock = std::chrono::steady_clock;
+
+    struct Worker {
+        HttpAddress address;
+        std::string description; ///< The JSON it was registered with.
+        std::string state; ///< The JSON it told last; empty: can't be reached.
+    };
+
+    /// What the list said at one time.
+    struct Listing {
+        Clock::time_point at;
+        std::string text;
+    };
+
+    void registerWorker(HttpExchange& exchange);
+    void control(HttpExchange& exchange, const std::string& id, const std::string& act);
+    void observe();
+    [[nodiscard]] std::string listing() const;
+
+    std::chrono::milliseconds m_lag;
+    mutable std::mutex m_mutex;
+    std::map<std::string, Worker> m_workers;
+    std::map<std::string, std::uint64_t> m_newestEpoch; ///< By instance: late acts of an older holder are refused.
+    std::set<std::pair<std::string, std::uint64_t>> m_rebooted; ///< Instance and grant.
+    std::deque<Listing> m_listings;
+    bool m_listAway = false;
+    bool m_stopping = false;
+    std::thread m_observer;
+};
+
+} // namespace lanemoor::standins
--- /dev/null
+++ b/standins/platform.cpp
@@ -0,0 +1,74 @@
+/// \file
+/// The platform's stand-in as a process: store, instance list and worker control.
+/// Usage: platform_standin [LIST-LAG-MS]. It prints "listening PORT" and runs until its
+/// standard input ends.
+
+#include "fleet_standin.h"
+#include "store_standin.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <string>
+
+using namespace lanemoor;
+using namespace lanemoor::standins;
+
+namespace {
+
+constexpr unsigned mostThreads = 200;
+
+class PlatformHandler final : public HttpHandler {
+public:
+    explicit PlatformHandler(std::chrono::milliseconds lag)
+        : m_fleet(lag)
+    {
+    }
+
+    void handle(HttpExchange& exchange) override
+    {
+        const std::string path(pathOf(exchange.request().target));
+        if (path.rfind("/v1/instances", 0) == 0)
+            m_fleet.handle(exchange);
+        else if (path == "/faults")
+            setFaults(exchange);
+        else if (path == "/calls")
+            exchange.respond({ 200, {}, std::to_string(m_store.calls()) });
+        else
+            m_store.handle(exchange);
+    }
+
+private:
+    /// Takes `{"storeAway":true,"answersToLose":1,"delayMs":50,"listAway":true}`.
+    void setFaults(HttpExchange& exchange)
+    {
+        const nlohmann::json json = nlohmann::json::parse(exchange.request().body, nullptr, false);
+        if (!json.is_object()) {
+            exchange.respond({ 400, {}, {} });
+            return;
+        }
+        m_store.setFaults({ json.value("storeAway", false), json.value("answersToLose", 0), std::chrono::milliseconds(json.value("delayMs", 0)) });
+        m_fleet.setListAway(json.value("listAway", false));
+        exchange.respond({ 204, {}, {} });
+    }
+
+    StoreStandin m_store;
+    FleetStandin m_fleet;
+};
+
+} // namespace
+
+int main(int count, char** arguments)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    PlatformHandler handler(std::chrono::milliseconds(count > 1 ? std::atoi(arguments[1]) : 0));
+    HttpServerOptions options;
+    options.mostThreads = mostThreads;
+    options.mostBodyBytes = 2 * 1024 * 1024;
+    const HttpServer server(options, handler);
+    std::cout << "listening " << server.port() << std::endl;
+    std::cin.ignore(std::numeric_limits<std::streamsize>::max());
+    return 0;
+}
