--- /dev/null
+++ b/bench/report.h
@@ -0,0 +1,35 @@
+#pragma once
+/// \file
+/// The table that a benchmark prints, and its regression bounds.
+
+#include <cstdio>
+#include <string>
+
+namespace lanemoor::bench {
+
+/// \brief Prints rows and counts those that miss their bound.
+class Report {
+public:
+    explicit Report(const char* title) { std::printf("\n%s\n", title); }
+
+    /// \brief A figure with a bound that it must not exceed.
+    void bounded(const std::string& what, double figure, double bound)
+    {
+        const bool kept = figure <= bound;
+        std::printf("  %-58s %10.3f   at most %8.3f%s\n", what.c_str(), figure, bound, kept ? "" : "   MISSED");
+        m_missed += kept ? 0 : 1;
+    }
+
+    /// \brief A figure that is told and not bounded.
+    void told(const std::string& what, double figure) const
+    {
+        std::printf("  %-58s %10.3f\n", what.c_str(), figure);
+    }
+
+    [[nodiscard]] int missed() const noexcept { return m_missed; }
+
+private:
+    int m_missed = 0;
+};
+
+} // namespace lanemoor::bench
--- a/include/lanemoor/decisions/controller.h
+++ b/include/lanemoor/decisions/controller.h
@@ -47,6 +47,7 @@
 struct ControlPlan {
     Ledger next; ///< To be written by compare-and-swap if `changed`.
     bool changed = false;
+    bool superseded = false; ///< The ledger was written under a later epoch: nothing may be done.
     std::vector<Move> moves; ///< Contained in `next`.
     std::vector<PoolCondition> conditions;
     std::vector<DrainRefusal> refusedDrains;
--- a/include/lanemoor/decisions/disruption_guard.h
+++ b/include/lanemoor/decisions/disruption_guard.h
@@ -2,6 +2,7 @@
 /// \file
 /// The one place that permits an act which takes an instance out of service.
 
+#include "lanemoor/decisions/fleet_index.h"
 #include "lanemoor/decisions/fleet_view.h"
 
 #include <cstdint>
@@ -43,14 +44,15 @@
 /// granted in the same step are counted by `take`.
 ///
 /// \code
-/// DisruptionGuard guard(view);
+/// DisruptionGuard guard(view, index);
 /// if (!guard.refusalFor("m-17"))
 ///     guard.take("m-17");
 /// \endcode
 /// \see Grant
 class DisruptionGuard {
 public:
-    explicit DisruptionGuard(const FleetView& view);
+    /// \param index Made from the view's configuration and instances.
+    DisruptionGuard(const FleetView& view, const FleetIndex& index);
     ~DisruptionGuard();
     DisruptionGuard(DisruptionGuard&&) noexcept;
     DisruptionGuard& operator=(DisruptionGuard&&) noexcept;
--- a/include/lanemoor/decisions/pool_sizing.h
+++ b/include/lanemoor/decisions/pool_sizing.h
@@ -3,11 +3,8 @@
 /// How many instances a pool needs so that its budget outlives a failure domain.
 
 #include "lanemoor/decisions/configuration.h"
-#include "lanemoor/decisions/instance.h"
 
-#include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <vector>
 
 namespace lanemoor {
@@ -28,11 +25,7 @@
 /// smallest t for which the matching instances suffice gives the least buffer.
 /// That buffer, t, is also the lower bound of the pool's buffer cost.
 ///
-/// \param domains Live matching instances in each failure domain that has any.
+/// \param domains Live matching instances in each failure domain.
 [[nodiscard]] PoolSize sizeOf(const Pool& pool, const std::vector<std::uint32_t>& domains);
 
-/// \returns For each failure domain of `kind`, how many live instances `matches` accepts.
-/// \param matches Called with the index of each live instance.
-[[nodiscard]] std::vector<std::uint32_t> matchingByDomain(const Instances& instances, FailureDomain kind, const std::function<bool(std::size_t)>& matches);
-
 } // namespace lanemoor
--- a/include/lanemoor/decisions/wave.h
+++ b/include/lanemoor/decisions/wave.h
@@ -39,13 +39,13 @@
 public:
     /// \brief Names the pools that need members lent so that their wave can go on.
     ///
-    /// Where moves weigh more than roll-out time, each pool gets one instance;
-    /// otherwise the free instances are shared out by what is due.
-    /// \returns The pool with most work due first.
+    /// Each pool with work gets one of the free instances; what is left goes where it saves
+    /// most time, if it saves enough for one more move by the operators' weights.
+    /// \returns Pools that hold a loan first, then those with most work.
     [[nodiscard]] std::vector<PoolBoost> boosts(const FleetView& view, const FleetIndex& index) const;
 
     /// \returns Instances to take now, each permitted and counted by `guard`.
-    [[nodiscard]] std::vector<std::string> next(const FleetView& view, DisruptionGuard& guard) const;
+    [[nodiscard]] std::vector<std::string> next(const FleetView& view, const FleetIndex& index, DisruptionGuard& guard) const;
 };
 
 } // namespace lanemoor
--- a/src/decisions/controller.cpp
+++ b/src/decisions/controller.cpp
@@ -38,7 +38,8 @@
 
 bool isBack(const Instance& instance, const Grant& grant) noexcept
 {
-    return isHealthy(instance) && !instance.drained && instance.bootId != grant.bootIdBefore;
+    // Whether it fails its work shows only when it is given some again.
+    return instance.state == InstanceState::Live && !instance.drained && instance.bootId != grant.bootIdBefore;
 }
 
 /// Advances or ends the grant of one entry by what is observed of its instance.
@@ -107,6 +108,7 @@
 /// What new grants are decided on and written to.
 struct GrantStep {
     const FleetView& view; ///< With the ledger as changed so far in this step.
+    const FleetIndex& index;
     DisruptionGuard& guard;
     GrantWriter& writer;
 };
@@ -146,7 +148,7 @@
 
 void grantMaintenance(const GrantStep& step, const WavePlanner& waves)
 {
-    for (const std::string& id : waves.next(step.view, step.guard))
+    for (const std::string& id : waves.next(step.view, step.index, step.guard))
         step.writer.give(id, GrantReason::Maintenance);
 }
 
@@ -187,7 +189,12 @@
 ControlPlan Controller::step(const FleetView& view, std::uint64_t epoch) const
 {
     ControlPlan plan { .next = view.ledger };
+    if (view.ledger.epoch > epoch) {
+        plan.superseded = true;
+        return plan;
+    }
     Ledger& next = plan.next;
+    next.epoch = epoch; // Written before anything else is done, so that a former holder's writes fail.
     followList(view, next);
     advanceGrants(view, next);
 
@@ -202,14 +209,13 @@
     // The guard sees the ledger with the moves in it and counts each grant given below.
     const Ledger decided = next;
     const FleetView moved { .configuration = view.configuration, .ledger = decided, .instances = view.instances, .now = view.now };
-    DisruptionGuard guard(moved);
+    DisruptionGuard guard(moved, index);
     GrantWriter writer(view, epoch, next);
-    const GrantStep grants { .view = moved, .guard = guard, .writer = writer };
+    const GrantStep grants { .view = moved, .index = index, .guard = guard, .writer = writer };
     grantQuarantine(grants);
     grantDrains(grants, plan);
     grantMaintenance(grants, m_waves);
 
-    next.epoch = std::max(view.ledger.epoch, epoch);
     plan.changed = next != view.ledger;
     return plan;
 }
--- a/src/decisions/disruption_guard.cpp
+++ b/src/decisions/disruption_guard.cpp
@@ -1,8 +1,8 @@
 #include "lanemoor/decisions/disruption_guard.h"
 
 #include <algorithm>
-#include <string>
-#include <unordered_map>
+#include <cstddef>
+#include <vector>
 
 namespace lanemoor {
 
@@ -11,20 +11,22 @@
 /// Members of one pool that are in service, counted by failure domain.
 class ServingMembers {
 public:
-    explicit ServingMembers(AvailabilityBudget budget)
+    ServingMembers(AvailabilityBudget budget, const DomainIndex& domains)
         : m_budget(budget)
+        , m_domains(&domains)
+        , m_byDomain(domains.count())
     {
     }
 
-    void add(const Instance& instance)
+    void add(std::size_t instance)
     {
-        ++m_byDomain[std::string(domainOf(instance, m_budget.survives))];
+        ++m_byDomain[m_domains->of(instance)];
         ++m_inService;
     }
 
-    void remove(const Instance& instance)
+    void remove(std::size_t instance)
     {
-        --m_byDomain[std::string(domainOf(instance, m_budget.survives))];
+        --m_byDomain[m_domains->of(instance)];
         --m_inService;
     }
 
@@ -38,14 +40,13 @@
     {
         if (m_budget.survives == FailureDomain::None)
             return 0;
-        std::uint32_t largest = 0;
-        for (const auto& [domain, count] : m_byDomain)
-            largest = std::max(largest, count);
-        return largest;
+        const auto largest = std::max_element(m_byDomain.begin(), m_byDomain.end());
+        return largest == m_byDomain.end() ? 0 : *largest;
     }
 
     AvailabilityBudget m_budget;
-    std::unordered_map<std::string, std::uint32_t> m_byDomain;
+    const DomainIndex* m_domains;
+    std::vector<std::uint32_t> m_byDomain;
     std::uint32_t m_inService = 0;
 };
 
@@ -66,18 +67,19 @@
 
 class DisruptionGuard::Impl {
 public:
-    explicit Impl(const FleetView& view)
+    Impl(const FleetView& view, const FleetIndex& index)
         : m_instances(view.instances)
         , m_ledger(view.ledger)
+        , m_index(index)
+        , m_taken(view.instances.size())
     {
-        for (const Pool& pool : view.configuration.pools)
-            m_pools.emplace(pool.name, ServingMembers(pool.budget));
-        for (const LedgerEntry& entry : view.ledger.entries) {
-            const Instance* instance = findInstance(m_instances, entry.instance);
-            const auto pool = m_pools.find(entry.pool);
-            if (pool != m_pools.end() && isInService(entry, instance))
-                pool->second.add(*instance);
-        }
+        for (std::size_t pool = 0; pool < view.configuration.pools.size(); ++pool)
+            m_pools.emplace_back(view.configuration.pools[pool].budget, index.domains(pool));
+        forEachEntry(m_ledger, m_instances, [&](const LedgerEntry& entry, const Instance* instance, std::size_t number) {
+            const std::optional<std::size_t> pool = index.poolNumber(entry.pool);
+            if (pool && isInService(entry, instance))
+                m_pools[*pool].add(number);
+        });
     }
 
     [[nodiscard]] std::optional<DisruptionRefusal> refusalFor(std::string_view id) const
@@ -86,13 +88,14 @@
         const Instance* instance = findInstance(m_instances, id);
         if (!entry || !instance)
             return DisruptionRefusal::UnknownInstance;
-        if (entry->grant || isTaken(id))
+        const std::size_t number = numberOf(*instance);
+        if (entry->grant || m_taken[number])
             return DisruptionRefusal::GrantStands;
-        const auto pool = m_pools.find(entry->pool);
-        if (pool == m_pools.end() || !isInService(*entry, instance))
+        const std::optional<std::size_t> pool = m_index.poolNumber(entry->pool);
+        if (!pool || !isInService(*entry, instance))
             return std::nullopt;
-        ServingMembers without = pool->second;
-        without.remove(*instance);
+        ServingMembers without = m_pools[*pool];
+        without.remove(number);
         if (without.availability().slack() < 0)
             return DisruptionRefusal::BudgetSpent;
         return std::nullopt;
@@ -102,34 +105,35 @@
     {
         const LedgerEntry* entry = m_ledger.find(id);
         const Instance* instance = findInstance(m_instances, id);
-        if (!entry || isTaken(id))
+        if (!entry || !instance || m_taken[numberOf(*instance)])
             return;
-        m_taken.emplace_back(id);
-        const auto pool = m_pools.find(entry->pool);
-        if (pool != m_pools.end() && isInService(*entry, instance))
-            pool->second.remove(*instance);
+        m_taken[numberOf(*instance)] = true;
+        const std::optional<std::size_t> pool = m_index.poolNumber(entry->pool);
+        if (pool && isInService(*entry, instance))
+            m_pools[*pool].remove(numberOf(*instance));
     }
 
     [[nodiscard]] PoolAvailability availability(std::string_view name) const
     {
-        const auto pool = m_pools.find(std::string(name));
-        return pool == m_pools.end() ? PoolAvailability {} : pool->second.availability();
+        const std::optional<std::size_t> pool = m_index.poolNumber(name);
+        return pool ? m_pools[*pool].availability() : PoolAvailability {};
     }
 
 private:
-    [[nodiscard]] bool isTaken(std::string_view id) const
+    [[nodiscard]] std::size_t numberOf(const Instance& instance) const
     {
-        return std::find(m_taken.begin(), m_taken.end(), id) != m_taken.end();
+        return static_cast<std::size_t>(&instance - m_instances.data());
     }
 
     const Instances& m_instances;
     const Ledger& m_ledger;
-    std::unordered_map<std::string, ServingMembers> m_pools;
-    std::vector<std::string> m_taken;
+    const FleetIndex& m_index;
+    std::vector<ServingMembers> m_pools;
+    std::vector<bool> m_taken; ///< By instance.
 };
 
-DisruptionGuard::DisruptionGuard(const FleetView& view)
-    : m_impl(std::make_unique<Impl>(view))
+DisruptionGuard::DisruptionGuard(const FleetView& view, const FleetIndex& index)
+    : m_impl(std::make_unique<Impl>(view, index))
 {
 }
 
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -6,8 +6,8 @@
 #include <cstddef>
 #include <deque>
 #include <limits>
+#include <optional>
 #include <string_view>
-#include <unordered_map>
 #include <unordered_set>
 
 namespace lanemoor {
@@ -28,51 +28,6 @@
 /// Plans are made again without the moves that a budget refused, this often at most.
 constexpr int maximumAttempts = 8;
 
-/// Numbers the failure domains of one kind.
-class DomainIndex {
-public:
-    DomainIndex(const Instances& instances, FailureDomain kind)
-    {
-        std::unordered_map<std::string_view, std::size_t> numbers;
-        m_of.reserve(instances.size());
-        for (const Instance& instance : instances)
-            m_of.push_back(numbers.emplace(domainOf(instance, kind), numbers.size()).first->second);
-        m_count = numbers.size();
-    }
-
-    [[nodiscard]] std::size_t of(std::size_t instance) const { return m_of[instance]; }
-    [[nodiscard]] std::size_t count() const noexcept { return m_count; }
-
-private:
-    std::vector<std::size_t> m_of;
-    std::size_t m_count = 0;
-};
-
-/// The domain indexes of all kinds.
-class DomainIndexes {
-public:
-    explicit DomainIndexes(const Instances& instances)
-        : m_instance(instances, FailureDomain::Instance)
-        , m_rack(instances, FailureDomain::Rack)
-        , m_dataHall(instances, FailureDomain::DataHall)
-    {
-    }
-
-    [[nodiscard]] const DomainIndex& of(FailureDomain kind) const noexcept
-    {
-        if (kind == FailureDomain::Rack)
-            return m_rack;
-        if (kind == FailureDomain::DataHall)
-            return m_dataHall;
-        return m_instance;
-    }
-
-private:
-    DomainIndex m_instance;
-    DomainIndex m_rack;
-    DomainIndex m_dataHall;
-};
-
 /// A pool while a plan is made.
 struct PoolState {
     PoolSize size;
@@ -106,6 +61,7 @@
 struct InstancePlacement {
     int home = spare; ///< Pool in the ledger.
     int at = spare; ///< Pool in the plan so far.
+    bool named = false; ///< Stands in a pool in the ledger, which may not be configured any more.
     bool movable = false; ///< In service and not asked to leave.
     bool counted = false; ///< Counts in its pool: matches and serves or is expected back.
     std::int64_t cost = moveCost; ///< Of moving it away from home.
@@ -146,6 +102,7 @@
 private:
     void readPools();
     void readInstances();
+    void readInstance(const LedgerEntry& entry, const Instance& instance, std::size_t number);
     [[nodiscard]] int poolIndex(std::string_view name) const;
     [[nodiscard]] bool expectedBack(const LedgerEntry& entry, const Instance& instance) const;
     [[nodiscard]] const std::vector<std::size_t>& candidatesOf(int pool) const { return m_fits[static_cast<std::size_t>(pool)]; }
@@ -165,7 +122,6 @@
     const FleetView& m_view;
     const FleetIndex& m_index;
     const std::unordered_set<std::string>& m_frozen;
-    DomainIndexes m_domains;
     std::vector<PoolState> m_pools;
     std::vector<InstancePlacement> m_instances;
     std::vector<std::vector<std::size_t>> m_fits; ///< By pool: movable instances that match.
@@ -177,7 +133,6 @@
     : m_view(view)
     , m_index(index)
     , m_frozen(frozen)
-    , m_domains(view.instances)
 {
     readPools();
     readInstances();
@@ -185,18 +140,18 @@
 
 int PlanBuilder::poolIndex(std::string_view name) const
 {
-    const Pool* pool = m_view.configuration.findPool(name);
-    return pool ? static_cast<int>(pool - m_view.configuration.pools.data()) : spare;
+    const std::optional<std::size_t> pool = m_index.poolNumber(name);
+    return pool ? static_cast<int>(*pool) : spare;
 }
 
 void PlanBuilder::readPools()
 {
-    const DisruptionGuard guard(m_view);
+    const DisruptionGuard guard(m_view, m_index);
     for (const Pool& pool : m_view.configuration.pools) {
         PoolState state;
         state.slack = guard.availability(pool.name).slack();
         state.size = m_index.size(m_pools.size());
-        state.domains = &m_domains.of(pool.budget.survives);
+        state.domains = &m_index.domains(m_pools.size());
         state.members.resize(state.domains->count());
         m_pools.push_back(std::move(state));
     }
@@ -211,32 +166,34 @@
 
 void PlanBuilder::readInstances()
 {
-    const std::vector<Pool>& pools = m_view.configuration.pools;
-    const std::vector<std::string>& drains = m_view.configuration.drains;
     m_instances.resize(m_view.instances.size());
-    m_fits.resize(pools.size());
-    for (std::size_t i = 0; i < m_view.instances.size(); ++i) {
-        const Instance& instance = m_view.instances[i];
-        const LedgerEntry* entry = m_view.ledger.find(instance.id);
-        if (!entry)
-            continue;
-        InstancePlacement& state = m_instances[i];
-        const bool drained = std::find(drains.begin(), drains.end(), instance.id) != drains.end();
-        state.home = poolIndex(entry->pool);
-        state.at = state.home;
-        state.movable = isInService(*entry, &instance) && !drained;
-        state.cost = moveCost + sessionCost * std::min(instance.longSessions, countedSessions);
-        for (std::size_t pool = 0; pool < pools.size(); ++pool) {
-            const bool isHome = static_cast<int>(pool) == state.home;
-            if ((!state.movable && !isHome) || !m_index.matches(pool, i))
-                continue;
-            if (state.movable)
-                m_fits[pool].push_back(i);
-            state.counted = state.counted || (isHome && !drained && expectedBack(*entry, instance));
-        }
-        if (state.counted)
-            m_pools[static_cast<std::size_t>(state.home)].add(m_pools[static_cast<std::size_t>(state.home)].domains->of(i));
+    m_fits.resize(m_view.configuration.pools.size());
+    forEachEntry(m_view.ledger, m_view.instances, [&](const LedgerEntry& entry, const Instance* instance, std::size_t number) {
+        if (instance)
+            readInstance(entry, *instance, number);
+    });
+}
+
+void PlanBuilder::readInstance(const LedgerEntry& entry, const Instance& instance, std::size_t number)
+{
+    const std::vector<std::string>& drains = m_view.configuration.drains;
+    const bool drained = std::find(drains.begin(), drains.end(), instance.id) != drains.end();
+    InstancePlacement& state = m_instances[number];
+    state.home = poolIndex(entry.pool);
+    state.at = state.home;
+    state.named = !entry.pool.empty();
+    state.movable = isInService(entry, &instance) && !drained;
+    state.cost = moveCost + sessionCost * std::min(instance.longSessions, countedSessions);
+    for (std::size_t pool = 0; state.movable && pool < m_fits.size(); ++pool) {
+        if (m_index.matches(pool, number))
+            m_fits[pool].push_back(number);
     }
+    if (state.home == spare)
+        return;
+    const auto home = static_cast<std::size_t>(state.home);
+    state.counted = m_index.matches(home, number) && !drained && expectedBack(entry, instance);
+    if (state.counted)
+        m_pools[home].add(m_pools[home].domains->of(number));
 }
 
 std::int64_t PlanBuilder::costAt(std::size_t instance, int pool) const
@@ -275,10 +232,11 @@
     if (state.at == spare || isStray(instance))
         return true;
     const PoolState& owner = m_pools[static_cast<std::size_t>(state.at)];
+    if (owner.members[owner.domains->of(instance)] > owner.size.perDomain)
+        return true; // It adds to the largest domain as much as to the pool.
     if (owner.slack <= 0)
         return false;
-    const bool beyondDomain = owner.members[owner.domains->of(instance)] > owner.size.perDomain;
-    if (beyondDomain || owner.effective > owner.size.target)
+    if (owner.effective > owner.size.target)
         return true;
     const std::vector<Pool>& pools = m_view.configuration.pools;
     const bool lowerPriority = pools[static_cast<std::size_t>(state.at)].priority < pools[static_cast<std::size_t>(requester)].priority;
@@ -429,9 +387,7 @@
     std::vector<std::string> result;
     for (std::size_t i = 0; i < m_instances.size(); ++i) {
         const InstancePlacement& state = m_instances[i];
-        const LedgerEntry* entry = m_view.ledger.find(m_view.instances[i].id);
-        const bool named = entry && !entry->pool.empty();
-        if (named && state.movable && !state.counted && state.at == state.home)
+        if (state.named && state.movable && !state.counted && state.at == state.home)
             result.push_back(m_view.instances[i].id);
     }
     return result;
@@ -445,11 +401,11 @@
 }
 
 /// \returns Pools that would give instances which their budgets can't miss.
-std::vector<std::string> refusingPools(const FleetView& view, const std::vector<Move>& moves)
+std::vector<std::string> refusingPools(const FleetView& view, const FleetIndex& index, const std::vector<Move>& moves)
 {
     const Ledger next = withMoves(view.ledger, moves);
-    const DisruptionGuard before(view);
-    const DisruptionGuard after({ .configuration = view.configuration, .ledger = next, .instances = view.instances, .now = view.now });
+    const DisruptionGuard before(view, index);
+    const DisruptionGuard after({ .configuration = view.configuration, .ledger = next, .instances = view.instances, .now = view.now }, index);
     std::vector<std::string> refusing;
     for (const Move& move : moves) {
         const std::int64_t slackAfter = after.availability(move.from).slack();
@@ -460,10 +416,10 @@
 }
 
 /// Lets members that no longer match go to the spare set, as far as budgets permit.
-void releaseStrays(const FleetView& view, const std::vector<std::string>& strays, MembershipPlan& plan)
+void releaseStrays(const FleetView& view, const FleetIndex& index, const std::vector<std::string>& strays, MembershipPlan& plan)
 {
     const Ledger next = withMoves(view.ledger, plan.moves);
-    DisruptionGuard guard({ .configuration = view.configuration, .ledger = next, .instances = view.instances, .now = view.now });
+    DisruptionGuard guard({ .configuration = view.configuration, .ledger = next, .instances = view.instances, .now = view.now }, index);
     for (const std::string& stray : strays) {
         const std::string& pool = next.find(stray)->pool;
         if (!guard.refusalFor(stray)) {
@@ -509,9 +465,9 @@
         builder.fillPools();
         builder.fillBoosts(boosts);
         MembershipPlan plan { .moves = builder.moves(), .conditions = builder.conditions() };
-        const std::vector<std::string> refusing = refusingPools(view, plan.moves);
+        const std::vector<std::string> refusing = refusingPools(view, index, plan.moves);
         if (refusing.empty()) {
-            releaseStrays(view, builder.strays(), plan);
+            releaseStrays(view, index, builder.strays(), plan);
             return plan;
         }
         frozen.insert(refusing.begin(), refusing.end());
--- a/src/decisions/pool_sizing.cpp
+++ b/src/decisions/pool_sizing.cpp
@@ -1,8 +1,6 @@
 #include "lanemoor/decisions/pool_sizing.h"
 
 #include <algorithm>
-#include <string_view>
-#include <unordered_map>
 
 namespace lanemoor {
 
@@ -18,20 +16,6 @@
 
 } // namespace
 
-std::vector<std::uint32_t> matchingByDomain(const Instances& instances, FailureDomain kind, const std::function<bool(std::size_t)>& matches)
-{
-    std::unordered_map<std::string_view, std::uint32_t> counts;
-    for (std::size_t i = 0; i < instances.size(); ++i) {
-        if (instances[i].state == InstanceState::Live && matches(i))
-            ++counts[domainOf(instances[i], kind)];
-    }
-    std::vector<std::uint32_t> sizes;
-    sizes.reserve(counts.size());
-    for (const auto& [domain, count] : counts)
-        sizes.push_back(count);
-    return sizes;
-}
-
 PoolSize sizeOf(const Pool& pool, const std::vector<std::uint32_t>& domains)
 {
     const std::uint32_t minimum = pool.budget.minimum;
--- a/src/decisions/wave.cpp
+++ b/src/decisions/wave.cpp
@@ -1,9 +1,10 @@
 #include "lanemoor/decisions/wave.h"
 
 #include <algorithm>
-#include <map>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 
 namespace lanemoor {
 
@@ -17,6 +18,11 @@
 /// Of the spare instances in service, one in this many stays for replacements and lending.
 constexpr std::uint32_t spareKeptDivisor = 2;
 
+/// Rounds of maintenance that a second loan to a pool must save, where moves weigh more
+/// than roll-out time and where they don't.
+constexpr std::uint32_t leastSavedSparing = 2;
+constexpr std::uint32_t leastSavedQuick = 1;
+
 /// A member due for maintenance.
 struct DueMember {
     std::string_view id;
@@ -27,14 +33,18 @@
 struct PoolWork {
     std::uint32_t due = 0; ///< Not yet taken.
     std::uint32_t underWay = 0;
+    std::uint32_t serving = 0;
     std::vector<DueMember> takeable; ///< Due, in service, window open.
     std::unordered_map<std::string_view, std::uint32_t> inService; ///< By failure domain.
+
+    /// \returns Instances that still hold this pool's wave up.
+    [[nodiscard]] std::uint32_t left() const noexcept { return due + underWay; }
 };
 
-/// Instances of one pool that are due or under way.
-struct PoolDue {
-    std::string_view pool;
-    std::uint32_t due = 0;
+/// The work in all pools.
+struct FleetWork {
+    std::vector<PoolWork> pools; ///< By the pool's number.
+    PoolWork spares;
 };
 
 bool windowOpen(const Pool& pool, Instant now) noexcept
@@ -44,26 +54,27 @@
     return std::any_of(pool.windows.begin(), pool.windows.end(), [&](const MaintenanceWindow& window) { return window.contains(now); });
 }
 
-std::map<std::string_view, PoolWork> workByPool(const FleetView& view)
+FleetWork workOf(const FleetView& view, const FleetIndex& index)
 {
-    std::map<std::string_view, PoolWork> work;
-    for (const LedgerEntry& entry : view.ledger.entries) {
-        const Instance* instance = findInstance(view.instances, entry.instance);
-        const Pool* pool = view.configuration.findPool(entry.pool);
-        PoolWork& mine = work[entry.pool];
-        const FailureDomain kind = pool ? pool->budget.survives : FailureDomain::Rack;
+    FleetWork work;
+    work.pools.resize(view.configuration.pools.size());
+    forEachEntry(view.ledger, view.instances, [&](const LedgerEntry& entry, const Instance* instance, std::size_t) {
+        const std::optional<std::size_t> number = index.poolNumber(entry.pool);
+        const Pool* pool = number ? &view.configuration.pools[*number] : nullptr;
+        PoolWork& mine = number ? work.pools[*number] : work.spares;
         if (entry.grant && entry.grant->reason == GrantReason::Maintenance)
             ++mine.underWay;
         if (!isInService(entry, instance))
-            continue;
-        const std::string_view domain = domainOf(*instance, kind);
+            return;
+        const std::string_view domain = domainOf(*instance, pool ? pool->budget.survives : FailureDomain::Rack);
+        ++mine.serving;
         ++mine.inService[domain];
         if (!isDue(entry, view.configuration.maintenance, view.now))
-            continue;
+            return;
         ++mine.due;
         if (!pool || windowOpen(*pool, view.now))
             mine.takeable.push_back({ .id = entry.instance, .domain = domain });
-    }
+    });
     return work;
 }
 
@@ -82,30 +93,83 @@
     }
 }
 
-/// \returns Free instances: spare ones in service, and what pools have beyond their target.
-std::uint32_t freeInstances(const FleetView& view, const FleetIndex& index, const std::map<std::string_view, PoolWork>& work)
-{
-    std::uint32_t freeCount = 0;
-    for (const auto& [name, pool] : work) {
-        std::uint32_t members = pool.underWay;
-        for (const auto& [domain, count] : pool.inService)
-            members += count;
-        const Pool* configured = view.configuration.findPool(name);
-        const std::uint32_t target = configured ? index.size(static_cast<std::size_t>(configured - view.configuration.pools.data())).target : 0;
-        freeCount += members > target ? members - target : 0;
+/// Shares free instances out as loans among the pools that have work.
+class LoanPlan {
+public:
+    LoanPlan(const FleetView& view, const FleetIndex& index, const FleetWork& work)
+        : m_leastSaved(view.configuration.weights.moves > view.configuration.weights.rollOut ? leastSavedSparing : leastSavedQuick)
+        , m_free(work.spares.serving)
+    {
+        for (std::size_t pool = 0; pool < work.pools.size(); ++pool) {
+            const PoolWork& mine = work.pools[pool];
+            const std::uint32_t members = mine.serving + mine.underWay;
+            const std::uint32_t target = index.size(pool).target;
+            const std::uint32_t surplus = members > target ? members - target : 0;
+            m_free += surplus;
+            if (!mine.takeable.empty())
+                m_loans.push_back({ .pool = pool, .left = mine.left(), .surplus = surplus });
+        }
+        // A pool that holds a loan keeps it, so that loans don't wander; then the longest work first.
+        std::stable_sort(m_loans.begin(), m_loans.end(), [](const Loan& a, const Loan& b) { return std::pair(a.surplus > 0, a.left) > std::pair(b.surplus > 0, b.left); });
+    }
+
+    [[nodiscard]] std::vector<PoolBoost> boosts(const Configuration& configuration)
+    {
+        for (Loan& loan : m_loans)
+            give(loan);
+        // What the pools hold already is shared out before more is lent.
+        while (Loan* loan = mostSaving(true))
+            give(*loan);
+        while (Loan* loan = mostSaving(false))
+            give(*loan);
+        std::vector<PoolBoost> result;
+        for (const Loan& loan : m_loans) {
+            if (loan.instances > 0)
+                result.push_back({ .pool = configuration.pools[loan.pool].name, .instances = loan.instances });
+        }
+        return result;
     }
-    return freeCount;
-}
+
+private:
+    struct Loan {
+        std::size_t pool = 0;
+        std::uint32_t left = 0; ///< Instances still to be maintained.
+        std::uint32_t surplus = 0; ///< Members beyond the target now.
+        std::uint32_t instances = 0; ///< Lent by this plan.
+
+        /// \returns Rounds that one more loan saves.
+        [[nodiscard]] std::uint32_t saved() const noexcept { return instances == 0 ? left : left / instances - left / (instances + 1); }
+    };
+
+    void give(Loan& loan) noexcept
+    {
+        if (m_free == 0)
+            return;
+        --m_free;
+        ++loan.instances;
+    }
+
+    [[nodiscard]] Loan* mostSaving(bool held) noexcept
+    {
+        Loan* best = nullptr;
+        for (Loan& loan : m_loans) {
+            const bool enough = held ? loan.instances < loan.surplus && loan.saved() > 0 : loan.saved() >= m_leastSaved;
+            if (m_free > 0 && enough && (!best || loan.saved() > best->saved()))
+                best = &loan;
+        }
+        return best;
+    }
+
+    std::uint32_t m_leastSaved;
+    std::uint32_t m_free;
+    std::vector<Loan> m_loans;
+};
 
 /// Keeps some of the due spare instances out of this step.
 void keepSomeSpares(PoolWork& spares)
 {
-    std::uint32_t serving = 0;
-    for (const auto& [domain, count] : spares.inService)
-        serving += count;
-    const std::uint32_t all = serving + spares.underWay;
-    const std::uint32_t kept = all / spareKeptDivisor;
-    const std::uint32_t mayTake = serving > kept ? serving - kept : 0;
+    const std::uint32_t kept = (spares.serving + spares.underWay) / spareKeptDivisor;
+    const std::uint32_t mayTake = spares.serving > kept ? spares.serving - kept : 0;
     if (spares.takeable.size() > mayTake)
         spares.takeable.resize(mayTake);
 }
@@ -144,34 +208,17 @@
 
 std::vector<PoolBoost> WavePlanner::boosts(const FleetView& view, const FleetIndex& index) const
 {
-    const std::map<std::string_view, PoolWork> work = workByPool(view);
-    std::vector<PoolDue> waiting;
-    std::uint32_t dueInAll = 0;
-    for (const auto& [name, pool] : work) {
-        if (!view.configuration.findPool(name))
-            continue;
-        dueInAll += pool.due + pool.underWay;
-        if (!pool.takeable.empty())
-            waiting.push_back({ .pool = name, .due = pool.due + pool.underWay });
-    }
-    std::stable_sort(waiting.begin(), waiting.end(), [](const PoolDue& a, const PoolDue& b) { return a.due > b.due; });
-    const bool sparing = view.configuration.weights.moves > view.configuration.weights.rollOut;
-    const std::uint32_t free = sparing || waiting.empty() ? 0 : freeInstances(view, index, work);
-    std::vector<PoolBoost> result;
-    for (const PoolDue& pool : waiting)
-        result.push_back({ .pool = std::string(pool.pool), .instances = std::max<std::uint32_t>(1, free * pool.due / dueInAll) });
-    return result;
+    return LoanPlan(view, index, workOf(view, index)).boosts(view.configuration);
 }
 
-std::vector<std::string> WavePlanner::next(const FleetView& view, DisruptionGuard& guard) const
+std::vector<std::string> WavePlanner::next(const FleetView& view, const FleetIndex& index, DisruptionGuard& guard) const
 {
-    std::map<std::string_view, PoolWork> work = workByPool(view);
+    FleetWork work = workOf(view, index);
     std::vector<std::string> taken;
-    for (auto& [name, pool] : work) {
-        if (!view.configuration.findPool(name))
-            keepSomeSpares(pool);
+    keepSomeSpares(work.spares);
+    takeFromPool(work.spares, guard, taken);
+    for (PoolWork& pool : work.pools)
         takeFromPool(pool, guard, taken);
-    }
     return taken;
 }
 
--- a/src/serve/process/control_role.cpp
+++ b/src/serve/process/control_role.cpp
@@ -102,6 +102,10 @@
         return;
     checkInvariants(*snapshot);
     const ControlPlan plan = m_controller.step(snapshot->view(now), m_lease->epoch);
+    if (plan.superseded) {
+        dropLease("superseded");
+        return;
+    }
     const bool accepted = !plan.changed || (holdsLease() && writeLedger(plan));
     if (accepted)
         perform(plan.next, *snapshot);
--- a/src/serve/process/reports.cpp
+++ b/src/serve/process/reports.cpp
@@ -196,7 +196,8 @@
         if (listed && pool.selector.matches(listed->labels))
             json["matchingPools"].push_back({ { "name", pool.name }, { "selector", pool.selector.text() }, { "priority", pool.priority } });
     }
-    const DisruptionGuard guard(view);
+    const FleetIndex index(view.configuration, view.instances);
+    const DisruptionGuard guard(view, index);
     const std::optional<DisruptionRefusal> refusal = guard.refusalFor(instance);
     json["mayBeTaken"] = !refusal;
     if (refusal)
--- a/tests/support/control_loop.cpp
+++ b/tests/support/control_loop.cpp
@@ -35,6 +35,7 @@
     if (!m_decided)
         return;
     m_plan = m_controller.step({ .configuration = configuration, .ledger = *ledger, .instances = fleet.listed(), .now = fleet.now() }, m_epoch);
+    m_decided = !m_plan.superseded;
 }
 
 bool FakeHolder::write(FakeLedgerStore& store)
--- /dev/null
+++ b/tests/support/random_run.cpp
@@ -0,0 +1,237 @@
+#include "support/random_run.h"
+
+#include "support/control_loop.h"
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <random>
+#include <utility>
+
+namespace lanemoor::test {
+
+namespace {
+
+/// On average one event in this many steps.
+constexpr std::uint64_t stepsPerEvent = 12;
+constexpr std::uint32_t longestLoss = 200; ///< Steps.
+constexpr std::uint32_t longestOutage = 60;
+constexpr std::uint32_t longestFreeze = 80;
+constexpr std::uint32_t lagSteps = 2;
+
+class RandomRun {
+public:
+    RandomRun(FleetCase fleetCase, std::uint64_t seed)
+        : m_configuration(std::move(fleetCase.configuration))
+        , m_fleet(std::move(fleetCase.instances), { .listLagSteps = lagSteps })
+        , m_random(seed)
+    {
+        m_result.name = std::move(fleetCase.name);
+        startHolder();
+    }
+
+    RandomRunResult run(std::uint32_t steps)
+    {
+        for (; m_step < steps; ++m_step) {
+            endOverdue();
+            if (pick(stepsPerEvent) == 0)
+                playEvent();
+            decide();
+            m_fleet.advance();
+            check();
+        }
+        for (const auto& holder : m_holders)
+            m_result.moves += holder->acceptedMoves();
+        m_result.writes = m_store.writes();
+        return std::move(m_result);
+    }
+
+private:
+    /// Something that ends by itself at a step.
+    struct Pending {
+        std::uint32_t endsAt = 0;
+        std::string lost; ///< What recovers; empty: the store comes back.
+    };
+
+    [[nodiscard]] std::uint64_t pick(std::uint64_t count) { return m_random() % count; }
+
+    [[nodiscard]] const Instance& anyInstance() { return m_fleet.truth()[pick(m_fleet.truth().size())]; }
+
+    [[nodiscard]] Pool& anyPool() { return m_configuration.pools[pick(m_configuration.pools.size())]; }
+
+    void startHolder()
+    {
+        m_holders.push_back(std::make_unique<FakeHolder>(++m_epoch, std::make_unique<StickyMembershipPlanner>()));
+    }
+
+    void lose(const std::string& what)
+    {
+        m_fleet.fail(what);
+        m_pending.push_back({ .endsAt = m_step + 1 + static_cast<std::uint32_t>(pick(longestLoss)), .lost = what });
+    }
+
+    void playEvent()
+    {
+        ++m_result.events;
+        switch (pick(12)) {
+        case 0:
+            lose(anyInstance().rack);
+            return;
+        case 1:
+            lose(anyInstance().id);
+            return;
+        case 2:
+            if (pick(8) == 0)
+                lose(anyInstance().dataHall);
+            return;
+        case 3:
+            m_fleet.setFailing(anyInstance().id, pick(2) == 0);
+            return;
+        case 4:
+            m_store.setAway(true);
+            m_pending.push_back({ .endsAt = m_step + 1 + static_cast<std::uint32_t>(pick(longestOutage)), .lost = {} });
+            return;
+        case 5:
+            m_store.loseNextAnswers(static_cast<int>(pick(4)));
+            return;
+        case 6:
+            replaceHolder();
+            return;
+        case 7:
+            m_configuration.maintenance.waveRequestedAt = m_fleet.now();
+            return;
+        case 8:
+            changeDrains();
+            return;
+        default:
+            changeConfiguration();
+            return;
+        }
+    }
+
+    /// The holder dies, or freezes with a decision in hand and wakes up later.
+    void replaceHolder()
+    {
+        if (pick(3) == 0 && m_holders.size() < 3) {
+            startHolder(); // Two believe that they hold the role.
+            return;
+        }
+        std::unique_ptr<FakeHolder> old = std::move(m_holders.front());
+        m_holders.erase(m_holders.begin());
+        old->decide(m_store, m_configuration, m_fleet);
+        m_result.moves += old->acceptedMoves();
+        if (pick(2) == 0)
+            m_frozen.emplace_back(m_step + 1 + static_cast<std::uint32_t>(pick(longestFreeze)), std::move(old));
+        if (m_holders.empty())
+            startHolder();
+    }
+
+    void changeDrains()
+    {
+        std::vector<std::string>& drains = m_configuration.drains;
+        if (drains.size() > 2 || pick(2) == 0)
+            drains.clear();
+        else
+            drains.push_back(anyInstance().id);
+    }
+
+    void changeConfiguration()
+    {
+        Pool& pool = anyPool();
+        const std::string group = "g00" + std::to_string(pick(3));
+        if (pick(3) == 0)
+            pool.selector = selectorOf(pick(2) == 0 ? "role=worker" : "role=worker,group!=" + group);
+        else if (pick(2) == 0)
+            m_fleet.relabel(anyInstance().id, LabelSet({ { "role", "worker" }, { "group", group } }));
+        else
+            pool.budget.minimum = std::clamp<std::uint32_t>(pool.budget.minimum + static_cast<std::uint32_t>(pick(3)) - 1, 1, 12);
+    }
+
+    void endOverdue()
+    {
+        std::erase_if(m_pending, [&](const Pending& pending) {
+            if (m_step < pending.endsAt)
+                return false;
+            if (pending.lost.empty())
+                m_store.setAway(false);
+            else
+                m_fleet.recover(pending.lost);
+            return true;
+        });
+        std::erase_if(m_frozen, [&](auto& frozen) {
+            if (m_step < frozen.first)
+                return false;
+            act(*frozen.second);
+            return true;
+        });
+    }
+
+    void act(FakeHolder& holder)
+    {
+        if (!holder.write(m_store))
+            return;
+        for (const Action& action : holder.actions(m_configuration, m_fleet)) {
+            const LedgerEntry* entry = m_store.truth().find(action.instance);
+            const bool stands = action.kind == ActionKind::Undrain || (entry && entry->grant);
+            if (m_fleet.perform(action) && !stands)
+                note(std::string(describe(InvariantCode::GrantMissing)) + ": " + action.instance);
+        }
+    }
+
+    void decide()
+    {
+        for (const auto& holder : m_holders)
+            holder->decide(m_store, m_configuration, m_fleet);
+        std::erase_if(m_holders, [&](const auto& holder) {
+            if (holder->lastPlan().superseded)
+                m_result.moves += holder->acceptedMoves();
+            return holder->lastPlan().superseded;
+        });
+        if (m_holders.empty())
+            startHolder();
+        for (const auto& holder : m_holders)
+            act(*holder);
+        if (m_holders.size() > 1 && pick(20) == 0) {
+            m_result.moves += m_holders.front()->acceptedMoves();
+            m_holders.erase(m_holders.begin());
+        }
+    }
+
+    void check()
+    {
+        const FleetView view { .configuration = m_configuration, .ledger = m_store.truth(), .instances = m_fleet.truth(), .now = m_fleet.now() };
+        for (const InvariantBreach& breach : m_invariant.check(view))
+            note(std::string(describe(breach.code)) + ": " + breach.subject);
+        const auto& entries = m_store.truth().entries;
+        const auto twice = [](const LedgerEntry& a, const LedgerEntry& b) { return a.instance >= b.instance; };
+        if (std::adjacent_find(entries.begin(), entries.end(), twice) != entries.end())
+            note("an instance stands in the ledger twice");
+    }
+
+    void note(const std::string& what)
+    {
+        if (m_result.breaches++ == 0)
+            m_result.firstBreach = "step " + std::to_string(m_step) + ": " + what;
+    }
+
+    Configuration m_configuration;
+    FakeFleet m_fleet;
+    FakeLedgerStore m_store;
+    std::mt19937_64 m_random;
+    std::vector<std::unique_ptr<FakeHolder>> m_holders;
+    std::vector<std::pair<std::uint32_t, std::unique_ptr<FakeHolder>>> m_frozen;
+    std::vector<Pending> m_pending;
+    BudgetInvariant m_invariant;
+    RandomRunResult m_result;
+    std::uint64_t m_epoch = 0;
+    std::uint32_t m_step = 0;
+};
+
+} // namespace
+
+RandomRunResult randomRun(FleetCase fleetCase, std::uint32_t steps, std::uint64_t seed)
+{
+    return RandomRun(std::move(fleetCase), seed).run(steps);
+}
+
+} // namespace lanemoor::test
