--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -37,6 +37,8 @@
 
     [[nodiscard]] std::vector<std::string> lines() const;
 
+    [[nodiscard]] pid_t id() const noexcept { return m_pid; }
+
 private:
     void readOutput();
 
