--- a/include/lanemoor/state/settings.h
+++ b/include/lanemoor/state/settings.h
@@ -23,6 +23,15 @@
     [[nodiscard]] bool operator==(const ListenSettings&) const = default;
 };
 
+/// Where the peer link listens, and the key pair that all entry instances share.
+struct PeerListenSettings {
+    std::string ip = "127.0.0.1";
+    std::uint16_t port = 0; ///< 0: chosen by the kernel.
+    std::string keyFile; ///< As `lanemoor keygen` writes it; empty: no encryption.
+
+    [[nodiscard]] bool operator==(const PeerListenSettings&) const = default;
+};
+
 /// An address to connect to.
 struct PeerAddress {
     std::string ip;
@@ -38,7 +47,7 @@
     ListenSettings front; ///< For callers.
     ListenSettings operators; ///< For operators, metrics and health.
     std::string operatorToken; ///< Needed beyond loopback; sent as a bearer token.
-    ListenSettings peer; ///< For the other entry instances; key files hold curve keys.
+    PeerListenSettings peer; ///< For the other entry instances.
     std::vector<PeerAddress> peers; ///< Peers to begin with.
     PeerAddress platform;
     std::uint32_t seats = 6; ///< Entry instances at most; the same on all of them.
--- a/src/client/command_line.cpp
+++ b/src/client/command_line.cpp
@@ -3,6 +3,7 @@
 #include "lanemoor/client/operator_client.h"
 #include "lanemoor/client/text_report.h"
 #include "lanemoor/serve/process/daemon.h"
+#include "lanemoor/serve/process/peer_keys.h"
 #include "lanemoor/state/configuration_document.h"
 #include "lanemoor/state/settings.h"
 
@@ -99,6 +100,14 @@
     return runDaemon(*settings) == 0 ? ExitCode::Done : ExitCode::Refused;
 }
 
+ExitCode generateKeys(const Invocation& invocation)
+{
+    const std::string& file = invocation.operands.front();
+    if (!writePeerKeys(file))
+        return complain(file + ": can't be written, or exists already");
+    return ExitCode::Done;
+}
+
 /// Settings name a platform; a configuration never does.
 std::vector<DocumentFault> faultsOf(const std::string& text)
 {
@@ -197,6 +206,7 @@
 {
     static const std::vector<Command> all {
         { "serve", "--settings FILE", "run an entry instance", 0, 0, serve },
+        { "keygen", "FILE", "write a key pair for the peer link, to be copied to every entry instance", 1, 1, generateKeys },
         { "check", "FILE...", "check settings and configurations, all faults at once", 1, 1000, check },
         { "apply", "FILE [REVISION]", "replace the configuration, made on REVISION or on the one in force", 1, 2, apply },
         { "get", "", "print the configuration in force", 0, 0, get },
--- a/src/serve/process/peer_link.cpp
+++ b/src/serve/process/peer_link.cpp
@@ -1,9 +1,11 @@
 #include "lanemoor/serve/process/peer_link.h"
 
 #include "generated/lanemoor.pb.h"
+#include "lanemoor/serve/process/peer_keys.h"
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <stdexcept>
 #include <utility>
@@ -63,7 +65,9 @@
     {
         m_receiver.set(zmq::sockopt::linger, 0);
         m_receiver.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(mostMessageBytes));
-        const ListenSettings& listen = state.settings().peer;
+        const PeerListenSettings& listen = state.settings().peer;
+        if (!listen.keyFile.empty())
+            useKeys(listen.keyFile);
         try {
             m_receiver.bind("tcp://" + listen.ip + ':' + (listen.port == 0 ? "*" : std::to_string(listen.port)));
         } catch (const zmq::error_t& error) {
@@ -93,6 +97,17 @@
     }
 
 private:
+    void useKeys(const std::string& file)
+    {
+        m_keys = readPeerKeys(file);
+        if (!m_keys)
+            throw std::runtime_error("peer keys: " + file + " can't be read");
+        m_gatekeeper = std::make_unique<PeerGatekeeper>(m_context, m_keys->publicKey);
+        m_receiver.set(zmq::sockopt::curve_server, true);
+        m_receiver.set(zmq::sockopt::curve_secretkey, m_keys->secretKey);
+        m_receiver.set(zmq::sockopt::zap_domain, "peers");
+    }
+
     void know(const std::string& address, bool fromSettings)
     {
         const bool usable = isPeerAddress(address) && address != m_address && m_peers.size() < mostPeers;
@@ -105,6 +120,11 @@
         peer.socket = std::make_unique<zmq::socket_t>(m_context, zmq::socket_type::push);
         peer.socket->set(zmq::sockopt::linger, 0);
         peer.socket->set(zmq::sockopt::sndhwm, mostQueued);
+        if (m_keys) {
+            peer.socket->set(zmq::sockopt::curve_serverkey, m_keys->publicKey);
+            peer.socket->set(zmq::sockopt::curve_publickey, m_keys->publicKey);
+            peer.socket->set(zmq::sockopt::curve_secretkey, m_keys->secretKey);
+        }
         try {
             peer.socket->connect(address);
         } catch (const zmq::error_t&) {
@@ -210,6 +230,8 @@
 
     SharedState& m_state;
     zmq::context_t m_context;
+    std::optional<PeerKeys> m_keys;
+    std::unique_ptr<PeerGatekeeper> m_gatekeeper;
     zmq::socket_t m_receiver;
     std::string m_address;
     std::uint64_t m_incarnation;
--- a/src/state/settings.cpp
+++ b/src/state/settings.cpp
@@ -54,6 +54,15 @@
         reader.fault(DocumentFaultCode::MissingField, listen.keyFile.empty() ? "keyFile" : "certificateFile", "a certificate and its key belong together");
 }
 
+void readPeerListen(ObjectReader& reader, PeerListenSettings& listen)
+{
+    readIp(reader, listen.ip, false);
+    readNumber(reader, "port", 0, mostPort, listen.port);
+    listen.keyFile = reader.string("keyFile").value_or(std::string());
+    if (!isLoopback(listen.ip) && listen.keyFile.empty())
+        reader.fault(DocumentFaultCode::InsecureAddress, "keyFile", "the peer link needs a key file");
+}
+
 PeerAddress readAddress(ObjectReader& reader)
 {
     PeerAddress address;
@@ -106,7 +115,7 @@
         settings.operatorToken = operators.string("token").value_or(std::string());
         checkOperatorsPort(operators, settings);
     });
-    reader.object("peer", [&](ObjectReader& peer) { readListen(peer, settings.peer); });
+    reader.object("peer", [&](ObjectReader& peer) { readPeerListen(peer, settings.peer); });
     reader.objects("peers", [&](ObjectReader& peer) { settings.peers.push_back(readAddress(peer)); });
     reader.object(
         "platform", [&](ObjectReader& platform) { settings.platform = readAddress(platform); }, true);
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -71,6 +71,8 @@
     if (!::mkdtemp(pattern.data()))
         throw std::runtime_error("no folder");
     m_folder = pattern;
+    if (m_options.secure && command({ "keygen", keyFile() }).code != 0)
+        throw std::runtime_error("no keys");
     m_platform = std::make_unique<ChildProcess>(m_options.buildFolder + "/platform_standin", std::vector<std::string> { std::to_string(m_options.listLagMs) });
     m_platformAddress = { loopback, portOf(*m_platform) };
 }
@@ -102,25 +104,29 @@
     m_workers[spec.id] = std::move(worker);
 }
 
-std::string Cluster::settingsOf(const std::string& name) const
+std::string Cluster::settingsOf(const std::string& name, const std::vector<std::uint16_t>& morePeers) const
 {
     nlohmann::json peers = nlohmann::json::array();
     for (const auto& [other, entry] : m_entries)
         peers.push_back({ { "ip", loopback }, { "port", entry.peerPort } });
-    const nlohmann::json settings {
+    for (const std::uint16_t port : morePeers)
+        peers.push_back({ { "ip", loopback }, { "port", port } });
+    nlohmann::json settings {
         { "name", name },
         { "dataHall", "hall0" },
         { "platform", { { "ip", loopback }, { "port", m_platformAddress.port } } },
         { "peers", peers },
         { "limits", { { "seats", m_options.seats }, { "leaseMs", m_options.leaseMs }, { "unreadyBeforeStopMs", 200 }, { "mostThreads", 128 }, { "mostListeners", 64 }, { "claimsPerSecond", 1000 } } },
     };
+    if (m_options.secure)
+        settings["peer"] = { { "keyFile", keyFile() } };
     return settings.dump(2);
 }
 
-void Cluster::addEntry(const std::string& name)
+void Cluster::addEntry(const std::string& name, const std::vector<std::uint16_t>& morePeers)
 {
     const std::string file = m_folder + '/' + name + ".json";
-    std::ofstream(file) << settingsOf(name);
+    std::ofstream(file) << settingsOf(name, morePeers);
     Entry entry;
     entry.process = std::make_unique<ChildProcess>(m_options.buildFolder + "/lanemoor", std::vector<std::string> { "serve", "--settings", file });
     const std::optional<std::string> line = entry.process->waitForLine([](const std::string& text) { return text.find("\"listening\"") != std::string::npos; });
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -40,7 +40,7 @@
     unsigned rebootMs = 300;
     unsigned seats = 3;
     unsigned leaseMs = 1500;
-    std::string extraLimits; ///< More fields of the settings' `limits`, each after a comma.
+    bool secure = false; ///< Keys on the peer link.
 };
 
 /// A worker as the cluster registers it.
@@ -68,7 +68,8 @@
     Cluster& operator=(const Cluster&) = delete;
 
     void addWorker(const WorkerSpec& spec);
-    void addEntry(const std::string& name);
+    /// \param morePeers Ports of peers beside the entries of this cluster.
+    void addEntry(const std::string& name, const std::vector<std::uint16_t>& morePeers = {});
 
     /// \brief Writes the first configuration through entry `name`.
     /// \returns Whether it was accepted.
@@ -98,6 +99,9 @@
     /// \returns The revision in force at entry `name`.
     [[nodiscard]] std::uint64_t revisionAt(const std::string& name);
 
+    /// \returns The file with the peer link's keys, if the cluster is secure.
+    [[nodiscard]] std::string keyFile() const { return m_folder + "/peer.keys"; }
+
     /// \returns A command of the binary, its output and exit code.
     struct CommandResult {
         int code = -1;
@@ -114,7 +118,7 @@
         HttpAddress address;
     };
 
-    [[nodiscard]] std::string settingsOf(const std::string& name) const;
+    [[nodiscard]] std::string settingsOf(const std::string& name, const std::vector<std::uint16_t>& morePeers) const;
 
     ClusterOptions m_options;
     std::string m_folder;
