Keep control's bytes and documents small at the planned size

The instance list, read twice a second, would be some 160 KB each time at 710 workers, 30 times the budget of 11 KB/s. Reading a configuration took 64 ms at 120 pools and grew with the square of its size. Peers sent documents that the store was about to deliver anyway.

Change: the list is asked for conditionally (ETag, 304); a peer is sent a document only after it was behind for 1.2 s; a value's line and column are worked out only for a fault.

Ruled out: reading the list less often, which delays the first sign of leaving.

--- a/include/lanemoor/state/json_document.h
+++ b/include/lanemoor/state/json_document.h
@@ -76,7 +76,8 @@
 
 private:
     nlohmann::json m_root;
-    std::map<std::string, SourcePosition, std::less<>> m_positions;
+    std::string m_text;
+    std::map<std::string, std::size_t, std::less<>> m_offsets; ///< Of each value in the text, by JSON pointer.
     std::vector<DocumentFault> m_faults;
 };
 
--- a/src/adapters/http_platform.cpp
+++ b/src/adapters/http_platform.cpp
@@ -174,14 +174,22 @@
 
     [[nodiscard]] std::optional<Instances> list() override
     {
-        const std::optional<HttpResponse> response = m_caller.call(requestOf("GET", "/v1/instances"), callLimit);
+        HttpRequest request = requestOf("GET", "/v1/instances");
+        if (!m_listTag.empty())
+            request.headers.add("If-None-Match", m_listTag);
+        const std::optional<HttpResponse> response = m_caller.call(request, callLimit);
         m_lastFault = response ? PlatformFault::Refused : PlatformFault::Unreachable;
+        if (response && response->status == notModified)
+            return m_list;
         if (!response || response->status != 200)
             return std::nullopt;
         std::optional<Instances> instances = parseInstanceList(response->body);
+        m_lastFault = PlatformFault::Malformed;
         if (!instances)
-            m_lastFault = PlatformFault::Malformed;
-        return instances;
+            return std::nullopt;
+        m_list = std::move(*instances);
+        m_listTag = std::string(response->headers.find("ETag").value_or(std::string_view()));
+        return m_list;
     }
 
     [[nodiscard]] bool perform(const Action& action) override
@@ -195,7 +203,11 @@
     [[nodiscard]] PlatformFault lastFault() const noexcept override { return m_lastFault; }
 
 private:
+    static constexpr unsigned notModified = 304;
+
     Caller m_caller;
+    Instances m_list; ///< As last read; it came with `m_listTag`.
+    std::string m_listTag;
     PlatformFault m_lastFault = PlatformFault::Unreachable;
 };
 
--- a/src/serve/process/peer_link.cpp
+++ b/src/serve/process/peer_link.cpp
@@ -20,6 +20,8 @@
 constexpr Millis heardFor { 3'000 };
 /// A peer not heard for this long is forgotten, unless the settings name it.
 constexpr Millis forgottenAfter { 60'000 };
+/// A peer that is behind for this long is sent the documents: else it has them from the store.
+constexpr Millis behindFor { 1'200 };
 constexpr int mostQueued = 16; ///< Messages for one peer; more are dropped.
 constexpr std::size_t mostPeers = 64;
 constexpr std::size_t mostMessageBytes = 4 * 1024 * 1024;
@@ -34,6 +36,7 @@
     std::uint64_t configurationRevision = 0;
     std::uint64_t ledgerVersion = 0;
     Instant heardAt;
+    Instant behindSince; ///< Epoch: it was not seen with older documents.
     bool fromSettings = false;
 };
 
@@ -212,12 +215,18 @@
 
     void sendTo(Peer& peer, wire::PeerState state, const KeptDocument& configuration, const KeptDocument& ledger)
     {
-        const bool heard = !peer.name.empty();
-        if (heard && peer.configurationRevision < configuration.version) {
+        const Instant now = currentInstant();
+        const bool behind = !peer.name.empty() && (peer.configurationRevision < configuration.version || peer.ledgerVersion < ledger.version);
+        if (!behind)
+            peer.behindSince = Instant {};
+        else if (peer.behindSince == Instant {})
+            peer.behindSince = now;
+        const bool helped = behind && now >= peer.behindSince + behindFor;
+        if (helped && peer.configurationRevision < configuration.version) {
             state.mutable_configuration()->set_version(configuration.version);
             state.mutable_configuration()->set_body(configuration.body);
         }
-        if (heard && peer.ledgerVersion < ledger.version) {
+        if (helped && peer.ledgerVersion < ledger.version) {
             state.mutable_ledger()->set_version(ledger.version);
             state.mutable_ledger()->set_body(ledger.body);
         }
--- a/src/state/json_document.cpp
+++ b/src/state/json_document.cpp
@@ -75,10 +75,10 @@
 /// Notes the position of each value while the parser goes through the text.
 class PositionHandler : public nlohmann::json_sax<nlohmann::json> {
 public:
-    PositionHandler(std::string_view text, const std::size_t& offset, std::map<std::string, SourcePosition, std::less<>>& positions, std::vector<DocumentFault>& faults)
+    PositionHandler(std::string_view text, const std::size_t& offset, std::map<std::string, std::size_t, std::less<>>& offsets, std::vector<DocumentFault>& faults)
         : m_text(text)
         , m_offset(offset)
-        , m_positions(positions)
+        , m_offsets(offsets)
         , m_faults(faults)
     {
     }
@@ -100,7 +100,7 @@
         Level& level = m_levels.back();
         level.name = name;
         if (!level.seen.insert(name).second)
-            m_faults.push_back({ .code = DocumentFaultCode::DuplicateField, .field = currentPointer(), .position = tokenStart(), .detail = {} });
+            m_faults.push_back({ .code = DocumentFaultCode::DuplicateField, .field = currentPointer(), .position = positionAt(m_text, tokenStart()), .detail = {} });
         m_tokenEnd = m_offset;
         return true;
     }
@@ -122,10 +122,10 @@
     [[nodiscard]] SourcePosition here() const { return positionAt(m_text, m_offset == 0 ? 0 : m_offset - 1); }
 
     /// The parser reads up to one byte past a token, which is never a part of the next one.
-    [[nodiscard]] SourcePosition tokenStart() const
+    [[nodiscard]] std::size_t tokenStart() const
     {
         const std::size_t start = m_text.find_first_not_of(" \t\r\n,:]}", m_tokenEnd);
-        return positionAt(m_text, std::min(start, m_text.size()));
+        return std::min(start, m_text.size());
     }
 
     [[nodiscard]] std::string currentPointer() const
@@ -138,7 +138,7 @@
 
     bool scalar()
     {
-        m_positions.emplace(currentPointer(), tokenStart());
+        m_offsets.emplace(currentPointer(), tokenStart());
         m_tokenEnd = m_offset;
         next();
         return true;
@@ -146,7 +146,7 @@
 
     bool open(bool isArray)
     {
-        m_positions.emplace(currentPointer(), tokenStart());
+        m_offsets.emplace(currentPointer(), tokenStart());
         m_tokenEnd = m_offset;
         if (m_levels.size() == maximumDepth) {
             m_faults.push_back({ .code = DocumentFaultCode::Syntax, .field = currentPointer(), .position = here(), .detail = "nested too deeply" });
@@ -173,7 +173,7 @@
     std::string_view m_text;
     const std::size_t& m_offset;
     std::size_t m_tokenEnd = 0;
-    std::map<std::string, SourcePosition, std::less<>>& m_positions;
+    std::map<std::string, std::size_t, std::less<>>& m_offsets;
     std::vector<DocumentFault>& m_faults;
     std::vector<Level> m_levels;
 };
@@ -221,10 +221,11 @@
 
 bool JsonDocument::parse(std::string_view text)
 {
-    m_positions.clear();
+    m_text = text;
+    m_offsets.clear();
     m_faults.clear();
     std::size_t offset = 0;
-    PositionHandler handler(text, offset, m_positions, m_faults);
+    PositionHandler handler(text, offset, m_offsets, m_faults);
     const CountingIterator begin(text.data(), &offset);
     const CountingIterator end(text.data() + text.size(), &offset);
     if (!nlohmann::json::sax_parse(begin, end, &handler) || !m_faults.empty())
@@ -236,9 +237,9 @@
 SourcePosition JsonDocument::positionOf(std::string_view field) const
 {
     while (true) {
-        const auto found = m_positions.find(field);
-        if (found != m_positions.end())
-            return found->second;
+        const auto found = m_offsets.find(field);
+        if (found != m_offsets.end())
+            return positionAt(m_text, found->second);
         if (field.empty())
             return {};
         field = field.substr(0, field.rfind('/'));
--- a/standins/fleet_standin.cpp
+++ b/standins/fleet_standin.cpp
@@ -2,6 +2,7 @@
 
 #include "lanemoor/net/http_connection.h"
 
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <vector>
 
@@ -63,7 +64,7 @@
         if (m_listAway)
             exchange.abort();
         else
-            exchange.respond({ 200, {}, listing() });
+            answerList(exchange);
         return;
     }
     const std::string rest = path.substr(listPath.size() + 1);
@@ -74,6 +75,16 @@
         control(exchange, rest.substr(0, slash), rest.substr(slash + 1));
 }
 
+void FleetStandin::answerList(HttpExchange& exchange)
+{
+    HttpResponse response { 200, {}, listing() };
+    const std::string tag = '"' + std::to_string(std::hash<std::string>()(response.body)) + '"';
+    if (exchange.request().headers.find("If-None-Match") == std::string_view(tag))
+        response = { 304, {}, {} };
+    response.headers.add("ETag", tag);
+    exchange.respond(response);
+}
+
 void FleetStandin::registerWorker(HttpExchange& exchange)
 {
     const nlohmann::json json = nlohmann::json::parse(exchange.request().body, nullptr, false);
--- a/standins/fleet_standin.h
+++ b/standins/fleet_standin.h
@@ -47,6 +47,7 @@
         std::string text;
     };
 
+    void answerList(HttpExchange& exchange);
     void registerWorker(HttpExchange& exchange);
     void control(HttpExchange& exchange, const std::string& id, const std::string& act);
     void observe();
