--- a/tests/unit/decision_test.cpp
+++ b/tests/unit/decision_test.cpp
@@ -128,6 +128,21 @@
     CHECK(guard.refusalFor("nobody") == DisruptionRefusal::UnknownInstance);
 }
 
+TEST_CASE("instances lost to failure count against the budget before maintenance may take more")
+{
+    SmallFleet fleet(5, "a");
+    fleet.addPool("a", "role=worker", 2);
+    const auto refusal = [&] {
+        const FleetIndex index(fleet.configuration, fleet.instances);
+        return DisruptionGuard(fleet.view(), index).refusalFor("w14");
+    };
+    CHECK_FALSE(refusal());
+    fleet.instances[0].failing = true;
+    CHECK_FALSE(refusal());
+    fleet.instances[1].state = InstanceState::Leaving;
+    CHECK(refusal() == DisruptionRefusal::BudgetSpent);
+}
+
 TEST_CASE("a holder whose epoch was overtaken does nothing")
 {
     SmallFleet fleet(4);
--- a/tests/unit/document_test.cpp
+++ b/tests/unit/document_test.cpp
@@ -5,6 +5,9 @@
 #include "lanemoor/state/time_text.h"
 
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <rapidcheck.h>
 
 using namespace lanemoor;
@@ -114,3 +117,18 @@
     CHECK(window.contains(*parseInstant("2026-12-07T01:59:00Z")));
     CHECK_FALSE(window.contains(*parseInstant("2026-12-07T02:00:00Z")));
 }
+
+TEST_CASE("the examples are without faults")
+{
+    for (const auto& file : std::filesystem::recursive_directory_iterator(LANEMOOR_EXAMPLES)) {
+        if (file.path().extension() != ".json")
+            continue;
+        CAPTURE(file.path().string());
+        std::ifstream in(file.path());
+        const std::string text((std::istreambuf_iterator<char>(in)), {});
+        if (file.path().filename() == "settings.json")
+            CHECK(SettingsReader().read(text));
+        else
+            CHECK(ConfigurationReader().read(text, 1));
+    }
+}
