--- a/include/lanemoor/state/settings.h
+++ b/include/lanemoor/state/settings.h
@@ -54,7 +54,7 @@
     std::uint32_t mostListeners = 128; ///< Standing answers held at once.
     std::uint32_t mostThreads = 256; ///< Requests handled at once, listeners included.
     std::uint32_t mostWaiting = 256; ///< Requests waiting for one pool.
-    std::uint32_t claimsPerSecond = 10; ///< Orders claimed in the store, of this entry instance.
+    std::uint32_t claimsPerSecond = 7; ///< Orders claimed in the store, of this entry instance.
     Millis defaultDeadline { 10'000 }; ///< For requests without one.
     Millis unreadyBeforeStop { 2'000 }; ///< Time for the balancer to see that it stops.
     Millis leaseTime { 6'000 }; ///< Of the control role and of the seat.
--- a/src/serve/process/control_role.cpp
+++ b/src/serve/process/control_role.cpp
@@ -129,6 +129,7 @@
     }
     m_state.metrics().count(EventCounter::LedgerWrites);
     m_state.metrics().count(EventCounter::Moves, plan.moves.size());
+    m_state.metrics().count(EventCounter::Grants, plan.next.nextGrant - m_state.snapshot()->ledger->nextGrant);
     m_state.acceptLedger(*version, body);
     return true;
 }
--- a/tests/unit/decision_test.cpp
+++ b/tests/unit/decision_test.cpp
@@ -102,6 +102,19 @@
     CHECK(larger.plan().moves.size() == 2);
 }
 
+TEST_CASE("a pool is spread over failure domains though that takes a longer chain")
+{
+    SmallFleet fleet(4);
+    fleet.addPool("a", "role=worker", 2);
+    fleet.addPool("b", "role=worker", 0);
+    fleet.configuration.pools[1].wanted = 1;
+    fleet.ledger.entries[0].pool = "a";
+    fleet.ledger.entries[1].pool = "a";
+    fleet.ledger.entries[2].pool = "b";
+    fleet.instances[3].rack = fleet.instances[0].rack; // The only spare one adds nothing to a.
+    CHECK(fleet.plan().moves == std::vector<Move> { { .instance = "w12", .from = "b", .to = "a" }, { .instance = "w13", .from = "", .to = "b" } });
+}
+
 TEST_CASE("no instance with long sessions moves while another serves")
 {
     SmallFleet fleet(6, "a");
@@ -143,6 +156,17 @@
     CHECK(refusal() == DisruptionRefusal::BudgetSpent);
 }
 
+TEST_CASE("an instance drained under no grant by a late act is let back")
+{
+    SmallFleet fleet(3, "a");
+    fleet.addPool("a", "role=worker", 1);
+    fleet.instances[1].drained = true;
+    const std::vector<Action> actions = Controller::actionsFor(fleet.view(), 5);
+    CHECK(actions == std::vector<Action> { { .kind = ActionKind::Undrain, .instance = "w11", .grant = 0, .epoch = 5 } });
+    const FleetIndex index(fleet.configuration, fleet.instances);
+    CHECK(DisruptionGuard(fleet.view(), index).availability("a").inService == 2);
+}
+
 TEST_CASE("a holder whose epoch was overtaken does nothing")
 {
     SmallFleet fleet(4);
