Let no pool without slack give a member, whatever its domain

Its slack stayed at -2, since the largest domain shrank as well, and moves were refused only if the slack fell.

Change: a pool whose slack is negative must not lose slack nor members. A test that fails without it; the drain test also counts that a granted instance is not even asked.

--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -408,8 +408,11 @@
     const DisruptionGuard after({ .configuration = view.configuration, .ledger = next, .instances = view.instances, .now = view.now }, index);
     std::vector<std::string> refusing;
     for (const Move& move : moves) {
-        const std::int64_t slackAfter = after.availability(move.from).slack();
-        if (slackAfter < 0 && slackAfter < before.availability(move.from).slack())
+        const PoolAvailability was = before.availability(move.from);
+        const PoolAvailability is = after.availability(move.from);
+        // Without slack a pool gives nobody, not even one of its largest domain: it may need
+        // every member for its minimum.
+        if (is.slack() < 0 && (is.slack() < was.slack() || is.inService < was.inService))
             refusing.push_back(move.from);
     }
     return refusing;
--- a/src/serve/process/daemon.cpp
+++ b/src/serve/process/daemon.cpp
@@ -9,7 +9,7 @@
 #include "lanemoor/serve/request/front_handler.h"
 
 #include <csignal>
-#include <ctime>
+#include <cstdlib>
 #include <exception>
 #include <functional>
 #include <pthread.h>
--- a/tests/process/stop_test.cpp
+++ b/tests/process/stop_test.cpp
@@ -70,9 +70,11 @@
     REQUIRE(ask(cluster.entry("b").operators, requestOf("POST", "/v1/instances/w0/drain")).response.status == 200);
     REQUIRE(eventually([&] { return cluster.poolHas("counter", 3); }));
     const int before = cluster.countAt("w0", "served");
+    const int refusedBefore = cluster.countAt("w0", "refused");
     for (int i = 0; i < 20; ++i)
         CHECK(ask(cluster.front(i % 2 == 0 ? "a" : "b"), requestOf("GET", "/counter/check")).response.status == 200);
     CHECK(cluster.countAt("w0", "served") == before);
+    CHECK(cluster.countAt("w0", "refused") == refusedBefore); // It is not even asked.
     for (std::thread& caller : callers)
         caller.join();
     for (const Answer& answer : held)
--- a/tests/unit/decision_test.cpp
+++ b/tests/unit/decision_test.cpp
@@ -115,6 +115,21 @@
     CHECK(fleet.plan().moves == std::vector<Move> { { .instance = "w12", .from = "b", .to = "a" }, { .instance = "w13", .from = "", .to = "b" } });
 }
 
+TEST_CASE("a pool without slack gives nobody, not even one of its largest failure domain")
+{
+    SmallFleet fleet(6, "a");
+    fleet.addPool("a", "role=worker", 3);
+    fleet.addPool("b", "role=worker", 0);
+    fleet.addPool("c", "group=c", 2);
+    fleet.configuration.pools[1].wanted = 1;
+    fleet.instances[1].rack = fleet.instances[0].rack;
+    for (std::size_t i = 3; i < 6; ++i) {
+        fleet.instances[i].labels = LabelSet({ { "role", "worker" }, { "group", "c" } });
+        fleet.ledger.entries[i].pool = "c";
+    }
+    CHECK(fleet.plan().moves.empty());
+}
+
 TEST_CASE("no instance with long sessions moves while another serves")
 {
     SmallFleet fleet(6, "a");
--- a/tools/demo_main.cpp
+++ b/tools/demo_main.cpp
@@ -129,7 +129,7 @@
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(300));
     showChange(cluster, table);
-    const auto isOut = [&](const std::string& entry) { return report(cluster, entry, "/v1/instances/counter-0").value("inService", true) == false; };
+    const auto isOut = [&](const std::string& entry) { return !report(cluster, entry, "/v1/instances/counter-0").value("inService", true); };
     const bool out = eventually([&] { return std::all_of(entryNames.begin(), entryNames.end(), isOut); });
     for (std::thread& caller : callers)
         caller.join();
