--- a/include/lanemoor/net/http_connection.h
+++ b/include/lanemoor/net/http_connection.h
@@ -61,6 +61,9 @@
     std::size_t m_mostBytes;
 };
 
+/// \returns Whether the peer of socket `descriptor` has closed it.
+[[nodiscard]] bool isClosedByPeer(int descriptor) noexcept;
+
 /// What binds one exchange.
 struct ExchangeOptions {
     std::chrono::system_clock::time_point deadline; ///< For the whole exchange.
--- a/include/lanemoor/net/http_message.h
+++ b/include/lanemoor/net/http_message.h
@@ -74,6 +74,12 @@
 /// \param text Digits only. \returns Nothing if `text` is not a number below 2^63.
 [[nodiscard]] std::optional<std::uint64_t> parseDecimal(std::string_view text) noexcept;
 
+/// \returns A strong entity tag for `version`, such as `"7"`.
+[[nodiscard]] std::string formatEntityTag(std::uint64_t version);
+
+/// \returns The version that `formatEntityTag` wrote, or nothing.
+[[nodiscard]] std::optional<std::uint64_t> parseEntityTag(std::string_view tag) noexcept;
+
 /// \returns The standard phrase of `status`.
 [[nodiscard]] const char* reasonPhrase(unsigned status) noexcept;
 
--- a/include/lanemoor/serve/process/pool_gate.h
+++ b/include/lanemoor/serve/process/pool_gate.h
@@ -65,7 +65,4 @@
     std::uint64_t m_turn = 0;
 };
 
-/// \returns Whether the peer of socket `descriptor` has closed it.
-[[nodiscard]] bool hasCallerGone(int descriptor) noexcept;
-
 } // namespace lanemoor
--- a/src/adapters/http_platform.cpp
+++ b/src/adapters/http_platform.cpp
@@ -54,18 +54,9 @@
     return request;
 }
 
-/// Reads an entity tag such as `"7"`.
 std::optional<std::uint64_t> versionOf(const HttpHeaders& headers)
 {
-    const std::optional<std::string_view> tag = headers.find("ETag");
-    if (!tag || tag->size() < 3 || tag->front() != '"' || tag->back() != '"')
-        return std::nullopt;
-    return parseDecimal(tag->substr(1, tag->size() - 2));
-}
-
-std::string tagOf(std::uint64_t version)
-{
-    return '"' + std::to_string(version) + '"';
+    return parseEntityTag(headers.find("ETag").value_or(std::string_view()));
 }
 
 class HttpStore final : public Store {
@@ -96,7 +87,7 @@
         if (expected == 0)
             request.headers.add("If-None-Match", "*");
         else
-            request.headers.add("If-Match", tagOf(expected));
+            request.headers.add("If-Match", formatEntityTag(expected));
         const std::optional<HttpResponse> response = call(request, callLimit);
         return response ? versionOf(response->headers) : std::nullopt;
     }
--- a/src/decisions/membership.cpp
+++ b/src/decisions/membership.cpp
@@ -33,6 +33,7 @@
     PoolSize size;
     const DomainIndex* domains = nullptr;
     std::vector<std::uint32_t> members; ///< By domain; those that match and serve, or are expected back.
+    std::vector<std::uint32_t> absent; ///< By domain; members that match and are lost, but may come back.
     std::uint32_t effective = 0; ///< Members that count towards the target.
     std::int64_t slack = 0; ///< Members in service that its budget can still miss.
 
@@ -153,6 +154,7 @@
         state.size = m_index.size(m_pools.size());
         state.domains = &m_index.domains(m_pools.size());
         state.members.resize(state.domains->count());
+        state.absent.resize(state.domains->count());
         m_pools.push_back(std::move(state));
     }
 }
@@ -192,8 +194,11 @@
         return;
     const auto home = static_cast<std::size_t>(state.home);
     state.counted = m_index.matches(home, number) && !drained && expectedBack(entry, instance);
+    const std::size_t domain = m_pools[home].domains->of(number);
     if (state.counted)
-        m_pools[home].add(m_pools[home].domains->of(number));
+        m_pools[home].add(domain);
+    else if (!state.movable && m_index.matches(home, number))
+        ++m_pools[home].absent[domain];
 }
 
 std::int64_t PlanBuilder::costAt(std::size_t instance, int pool) const
@@ -209,7 +214,8 @@
 {
     const PoolState& state = m_pools[static_cast<std::size_t>(pool)];
     const std::size_t domain = state.domains->of(instance);
-    std::uint32_t members = state.members[domain];
+    // A lost member keeps its place: back beside a new one it would enlarge its domain.
+    std::uint32_t members = state.members[domain] + state.absent[domain];
     if (label.hasInstance && state.domains->of(label.instance) == domain)
         --members;
     return members < state.size.perDomain;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -49,12 +49,6 @@
     Abandoned,
 };
 
-bool isClosedByPeer(int descriptor)
-{
-    pollfd watched { descriptor, POLLRDHUP, 0 };
-    return ::poll(&watched, 1, 0) > 0 && (watched.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
-}
-
 WaitEnd waitReadable(int descriptor, const ExchangeOptions& options)
 {
     while (true) {
@@ -95,6 +89,12 @@
     return "unknown fault";
 }
 
+bool isClosedByPeer(int descriptor) noexcept
+{
+    pollfd watched { descriptor, POLLRDHUP, 0 };
+    return ::poll(&watched, 1, 0) > 0 && (watched.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
+}
+
 BufferSink::BufferSink(std::size_t mostBytes)
     : m_mostBytes(mostBytes)
 {
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -74,6 +74,18 @@
     m_headers.erase(std::remove_if(m_headers.begin(), m_headers.end(), named), m_headers.end());
 }
 
+std::string formatEntityTag(std::uint64_t version)
+{
+    return '"' + std::to_string(version) + '"';
+}
+
+std::optional<std::uint64_t> parseEntityTag(std::string_view tag) noexcept
+{
+    if (tag.size() < 3 || tag.front() != '"' || tag.back() != '"')
+        return std::nullopt;
+    return parseDecimal(tag.substr(1, tag.size() - 2));
+}
+
 const char* reasonPhrase(unsigned status) noexcept
 {
     switch (status) {
--- a/src/serve/process/operator_handler.cpp
+++ b/src/serve/process/operator_handler.cpp
@@ -31,21 +31,13 @@
     return { status, contentType("application/problem+json"), body.dump() };
 }
 
-std::string tagOf(std::uint64_t revision)
-{
-    return '"' + std::to_string(revision) + '"';
-}
-
-/// Reads `"7"`. \returns Nothing if the header is missing or is something else.
+/// \returns The revision a change was made on, or nothing if its header is missing or is something else.
 std::optional<std::uint64_t> baseRevision(const HttpRequest& request)
 {
     const std::optional<std::string_view> none = request.headers.find("If-None-Match");
     if (none && *none == "*")
         return 0;
-    const std::optional<std::string_view> tag = request.headers.find("If-Match");
-    if (!tag || tag->size() < 3 || tag->front() != '"' || tag->back() != '"')
-        return std::nullopt;
-    return parseDecimal(tag->substr(1, tag->size() - 2));
+    return parseEntityTag(request.headers.find("If-Match").value_or(std::string_view()));
 }
 
 HttpResponse faultsAnswer(const std::vector<DocumentFault>& faults)
@@ -67,12 +59,12 @@
 {
     if (const auto* accepted = std::get_if<ChangeAccepted>(&result)) {
         HttpResponse response = jsonAnswer(200, nlohmann::json({ { "revision", accepted->revision } }).dump());
-        response.headers.add("ETag", tagOf(accepted->revision));
+        response.headers.add("ETag", formatEntityTag(accepted->revision));
         return response;
     }
     if (const auto* conflict = std::get_if<ChangeConflict>(&result)) {
         HttpResponse response = problemAnswer(412, "newer-revision", "revision " + std::to_string(conflict->newerRevision) + " is newer than the one that was changed");
-        response.headers.add("ETag", tagOf(conflict->newerRevision));
+        response.headers.add("ETag", formatEntityTag(conflict->newerRevision));
         return response;
     }
     if (const auto* faulty = std::get_if<ChangeFaulty>(&result))
@@ -141,7 +133,7 @@
         Configuration shown = *snapshot->configuration;
         shown.changeId.clear();
         HttpResponse response = jsonAnswer(200, formatConfiguration(shown));
-        response.headers.add("ETag", tagOf(shown.revision));
+        response.headers.add("ETag", formatEntityTag(shown.revision));
         return response;
     }
     if (path == "/v1/pools")
--- a/src/serve/process/pool_gate.cpp
+++ b/src/serve/process/pool_gate.cpp
@@ -1,9 +1,9 @@
 #include "lanemoor/serve/process/pool_gate.h"
 
 #include "lanemoor/decisions/endpoint_choice.h"
+#include "lanemoor/net/http_connection.h"
 
 #include <algorithm>
-#include <poll.h>
 
 namespace lanemoor {
 
@@ -14,12 +14,6 @@
 
 } // namespace
 
-bool hasCallerGone(int descriptor) noexcept
-{
-    pollfd watched { .fd = descriptor, .events = POLLRDHUP, .revents = 0 };
-    return ::poll(&watched, 1, 0) > 0 && (watched.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
-
 PoolGate::PoolGate(std::uint32_t mostWaiting)
     : m_mostWaiting(mostWaiting)
     , m_queue({ .slots = 0, .mostWaiting = mostWaiting })
@@ -60,7 +54,7 @@
         waiter.changed.wait_until(lock, std::min<Instant>(context.deadline, currentInstant() + callerCheck));
         if (!waiter.started && !waiter.refusal)
             expireWaiting(currentInstant());
-        if (!waiter.started && !waiter.refusal && hasCallerGone(descriptor)) {
+        if (!waiter.started && !waiter.refusal && isClosedByPeer(descriptor)) {
             m_queue.cancel(ticket);
             m_waiters.erase(ticket);
             return CallerGone {};
--- a/standins/store_standin.cpp
+++ b/standins/store_standin.cpp
@@ -14,7 +14,7 @@
 HttpResponse versioned(unsigned status, std::uint64_t version, std::string body = {})
 {
     HttpResponse response { status, {}, std::move(body) };
-    response.headers.add("ETag", '"' + std::to_string(version) + '"');
+    response.headers.add("ETag", formatEntityTag(version));
     return response;
 }
 
@@ -104,7 +104,7 @@
     }
     Value& value = m_values[key];
     const bool mustBeNew = request.headers.find("If-None-Match").has_value();
-    const std::string expected = '"' + std::to_string(value.version) + '"';
+    const std::string expected = formatEntityTag(value.version);
     const bool permitted = mustBeNew ? value.version == 0 : request.headers.find("If-Match") == expected;
     if (!permitted) {
         exchange.respond(versioned(412, value.version));
--- a/tests/support/scenario.cpp
+++ b/tests/support/scenario.cpp
@@ -404,6 +404,7 @@
         const Line line = m_events.front().line;
         guarded(line, [&] { play(line); });
     }
+    check(); // What an act of the script did, before the holders mend it.
     stepControl();
     check();
     m_fleet->advance();
--- a/tests/unit/decision_test.cpp
+++ b/tests/unit/decision_test.cpp
@@ -130,6 +130,19 @@
     CHECK(fleet.plan().moves.empty());
 }
 
+TEST_CASE("a lost member's failure domain is not filled with another member")
+{
+    SmallFleet fleet(5, "a");
+    fleet.addPool("a", "role=worker", 3);
+    fleet.instances[0].state = InstanceState::Leaving;
+    fleet.instances[0].outSince = noon - std::chrono::hours(1);
+    fleet.ledger.entries[4].pool.clear();
+    fleet.instances[4].rack = fleet.instances[0].rack;
+    CHECK(fleet.plan().moves.empty());
+    fleet.instances[4].rack = "another";
+    CHECK(fleet.plan().moves.size() == 1);
+}
+
 TEST_CASE("no instance with long sessions moves while another serves")
 {
     SmallFleet fleet(6, "a");
--- a/tests/unit/state_test.cpp
+++ b/tests/unit/state_test.cpp
@@ -1,6 +1,7 @@
 // Snapshots, codec, observations, readiness.
 
 #include "lanemoor/serve/process/readiness.h"
+#include "lanemoor/serve/version/routing_table.h"
 #include "lanemoor/state/ledger_codec.h"
 #include "lanemoor/state/observation_merger.h"
 #include "lanemoor/state/snapshot.h"
@@ -98,6 +99,30 @@
     CHECK_FALSE(stateAt(noon + std::chrono::seconds(62)).outSince);
 }
 
+TEST_CASE("an instance under a grant, drained or leaving is in no routes")
+{
+    Snapshot snapshot;
+    Configuration configuration;
+    configuration.pools = { { .name = "counter" } };
+    snapshot.configuration = std::make_shared<const Configuration>(configuration);
+    Ledger ledger;
+    Instances instances;
+    for (const char* id : { "w1", "w2", "w3", "w4" }) {
+        ledger.entries.push_back({ .instance = id, .pool = "counter", .maintainedAt = noon, .grant = std::nullopt });
+        instances.push_back(live(id));
+    }
+    ledger.entries[0].grant = Grant { .id = 1 };
+    instances[1].drained = true;
+    instances[2].state = InstanceState::Leaving;
+    snapshot.ledger = std::make_shared<const Ledger>(ledger);
+    snapshot.instances = std::make_shared<const Instances>(instances);
+    EndpointRegistry registry;
+    const RoutingTable table(snapshot, { .number = 0, .seats = 1 }, registry);
+    CHECK(table.find("counter")->members == std::vector<std::string> { "w4" });
+    CHECK(table.find("counter")->slots == 8);
+    CHECK(table.find("other") == nullptr);
+}
+
 TEST_CASE("an entry that hears neither the store nor most others takes no callers")
 {
     const StandingFacts well { .configurationRevision = 3, .hasSeat = true, .storeReachedAt = noon, .peersKnown = 5, .peersHeard = 5 };
