--- a/src/serve/process/reports.cpp
+++ b/src/serve/process/reports.cpp
@@ -178,7 +178,7 @@
             { "address", peer.address },
             { "configurationRevision", peer.configurationRevision },
             { "ledgerVersion", peer.ledgerVersion },
-            { "heardAt", formatInstant(peer.heardAt) },
+            { "heardAt", peer.name.empty() ? Json() : Json(formatInstant(peer.heardAt)) },
         });
     }
     return json.dump(indent);
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// The platform's stand-in as a process: store, instance list and worker control.
-/// Usage: platform_standin [LIST-LAG-MS]. It prints "listening PORT" and runs until its
+/// Usage: platform_standin [LIST-LAG-MS [PORT]]. It prints "listening PORT" and runs until its
 /// standard input ends.
 
 #include "fleet_standin.h"
@@ -65,6 +65,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     PlatformHandler handler(std::chrono::milliseconds(count > 1 ? std::atoi(arguments[1]) : 0));
     HttpServerOptions options;
+    options.port = static_cast<std::uint16_t>(count > 2 ? std::atoi(arguments[2]) : 0);
     options.mostThreads = mostThreads;
     options.mostBodyBytes = 2 * 1024 * 1024;
     const HttpServer server(options, handler);
