Work out the pools' standings once a round and drop what nobody uses

Cause: reading the whole change once more. The control role worked out the standings of all pools, index and guard included, twice in each round: once in the budget invariant and once for the gauge beside it. Two invariant codes were never raised, ObjectReader::boolean was never called, and two tests held the same wait for a wave's end.

Change: the invariant takes standings that its caller has; the unused codes and reader are gone; the tests share one check with the same assertions; the demonstration's inSeconds, which prints milliseconds, is inMilliseconds.

Conclusion: behaviour is unchanged.

--- a/include/lanemoor/decisions/invariants.h
+++ b/include/lanemoor/decisions/invariants.h
@@ -18,8 +18,6 @@
     BudgetBrokenByGrant, ///< A pool is below its minimum, one domain failed at most, and grants stand in it.
     BudgetBrokenByLoss, ///< A pool that stood well fell below its minimum by the loss of one domain.
     GrantMissing, ///< An instance was acted on without a standing grant.
-    RevisionWentBack, ///< An older configuration came into force.
-    SlotsExceeded, ///< An instance was given more requests at once than it has slots.
 };
 
 /// \returns A short English text for `code`.
@@ -58,6 +56,9 @@
     /// \returns Breaches at this moment. Moments must be given in order of time.
     [[nodiscard]] std::vector<InvariantBreach> check(const FleetView& view);
 
+    /// \param now The `standings` of this moment, for a caller that has them.
+    [[nodiscard]] std::vector<InvariantBreach> check(const Configuration& configuration, const std::vector<PoolStanding>& now);
+
 private:
     struct History {
         std::string pool;
--- a/src/decisions/invariants.cpp
+++ b/src/decisions/invariants.cpp
@@ -54,10 +54,6 @@
         return "the loss of one failure domain broke the availability budget";
     case InvariantCode::GrantMissing:
         return "an instance was acted on without a standing grant";
-    case InvariantCode::RevisionWentBack:
-        return "an older configuration came into force";
-    case InvariantCode::SlotsExceeded:
-        return "an instance was given more requests at once than it has slots";
     }
     return "unknown invariant";
 }
@@ -95,12 +91,16 @@
 }
 
 std::vector<InvariantBreach> BudgetInvariant::check(const FleetView& view)
+{
+    return check(view.configuration, standings(view));
+}
+
+std::vector<InvariantBreach> BudgetInvariant::check(const Configuration& configuration, const std::vector<PoolStanding>& now)
 {
     std::vector<InvariantBreach> breaches;
-    const std::vector<PoolStanding> all = standings(view);
-    for (std::size_t i = 0; i < all.size(); ++i) {
-        const PoolStanding& standing = all[i];
-        History& history = historyOf(view.configuration.pools[i]);
+    for (std::size_t i = 0; i < now.size(); ++i) {
+        const PoolStanding& standing = now[i];
+        History& history = historyOf(configuration.pools[i]);
         if (standing.slack >= 0) {
             history.stoodWell = true;
             history.failedSince.clear();
--- a/src/state/json_document.cpp
+++ b/src/state/json_document.cpp
@@ -306,17 +306,6 @@
     return value->get<std::int64_t>();
 }
 
-std::optional<bool> ObjectReader::boolean(const char* name)
-{
-    const nlohmann::json* value = take(name, false);
-    if (!value)
-        return std::nullopt;
-    if (value->is_boolean())
-        return value->get<bool>();
-    fault(DocumentFaultCode::WrongType, name, "true or false is expected");
-    return std::nullopt;
-}
-
 std::vector<std::string> ObjectReader::strings(const char* name)
 {
     std::vector<std::string> result;
--- a/tests/process/control_test.cpp
+++ b/tests/process/control_test.cpp
@@ -42,6 +42,18 @@
     return std::all_of(pools["pools"].begin(), pools["pools"].end(), holds);
 }
 
+/// Checks that the wave ends and that the budget holds whenever it is read meanwhile.
+void checkWaveEnds(Cluster& cluster, const std::string& entry)
+{
+    bool held = true;
+    CHECK(eventually([&] {
+        held = held && budgetHolds(cluster, entry);
+        return wave(cluster, entry)["due"] == 0;
+    },
+        std::chrono::seconds(60)));
+    CHECK(held);
+}
+
 } // namespace
 
 TEST_CASE("a wave whose holder of the control role is killed is finished by a successor")
@@ -53,13 +65,7 @@
     REQUIRE(eventually([&] { return wave(cluster, holder)["underWay"] > 0; }));
     cluster.killEntry(holder);
     const std::string other = cluster.entries().begin()->first;
-    bool held = true;
-    CHECK(eventually([&] {
-        held = held && budgetHolds(cluster, other);
-        return wave(cluster, other)["due"] == 0;
-    },
-        std::chrono::seconds(60)));
-    CHECK(held);
+    checkWaveEnds(cluster, other);
 }
 
 TEST_CASE("a holder that is frozen past its lease and woken does not act beside its successor")
@@ -73,13 +79,7 @@
     const std::string other = holder == "a" ? "b" : "a";
     REQUIRE(eventually([&] { return metric(cluster, other, "lanemoor_holds_control") == "1" || metric(cluster, holder == "c" ? "b" : "c", "lanemoor_holds_control") == "1"; }));
     cluster.entry(holder).process->signal(SIGCONT);
-    bool held = true;
-    CHECK(eventually([&] {
-        held = held && budgetHolds(cluster, other);
-        return wave(cluster, other)["due"] == 0;
-    },
-        std::chrono::seconds(60)));
-    CHECK(held);
+    checkWaveEnds(cluster, other);
     CHECK(eventually([&] { return metric(cluster, holder, "lanemoor_holds_control") == "0"; }));
 }
 
--- a/tools/demo_main.cpp
+++ b/tools/demo_main.cpp
@@ -50,7 +50,7 @@
     return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
 }
 
-std::string inSeconds(double seconds)
+std::string inMilliseconds(double seconds)
 {
     return std::to_string(static_cast<int>(seconds * 1000)) + " ms";
 }
@@ -112,7 +112,7 @@
         return std::all_of(entryNames.begin(), entryNames.end(), [&](const std::string& name) { return cluster.revisionAt(name) == 2; });
     };
     const bool everywhere = drained.code == 0 && eventually(inForce, std::chrono::seconds(5));
-    table.add("an operator's change in force on every entry within 5 s", inSeconds(secondsSince(start)), everywhere);
+    table.add("an operator's change in force on every entry within 5 s", inMilliseconds(secondsSince(start)), everywhere);
 }
 
 /// Drains an instance that holds a request and a listener.
@@ -168,7 +168,7 @@
         return wave["due"] == 0;
     },
                           std::chrono::seconds(60));
-    table.add("a maintenance wave through the fleet", "roll-out " + inSeconds(secondsSince(start)), done);
+    table.add("a maintenance wave through the fleet", "roll-out " + inMilliseconds(secondsSince(start)), done);
     table.add("availability budgets during it, as read all along", held ? "held" : "broken", held);
     table.add("checks refused during it", std::to_string(refused), refused == 0);
     const std::string metrics = ask(cluster.entry("entry-2").operators, requestOf("GET", "/metrics")).response.body + ask(cluster.entry("entry-3").operators, requestOf("GET", "/metrics")).response.body;
