--- /dev/null
+++ b/include/lanemoor/aio/asio_event_loop.h
@@ -0,0 +1,43 @@
+#pragma once
+/// \file
+/// The event loop of a process, on Boost.Asio.
+
+#include "lanemoor/jobs/event_loop.h"
+
+#include <functional>
+#include <memory>
+
+namespace lanemoor::aio {
+
+/// \brief Runs all callbacks of a process on the thread that calls `run`.
+class AsioEventLoop final : public jobs::EventLoop {
+public:
+    AsioEventLoop();
+    ~AsioEventLoop() override;
+    AsioEventLoop(const AsioEventLoop&) = delete;
+    AsioEventLoop& operator=(const AsioEventLoop&) = delete;
+
+    /// \brief Runs until `stop`.
+    void run();
+
+    void stop();
+
+    /// \brief Calls `callback` with the number of each signal that arrives.
+    /// \param signals Numbers, such as SIGTERM.
+    void onSignals(std::initializer_list<int> signals, std::function<void(int)> callback);
+
+    [[nodiscard]] jobs::MonotonicInstant now() const override;
+    [[nodiscard]] Instant timeOfDay() const override;
+    jobs::TimerId callAt(jobs::MonotonicInstant when, std::function<void()> callback) override;
+    void cancel(jobs::TimerId timer) override;
+
+    class Impl;
+
+    /// \returns What the HTTP client and listener of this folder build on.
+    [[nodiscard]] Impl& impl() noexcept { return *m_impl; }
+
+private:
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace lanemoor::aio
--- /dev/null
+++ b/include/lanemoor/jobs/fleet_keeper.h
@@ -0,0 +1,70 @@
+#pragma once
+/// \file
+/// Maintains instances while this instance owns the fleet.
+
+#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/forward_declarations.h"
+#include "lanemoor/jobs/ownership_keeper.h"
+#include "lanemoor/jobs/service_configuration.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lanemoor {
+class EventLog;
+} // namespace lanemoor
+
+namespace lanemoor::jobs {
+
+/// What a fleet keeper works with. All of it outlives the keeper.
+struct FleetKeeperOptions {
+    EventLoop* loop = nullptr;
+    KeyValueStore* store = nullptr;
+    FleetControl* fleet = nullptr;
+    JobScheduler* scheduler = nullptr;
+    OwnershipKeeper* ownership = nullptr;
+    const PlatformDocuments* documents = nullptr;
+    EventLog* log = nullptr;
+    std::function<std::shared_ptr<const ServiceConfiguration>()> configuration;
+    std::string holder; ///< Name that acts carry.
+    /// After a change of owner, no act before this: the platform must not see two holders in
+    /// turn within its lease time, also if the former one has not noticed yet.
+    Millis handover { 4'500 };
+    Millis maintenanceTime { 2'000 }; ///< Of one instance, as the platform says.
+    Millis listEvery { 1'000 };
+    Millis listEveryInWave { 300 }; ///< The list lags by some 800 ms.
+};
+
+/// Counts of one process since its start.
+struct FleetCounts {
+    std::uint64_t maintained = 0;
+    std::uint64_t moved = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unknown = 0; ///< Acts without a usable answer.
+    std::uint64_t wavesFinished = 0;
+};
+
+/// \brief Lists the instances, and takes waves through the fleet.
+class FleetKeeper {
+public:
+    explicit FleetKeeper(FleetKeeperOptions options);
+    ~FleetKeeper();
+    FleetKeeper(const FleetKeeper&) = delete;
+    FleetKeeper& operator=(const FleetKeeper&) = delete;
+
+    void activate(const Ownership& ownership);
+    void deactivate();
+
+    /// \brief Takes in a wave that operators ask for; one that is known changes nothing.
+    void onWave(const WaveRequest& wave);
+
+    [[nodiscard]] const FleetCounts& counts() const noexcept;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/include/lanemoor/jobs/job_intake.h
@@ -0,0 +1,64 @@
+#pragma once
+/// \file
+/// Takes jobs in and cancels them: at every entry instance, by conditional writes.
+
+#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/forward_declarations.h"
+#include "lanemoor/jobs/job_record.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace lanemoor::jobs {
+
+class StoreMirror;
+
+/// What came of handing a job in.
+enum class AcceptOutcome {
+    Accepted, ///< It is kept; also if it was kept before.
+    NotTaken, ///< It was not taken and, unless handed in again, will never run.
+    Unknown, ///< It may have been kept, or may be yet.
+};
+
+/// What came of asking to cancel a job, or for its status.
+enum class LookupOutcome {
+    Done,
+    NoSuchJob,
+    Unavailable, ///< The store gave no answer.
+};
+
+/// \returns Short names for logs and metrics.
+[[nodiscard]] std::string_view nameOf(AcceptOutcome outcome) noexcept;
+[[nodiscard]] std::string_view nameOf(LookupOutcome outcome) noexcept;
+
+/// \brief Accepts jobs by creating their keys, some milliseconds' worth in one transaction.
+///
+/// A job's key is created under the condition that it is absent, so that any number of entry
+/// instances may take the same job and it stays one. If the answer is lost the key is read; if
+/// it is not there the outcome is unknown, because the write may still be carried out.
+class JobIntake {
+public:
+    JobIntake(EventLoop& loop, KeyValueStore& store, StoreMirror& mirror, const JobCatalog& catalog);
+    ~JobIntake();
+    JobIntake(const JobIntake&) = delete;
+    JobIntake& operator=(const JobIntake&) = delete;
+
+    void accept(const std::string& id, JobRecord record, std::function<void(AcceptOutcome)> done);
+
+    /// \brief Answers once the store holds the wish to cancel.
+    void cancel(const std::string& id, std::function<void(LookupOutcome)> done);
+
+    /// \brief Answers from the copy if it knows the job, else from the store.
+    void status(const std::string& id, std::function<void(LookupOutcome, JobStatus)> done);
+
+    /// \returns Accepts and cancels that wait for the store.
+    [[nodiscard]] std::size_t inFlight() const noexcept;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/include/lanemoor/jobs/job_record.h
@@ -0,0 +1,86 @@
+#pragma once
+/// \file
+/// What the store holds of a job, its progress and the owner, and under which keys.
+
+#include "lanemoor/jobs/job_spec.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lanemoor::jobs {
+
+/// \name Keys
+/// All lie under one prefix, so that one watch brings every change in its order.
+///@{
+constexpr std::string_view jobServicePrefix = "lanemoor/";
+constexpr std::string_view jobKeyPrefix = "lanemoor/job/";
+constexpr std::string_view progressKeyPrefix = "lanemoor/progress/";
+constexpr std::string_view cancelKeyPrefix = "lanemoor/cancel/";
+constexpr std::string_view ownerKeyPrefix = "lanemoor/owner/"; ///< Bound to the owner's lease.
+constexpr std::string_view termKeyPrefix = "lanemoor/term/"; ///< Outlasts the owner.
+
+[[nodiscard]] std::string jobKey(std::string_view id);
+[[nodiscard]] std::string progressKey(std::string_view id);
+[[nodiscard]] std::string cancelKey(std::string_view id);
+///@}
+
+/// An accepted job. Immutable.
+struct JobRecord {
+    std::string queue;
+    std::string pool; ///< Of the queue when the job came, for when the queue is gone.
+    Instant acceptedAt; ///< By the clock of the entry instance that took it.
+    JobSpec spec;
+
+    [[nodiscard]] bool operator==(const JobRecord&) const = default;
+};
+
+/// What is kept of a task that has not succeeded.
+struct TaskRecord {
+    std::vector<std::uint64_t> failedAttempts;
+    std::string checkpoint;
+
+    [[nodiscard]] bool operator==(const TaskRecord&) const = default;
+};
+
+/// Names one step in one occurrence.
+struct StepId {
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+
+    [[nodiscard]] auto operator<=>(const StepId&) const = default;
+};
+
+/// How far a job has come. Only ever grows: a success stands, a failure counts.
+struct ProgressRecord {
+    JobStatus status = JobStatus::Queued;
+    std::uint32_t occurrencesDone = 0; ///< The first ones; nothing else is kept of them.
+    std::map<StepId, std::vector<bool>> succeeded; ///< By task index; steps without a success are absent.
+    std::map<TaskId, TaskRecord> tasks;
+
+    [[nodiscard]] bool operator==(const ProgressRecord&) const = default;
+};
+
+/// The owner of a shard.
+struct OwnerRecord {
+    std::string holder;
+    std::uint64_t term = 0; ///< 1 for the first owner, one more for each later one.
+
+    [[nodiscard]] bool operator==(const OwnerRecord&) const = default;
+};
+
+/// \name Codecs
+/// Compact protobuf. A text that can't be read gives nothing.
+///@{
+[[nodiscard]] std::string encode(const JobRecord& record);
+[[nodiscard]] std::string encode(const ProgressRecord& record);
+[[nodiscard]] std::string encode(const OwnerRecord& record);
+[[nodiscard]] std::optional<JobRecord> decodeJob(std::string_view bytes);
+[[nodiscard]] std::optional<ProgressRecord> decodeProgress(std::string_view bytes);
+[[nodiscard]] std::optional<OwnerRecord> decodeOwner(std::string_view bytes);
+///@}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/include/lanemoor/jobs/job_scheduler.h
@@ -0,0 +1,119 @@
+#pragma once
+/// \file
+/// Runs the jobs of a shard while this instance owns it.
+
+#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/forward_declarations.h"
+#include "lanemoor/jobs/ownership_keeper.h"
+#include "lanemoor/jobs/service_configuration.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lanemoor {
+class EventLog;
+} // namespace lanemoor
+
+namespace lanemoor::jobs {
+
+class StoreMirror;
+class WorkerDirectory;
+
+/// What a scheduler works with. All of it outlives the scheduler.
+struct JobSchedulerOptions {
+    EventLoop* loop = nullptr;
+    KeyValueStore* store = nullptr;
+    StoreMirror* mirror = nullptr;
+    const JobCatalog* catalog = nullptr;
+    WorkerDirectory* directory = nullptr;
+    WorkerControl* workers = nullptr;
+    PlacementAdvisor* advisor = nullptr;
+    OwnershipKeeper* ownership = nullptr;
+    EventLog* log = nullptr;
+    std::function<std::shared_ptr<const ServiceConfiguration>()> configuration;
+    Millis ownershipTime { 1'500 }; ///< Lease time of the ownership.
+    Millis workerLeaseTime { 5'000 }; ///< The same for all owners, since a successor reckons with it.
+};
+
+/// A worker's use, for those who decide on instances.
+struct WorkerUse {
+    std::string worker;
+    std::string pool;
+    Resources capacity;
+    Resources free;
+    std::uint32_t attempts = 0; ///< Not over.
+    std::uint32_t longRunning = 0; ///< Of them.
+    bool sound = false; ///< Listed, answering, not draining, not quarantined.
+    bool evacuating = false;
+};
+
+/// What a pool's jobs ask for.
+struct PoolDemand {
+    std::int64_t waitingMilliCpu = 0; ///< Of tasks that could start if there were room.
+    std::int64_t runningMilliCpu = 0;
+};
+
+/// Counts of one process since its start.
+struct SchedulerCounts {
+    std::uint64_t terms = 0;
+    std::uint64_t starts = 0;
+    std::uint64_t successes = 0;
+    std::uint64_t failures = 0;
+    std::uint64_t lapses = 0;
+    std::uint64_t doubts = 0; ///< Starts without a usable answer.
+    std::uint64_t refusals = 0; ///< Starts that a worker refused.
+    std::uint64_t jobsSucceeded = 0;
+    std::uint64_t jobsFailed = 0;
+    std::uint64_t jobsCancelled = 0;
+};
+
+/// \brief Places tasks, renews leases and stores endings, for one term after another.
+class JobScheduler {
+public:
+    explicit JobScheduler(JobSchedulerOptions options);
+    ~JobScheduler();
+    JobScheduler(const JobScheduler&) = delete;
+    JobScheduler& operator=(const JobScheduler&) = delete;
+
+    /// \brief Begins a term; the mirror has heard every change up to its epoch.
+    void activate(const Ownership& ownership);
+
+    /// \brief Ends the term: nothing is ordered any more.
+    void deactivate();
+
+    [[nodiscard]] bool isActive() const noexcept;
+
+    /// \name News
+    ///@{
+    void onJobChanged(const std::string& id);
+    void onWorkerChanged(const std::string& id);
+    void onConfigurationChanged();
+    ///@}
+
+    /// \name For those who decide on instances
+    ///@{
+    [[nodiscard]] std::vector<WorkerUse> uses() const;
+    [[nodiscard]] PoolDemand demand(const std::string& pool) const;
+
+    /// \brief Empties a worker, or lets it have work again.
+    void setEvacuating(const std::string& worker, bool evacuating);
+
+    /// \brief The worker's life is over, as the platform proves.
+    void noteLifeOver(const std::string& worker);
+    ///@}
+
+    /// \brief Calls `stored` once all that is known has been stored, or the term is over.
+    void whenStored(std::function<void()> stored);
+
+    [[nodiscard]] const SchedulerCounts& counts() const noexcept;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/include/lanemoor/jobs/job_service.h
@@ -0,0 +1,87 @@
+#pragma once
+/// \file
+/// One entry instance of the job service: takes jobs, and runs them while it owns the shard.
+
+#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/forward_declarations.h"
+#include "lanemoor/jobs/job_intake.h"
+#include "lanemoor/jobs/job_service_settings.h"
+#include "lanemoor/jobs/job_spec.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lanemoor {
+class EventLog;
+} // namespace lanemoor
+
+namespace lanemoor::jobs {
+
+/// What lies outside the service. All of it outlives the service.
+struct JobServiceParts {
+    EventLoop* loop = nullptr;
+    KeyValueStore* store = nullptr;
+    WorkerControl* workers = nullptr;
+    FleetControl* fleet = nullptr;
+    PlacementAdvisor* advisor = nullptr;
+    const PlatformDocuments* documents = nullptr;
+    EventLog* log = nullptr;
+};
+
+/// Counts of one process since its start.
+struct ServiceCounts {
+    std::uint64_t accepted = 0;
+    std::uint64_t notTaken = 0;
+    std::uint64_t unknown = 0; ///< Answered as such to the caller.
+    std::uint64_t rejected = 0; ///< Descriptions that can't be read.
+    std::uint64_t cancels = 0;
+    std::uint64_t lookups = 0;
+};
+
+/// \brief One entry instance.
+class JobService {
+public:
+    JobService(JobServiceParts parts, const JobServiceSettings& settings);
+    ~JobService();
+    JobService(const JobService&) = delete;
+    JobService& operator=(const JobService&) = delete;
+
+    /// \brief Begins to read the store and to compete for the ownership.
+    void start();
+
+    /// \brief Planned stop: takes no jobs, passes the ownership on, answers what it has.
+    /// \param done Called when nothing is left to do.
+    void stop(std::function<void()> done);
+
+    /// \returns The configuration in force here, or null before the first.
+    [[nodiscard]] std::shared_ptr<const ServiceConfiguration> configuration() const;
+
+    /// \returns Whether callers' requests can be handled at all.
+    [[nodiscard]] bool takesRequests() const;
+
+    /// \returns Whether the balancer should send callers here.
+    [[nodiscard]] bool isReady() const;
+
+    /// \returns When a caller that was refused should come back.
+    [[nodiscard]] Millis retryAfter() const noexcept;
+
+    /// \name Callers
+    ///@{
+    void submit(const std::string& queue, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done);
+    void noteRejected(const std::string& id, JobFault fault);
+    void status(const std::string& id, std::function<void(LookupOutcome, JobStatus)> done);
+    void cancel(const std::string& id, std::function<void(LookupOutcome)> done);
+    [[nodiscard]] std::uint64_t pending(const std::string& queue) const;
+    ///@}
+
+    /// \returns Metrics in Prometheus' text format.
+    [[nodiscard]] std::string metrics() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/include/lanemoor/jobs/job_service_settings.h
@@ -0,0 +1,52 @@
+#pragma once
+/// \file
+/// Settings of one process that runs the job service.
+
+#include "lanemoor/decisions/time.h"
+#include "lanemoor/net/http_message.h"
+#include "lanemoor/state/json_document.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lanemoor::jobs {
+
+/// Settings of the job service. They are read at the start and when the file is reloaded.
+struct JobServiceSettings {
+    std::string name; ///< Of this entry instance, unique among its peers.
+    std::string dataHall;
+    HttpAddress front; ///< For callers.
+    HttpAddress readiness; ///< For the balancer.
+    HttpAddress metrics; ///< For the collector of metrics; port 0: none.
+    HttpAddress store;
+    HttpAddress fleet;
+    std::optional<HttpAddress> advisor; ///< Nothing: no queue needs advice.
+    Millis ownershipTime { 1'500 }; ///< A lost owner's pools stand still this long.
+    Millis workerLeaseTime { 5'000 }; ///< See WorkerSessionOptions.
+    Millis handover { 3'000 }; ///< Between acts of two owners on instances; the platform's lease time.
+    Millis maintenanceTime { 2'000 }; ///< Of one instance.
+    Millis moveTime { 1'500 }; ///< Of one instance between pools.
+    Millis stopGrace { 6'000 }; ///< From the signal to stop until the process is killed.
+    Millis statusTime { 120'000 }; ///< A finished job's status is kept this long.
+    bool logAsJson = true;
+};
+
+/// \brief Reads job service settings and checks them whole.
+class JobServiceSettingsReader {
+public:
+    /// \returns The settings, or nothing if there is any fault at all.
+    [[nodiscard]] std::optional<JobServiceSettings> read(std::string_view text);
+
+    /// \returns All faults of the last `read`.
+    [[nodiscard]] const std::vector<DocumentFault>& faults() const noexcept { return m_faults; }
+
+private:
+    std::vector<DocumentFault> m_faults;
+};
+
+/// \returns Whether `text` is settings of the job service rather than of the request service.
+[[nodiscard]] bool isJobServiceSettings(std::string_view text);
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/include/lanemoor/jobs/maintenance_plan.h
@@ -0,0 +1,75 @@
+#pragma once
+/// \file
+/// Chooses the instances that a maintenance wave takes next. Pure.
+
+#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/fleet_control.h"
+#include "lanemoor/jobs/service_configuration.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lanemoor::jobs {
+
+/// An instance as maintenance sees it.
+struct MaintenanceCandidate {
+    std::string instance;
+    std::string pool;
+    std::string worker; ///< Id of the life on it; empty: none is known.
+    bool reserve = false; ///< Its pool is off.
+    bool up = true; ///< As the list says; others can't be taken.
+    bool evacuating = false;
+    std::uint32_t attempts = 0; ///< Not over on its worker.
+};
+
+/// What to do next.
+struct MaintenanceStep {
+    std::vector<std::string> evacuate; ///< Workers to be emptied.
+    std::vector<std::string> maintain; ///< Empty instances whose maintenance may begin now.
+
+    [[nodiscard]] bool operator==(const MaintenanceStep&) const = default;
+};
+
+/// \brief One wave under way.
+class MaintenancePlan {
+public:
+    /// \param done Instances whose maintenance began before.
+    MaintenancePlan(WaveRequest wave, std::set<std::string> done);
+
+    /// \brief Chooses what to do now: instances that are off or empty first, then those with
+    /// the fewest attempts, never more of one pool than it can spare.
+    [[nodiscard]] MaintenanceStep next(const std::vector<MaintenanceCandidate>& fleet, MonotonicInstant now);
+
+    /// \brief Notes that an order was sent; the instance counts as down until it is answered.
+    void noteOrdered(const std::string& instance);
+
+    /// \brief Notes that the platform took the order.
+    /// \param backBy When the instance is surely back.
+    void noteBegun(const std::string& instance, MonotonicInstant backBy);
+
+    /// \brief Notes that the platform refused the order; it may be tried again at `retryAt`.
+    void noteRefused(const std::string& instance, MonotonicInstant retryAt);
+
+    /// \brief Notes that an instance of the wave is no more.
+    void noteGone(const std::string& instance);
+
+    /// \returns Whether the maintenance of every instance began.
+    [[nodiscard]] bool isFinished() const noexcept;
+
+    [[nodiscard]] const WaveRequest& wave() const noexcept { return m_wave; }
+    [[nodiscard]] const std::set<std::string>& done() const noexcept { return m_done; }
+
+private:
+    [[nodiscard]] std::uint32_t down(MonotonicInstant now) const;
+
+    WaveRequest m_wave;
+    std::set<std::string> m_done;
+    std::set<std::string> m_ordered; ///< Not answered yet.
+    std::map<std::string, MonotonicInstant> m_backBy;
+    std::map<std::string, MonotonicInstant> m_retryAt;
+};
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/include/lanemoor/jobs/ownership_keeper.h
@@ -0,0 +1,81 @@
+#pragma once
+/// \file
+/// Holds the ownership of a shard by a lease in the store.
+
+#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/key_value_store.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lanemoor::jobs {
+
+class StoreMirror;
+
+/// How ownership is held.
+struct OwnershipOptions {
+    std::string shard;
+    std::string holder; ///< Unique to this process, not only to its name.
+    Millis leaseTime { 1'500 }; ///< Short, since a lost owner's pools stand still that long.
+    Millis renewEvery { 400 }; ///< Three renewals may fail before the lease is over.
+    Millis retryPause { 150 };
+};
+
+/// A term of ownership.
+struct Ownership {
+    std::uint64_t epoch = 0; ///< Revision of the owner's key: unique, and higher than any before.
+    std::uint64_t term = 0; ///< 1 for the first owner, one more for each later one.
+
+    [[nodiscard]] bool operator==(const Ownership&) const = default;
+};
+
+/// Hears of gain and loss.
+struct OwnershipObserver {
+    std::function<void(const Ownership&)> gained;
+    std::function<void()> lost;
+};
+
+/// \brief Takes the ownership when nobody holds it, renews it, and knows when it may be over.
+///
+/// Whatever is done in the owner's name carries the epoch as a condition, and is sent only
+/// while `isHeld()`, whose time counts from before the renewal was sent.
+class OwnershipKeeper {
+public:
+    OwnershipKeeper(EventLoop& loop, KeyValueStore& store, const StoreMirror& mirror, OwnershipOptions options, OwnershipObserver observer);
+    ~OwnershipKeeper();
+    OwnershipKeeper(const OwnershipKeeper&) = delete;
+    OwnershipKeeper& operator=(const OwnershipKeeper&) = delete;
+
+    /// \brief Begins to compete for the ownership.
+    void start();
+
+    /// \brief Takes in a change of the owner's key or the term's key.
+    void observe(const StoreItem& item);
+
+    /// \brief Gives the ownership up and competes no more. \param done Called when the store
+    /// answered, or at once if nothing was held.
+    void release(std::function<void()> done);
+
+    /// \brief Another owner was met: stops acting at once.
+    void noteSuperseded();
+
+    /// \returns Whether orders may be given now.
+    [[nodiscard]] bool isHeld() const noexcept;
+
+    /// \returns The term that is held; meaningful while `isHeld()`.
+    [[nodiscard]] const Ownership& ownership() const noexcept;
+
+    /// \returns The condition under which the owner writes.
+    [[nodiscard]] KeyRevision condition() const;
+
+    /// \returns Whether anybody holds the ownership, as far as this instance knows.
+    [[nodiscard]] bool isOwned() const noexcept;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/include/lanemoor/jobs/placement.h
@@ -0,0 +1,64 @@
+#pragma once
+/// \file
+/// Chooses the worker for a task. Pure.
+
+#include "lanemoor/jobs/service_configuration.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lanemoor::jobs {
+
+/// A worker as placement sees it.
+struct PlacementSite {
+    const WorkerEntry* worker = nullptr;
+    Resources free; ///< Capacity less what all attempts there need, those being stopped included.
+    std::uint32_t servingTasks = 0; ///< Tasks with a latency target.
+    std::uint32_t bestEffortTasks = 0;
+    bool open = true; ///< False: it takes no new work now.
+    bool preferred = true; ///< False: only taken if no preferred site has room.
+};
+
+/// What is asked of a site beside the step's own needs.
+struct PlacementQuery {
+    std::string avoidWorker; ///< Taken only if there is no other.
+    std::string rack; ///< Only sites of this rack; empty: any.
+    /// \returns Tasks of the same step and occurrence that site `index` has; asked only for
+    /// steps with a limit.
+    std::function<std::uint32_t(std::size_t index)> tasksOfStep;
+    /// \returns Whether the site may be taken at all; null: every site may.
+    std::function<bool(std::size_t index)> admits;
+};
+
+/// \brief Chooses sites and books what they take.
+///
+/// Among the sites that fit, those of the preferred rack come first, then those where serving
+/// and best-effort tasks keep apart, then the fullest: whole instances stay free for
+/// maintenance and for being powered off.
+class Placer {
+public:
+    /// \param sites Of one pool.
+    explicit Placer(std::vector<PlacementSite> sites);
+
+    /// \returns The index of the best site for a task of `step`, or nothing.
+    [[nodiscard]] std::optional<std::size_t> choose(const StepSpec& step, const PlacementQuery& query) const;
+
+    /// \brief Books a task of `step` on site `index`.
+    void book(std::size_t index, const StepSpec& step);
+
+    /// \brief Takes a booking back.
+    void release(std::size_t index, const StepSpec& step);
+
+    [[nodiscard]] const std::vector<PlacementSite>& sites() const noexcept { return m_sites; }
+
+private:
+    std::vector<PlacementSite> m_sites;
+};
+
+/// \returns What a task of `step` takes of a worker's capacity.
+[[nodiscard]] Resources footprint(const StepSpec& step) noexcept;
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/include/lanemoor/jobs/progress_writer.h
@@ -0,0 +1,51 @@
+#pragma once
+/// \file
+/// Stores the progress of jobs under the owner's condition.
+
+#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/job_record.h"
+#include "lanemoor/jobs/key_value_store.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lanemoor::jobs {
+
+class StoreMirror;
+
+/// What the writer asks of its owner.
+struct ProgressSource {
+    /// \returns The newest progress of a job, or nothing if it is known no more.
+    std::function<std::optional<ProgressRecord>(const std::string& id)> read;
+    std::function<bool()> mayWrite; ///< Whether the ownership is held.
+    std::function<void()> superseded; ///< The store says that the ownership is another's.
+};
+
+/// \brief Writes the progress of changed jobs, many in one transaction, one transaction at a
+/// time. Each write carries the revision it replaces, so that one which is carried out late
+/// undoes nothing.
+class ProgressWriter {
+public:
+    /// \param condition Of the ownership under which this writer writes.
+    ProgressWriter(EventLoop& loop, KeyValueStore& store, StoreMirror& mirror, KeyRevision condition, ProgressSource source);
+    ~ProgressWriter();
+    ProgressWriter(const ProgressWriter&) = delete;
+    ProgressWriter& operator=(const ProgressWriter&) = delete;
+
+    /// \brief Marks a job as changed; it is written soon.
+    void markChanged(const std::string& id);
+
+    /// \brief Calls `stored` once all that is marked now is in the store.
+    void whenStored(std::function<void()> stored);
+
+    /// \returns Jobs marked and not yet stored.
+    [[nodiscard]] std::size_t unstored() const noexcept;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/include/lanemoor/jobs/store_mirror.h
@@ -0,0 +1,64 @@
+#pragma once
+/// \file
+/// A copy of all keys under a prefix, kept up to date by a watch.
+
+#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/key_value_store.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace lanemoor::jobs {
+
+/// How a mirror reads its prefix.
+struct StoreMirrorOptions {
+    std::string prefix;
+    Millis watchTime { 2'000 }; ///< A watch that hears nothing is asked again after this.
+    Millis retryPause { 200 }; ///< Between calls that failed.
+};
+
+/// Tells what became of one key. `removed` items carry the key only.
+using ItemObserver = std::function<void(const StoreItem&)>;
+
+/// \brief Lists a prefix, then watches it; after a cut or lost history it lists again.
+///
+/// The observer hears each change once, in the order of revisions, also those that a second
+/// listing brings. Changes that this process wrote itself can be told ahead by `noteWritten`.
+class StoreMirror {
+public:
+    StoreMirror(EventLoop& loop, KeyValueStore& store, StoreMirrorOptions options, ItemObserver observer);
+    ~StoreMirror();
+    StoreMirror(const StoreMirror&) = delete;
+    StoreMirror& operator=(const StoreMirror&) = delete;
+
+    /// \brief Begins to list and to watch.
+    void start();
+
+    /// \returns Whether a listing has been completed.
+    [[nodiscard]] bool isLoaded() const noexcept;
+
+    /// \returns The revision up to which every change has been heard.
+    [[nodiscard]] std::uint64_t revision() const noexcept;
+
+    /// \returns When the store last answered, counted from before the call; the copy is at
+    /// least as new as the store was then.
+    [[nodiscard]] MonotonicInstant freshAt() const noexcept;
+
+    /// \returns Revision of `key`, or 0 if it is absent.
+    [[nodiscard]] std::uint64_t revisionOf(const std::string& key) const;
+
+    /// \brief Calls `reached` once every change up to `revision` has been heard.
+    void whenAt(std::uint64_t revision, std::function<void()> reached);
+
+    /// \brief Notes what this process wrote or read, ahead of the watch.
+    void noteWritten(const StoreItem& item);
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/include/lanemoor/jobs/worker_book.h
@@ -0,0 +1,71 @@
+#pragma once
+/// \file
+/// What the owner keeps of one life of a worker.
+
+#include "lanemoor/jobs/job_record.h"
+#include "lanemoor/jobs/placement.h"
+#include "lanemoor/jobs/throttle.h"
+#include "lanemoor/jobs/worker_session.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace lanemoor::jobs {
+
+/// What an attempt takes at its worker until it is over.
+struct Booking {
+    std::shared_ptr<const StepSpec> step;
+    std::uint32_t throttledTo = 100; ///< Percent that the worker was last told.
+};
+
+/// \brief Judges whether a worker is sound by how attempts of different jobs end there.
+class WorkerHealth {
+public:
+    /// \brief Notes an end that says something about the worker.
+    void noteSuccess(MonotonicInstant now);
+    void noteFailure(const std::string& job, MonotonicInstant now);
+
+    /// \returns Whether the worker gets no work now.
+    [[nodiscard]] bool isQuarantined(MonotonicInstant now) const noexcept { return now < m_quarantinedUntil; }
+
+    /// \returns Whether it gets one attempt at a time, to show that it is sound again.
+    [[nodiscard]] bool isOnProbation() const noexcept { return m_onProbation; }
+
+private:
+    std::set<std::string> m_failedJobs; ///< Since the last success.
+    std::uint32_t m_failures = 0; ///< Since the last success.
+    std::uint32_t m_quarantines = 0; ///< In a row.
+    bool m_onProbation = false;
+    MonotonicInstant m_quarantinedUntil;
+};
+
+/// One life of a worker and what the owner gave it.
+struct WorkerBook {
+    WorkerEntry entry;
+    bool listed = true; ///< False: its entry is gone from the store, though it may live on.
+    std::shared_ptr<WorkerSession> session;
+    std::map<Attempt, Booking> bookings; ///< Attempts that are not over.
+    std::map<Attempt, MonotonicInstant> strayStops; ///< Unwanted attempts, and when to stop them again.
+    WorkerHealth health;
+    Throttle throttle;
+    bool evacuating = false; ///< It is to be emptied: no new work.
+    MonotonicInstant evacuatingSince; ///< Meaningful while evacuating.
+    MonotonicInstant noWorkBefore; ///< After it refused an order.
+
+    /// \returns Capacity less what is booked.
+    [[nodiscard]] Resources free() const;
+
+    /// \returns Tasks of one step and occurrence that are booked.
+    [[nodiscard]] std::uint32_t tasksOf(const std::string& job, const StepId& step) const;
+
+    /// \returns Whether new work may go there now.
+    [[nodiscard]] bool isOpen(MonotonicInstant now) const;
+
+    /// \returns The worker as placement sees it.
+    [[nodiscard]] PlacementSite site(MonotonicInstant now) const;
+};
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/include/lanemoor/jobs/worker_directory.h
@@ -0,0 +1,44 @@
+#pragma once
+/// \file
+/// The workers' entries in the store, and those that were removed of late.
+
+#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/service_configuration.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace lanemoor::jobs {
+
+/// A worker's entry. One that was removed is kept for a while, since the worker may run on.
+struct DirectoryEntry {
+    WorkerEntry worker;
+    bool listed = true;
+    MonotonicInstant removedAt; ///< Meaningful if not listed.
+};
+
+/// \brief Workers by the id of their life.
+class WorkerDirectory {
+public:
+    explicit WorkerDirectory(const EventLoop& loop);
+
+    void put(const WorkerEntry& worker);
+
+    void remove(const std::string& id);
+
+    /// \brief Drops entries that were removed so long ago that every lease there is over.
+    void forgetOld();
+
+    [[nodiscard]] const std::map<std::string, DirectoryEntry>& all() const noexcept { return m_entries; }
+
+    /// \brief Sets who hears of changes.
+    void observe(std::function<void(const std::string& id)> observer) { m_observer = std::move(observer); }
+
+private:
+    const EventLoop& m_loop;
+    std::map<std::string, DirectoryEntry> m_entries;
+    std::function<void(const std::string& id)> m_observer;
+};
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/include/lanemoor/jobs/worker_session.h
@@ -0,0 +1,120 @@
+#pragma once
+/// \file
+/// The owner's link to one life of a worker: its lease, its clock, what runs and ended there.
+
+#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/worker_control.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace lanemoor::jobs {
+
+class WorkerSession;
+
+/// How a session renews.
+struct WorkerSessionOptions {
+    std::uint64_t epoch = 0; ///< Of the ownership.
+    MonotonicInstant inheritedLeaseOverBy; ///< Until when a lease of an earlier owner may last.
+    /// Of all that runs at the worker. The price of a lost owner (work lapses) against that of
+    /// a lost worker (its tasks wait as long).
+    Millis leaseTime { 5'000 };
+    Millis wait { 1'000 }; ///< An answer waits this long for an end; a renewal comes at least as often.
+    Millis retryPause { 200 }; ///< After a renewal without an answer.
+    std::function<bool()> mayOrder; ///< Whether the ownership is held.
+};
+
+/// Hears what a session learns.
+class WorkerSessionObserver {
+public:
+    virtual ~WorkerSessionObserver() = default;
+
+    /// \brief A renewal was answered. The observer calls `acknowledge` once the ends are stored.
+    /// \param sentAt When the renewal was sent: orders answered before that are reflected in it.
+    virtual void onAnswer(WorkerSession& session, const RenewResult& result, MonotonicInstant sentAt) = 0;
+
+    /// \brief A renewal was not answered.
+    virtual void onSilence(WorkerSession& session) = 0;
+
+    /// \brief The life is over, or its lease is: nothing runs there any more.
+    /// \param lifeOver False: the worker may answer again, with nothing running.
+    virtual void onOver(WorkerSession& session, bool lifeOver) = 0;
+
+    /// \brief The worker knows a later owner.
+    virtual void onFenced(WorkerSession& session) = 0;
+};
+
+/// \brief Renews the lease on all that runs at one life of a worker.
+///
+/// A lease is a time on the worker's clock, which may be slow by 2%. The session knows the
+/// clock from the worker's answers and tells when the longest lease it gave is surely over.
+class WorkerSession : public std::enable_shared_from_this<WorkerSession> {
+public:
+    WorkerSession(EventLoop& loop, WorkerControl& control, WorkerLife life, WorkerSessionOptions options, WorkerSessionObserver& observer);
+
+    /// \brief Sends the first renewal, which also keeps earlier owners out.
+    void start();
+
+    /// \brief Ends the session; nothing is heard from it any more.
+    void close();
+
+    /// \brief Ends up to `sequence` are stored: the worker may forget them.
+    void acknowledge(std::uint64_t sequence);
+
+    /// \brief Sets how long answers may wait for an end.
+    void setWait(Millis wait) noexcept { m_options.wait = wait; }
+
+    /// \returns The lease that an order sent now should carry, on the worker's clock in ms;
+    /// nothing before the first answer.
+    [[nodiscard]] std::optional<std::int64_t> leaseForOrder();
+
+    /// \brief Takes in the clock that came with the answer to an order.
+    void noteClock(std::int64_t workerClock);
+
+    [[nodiscard]] const WorkerLife& life() const noexcept { return m_life; }
+
+    /// \returns Whether the worker answered a renewal of this owner, which keeps all earlier ones out.
+    [[nodiscard]] bool isMet() const noexcept { return m_met; }
+
+    /// \returns Whether the last renewal got no answer.
+    [[nodiscard]] bool isSilent() const noexcept { return m_silent; }
+
+    /// \returns Whether the life is known to be over.
+    [[nodiscard]] bool isLifeOver() const noexcept { return m_lifeOver; }
+
+    /// \returns When every lease given to this worker is surely over.
+    [[nodiscard]] MonotonicInstant leaseOverBy() const;
+
+    /// \brief The life is over, by proof from elsewhere.
+    void noteLifeOver();
+
+private:
+    void renew();
+    void renewAt(MonotonicInstant when);
+    void answered(const RenewResult& result, MonotonicInstant sentAt);
+    void watchLease();
+    void hurry(MonotonicInstant when);
+
+    EventLoop& m_loop;
+    WorkerControl& m_control;
+    WorkerLife m_life;
+    WorkerSessionOptions m_options;
+    WorkerSessionObserver& m_observer;
+    bool m_closed = false;
+    bool m_renewing = false;
+    bool m_met = false;
+    bool m_silent = false;
+    bool m_lifeOver = false;
+    bool m_leaseLapsed = false;
+    bool m_awaitingAcknowledgement = false;
+    std::uint64_t m_storedUpTo = 0;
+    std::int64_t m_clockSample = 0; ///< The worker's clock, ms,
+    MonotonicInstant m_clockSampledBy; ///< which it had passed at this time of ours.
+    std::int64_t m_longestLease = 0; ///< On the worker's clock, ms.
+    TimerId m_timer = 0;
+    MonotonicInstant m_timerAt;
+};
+
+} // namespace lanemoor::jobs
--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -2,7 +2,11 @@
 
 #include "lanemoor/state/time_text.h"
 
+#include <chrono>
+#include <map>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -29,30 +33,97 @@
     return line;
 }
 
+/// Lines of one kind within one second.
+struct Budget {
+    std::chrono::steady_clock::time_point secondEnds;
+    std::uint32_t written = 0;
+    std::uint64_t omitted = 0;
+};
+
 } // namespace
 
 class EventLog::Impl {
 public:
-    explicit Impl(bool asJson)
-        : m_asJson(asJson)
-        , m_logger("lanemoor", std::make_shared<spdlog::sinks::stderr_sink_mt>())
+    explicit Impl(EventLogOptions options)
+        : m_options(options)
+    {
+        if (m_options.discard)
+            return;
+        m_pool = std::make_shared<spdlog::details::thread_pool>(m_options.queueLines, 1);
+        m_logger = std::make_shared<spdlog::async_logger>("lanemoor", std::make_shared<spdlog::sinks::stdout_sink_mt>(), m_pool, spdlog::async_overflow_policy::overrun_oldest);
+        m_logger->set_pattern("%v");
+        m_logger->flush_on(spdlog::level::info);
+    }
+
+    void write(std::string_view event, std::initializer_list<LogField> fields)
+    {
+        if (m_options.discard)
+            return;
+        tellDropped();
+        m_logger->info("{}", m_options.asJson ? jsonLine(event, fields) : textLine(event, fields));
+    }
+
+    void decide(std::string_view event, std::initializer_list<LogField> fields)
     {
-        m_logger.set_pattern("%v");
-        m_logger.flush_on(spdlog::level::info);
+        if (m_options.discard)
+            return;
+        std::uint64_t omittedBefore = 0;
+        if (!spend(event, omittedBefore))
+            return;
+        if (omittedBefore > 0)
+            write("decisions-omitted", { { "kind", std::string(event) }, { "count", static_cast<std::int64_t>(omittedBefore) } });
+        write(event, fields);
     }
 
-    void change(std::string_view event, std::initializer_list<LogField> fields)
+    [[nodiscard]] std::uint64_t dropped() const { return m_pool ? m_pool->overrun_counter() : 0; }
+
+    [[nodiscard]] std::uint64_t omitted() const
     {
-        m_logger.info("{}", m_asJson ? jsonLine(event, fields) : textLine(event, fields));
+        const std::lock_guard lock(m_mutex);
+        return m_omitted;
     }
 
 private:
-    bool m_asJson;
-    spdlog::logger m_logger;
+    bool spend(std::string_view event, std::uint64_t& omittedBefore)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_budgets.find(event);
+        Budget& budget = found != m_budgets.end() ? found->second : m_budgets[std::string(event)];
+        const auto now = std::chrono::steady_clock::now();
+        if (now >= budget.secondEnds) {
+            omittedBefore = budget.omitted;
+            budget = { .secondEnds = now + std::chrono::seconds(1) };
+        }
+        if (budget.written < m_options.decisionsPerSecond) {
+            ++budget.written;
+            return true;
+        }
+        ++budget.omitted;
+        ++m_omitted;
+        return false;
+    }
+
+    void tellDropped()
+    {
+        const std::uint64_t now = dropped();
+        const std::lock_guard lock(m_mutex);
+        if (now == m_toldDropped)
+            return;
+        m_logger->info("{}", jsonLine("log-lines-dropped", { { "count", static_cast<std::int64_t>(now - m_toldDropped) } }));
+        m_toldDropped = now;
+    }
+
+    EventLogOptions m_options;
+    std::shared_ptr<spdlog::details::thread_pool> m_pool;
+    std::shared_ptr<spdlog::async_logger> m_logger;
+    mutable std::mutex m_mutex;
+    std::map<std::string, Budget, std::less<>> m_budgets;
+    std::uint64_t m_omitted = 0;
+    std::uint64_t m_toldDropped = 0;
 };
 
-EventLog::EventLog(bool asJson)
-    : m_impl(std::make_unique<Impl>(asJson))
+EventLog::EventLog(EventLogOptions options)
+    : m_impl(std::make_unique<Impl>(options))
 {
 }
 
@@ -60,7 +131,22 @@
 
 void EventLog::change(std::string_view event, std::initializer_list<LogField> fields)
 {
-    m_impl->change(event, fields);
+    m_impl->write(event, fields);
+}
+
+void EventLog::decision(std::string_view event, std::initializer_list<LogField> fields)
+{
+    m_impl->decide(event, fields);
+}
+
+std::uint64_t EventLog::dropped() const
+{
+    return m_impl->dropped();
+}
+
+std::uint64_t EventLog::omitted() const
+{
+    return m_impl->omitted();
 }
 
 } // namespace lanemoor
--- /dev/null
+++ b/src/aio/http_client.cpp
@@ -0,0 +1,246 @@
+#include "lanemoor/aio/http_client.h"
+
+#include "asio_event_loop_impl.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <map>
+#include <optional>
+#include <sys/socket.h>
+
+namespace lanemoor::aio {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = boost::asio::ip::tcp;
+
+/// A call that waits or is under way.
+struct PendingCall {
+    HttpCall call;
+    std::function<void(HttpReply)> done;
+};
+
+/// One connection, with what it needs while a call is under way.
+struct Connection {
+    explicit Connection(boost::asio::io_context& context)
+        : stream(context)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    http::request<http::string_body> request;
+    std::optional<http::response_parser<http::string_body>> parser;
+    PendingCall pending;
+    jobs::MonotonicInstant idleSince;
+};
+
+using ConnectionPointer = std::shared_ptr<Connection>;
+
+/// The connections to one address.
+struct Peer {
+    HttpAddress address;
+    std::deque<ConnectionPointer> idle;
+    std::deque<PendingCall> waiting;
+    std::uint32_t connections = 0; ///< Idle ones included.
+};
+
+http::request<http::string_body> makeRequest(const HttpAddress& address, HttpRequest& from)
+{
+    http::request<http::string_body> request;
+    request.version(11);
+    request.method_string(from.method);
+    request.target(from.target);
+    request.set(http::field::host, address.ip + ':' + std::to_string(address.port));
+    for (const HttpHeader& header : from.headers.all())
+        request.set(header.name, header.value);
+    request.body() = std::move(from.body);
+    request.prepare_payload();
+    return request;
+}
+
+HttpResponse makeResponse(http::response<http::string_body>& from)
+{
+    HttpResponse response;
+    response.status = from.result_int();
+    for (const auto& field : from)
+        response.headers.add(std::string(field.name_string()), std::string(field.value()));
+    response.body = std::move(from.body());
+    return response;
+}
+
+/// \returns Whether a kept connection is still open and has nothing unexpected to read.
+bool isUsable(Connection& connection)
+{
+    char byte = 0;
+    const ssize_t got = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl> {
+public:
+    Impl(AsioEventLoop& loop, HttpClientOptions options)
+        : m_loop(loop)
+        , m_context(loop.impl().context)
+        , m_options(options)
+    {
+    }
+
+    void send(const HttpAddress& address, PendingCall pending)
+    {
+        ++counts.calls;
+        Peer& peer = m_peers[address.ip + ':' + std::to_string(address.port)];
+        peer.address = address;
+        peer.waiting.push_back(std::move(pending));
+        serve(peer);
+    }
+
+    void forget(const HttpAddress& address)
+    {
+        const auto found = m_peers.find(address.ip + ':' + std::to_string(address.port));
+        if (found == m_peers.end())
+            return;
+        Peer& peer = found->second;
+        peer.connections -= static_cast<std::uint32_t>(peer.idle.size());
+        peer.idle.clear();
+    }
+
+    HttpClientCounts counts;
+
+private:
+    /// Gives waiting calls to idle or new connections.
+    void serve(Peer& peer)
+    {
+        while (!peer.waiting.empty()) {
+            ConnectionPointer connection = takeIdle(peer);
+            if (!connection && peer.connections >= m_options.mostConnections)
+                return;
+            PendingCall pending = std::move(peer.waiting.front());
+            peer.waiting.pop_front();
+            if (connection) {
+                connection->pending = std::move(pending);
+                write(peer, connection);
+                continue;
+            }
+            connection = std::make_shared<Connection>(m_context);
+            connection->pending = std::move(pending);
+            connect(peer, connection);
+        }
+    }
+
+    ConnectionPointer takeIdle(Peer& peer)
+    {
+        while (!peer.idle.empty()) {
+            ConnectionPointer connection = peer.idle.back();
+            peer.idle.pop_back();
+            if (m_loop.now() - connection->idleSince < m_options.idleTime && isUsable(*connection))
+                return connection;
+            --peer.connections;
+        }
+        return nullptr;
+    }
+
+    void connect(Peer& peer, const ConnectionPointer& connection)
+    {
+        ++peer.connections;
+        ++counts.connections;
+        boost::system::error_code bad;
+        const auto ip = boost::asio::ip::make_address_v4(peer.address.ip, bad);
+        if (bad) {
+            boost::asio::post(m_context, [self = shared_from_this(), &peer, connection] { self->finish(peer, connection, { .delivery = Delivery::NotSent }, false); });
+            return;
+        }
+        connection->stream.expires_at(std::min(connection->pending.call.deadline, m_loop.now() + m_options.connectTime));
+        connection->stream.async_connect(Tcp::endpoint(ip, peer.address.port), [self = shared_from_this(), &peer, connection](const beast::error_code& error) {
+            if (error) {
+                self->finish(peer, connection, { .delivery = Delivery::NotSent }, false);
+                return;
+            }
+            boost::system::error_code ignored;
+            connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
+            self->write(peer, connection);
+        });
+    }
+
+    void write(Peer& peer, const ConnectionPointer& connection)
+    {
+        connection->request = makeRequest(peer.address, connection->pending.call.request);
+        connection->parser.emplace();
+        connection->parser->body_limit(m_options.mostResponseBytes);
+        connection->stream.expires_at(connection->pending.call.deadline);
+        http::async_write(connection->stream, connection->request, [self = shared_from_this(), &peer, connection](const beast::error_code& error, std::size_t) {
+            if (error) {
+                self->finish(peer, connection, {}, false);
+                return;
+            }
+            self->read(peer, connection);
+        });
+    }
+
+    void read(Peer& peer, const ConnectionPointer& connection)
+    {
+        http::async_read(connection->stream, connection->buffer, *connection->parser, [self = shared_from_this(), &peer, connection](const beast::error_code& error, std::size_t) {
+            if (error) {
+                self->finish(peer, connection, {}, false);
+                return;
+            }
+            http::response<http::string_body> response = connection->parser->release();
+            const bool keep = response.keep_alive() && connection->buffer.size() == 0;
+            self->finish(peer, connection, { .delivery = Delivery::Answered, .response = makeResponse(response) }, keep);
+        });
+    }
+
+    void finish(Peer& peer, const ConnectionPointer& connection, HttpReply reply, bool keep)
+    {
+        counts.notSent += reply.delivery == Delivery::NotSent ? 1 : 0;
+        counts.unanswered += reply.delivery == Delivery::Unanswered ? 1 : 0;
+        const std::function<void(HttpReply)> done = std::move(connection->pending.done);
+        if (keep) {
+            connection->stream.expires_never();
+            connection->idleSince = m_loop.now();
+            peer.idle.push_back(connection);
+        } else {
+            boost::system::error_code ignored;
+            connection->stream.socket().close(ignored);
+            --peer.connections;
+        }
+        serve(peer);
+        done(std::move(reply));
+    }
+
+    AsioEventLoop& m_loop;
+    boost::asio::io_context& m_context;
+    HttpClientOptions m_options;
+    std::map<std::string, Peer> m_peers; ///< By IP:port; peers stay, so references to them last.
+};
+
+HttpClient::HttpClient(AsioEventLoop& loop, HttpClientOptions options)
+    : m_impl(std::make_shared<Impl>(loop, options))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::send(const HttpAddress& address, HttpCall call, std::function<void(HttpReply)> done)
+{
+    m_impl->send(address, { std::move(call), std::move(done) });
+}
+
+void HttpClient::forget(const HttpAddress& address)
+{
+    m_impl->forget(address);
+}
+
+const HttpClientCounts& HttpClient::counts() const noexcept
+{
+    return m_impl->counts;
+}
+
+} // namespace lanemoor::aio
--- a/src/client/command_line.cpp
+++ b/src/client/command_line.cpp
@@ -2,10 +2,12 @@
 
 #include "lanemoor/client/operator_client.h"
 #include "lanemoor/client/text_report.h"
+#include "lanemoor/jobs/job_service_settings.h"
 #include "lanemoor/serve/process/daemon.h"
 #include "lanemoor/serve/process/peer_keys.h"
 #include "lanemoor/state/configuration_document.h"
 #include "lanemoor/state/settings.h"
+#include "platform/job_daemon.h"
 
 #include <array>
 #include <cstdio>
@@ -91,13 +93,15 @@
     const std::optional<std::string> text = readFile(invocation.settingsFile);
     if (!text)
         return complain(invocation.settingsFile + ": can't be read");
-    SettingsReader reader;
-    const std::optional<Settings> settings = reader.read(*text);
-    for (const DocumentFault& fault : reader.faults())
-        std::cerr << formatFault(invocation.settingsFile, fault) << '\n';
-    if (!settings)
-        return ExitCode::Refused;
-    return runDaemon(*settings) == 0 ? ExitCode::Done : ExitCode::Refused;
+    const auto run = [&](auto reader, const auto& daemon) {
+        const auto settings = reader.read(*text);
+        for (const DocumentFault& fault : reader.faults())
+            std::cerr << formatFault(invocation.settingsFile, fault) << '\n';
+        return settings && daemon(*settings) == 0 ? ExitCode::Done : ExitCode::Refused;
+    };
+    if (jobs::isJobServiceSettings(*text))
+        return run(jobs::JobServiceSettingsReader(), [&](const jobs::JobServiceSettings& settings) { return platform::runJobDaemon(settings, invocation.settingsFile); });
+    return run(SettingsReader(), runDaemon);
 }
 
 ExitCode generateKeys(const Invocation& invocation)
@@ -111,6 +115,11 @@
 /// Settings name a platform; a configuration never does.
 std::vector<DocumentFault> faultsOf(const std::string& text)
 {
+    if (jobs::isJobServiceSettings(text)) {
+        jobs::JobServiceSettingsReader reader;
+        static_cast<void>(reader.read(text));
+        return reader.faults();
+    }
     const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
     if (json.is_object() && (json.contains("platform") || json.contains("front"))) {
         SettingsReader reader;
--- /dev/null
+++ b/src/jobs/evacuation.cpp
@@ -0,0 +1,70 @@
+#include "evacuation.h"
+
+namespace lanemoor::jobs {
+
+namespace {
+
+constexpr std::uint32_t atWorkPercent = 100;
+/// Most batch tasks take less; those that take longer are stopped, since instances wait.
+constexpr Millis batchPatience { 4'000 };
+
+bool isAtWork(const TaskState& task)
+{
+    return task.live && task.live->phase == AttemptPhase::Running && task.live->percent >= atWorkPercent;
+}
+
+} // namespace
+
+std::uint32_t tasksAway(const JobState& job, const StepId& step, std::uint32_t except)
+{
+    std::uint32_t away = 0;
+    const std::vector<TaskState>& tasks = job.steps().at(step).tasks;
+    for (std::uint32_t i = 0; i < tasks.size(); ++i)
+        away += i != except && !isAtWork(tasks[i]) ? 1 : 0;
+    return away;
+}
+
+Evacuation::Evacuation(OwnerState& state, OrderDesk& orders)
+    : m_state(state)
+    , m_orders(orders)
+{
+}
+
+void Evacuation::run()
+{
+    for (auto& [id, worker] : m_state.workers) {
+        if (worker.evacuating && !worker.bookings.empty())
+            empty(worker);
+    }
+}
+
+void Evacuation::empty(WorkerBook& worker)
+{
+    std::vector<Attempt> stopping;
+    for (const auto& [attempt, booking] : worker.bookings) {
+        if (mayStop(attempt, booking, worker))
+            stopping.push_back(attempt);
+    }
+    for (const Attempt& attempt : stopping) {
+        const Booking& booking = worker.bookings.at(attempt);
+        // Checked again one by one: each stop takes a task of its step away.
+        if (mayStop(attempt, booking, worker))
+            m_orders.stop(attempt, worker.entry.id);
+    }
+}
+
+bool Evacuation::mayStop(const Attempt& attempt, const Booking& booking, const WorkerBook& worker) const
+{
+    const OwnerJob* job = m_state.job(attempt.job);
+    const TaskState* task = job ? job->state.find(attempt.task) : nullptr;
+    if (!task || !task->live || task->live->number != attempt.number || task->live->phase != AttemptPhase::Running)
+        return false;
+    if (!booking.step->longRunning)
+        return m_state.now() - worker.evacuatingSince > batchPatience;
+    if (booking.step->disruptionBudget == 0)
+        return true;
+    const StepId step { attempt.task.occurrence, attempt.task.step };
+    return tasksAway(job->state, step, attempt.task.index) < booking.step->disruptionBudget;
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/evacuation.h
@@ -0,0 +1,29 @@
+#pragma once
+/// \file
+/// Empties workers that are to be maintained, moved or that drain.
+
+#include "order_desk.h"
+
+namespace lanemoor::jobs {
+
+/// \brief Stops long-running tasks on workers that are being emptied, so that they start
+/// elsewhere; never more of a step at once than its disruption budget allows. Batch tasks are
+/// left to end by themselves for a while.
+class Evacuation {
+public:
+    Evacuation(OwnerState& state, OrderDesk& orders);
+
+    void run();
+
+private:
+    void empty(WorkerBook& worker);
+    [[nodiscard]] bool mayStop(const Attempt& attempt, const Booking& booking, const WorkerBook& worker) const;
+
+    OwnerState& m_state;
+    OrderDesk& m_orders;
+};
+
+/// \returns Tasks of `step`, other than `except`, that are not at work.
+[[nodiscard]] std::uint32_t tasksAway(const JobState& job, const StepId& step, std::uint32_t except);
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/fleet_keeper.cpp
@@ -0,0 +1,326 @@
+#include "lanemoor/jobs/fleet_keeper.h"
+
+#include "lanemoor/adapters/event_log.h"
+#include "lanemoor/jobs/fleet_control.h"
+#include "lanemoor/jobs/job_record.h"
+#include "lanemoor/jobs/job_scheduler.h"
+#include "lanemoor/jobs/key_value_store.h"
+#include "lanemoor/jobs/maintenance_plan.h"
+#include "lanemoor/jobs/platform_documents.h"
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+constexpr Millis storeRetry { 300 };
+constexpr Millis retryBusy { 500 }; // An instance that was busy is looked at again after this.
+/// Beyond the maintenance time itself: the order's way, and the worker's start.
+constexpr Millis backMargin { 150 };
+
+std::string waveRecordKey(std::uint64_t wave)
+{
+    return std::string(jobServicePrefix) + "wave/" + std::to_string(wave);
+}
+
+std::set<std::string> readDone(const std::string& text)
+{
+    std::set<std::string> done;
+    const nlohmann::json list = nlohmann::json::parse(text, nullptr, false);
+    if (!list.is_array())
+        return done;
+    for (const nlohmann::json& instance : list) {
+        if (instance.is_string())
+            done.insert(instance.get<std::string>());
+    }
+    return done;
+}
+
+} // namespace
+
+class FleetKeeper::Impl : public std::enable_shared_from_this<FleetKeeper::Impl> {
+public:
+    explicit Impl(FleetKeeperOptions options)
+        : m_options(std::move(options))
+    {
+    }
+
+    void activate(const Ownership& ownership)
+    {
+        ++m_generation;
+        m_active = true;
+        m_ownership = ownership;
+        m_actsFrom = m_options.loop->now() + (ownership.term > 1 ? m_options.handover : Millis(0));
+        m_plans.clear();
+        m_finished.clear();
+        m_list.clear();
+        for (const auto& [number, wave] : m_waves)
+            begin(wave);
+        tick();
+    }
+
+    void deactivate()
+    {
+        ++m_generation;
+        m_active = false;
+        m_plans.clear();
+    }
+
+    void onWave(const WaveRequest& wave)
+    {
+        if (!m_waves.emplace(wave.number, wave).second)
+            return;
+        m_options.log->change("wave-asked", { { "wave", static_cast<std::int64_t>(wave.number) }, { "instances", static_cast<std::int64_t>(wave.instances.size()) }, { "at_once", std::int64_t { wave.mostAtOnce } } });
+        if (m_active)
+            begin(wave);
+    }
+
+    FleetCounts counts;
+
+private:
+    [[nodiscard]] bool mayAct() const { return m_active && m_options.ownership->isHeld() && m_options.loop->now() >= m_actsFrom; }
+
+    /// Calls `step` later unless the term is over by then.
+    void later(Millis pause, std::function<void()> step)
+    {
+        m_options.loop->callAt(m_options.loop->now() + pause, [self = weak_from_this(), generation = m_generation, step = std::move(step)] {
+            const auto impl = self.lock();
+            if (impl && impl->m_active && impl->m_generation == generation)
+                step();
+        });
+    }
+
+    /// Wraps a callback so that it is heard within this term only.
+    template <typename Result>
+    std::function<void(Result)> inTerm(std::function<void(const Result&)> callback)
+    {
+        return [self = weak_from_this(), generation = m_generation, callback = std::move(callback)](const Result& result) {
+            const auto impl = self.lock();
+            if (impl && impl->m_active && impl->m_generation == generation)
+                callback(result);
+        };
+    }
+
+    /// Reads how far the wave has come before it goes on.
+    void begin(const WaveRequest& wave)
+    {
+        m_options.store->read(waveRecordKey(wave.number), inTerm<ReadResult>([this, wave](const ReadResult& result) {
+            if (result.outcome != StoreOutcome::Done && result.outcome != StoreOutcome::NotFound) {
+                later(storeRetry, [this, wave] { begin(wave); });
+                return;
+            }
+            m_plans.emplace(wave.number, MaintenancePlan(wave, readDone(result.item.value)));
+            writeStatus(wave.number, false);
+            tickSoon();
+        }));
+    }
+
+    void tickSoon()
+    {
+        if (m_tickSoon)
+            return;
+        m_tickSoon = true;
+        m_options.loop->callAt(m_options.loop->now(), [self = weak_from_this()] {
+            const auto impl = self.lock();
+            if (!impl)
+                return;
+            impl->m_tickSoon = false;
+            if (impl->m_active)
+                impl->plan();
+        });
+    }
+
+    /// Lists the fleet again and again.
+    void tick()
+    {
+        m_options.fleet->list(inTerm<FleetList>([this](const FleetList& list) {
+            if (list.complete)
+                takeList(list.instances);
+            plan();
+            later(hasWork() ? m_options.listEveryInWave : m_options.listEvery, [this] { tick(); });
+        }));
+    }
+
+    [[nodiscard]] bool hasWork() const
+    {
+        return std::any_of(m_plans.begin(), m_plans.end(), [](const auto& plan) { return !plan.second.isFinished(); });
+    }
+
+    void takeList(const std::vector<FleetInstance>& instances)
+    {
+        m_list.clear();
+        for (const FleetInstance& instance : instances)
+            m_list[instance.id] = instance;
+    }
+
+    [[nodiscard]] std::vector<MaintenanceCandidate> candidates() const
+    {
+        std::map<std::string, WorkerUse> uses;
+        for (WorkerUse& use : m_options.scheduler->uses())
+            uses.emplace(use.worker, use);
+        const std::shared_ptr<const ServiceConfiguration> configuration = m_options.configuration();
+        std::vector<MaintenanceCandidate> fleet;
+        for (const auto& [id, instance] : m_list) {
+            const PoolSettings* pool = configuration->pool(instance.pool);
+            MaintenanceCandidate candidate { .instance = id, .pool = instance.pool, .worker = {}, .reserve = pool && pool->reserve, .up = instance.state == FleetState::Up };
+            const auto use = uses.find(instance.worker);
+            if (use != uses.end()) {
+                candidate.worker = instance.worker;
+                candidate.evacuating = use->second.evacuating;
+                candidate.attempts = use->second.attempts;
+            } else if (!candidate.reserve) {
+                // A worker that is not known here may run what nobody has looked at.
+                candidate.up = false;
+            }
+            fleet.push_back(std::move(candidate));
+        }
+        return fleet;
+    }
+
+    void plan()
+    {
+        for (auto& [number, plan] : m_plans) {
+            if (m_finished.contains(number))
+                continue;
+            if (!m_list.empty())
+                noteGone(plan);
+            if (plan.isFinished()) {
+                finish(plan);
+                continue;
+            }
+            if (!mayAct() || m_list.empty())
+                continue;
+            const MaintenanceStep step = plan.next(candidates(), m_options.loop->now());
+            for (const std::string& worker : step.evacuate)
+                m_options.scheduler->setEvacuating(worker, true);
+            for (const std::string& instance : step.maintain)
+                maintain(plan, instance);
+        }
+    }
+
+    void noteGone(MaintenancePlan& plan)
+    {
+        for (const std::string& instance : plan.wave().instances) {
+            if (!m_list.contains(instance) && !plan.done().contains(instance)) {
+                m_options.log->decision("instance-gone", { { "instance", instance }, { "wave", static_cast<std::int64_t>(plan.wave().number) } });
+                plan.noteGone(instance);
+            }
+        }
+    }
+
+    void maintain(MaintenancePlan& plan, const std::string& instance)
+    {
+        plan.noteOrdered(instance);
+        const std::uint64_t number = plan.wave().number;
+        const std::string worker = m_list[instance].worker;
+        m_options.log->decision("maintenance-ordered", { { "instance", instance }, { "wave", static_cast<std::int64_t>(number) }, { "worker", worker } });
+        m_options.fleet->maintain(instance, number, { m_options.holder, m_ownership.epoch }, inTerm<FleetOutcome>([this, number, instance, worker](const FleetOutcome& outcome) {
+            maintained(number, instance, worker, outcome);
+        }));
+    }
+
+    void maintained(std::uint64_t number, const std::string& instance, const std::string& worker, FleetOutcome outcome)
+    {
+        const auto found = m_plans.find(number);
+        if (found == m_plans.end())
+            return;
+        MaintenancePlan& plan = found->second;
+        const MonotonicInstant now = m_options.loop->now();
+        m_options.log->decision("maintenance-answered", { { "instance", instance }, { "outcome", std::string(nameOf(outcome)) } });
+        switch (outcome) {
+        case FleetOutcome::Done:
+            ++counts.maintained;
+            plan.noteBegun(instance, now + m_options.maintenanceTime + backMargin);
+            m_options.scheduler->noteLifeOver(worker);
+            writeRecord(plan);
+            later(m_options.maintenanceTime + backMargin, [this] { this->plan(); });
+            break;
+        case FleetOutcome::NotInWave:
+        case FleetOutcome::Refused:
+            ++counts.refused;
+            plan.noteGone(instance);
+            m_options.scheduler->setEvacuating(worker, false);
+            break;
+        case FleetOutcome::Unknown:
+            ++counts.unknown;
+            [[fallthrough]];
+        default:
+            plan.noteRefused(instance, now + retryBusy);
+            break;
+        }
+        tickSoon();
+    }
+
+    void finish(const MaintenancePlan& plan)
+    {
+        const std::uint64_t number = plan.wave().number;
+        m_finished.insert(number);
+        ++counts.wavesFinished;
+        m_options.log->change("wave-finished", { { "wave", static_cast<std::int64_t>(number) } });
+        writeStatus(number, true);
+    }
+
+    void writeStatus(std::uint64_t number, bool finished)
+    {
+        const Transaction transaction { .expected = { m_options.ownership->condition() }, .writes = { { m_options.documents->waveStatusKey(number), m_options.documents->formatWaveStatus(finished), 0 } }, .removals = {} };
+        m_options.store->commit(transaction, inTerm<CommitResult>([this, number, finished](const CommitResult& result) {
+            if (result.outcome != StoreOutcome::Done && finished == m_finished.contains(number))
+                later(storeRetry, [this, number, finished] { writeStatus(number, finished); });
+        }));
+    }
+
+    /// For a successor; if this write is lost, it orders some maintenance again, which the
+    /// platform knows as done.
+    void writeRecord(const MaintenancePlan& plan)
+    {
+        const nlohmann::json done(plan.done());
+        const Transaction transaction { .expected = { m_options.ownership->condition() }, .writes = { { waveRecordKey(plan.wave().number), done.dump(), 0 } }, .removals = {} };
+        m_options.store->commit(transaction, [](const CommitResult&) {});
+    }
+
+    FleetKeeperOptions m_options;
+    bool m_active = false;
+    bool m_tickSoon = false;
+    std::uint64_t m_generation = 0;
+    Ownership m_ownership;
+    MonotonicInstant m_actsFrom;
+    std::map<std::uint64_t, WaveRequest> m_waves;
+    std::map<std::uint64_t, MaintenancePlan> m_plans;
+    std::set<std::uint64_t> m_finished;
+    std::map<std::string, FleetInstance> m_list;
+};
+
+FleetKeeper::FleetKeeper(FleetKeeperOptions options)
+    : m_impl(std::make_shared<Impl>(std::move(options)))
+{
+}
+
+FleetKeeper::~FleetKeeper() = default;
+
+void FleetKeeper::activate(const Ownership& ownership)
+{
+    m_impl->activate(ownership);
+}
+
+void FleetKeeper::deactivate()
+{
+    m_impl->deactivate();
+}
+
+void FleetKeeper::onWave(const WaveRequest& wave)
+{
+    m_impl->onWave(wave);
+}
+
+const FleetCounts& FleetKeeper::counts() const noexcept
+{
+    return m_impl->counts;
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/job_intake.cpp
@@ -0,0 +1,282 @@
+#include "lanemoor/jobs/job_intake.h"
+
+#include "lanemoor/jobs/job_catalog.h"
+#include "lanemoor/jobs/key_value_store.h"
+#include "lanemoor/jobs/store_mirror.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+/// Jobs in one transaction: each takes a condition and a write.
+constexpr std::size_t mostJobsOfBatch = mostTransactionEntries / 2;
+/// Transactions under way at once, so that one slow answer holds up only what came with it.
+constexpr std::size_t mostBatches = 8;
+
+/// A job that waits to be kept.
+struct WaitingJob {
+    std::string id;
+    std::string value;
+    std::vector<std::function<void(AcceptOutcome)>> callers;
+
+    void answer(AcceptOutcome outcome) const
+    {
+        for (const auto& caller : callers)
+            caller(outcome);
+    }
+};
+
+} // namespace
+
+std::string_view nameOf(AcceptOutcome outcome) noexcept
+{
+    switch (outcome) {
+    case AcceptOutcome::Accepted:
+        return "accepted";
+    case AcceptOutcome::NotTaken:
+        return "not-taken";
+    case AcceptOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+std::string_view nameOf(LookupOutcome outcome) noexcept
+{
+    switch (outcome) {
+    case LookupOutcome::Done:
+        return "done";
+    case LookupOutcome::NoSuchJob:
+        return "no-such-job";
+    case LookupOutcome::Unavailable:
+        return "unavailable";
+    }
+    return "unknown";
+}
+
+class JobIntake::Impl : public std::enable_shared_from_this<JobIntake::Impl> {
+public:
+    Impl(EventLoop& loop, KeyValueStore& store, StoreMirror& mirror, const JobCatalog& catalog)
+        : m_loop(loop)
+        , m_store(store)
+        , m_mirror(mirror)
+        , m_catalog(catalog)
+    {
+    }
+
+    std::size_t inFlight = 0;
+
+    void accept(const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done)
+    {
+        if (const CatalogEntry* known = m_catalog.find(id); known && known->record) {
+            done(AcceptOutcome::Accepted);
+            return;
+        }
+        ++inFlight;
+        const auto same = std::find_if(m_queue.begin(), m_queue.end(), [&](const WaitingJob& job) { return job.id == id; });
+        if (same != m_queue.end()) {
+            same->callers.push_back(std::move(done));
+            return;
+        }
+        m_queue.push_back({ id, encode(record), { std::move(done) } });
+        // Jobs that come in the same turn of the loop travel together.
+        if (m_queue.size() == 1)
+            m_loop.callAt(m_loop.now(), [self = shared_from_this()] { self->send(); });
+    }
+
+    void cancel(const std::string& id, const std::function<void(LookupOutcome)>& done)
+    {
+        const CatalogEntry* known = m_catalog.find(id);
+        if (known && known->record && isFinal(known->status())) {
+            done(LookupOutcome::Done);
+            return;
+        }
+        ++inFlight;
+        m_store.read(jobKey(id), [self = shared_from_this(), id, done](const ReadResult& result) {
+            if (result.outcome == StoreOutcome::Done) {
+                self->m_mirror.noteWritten(result.item);
+                self->writeCancel(id, done);
+                return;
+            }
+            --self->inFlight;
+            done(result.outcome == StoreOutcome::NotFound ? LookupOutcome::NoSuchJob : LookupOutcome::Unavailable);
+        });
+    }
+
+    void status(const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done)
+    {
+        const CatalogEntry* known = m_catalog.find(id);
+        if (known && known->record) {
+            done(LookupOutcome::Done, known->status());
+            return;
+        }
+        m_store.read(jobKey(id), [self = shared_from_this(), id, done](const ReadResult& result) {
+            if (result.outcome == StoreOutcome::NotFound) {
+                done(LookupOutcome::NoSuchJob, JobStatus::Queued);
+                return;
+            }
+            if (result.outcome != StoreOutcome::Done) {
+                done(LookupOutcome::Unavailable, JobStatus::Queued);
+                return;
+            }
+            self->m_mirror.noteWritten(result.item);
+            const CatalogEntry* entry = self->m_catalog.find(id);
+            done(LookupOutcome::Done, entry ? entry->status() : JobStatus::Queued);
+        });
+    }
+
+private:
+    void send()
+    {
+        while (!m_queue.empty() && m_batches < mostBatches) {
+            const std::size_t count = std::min(m_queue.size(), mostJobsOfBatch);
+            std::vector<WaitingJob> batch(std::make_move_iterator(m_queue.begin()), std::make_move_iterator(m_queue.begin() + static_cast<std::ptrdiff_t>(count)));
+            m_queue.erase(m_queue.begin(), m_queue.begin() + static_cast<std::ptrdiff_t>(count));
+            commit(std::move(batch));
+        }
+    }
+
+    void commit(std::vector<WaitingJob> batch)
+    {
+        Transaction transaction;
+        for (const WaitingJob& job : batch) {
+            transaction.expected.push_back({ jobKey(job.id), 0 });
+            transaction.writes.push_back({ jobKey(job.id), job.value, 0 });
+        }
+        ++m_batches;
+        m_store.commit(transaction, [self = shared_from_this(), batch = std::move(batch)](const CommitResult& result) mutable {
+            --self->m_batches;
+            self->committed(std::move(batch), result);
+            self->send();
+        });
+    }
+
+    void committed(std::vector<WaitingJob> batch, const CommitResult& result)
+    {
+        switch (result.outcome) {
+        case StoreOutcome::Done:
+            for (const WaitingJob& job : batch)
+                keep(job, { .key = jobKey(job.id), .value = job.value, .revision = result.revision });
+            return;
+        case StoreOutcome::Conflict:
+            separate(std::move(batch), result.current);
+            return;
+        case StoreOutcome::NotDone:
+            for (const WaitingJob& job : batch)
+                finish(job, AcceptOutcome::NotTaken);
+            return;
+        default:
+            for (WaitingJob& job : batch)
+                readBack(std::move(job));
+        }
+    }
+
+    /// Some of the batch were kept before; the others go again.
+    void separate(std::vector<WaitingJob> batch, const std::vector<StoreItem>& current)
+    {
+        std::vector<WaitingJob> again;
+        for (WaitingJob& job : batch) {
+            const std::string key = jobKey(job.id);
+            const auto kept = std::find_if(current.begin(), current.end(), [&](const StoreItem& item) { return item.key == key && item.revision > 0; });
+            if (kept != current.end())
+                keep(job, *kept);
+            else
+                again.push_back(std::move(job));
+        }
+        if (!again.empty() && again.size() < batch.size())
+            commit(std::move(again));
+        else
+            // A conflict that names none of the keys: settle each by reading.
+            for (WaitingJob& job : again)
+                readBack(std::move(job));
+    }
+
+    void readBack(WaitingJob job)
+    {
+        const std::string key = jobKey(job.id);
+        m_store.read(key, [self = shared_from_this(), job = std::move(job)](const ReadResult& result) {
+            if (result.outcome == StoreOutcome::Done)
+                self->keep(job, result.item);
+            else
+                self->finish(job, AcceptOutcome::Unknown);
+        });
+    }
+
+    void keep(const WaitingJob& job, const StoreItem& item)
+    {
+        m_mirror.noteWritten(item);
+        finish(job, AcceptOutcome::Accepted);
+    }
+
+    void finish(const WaitingJob& job, AcceptOutcome outcome)
+    {
+        inFlight -= job.callers.size();
+        job.answer(outcome);
+    }
+
+    void writeCancel(const std::string& id, const std::function<void(LookupOutcome)>& done)
+    {
+        const Transaction transaction { .expected = { { cancelKey(id), 0 } }, .writes = { { cancelKey(id), "1", 0 } }, .removals = {} };
+        m_store.commit(transaction, [self = shared_from_this(), id, done](const CommitResult& result) {
+            if (result.outcome == StoreOutcome::Done)
+                self->m_mirror.noteWritten({ .key = cancelKey(id), .value = "1", .revision = result.revision });
+            if (result.outcome == StoreOutcome::Unknown) {
+                self->readCancel(id, done);
+                return;
+            }
+            --self->inFlight;
+            const bool stands = result.outcome == StoreOutcome::Done || result.outcome == StoreOutcome::Conflict;
+            done(stands ? LookupOutcome::Done : LookupOutcome::Unavailable);
+        });
+    }
+
+    void readCancel(const std::string& id, const std::function<void(LookupOutcome)>& done)
+    {
+        m_store.read(cancelKey(id), [self = shared_from_this(), done](const ReadResult& result) {
+            --self->inFlight;
+            if (result.outcome == StoreOutcome::Done)
+                self->m_mirror.noteWritten(result.item);
+            done(result.outcome == StoreOutcome::Done ? LookupOutcome::Done : LookupOutcome::Unavailable);
+        });
+    }
+
+    EventLoop& m_loop;
+    KeyValueStore& m_store;
+    StoreMirror& m_mirror;
+    const JobCatalog& m_catalog;
+    std::vector<WaitingJob> m_queue;
+    std::size_t m_batches = 0;
+};
+
+JobIntake::JobIntake(EventLoop& loop, KeyValueStore& store, StoreMirror& mirror, const JobCatalog& catalog)
+    : m_impl(std::make_shared<Impl>(loop, store, mirror, catalog))
+{
+}
+
+JobIntake::~JobIntake() = default;
+
+void JobIntake::accept(const std::string& id, JobRecord record, std::function<void(AcceptOutcome)> done)
+{
+    m_impl->accept(id, record, std::move(done));
+}
+
+void JobIntake::cancel(const std::string& id, std::function<void(LookupOutcome)> done)
+{
+    m_impl->cancel(id, done);
+}
+
+void JobIntake::status(const std::string& id, std::function<void(LookupOutcome, JobStatus)> done)
+{
+    m_impl->status(id, done);
+}
+
+std::size_t JobIntake::inFlight() const noexcept
+{
+    return m_impl->inFlight;
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/job_record.cpp
@@ -0,0 +1,194 @@
+#include "lanemoor/jobs/job_record.h"
+
+#include "generated/jobs.pb.h"
+
+namespace lanemoor::jobs {
+
+namespace {
+
+constexpr std::size_t bitsPerByte = 8;
+
+Instant instantFrom(std::int64_t milliseconds)
+{
+    return Instant(Millis(milliseconds));
+}
+
+void writeStep(const StepSpec& step, wire::JobStep& out)
+{
+    out.set_count(step.count);
+    out.set_milli_cpu(step.needs.milliCpu);
+    out.set_memory_mb(step.needs.memoryMb);
+    out.set_accelerators(step.needs.accelerators);
+    out.set_estimate_ms(step.estimate.count());
+    for (const std::uint32_t dependency : step.dependsOn)
+        out.add_depends_on(dependency);
+    out.set_checkpointing(step.checkpointing);
+    out.set_gang(step.gang);
+    out.set_same_rack(step.sameRack);
+    out.set_required_label(step.requiredLabel);
+    out.set_preferred_rack(step.preferredRack);
+    out.set_most_per_instance(step.mostPerInstance);
+    out.set_speculative(step.speculative);
+    out.set_long_running(step.longRunning);
+    out.set_image(step.image);
+    out.set_latency_target_ms(step.latencyTarget.count());
+    out.set_best_effort(step.bestEffort);
+    out.set_disruption_budget(step.disruptionBudget);
+}
+
+StepSpec readStep(const wire::JobStep& in)
+{
+    StepSpec step;
+    step.count = in.count();
+    step.needs = { .milliCpu = in.milli_cpu(), .memoryMb = in.memory_mb(), .accelerators = in.accelerators() };
+    step.estimate = Millis(in.estimate_ms());
+    step.dependsOn.assign(in.depends_on().begin(), in.depends_on().end());
+    step.checkpointing = in.checkpointing();
+    step.gang = in.gang();
+    step.sameRack = in.same_rack();
+    step.requiredLabel = in.required_label();
+    step.preferredRack = in.preferred_rack();
+    step.mostPerInstance = in.most_per_instance();
+    step.speculative = in.speculative();
+    step.longRunning = in.long_running();
+    step.image = in.image();
+    step.latencyTarget = Millis(in.latency_target_ms());
+    step.bestEffort = in.best_effort();
+    step.disruptionBudget = in.disruption_budget();
+    return step;
+}
+
+std::string packBits(const std::vector<bool>& bits)
+{
+    std::string bytes((bits.size() + bitsPerByte - 1) / bitsPerByte, '\0');
+    for (std::size_t i = 0; i < bits.size(); ++i) {
+        if (bits[i])
+            bytes[i / bitsPerByte] = static_cast<char>(bytes[i / bitsPerByte] | (1 << (i % bitsPerByte)));
+    }
+    return bytes;
+}
+
+std::vector<bool> unpackBits(const std::string& bytes)
+{
+    std::vector<bool> bits(bytes.size() * bitsPerByte);
+    for (std::size_t i = 0; i < bits.size(); ++i)
+        bits[i] = ((static_cast<unsigned char>(bytes[i / bitsPerByte]) >> (i % bitsPerByte)) & 1U) != 0;
+    return bits;
+}
+
+template <typename Message>
+bool parse(std::string_view bytes, Message& message)
+{
+    return message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+} // namespace
+
+std::string jobKey(std::string_view id)
+{
+    return std::string(jobKeyPrefix).append(id);
+}
+
+std::string progressKey(std::string_view id)
+{
+    return std::string(progressKeyPrefix).append(id);
+}
+
+std::string cancelKey(std::string_view id)
+{
+    return std::string(cancelKeyPrefix).append(id);
+}
+
+std::string encode(const JobRecord& record)
+{
+    wire::JobDocument document;
+    document.set_queue(record.queue);
+    document.set_pool(record.pool);
+    document.set_accepted_at_ms(record.acceptedAt.time_since_epoch().count());
+    document.set_payload(record.spec.payload);
+    for (const StepSpec& step : record.spec.steps)
+        writeStep(step, *document.add_steps());
+    document.set_occurrences(record.spec.occurrences);
+    document.set_first_start_ms(record.spec.firstStart.time_since_epoch().count());
+    document.set_interval_ms(record.spec.interval.count());
+    return document.SerializeAsString();
+}
+
+std::optional<JobRecord> decodeJob(std::string_view bytes)
+{
+    wire::JobDocument document;
+    if (!parse(bytes, document))
+        return std::nullopt;
+    JobRecord record;
+    record.queue = document.queue();
+    record.pool = document.pool();
+    record.acceptedAt = instantFrom(document.accepted_at_ms());
+    record.spec.payload = document.payload();
+    for (const wire::JobStep& step : document.steps())
+        record.spec.steps.push_back(readStep(step));
+    record.spec.occurrences = document.occurrences();
+    record.spec.firstStart = instantFrom(document.first_start_ms());
+    record.spec.interval = Millis(document.interval_ms());
+    if (faultOf(record.spec))
+        return std::nullopt;
+    return record;
+}
+
+std::string encode(const ProgressRecord& record)
+{
+    wire::ProgressDocument document;
+    document.set_status(static_cast<std::uint32_t>(record.status));
+    document.set_occurrences_done(record.occurrencesDone);
+    for (const auto& [id, bits] : record.succeeded) {
+        wire::StepProgress& step = *document.add_steps();
+        step.set_occurrence(id.occurrence);
+        step.set_step(id.step);
+        step.set_succeeded(packBits(bits));
+    }
+    for (const auto& [id, task] : record.tasks) {
+        wire::TaskProgress& out = *document.add_tasks();
+        out.set_occurrence(id.occurrence);
+        out.set_step(id.step);
+        out.set_index(id.index);
+        for (const std::uint64_t attempt : task.failedAttempts)
+            out.add_failed_attempts(attempt);
+        out.set_checkpoint(task.checkpoint);
+    }
+    return document.SerializeAsString();
+}
+
+std::optional<ProgressRecord> decodeProgress(std::string_view bytes)
+{
+    wire::ProgressDocument document;
+    if (!parse(bytes, document) || document.status() > static_cast<std::uint32_t>(JobStatus::Cancelled))
+        return std::nullopt;
+    ProgressRecord record;
+    record.status = static_cast<JobStatus>(document.status());
+    record.occurrencesDone = document.occurrences_done();
+    for (const wire::StepProgress& step : document.steps())
+        record.succeeded[{ step.occurrence(), step.step() }] = unpackBits(step.succeeded());
+    for (const wire::TaskProgress& task : document.tasks()) {
+        TaskRecord& out = record.tasks[{ task.occurrence(), task.step(), task.index() }];
+        out.failedAttempts.assign(task.failed_attempts().begin(), task.failed_attempts().end());
+        out.checkpoint = task.checkpoint();
+    }
+    return record;
+}
+
+std::string encode(const OwnerRecord& record)
+{
+    wire::OwnerDocument document;
+    document.set_holder(record.holder);
+    document.set_term(record.term);
+    return document.SerializeAsString();
+}
+
+std::optional<OwnerRecord> decodeOwner(std::string_view bytes)
+{
+    wire::OwnerDocument document;
+    if (!parse(bytes, document))
+        return std::nullopt;
+    return OwnerRecord { document.holder(), document.term() };
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/job_scheduler.cpp
@@ -0,0 +1,426 @@
+#include "lanemoor/jobs/job_scheduler.h"
+
+#include "advice_desk.h"
+#include "evacuation.h"
+#include "lanemoor/jobs/job_catalog.h"
+#include "lanemoor/jobs/store_mirror.h"
+#include "lanemoor/jobs/worker_directory.h"
+#include "order_desk.h"
+#include "owner_state.h"
+#include "placement_pass.h"
+#include "report_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+/// Attempt numbers of one term: a task is started far less often than this.
+constexpr std::uint64_t attemptsPerTerm = 4'096;
+/// A worker's clock may lose 2% of an inherited lease's time; more for its timer.
+constexpr double leaseStretch = 1.03;
+/// A pass runs at least this often while there are jobs: for what becomes possible by time.
+constexpr Millis idlePass { 200 };
+
+/// \returns The sum of estimates along the longest chain of steps.
+Millis longestChain(const JobSpec& spec)
+{
+    std::vector<Millis> ends(spec.steps.size(), Millis(0));
+    // Dependencies may point forwards, so the longest path is found by relaxation.
+    for (std::size_t round = 0; round < spec.steps.size(); ++round) {
+        for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+            Millis begin(0);
+            for (const std::uint32_t dependency : spec.steps[i].dependsOn)
+                begin = std::max(begin, ends[dependency]);
+            ends[i] = begin + spec.steps[i].estimate;
+        }
+    }
+    return ends.empty() ? Millis(0) : *std::max_element(ends.begin(), ends.end());
+}
+
+/// All that lives for one term.
+struct Term {
+    Term(const JobSchedulerOptions& options, const Ownership& ownership, SchedulerCounts& counts)
+        : state { options, ownership, options.loop->now() + options.ownershipTime + Millis(static_cast<std::int64_t>(leaseStretch * static_cast<double>(options.workerLeaseTime.count()))), {}, {}, nullptr, {} }
+        , orders(std::make_shared<OrderDesk>(state, counts))
+        , advice(std::make_shared<AdviceDesk>(state))
+        , reports(state, *orders, counts)
+    {
+        // Nobody owned before the first term, so nothing runs.
+        if (ownership.term == 1)
+            state.inheritedLeaseOverBy = options.loop->now();
+    }
+
+    void close()
+    {
+        orders->close();
+        advice->close();
+        for (auto& [id, worker] : state.workers) {
+            if (worker.session)
+                worker.session->close();
+        }
+        state.writer.reset();
+    }
+
+    OwnerState state;
+    std::shared_ptr<OrderDesk> orders;
+    std::shared_ptr<AdviceDesk> advice;
+    ReportReader reports;
+    std::vector<std::string> unmet; ///< Workers that might run inherited tasks and were not asked yet.
+};
+
+} // namespace
+
+class JobScheduler::Impl {
+public:
+    explicit Impl(JobSchedulerOptions options)
+        : m_options(std::move(options))
+    {
+    }
+
+    void activate(const Ownership& ownership)
+    {
+        deactivate();
+        ++counts.terms;
+        m_term = std::make_shared<Term>(m_options, ownership, counts);
+        OwnerState& state = m_term->state;
+        state.requestPass = [this] { requestPass(); };
+        state.writer = std::make_unique<ProgressWriter>(*m_options.loop, *m_options.store, *m_options.mirror, m_options.ownership->condition(),
+            ProgressSource { .read = [this](const std::string& id) { return progressOf(id); },
+                .mayWrite = [this] { return m_options.ownership->isHeld(); },
+                .superseded = [this] { m_options.ownership->noteSuperseded(); } });
+        for (const auto& [id, entry] : m_options.catalog->all())
+            load(id, entry, ownership.term > 1);
+        m_options.directory->forgetOld();
+        for (const auto& [id, entry] : m_options.directory->all()) {
+            meet(entry);
+            m_term->unmet.push_back(id);
+        }
+        m_options.log->change("ownership-taken",
+            { { "epoch", static_cast<std::int64_t>(ownership.epoch) }, { "term", static_cast<std::int64_t>(ownership.term) }, { "jobs", static_cast<std::int64_t>(state.jobs.size()) },
+                { "workers", static_cast<std::int64_t>(state.workers.size()) } });
+        requestPass();
+    }
+
+    void deactivate()
+    {
+        if (!m_term)
+            return;
+        m_options.log->change("ownership-lost", { { "epoch", static_cast<std::int64_t>(m_term->state.ownership.epoch) } });
+        m_term->close();
+        // Its parts may be at work further up the stack.
+        m_options.loop->callAt(m_options.loop->now(), [old = std::move(m_term)] {});
+        m_term.reset();
+    }
+
+    [[nodiscard]] bool isActive() const { return m_term != nullptr; }
+
+    void onJobChanged(const std::string& id)
+    {
+        if (!m_term)
+            return;
+        const CatalogEntry* entry = m_options.catalog->find(id);
+        if (!entry || !entry->record)
+            return;
+        OwnerJob* job = m_term->state.job(id);
+        if (!job) {
+            load(id, *entry, false);
+            requestPass();
+            return;
+        }
+        if (entry->cancelled && !isFinal(job->state.status()))
+            cancel(*job);
+    }
+
+    void onWorkerChanged(const std::string& id)
+    {
+        if (!m_term)
+            return;
+        const auto found = m_options.directory->all().find(id);
+        if (found == m_options.directory->all().end())
+            return;
+        WorkerBook* book = m_term->state.worker(id);
+        if (!book) {
+            meet(found->second);
+            return;
+        }
+        const bool drains = found->second.worker.draining && !book->entry.draining;
+        book->entry = found->second.worker;
+        book->listed = found->second.listed;
+        if (drains)
+            moveLongRunning(*book);
+        requestPass();
+    }
+
+    void requestPass()
+    {
+        if (!m_term)
+            return;
+        schedulePass(m_options.loop->now());
+    }
+
+    [[nodiscard]] std::vector<WorkerUse> uses() const
+    {
+        std::vector<WorkerUse> uses;
+        if (!m_term)
+            return uses;
+        const MonotonicInstant now = m_options.loop->now();
+        for (const auto& [id, book] : m_term->state.workers) {
+            WorkerUse use { .worker = id, .pool = book.entry.pool, .capacity = book.entry.capacity, .free = book.free(), .attempts = static_cast<std::uint32_t>(book.bookings.size()), .evacuating = book.evacuating };
+            for (const auto& [attempt, booking] : book.bookings)
+                use.longRunning += booking.step->longRunning ? 1 : 0;
+            use.sound = book.listed && !book.entry.draining && book.session->isMet() && !book.session->isSilent() && !book.health.isQuarantined(now);
+            uses.push_back(std::move(use));
+        }
+        return uses;
+    }
+
+    [[nodiscard]] PoolDemand demand(const std::string& pool) const
+    {
+        PoolDemand demand;
+        if (!m_term)
+            return demand;
+        const auto waiting = m_waiting.find(pool);
+        demand.waitingMilliCpu = waiting == m_waiting.end() ? 0 : waiting->second;
+        for (const auto& [id, book] : m_term->state.workers) {
+            if (book.entry.pool == pool)
+                demand.runningMilliCpu += book.entry.capacity.milliCpu - book.free().milliCpu;
+        }
+        return demand;
+    }
+
+    void setEvacuating(const std::string& worker, bool evacuating)
+    {
+        WorkerBook* book = m_term ? m_term->state.worker(worker) : nullptr;
+        if (!book || book->evacuating == evacuating)
+            return;
+        book->evacuating = evacuating;
+        book->evacuatingSince = m_options.loop->now();
+        m_options.log->decision("worker-evacuating", { { "worker", worker }, { "on", std::int64_t { evacuating } }, { "attempts", static_cast<std::int64_t>(book->bookings.size()) } });
+        requestPass();
+    }
+
+    void noteLifeOver(const std::string& worker)
+    {
+        WorkerBook* book = m_term ? m_term->state.worker(worker) : nullptr;
+        if (book && book->session)
+            book->session->noteLifeOver();
+    }
+
+    void whenStored(std::function<void()> stored)
+    {
+        if (m_term && m_term->state.writer)
+            m_term->state.writer->whenStored(std::move(stored));
+        else
+            stored();
+    }
+
+    SchedulerCounts counts;
+
+private:
+    void load(const std::string& id, const CatalogEntry& entry, bool inherited)
+    {
+        if (!entry.record || isFinal(entry.progress.status))
+            return;
+        OwnerState& state = m_term->state;
+        const std::uint64_t base = (state.ownership.term - 1) * attemptsPerTerm;
+        auto [place, inserted] = state.jobs.emplace(id, OwnerJob { JobState(id, entry.record, entry.progress, base), inherited, {} });
+        OwnerJob& job = place->second;
+        const Millis age = m_options.loop->timeOfDay() - entry.record->acceptedAt;
+        const QueueSettings* queue = state.configuration()->queue(entry.record->queue);
+        const double stretch = queue ? queue->stretch : 1.0;
+        const Millis allowed(static_cast<std::int64_t>(stretch * static_cast<double>(longestChain(entry.record->spec).count())));
+        job.objective = state.now() - age + allowed + (queue ? queue->latencyTarget : Millis(0));
+        if (inherited)
+            job.state.openOccurrences(m_options.loop->timeOfDay());
+        if (entry.cancelled)
+            cancel(job);
+    }
+
+    void cancel(OwnerJob& job)
+    {
+        job.state.cancel();
+        ++counts.jobsCancelled;
+        m_options.log->decision("job-cancelled", { { "job", job.state.id() }, { "running", static_cast<std::int64_t>(job.state.liveAttempts().size()) } });
+        m_term->state.store(job.state.id());
+        m_term->orders->stopAll(job);
+    }
+
+    void meet(const DirectoryEntry& entry)
+    {
+        OwnerState& state = m_term->state;
+        WorkerBook& book = state.workers[entry.worker.id];
+        book.entry = entry.worker;
+        book.listed = entry.listed;
+        WorkerSessionOptions options { .epoch = state.ownership.epoch,
+            .inheritedLeaseOverBy = state.inheritedLeaseOverBy,
+            .leaseTime = m_options.workerLeaseTime,
+            .mayOrder = [this] { return m_options.ownership->isHeld(); } };
+        book.session = std::make_shared<WorkerSession>(*m_options.loop, *m_options.workers, WorkerLife { entry.worker.id, entry.worker.address }, std::move(options), m_term->reports);
+        book.session->start();
+    }
+
+    /// A draining worker ends soon with all that runs on it.
+    void moveLongRunning(WorkerBook& book)
+    {
+        std::vector<Attempt> moving;
+        for (const auto& [attempt, booking] : book.bookings) {
+            if (booking.step->longRunning)
+                moving.push_back(attempt);
+        }
+        for (const Attempt& attempt : moving)
+            m_term->orders->stop(attempt, book.entry.id);
+    }
+
+    std::optional<ProgressRecord> progressOf(const std::string& id)
+    {
+        OwnerJob* job = m_term ? m_term->state.job(id) : nullptr;
+        if (!job)
+            return std::nullopt;
+        return job->state.progress();
+    }
+
+    /// \returns Whether every worker that might run inherited tasks has been met or is over.
+    bool isSettled()
+    {
+        OwnerState& state = m_term->state;
+        if (state.now() >= state.inheritedLeaseOverBy)
+            return true;
+        std::erase_if(m_term->unmet, [&](const std::string& id) {
+            const WorkerBook* book = state.worker(id);
+            return !book || book->session->isMet() || book->session->isLifeOver();
+        });
+        return m_term->unmet.empty();
+    }
+
+    void schedulePass(MonotonicInstant when)
+    {
+        if (m_passTimer != 0 && m_passAt <= when)
+            return;
+        m_options.loop->cancel(m_passTimer);
+        m_passAt = when;
+        m_passTimer = m_options.loop->callAt(when, [this] {
+            m_passTimer = 0;
+            if (m_term)
+                pass();
+        });
+    }
+
+    void pass()
+    {
+        const std::shared_ptr<Term> term = m_term;
+        if (!m_options.ownership->isHeld()) {
+            schedulePass(m_options.loop->now() + idlePass);
+            return;
+        }
+        Evacuation(term->state, *term->orders).run();
+        PlacementPass placement(term->state, *term->orders, *term->advice, [this] { return isSettled(); });
+        const std::optional<MonotonicInstant> wake = placement.run();
+        m_waiting = placement.waiting();
+        if (term != m_term)
+            return;
+        dropFinished();
+        dropOverWorkers();
+        const MonotonicInstant idle = m_options.loop->now() + idlePass;
+        schedulePass(wake && *wake < idle ? *wake : idle);
+    }
+
+    /// Jobs that are over, stored, and run nowhere.
+    void dropFinished()
+    {
+        OwnerState& state = m_term->state;
+        std::erase_if(state.jobs, [&](const auto& entry) {
+            const JobState& job = entry.second.state;
+            if (!isFinal(job.status()))
+                return false;
+            const CatalogEntry* known = m_options.catalog->find(entry.first);
+            return known && isFinal(known->progress.status) && job.liveAttempts().empty();
+        });
+    }
+
+    void dropOverWorkers()
+    {
+        std::erase_if(m_term->state.workers, [&](const auto& entry) {
+            const WorkerBook& book = entry.second;
+            const bool over = book.session->isLifeOver() || m_options.loop->now() >= book.session->leaseOverBy();
+            return !book.listed && over && book.bookings.empty() && (book.session->isLifeOver() || book.session->isSilent());
+        });
+    }
+
+    JobSchedulerOptions m_options;
+    std::shared_ptr<Term> m_term;
+    std::map<std::string, std::int64_t> m_waiting;
+    TimerId m_passTimer = 0;
+    MonotonicInstant m_passAt;
+};
+
+JobScheduler::JobScheduler(JobSchedulerOptions options)
+    : m_impl(std::make_unique<Impl>(std::move(options)))
+{
+}
+
+JobScheduler::~JobScheduler() = default;
+
+void JobScheduler::activate(const Ownership& ownership)
+{
+    m_impl->activate(ownership);
+}
+
+void JobScheduler::deactivate()
+{
+    m_impl->deactivate();
+}
+
+bool JobScheduler::isActive() const noexcept
+{
+    return m_impl->isActive();
+}
+
+void JobScheduler::onJobChanged(const std::string& id)
+{
+    m_impl->onJobChanged(id);
+}
+
+void JobScheduler::onWorkerChanged(const std::string& id)
+{
+    m_impl->onWorkerChanged(id);
+}
+
+void JobScheduler::onConfigurationChanged()
+{
+    m_impl->requestPass();
+}
+
+std::vector<WorkerUse> JobScheduler::uses() const
+{
+    return m_impl->uses();
+}
+
+PoolDemand JobScheduler::demand(const std::string& pool) const
+{
+    return m_impl->demand(pool);
+}
+
+void JobScheduler::setEvacuating(const std::string& worker, bool evacuating)
+{
+    m_impl->setEvacuating(worker, evacuating);
+}
+
+void JobScheduler::noteLifeOver(const std::string& worker)
+{
+    m_impl->noteLifeOver(worker);
+}
+
+void JobScheduler::whenStored(std::function<void()> stored)
+{
+    m_impl->whenStored(std::move(stored));
+}
+
+const SchedulerCounts& JobScheduler::counts() const noexcept
+{
+    return m_impl->counts;
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/job_service.cpp
@@ -0,0 +1,322 @@
+#include "lanemoor/jobs/job_service.h"
+
+#include "lanemoor/adapters/event_log.h"
+#include "lanemoor/jobs/fleet_keeper.h"
+#include "lanemoor/jobs/job_catalog.h"
+#include "lanemoor/jobs/job_scheduler.h"
+#include "lanemoor/jobs/key_value_store.h"
+#include "lanemoor/jobs/ownership_keeper.h"
+#include "lanemoor/jobs/platform_documents.h"
+#include "lanemoor/jobs/store_mirror.h"
+#include "lanemoor/jobs/worker_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+constexpr const char* theShard = "all"; // One owner decides for all pools today.
+constexpr Millis watchTime { 1'000 };
+/// The store's answers are missed after a watch's time and a call's; then this instance can
+/// take nothing and says so to the balancer.
+constexpr Millis storeMissedAfter { 2'500 };
+/// A watch that hears nothing while changes are made looks like a quiet one: the
+/// configuration is read as well, well within the 2 s in which a new one must be in force.
+constexpr Millis configurationRead { 700 };
+constexpr Millis defaultRetryAfter { 1'000 };
+constexpr Millis stopCheck { 20 };
+constexpr Millis stopReserve { 1'500 }; // Of the grace, kept for the ownership's release.
+
+} // namespace
+
+class JobService::Impl {
+public:
+    Impl(JobServiceParts parts, const JobServiceSettings& settings)
+        : m_parts(parts)
+        , m_settings(settings)
+        , m_holder(settings.name + '-' + std::to_string(parts.loop->timeOfDay().time_since_epoch().count()))
+        , m_directory(*parts.loop)
+        , m_jobs(*parts.loop, *parts.store, { .prefix = std::string(jobServicePrefix), .watchTime = watchTime }, [this](const StoreItem& item) { onItem(item); })
+        , m_configurations(*parts.loop, *parts.store, { .prefix = parts.documents->configurationKey(), .watchTime = watchTime }, [this](const StoreItem& item) { onConfiguration(item); })
+        , m_workers(*parts.loop, *parts.store, { .prefix = parts.documents->workerPrefix() }, [this](const StoreItem& item) { onWorker(item); })
+        , m_waves(*parts.loop, *parts.store, { .prefix = parts.documents->wavePrefix() }, [this](const StoreItem& item) { onWave(item); })
+        , m_ownership(*parts.loop, *parts.store, m_jobs, { .shard = theShard, .holder = m_holder, .leaseTime = settings.ownershipTime },
+              { .gained = [this](const Ownership& ownership) { gained(ownership); }, .lost = [this] { lost(); } })
+        , m_scheduler(schedulerOptions())
+        , m_fleet(fleetOptions())
+        , m_intake(*parts.loop, *parts.store, m_jobs, m_catalog)
+    {
+        m_catalog.observe([this](const std::string& id) { m_scheduler.onJobChanged(id); });
+        m_directory.observe([this](const std::string& id) { m_scheduler.onWorkerChanged(id); });
+    }
+
+    void start()
+    {
+        m_jobs.start();
+        m_configurations.start();
+        m_workers.start();
+        m_waves.start();
+        m_ownership.start();
+        readConfigurationLater();
+    }
+
+    void stop(std::function<void()> done)
+    {
+        m_stopping = true;
+        m_parts.log->change("stopping", { { "owner", std::int64_t { m_ownership.isHeld() } } });
+        const MonotonicInstant by = m_parts.loop->now() + std::max(m_settings.stopGrace - stopReserve, Millis(0));
+        finishIntake(by, std::move(done));
+    }
+
+    [[nodiscard]] bool takesRequests() const { return m_configuration && m_jobs.isLoaded(); }
+
+    [[nodiscard]] bool isReady() const
+    {
+        return !m_stopping && takesRequests() && m_parts.loop->now() - m_jobs.freshAt() < storeMissedAfter;
+    }
+
+    void submit(const std::string& queue, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done)
+    {
+        const QueueSettings* settings = m_configuration->queue(queue);
+        JobRecord record { .queue = queue, .pool = settings ? settings->pool : std::string(), .acceptedAt = m_parts.loop->timeOfDay(), .spec = std::move(spec) };
+        m_intake.accept(id, std::move(record), [this, id, queue, done = std::move(done), sentAt = m_parts.loop->now()](AcceptOutcome outcome) {
+            counts.accepted += outcome == AcceptOutcome::Accepted ? 1 : 0;
+            counts.notTaken += outcome == AcceptOutcome::NotTaken ? 1 : 0;
+            counts.unknown += outcome == AcceptOutcome::Unknown ? 1 : 0;
+            m_parts.log->decision("job-handed-in",
+                { { "job", id }, { "queue", queue }, { "configuration", static_cast<std::int64_t>(m_configuration->version) }, { "outcome", std::string(nameOf(outcome)) }, { "ms", since(sentAt) } });
+            done(outcome);
+        });
+    }
+
+    void cancel(const std::string& id, std::function<void(LookupOutcome)> done)
+    {
+        ++counts.cancels;
+        m_intake.cancel(id, [this, id, done = std::move(done), sentAt = m_parts.loop->now()](LookupOutcome outcome) {
+            m_parts.log->decision("job-cancel-asked", { { "job", id }, { "outcome", std::string(nameOf(outcome)) }, { "ms", since(sentAt) } });
+            done(outcome);
+        });
+    }
+
+    ServiceCounts counts;
+    JobServiceParts m_parts;
+    JobServiceSettings m_settings;
+    std::string m_holder;
+    std::shared_ptr<const ServiceConfiguration> m_configuration;
+    JobCatalog m_catalog;
+    WorkerDirectory m_directory;
+    StoreMirror m_jobs;
+    StoreMirror m_configurations;
+    StoreMirror m_workers;
+    StoreMirror m_waves;
+    OwnershipKeeper m_ownership;
+    JobScheduler m_scheduler;
+    FleetKeeper m_fleet;
+    JobIntake m_intake;
+    bool m_stopping = false;
+
+private:
+    [[nodiscard]] std::int64_t since(MonotonicInstant from) const
+    {
+        return std::chrono::duration_cast<Millis>(m_parts.loop->now() - from).count();
+    }
+
+    JobSchedulerOptions schedulerOptions()
+    {
+        return { .loop = m_parts.loop,
+            .store = m_parts.store,
+            .mirror = &m_jobs,
+            .catalog = &m_catalog,
+            .directory = &m_directory,
+            .workers = m_parts.workers,
+            .advisor = m_parts.advisor,
+            .ownership = &m_ownership,
+            .log = m_parts.log,
+            .configuration = [this] { return m_configuration; },
+            .ownershipTime = m_settings.ownershipTime,
+            .workerLeaseTime = m_settings.workerLeaseTime };
+    }
+
+    FleetKeeperOptions fleetOptions()
+    {
+        return { .loop = m_parts.loop,
+            .store = m_parts.store,
+            .fleet = m_parts.fleet,
+            .scheduler = &m_scheduler,
+            .ownership = &m_ownership,
+            .documents = m_parts.documents,
+            .log = m_parts.log,
+            .configuration = [this] { return m_configuration; },
+            .holder = m_settings.name,
+            .handover = m_settings.handover + m_settings.ownershipTime,
+            .maintenanceTime = m_settings.maintenanceTime };
+    }
+
+    void onItem(const StoreItem& item)
+    {
+        m_ownership.observe(item);
+        static_cast<void>(m_catalog.apply(item));
+    }
+
+    void onConfiguration(const StoreItem& item)
+    {
+        if (item.key != m_parts.documents->configurationKey() || item.removed)
+            return;
+        std::optional<ServiceConfiguration> configuration = m_parts.documents->readConfiguration(item.value);
+        if (!configuration) {
+            m_parts.log->change("configuration-unreadable", { { "revision", static_cast<std::int64_t>(item.revision) } });
+            return;
+        }
+        if (m_configuration && configuration->version <= m_configuration->version)
+            return;
+        m_parts.log->change("configuration-in-force", { { "version", static_cast<std::int64_t>(configuration->version) }, { "queues", static_cast<std::int64_t>(configuration->queues.size()) } });
+        m_configuration = std::make_shared<const ServiceConfiguration>(std::move(*configuration));
+        m_scheduler.onConfigurationChanged();
+    }
+
+    void onWorker(const StoreItem& item)
+    {
+        const std::string id = item.key.substr(m_parts.documents->workerPrefix().size());
+        if (item.removed) {
+            m_parts.log->decision("worker-removed", { { "worker", id } });
+            m_directory.remove(id);
+            return;
+        }
+        const std::optional<WorkerEntry> worker = m_parts.documents->readWorker(id, item.value);
+        if (!worker) {
+            m_parts.log->decision("worker-unreadable", { { "worker", id } });
+            return;
+        }
+        m_directory.put(*worker);
+    }
+
+    void onWave(const StoreItem& item)
+    {
+        if (item.removed)
+            return;
+        if (const std::optional<WaveRequest> wave = m_parts.documents->readWave(item.value))
+            m_fleet.onWave(*wave);
+        else
+            m_parts.log->change("wave-unreadable", { { "key", item.key } });
+    }
+
+    void readConfigurationLater()
+    {
+        m_parts.loop->callAt(m_parts.loop->now() + configurationRead, [this] {
+            m_parts.store->read(m_parts.documents->configurationKey(), [this](const ReadResult& result) {
+                if (result.outcome == StoreOutcome::Done)
+                    m_configurations.noteWritten(result.item);
+                readConfigurationLater();
+            });
+        });
+    }
+
+    /// Orders wait until this copy holds everything written before the ownership was taken.
+    void gained(const Ownership& ownership)
+    {
+        m_jobs.whenAt(ownership.epoch, [this, ownership] { activate(ownership); });
+    }
+
+    void activate(const Ownership& ownership)
+    {
+        if (!m_ownership.isHeld() || m_ownership.ownership() != ownership)
+            return;
+        if (!m_configuration || !m_workers.isLoaded()) {
+            m_parts.loop->callAt(m_parts.loop->now() + stopCheck, [this, ownership] { activate(ownership); });
+            return;
+        }
+        m_scheduler.activate(ownership);
+        m_fleet.activate(ownership);
+    }
+
+    void lost()
+    {
+        m_fleet.deactivate();
+        m_scheduler.deactivate();
+    }
+
+    void finishIntake(MonotonicInstant by, const std::function<void()>& done)
+    {
+        if (m_intake.inFlight() > 0 && m_parts.loop->now() < by) {
+            m_parts.loop->callAt(m_parts.loop->now() + stopCheck, [this, by, done] { finishIntake(by, done); });
+            return;
+        }
+        m_fleet.deactivate();
+        m_scheduler.whenStored([] {});
+        m_scheduler.deactivate();
+        m_ownership.release(done);
+    }
+};
+
+JobService::JobService(JobServiceParts parts, const JobServiceSettings& settings)
+    : m_impl(std::make_unique<Impl>(parts, settings))
+{
+}
+
+JobService::~JobService() = default;
+
+void JobService::start()
+{
+    m_impl->start();
+}
+
+void JobService::stop(std::function<void()> done)
+{
+    m_impl->stop(std::move(done));
+}
+
+std::shared_ptr<const ServiceConfiguration> JobService::configuration() const
+{
+    return m_impl->m_configuration;
+}
+
+bool JobService::takesRequests() const
+{
+    return m_impl->takesRequests();
+}
+
+bool JobService::isReady() const
+{
+    return m_impl->isReady();
+}
+
+Millis JobService::retryAfter() const noexcept
+{
+    return defaultRetryAfter;
+}
+
+void JobService::submit(const std::string& queue, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done)
+{
+    m_impl->submit(queue, id, std::move(spec), std::move(done));
+}
+
+void JobService::noteRejected(const std::string& id, JobFault fault)
+{
+    ++m_impl->counts.rejected;
+    m_impl->m_parts.log->decision("job-rejected", { { "job", id }, { "reason", std::string(describe(fault)) } });
+}
+
+void JobService::status(const std::string& id, std::function<void(LookupOutcome, JobStatus)> done)
+{
+    ++m_impl->counts.lookups;
+    m_impl->m_intake.status(id, std::move(done));
+}
+
+void JobService::cancel(const std::string& id, std::function<void(LookupOutcome)> done)
+{
+    m_impl->cancel(id, std::move(done));
+}
+
+std::uint64_t JobService::pending(const std::string& queue) const
+{
+    return m_impl->m_catalog.pending(queue);
+}
+
+std::string JobService::metrics() const
+{
+    return {};
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/job_service_settings.cpp
@@ -0,0 +1,114 @@
+#include "lanemoor/jobs/job_service_settings.h"
+
+#include <arpa/inet.h>
+#include <cmath>
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+constexpr std::int64_t longestMillis = 3'600'000;
+
+std::optional<HttpAddress> parseAddressText(const std::string& text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    const std::string ip = text.substr(0, colon);
+    in_addr number {};
+    const std::optional<std::uint64_t> port = parseDecimal(std::string_view(text).substr(colon + 1));
+    if (inet_pton(AF_INET, ip.c_str(), &number) != 1 || !port || *port > std::numeric_limits<std::uint16_t>::max())
+        return std::nullopt;
+    return HttpAddress { ip, static_cast<std::uint16_t>(*port) };
+}
+
+std::optional<HttpAddress> readAddress(ObjectReader& reader, const char* name, bool required)
+{
+    const std::optional<std::string> text = reader.string(name, required);
+    if (!text || (text->empty() && !required))
+        return std::nullopt;
+    const std::optional<HttpAddress> address = parseAddressText(*text);
+    if (!address)
+        reader.fault(DocumentFaultCode::BadValue, name, "an address such as 10.0.0.1:8080");
+    return address;
+}
+
+void readMillis(ObjectReader& reader, const char* name, std::int64_t least, Millis& time)
+{
+    if (const std::optional<std::int64_t> value = reader.integer(name, least, longestMillis))
+        time = Millis(*value);
+}
+
+void readSeconds(ObjectReader& reader, const char* name, Millis& time)
+{
+    constexpr double longestSeconds = 3'600;
+    constexpr double millisPerSecond = 1'000;
+    if (const std::optional<double> value = reader.number(name, 0, longestSeconds))
+        time = Millis(std::llround(*value * millisPerSecond));
+}
+
+void readTimes(ObjectReader& reader, JobServiceSettings& settings)
+{
+    constexpr std::int64_t leastLease = 1'000; // The store grants no shorter ones.
+    readMillis(reader, "ownershipMs", leastLease, settings.ownershipTime);
+    readMillis(reader, "workerLeaseMs", leastLease, settings.workerLeaseTime);
+    readMillis(reader, "handoverMs", 0, settings.handover);
+    readSeconds(reader, "maintenanceSeconds", settings.maintenanceTime);
+    readSeconds(reader, "moveSeconds", settings.moveTime);
+    readSeconds(reader, "stopGraceSeconds", settings.stopGrace);
+    readSeconds(reader, "statusSeconds", settings.statusTime);
+}
+
+JobServiceSettings readSettings(ObjectReader& reader)
+{
+    JobServiceSettings settings;
+    settings.name = reader.string("name", true).value_or(std::string());
+    settings.dataHall = reader.string("dataHall", true).value_or(std::string());
+    reader.object(
+        "jobService",
+        [&](ObjectReader& service) {
+            settings.front = readAddress(service, "front", true).value_or(HttpAddress {});
+            settings.readiness = readAddress(service, "readiness", true).value_or(HttpAddress {});
+            settings.metrics = readAddress(service, "metrics", false).value_or(HttpAddress {});
+            settings.store = readAddress(service, "store", true).value_or(HttpAddress {});
+            settings.fleet = readAddress(service, "fleet", true).value_or(HttpAddress {});
+            settings.advisor = readAddress(service, "advisor", false);
+            service.object("times", [&](ObjectReader& times) { readTimes(times, settings); });
+        },
+        true);
+    reader.object("log", [&](ObjectReader& log) {
+        const std::string format = log.string("format").value_or("json");
+        if (format != "json" && format != "text")
+            log.fault(DocumentFaultCode::BadValue, "format", "json or text");
+        settings.logAsJson = format == "json";
+    });
+    reader.finish();
+    return settings;
+}
+
+} // namespace
+
+std::optional<JobServiceSettings> JobServiceSettingsReader::read(std::string_view text)
+{
+    JsonDocument document;
+    if (!document.parse(text)) {
+        m_faults = document.faults();
+        return std::nullopt;
+    }
+    ObjectReader reader(document, document.root(), {});
+    JobServiceSettings settings = readSettings(reader);
+    m_faults = document.faults();
+    if (!m_faults.empty())
+        return std::nullopt;
+    return settings;
+}
+
+bool isJobServiceSettings(std::string_view text)
+{
+    const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    return json.is_object() && json.contains("jobService");
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/job_spec.cpp
@@ -0,0 +1,140 @@
+#include "lanemoor/jobs/job_spec.h"
+
+#include <algorithm>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+bool hasBadNumber(const StepSpec& step)
+{
+    return step.needs.milliCpu < 0 || step.needs.memoryMb < 0 || step.needs.accelerators < 0 || step.estimate.count() < 0
+        || step.latencyTarget.count() < 0;
+}
+
+/// \returns Whether the steps can be ordered so that each follows what it depends on.
+bool isAcyclic(const std::vector<StepSpec>& steps)
+{
+    std::vector<bool> placed(steps.size(), false);
+    std::size_t count = 0;
+    for (bool progress = true; progress;) {
+        progress = false;
+        for (std::size_t i = 0; i < steps.size(); ++i) {
+            const auto isPlaced = [&](std::uint32_t step) { return placed[step]; };
+            if (placed[i] || !std::all_of(steps[i].dependsOn.begin(), steps[i].dependsOn.end(), isPlaced))
+                continue;
+            placed[i] = true;
+            progress = true;
+            ++count;
+        }
+    }
+    return count == steps.size();
+}
+
+std::optional<JobFault> faultOf(const StepSpec& step, std::size_t steps)
+{
+    if (step.count == 0)
+        return JobFault::EmptyStep;
+    if (hasBadNumber(step))
+        return JobFault::BadNumber;
+    for (const std::uint32_t dependency : step.dependsOn) {
+        if (dependency >= steps)
+            return JobFault::UnknownDependency;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+bool Resources::covers(const Resources& needed) const noexcept
+{
+    return needed.milliCpu <= milliCpu && needed.memoryMb <= memoryMb && needed.accelerators <= accelerators;
+}
+
+Resources& Resources::operator+=(const Resources& other) noexcept
+{
+    milliCpu += other.milliCpu;
+    memoryMb += other.memoryMb;
+    accelerators += other.accelerators;
+    return *this;
+}
+
+Resources& Resources::operator-=(const Resources& other) noexcept
+{
+    milliCpu -= other.milliCpu;
+    memoryMb -= other.memoryMb;
+    accelerators -= other.accelerators;
+    return *this;
+}
+
+std::string_view describe(JobFault fault) noexcept
+{
+    switch (fault) {
+    case JobFault::Malformed:
+        return "the job is not an object of the expected form";
+    case JobFault::BadId:
+        return "a job's id has 16 lower-case hexadecimal digits";
+    case JobFault::PayloadTooLong:
+        return "the payload has more than 4000 bytes";
+    case JobFault::NoSteps:
+        return "the job has no steps";
+    case JobFault::TooManyTasks:
+        return "the job has more than 20000 tasks";
+    case JobFault::EmptyStep:
+        return "a step has no tasks";
+    case JobFault::UnknownDependency:
+        return "a step depends on a step that is not there";
+    case JobFault::CyclicDependency:
+        return "steps depend on each other in a circle";
+    case JobFault::BadNumber:
+        return "a number is negative or not whole";
+    }
+    return "unknown fault";
+}
+
+std::optional<JobFault> faultOf(const JobSpec& job)
+{
+    if (job.payload.size() > mostPayloadBytes)
+        return JobFault::PayloadTooLong;
+    if (job.steps.empty())
+        return JobFault::NoSteps;
+    std::uint64_t tasks = 0;
+    for (const StepSpec& step : job.steps) {
+        if (const std::optional<JobFault> fault = faultOf(step, job.steps.size()))
+            return fault;
+        tasks += step.count;
+    }
+    if (job.interval.count() < 0)
+        return JobFault::BadNumber;
+    if (tasks * std::max(job.occurrences, 1U) > mostTasksOfJob)
+        return JobFault::TooManyTasks;
+    if (!isAcyclic(job.steps))
+        return JobFault::CyclicDependency;
+    return std::nullopt;
+}
+
+bool isJobId(std::string_view text) noexcept
+{
+    constexpr std::size_t idDigits = 16;
+    const auto isDigit = [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); };
+    return text.size() == idDigits && std::all_of(text.begin(), text.end(), isDigit);
+}
+
+std::string_view nameOf(JobStatus status) noexcept
+{
+    switch (status) {
+    case JobStatus::Queued:
+        return "queued";
+    case JobStatus::Running:
+        return "running";
+    case JobStatus::Succeeded:
+        return "succeeded";
+    case JobStatus::Failed:
+        return "failed";
+    case JobStatus::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/job_state.cpp
@@ -0,0 +1,341 @@
+#include "lanemoor/jobs/job_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+/// A task that failed waits this long before it starts again, so that a task which fails at
+/// once does not take all of an entry's time. Measured starts take some milliseconds.
+constexpr Millis retryPause { 20 };
+
+} // namespace
+
+JobState::JobState(std::string id, std::shared_ptr<const JobRecord> record, const ProgressRecord& progress, std::uint64_t attemptBase)
+    : m_id(std::move(id))
+    , m_record(std::move(record))
+    , m_attemptBase(attemptBase)
+    , m_status(progress.status)
+    , m_occurrencesDone(progress.occurrencesDone)
+    , m_occurrencesOpened(progress.occurrencesDone)
+    , m_initial(progress)
+{
+}
+
+std::uint32_t JobState::occurrences() const noexcept
+{
+    return std::max(m_record->spec.occurrences, 1U);
+}
+
+const TaskState* JobState::find(const TaskId& task) const noexcept
+{
+    const auto step = m_steps.find({ task.occurrence, task.step });
+    if (step == m_steps.end() || task.index >= step->second.tasks.size())
+        return nullptr;
+    return &step->second.tasks[task.index];
+}
+
+TaskState* JobState::mutableTask(const TaskId& task) noexcept
+{
+    return const_cast<TaskState*>(std::as_const(*this).find(task));
+}
+
+TaskState* JobState::findLive(const Attempt& attempt) noexcept
+{
+    TaskState* task = mutableTask(attempt.task);
+    return task && task->live && task->live->number == attempt.number ? task : nullptr;
+}
+
+std::shared_ptr<const StepSpec> JobState::sharedSpec(std::uint32_t step) const
+{
+    return { m_record, &m_record->spec.steps[step] };
+}
+
+bool JobState::isUnblocked(const StepId& step) const
+{
+    const std::vector<std::uint32_t>& dependencies = spec(step.step).dependsOn;
+    return std::all_of(dependencies.begin(), dependencies.end(), [&](std::uint32_t dependency) {
+        const auto found = m_steps.find({ step.occurrence, dependency });
+        return found != m_steps.end() && found->second.succeeded == found->second.tasks.size();
+    });
+}
+
+std::vector<TaskId> JobState::startable(const StepId& step, MonotonicInstant now) const
+{
+    std::vector<TaskId> tasks;
+    const auto found = m_steps.find(step);
+    if (isFinal(m_status) || found == m_steps.end() || found->second.idle() == 0 || !isUnblocked(step))
+        return tasks;
+    const std::vector<TaskState>& states = found->second.tasks;
+    for (std::uint32_t i = 0; i < states.size(); ++i) {
+        if (!states[i].succeeded && !states[i].live && states[i].notBefore <= now)
+            tasks.push_back({ step.occurrence, step.step, i });
+    }
+    return tasks;
+}
+
+std::vector<Attempt> JobState::liveAttempts() const
+{
+    std::vector<Attempt> attempts;
+    for (const auto& [id, step] : m_steps) {
+        for (std::uint32_t i = 0; step.live > 0 && i < step.tasks.size(); ++i) {
+            if (step.tasks[i].live)
+                attempts.push_back({ m_id, { id.occurrence, id.step, i }, step.tasks[i].live->number });
+        }
+    }
+    return attempts;
+}
+
+std::optional<Instant> JobState::nextDue() const
+{
+    if (isFinal(m_status) || m_occurrencesOpened >= occurrences())
+        return std::nullopt;
+    if (m_record->spec.occurrences == 0)
+        return m_record->acceptedAt;
+    return m_record->spec.firstStart + m_record->spec.interval * m_occurrencesOpened;
+}
+
+ProgressRecord JobState::progress() const
+{
+    ProgressRecord record = m_initial;
+    record.status = m_status;
+    record.occurrencesDone = m_occurrencesDone;
+    const auto isDone = [&](const auto& entry) { return entry.first.occurrence < m_occurrencesDone; };
+    std::erase_if(record.succeeded, isDone);
+    std::erase_if(record.tasks, isDone);
+    for (const auto& [id, step] : m_steps) {
+        if (step.succeeded > 0) {
+            std::vector<bool>& bits = record.succeeded[id];
+            bits.assign(step.tasks.size(), false);
+            for (std::size_t i = 0; i < step.tasks.size(); ++i)
+                bits[i] = step.tasks[i].succeeded;
+        }
+        for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+            const TaskState& task = step.tasks[i];
+            const TaskId taskId { id.occurrence, id.step, i };
+            if (task.succeeded || (task.failedAttempts.empty() && task.checkpoint.empty()))
+                record.tasks.erase(taskId);
+            else
+                record.tasks[taskId] = { task.failedAttempts, task.checkpoint };
+        }
+    }
+    return record;
+}
+
+bool JobState::openOccurrences(Instant timeOfDay)
+{
+    bool opened = false;
+    for (std::optional<Instant> due = nextDue(); due && (m_record->spec.occurrences == 0 || *due <= timeOfDay); due = nextDue()) {
+        openOccurrence(m_occurrencesOpened, m_initial);
+        ++m_occurrencesOpened;
+        opened = true;
+    }
+    return opened;
+}
+
+void JobState::openOccurrence(std::uint32_t occurrence, const ProgressRecord& progress)
+{
+    const std::vector<StepSpec>& specs = m_record->spec.steps;
+    for (std::uint32_t s = 0; s < specs.size(); ++s) {
+        StepState& step = m_steps[{ occurrence, s }];
+        step.tasks.resize(specs[s].count);
+        const auto bits = progress.succeeded.find({ occurrence, s });
+        for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+            TaskState& task = step.tasks[i];
+            task.lastAttempt = m_attemptBase;
+            if (bits != progress.succeeded.end() && i < bits->second.size() && bits->second[i]) {
+                task.succeeded = true;
+                ++step.succeeded;
+            }
+            const auto kept = progress.tasks.find({ occurrence, s, i });
+            if (kept == progress.tasks.end())
+                continue;
+            task.failedAttempts = kept->second.failedAttempts;
+            task.checkpoint = kept->second.checkpoint;
+        }
+    }
+}
+
+std::uint64_t JobState::nextAttempt(const TaskId& task) const
+{
+    const StepState& step = m_steps.at({ task.occurrence, task.step });
+    if (!isGang(task))
+        return step.tasks[task.index].lastAttempt + 1;
+    std::uint64_t highest = 0;
+    for (const TaskState& member : step.tasks)
+        highest = std::max(highest, member.lastAttempt);
+    return highest + 1;
+}
+
+void JobState::begin(const TaskId& task, std::uint64_t number, const std::string& worker, MonotonicInstant now)
+{
+    TaskState* state = mutableTask(task);
+    if (!state || state->succeeded || state->live)
+        return;
+    state->lastAttempt = std::max(state->lastAttempt, number);
+    state->live = LiveAttempt {
+        .number = number, .worker = worker, .startedAt = now, .phaseSince = now, .stopAnsweredAt = std::nullopt, .percentSince = now
+    };
+    ++m_steps.at({ task.occurrence, task.step }).live;
+    if (m_status == JobStatus::Queued)
+        m_status = JobStatus::Running;
+}
+
+bool JobState::adopt(const Attempt& attempt, const std::string& worker, MonotonicInstant now)
+{
+    TaskState* state = mutableTask(attempt.task);
+    if (!state || isFinal(m_status) || state->succeeded || state->live)
+        return false;
+    const std::vector<std::uint64_t>& failed = state->failedAttempts;
+    if (std::find(failed.begin(), failed.end(), attempt.number) != failed.end())
+        return false;
+    begin(attempt.task, attempt.number, worker, now);
+    setPhase(attempt, AttemptPhase::Running, now);
+    return true;
+}
+
+void JobState::setPhase(const Attempt& attempt, AttemptPhase phase, MonotonicInstant now)
+{
+    TaskState* state = findLive(attempt);
+    if (!state || state->live->phase == phase)
+        return;
+    state->live->phase = phase;
+    state->live->phaseSince = now;
+}
+
+void JobState::noteStopAnswered(const Attempt& attempt, MonotonicInstant now)
+{
+    if (TaskState* state = findLive(attempt))
+        state->live->stopAnsweredAt = now;
+}
+
+void JobState::noteReport(const RunningAttempt& report, MonotonicInstant now)
+{
+    TaskState* state = findLive(report.attempt);
+    if (!state)
+        return;
+    if (!report.checkpoint.empty())
+        state->checkpoint = report.checkpoint;
+    if (state->live->percent != report.percent)
+        state->live->percentSince = now;
+    state->live->percent = report.percent;
+}
+
+void JobState::clearLive(const TaskId& task, TaskState& state)
+{
+    if (!state.live)
+        return;
+    state.live.reset();
+    --m_steps.at({ task.occurrence, task.step }).live;
+}
+
+void JobState::succeedOne(const TaskId& task)
+{
+    TaskState& state = *mutableTask(task);
+    if (state.succeeded)
+        return;
+    clearLive(task, state);
+    state.succeeded = true;
+    ++m_steps.at({ task.occurrence, task.step }).succeeded;
+}
+
+void JobState::succeed(const TaskId& task)
+{
+    if (!isGang(task)) {
+        succeedOne(task);
+        return;
+    }
+    for (std::uint32_t i = 0; i < spec(task.step).count; ++i)
+        succeedOne({ task.occurrence, task.step, i });
+}
+
+bool JobState::hasSucceeded(std::uint32_t occurrence) const
+{
+    for (std::uint32_t s = 0; s < m_record->spec.steps.size(); ++s) {
+        const auto step = m_steps.find({ occurrence, s });
+        if (step == m_steps.end() || step->second.succeeded < step->second.tasks.size())
+            return false;
+    }
+    return true;
+}
+
+void JobState::closeFinishedOccurrences()
+{
+    while (m_occurrencesDone < m_occurrencesOpened && hasSucceeded(m_occurrencesDone))
+        ++m_occurrencesDone;
+    if (m_occurrencesDone == occurrences() && !isFinal(m_status))
+        m_status = JobStatus::Succeeded;
+}
+
+EndEffect JobState::fail(const Attempt& attempt, const std::string& worker, std::uint32_t mostAttempts, MonotonicInstant now)
+{
+    EndEffect effect;
+    // A gang fails as a whole: its failures are kept with its first task.
+    TaskState& counted = isGang(attempt.task) ? *mutableTask({ attempt.task.occurrence, attempt.task.step, 0 }) : *mutableTask(attempt.task);
+    TaskState& own = *mutableTask(attempt.task);
+    own.avoidWorker = worker;
+    if (spec(attempt.task.step).longRunning)
+        return effect;
+    std::vector<std::uint64_t>& failed = counted.failedAttempts;
+    if (std::find(failed.begin(), failed.end(), attempt.number) != failed.end())
+        return effect;
+    failed.push_back(attempt.number);
+    effect.toBeStored = true;
+    own.notBefore = now + retryPause;
+    if (failed.size() >= mostAttempts && !isFinal(m_status)) {
+        m_status = JobStatus::Failed;
+        effect.finished = true;
+    }
+    return effect;
+}
+
+EndEffect JobState::end(const EndedAttempt& ended, const std::string& worker, std::uint32_t mostAttempts, MonotonicInstant now)
+{
+    TaskState* state = mutableTask(ended.attempt.task);
+    if (!state)
+        return {};
+    state->lastAttempt = std::max(state->lastAttempt, ended.attempt.number);
+    const bool wasLive = findLive(ended.attempt) != nullptr;
+    const bool otherIsLive = state->live && !wasLive;
+    if (state->succeeded || otherIsLive)
+        return {};
+    clearLive(ended.attempt.task, *state);
+    const bool longRunning = spec(ended.attempt.task.step).longRunning;
+    EndEffect effect;
+    effect.counted = true;
+    if (!ended.checkpoint.empty() && ended.end != AttemptEnd::Succeeded) {
+        state->checkpoint = ended.checkpoint;
+        effect.toBeStored = true;
+    }
+    if (ended.end == AttemptEnd::Succeeded && !longRunning) {
+        const bool wasFinal = isFinal(m_status);
+        succeed(ended.attempt.task);
+        closeFinishedOccurrences();
+        return { .toBeStored = true, .finished = isFinal(m_status) && !wasFinal, .counted = true };
+    }
+    if (ended.end == AttemptEnd::Failed) {
+        const EndEffect failure = fail(ended.attempt, worker, mostAttempts, now);
+        effect.toBeStored = effect.toBeStored || failure.toBeStored;
+        effect.finished = failure.finished;
+    }
+    return effect;
+}
+
+void JobState::drop(const Attempt& attempt, MonotonicInstant retryAt)
+{
+    TaskState* state = findLive(attempt);
+    if (!state)
+        return;
+    clearLive(attempt.task, *state);
+    state->notBefore = retryAt;
+}
+
+void JobState::cancel() noexcept
+{
+    if (!isFinal(m_status))
+        m_status = JobStatus::Cancelled;
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/order_desk.cpp
@@ -0,0 +1,173 @@
+#include "order_desk.h"
+
+namespace lanemoor::jobs {
+
+namespace {
+
+constexpr Millis stopRetry { 300 }; // A stop takes up to some hundred ms at the worker.
+constexpr Millis pauseAfterNoRoom { 200 }; // Until the worker's books and ours agree again.
+constexpr Millis pauseAfterFailedOrder { 400 }; // A worker that takes no orders is left alone a while.
+
+} // namespace
+
+OrderDesk::OrderDesk(OwnerState& state, SchedulerCounts& counts)
+    : m_state(state)
+    , m_counts(counts)
+{
+}
+
+bool OrderDesk::start(OwnerJob& job, const TaskId& task, std::uint64_t number, WorkerBook& worker, const std::string& ticket)
+{
+    const std::optional<std::int64_t> lease = worker.session->leaseForOrder();
+    if (!lease || !m_state.options.ownership->isHeld())
+        return false;
+    const Attempt attempt { job.state.id(), task, number };
+    const StartOrder order { .attempt = attempt,
+        .payload = job.state.record().spec.payload,
+        .leaseUntil = *lease,
+        .epoch = m_state.ownership.epoch,
+        .checkpoint = job.state.find(task)->checkpoint,
+        .ticket = ticket };
+    const bool first = job.state.status() == JobStatus::Queued;
+    job.state.begin(task, number, worker.entry.id, m_state.now());
+    worker.bookings[attempt] = { .step = job.state.sharedSpec(task.step) };
+    if (first)
+        m_state.store(job.state.id());
+    ++m_counts.starts;
+    m_state.options.log->decision("task-start", { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id }, { "epoch", static_cast<std::int64_t>(m_state.ownership.epoch) } });
+    m_state.options.workers->start(worker.session->life(), order, [self = weak_from_this(), attempt, id = worker.entry.id](const OrderResult& result) {
+        const auto desk = self.lock();
+        if (desk && !desk->m_closed)
+            desk->started(attempt, id, result);
+    });
+    return true;
+}
+
+void OrderDesk::started(const Attempt& attempt, const std::string& worker, const OrderResult& result)
+{
+    WorkerBook* book = m_state.worker(worker);
+    OwnerJob* job = m_state.job(attempt.job);
+    if (book && result.outcome != OrderOutcome::OtherLife)
+        book->session->noteClock(result.workerClock);
+    switch (result.outcome) {
+    case OrderOutcome::Done:
+        if (job && job->state.find(attempt.task) && job->state.find(attempt.task)->live && job->state.find(attempt.task)->live->phase == AttemptPhase::Ordered)
+            job->state.setPhase(attempt, AttemptPhase::Running, m_state.now());
+        return;
+    case OrderOutcome::Unknown:
+        ++m_counts.doubts;
+        m_state.options.log->decision("start-in-doubt", { { "attempt", nameOf(attempt) }, { "worker", worker } });
+        if (job)
+            job->state.setPhase(attempt, AttemptPhase::Doubtful, m_state.now());
+        return;
+    case OrderOutcome::OtherLife:
+        if (book)
+            book->session->noteLifeOver();
+        return;
+    case OrderOutcome::Fenced:
+        m_state.options.ownership->noteSuperseded();
+        return;
+    default:
+        refused(attempt, worker, result.outcome);
+    }
+}
+
+void OrderDesk::refused(const Attempt& attempt, const std::string& worker, OrderOutcome outcome)
+{
+    ++m_counts.refusals;
+    m_state.options.log->decision("start-refused", { { "attempt", nameOf(attempt) }, { "worker", worker }, { "reason", std::string(nameOf(outcome)) } });
+    const MonotonicInstant now = m_state.now();
+    if (WorkerBook* book = m_state.worker(worker)) {
+        const bool full = outcome == OrderOutcome::NoRoom;
+        const bool stale = outcome == OrderOutcome::LeaseOver || outcome == OrderOutcome::Superseded || outcome == OrderOutcome::BadTicket;
+        if (!stale)
+            book->noWorkBefore = now + (full ? pauseAfterNoRoom : pauseAfterFailedOrder);
+    }
+    release(attempt, worker, now);
+    m_state.requestPass();
+}
+
+void OrderDesk::release(const Attempt& attempt, const std::string& worker, MonotonicInstant retryAt)
+{
+    if (WorkerBook* book = m_state.worker(worker))
+        book->bookings.erase(attempt);
+    OwnerJob* job = m_state.job(attempt.job);
+    const TaskState* task = job ? job->state.find(attempt.task) : nullptr;
+    if (task && task->live && task->live->worker == worker)
+        job->state.drop(attempt, retryAt);
+}
+
+void OrderDesk::stop(const Attempt& attempt, const std::string& worker)
+{
+    WorkerBook* book = m_state.worker(worker);
+    if (!book || !m_state.options.ownership->isHeld())
+        return;
+    if (OwnerJob* job = m_state.job(attempt.job))
+        job->state.setPhase(attempt, AttemptPhase::Stopping, m_state.now());
+    m_state.options.log->decision("task-stop", { { "attempt", nameOf(attempt) }, { "worker", worker } });
+    m_state.options.workers->stop(book->session->life(), attempt, m_state.ownership.epoch, [self = weak_from_this(), attempt, worker](const OrderResult& result) {
+        const auto desk = self.lock();
+        if (desk && !desk->m_closed)
+            desk->stopped(attempt, worker, result);
+    });
+}
+
+void OrderDesk::stopped(const Attempt& attempt, const std::string& worker, const OrderResult& result)
+{
+    WorkerBook* book = m_state.worker(worker);
+    if (!book)
+        return;
+    switch (result.outcome) {
+    case OrderOutcome::Done:
+        book->session->noteClock(result.workerClock);
+        if (OwnerJob* job = m_state.job(attempt.job))
+            job->state.noteStopAnswered(attempt, m_state.now());
+        return;
+    case OrderOutcome::OtherLife:
+        book->session->noteLifeOver();
+        return;
+    case OrderOutcome::Fenced:
+        m_state.options.ownership->noteSuperseded();
+        return;
+    default:
+        break;
+    }
+    m_state.options.loop->callAt(m_state.now() + stopRetry, [self = weak_from_this(), attempt, worker] {
+        const auto desk = self.lock();
+        if (!desk || desk->m_closed)
+            return;
+        const WorkerBook* again = desk->m_state.worker(worker);
+        if (again && again->bookings.contains(attempt))
+            desk->stop(attempt, worker);
+    });
+}
+
+void OrderDesk::stopAll(OwnerJob& job)
+{
+    for (const Attempt& attempt : job.state.liveAttempts()) {
+        const LiveAttempt& live = *job.state.find(attempt.task)->live;
+        if (live.phase != AttemptPhase::Stopping)
+            stop(attempt, std::string(live.worker));
+    }
+}
+
+void OrderDesk::throttle(WorkerBook& worker, std::uint32_t percent)
+{
+    for (auto& [attempt, booking] : worker.bookings) {
+        if (!booking.step->bestEffort || booking.throttledTo == percent || !m_state.options.ownership->isHeld())
+            continue;
+        booking.throttledTo = percent;
+        m_state.options.log->decision("task-throttle", { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id }, { "percent", std::int64_t { percent } } });
+        m_state.options.workers->throttle(worker.session->life(), attempt, percent, m_state.ownership.epoch,
+            [self = weak_from_this(), attempt = attempt, id = worker.entry.id](const OrderResult& result) {
+                const auto desk = self.lock();
+                if (!desk || desk->m_closed || result.outcome == OrderOutcome::Done)
+                    return;
+                // Told again with the next report.
+                if (WorkerBook* book = desk->m_state.worker(id); book && book->bookings.contains(attempt))
+                    book->bookings[attempt].throttledTo = 100;
+            });
+    }
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/order_desk.h
@@ -0,0 +1,46 @@
+#pragma once
+/// \file
+/// Sends starts, stops and throttles, and takes in their answers.
+
+#include "owner_state.h"
+
+namespace lanemoor::jobs {
+
+/// \brief Gives orders to workers while the ownership is held.
+///
+/// A start without a usable answer leaves its attempt in doubt: it may run, or may begin later.
+/// The next renewal that was sent afterwards tells; if the attempt is not there a stop settles
+/// it, since a worker starts no attempt that it was told to stop.
+class OrderDesk : public std::enable_shared_from_this<OrderDesk> {
+public:
+    OrderDesk(OwnerState& state, SchedulerCounts& counts);
+
+    /// \brief Books and sends a start. \returns False if no order may be given now.
+    bool start(OwnerJob& job, const TaskId& task, std::uint64_t number, WorkerBook& worker, const std::string& ticket);
+
+    /// \brief Sends a stop; it is repeated until the attempt is over.
+    void stop(const Attempt& attempt, const std::string& worker);
+
+    /// \brief Stops all attempts of a job.
+    void stopAll(OwnerJob& job);
+
+    void throttle(WorkerBook& worker, std::uint32_t percent);
+
+    /// \brief Takes an attempt out of the worker's books and drops it from its job, if it is
+    /// the live one. \param retryAt When the task may start again.
+    void release(const Attempt& attempt, const std::string& worker, MonotonicInstant retryAt);
+
+    /// \brief Hears no answers any more.
+    void close() { m_closed = true; }
+
+private:
+    void started(const Attempt& attempt, const std::string& worker, const OrderResult& result);
+    void refused(const Attempt& attempt, const std::string& worker, OrderOutcome outcome);
+    void stopped(const Attempt& attempt, const std::string& worker, const OrderResult& result);
+
+    OwnerState& m_state;
+    SchedulerCounts& m_counts;
+    bool m_closed = false;
+};
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/owner_state.h
@@ -0,0 +1,53 @@
+#pragma once
+/// \file
+/// What the owner of a shard knows while it owns it. Lives for one term of ownership.
+
+#include "lanemoor/adapters/event_log.h"
+#include "lanemoor/jobs/job_scheduler.h"
+#include "lanemoor/jobs/job_state.h"
+#include "lanemoor/jobs/progress_writer.h"
+#include "lanemoor/jobs/worker_book.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace lanemoor::jobs {
+
+/// A job under way and what placement needs of it.
+struct OwnerJob {
+    JobState state;
+    bool inherited = false; ///< From before this term: its tasks may run where nobody has looked yet.
+    MonotonicInstant objective; ///< When it should have ended.
+};
+
+/// \brief Jobs and workers of one term, and what the parts of the owner share.
+struct OwnerState {
+    const JobSchedulerOptions& options;
+    Ownership ownership;
+    MonotonicInstant inheritedLeaseOverBy; ///< Leases given by earlier owners are over by then.
+    std::map<std::string, OwnerJob> jobs;
+    std::map<std::string, WorkerBook> workers; ///< By id of the life.
+    std::unique_ptr<ProgressWriter> writer;
+    std::function<void()> requestPass; ///< Asks for placement soon.
+
+    [[nodiscard]] MonotonicInstant now() const { return options.loop->now(); }
+    [[nodiscard]] std::shared_ptr<const ServiceConfiguration> configuration() const { return options.configuration(); }
+
+    [[nodiscard]] OwnerJob* job(const std::string& id);
+    [[nodiscard]] WorkerBook* worker(const std::string& id);
+
+    /// \returns The pool that runs the job now.
+    [[nodiscard]] std::string poolOf(const JobState& job) const;
+
+    /// \returns Failures of a task with which the job fails.
+    [[nodiscard]] std::uint32_t mostAttemptsOf(const JobState& job) const;
+
+    /// \brief Marks a job's progress as to be stored.
+    void store(const std::string& id) { writer->markChanged(id); }
+};
+
+/// \returns `id` as it stands in logs, for example `5c0e7a21d94b36f8/0/1/17#2`.
+[[nodiscard]] std::string nameOf(const Attempt& attempt);
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/ownership_keeper.cpp
@@ -0,0 +1,248 @@
+#include "lanemoor/jobs/ownership_keeper.h"
+
+#include "lanemoor/jobs/job_record.h"
+#include "lanemoor/jobs/store_mirror.h"
+
+#include <utility>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+/// Kept free at the end of a lease for what was decided just before to leave this process.
+constexpr Millis leaseMargin { 100 };
+
+} // namespace
+
+class OwnershipKeeper::Impl : public std::enable_shared_from_this<OwnershipKeeper::Impl> {
+public:
+    Impl(EventLoop& loop, KeyValueStore& store, const StoreMirror& mirror, OwnershipOptions options, OwnershipObserver observer)
+        : m_loop(loop)
+        , m_store(store)
+        , m_mirror(mirror)
+        , m_options(std::move(options))
+        , m_observer(std::move(observer))
+        , m_ownerKey(std::string(ownerKeyPrefix) + m_options.shard)
+        , m_termKey(std::string(termKeyPrefix) + m_options.shard)
+    {
+    }
+
+    void compete()
+    {
+        if (m_released || m_claiming || m_held)
+            return;
+        if (!m_mirror.isLoaded() || m_mirror.revisionOf(m_ownerKey) != 0) {
+            later(&Impl::compete);
+            return;
+        }
+        m_claiming = true;
+        const MonotonicInstant sentAt = m_loop.now();
+        m_store.grantLease(m_options.leaseTime, [self = shared_from_this(), sentAt](const LeaseResult& result) {
+            if (result.outcome != StoreOutcome::Done) {
+                self->m_claiming = false;
+                self->later(&Impl::compete);
+                return;
+            }
+            self->m_lease = result.lease;
+            self->m_validUntil = sentAt + result.timeToLive - leaseMargin;
+            self->claim();
+        });
+    }
+
+    void observe(const StoreItem& item)
+    {
+        if (item.key == m_termKey && !item.removed) {
+            if (const std::optional<OwnerRecord> record = decodeOwner(item.value))
+                m_lastTerm = record->term;
+        }
+        if (item.key != m_ownerKey)
+            return;
+        if (m_held && (item.removed || item.revision > m_ownership.epoch))
+            lose();
+        if (item.removed)
+            compete();
+    }
+
+    void release(const std::function<void()>& done)
+    {
+        m_released = true;
+        if (!m_held) {
+            done();
+            return;
+        }
+        m_held = false;
+        m_store.endLease(m_lease, [self = shared_from_this(), done](const LeaseResult&) { done(); });
+    }
+
+    void lose()
+    {
+        if (!m_held)
+            return;
+        m_held = false;
+        m_observer.lost();
+        // What is left of the lease is given back, so that the next owner need not wait for it.
+        m_store.endLease(m_lease, [](const LeaseResult&) {});
+        later(&Impl::compete);
+    }
+
+    [[nodiscard]] bool isHeld() const { return m_held && m_loop.now() < m_validUntil; }
+    [[nodiscard]] const Ownership& ownership() const { return m_ownership; }
+    [[nodiscard]] KeyRevision condition() const { return { m_ownerKey, m_ownership.epoch }; }
+    [[nodiscard]] bool isOwned() const { return m_held || m_mirror.revisionOf(m_ownerKey) != 0; }
+
+private:
+    void later(void (Impl::*step)())
+    {
+        m_loop.callAt(m_loop.now() + m_options.retryPause, [self = weak_from_this(), step] {
+            if (const auto impl = self.lock())
+                (impl.get()->*step)();
+        });
+    }
+
+    void claim()
+    {
+        m_claimedTerm = m_lastTerm + 1;
+        const std::string value = encode(OwnerRecord { m_options.holder, m_claimedTerm });
+        const Transaction transaction { .expected = { { m_ownerKey, 0 }, { m_termKey, m_mirror.revisionOf(m_termKey) } },
+            .writes = { { m_ownerKey, value, m_lease }, { m_termKey, value, 0 } },
+            .removals = {} };
+        m_store.commit(transaction, [self = shared_from_this()](const CommitResult& result) { self->claimed(result); });
+    }
+
+    void claimed(const CommitResult& result)
+    {
+        if (result.outcome == StoreOutcome::Done) {
+            gain(result.revision);
+            return;
+        }
+        if (result.outcome != StoreOutcome::Unknown) {
+            abandonClaim();
+            return;
+        }
+        m_store.read(m_ownerKey, [self = shared_from_this()](const ReadResult& read) {
+            const std::optional<OwnerRecord> owner = decodeOwner(read.item.value);
+            const bool ours = read.outcome == StoreOutcome::Done && owner == OwnerRecord { self->m_options.holder, self->m_claimedTerm };
+            if (ours)
+                self->gain(read.item.revision);
+            else
+                self->abandonClaim();
+        });
+    }
+
+    /// A claim whose answer was lost may be carried out later: without its lease it can't be.
+    void abandonClaim()
+    {
+        m_claiming = false;
+        m_store.endLease(m_lease, [](const LeaseResult&) {});
+        later(&Impl::compete);
+    }
+
+    void gain(std::uint64_t epoch)
+    {
+        m_claiming = false;
+        if (m_released || m_loop.now() >= m_validUntil) {
+            m_store.endLease(m_lease, [](const LeaseResult&) {});
+            later(&Impl::compete);
+            return;
+        }
+        m_held = true;
+        m_ownership = { epoch, m_claimedTerm };
+        m_observer.gained(m_ownership);
+        renewLater();
+    }
+
+    void renewLater()
+    {
+        m_loop.callAt(m_loop.now() + m_options.renewEvery, [self = weak_from_this(), epoch = m_ownership.epoch] {
+            const auto impl = self.lock();
+            if (impl && impl->m_held && impl->m_ownership.epoch == epoch)
+                impl->renew();
+        });
+    }
+
+    void renew()
+    {
+        if (m_loop.now() >= m_validUntil) {
+            lose();
+            return;
+        }
+        const MonotonicInstant sentAt = m_loop.now();
+        const std::uint64_t epoch = m_ownership.epoch;
+        m_store.renewLease(m_lease, [self = shared_from_this(), sentAt, epoch](const LeaseResult& result) {
+            if (!self->m_held || self->m_ownership.epoch != epoch)
+                return;
+            if (result.outcome == StoreOutcome::NotFound) {
+                self->lose();
+                return;
+            }
+            if (result.outcome == StoreOutcome::Done)
+                self->m_validUntil = std::max(self->m_validUntil, sentAt + result.timeToLive - leaseMargin);
+        });
+        renewLater();
+    }
+
+    EventLoop& m_loop;
+    KeyValueStore& m_store;
+    const StoreMirror& m_mirror;
+    OwnershipOptions m_options;
+    OwnershipObserver m_observer;
+    std::string m_ownerKey;
+    std::string m_termKey;
+    bool m_claiming = false;
+    bool m_held = false;
+    bool m_released = false;
+    std::uint64_t m_lease = 0;
+    std::uint64_t m_lastTerm = 0;
+    std::uint64_t m_claimedTerm = 0;
+    Ownership m_ownership;
+    MonotonicInstant m_validUntil;
+};
+
+OwnershipKeeper::OwnershipKeeper(EventLoop& loop, KeyValueStore& store, const StoreMirror& mirror, OwnershipOptions options, OwnershipObserver observer)
+    : m_impl(std::make_shared<Impl>(loop, store, mirror, std::move(options), std::move(observer)))
+{
+}
+
+OwnershipKeeper::~OwnershipKeeper() = default;
+
+void OwnershipKeeper::start()
+{
+    m_impl->compete();
+}
+
+void OwnershipKeeper::observe(const StoreItem& item)
+{
+    m_impl->observe(item);
+}
+
+void OwnershipKeeper::release(std::function<void()> done)
+{
+    m_impl->release(done);
+}
+
+void OwnershipKeeper::noteSuperseded()
+{
+    m_impl->lose();
+}
+
+bool OwnershipKeeper::isHeld() const noexcept
+{
+    return m_impl->isHeld();
+}
+
+const Ownership& OwnershipKeeper::ownership() const noexcept
+{
+    return m_impl->ownership();
+}
+
+KeyRevision OwnershipKeeper::condition() const
+{
+    return m_impl->condition();
+}
+
+bool OwnershipKeeper::isOwned() const noexcept
+{
+    return m_impl->isOwned();
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/placement.cpp
@@ -0,0 +1,92 @@
+#include "lanemoor/jobs/placement.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+bool hasLabel(const WorkerEntry& worker, const std::string& label)
+{
+    return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+}
+
+bool fits(const PlacementSite& site, const StepSpec& step)
+{
+    return site.open && !site.worker->draining && site.free.covers(footprint(step))
+        && (step.requiredLabel.empty() || hasLabel(*site.worker, step.requiredLabel));
+}
+
+/// \returns Whether serving and best-effort tasks would share the site.
+bool wouldMix(const PlacementSite& site, const StepSpec& step)
+{
+    return (step.bestEffort && site.servingTasks > 0) || (step.latencyTarget.count() > 0 && site.bestEffortTasks > 0);
+}
+
+/// Smaller is better; the fields in the order in which they decide.
+using Rank = std::tuple<bool, bool, bool, bool, std::int64_t>;
+
+Rank rankOf(const PlacementSite& site, const StepSpec& step, const PlacementQuery& query)
+{
+    const bool far = !step.preferredRack.empty() && !hasLabel(*site.worker, step.preferredRack);
+    const bool avoided = site.worker->id == query.avoidWorker;
+    // Best-effort tasks take no processor time of their own: fewest of them on a site first.
+    const std::int64_t fullness = step.bestEffort ? std::int64_t { site.bestEffortTasks } : site.free.milliCpu;
+    return { avoided, !site.preferred, far, wouldMix(site, step), fullness };
+}
+
+} // namespace
+
+Resources footprint(const StepSpec& step) noexcept
+{
+    Resources needs = step.needs;
+    if (step.bestEffort)
+        needs.milliCpu = 0;
+    return needs;
+}
+
+Placer::Placer(std::vector<PlacementSite> sites)
+    : m_sites(std::move(sites))
+{
+}
+
+std::optional<std::size_t> Placer::choose(const StepSpec& step, const PlacementQuery& query) const
+{
+    std::optional<std::size_t> best;
+    Rank bestRank;
+    for (std::size_t i = 0; i < m_sites.size(); ++i) {
+        const PlacementSite& site = m_sites[i];
+        if (!fits(site, step) || (!query.rack.empty() && site.worker->rack != query.rack))
+            continue;
+        if (query.admits && !query.admits(i))
+            continue;
+        if (step.mostPerInstance > 0 && query.tasksOfStep && query.tasksOfStep(i) >= step.mostPerInstance)
+            continue;
+        const Rank rank = rankOf(site, step, query);
+        if (!best || rank < bestRank) {
+            best = i;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+void Placer::book(std::size_t index, const StepSpec& step)
+{
+    PlacementSite& site = m_sites[index];
+    site.free -= footprint(step);
+    site.servingTasks += step.latencyTarget.count() > 0 ? 1 : 0;
+    site.bestEffortTasks += step.bestEffort ? 1 : 0;
+}
+
+void Placer::release(std::size_t index, const StepSpec& step)
+{
+    PlacementSite& site = m_sites[index];
+    site.free += footprint(step);
+    site.servingTasks -= step.latencyTarget.count() > 0 ? 1 : 0;
+    site.bestEffortTasks -= step.bestEffort ? 1 : 0;
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/placement_pass.cpp
@@ -0,0 +1,196 @@
+#include "placement_pass.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace lanemoor::jobs {
+
+PlacementPass::PlacementPass(OwnerState& state, OrderDesk& orders, AdviceDesk& advice, std::function<bool()> isSettled)
+    : m_state(state)
+    , m_orders(orders)
+    , m_advice(advice)
+    , m_isSettled(std::move(isSettled))
+{
+}
+
+std::optional<MonotonicInstant> PlacementPass::run()
+{
+    m_candidates.clear();
+    m_sites.clear();
+    m_waiting.clear();
+    m_wake.reset();
+    const std::shared_ptr<const ServiceConfiguration> configuration = m_state.configuration();
+    const bool settled = m_isSettled();
+    for (auto& [id, job] : m_state.jobs) {
+        if (isFinal(job.state.status()) || (job.inherited && !settled))
+            continue;
+        openDue(job);
+        collect(job, *configuration);
+    }
+    for (auto& [pool, candidates] : m_candidates) {
+        std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return std::tie(a.priority, a.objective) < std::tie(b.priority, b.objective); });
+        for (const Candidate& candidate : candidates)
+            place(candidate, pool);
+    }
+    return m_wake;
+}
+
+void PlacementPass::wakeAt(MonotonicInstant when)
+{
+    if (!m_wake || when < *m_wake)
+        m_wake = when;
+}
+
+void PlacementPass::openDue(OwnerJob& job)
+{
+    const Instant timeOfDay = m_state.options.loop->timeOfDay();
+    job.state.openOccurrences(timeOfDay);
+    if (const std::optional<Instant> due = job.state.nextDue())
+        wakeAt(m_state.now() + std::max(Millis(1), *due - timeOfDay));
+}
+
+void PlacementPass::collect(OwnerJob& job, const ServiceConfiguration& configuration)
+{
+    const QueueSettings* queue = configuration.queue(job.state.record().queue);
+    const MonotonicInstant now = m_state.now();
+    for (const auto& [id, step] : job.state.steps()) {
+        if (step.idle() == 0)
+            continue;
+        std::vector<TaskId> tasks = job.state.startable(id, now);
+        if (tasks.size() < step.idle() && job.state.isUnblocked(id)) {
+            for (const TaskState& task : step.tasks) {
+                if (!task.succeeded && !task.live && task.notBefore > now)
+                    wakeAt(task.notBefore);
+            }
+        }
+        if (tasks.empty())
+            continue;
+        m_candidates[m_state.poolOf(job.state)].push_back(
+            { .priority = queue ? queue->priority : 0, .objective = job.objective, .job = &job, .step = id, .queue = queue, .tasks = std::move(tasks) });
+    }
+}
+
+PlacementPass::PoolSites& PlacementPass::sitesOf(const std::string& pool)
+{
+    PoolSites& sites = m_sites[pool];
+    if (sites.placer)
+        return sites;
+    std::vector<PlacementSite> list;
+    for (auto& [id, book] : m_state.workers) {
+        if (book.entry.pool != pool)
+            continue;
+        sites.books.push_back(&book);
+        list.push_back(book.site(m_state.now()));
+    }
+    sites.placer.emplace(std::move(list));
+    return sites;
+}
+
+void PlacementPass::place(const Candidate& candidate, const std::string& pool)
+{
+    PoolSites& sites = sitesOf(pool);
+    m_tickets = nullptr;
+    static const std::map<std::string, std::string> none;
+    if (candidate.queue && candidate.queue->advice) {
+        std::vector<std::string> workers;
+        for (const WorkerBook* book : sites.books) {
+            if (book->isOpen(m_state.now()))
+                workers.push_back(book->entry.id);
+        }
+        m_tickets = m_advice.ticketsFor(candidate.job->state.id(), candidate.step, workers);
+        if (!m_tickets)
+            return;
+    }
+    if (candidate.job->state.spec(candidate.step.step).gang)
+        placeGang(candidate, sites, pool);
+    else
+        placeEach(candidate, sites, pool);
+}
+
+PlacementQuery PlacementPass::queryFor(const Candidate& candidate, const PoolSites& sites) const
+{
+    PlacementQuery query;
+    query.tasksOfStep = [&sites, &candidate](std::size_t index) { return sites.books[index]->tasksOf(candidate.job->state.id(), candidate.step); };
+    if (m_tickets)
+        query.admits = [this, &sites](std::size_t index) { return m_tickets->contains(sites.books[index]->entry.id); };
+    return query;
+}
+
+std::string PlacementPass::ticketFor(const WorkerBook& book) const
+{
+    if (!m_tickets)
+        return {};
+    const auto ticket = m_tickets->find(book.entry.id);
+    return ticket == m_tickets->end() ? std::string() : ticket->second;
+}
+
+void PlacementPass::placeEach(const Candidate& candidate, PoolSites& sites, const std::string& pool)
+{
+    const StepSpec& step = candidate.job->state.spec(candidate.step.step);
+    PlacementQuery query = queryFor(candidate, sites);
+    for (std::size_t i = 0; i < candidate.tasks.size(); ++i) {
+        const TaskId& task = candidate.tasks[i];
+        query.avoidWorker = candidate.job->state.find(task)->avoidWorker;
+        const std::optional<std::size_t> site = sites.placer->choose(step, query);
+        if (!site) {
+            m_waiting[pool] += footprint(step).milliCpu * static_cast<std::int64_t>(candidate.tasks.size() - i);
+            return;
+        }
+        WorkerBook& book = *sites.books[*site];
+        if (m_orders.start(*candidate.job, task, candidate.job->state.nextAttempt(task), book, ticketFor(book)))
+            sites.placer->book(*site, step);
+    }
+}
+
+void PlacementPass::placeGang(const Candidate& candidate, PoolSites& sites, const std::string& pool)
+{
+    const StepSpec& step = candidate.job->state.spec(candidate.step.step);
+    // All or nothing: while one member is not over, or not yet allowed, none starts.
+    if (candidate.tasks.size() < step.count)
+        return;
+    if (step.sameRack) {
+        std::vector<std::string> racks;
+        for (const WorkerBook* book : sites.books)
+            racks.push_back(book->entry.rack);
+        std::sort(racks.begin(), racks.end());
+        racks.erase(std::unique(racks.begin(), racks.end()), racks.end());
+        for (const std::string& rack : racks) {
+            if (placeGangIn(candidate, sites, rack))
+                return;
+        }
+    }
+    if (!placeGangIn(candidate, sites, {}))
+        m_waiting[pool] += footprint(step).milliCpu * step.count;
+}
+
+bool PlacementPass::placeGangIn(const Candidate& candidate, PoolSites& sites, const std::string& rack)
+{
+    JobState& job = candidate.job->state;
+    const StepSpec& step = job.spec(candidate.step.step);
+    PlacementQuery query = queryFor(candidate, sites);
+    query.rack = rack;
+    std::vector<std::size_t> chosen;
+    std::map<std::size_t, std::uint32_t> members;
+    query.tasksOfStep = [&](std::size_t index) { return members[index]; };
+    for (std::size_t i = 0; i < candidate.tasks.size(); ++i) {
+        const std::optional<std::size_t> site = sites.placer->choose(step, query);
+        if (!site)
+            break;
+        sites.placer->book(*site, step);
+        ++members[*site];
+        chosen.push_back(*site);
+    }
+    if (chosen.size() < candidate.tasks.size() || !m_state.options.ownership->isHeld()) {
+        for (const std::size_t site : chosen)
+            sites.placer->release(site, step);
+        return false;
+    }
+    const std::uint64_t number = job.nextAttempt(candidate.tasks.front());
+    for (std::size_t i = 0; i < chosen.size(); ++i) {
+        WorkerBook& book = *sites.books[chosen[i]];
+        m_orders.start(*candidate.job, candidate.tasks[i], number, book, ticketFor(book));
+    }
+    return true;
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/placement_pass.h
@@ -0,0 +1,62 @@
+#pragma once
+/// \file
+/// One pass over all tasks that could start.
+
+#include "advice_desk.h"
+#include "order_desk.h"
+
+#include <functional>
+
+namespace lanemoor::jobs {
+
+/// \brief Starts what may start and finds room, pool by pool, the most urgent first.
+class PlacementPass {
+public:
+    /// \param isSettled Whether tasks of inherited jobs may start in a pool: every worker that
+    /// might run them has been met, or its lease is over.
+    PlacementPass(OwnerState& state, OrderDesk& orders, AdviceDesk& advice, std::function<bool()> isSettled);
+
+    /// \returns When the next task or occurrence becomes startable by time alone, if any does.
+    std::optional<MonotonicInstant> run();
+
+    /// \returns What found no room in the last run, by pool, in thousandths of a core.
+    [[nodiscard]] const std::map<std::string, std::int64_t>& waiting() const noexcept { return m_waiting; }
+
+private:
+    struct Candidate {
+        std::uint32_t priority = 0;
+        MonotonicInstant objective;
+        OwnerJob* job = nullptr;
+        StepId step;
+        const QueueSettings* queue = nullptr;
+        std::vector<TaskId> tasks;
+    };
+
+    struct PoolSites {
+        std::vector<WorkerBook*> books;
+        std::optional<Placer> placer;
+    };
+
+    void openDue(OwnerJob& job);
+    void collect(OwnerJob& job, const ServiceConfiguration& configuration);
+    PoolSites& sitesOf(const std::string& pool);
+    void place(const Candidate& candidate, const std::string& pool);
+    void placeEach(const Candidate& candidate, PoolSites& sites, const std::string& pool);
+    void placeGang(const Candidate& candidate, PoolSites& sites, const std::string& pool);
+    bool placeGangIn(const Candidate& candidate, PoolSites& sites, const std::string& rack);
+    [[nodiscard]] PlacementQuery queryFor(const Candidate& candidate, const PoolSites& sites) const;
+    [[nodiscard]] std::string ticketFor(const WorkerBook& book) const;
+    void wakeAt(MonotonicInstant when);
+
+    OwnerState& m_state;
+    OrderDesk& m_orders;
+    AdviceDesk& m_advice;
+    std::function<bool()> m_isSettled;
+    std::map<std::string, std::vector<Candidate>> m_candidates; ///< By pool.
+    std::map<std::string, PoolSites> m_sites;
+    std::map<std::string, std::int64_t> m_waiting;
+    std::optional<MonotonicInstant> m_wake;
+    const std::map<std::string, std::string>* m_tickets = nullptr; ///< Of the step being placed; null: none needed.
+};
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/progress_writer.cpp
@@ -0,0 +1,224 @@
+#include "lanemoor/jobs/progress_writer.h"
+
+#include "lanemoor/jobs/store_mirror.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <utility>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+/// Jobs in one transaction: each takes a condition and a write, the ownership one condition.
+constexpr std::size_t mostJobsOfWrite = (mostTransactionEntries - 1) / 2;
+/// After a call that failed; the store's rates are shared by all entry instances.
+constexpr Millis retryPause { 50 };
+
+} // namespace
+
+class ProgressWriter::Impl : public std::enable_shared_from_this<ProgressWriter::Impl> {
+public:
+    Impl(EventLoop& loop, KeyValueStore& store, StoreMirror& mirror, KeyRevision condition, ProgressSource source)
+        : m_loop(loop)
+        , m_store(store)
+        , m_mirror(mirror)
+        , m_condition(std::move(condition))
+        , m_source(std::move(source))
+    {
+    }
+
+    void stop() { m_stopped = true; }
+
+    void markChanged(const std::string& id)
+    {
+        // A job that is on its way is written again, since it changed after that was read.
+        if (!m_marked.emplace(id, ++m_sequence).second)
+            return;
+        m_order.push_back(id);
+        sendSoon();
+    }
+
+    void whenStored(std::function<void()> stored)
+    {
+        if (m_marked.empty() && !m_writing) {
+            stored();
+            return;
+        }
+        m_waiting.push_back({ m_sequence, std::move(stored) });
+    }
+
+    [[nodiscard]] std::size_t unstored() const { return m_marked.size() + m_sent.size(); }
+
+private:
+    struct Waiter {
+        std::uint64_t sequence = 0; ///< All marks up to this must be stored.
+        std::function<void()> stored;
+    };
+
+    struct Sent {
+        std::string id;
+        std::string value;
+        std::uint64_t sequence = 0;
+    };
+
+    void sendSoon()
+    {
+        if (m_scheduled || m_writing || m_stopped)
+            return;
+        m_scheduled = true;
+        m_loop.callAt(m_loop.now(), [self = weak_from_this()] {
+            const auto impl = self.lock();
+            if (!impl || impl->m_stopped)
+                return;
+            impl->m_scheduled = false;
+            impl->send();
+        });
+    }
+
+    void sendLater()
+    {
+        m_scheduled = true;
+        m_loop.callAt(m_loop.now() + retryPause, [self = weak_from_this()] {
+            const auto impl = self.lock();
+            if (!impl || impl->m_stopped)
+                return;
+            impl->m_scheduled = false;
+            impl->send();
+        });
+    }
+
+    void send()
+    {
+        if (m_writing || m_order.empty())
+            return;
+        if (!m_source.mayWrite()) {
+            sendLater();
+            return;
+        }
+        Transaction transaction;
+        transaction.expected.push_back(m_condition);
+        while (!m_order.empty() && m_sent.size() < mostJobsOfWrite) {
+            const std::string id = std::move(m_order.front());
+            m_order.pop_front();
+            const auto mark = m_marked.find(id);
+            const std::uint64_t sequence = mark->second;
+            m_marked.erase(mark);
+            const std::optional<ProgressRecord> progress = m_source.read(id);
+            if (!progress)
+                continue;
+            Sent sent { id, encode(*progress), sequence };
+            transaction.expected.push_back({ progressKey(id), m_mirror.revisionOf(progressKey(id)) });
+            transaction.writes.push_back({ progressKey(id), sent.value, 0 });
+            m_sent.push_back(std::move(sent));
+        }
+        if (m_sent.empty()) {
+            settle();
+            return;
+        }
+        m_writing = true;
+        m_store.commit(transaction, [self = weak_from_this()](const CommitResult& result) {
+            if (const auto impl = self.lock(); impl && !impl->m_stopped)
+                impl->written(result);
+        });
+    }
+
+    void written(const CommitResult& result)
+    {
+        m_writing = false;
+        if (result.outcome == StoreOutcome::Done) {
+            for (const Sent& sent : m_sent)
+                m_mirror.noteWritten({ .key = progressKey(sent.id), .value = sent.value, .revision = result.revision });
+            m_sent.clear();
+            settle();
+            sendSoon();
+            return;
+        }
+        if (result.outcome == StoreOutcome::Conflict && !learn(result.current))
+            return;
+        // The same jobs go again, under the newest revisions; what was sent may also have
+        // been carried out, which the next conflict will show.
+        for (auto sent = m_sent.rbegin(); sent != m_sent.rend(); ++sent) {
+            const auto [mark, inserted] = m_marked.emplace(sent->id, sent->sequence);
+            mark->second = std::min(mark->second, sent->sequence);
+            if (inserted)
+                m_order.push_front(sent->id);
+        }
+        m_sent.clear();
+        if (result.outcome == StoreOutcome::Conflict)
+            sendSoon();
+        else
+            sendLater();
+    }
+
+    /// \returns Whether the ownership still stands.
+    bool learn(const std::vector<StoreItem>& current)
+    {
+        const auto owner = std::find_if(current.begin(), current.end(), [&](const StoreItem& item) { return item.key == m_condition.key; });
+        if (owner == current.end() || owner->revision != m_condition.revision) {
+            m_source.superseded();
+            return false;
+        }
+        for (const StoreItem& item : current) {
+            if (item.key != m_condition.key && item.revision > 0)
+                m_mirror.noteWritten(item);
+        }
+        return true;
+    }
+
+    /// Answers those whose marks are all stored.
+    void settle()
+    {
+        std::uint64_t oldest = m_sequence + 1;
+        for (const auto& [id, sequence] : m_marked)
+            oldest = std::min(oldest, sequence);
+        std::vector<Waiter> ready;
+        const auto isReady = [&](const Waiter& waiter) { return waiter.sequence < oldest; };
+        std::copy_if(m_waiting.begin(), m_waiting.end(), std::back_inserter(ready), isReady);
+        std::erase_if(m_waiting, isReady);
+        for (const Waiter& waiter : ready)
+            waiter.stored();
+    }
+
+    EventLoop& m_loop;
+    KeyValueStore& m_store;
+    StoreMirror& m_mirror;
+    KeyRevision m_condition;
+    ProgressSource m_source;
+    std::map<std::string, std::uint64_t> m_marked; ///< Changed jobs with the sequence of their first mark.
+    std::deque<std::string> m_order; ///< The same jobs, oldest first.
+    std::vector<Sent> m_sent; ///< On their way.
+    std::vector<Waiter> m_waiting;
+    std::uint64_t m_sequence = 0;
+    bool m_scheduled = false;
+    bool m_writing = false;
+    bool m_stopped = false;
+};
+
+ProgressWriter::ProgressWriter(EventLoop& loop, KeyValueStore& store, StoreMirror& mirror, KeyRevision condition, ProgressSource source)
+    : m_impl(std::make_shared<Impl>(loop, store, mirror, std::move(condition), std::move(source)))
+{
+}
+
+ProgressWriter::~ProgressWriter()
+{
+    m_impl->stop();
+}
+
+void ProgressWriter::markChanged(const std::string& id)
+{
+    m_impl->markChanged(id);
+}
+
+void ProgressWriter::whenStored(std::function<void()> stored)
+{
+    m_impl->whenStored(std::move(stored));
+}
+
+std::size_t ProgressWriter::unstored() const noexcept
+{
+    return m_impl->unstored();
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/report_reader.cpp
@@ -0,0 +1,234 @@
+#include "report_reader.h"
+
+#include <algorithm>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+/// A batch attempt whose percent does not change for this long stands still: the longest tasks
+/// seen take some 10 s, of which a percent is 0.1 s, and reports come every second.
+constexpr Millis stuckAfter { 3'000 };
+
+constexpr Millis strayStopPause { 500 }; // Between stops of an attempt that nobody wants.
+
+bool judgesWorker(const EndedAttempt& ended)
+{
+    return ended.end == AttemptEnd::Succeeded || ended.end == AttemptEnd::Failed;
+}
+
+} // namespace
+
+ReportReader::ReportReader(OwnerState& state, OrderDesk& desk, SchedulerCounts& counts)
+    : m_state(state)
+    , m_desk(desk)
+    , m_counts(counts)
+{
+}
+
+void ReportReader::onAnswer(WorkerSession& session, const RenewResult& result, MonotonicInstant sentAt)
+{
+    WorkerBook* worker = m_state.worker(session.life().id);
+    if (!worker)
+        return;
+    std::uint64_t lastEnd = 0;
+    for (const EndedAttempt& ended : result.ended) {
+        readEnded(*worker, ended);
+        lastEnd = std::max(lastEnd, ended.sequence);
+    }
+    for (const RunningAttempt& running : result.running)
+        readRunning(*worker, running);
+    settleMissing(*worker, result, sentAt);
+    findStuck(*worker);
+    adjustThrottle(*worker, result);
+    m_state.requestPass();
+    if (lastEnd == 0) {
+        session.acknowledge(0);
+        return;
+    }
+    m_state.writer->whenStored([weak = session.weak_from_this(), lastEnd] {
+        if (const auto stored = weak.lock())
+            stored->acknowledge(lastEnd);
+    });
+}
+
+void ReportReader::readEnded(WorkerBook& worker, const EndedAttempt& ended)
+{
+    worker.bookings.erase(ended.attempt);
+    OwnerJob* job = m_state.job(ended.attempt.job);
+    if (!job)
+        return;
+    const EndEffect effect = job->state.end(ended, worker.entry.id, m_state.mostAttemptsOf(job->state), m_state.now());
+    m_state.options.log->decision("task-end",
+        { { "attempt", nameOf(ended.attempt) }, { "worker", worker.entry.id }, { "end", std::string(nameOf(ended.end)) }, { "counted", std::int64_t { effect.counted } } });
+    m_counts.successes += effect.counted && ended.end == AttemptEnd::Succeeded ? 1 : 0;
+    m_counts.failures += effect.counted && ended.end == AttemptEnd::Failed ? 1 : 0;
+    m_counts.lapses += effect.counted && ended.end == AttemptEnd::LeaseLapsed ? 1 : 0;
+    if (effect.counted && judgesWorker(ended))
+        noteHealth(worker, ended);
+    if (effect.toBeStored)
+        m_state.store(ended.attempt.job);
+    if (effect.finished)
+        noteFinished(*job);
+}
+
+void ReportReader::noteHealth(WorkerBook& worker, const EndedAttempt& ended)
+{
+    const bool wasQuarantined = worker.health.isQuarantined(m_state.now());
+    if (ended.end == AttemptEnd::Succeeded)
+        worker.health.noteSuccess(m_state.now());
+    else
+        worker.health.noteFailure(ended.attempt.job, m_state.now());
+    if (!wasQuarantined && worker.health.isQuarantined(m_state.now()))
+        m_state.options.log->change("worker-quarantined", { { "worker", worker.entry.id }, { "pool", worker.entry.pool } });
+}
+
+void ReportReader::noteFinished(OwnerJob& job)
+{
+    const JobStatus status = job.state.status();
+    m_counts.jobsSucceeded += status == JobStatus::Succeeded ? 1 : 0;
+    m_counts.jobsFailed += status == JobStatus::Failed ? 1 : 0;
+    m_state.options.log->decision("job-finished", { { "job", job.state.id() }, { "status", std::string(nameOf(status)) } });
+    m_desk.stopAll(job);
+}
+
+void ReportReader::readRunning(WorkerBook& worker, const RunningAttempt& report)
+{
+    OwnerJob* job = m_state.job(report.attempt.job);
+    const TaskState* task = job ? job->state.find(report.attempt.task) : nullptr;
+    const bool isLive = task && task->live && task->live->number == report.attempt.number && task->live->worker == worker.entry.id;
+    if (isLive) {
+        const AttemptPhase phase = task->live->phase;
+        if (phase == AttemptPhase::Ordered || phase == AttemptPhase::Doubtful)
+            job->state.setPhase(report.attempt, AttemptPhase::Running, m_state.now());
+        job->state.noteReport(report, m_state.now());
+        return;
+    }
+    if (task && job->state.adopt(report.attempt, worker.entry.id, m_state.now())) {
+        worker.bookings[report.attempt] = { .step = job->state.sharedSpec(report.attempt.task.step) };
+        job->state.noteReport(report, m_state.now());
+        m_state.options.log->decision("task-adopted", { { "attempt", nameOf(report.attempt) }, { "worker", worker.entry.id } });
+        return;
+    }
+    stopStray(worker, report.attempt, job);
+}
+
+/// Nobody wants the attempt: its job is over, or its task runs elsewhere.
+void ReportReader::stopStray(WorkerBook& worker, const Attempt& attempt, const OwnerJob* job)
+{
+    if (job && !worker.bookings.contains(attempt) && attempt.task.step < job->state.record().spec.steps.size())
+        worker.bookings[attempt] = { .step = job->state.sharedSpec(attempt.task.step) };
+    MonotonicInstant& stopAgainAt = worker.strayStops[attempt];
+    if (m_state.now() < stopAgainAt)
+        return;
+    stopAgainAt = m_state.now() + strayStopPause;
+    m_desk.stop(attempt, worker.entry.id);
+}
+
+void ReportReader::settleMissing(WorkerBook& worker, const RenewResult& result, MonotonicInstant sentAt)
+{
+    std::vector<Attempt> missing;
+    for (const auto& [attempt, booking] : worker.bookings) {
+        const auto isThis = [&](const RunningAttempt& running) { return running.attempt == attempt; };
+        if (std::none_of(result.running.begin(), result.running.end(), isThis))
+            missing.push_back(attempt);
+    }
+    for (const Attempt& attempt : missing)
+        settleMissing(worker, attempt, sentAt);
+}
+
+void ReportReader::settleMissing(WorkerBook& worker, const Attempt& attempt, MonotonicInstant sentAt)
+{
+    const OwnerJob* job = m_state.job(attempt.job);
+    const TaskState* task = job ? job->state.find(attempt.task) : nullptr;
+    const bool isLive = task && task->live && task->live->number == attempt.number && task->live->worker == worker.entry.id;
+    if (!isLive) {
+        worker.bookings.erase(attempt);
+        return;
+    }
+    const LiveAttempt& live = *task->live;
+    switch (live.phase) {
+    case AttemptPhase::Ordered:
+        return;
+    case AttemptPhase::Doubtful:
+        if (live.phaseSince <= sentAt)
+            m_desk.stop(attempt, worker.entry.id);
+        return;
+    case AttemptPhase::Running:
+    case AttemptPhase::Stopping:
+        break;
+    }
+    const bool settled = live.phase == AttemptPhase::Running ? live.phaseSince <= sentAt : live.stopAnsweredAt && *live.stopAnsweredAt <= sentAt;
+    if (!settled)
+        return;
+    m_state.options.log->decision("task-vanished", { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id } });
+    m_desk.release(attempt, worker.entry.id, m_state.now());
+}
+
+void ReportReader::findStuck(WorkerBook& worker)
+{
+    const MonotonicInstant now = m_state.now();
+    std::vector<Attempt> stuck;
+    for (const auto& [attempt, booking] : worker.bookings) {
+        const OwnerJob* job = m_state.job(attempt.job);
+        const TaskState* task = job ? job->state.find(attempt.task) : nullptr;
+        if (!task || !task->live || task->live->phase != AttemptPhase::Running || booking.step->bestEffort || booking.step->gang)
+            continue;
+        const bool atWork = booking.step->longRunning && task->live->percent >= 100;
+        if (!atWork && now - std::max(task->live->percentSince, task->live->phaseSince) > stuckAfter)
+            stuck.push_back(attempt);
+    }
+    for (const Attempt& attempt : stuck) {
+        m_state.options.log->decision("task-stuck", { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id } });
+        worker.health.noteFailure(attempt.job, now);
+        m_desk.stop(attempt, worker.entry.id);
+    }
+}
+
+void ReportReader::adjustThrottle(WorkerBook& worker, const RenewResult& result)
+{
+    double worst = 0;
+    bool mixed = false;
+    for (const RunningAttempt& running : result.running) {
+        const auto booked = worker.bookings.find(running.attempt);
+        if (booked == worker.bookings.end())
+            continue;
+        const Millis target = booked->second.step->latencyTarget;
+        if (target.count() > 0)
+            worst = std::max(worst, static_cast<double>(running.load) / static_cast<double>(target.count()));
+        mixed = mixed || booked->second.step->bestEffort;
+    }
+    if (mixed)
+        m_desk.throttle(worker, worker.throttle.update(worst, m_state.now()));
+}
+
+void ReportReader::onSilence(WorkerSession& session)
+{
+    const WorkerBook* worker = m_state.worker(session.life().id);
+    if (worker)
+        m_state.options.log->decision("worker-silent", { { "worker", session.life().id }, { "attempts", static_cast<std::int64_t>(worker->bookings.size()) } });
+}
+
+void ReportReader::onOver(WorkerSession& session, bool lifeOver)
+{
+    WorkerBook* worker = m_state.worker(session.life().id);
+    if (!worker)
+        return;
+    m_state.options.log->decision("worker-over",
+        { { "worker", session.life().id }, { "life_over", std::int64_t { lifeOver } }, { "attempts", static_cast<std::int64_t>(worker->bookings.size()) } });
+    const std::map<Attempt, Booking> bookings = std::move(worker->bookings);
+    worker->bookings.clear();
+    for (const auto& [attempt, booking] : bookings)
+        m_desk.release(attempt, session.life().id, m_state.now());
+    if (lifeOver)
+        m_state.options.workers->forget(session.life());
+    m_state.requestPass();
+}
+
+void ReportReader::onFenced(WorkerSession& session)
+{
+    m_state.options.log->change("fenced", { { "worker", session.life().id }, { "epoch", static_cast<std::int64_t>(m_state.ownership.epoch) } });
+    m_state.options.ownership->noteSuperseded();
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/report_reader.h
@@ -0,0 +1,38 @@
+#pragma once
+/// \file
+/// Takes in what workers report: what runs, what ended, who is silent or gone.
+
+#include "order_desk.h"
+
+namespace lanemoor::jobs {
+
+/// \brief Brings jobs and books in line with the workers' reports.
+///
+/// An end is stored before the worker is told that it may forget it. An attempt that a report
+/// should show and does not is over without having ended: it never began, or was forgotten.
+class ReportReader final : public WorkerSessionObserver {
+public:
+    ReportReader(OwnerState& state, OrderDesk& desk, SchedulerCounts& counts);
+
+    void onAnswer(WorkerSession& session, const RenewResult& result, MonotonicInstant sentAt) override;
+    void onSilence(WorkerSession& session) override;
+    void onOver(WorkerSession& session, bool lifeOver) override;
+    void onFenced(WorkerSession& session) override;
+
+private:
+    void readRunning(WorkerBook& worker, const RunningAttempt& report);
+    void readEnded(WorkerBook& worker, const EndedAttempt& ended);
+    void stopStray(WorkerBook& worker, const Attempt& attempt, const OwnerJob* job);
+    void noteHealth(WorkerBook& worker, const EndedAttempt& ended);
+    void noteFinished(OwnerJob& job);
+    void settleMissing(WorkerBook& worker, const RenewResult& result, MonotonicInstant sentAt);
+    void settleMissing(WorkerBook& worker, const Attempt& attempt, MonotonicInstant sentAt);
+    void findStuck(WorkerBook& worker);
+    void adjustThrottle(WorkerBook& worker, const RenewResult& result);
+
+    OwnerState& m_state;
+    OrderDesk& m_desk;
+    SchedulerCounts& m_counts;
+};
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/store_mirror.cpp
@@ -0,0 +1,202 @@
+#include "lanemoor/jobs/store_mirror.h"
+
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace lanemoor::jobs {
+
+class StoreMirror::Impl : public std::enable_shared_from_this<StoreMirror::Impl> {
+public:
+    Impl(EventLoop& loop, KeyValueStore& store, StoreMirrorOptions options, ItemObserver observer)
+        : m_loop(loop)
+        , m_store(store)
+        , m_options(std::move(options))
+        , m_observer(std::move(observer))
+    {
+    }
+
+    void stop() { m_stopped = true; }
+
+    void list()
+    {
+        m_listed.clear();
+        m_listRevision = 0;
+        m_listStart = m_loop.now();
+        listPage({});
+    }
+
+    bool loaded = false;
+    std::uint64_t revision = 0;
+    MonotonicInstant freshAt;
+    std::map<std::string, std::uint64_t> revisions;
+    std::multimap<std::uint64_t, std::function<void()>> waiting;
+
+    void note(const StoreItem& item)
+    {
+        const auto known = revisions.find(item.key);
+        if (known != revisions.end() && known->second >= item.revision)
+            return;
+        if (item.removed)
+            revisions.erase(item.key);
+        else
+            revisions[item.key] = item.revision;
+        m_observer(item);
+    }
+
+    void advance(std::uint64_t to)
+    {
+        if (to > revision)
+            revision = to;
+        while (!waiting.empty() && waiting.begin()->first <= revision) {
+            const std::function<void()> reached = std::move(waiting.begin()->second);
+            waiting.erase(waiting.begin());
+            reached();
+        }
+    }
+
+private:
+    void later(void (Impl::*step)())
+    {
+        m_loop.callAt(m_loop.now() + m_options.retryPause, [self = weak_from_this(), step] {
+            if (const auto impl = self.lock(); impl && !impl->m_stopped)
+                (impl.get()->*step)();
+        });
+    }
+
+    void listPage(const std::string& afterKey)
+    {
+        m_store.range(m_options.prefix, afterKey, [self = weak_from_this()](const ItemsResult& result) {
+            if (const auto impl = self.lock(); impl && !impl->m_stopped)
+                impl->listed(result);
+        });
+    }
+
+    void listed(const ItemsResult& result)
+    {
+        if (result.outcome != StoreOutcome::Done) {
+            later(&Impl::list);
+            return;
+        }
+        // Pages are no snapshot: the watch starts where the first page stood.
+        if (m_listRevision == 0)
+            m_listRevision = result.storeRevision;
+        for (const StoreItem& item : result.items)
+            m_listed.push_back(item);
+        if (result.more && !result.items.empty()) {
+            listPage(result.items.back().key);
+            return;
+        }
+        applyListing();
+        loaded = true;
+        freshAt = m_listStart;
+        m_at = m_listRevision;
+        advance(m_listRevision);
+        watch();
+    }
+
+    /// Keys that were known and are not listed are gone, unless they were written since.
+    void applyListing()
+    {
+        std::set<std::string> present;
+        for (const StoreItem& item : m_listed)
+            present.insert(item.key);
+        std::vector<std::string> gone;
+        for (const auto& [key, keyRevision] : revisions) {
+            if (!present.contains(key) && keyRevision <= m_listRevision)
+                gone.push_back(key);
+        }
+        for (const std::string& key : gone)
+            note({ .key = key, .value = {}, .revision = m_listRevision + 1, .removed = true });
+        for (const StoreItem& item : m_listed)
+            note(item);
+        m_listed.clear();
+    }
+
+    void watch()
+    {
+        const MonotonicInstant sentAt = m_loop.now();
+        m_store.watch(m_options.prefix, m_at, m_options.watchTime, [self = weak_from_this(), sentAt](const ItemsResult& result) {
+            if (const auto impl = self.lock(); impl && !impl->m_stopped)
+                impl->watched(result, sentAt);
+        });
+    }
+
+    void watched(const ItemsResult& result, MonotonicInstant sentAt)
+    {
+        if (result.outcome == StoreOutcome::HistoryGone) {
+            list();
+            return;
+        }
+        if (result.outcome != StoreOutcome::Done) {
+            later(&Impl::watch);
+            return;
+        }
+        for (const StoreItem& item : result.items)
+            note(item);
+        freshAt = sentAt;
+        if (result.storeRevision > m_at)
+            m_at = result.storeRevision;
+        advance(m_at);
+        watch();
+    }
+
+    EventLoop& m_loop;
+    KeyValueStore& m_store;
+    StoreMirrorOptions m_options;
+    ItemObserver m_observer;
+    std::vector<StoreItem> m_listed;
+    std::uint64_t m_listRevision = 0;
+    MonotonicInstant m_listStart;
+    std::uint64_t m_at = 0; ///< Where the watch goes on.
+    bool m_stopped = false;
+};
+
+StoreMirror::StoreMirror(EventLoop& loop, KeyValueStore& store, StoreMirrorOptions options, ItemObserver observer)
+    : m_impl(std::make_shared<Impl>(loop, store, std::move(options), std::move(observer)))
+{
+}
+
+StoreMirror::~StoreMirror()
+{
+    m_impl->stop();
+}
+
+void StoreMirror::start()
+{
+    m_impl->list();
+}
+
+bool StoreMirror::isLoaded() const noexcept
+{
+    return m_impl->loaded;
+}
+
+std::uint64_t StoreMirror::revision() const noexcept
+{
+    return m_impl->revision;
+}
+
+MonotonicInstant StoreMirror::freshAt() const noexcept
+{
+    return m_impl->freshAt;
+}
+
+std::uint64_t StoreMirror::revisionOf(const std::string& key) const
+{
+    const auto found = m_impl->revisions.find(key);
+    return found == m_impl->revisions.end() ? 0 : found->second;
+}
+
+void StoreMirror::whenAt(std::uint64_t revision, std::function<void()> reached)
+{
+    m_impl->waiting.emplace(revision, std::move(reached));
+    m_impl->advance(m_impl->revision);
+}
+
+void StoreMirror::noteWritten(const StoreItem& item)
+{
+    m_impl->note(item);
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/worker_book.cpp
@@ -0,0 +1,70 @@
+#include "lanemoor/jobs/worker_book.h"
+
+#include <algorithm>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+/// A sound worker fails some 0.2% of batch and 3% of long-running attempts in a row only by
+/// rare luck: three failures of two jobs, with no success between, speak against the worker.
+constexpr std::uint32_t failuresToQuarantine = 3;
+constexpr std::size_t jobsToQuarantine = 2;
+constexpr Millis firstQuarantine { 2'000 };
+constexpr std::uint32_t mostDoublings = 3;
+
+} // namespace
+
+void WorkerHealth::noteSuccess(MonotonicInstant)
+{
+    m_failedJobs.clear();
+    m_failures = 0;
+    m_quarantines = 0;
+    m_onProbation = false;
+}
+
+void WorkerHealth::noteFailure(const std::string& job, MonotonicInstant now)
+{
+    m_failedJobs.insert(job);
+    ++m_failures;
+    const bool strikes = m_onProbation || (m_failures >= failuresToQuarantine && m_failedJobs.size() >= jobsToQuarantine);
+    if (!strikes || isQuarantined(now))
+        return;
+    m_quarantinedUntil = now + firstQuarantine * (1U << std::min(m_quarantines, mostDoublings));
+    ++m_quarantines;
+    m_onProbation = true;
+}
+
+Resources WorkerBook::free() const
+{
+    Resources free = entry.capacity;
+    for (const auto& [attempt, booking] : bookings)
+        free -= footprint(*booking.step);
+    return free;
+}
+
+std::uint32_t WorkerBook::tasksOf(const std::string& job, const StepId& step) const
+{
+    return static_cast<std::uint32_t>(std::count_if(bookings.begin(), bookings.end(), [&](const auto& booked) {
+        const Attempt& attempt = booked.first;
+        return attempt.job == job && attempt.task.occurrence == step.occurrence && attempt.task.step == step.step;
+    }));
+}
+
+bool WorkerBook::isOpen(MonotonicInstant now) const
+{
+    return listed && !entry.draining && !evacuating && session && session->isMet() && !session->isSilent() && now >= noWorkBefore
+        && !health.isQuarantined(now) && (!health.isOnProbation() || bookings.empty());
+}
+
+PlacementSite WorkerBook::site(MonotonicInstant now) const
+{
+    PlacementSite site { .worker = &entry, .free = free(), .open = isOpen(now) };
+    for (const auto& [attempt, booking] : bookings) {
+        site.servingTasks += booking.step->latencyTarget.count() > 0 ? 1 : 0;
+        site.bestEffortTasks += booking.step->bestEffort ? 1 : 0;
+    }
+    return site;
+}
+
+} // namespace lanemoor::jobs
