--- /dev/null
+++ b/src/jobs/worker_session.cpp
@@ -0,0 +1,160 @@
+#include "lanemoor/jobs/worker_session.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+/// A worker's clock loses at most this part of the time (the platform's bound, 2%).
+constexpr double slowestClock = 0.98;
+/// For rounding and for the worker's own timer.
+constexpr Millis leaseSlack { 50 };
+/// While ends wait for the store, the lease is renewed this often.
+constexpr Millis unstoredRenewal { 700 };
+
+} // namespace
+
+WorkerSession::WorkerSession(EventLoop& loop, WorkerControl& control, WorkerLife life, WorkerSessionOptions options, WorkerSessionObserver& observer)
+    : m_loop(loop)
+    , m_control(control)
+    , m_life(std::move(life))
+    , m_options(std::move(options))
+    , m_observer(observer)
+{
+}
+
+void WorkerSession::start()
+{
+    renew();
+}
+
+void WorkerSession::close()
+{
+    m_closed = true;
+    m_loop.cancel(m_timer);
+}
+
+std::optional<std::int64_t> WorkerSession::leaseForOrder()
+{
+    if (m_clockSample == 0)
+        return std::nullopt;
+    const auto passed = std::chrono::duration_cast<Millis>(m_loop.now() - m_clockSampledBy);
+    const std::int64_t lease = m_clockSample + (passed + m_options.leaseTime).count();
+    m_longestLease = std::max(m_longestLease, lease);
+    m_leaseLapsed = false;
+    return lease;
+}
+
+void WorkerSession::noteClock(std::int64_t workerClock)
+{
+    if (workerClock <= 0)
+        return;
+    m_clockSample = workerClock;
+    m_clockSampledBy = m_loop.now();
+}
+
+MonotonicInstant WorkerSession::leaseOverBy() const
+{
+    if (m_longestLease == 0)
+        return m_options.inheritedLeaseOverBy;
+    const auto left = static_cast<double>(m_longestLease - m_clockSample);
+    const Millis worst(static_cast<std::int64_t>(left / slowestClock));
+    return std::max(m_options.inheritedLeaseOverBy, m_clockSampledBy + worst + leaseSlack);
+}
+
+void WorkerSession::acknowledge(std::uint64_t sequence)
+{
+    m_storedUpTo = std::max(m_storedUpTo, sequence);
+    m_awaitingAcknowledgement = false;
+    hurry(m_loop.now());
+}
+
+void WorkerSession::hurry(MonotonicInstant when)
+{
+    if (!m_renewing && (m_timer == 0 || when < m_timerAt))
+        renewAt(when);
+}
+
+void WorkerSession::renewAt(MonotonicInstant when)
+{
+    m_loop.cancel(m_timer);
+    m_timerAt = when;
+    m_timer = m_loop.callAt(when, [self = weak_from_this()] {
+        const auto session = self.lock();
+        if (!session || session->m_closed)
+            return;
+        session->m_timer = 0;
+        session->renew();
+    });
+}
+
+void WorkerSession::renew()
+{
+    if (m_closed || m_renewing)
+        return;
+    if (!m_options.mayOrder()) {
+        renewAt(m_loop.now() + m_options.retryPause);
+        watchLease();
+        return;
+    }
+    RenewOrder order { .leaseUntil = leaseForOrder().value_or(0), .epoch = m_options.epoch, .endsStoredUpTo = m_storedUpTo };
+    if (m_met && !m_silent && !m_awaitingAcknowledgement)
+        order.wait = m_options.wait;
+    m_renewing = true;
+    const MonotonicInstant sentAt = m_loop.now();
+    m_control.renew(m_life, order, [self = weak_from_this(), sentAt](const RenewResult& result) {
+        const auto session = self.lock();
+        if (session && !session->m_closed)
+            session->answered(result, sentAt);
+    });
+}
+
+void WorkerSession::answered(const RenewResult& result, MonotonicInstant sentAt)
+{
+    m_renewing = false;
+    switch (result.outcome) {
+    case OrderOutcome::Done:
+        break;
+    case OrderOutcome::OtherLife:
+        noteLifeOver();
+        return;
+    case OrderOutcome::Fenced:
+        m_observer.onFenced(*this);
+        renewAt(m_loop.now() + m_options.retryPause);
+        return;
+    default:
+        m_silent = true;
+        renewAt(m_loop.now() + m_options.retryPause);
+        m_observer.onSilence(*this);
+        watchLease();
+        return;
+    }
+    m_met = true;
+    m_silent = false;
+    noteClock(result.workerClock);
+    m_awaitingAcknowledgement = true;
+    // Ends that are not stored in time must not cost the lease.
+    renewAt(m_loop.now() + unstoredRenewal);
+    m_observer.onAnswer(*this, result, sentAt);
+}
+
+void WorkerSession::watchLease()
+{
+    if (m_leaseLapsed || m_loop.now() < leaseOverBy())
+        return;
+    m_leaseLapsed = true;
+    m_observer.onOver(*this, false);
+}
+
+void WorkerSession::noteLifeOver()
+{
+    if (m_lifeOver)
+        return;
+    m_lifeOver = true;
+    close();
+    m_observer.onOver(*this, true);
+}
+
+} // namespace lanemoor::jobs
--- a/src/serve/process/daemon.cpp
+++ b/src/serve/process/daemon.cpp
@@ -90,7 +90,7 @@
 int runDaemon(const Settings& settings)
 {
     const sigset_t signals = blockStopSignals();
-    EventLog log(settings.logAsJson);
+    EventLog log({ .asJson = settings.logAsJson });
     Metrics metrics;
     const std::string holder = settings.name + '-' + std::to_string(currentInstant().time_since_epoch().count());
     SharedState state(settings, holder, metrics, log);
--- a/src/state/json_document.cpp
+++ b/src/state/json_document.cpp
@@ -306,6 +306,23 @@
     return value->get<std::int64_t>();
 }
 
+std::optional<double> ObjectReader::number(const char* name, double least, double most)
+{
+    const nlohmann::json* value = take(name, false);
+    if (!value)
+        return std::nullopt;
+    if (!value->is_number()) {
+        fault(DocumentFaultCode::WrongType, name, "a number is expected");
+        return std::nullopt;
+    }
+    const auto number = value->get<double>();
+    if (number < least || number > most) {
+        fault(DocumentFaultCode::OutOfRange, name, "from " + std::to_string(least) + " to " + std::to_string(most));
+        return std::nullopt;
+    }
+    return number;
+}
+
 std::vector<std::string> ObjectReader::strings(const char* name)
 {
     std::vector<std::string> result;
