--- a/include/lanemoor/jobs/job_record.h
+++ b/include/lanemoor/jobs/job_record.h
@@ -20,8 +20,9 @@
 constexpr std::string_view jobKeyPrefix = "lanemoor/job/";
 constexpr std::string_view progressKeyPrefix = "lanemoor/progress/";
 constexpr std::string_view cancelKeyPrefix = "lanemoor/cancel/";
-constexpr std::string_view ownerKeyPrefix = "lanemoor/owner/"; ///< Bound to the owner's lease.
-constexpr std::string_view termKeyPrefix = "lanemoor/term/"; ///< Outlasts the owner.
+constexpr std::string_view ownershipPrefix = "lanemoor/ownership/";
+constexpr std::string_view ownerKeyPrefix = "lanemoor/ownership/holder/"; ///< Bound to the owner's lease.
+constexpr std::string_view termKeyPrefix = "lanemoor/ownership/term/"; ///< Outlasts the owner.
 
 [[nodiscard]] std::string jobKey(std::string_view id);
 [[nodiscard]] std::string progressKey(std::string_view id);
--- a/include/lanemoor/jobs/ownership_keeper.h
+++ b/include/lanemoor/jobs/ownership_keeper.h
@@ -43,6 +43,7 @@
 /// while `isHeld()`, whose time counts from before the renewal was sent.
 class OwnershipKeeper {
 public:
+    /// \param mirror Copy of the keys of ownerships; its items are told to `observe`.
     OwnershipKeeper(EventLoop& loop, KeyValueStore& store, const StoreMirror& mirror, OwnershipOptions options, OwnershipObserver observer);
     ~OwnershipKeeper();
     OwnershipKeeper(const OwnershipKeeper&) = delete;
--- a/include/lanemoor/jobs/store_mirror.h
+++ b/include/lanemoor/jobs/store_mirror.h
@@ -18,6 +18,7 @@
     std::string prefix;
     Millis watchTime { 2'000 }; ///< A watch that hears nothing is asked again after this.
     Millis retryPause { 200 }; ///< Between calls that failed.
+    Millis leastGap { 0 }; ///< Between two watches: each call is paid for, so changes travel together.
 };
 
 /// Tells what became of one key. `removed` items carry the key only.
@@ -37,6 +38,9 @@
     /// \brief Begins to list and to watch.
     void start();
 
+    /// \brief Sets the least time between two watches; a wait under way is cut short.
+    void setLeastGap(Millis gap);
+
     /// \returns Whether a listing has been completed.
     [[nodiscard]] bool isLoaded() const noexcept;
 
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -19,6 +19,12 @@
 
 constexpr const char* theShard = "all"; // One owner decides for all pools today.
 constexpr Millis watchTime { 1'000 };
+/// Between watches of the jobs. The owner should hear of a job soon; the others only show
+/// their status, which may be some seconds old by the platform's bound.
+constexpr Millis ownerWatchGap { 20 };
+constexpr Millis watchGap { 500 };
+/// Workers drain with seconds of notice; sooner only saves work.
+constexpr Millis workerWatchGap { 150 };
 /// The store's answers are missed after a watch's time and a call's; then this instance can
 /// take nothing and says so to the balancer.
 constexpr Millis storeMissedAfter { 2'500 };
@@ -38,11 +44,12 @@
         , m_settings(settings)
         , m_holder(settings.name + '-' + std::to_string(parts.loop->timeOfDay().time_since_epoch().count()))
         , m_directory(*parts.loop)
-        , m_jobs(*parts.loop, *parts.store, { .prefix = std::string(jobServicePrefix), .watchTime = watchTime }, [this](const StoreItem& item) { onItem(item); })
+        , m_jobs(*parts.loop, *parts.store, { .prefix = std::string(jobServicePrefix), .watchTime = watchTime, .leastGap = watchGap }, [this](const StoreItem& item) { onItem(item); })
+        , m_owners(*parts.loop, *parts.store, { .prefix = std::string(ownershipPrefix), .watchTime = watchTime }, [this](const StoreItem& item) { m_ownership.observe(item); })
         , m_configurations(*parts.loop, *parts.store, { .prefix = parts.documents->configurationKey(), .watchTime = watchTime }, [this](const StoreItem& item) { onConfiguration(item); })
-        , m_workers(*parts.loop, *parts.store, { .prefix = parts.documents->workerPrefix() }, [this](const StoreItem& item) { onWorker(item); })
+        , m_workers(*parts.loop, *parts.store, { .prefix = parts.documents->workerPrefix(), .leastGap = workerWatchGap }, [this](const StoreItem& item) { onWorker(item); })
         , m_waves(*parts.loop, *parts.store, { .prefix = parts.documents->wavePrefix() }, [this](const StoreItem& item) { onWave(item); })
-        , m_ownership(*parts.loop, *parts.store, m_jobs, { .shard = theShard, .holder = m_holder, .leaseTime = settings.ownershipTime },
+        , m_ownership(*parts.loop, *parts.store, m_owners, { .shard = theShard, .holder = m_holder, .leaseTime = settings.ownershipTime },
               { .gained = [this](const Ownership& ownership) { gained(ownership); }, .lost = [this] { lost(); } })
         , m_scheduler(schedulerOptions())
         , m_fleet(fleetOptions())
@@ -55,6 +62,7 @@
     void start()
     {
         m_jobs.start();
+        m_owners.start();
         m_configurations.start();
         m_workers.start();
         m_waves.start();
@@ -108,6 +116,7 @@
     JobCatalog m_catalog;
     WorkerDirectory m_directory;
     StoreMirror m_jobs;
+    StoreMirror m_owners; ///< Of the ownership's keys alone: a loss is heard of at once.
     StoreMirror m_configurations;
     StoreMirror m_workers;
     StoreMirror m_waves;
@@ -156,7 +165,6 @@
 
     void onItem(const StoreItem& item)
     {
-        m_ownership.observe(item);
         static_cast<void>(m_catalog.apply(item));
     }
 
@@ -216,6 +224,7 @@
     /// Orders wait until this copy holds everything written before the ownership was taken.
     void gained(const Ownership& ownership)
     {
+        m_jobs.setLeastGap(ownerWatchGap);
         m_jobs.whenAt(ownership.epoch, [this, ownership] { activate(ownership); });
     }
 
@@ -233,6 +242,7 @@
 
     void lost()
     {
+        m_jobs.setLeastGap(watchGap);
         m_fleet.deactivate();
         m_scheduler.deactivate();
     }
--- a/src/jobs/ownership_keeper.cpp
+++ b/src/jobs/ownership_keeper.cpp
@@ -57,7 +57,7 @@
         }
         if (item.key != m_ownerKey)
             return;
-        if (m_held && (item.removed || item.revision > m_ownership.epoch))
+        if (m_held && item.revision > m_ownership.epoch)
             lose();
         if (item.removed)
             compete();
--- a/src/jobs/progress_writer.cpp
+++ b/src/jobs/progress_writer.cpp
@@ -13,6 +13,9 @@
 
 /// Jobs in one transaction: each takes a condition and a write, the ownership one condition.
 constexpr std::size_t mostJobsOfWrite = (mostTransactionEntries - 1) / 2;
+/// Between two writes: each call is paid for, and an end waits this long only for being told
+/// to the worker, not for what follows it.
+constexpr Millis leastGap { 15 };
 /// After a call that failed; the store's rates are shared by all entry instances.
 constexpr Millis retryPause { 50 };
 
@@ -67,20 +70,15 @@
     {
         if (m_scheduled || m_writing || m_stopped)
             return;
-        m_scheduled = true;
-        m_loop.callAt(m_loop.now(), [self = weak_from_this()] {
-            const auto impl = self.lock();
-            if (!impl || impl->m_stopped)
-                return;
-            impl->m_scheduled = false;
-            impl->send();
-        });
+        sendAt(std::max(m_loop.now(), m_sentAt + leastGap));
     }
 
-    void sendLater()
+    void sendLater() { sendAt(m_loop.now() + retryPause); }
+
+    void sendAt(MonotonicInstant when)
     {
         m_scheduled = true;
-        m_loop.callAt(m_loop.now() + retryPause, [self = weak_from_this()] {
+        m_loop.callAt(when, [self = weak_from_this()] {
             const auto impl = self.lock();
             if (!impl || impl->m_stopped)
                 return;
@@ -118,6 +116,7 @@
             return;
         }
         m_writing = true;
+        m_sentAt = m_loop.now();
         m_store.commit(transaction, [self = weak_from_this()](const CommitResult& result) {
             if (const auto impl = self.lock(); impl && !impl->m_stopped)
                 impl->written(result);
@@ -191,6 +190,7 @@
     std::vector<Sent> m_sent; ///< On their way.
     std::vector<Waiter> m_waiting;
     std::uint64_t m_sequence = 0;
+    MonotonicInstant m_sentAt;
     bool m_scheduled = false;
     bool m_writing = false;
     bool m_stopped = false;
--- a/src/jobs/store_mirror.cpp
+++ b/src/jobs/store_mirror.cpp
@@ -18,6 +18,16 @@
 
     void stop() { m_stopped = true; }
 
+    void setLeastGap(Millis gap)
+    {
+        m_options.leastGap = gap;
+        if (m_gapTimer == 0)
+            return;
+        m_loop.cancel(m_gapTimer);
+        m_gapTimer = 0;
+        watch();
+    }
+
     void list()
     {
         m_listed.clear();
@@ -113,9 +123,26 @@
         m_listed.clear();
     }
 
+    void watchAfterGap()
+    {
+        const MonotonicInstant earliest = m_watchSentAt + m_options.leastGap;
+        if (m_loop.now() >= earliest) {
+            watch();
+            return;
+        }
+        m_gapTimer = m_loop.callAt(earliest, [self = weak_from_this()] {
+            const auto impl = self.lock();
+            if (!impl || impl->m_stopped)
+                return;
+            impl->m_gapTimer = 0;
+            impl->watch();
+        });
+    }
+
     void watch()
     {
         const MonotonicInstant sentAt = m_loop.now();
+        m_watchSentAt = sentAt;
         m_store.watch(m_options.prefix, m_at, m_options.watchTime, [self = weak_from_this(), sentAt](const ItemsResult& result) {
             if (const auto impl = self.lock(); impl && !impl->m_stopped)
                 impl->watched(result, sentAt);
@@ -138,7 +165,7 @@
         if (result.storeRevision > m_at)
             m_at = result.storeRevision;
         advance(m_at);
-        watch();
+        watchAfterGap();
     }
 
     EventLoop& m_loop;
@@ -148,6 +175,8 @@
     std::vector<StoreItem> m_listed;
     std::uint64_t m_listRevision = 0;
     MonotonicInstant m_listStart;
+    TimerId m_gapTimer = 0;
+    MonotonicInstant m_watchSentAt;
     std::uint64_t m_at = 0; ///< Where the watch goes on.
     bool m_stopped = false;
 };
@@ -167,6 +196,11 @@
     m_impl->list();
 }
 
+void StoreMirror::setLeastGap(Millis gap)
+{
+    m_impl->setLeastGap(gap);
+}
+
 bool StoreMirror::isLoaded() const noexcept
 {
     return m_impl->loaded;
