--- /dev/null
+++ b/include/lanemoor/jobs/capacity_plan.h
@@ -0,0 +1,85 @@
+#pragma once
+/// \file
+/// Decides how many instances each pool has, by the load of its jobs. Pure.
+
+#include "lanemoor/jobs/event_loop.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lanemoor::jobs {
+
+/// An instance that could be moved now: up, and with nothing running.
+struct IdleInstance {
+    std::string instance;
+    std::string kind; ///< Pools take instances of some kinds only.
+    MonotonicInstant idleSince;
+
+    [[nodiscard]] bool operator==(const IdleInstance&) const = default;
+};
+
+/// A pool as capacity planning sees it.
+struct PoolLoad {
+    std::string pool;
+    bool reserve = false; ///< Its instances are off.
+    std::uint32_t instances = 0; ///< Up, on their way, or back soon from maintenance.
+    std::uint32_t fixed = 0; ///< Of them, those that hold something that can't be moved.
+    std::int64_t instanceMilliCpu = 0; ///< Capacity of one instance.
+    std::int64_t demandMilliCpu = 0; ///< What runs and what waits.
+    std::vector<IdleInstance> idle;
+};
+
+/// An instance that is to change pool.
+struct CapacityMove {
+    std::string instance;
+    std::string from;
+    std::string to;
+
+    [[nodiscard]] bool operator==(const CapacityMove&) const = default;
+};
+
+/// Weights of capacity planning.
+struct CapacityOptions {
+    /// Demand is met with this much to spare: a move takes longer than a short task may wait,
+    /// and an instance that serves earns some 20 times what it costs.
+    double headroom = 1.3;
+    /// Of an instance's processor time that tasks of some cores can be packed into.
+    double packing = 0.85;
+    Millis demandMemory { 4'000 }; ///< The highest demand of this long counts.
+    Millis idleBeforeOff { 1'200 }; ///< A move costs what an instance costs in about this time.
+    std::uint32_t leastInstances = 2; ///< Of a pool with queues, so that one may fail.
+};
+
+/// \brief Follows load: instances come from the reserve or from pools that have idle ones to
+/// spare, and go back once they were idle for a while.
+class CapacityPlan {
+public:
+    explicit CapacityPlan(CapacityOptions options = {});
+
+    /// \returns Moves to begin now, at most one for each instance.
+    [[nodiscard]] std::vector<CapacityMove> next(const std::vector<PoolLoad>& pools, MonotonicInstant now);
+
+    /// \returns Instances that `pool` should have, by the demand seen so far.
+    [[nodiscard]] std::uint32_t target(const PoolLoad& pool, MonotonicInstant now) const;
+
+    /// \brief Remembers that `pool` does not take instances of `kind`.
+    void noteRefused(const std::string& kind, const std::string& pool);
+
+private:
+    struct Sample {
+        MonotonicInstant at;
+        std::int64_t milliCpu = 0;
+    };
+
+    void note(const PoolLoad& pool, MonotonicInstant now);
+    [[nodiscard]] bool takes(const std::string& pool, const std::string& kind) const;
+
+    CapacityOptions m_options;
+    std::map<std::string, std::deque<Sample>> m_samples; ///< By pool; falling in value.
+    std::map<std::string, std::vector<std::string>> m_refusedKinds; ///< By pool.
+};
+
+} // namespace lanemoor::jobs
--- a/include/lanemoor/jobs/fleet_keeper.h
+++ b/include/lanemoor/jobs/fleet_keeper.h
@@ -1,6 +1,6 @@
 #pragma once
 /// \file
-/// Maintains instances while this instance owns the fleet.
+/// Moves and maintains instances while this instance owns the fleet.
 
 #include "lanemoor/jobs/event_loop.h"
 #include "lanemoor/jobs/forward_declarations.h"
@@ -33,8 +33,10 @@
     /// turn within its lease time, also if the former one has not noticed yet.
     Millis handover { 4'500 };
     Millis maintenanceTime { 2'000 }; ///< Of one instance, as the platform says.
+    Millis moveTime { 1'500 }; ///< Of one instance between pools.
+    Millis planEvery { 100 }; ///< A pool that is short waits at most this long for the plan.
     Millis listEvery { 1'000 };
-    Millis listEveryInWave { 300 }; ///< The list lags by some 800 ms.
+    Millis listEveryWhileActing { 300 }; ///< Also while waves or moves are under way; the list lags by some 800 ms.
 };
 
 /// Counts of one process since its start.
@@ -46,7 +48,7 @@
     std::uint64_t wavesFinished = 0;
 };
 
-/// \brief Lists the instances, and takes waves through the fleet.
+/// \brief Lists the instances, takes waves through the fleet and sizes the pools by load.
 class FleetKeeper {
 public:
     explicit FleetKeeper(FleetKeeperOptions options);
--- /dev/null
+++ b/src/jobs/capacity_plan.cpp
@@ -0,0 +1,121 @@
+#include "lanemoor/jobs/capacity_plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+/// A pool while moves are being chosen.
+struct Balance {
+    const PoolLoad* load = nullptr;
+    std::uint32_t target = 0;
+    std::uint32_t instances = 0;
+    std::vector<IdleInstance> idle; ///< Longest idle last.
+
+    [[nodiscard]] bool isShort() const { return !load->reserve && instances < target; }
+    [[nodiscard]] bool canGive() const { return !idle.empty() && (load->reserve || instances > target); }
+};
+
+/// \returns How short a pool is, relative to what it should have.
+double shortage(const Balance& pool)
+{
+    return static_cast<double>(pool.target - pool.instances) / static_cast<double>(pool.target);
+}
+
+} // namespace
+
+CapacityPlan::CapacityPlan(CapacityOptions options)
+    : m_options(options)
+{
+}
+
+void CapacityPlan::noteRefused(const std::string& kind, const std::string& pool)
+{
+    m_refusedKinds[pool].push_back(kind);
+}
+
+bool CapacityPlan::takes(const std::string& pool, const std::string& kind) const
+{
+    const auto refused = m_refusedKinds.find(pool);
+    return refused == m_refusedKinds.end() || std::find(refused->second.begin(), refused->second.end(), kind) == refused->second.end();
+}
+
+void CapacityPlan::note(const PoolLoad& pool, MonotonicInstant now)
+{
+    std::deque<Sample>& samples = m_samples[pool.pool];
+    while (!samples.empty() && now - samples.front().at > m_options.demandMemory)
+        samples.pop_front();
+    // Only samples above all later ones can ever be the highest.
+    while (!samples.empty() && samples.back().milliCpu <= pool.demandMilliCpu)
+        samples.pop_back();
+    samples.push_back({ now, pool.demandMilliCpu });
+}
+
+std::uint32_t CapacityPlan::target(const PoolLoad& pool, MonotonicInstant now) const
+{
+    const auto found = m_samples.find(pool.pool);
+    if (pool.reserve || pool.instanceMilliCpu <= 0 || found == m_samples.end())
+        return 0;
+    std::int64_t highest = 0;
+    for (const Sample& sample : found->second) {
+        if (now - sample.at <= m_options.demandMemory)
+            highest = std::max(highest, sample.milliCpu);
+    }
+    const double wanted = static_cast<double>(highest) * m_options.headroom / (static_cast<double>(pool.instanceMilliCpu) * m_options.packing);
+    return std::max({ static_cast<std::uint32_t>(std::ceil(wanted)), m_options.leastInstances, pool.fixed });
+}
+
+std::vector<CapacityMove> CapacityPlan::next(const std::vector<PoolLoad>& pools, MonotonicInstant now)
+{
+    std::vector<Balance> balances;
+    std::optional<std::string> reserve;
+    for (const PoolLoad& pool : pools) {
+        note(pool, now);
+        Balance balance { .load = &pool, .target = target(pool, now), .instances = pool.instances, .idle = pool.idle };
+        std::sort(balance.idle.begin(), balance.idle.end(), [](const IdleInstance& a, const IdleInstance& b) { return a.idleSince > b.idleSince; });
+        balances.push_back(std::move(balance));
+        if (pool.reserve)
+            reserve = pool.pool;
+    }
+    std::vector<CapacityMove> moves;
+    const auto give = [&](Balance& from, std::size_t index, const std::string& to) {
+        moves.push_back({ from.idle[index].instance, from.load->pool, to });
+        from.idle.erase(from.idle.begin() + static_cast<std::ptrdiff_t>(index));
+        --from.instances;
+    };
+    for (;;) {
+        const auto needy = std::max_element(balances.begin(), balances.end(), [](const Balance& a, const Balance& b) { return (a.isShort() ? shortage(a) : 0) < (b.isShort() ? shortage(b) : 0); });
+        if (needy == balances.end() || !needy->isShort())
+            break;
+        bool found = false;
+        // The reserve first: what is off costs nobody anything.
+        for (const bool fromReserve : { true, false }) {
+            for (Balance& giver : balances) {
+                if (found || giver.load->reserve != fromReserve || !giver.canGive() || &giver == &*needy)
+                    continue;
+                for (std::size_t i = giver.idle.size(); i-- > 0 && !found;) {
+                    if (!takes(needy->load->pool, giver.idle[i].kind))
+                        continue;
+                    give(giver, i, needy->load->pool);
+                    found = true;
+                }
+            }
+        }
+        if (found)
+            ++needy->instances;
+        else
+            needy->target = needy->instances;
+    }
+    for (Balance& pool : balances) {
+        if (!reserve || pool.load->reserve)
+            continue;
+        while (pool.canGive() && now - pool.idle.back().idleSince >= m_options.idleBeforeOff && takes(*reserve, pool.idle.back().kind))
+            give(pool, pool.idle.size() - 1, *reserve);
+    }
+    return moves;
+}
+
+} // namespace lanemoor::jobs
--- a/src/jobs/fleet_keeper.cpp
+++ b/src/jobs/fleet_keeper.cpp
@@ -1,6 +1,7 @@
 #include "lanemoor/jobs/fleet_keeper.h"
 
 #include "lanemoor/adapters/event_log.h"
+#include "lanemoor/jobs/capacity_plan.h"
 #include "lanemoor/jobs/fleet_control.h"
 #include "lanemoor/jobs/job_record.h"
 #include "lanemoor/jobs/job_scheduler.h"
@@ -20,9 +21,12 @@
 namespace {
 
 constexpr Millis storeRetry { 300 };
+constexpr Millis lateAct { 3'000 }; // An act without an answer is settled by the list after this.
 constexpr Millis retryBusy { 500 }; // An instance that was busy is looked at again after this.
 /// Beyond the maintenance time itself: the order's way, and the worker's start.
 constexpr Millis backMargin { 150 };
+/// After an act the list may still show the instance as it was.
+constexpr Millis listLag { 1'200 };
 
 std::string waveRecordKey(std::uint64_t wave)
 {
@@ -60,9 +64,13 @@
         m_plans.clear();
         m_finished.clear();
         m_list.clear();
+        m_acted.clear();
+        m_idleSince.clear();
+        m_capacity = CapacityPlan();
         for (const auto& [number, wave] : m_waves)
             begin(wave);
-        tick();
+        list();
+        planAgain();
     }
 
     void deactivate()
@@ -84,6 +92,12 @@
     FleetCounts counts;
 
 private:
+    /// An instance after an act, until the list must have caught up.
+    struct Acted {
+        FleetInstance instance;
+        MonotonicInstant until;
+    };
+
     [[nodiscard]] bool mayAct() const { return m_active && m_options.ownership->isHeld() && m_options.loop->now() >= m_actsFrom; }
 
     /// Calls `step` later unless the term is over by then.
@@ -137,26 +151,46 @@
     }
 
     /// Lists the fleet again and again.
-    void tick()
+    void list()
     {
         m_options.fleet->list(inTerm<FleetList>([this](const FleetList& list) {
             if (list.complete)
                 takeList(list.instances);
-            plan();
-            later(hasWork() ? m_options.listEveryInWave : m_options.listEvery, [this] { tick(); });
+            tickSoon();
+            later(hasWork() ? m_options.listEveryWhileActing : m_options.listEvery, [this] { this->list(); });
         }));
     }
 
+    void planAgain()
+    {
+        plan();
+        later(m_options.planEvery, [this] { planAgain(); });
+    }
+
     [[nodiscard]] bool hasWork() const
     {
-        return std::any_of(m_plans.begin(), m_plans.end(), [](const auto& plan) { return !plan.second.isFinished(); });
+        return !m_acted.empty() || std::any_of(m_plans.begin(), m_plans.end(), [](const auto& plan) { return !plan.second.isFinished(); });
     }
 
     void takeList(const std::vector<FleetInstance>& instances)
     {
+        std::erase_if(m_acted, [&](const auto& acted) { return m_options.loop->now() >= acted.second.until; });
         m_list.clear();
-        for (const FleetInstance& instance : instances)
-            m_list[instance.id] = instance;
+        for (const FleetInstance& instance : instances) {
+            const auto acted = m_acted.find(instance.id);
+            m_list[instance.id] = acted == m_acted.end() ? instance : acted->second.instance;
+        }
+    }
+
+    /// Shows an instance as it is after an act until the list must have caught up.
+    void noteActed(const std::string& id, const std::string& pool, FleetState state, Millis time)
+    {
+        FleetInstance& instance = m_list[id];
+        instance.id = id;
+        instance.pool = pool;
+        instance.state = state;
+        instance.worker.clear();
+        m_acted[id] = { instance, m_options.loop->now() + time + listLag };
     }
 
     [[nodiscard]] std::vector<MaintenanceCandidate> candidates() const
@@ -168,6 +202,8 @@
         std::vector<MaintenanceCandidate> fleet;
         for (const auto& [id, instance] : m_list) {
             const PoolSettings* pool = configuration->pool(instance.pool);
+            if (m_moving.contains(id))
+                continue;
             MaintenanceCandidate candidate { .instance = id, .pool = instance.pool, .worker = {}, .reserve = pool && pool->reserve, .up = instance.state == FleetState::Up };
             const auto use = uses.find(instance.worker);
             if (use != uses.end()) {
@@ -184,6 +220,88 @@
     }
 
     void plan()
+    {
+        planWaves();
+        planCapacity();
+    }
+
+    [[nodiscard]] std::vector<PoolLoad> loads()
+    {
+        const std::shared_ptr<const ServiceConfiguration> configuration = m_options.configuration();
+        std::map<std::string, WorkerUse> uses;
+        for (WorkerUse& use : m_options.scheduler->uses())
+            uses.emplace(use.worker, use);
+        std::map<std::string, PoolLoad> loads;
+        for (const PoolSettings& pool : configuration->pools) {
+            const PoolDemand demand = m_options.scheduler->demand(pool.name);
+            loads[pool.name] = { .pool = pool.name, .reserve = pool.reserve, .demandMilliCpu = demand.runningMilliCpu + demand.waitingMilliCpu, .idle = {} };
+        }
+        const MonotonicInstant now = m_options.loop->now();
+        std::map<std::string, MonotonicInstant> idleSince;
+        for (const auto& [id, instance] : m_list) {
+            const auto load = loads.find(instance.pool);
+            if (load == loads.end() || instance.state == FleetState::Down)
+                continue;
+            PoolLoad& pool = load->second;
+            ++pool.instances;
+            pool.instanceMilliCpu = std::max(pool.instanceMilliCpu, instance.capacity.milliCpu);
+            const auto use = uses.find(instance.worker);
+            const bool known = use != uses.end();
+            pool.fixed += known && use->second.longRunning > 0 ? 1 : 0;
+            const bool isIdle = instance.state == FleetState::Up && (pool.reserve || (known && use->second.sound && !use->second.evacuating && use->second.attempts == 0));
+            if (!isIdle || isOrdered(id))
+                continue;
+            const auto before = m_idleSince.find(id);
+            const MonotonicInstant since = before == m_idleSince.end() ? now : before->second;
+            idleSince[id] = since;
+            pool.idle.push_back({ id, instance.kind, since });
+        }
+        m_idleSince = std::move(idleSince);
+        std::vector<PoolLoad> list;
+        for (auto& [name, load] : loads)
+            list.push_back(std::move(load));
+        return list;
+    }
+
+    /// \returns Whether an act on the instance is under way.
+    [[nodiscard]] bool isOrdered(const std::string& instance) const { return m_moving.contains(instance) || m_acted.contains(instance); }
+
+    void planCapacity()
+    {
+        if (!mayAct() || m_list.empty())
+            return;
+        for (const CapacityMove& move : m_capacity.next(loads(), m_options.loop->now()))
+            this->move(move);
+    }
+
+    void move(const CapacityMove& move)
+    {
+        const std::string worker = m_list[move.instance].worker;
+        m_moving.insert(move.instance);
+        // No task may be placed there between this decision and the act.
+        m_options.scheduler->setEvacuating(worker, true);
+        m_options.log->decision("instance-move", { { "instance", move.instance }, { "from", move.from }, { "to", move.to }, { "worker", worker } });
+        m_options.fleet->move(move.instance, move.to, { m_options.holder, m_ownership.epoch }, inTerm<FleetOutcome>([this, move, worker](const FleetOutcome& outcome) {
+            m_moving.erase(move.instance);
+            if (outcome == FleetOutcome::Done) {
+                ++counts.moved;
+                noteActed(move.instance, move.to, FleetState::Moving, m_options.moveTime);
+                m_options.scheduler->noteLifeOver(worker);
+                return;
+            }
+            m_options.log->decision("instance-move-failed", { { "instance", move.instance }, { "outcome", std::string(nameOf(outcome)) } });
+            if (outcome == FleetOutcome::Refused)
+                m_capacity.noteRefused(m_list[move.instance].kind, move.to);
+            counts.unknown += outcome == FleetOutcome::Unknown ? 1 : 0;
+            // An act without an answer may yet be carried out: the instance stays empty, and
+            // the list will show where it is.
+            noteActed(move.instance, move.from, FleetState::Moving, outcome == FleetOutcome::Unknown ? lateAct : retryBusy);
+            if (outcome != FleetOutcome::Unknown)
+                m_options.scheduler->setEvacuating(worker, false);
+        }));
+    }
+
+    void planWaves()
     {
         for (auto& [number, plan] : m_plans) {
             if (m_finished.contains(number))
@@ -237,9 +355,10 @@
         case FleetOutcome::Done:
             ++counts.maintained;
             plan.noteBegun(instance, now + m_options.maintenanceTime + backMargin);
+            noteActed(instance, m_list[instance].pool, FleetState::InMaintenance, m_options.maintenanceTime);
             m_options.scheduler->noteLifeOver(worker);
             writeRecord(plan);
-            later(m_options.maintenanceTime + backMargin, [this] { this->plan(); });
+            later(m_options.maintenanceTime + backMargin, [this] { this->planWaves(); });
             break;
         case FleetOutcome::NotInWave:
         case FleetOutcome::Refused:
@@ -294,6 +413,10 @@
     std::map<std::uint64_t, MaintenancePlan> m_plans;
     std::set<std::uint64_t> m_finished;
     std::map<std::string, FleetInstance> m_list;
+    std::map<std::string, Acted> m_acted; ///< Instances that the list may show as they were.
+    std::set<std::string> m_moving; ///< Moves not answered yet.
+    std::map<std::string, MonotonicInstant> m_idleSince;
+    CapacityPlan m_capacity;
 };
 
 FleetKeeper::FleetKeeper(FleetKeeperOptions options)
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -160,7 +160,8 @@
             .configuration = [this] { return m_configuration; },
             .holder = m_settings.name,
             .handover = m_settings.handover + m_settings.ownershipTime,
-            .maintenanceTime = m_settings.maintenanceTime };
+            .maintenanceTime = m_settings.maintenanceTime,
+            .moveTime = m_settings.moveTime };
     }
 
     void onItem(const StoreItem& item)
