Let pools follow load, and ask the fleet's list after a takeover

Old tasks wait until the fleet's list has been read and each worker it names was met, or every old lease is over.

--- a/include/lanemoor/jobs/job_scheduler.h
+++ b/include/lanemoor/jobs/job_scheduler.h
@@ -22,6 +22,7 @@
 
 class StoreMirror;
 class WorkerDirectory;
+struct FleetInstance;
 
 /// What a scheduler works with. All of it outlives the scheduler.
 struct JobSchedulerOptions {
@@ -102,6 +103,10 @@
     /// \brief Empties a worker, or lets it have work again.
     void setEvacuating(const std::string& worker, bool evacuating);
 
+    /// \brief Takes in the platform's list: it names lives whose entries may be missing in the
+    /// store, and that may run what an earlier owner started.
+    void noteFleet(const std::vector<FleetInstance>& instances);
+
     /// \brief The worker's life is over, as the platform proves.
     void noteLifeOver(const std::string& worker);
     ///@}
--- a/include/lanemoor/jobs/worker_book.h
+++ b/include/lanemoor/jobs/worker_book.h
@@ -51,6 +51,7 @@
     std::map<Attempt, MonotonicInstant> strayStops; ///< Unwanted attempts, and when to stop them again.
     WorkerHealth health;
     Throttle throttle;
+    bool met = false; ///< Its first report was taken in.
     bool evacuating = false; ///< It is to be emptied: no new work.
     MonotonicInstant evacuatingSince; ///< Meaningful while evacuating.
     MonotonicInstant noWorkBefore; ///< After it refused an order.
--- a/src/jobs/fleet_keeper.cpp
+++ b/src/jobs/fleet_keeper.cpp
@@ -65,6 +65,7 @@
         m_finished.clear();
         m_list.clear();
         m_acted.clear();
+        m_moving.clear();
         m_idleSince.clear();
         m_capacity = CapacityPlan();
         for (const auto& [number, wave] : m_waves)
@@ -156,6 +157,8 @@
         m_options.fleet->list(inTerm<FleetList>([this](const FleetList& list) {
             if (list.complete)
                 takeList(list.instances);
+            if (list.complete)
+                m_options.scheduler->noteFleet(list.instances);
             tickSoon();
             later(hasWork() ? m_options.listEveryWhileActing : m_options.listEvery, [this] { this->list(); });
         }));
@@ -239,7 +242,9 @@
         const MonotonicInstant now = m_options.loop->now();
         std::map<std::string, MonotonicInstant> idleSince;
         for (const auto& [id, instance] : m_list) {
-            const auto load = loads.find(instance.pool);
+            // An instance on its way counts where it goes.
+            const auto moving = m_moving.find(id);
+            const auto load = loads.find(moving == m_moving.end() ? instance.pool : moving->second);
             if (load == loads.end() || instance.state == FleetState::Down)
                 continue;
             PoolLoad& pool = load->second;
@@ -258,6 +263,12 @@
         }
         m_idleSince = std::move(idleSince);
         std::vector<PoolLoad> list;
+        std::int64_t largest = 0;
+        for (const auto& [name, load] : loads)
+            largest = std::max(largest, load.instanceMilliCpu);
+        // A pool without instances is sized by those it may get.
+        for (auto& [name, load] : loads)
+            load.instanceMilliCpu = load.instanceMilliCpu > 0 ? load.instanceMilliCpu : largest;
         for (auto& [name, load] : loads)
             list.push_back(std::move(load));
         return list;
@@ -277,7 +288,7 @@
     void move(const CapacityMove& move)
     {
         const std::string worker = m_list[move.instance].worker;
-        m_moving.insert(move.instance);
+        m_moving[move.instance] = move.to;
         // No task may be placed there between this decision and the act.
         m_options.scheduler->setEvacuating(worker, true);
         m_options.log->decision("instance-move", { { "instance", move.instance }, { "from", move.from }, { "to", move.to }, { "worker", worker } });
@@ -414,7 +425,7 @@
     std::set<std::uint64_t> m_finished;
     std::map<std::string, FleetInstance> m_list;
     std::map<std::string, Acted> m_acted; ///< Instances that the list may show as they were.
-    std::set<std::string> m_moving; ///< Moves not answered yet.
+    std::map<std::string, std::string> m_moving; ///< Instances whose move is not answered yet, and where they go.
     std::map<std::string, MonotonicInstant> m_idleSince;
     CapacityPlan m_capacity;
 };
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include "advice_desk.h"
 #include "evacuation.h"
+#include "lanemoor/jobs/fleet_control.h"
 #include "lanemoor/jobs/job_catalog.h"
 #include "lanemoor/jobs/store_mirror.h"
 #include "lanemoor/jobs/worker_directory.h"
@@ -68,7 +69,8 @@
     std::shared_ptr<OrderDesk> orders;
     std::shared_ptr<AdviceDesk> advice;
     ReportReader reports;
-    std::vector<std::string> unmet; ///< Workers that might run inherited tasks and were not asked yet.
+    bool fleetSeen = false; ///< The platform's list was read in this term.
+    std::set<std::string> unmet; ///< Workers that might run inherited tasks and were not asked yet.
 };
 
 } // namespace
@@ -96,7 +98,7 @@
         m_options.directory->forgetOld();
         for (const auto& [id, entry] : m_options.directory->all()) {
             meet(entry);
-            m_term->unmet.push_back(id);
+            m_term->unmet.insert(id);
         }
         m_options.log->change("ownership-taken",
             { { "epoch", static_cast<std::int64_t>(ownership.epoch) }, { "term", static_cast<std::int64_t>(ownership.term) }, { "jobs", static_cast<std::int64_t>(state.jobs.size()) },
@@ -202,6 +204,21 @@
         requestPass();
     }
 
+    void noteFleet(const std::vector<FleetInstance>& instances)
+    {
+        if (!m_term)
+            return;
+        const std::shared_ptr<const ServiceConfiguration> configuration = m_options.configuration();
+        for (const FleetInstance& instance : instances) {
+            const PoolSettings* pool = configuration->pool(instance.pool);
+            const bool runs = instance.state == FleetState::Up && !instance.worker.empty() && !(pool && pool->reserve);
+            if (!m_term->fleetSeen && runs && !m_term->state.worker(instance.worker))
+                m_term->unmet.insert(instance.worker);
+        }
+        m_term->fleetSeen = true;
+        requestPass();
+    }
+
     void noteLifeOver(const std::string& worker)
     {
         WorkerBook* book = m_term ? m_term->state.worker(worker) : nullptr;
@@ -290,9 +307,9 @@
             return true;
         std::erase_if(m_term->unmet, [&](const std::string& id) {
             const WorkerBook* book = state.worker(id);
-            return !book || book->session->isMet() || book->session->isLifeOver();
+            return book && (book->session->isMet() || book->session->isLifeOver());
         });
-        return m_term->unmet.empty();
+        return m_term->fleetSeen && m_term->unmet.empty();
     }
 
     void schedulePass(MonotonicInstant when)
@@ -408,6 +425,11 @@
     m_impl->setEvacuating(worker, evacuating);
 }
 
+void JobScheduler::noteFleet(const std::vector<FleetInstance>& instances)
+{
+    m_impl->noteFleet(instances);
+}
+
 void JobScheduler::noteLifeOver(const std::string& worker)
 {
     m_impl->noteLifeOver(worker);
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -198,6 +198,8 @@
             m_parts.log->decision("worker-unreadable", { { "worker", id } });
             return;
         }
+        m_parts.log->decision("worker-entry",
+            { { "worker", id }, { "pool", worker->pool }, { "draining", std::int64_t { worker->draining } }, { "revision", static_cast<std::int64_t>(item.revision) } });
         m_directory.put(*worker);
     }
 
--- a/src/jobs/report_reader.cpp
+++ b/src/jobs/report_reader.cpp
@@ -31,6 +31,11 @@
     WorkerBook* worker = m_state.worker(session.life().id);
     if (!worker)
         return;
+    if (!worker->met) {
+        worker->met = true;
+        m_state.options.log->decision("worker-met",
+            { { "worker", session.life().id }, { "running", static_cast<std::int64_t>(result.running.size()) }, { "ended", static_cast<std::int64_t>(result.ended.size()) } });
+    }
     std::uint64_t lastEnd = 0;
     for (const EndedAttempt& ended : result.ended) {
         readEnded(*worker, ended);
