--- a/include/lanemoor/jobs/capacity_plan.h
+++ b/include/lanemoor/jobs/capacity_plan.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,7 +49,8 @@
     double headroom = 1.3;
     /// Of an instance's processor time that tasks of some cores can be packed into.
     double packing = 0.85;
-    Millis demandMemory { 4'000 }; ///< The highest demand of this long counts.
+    Millis demandMemory { 2'000 }; ///< Before an instance is switched off, the highest demand of this long counts.
+    Millis observation { 12'000 }; ///< Nothing is switched off before load was watched for so long.
     Millis idleBeforeOff { 1'200 }; ///< A move costs what an instance costs in about this time.
     std::uint32_t leastInstances = 2; ///< Of a pool with queues, so that one may fail.
 };
@@ -62,8 +64,14 @@
     /// \returns Moves to begin now, at most one for each instance.
     [[nodiscard]] std::vector<CapacityMove> next(const std::vector<PoolLoad>& pools, MonotonicInstant now);
 
-    /// \returns Instances that `pool` should have, by the demand seen so far.
-    [[nodiscard]] std::uint32_t target(const PoolLoad& pool, MonotonicInstant now) const;
+    /// \returns Instances that `pool` needs for its demand now.
+    [[nodiscard]] std::uint32_t target(const PoolLoad& pool) const;
+
+    /// \returns Instances that `pool` keeps switched on, by the demand of late.
+    [[nodiscard]] std::uint32_t keeps(const PoolLoad& pool, MonotonicInstant now) const;
+
+    /// \returns Whether a pool had fewer instances than its target when moves were last chosen.
+    [[nodiscard]] bool isShort() const noexcept { return m_short; }
 
     /// \brief Remembers that `pool` does not take instances of `kind`.
     void noteRefused(const std::string& kind, const std::string& pool);
@@ -75,9 +83,12 @@
     };
 
     void note(const PoolLoad& pool, MonotonicInstant now);
+    [[nodiscard]] std::uint32_t instancesFor(std::int64_t milliCpu, const PoolLoad& pool) const;
     [[nodiscard]] bool takes(const std::string& pool, const std::string& kind) const;
 
     CapacityOptions m_options;
+    std::optional<MonotonicInstant> m_firstSeen;
+    bool m_short = false;
     std::map<std::string, std::deque<Sample>> m_samples; ///< By pool; falling in value.
     std::map<std::string, std::vector<std::string>> m_refusedKinds; ///< By pool.
 };
--- /dev/null
+++ b/include/lanemoor/jobs/load_forecast.h
@@ -0,0 +1,44 @@
+#pragma once
+/// \file
+/// What jobs that arrive as they do now will keep busy. Pure.
+
+#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/job_spec.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace lanemoor::jobs {
+
+/// \brief Arrivals by queue, and how long tasks really take against what callers declare.
+class LoadForecast {
+public:
+    /// \brief Notes a new job. Long-running steps are left out: they show in what runs.
+    void noteArrival(const std::string& queue, const JobSpec& job, MonotonicInstant now);
+
+    /// \brief Notes a task that succeeded.
+    void noteRunTime(const std::string& queue, Millis declared, Millis observed);
+
+    /// \returns Thousandths of a core that arrivals at the rate of the last moments keep busy.
+    [[nodiscard]] std::int64_t milliCpu(const std::string& queue, MonotonicInstant now) const;
+
+    /// \returns Observed run times as a multiple of declared ones.
+    [[nodiscard]] double ratio(const std::string& queue) const;
+
+private:
+    struct Arrival {
+        MonotonicInstant at;
+        double work = 0; ///< Thousandths of a core times declared seconds.
+    };
+
+    struct Queue {
+        std::deque<Arrival> arrivals;
+        double ratio = 1.0;
+    };
+
+    std::map<std::string, Queue> m_queues;
+};
+
+} // namespace lanemoor::jobs
--- a/include/lanemoor/jobs/maintenance_plan.h
+++ b/include/lanemoor/jobs/maintenance_plan.h
@@ -37,11 +37,14 @@
 class MaintenancePlan {
 public:
     /// \param done Instances whose maintenance began before.
-    MaintenancePlan(WaveRequest wave, std::set<std::string> done);
+    /// \param now Counts as the time when the wave was asked for.
+    MaintenancePlan(WaveRequest wave, std::set<std::string> done, MonotonicInstant now);
 
     /// \brief Chooses what to do now: instances that are off or empty first, then those with
     /// the fewest attempts, never more of one pool than it can spare.
-    [[nodiscard]] MaintenanceStep next(const std::vector<MaintenanceCandidate>& fleet, MonotonicInstant now);
+    /// \param hasShortage Whether a pool lacks instances: then the wave takes no more than it
+    /// must to end in time.
+    [[nodiscard]] MaintenanceStep next(const std::vector<MaintenanceCandidate>& fleet, bool hasShortage, MonotonicInstant now);
 
     /// \brief Notes that an order was sent; the instance counts as down until it is answered.
     void noteOrdered(const std::string& instance);
@@ -63,9 +66,11 @@
     [[nodiscard]] const std::set<std::string>& done() const noexcept { return m_done; }
 
 private:
+    [[nodiscard]] std::uint32_t pace(MonotonicInstant now) const;
     [[nodiscard]] std::uint32_t down(MonotonicInstant now) const;
 
     WaveRequest m_wave;
+    MonotonicInstant m_paceBy; ///< When the wave should be over if it is paced.
     std::set<std::string> m_done;
     std::set<std::string> m_ordered; ///< Not answered yet.
     std::map<std::string, MonotonicInstant> m_backBy;
--- a/src/jobs/capacity_plan.cpp
+++ b/src/jobs/capacity_plan.cpp
@@ -11,7 +11,8 @@
 /// A pool while moves are being chosen.
 struct Balance {
     const PoolLoad* load = nullptr;
-    std::uint32_t target = 0;
+    std::uint32_t target = 0; ///< For the demand now.
+    std::uint32_t keeps = 0; ///< For the demand of late.
     std::uint32_t instances = 0;
     std::vector<IdleInstance> idle; ///< Longest idle last.
 
@@ -54,32 +55,46 @@
     samples.push_back({ now, pool.demandMilliCpu });
 }
 
-std::uint32_t CapacityPlan::target(const PoolLoad& pool, MonotonicInstant now) const
+std::uint32_t CapacityPlan::instancesFor(std::int64_t milliCpu, const PoolLoad& pool) const
 {
-    const auto found = m_samples.find(pool.pool);
-    if (pool.reserve || pool.instanceMilliCpu <= 0 || found == m_samples.end())
+    if (pool.reserve || pool.instanceMilliCpu <= 0)
         return 0;
-    std::int64_t highest = 0;
-    for (const Sample& sample : found->second) {
-        if (now - sample.at <= m_options.demandMemory)
-            highest = std::max(highest, sample.milliCpu);
-    }
-    const double wanted = static_cast<double>(highest) * m_options.headroom / (static_cast<double>(pool.instanceMilliCpu) * m_options.packing);
+    const double wanted = static_cast<double>(milliCpu) * m_options.headroom / (static_cast<double>(pool.instanceMilliCpu) * m_options.packing);
     return std::max({ static_cast<std::uint32_t>(std::ceil(wanted)), m_options.leastInstances, pool.fixed });
 }
 
+std::uint32_t CapacityPlan::target(const PoolLoad& pool) const
+{
+    return instancesFor(pool.demandMilliCpu, pool);
+}
+
+std::uint32_t CapacityPlan::keeps(const PoolLoad& pool, MonotonicInstant now) const
+{
+    std::int64_t highest = pool.demandMilliCpu;
+    if (const auto found = m_samples.find(pool.pool); found != m_samples.end()) {
+        for (const Sample& sample : found->second) {
+            if (now - sample.at <= m_options.demandMemory)
+                highest = std::max(highest, sample.milliCpu);
+        }
+    }
+    return instancesFor(highest, pool);
+}
+
 std::vector<CapacityMove> CapacityPlan::next(const std::vector<PoolLoad>& pools, MonotonicInstant now)
 {
+    if (!m_firstSeen)
+        m_firstSeen = now;
     std::vector<Balance> balances;
     std::optional<std::string> reserve;
     for (const PoolLoad& pool : pools) {
         note(pool, now);
-        Balance balance { .load = &pool, .target = target(pool, now), .instances = pool.instances, .idle = pool.idle };
+        Balance balance { .load = &pool, .target = target(pool), .keeps = keeps(pool, now), .instances = pool.instances, .idle = pool.idle };
         std::sort(balance.idle.begin(), balance.idle.end(), [](const IdleInstance& a, const IdleInstance& b) { return a.idleSince > b.idleSince; });
         balances.push_back(std::move(balance));
         if (pool.reserve)
             reserve = pool.pool;
     }
+    m_short = std::any_of(balances.begin(), balances.end(), [](const Balance& pool) { return pool.isShort(); });
     std::vector<CapacityMove> moves;
     const auto give = [&](Balance& from, std::size_t index, const std::string& to) {
         moves.push_back({ from.idle[index].instance, from.load->pool, to });
@@ -110,9 +125,9 @@
             needy->target = needy->instances;
     }
     for (Balance& pool : balances) {
-        if (!reserve || pool.load->reserve)
+        if (!reserve || pool.load->reserve || now - *m_firstSeen < m_options.observation)
             continue;
-        while (pool.canGive() && now - pool.idle.back().idleSince >= m_options.idleBeforeOff && takes(*reserve, pool.idle.back().kind))
+        while (pool.canGive() && pool.instances > pool.keeps && now - pool.idle.back().idleSince >= m_options.idleBeforeOff && takes(*reserve, pool.idle.back().kind))
             give(pool, pool.idle.size() - 1, *reserve);
     }
     return moves;
--- a/src/jobs/fleet_keeper.cpp
+++ b/src/jobs/fleet_keeper.cpp
@@ -130,7 +130,7 @@
                 later(storeRetry, [this, wave] { begin(wave); });
                 return;
             }
-            m_plans.emplace(wave.number, MaintenancePlan(wave, readDone(result.item.value)));
+            m_plans.emplace(wave.number, MaintenancePlan(wave, readDone(result.item.value), m_options.loop->now()));
             writeStatus(wave.number, false);
             tickSoon();
         }));
@@ -237,7 +237,7 @@
         std::map<std::string, PoolLoad> loads;
         for (const PoolSettings& pool : configuration->pools) {
             const PoolDemand demand = m_options.scheduler->demand(pool.name);
-            loads[pool.name] = { .pool = pool.name, .reserve = pool.reserve, .demandMilliCpu = demand.runningMilliCpu + demand.waitingMilliCpu, .idle = {} };
+            loads[pool.name] = { .pool = pool.name, .reserve = pool.reserve, .demandMilliCpu = std::max(demand.runningMilliCpu + demand.waitingMilliCpu, demand.forecastMilliCpu), .idle = {} };
         }
         const MonotonicInstant now = m_options.loop->now();
         std::map<std::string, MonotonicInstant> idleSince;
@@ -281,10 +281,25 @@
     {
         if (!mayAct() || m_list.empty())
             return;
-        for (const CapacityMove& move : m_capacity.next(loads(), m_options.loop->now()))
+        const std::vector<PoolLoad> pools = loads();
+        const std::vector<CapacityMove> moves = m_capacity.next(pools, m_options.loop->now());
+        for (const PoolLoad& pool : pools)
+            logSize(pool);
+        for (const CapacityMove& move : moves)
             this->move(move);
     }
 
+    /// One line for each change of a pool's size or target.
+    void logSize(const PoolLoad& pool)
+    {
+        const std::pair<std::uint32_t, std::uint32_t> size { pool.instances, m_capacity.target(pool) };
+        if (std::exchange(m_loggedSizes[pool.pool], size) == size)
+            return;
+        m_options.log->decision("pool-sized",
+            { { "pool", pool.pool }, { "instances", std::int64_t { size.first } }, { "target", std::int64_t { size.second } }, { "idle", static_cast<std::int64_t>(pool.idle.size()) },
+                { "demand_mcpu", pool.demandMilliCpu } });
+    }
+
     void move(const CapacityMove& move)
     {
         const std::string worker = m_list[move.instance].worker;
@@ -325,7 +340,7 @@
             }
             if (!mayAct() || m_list.empty())
                 continue;
-            const MaintenanceStep step = plan.next(candidates(), m_options.loop->now());
+            const MaintenanceStep step = plan.next(candidates(), m_capacity.isShort(), m_options.loop->now());
             for (const std::string& worker : step.evacuate)
                 m_options.scheduler->setEvacuating(worker, true);
             for (const std::string& instance : step.maintain)
@@ -428,6 +443,7 @@
     std::map<std::string, std::string> m_moving; ///< Instances whose move is not answered yet, and where they go.
     std::map<std::string, MonotonicInstant> m_idleSince;
     CapacityPlan m_capacity;
+    std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> m_loggedSizes; ///< Instances and target, by pool.
 };
 
 FleetKeeper::FleetKeeper(FleetKeeperOptions options)
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -44,7 +44,7 @@
 /// All that lives for one term.
 struct Term {
     Term(const JobSchedulerOptions& options, const Ownership& ownership, SchedulerCounts& counts)
-        : state { options, ownership, options.loop->now() + options.ownershipTime + Millis(static_cast<std::int64_t>(leaseStretch * static_cast<double>(options.workerLeaseTime.count()))), {}, {}, nullptr, {} }
+        : state { options, ownership, options.loop->now() + options.ownershipTime + Millis(static_cast<std::int64_t>(leaseStretch * static_cast<double>(options.workerLeaseTime.count()))), {}, {}, nullptr, {}, {} }
         , orders(std::make_shared<OrderDesk>(state, counts))
         , advice(std::make_shared<AdviceDesk>(state))
         , reports(state, *orders, counts)
@@ -129,6 +129,7 @@
         OwnerJob* job = m_term->state.job(id);
         if (!job) {
             load(id, *entry, false);
+            m_term->state.forecast.noteArrival(entry->record->queue, entry->record->spec, m_options.loop->now());
             requestPass();
             return;
         }
@@ -190,6 +191,10 @@
             if (book.entry.pool == pool)
                 demand.runningMilliCpu += book.entry.capacity.milliCpu - book.free().milliCpu;
         }
+        for (const QueueSettings& queue : m_term->state.configuration()->queues) {
+            if (queue.pool == pool)
+                demand.forecastMilliCpu += m_term->state.forecast.milliCpu(queue.name, m_options.loop->now());
+        }
         return demand;
     }
 
--- a/src/jobs/maintenance_plan.cpp
+++ b/src/jobs/maintenance_plan.cpp
@@ -1,6 +1,8 @@
 #include "lanemoor/jobs/maintenance_plan.h"
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -12,11 +14,16 @@
 constexpr std::uint32_t evacuateAhead = 2;
 /// Of a pool's workers, at most one in this many is emptied or down at once.
 constexpr std::uint32_t poolShare = 4;
+/// A wave that is paced ends after this share of its time; the rest is for what goes wrong.
+constexpr double pacedShare = 0.6;
+/// Of one instance's maintenance, with the time to empty it.
+constexpr Millis timeOfOne { 5'000 };
 
 } // namespace
 
-MaintenancePlan::MaintenancePlan(WaveRequest wave, std::set<std::string> done)
+MaintenancePlan::MaintenancePlan(WaveRequest wave, std::set<std::string> done, MonotonicInstant now)
     : m_wave(std::move(wave))
+    , m_paceBy(now + std::chrono::duration_cast<Millis>(m_wave.duration * pacedShare))
     , m_done(std::move(done))
 {
 }
@@ -27,7 +34,17 @@
     return static_cast<std::uint32_t>(m_ordered.size()) + static_cast<std::uint32_t>(std::count_if(m_backBy.begin(), m_backBy.end(), isDown));
 }
 
-MaintenanceStep MaintenancePlan::next(const std::vector<MaintenanceCandidate>& fleet, MonotonicInstant now)
+/// \returns Instances that must be under way at once so that the wave ends in time.
+std::uint32_t MaintenancePlan::pace(MonotonicInstant now) const
+{
+    const std::size_t left = m_wave.instances.size() - std::min(m_done.size(), m_wave.instances.size());
+    if (now >= m_paceBy)
+        return m_wave.mostAtOnce;
+    const double needed = static_cast<double>(left) * std::chrono::duration<double>(timeOfOne) / std::chrono::duration<double>(m_paceBy - now);
+    return std::min(m_wave.mostAtOnce, static_cast<std::uint32_t>(std::ceil(needed)));
+}
+
+MaintenanceStep MaintenancePlan::next(const std::vector<MaintenanceCandidate>& fleet, bool hasShortage, MonotonicInstant now)
 {
     MaintenanceStep step;
     std::map<std::string, std::uint32_t> sizes; // By pool.
@@ -46,8 +63,9 @@
         return std::tuple(!a->reserve, !a->evacuating, a->attempts, a->instance) < std::tuple(!b->reserve, !b->evacuating, b->attempts, b->instance);
     });
     const std::uint32_t downNow = down(now);
-    std::uint32_t slots = m_wave.mostAtOnce > downNow ? m_wave.mostAtOnce - downNow : 0;
-    std::uint32_t evacuations = m_wave.mostAtOnce + evacuateAhead;
+    const std::uint32_t most = hasShortage ? pace(now) : m_wave.mostAtOnce;
+    std::uint32_t slots = most > downNow ? most - downNow : 0;
+    std::uint32_t evacuations = most + (hasShortage ? 0 : evacuateAhead);
     for (const MaintenanceCandidate* candidate : due) {
         const auto retry = m_retryAt.find(candidate->instance);
         if (retry != m_retryAt.end() && retry->second > now)
@@ -65,8 +83,7 @@
         --evacuations;
         if (candidate->evacuating)
             continue;
-        const std::uint32_t most = std::max(sizes[candidate->pool] / poolShare, 1U);
-        if (taken[candidate->pool] >= most)
+        if (taken[candidate->pool] >= std::max(sizes[candidate->pool] / poolShare, 1U))
             continue;
         ++taken[candidate->pool];
         step.evacuate.push_back(candidate->worker);
--- a/src/jobs/owner_state.h
+++ b/src/jobs/owner_state.h
@@ -5,6 +5,7 @@
 #include "lanemoor/adapters/event_log.h"
 #include "lanemoor/jobs/job_scheduler.h"
 #include "lanemoor/jobs/job_state.h"
+#include "lanemoor/jobs/load_forecast.h"
 #include "lanemoor/jobs/progress_writer.h"
 #include "lanemoor/jobs/worker_book.h"
 
@@ -29,6 +30,7 @@
     std::map<std::string, OwnerJob> jobs;
     std::map<std::string, WorkerBook> workers; ///< By id of the life.
     std::unique_ptr<ProgressWriter> writer;
+    LoadForecast forecast;
     std::function<void()> requestPass; ///< Asks for placement soon.
 
     [[nodiscard]] MonotonicInstant now() const { return options.loop->now(); }
--- a/src/jobs/report_reader.cpp
+++ b/src/jobs/report_reader.cpp
@@ -63,6 +63,11 @@
     OwnerJob* job = m_state.job(ended.attempt.job);
     if (!job)
         return;
+    const TaskState* task = job->state.find(ended.attempt.task);
+    if (ended.end == AttemptEnd::Succeeded && task && task->live && task->live->number == ended.attempt.number) {
+        const Millis observed = std::chrono::duration_cast<Millis>(m_state.now() - task->live->startedAt);
+        m_state.forecast.noteRunTime(job->state.record().queue, job->state.spec(ended.attempt.task.step).estimate, observed);
+    }
     const EndEffect effect = job->state.end(ended, worker.entry.id, m_state.mostAttemptsOf(job->state), m_state.now());
     m_state.options.log->decision("task-end",
         { { "attempt", nameOf(ended.attempt) }, { "worker", worker.entry.id }, { "end", std::string(nameOf(ended.end)) }, { "counted", std::int64_t { effect.counted } } });
