Make the linter's findings in the job service good

Cause: clang-tidy had not run over the new folders. Thirteen findings: parameters copied for nothing, a loop, a constant that could not be moved, a branch that stood twice.

--- a/include/lanemoor/jobs/job_intake.h
+++ b/include/lanemoor/jobs/job_intake.h
@@ -45,13 +45,13 @@
     JobIntake(const JobIntake&) = delete;
     JobIntake& operator=(const JobIntake&) = delete;
 
-    void accept(const std::string& id, JobRecord record, std::function<void(AcceptOutcome)> done);
+    void accept(const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done);
 
     /// \brief Answers once the store holds the wish to cancel.
-    void cancel(const std::string& id, std::function<void(LookupOutcome)> done);
+    void cancel(const std::string& id, const std::function<void(LookupOutcome)>& done);
 
     /// \brief Answers from the copy if it knows the job, else from the store.
-    void status(const std::string& id, std::function<void(LookupOutcome, JobStatus)> done);
+    void status(const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done);
 
     /// \returns Accepts and cancels that wait for the store.
     [[nodiscard]] std::size_t inFlight() const noexcept;
--- a/include/lanemoor/jobs/job_service.h
+++ b/include/lanemoor/jobs/job_service.h
@@ -53,7 +53,7 @@
 
     /// \brief Planned stop: takes no jobs, passes the ownership on, answers what it has.
     /// \param done Called when nothing is left to do.
-    void stop(std::function<void()> done);
+    void stop(const std::function<void()>& done);
 
     /// \returns The configuration in force here, or null before the first.
     [[nodiscard]] std::shared_ptr<const ServiceConfiguration> configuration() const;
@@ -71,7 +71,7 @@
     ///@{
     void submit(const std::string& queue, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done);
     void noteRejected(const std::string& id, JobFault fault);
-    void status(const std::string& id, std::function<void(LookupOutcome, JobStatus)> done);
+    void status(const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done);
     void cancel(const std::string& id, std::function<void(LookupOutcome)> done);
     [[nodiscard]] std::uint64_t pending(const std::string& queue) const;
     ///@}
--- a/include/lanemoor/jobs/ownership_keeper.h
+++ b/include/lanemoor/jobs/ownership_keeper.h
@@ -57,7 +57,7 @@
 
     /// \brief Gives the ownership up and competes no more. \param done Called when the store
     /// answered, or at once if nothing was held.
-    void release(std::function<void()> done);
+    void release(const std::function<void()>& done);
 
     /// \brief Another owner was met: stops acting at once.
     void noteSuperseded();
--- a/src/jobs/job_intake.cpp
+++ b/src/jobs/job_intake.cpp
@@ -259,17 +259,17 @@
 
 JobIntake::~JobIntake() = default;
 
-void JobIntake::accept(const std::string& id, JobRecord record, std::function<void(AcceptOutcome)> done)
+void JobIntake::accept(const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done)
 {
     m_impl->accept(id, record, std::move(done));
 }
 
-void JobIntake::cancel(const std::string& id, std::function<void(LookupOutcome)> done)
+void JobIntake::cancel(const std::string& id, const std::function<void(LookupOutcome)>& done)
 {
     m_impl->cancel(id, done);
 }
 
-void JobIntake::status(const std::string& id, std::function<void(LookupOutcome, JobStatus)> done)
+void JobIntake::status(const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done)
 {
     m_impl->status(id, done);
 }
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -70,12 +70,12 @@
         readConfigurationLater();
     }
 
-    void stop(std::function<void()> done)
+    void stop(const std::function<void()>& done)
     {
         m_stopping = true;
         m_parts.log->change("stopping", { { "owner", std::int64_t { m_ownership.isHeld() } } });
         const MonotonicInstant by = m_parts.loop->now() + std::max(m_settings.stopGrace - stopReserve, Millis(0));
-        finishIntake(by, std::move(done));
+        finishIntake(by, done);
     }
 
     [[nodiscard]] bool takesRequests() const { return m_configuration && m_jobs.isLoaded(); }
@@ -88,8 +88,8 @@
     void submit(const std::string& queue, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done)
     {
         const QueueSettings* settings = m_configuration->queue(queue);
-        JobRecord record { .queue = queue, .pool = settings ? settings->pool : std::string(), .acceptedAt = m_parts.loop->timeOfDay(), .spec = std::move(spec) };
-        m_intake.accept(id, std::move(record), [this, id, queue, done = std::move(done), sentAt = m_parts.loop->now()](AcceptOutcome outcome) {
+        const JobRecord record { .queue = queue, .pool = settings ? settings->pool : std::string(), .acceptedAt = m_parts.loop->timeOfDay(), .spec = std::move(spec) };
+        m_intake.accept(id, record, [this, id, queue, done = std::move(done), sentAt = m_parts.loop->now()](AcceptOutcome outcome) {
             counts.accepted += outcome == AcceptOutcome::Accepted ? 1 : 0;
             counts.notTaken += outcome == AcceptOutcome::NotTaken ? 1 : 0;
             counts.unknown += outcome == AcceptOutcome::Unknown ? 1 : 0;
@@ -275,9 +275,9 @@
     m_impl->start();
 }
 
-void JobService::stop(std::function<void()> done)
+void JobService::stop(const std::function<void()>& done)
 {
-    m_impl->stop(std::move(done));
+    m_impl->stop(done);
 }
 
 std::shared_ptr<const ServiceConfiguration> JobService::configuration() const
@@ -311,10 +311,10 @@
     m_impl->m_parts.log->decision("job-rejected", { { "job", id }, { "reason", std::string(describe(fault)) } });
 }
 
-void JobService::status(const std::string& id, std::function<void(LookupOutcome, JobStatus)> done)
+void JobService::status(const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done)
 {
     ++m_impl->counts.lookups;
-    m_impl->m_intake.status(id, std::move(done));
+    m_impl->m_intake.status(id, done);
 }
 
 void JobService::cancel(const std::string& id, std::function<void(LookupOutcome)> done)
--- a/src/jobs/job_service_settings.cpp
+++ b/src/jobs/job_service_settings.cpp
@@ -29,7 +29,7 @@
     const std::optional<std::string> text = reader.string(name, required);
     if (!text || (text->empty() && !required))
         return std::nullopt;
-    const std::optional<HttpAddress> address = parseAddressText(*text);
+    std::optional<HttpAddress> address = parseAddressText(*text);
     if (!address)
         reader.fault(DocumentFaultCode::BadValue, name, "an address such as 10.0.0.1:8080");
     return address;
--- a/src/jobs/ownership_keeper.cpp
+++ b/src/jobs/ownership_keeper.cpp
@@ -215,7 +215,7 @@
     m_impl->observe(item);
 }
 
-void OwnershipKeeper::release(std::function<void()> done)
+void OwnershipKeeper::release(const std::function<void()>& done)
 {
     m_impl->release(done);
 }
--- a/src/jobs/progress_writer.cpp
+++ b/src/jobs/progress_writer.cpp
@@ -138,11 +138,11 @@
             return;
         // The same jobs go again, under the newest revisions; what was sent may also have
         // been carried out, which the next conflict will show.
-        for (auto sent = m_sent.rbegin(); sent != m_sent.rend(); ++sent) {
-            const auto [mark, inserted] = m_marked.emplace(sent->id, sent->sequence);
-            mark->second = std::min(mark->second, sent->sequence);
+        for (const Sent& sent : m_sent) {
+            const auto [mark, inserted] = m_marked.emplace(sent.id, sent.sequence);
+            mark->second = std::min(mark->second, sent.sequence);
             if (inserted)
-                m_order.push_front(sent->id);
+                m_order.push_back(sent.id);
         }
         m_sent.clear();
         if (result.outcome == StoreOutcome::Conflict)
--- a/src/jobs/report_reader.cpp
+++ b/src/jobs/report_reader.cpp
@@ -146,7 +146,7 @@
 {
     std::vector<Attempt> missing;
     for (const auto& [attempt, booking] : worker.bookings) {
-        const auto isThis = [&](const RunningAttempt& running) { return running.attempt == attempt; };
+        const auto isThis = [&wanted = attempt](const RunningAttempt& running) { return running.attempt == wanted; };
         if (std::none_of(result.running.begin(), result.running.end(), isThis))
             missing.push_back(attempt);
     }
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -148,9 +148,8 @@
         const auto taken = m_takenByOrder.find(other);
         const auto gone = m_awaySince.find(other);
         const bool missed = gone != m_awaySince.end() && m_clock.now() - gone->second >= noticeTime;
-        if (index != attempt.task.index && missed)
-            ++away;
-        else if (index != attempt.task.index && taken != m_takenByOrder.end() && taken->second > m_clock.now())
+        const bool takenAway = taken != m_takenByOrder.end() && taken->second > m_clock.now();
+        if (index != attempt.task.index && (missed || takenAway))
             ++away;
     }
     if (away >= step.disruptionBudget)
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -194,7 +194,7 @@
     return FleetOutcome::Done;
 }
 
-void WorkerClient::order(const std::string& worker, std::function<OrderResult(bool late)> act, std::function<void(OrderResult)> done)
+void WorkerClient::order(const std::string& worker, const std::function<OrderResult(bool late)>& act, std::function<void(OrderResult)> done)
 {
     const std::function<void(OrderResult)> answer = m_process.deliver<OrderResult>(std::move(done));
     SimClock& clock = m_workers.m_clock;
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -145,7 +145,7 @@
     void forget(const jobs::WorkerLife& worker) override;
 
 private:
-    void order(const std::string& worker, std::function<jobs::OrderResult(bool late)> act, std::function<void(jobs::OrderResult)> done);
+    void order(const std::string& worker, const std::function<jobs::OrderResult(bool late)>& act, std::function<void(jobs::OrderResult)> done);
 
     WorkersModel& m_workers;
     SimProcess& m_process;
