Act on instances at once after a takeover, under a record of acts

Ruled out: a shorter wait for all, since two holders may not act on one instance within 3 s. Change: each act is recorded under the ownership before it is sent; the next owner leaves alone what the record names.

--- a/include/lanemoor/jobs/fleet_keeper.h
+++ b/include/lanemoor/jobs/fleet_keeper.h
@@ -29,8 +29,8 @@
     EventLog* log = nullptr;
     std::function<std::shared_ptr<const ServiceConfiguration>()> configuration;
     std::string holder; ///< Name that acts carry.
-    /// After a change of owner, no act before this: the platform must not see two holders in
-    /// turn within its lease time, also if the former one has not noticed yet.
+    /// After a change of owner, no act on an instance that the former owner acted on within
+    /// this time: the platform must not see two holders in turn within its lease time.
     Millis handover { 4'500 };
     Millis maintenanceTime { 2'000 }; ///< Of one instance, as the platform says.
     Millis moveTime { 1'500 }; ///< Of one instance between pools.
--- a/include/lanemoor/jobs/job_record.h
+++ b/include/lanemoor/jobs/job_record.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +25,8 @@
 constexpr std::string_view ownerKeyPrefix = "lanemoor/ownership/holder/"; ///< Bound to the owner's lease.
 constexpr std::string_view termKeyPrefix = "lanemoor/ownership/term/"; ///< Outlasts the owner.
 
+constexpr std::string_view actsKey = "lanemoor/acts"; ///< Instances that the owner acted on of late.
+[[nodiscard]] std::string waveKey(std::uint64_t wave); ///< Instances of a wave whose maintenance began.
 [[nodiscard]] std::string jobKey(std::string_view id);
 [[nodiscard]] std::string progressKey(std::string_view id);
 [[nodiscard]] std::string cancelKey(std::string_view id);
@@ -79,6 +82,8 @@
 [[nodiscard]] std::string encode(const JobRecord& record);
 [[nodiscard]] std::string encode(const ProgressRecord& record);
 [[nodiscard]] std::string encode(const OwnerRecord& record);
+[[nodiscard]] std::string encode(const std::set<std::string>& instances);
+[[nodiscard]] std::optional<std::set<std::string>> decodeInstances(std::string_view bytes);
 [[nodiscard]] std::optional<JobRecord> decodeJob(std::string_view bytes);
 [[nodiscard]] std::optional<ProgressRecord> decodeProgress(std::string_view bytes);
 [[nodiscard]] std::optional<OwnerRecord> decodeOwner(std::string_view bytes);
--- a/include/lanemoor/jobs/job_scheduler.h
+++ b/include/lanemoor/jobs/job_scheduler.h
@@ -48,6 +48,7 @@
     Resources free;
     std::uint32_t attempts = 0; ///< Not over.
     std::uint32_t longRunning = 0; ///< Of them.
+    bool known = false; ///< What runs there is known: it was met in this term, or every lease there is over.
     bool sound = false; ///< Listed, answering, not draining, not quarantined.
     bool evacuating = false;
 };
--- a/include/lanemoor/jobs/job_state.h
+++ b/include/lanemoor/jobs/job_state.h
@@ -30,6 +30,7 @@
     MonotonicInstant startedAt; ///< When the order was sent, or the attempt was found at the worker.
     MonotonicInstant phaseSince;
     std::optional<MonotonicInstant> stopAnsweredAt;
+    bool adopted = false; ///< An earlier owner started it, and may have ordered it to stop.
     std::uint32_t percent = 0; ///< As last reported.
     MonotonicInstant percentSince; ///< When `percent` last changed.
 
--- a/src/jobs/evacuation.cpp
+++ b/src/jobs/evacuation.cpp
@@ -5,6 +5,9 @@
 namespace {
 
 constexpr std::uint32_t atWorkPercent = 100;
+/// A stop takes up to 0.9 s at a worker by the platform's bound: so long after an attempt was
+/// adopted, a former owner's stop of it may still be under way.
+constexpr Millis formerStops { 1'500 };
 /// Most batch tasks take less; those that take longer are stopped, since instances wait.
 constexpr Millis batchPatience { 4'000 };
 
@@ -12,6 +15,8 @@
 {
     if (!task.live || task.live->phase != AttemptPhase::Running || task.live->percent < atWorkPercent)
         return false;
+    if (task.live->adopted && state.now() - task.live->startedAt < formerStops)
+        return false;
     const auto worker = state.workers.find(task.live->worker);
     return worker != state.workers.end() && !worker->second.session->isSilent();
 }
--- a/src/jobs/fleet_keeper.cpp
+++ b/src/jobs/fleet_keeper.cpp
@@ -11,7 +11,6 @@
 
 #include <algorithm>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
 #include <utility>
@@ -21,6 +20,7 @@
 namespace {
 
 constexpr Millis storeRetry { 300 };
+constexpr Millis recordLasts { 500 }; // An act is sent this soon after its record was asked for, or not at all.
 constexpr Millis lateAct { 3'000 }; // An act without an answer is settled by the list after this.
 constexpr Millis retryBusy { 500 }; // An instance that was busy is looked at again after this.
 /// Beyond the maintenance time itself: the order's way, and the worker's start.
@@ -28,24 +28,6 @@
 /// After an act the list may still show the instance as it was.
 constexpr Millis listLag { 1'200 };
 
-std::string waveRecordKey(std::uint64_t wave)
-{
-    return std::string(jobServicePrefix) + "wave/" + std::to_string(wave);
-}
-
-std::set<std::string> readDone(const std::string& text)
-{
-    std::set<std::string> done;
-    const nlohmann::json list = nlohmann::json::parse(text, nullptr, false);
-    if (!list.is_array())
-        return done;
-    for (const nlohmann::json& instance : list) {
-        if (instance.is_string())
-            done.insert(instance.get<std::string>());
-    }
-    return done;
-}
-
 } // namespace
 
 class FleetKeeper::Impl : public std::enable_shared_from_this<FleetKeeper::Impl> {
@@ -60,7 +42,11 @@
         ++m_generation;
         m_active = true;
         m_ownership = ownership;
-        m_actsFrom = m_options.loop->now() + (ownership.term > 1 ? m_options.handover : Millis(0));
+        m_mayAct = false;
+        m_blockedUntil.clear();
+        m_recentActs.clear();
+        m_unsent.clear();
+        readActs();
         m_plans.clear();
         m_finished.clear();
         m_list.clear();
@@ -106,7 +92,7 @@
         MonotonicInstant until;
     };
 
-    [[nodiscard]] bool mayAct() const { return m_active && m_options.ownership->isHeld() && m_options.loop->now() >= m_actsFrom; }
+    [[nodiscard]] bool mayAct() const { return m_active && m_options.ownership->isHeld() && m_mayAct; }
 
     /// Calls `step` later unless the term is over by then.
     void later(Millis pause, std::function<void()> step)
@@ -129,15 +115,93 @@
         };
     }
 
+    /// What the former owner acted on of late is left alone for the time of a handover; all
+    /// else may be acted on at once.
+    void readActs()
+    {
+        m_options.store->read(std::string(actsKey), inTerm<ReadResult>([this](const ReadResult& result) {
+            if (result.outcome != StoreOutcome::Done && result.outcome != StoreOutcome::NotFound) {
+                later(storeRetry, [this] { readActs(); });
+                return;
+            }
+            for (const std::string& instance : decodeInstances(result.item.value).value_or(std::set<std::string> {}))
+                noteFormerAct(instance);
+            m_actsRevision = result.item.revision;
+            m_mayAct = true;
+            tickSoon();
+        }));
+    }
+
+    /// After a record without an answer: the next one must replace what is there now.
+    void readActsRevision()
+    {
+        m_options.store->read(std::string(actsKey), inTerm<ReadResult>([this](const ReadResult& result) {
+            if (result.outcome != StoreOutcome::Done && result.outcome != StoreOutcome::NotFound) {
+                later(storeRetry, [this] { readActsRevision(); });
+                return;
+            }
+            m_actsRevision = result.item.revision;
+            m_mayAct = true;
+        }));
+    }
+
+    /// The next owner must hear of it too, should this one not last.
+    void noteFormerAct(const std::string& instance)
+    {
+        m_blockedUntil[instance] = m_options.loop->now() + m_options.handover;
+        m_recentActs[instance] = m_options.loop->now();
+    }
+
+    [[nodiscard]] bool isBlocked(const std::string& instance) const
+    {
+        const auto found = m_blockedUntil.find(instance);
+        return found != m_blockedUntil.end() && m_options.loop->now() < found->second;
+    }
+
+    /// Records an act under the ownership's condition before it is sent: an owner that was
+    /// superseded without knowing it can send none. Acts of one turn of the loop share a record.
+    /// \param send Told whether the act may be sent.
+    void record(const std::string& instance, std::function<void(bool)> send)
+    {
+        const MonotonicInstant now = m_options.loop->now();
+        std::erase_if(m_recentActs, [&](const auto& act) { return now - act.second > m_options.handover; });
+        m_recentActs[instance] = now;
+        m_unsent.push_back(std::move(send));
+        if (m_unsent.size() == 1)
+            later(Millis(0), [this] { writeActs(); });
+    }
+
+    void writeActs()
+    {
+        std::set<std::string> instances;
+        for (const auto& [instance, at] : m_recentActs)
+            instances.insert(instance);
+        // Under its own revision too: a record that is carried out late must not undo a newer one.
+        const Transaction transaction { .expected = { m_options.ownership->condition(), { std::string(actsKey), m_actsRevision } }, .writes = { { std::string(actsKey), encode(instances), 0 } }, .removals = {} };
+        m_mayAct = false;
+        const MonotonicInstant sentAt = m_options.loop->now();
+        m_options.store->commit(transaction, inTerm<CommitResult>([this, sends = std::exchange(m_unsent, {}), sentAt](const CommitResult& result) {
+            const bool fresh = m_options.loop->now() - sentAt < recordLasts;
+            m_mayAct = result.outcome == StoreOutcome::Done;
+            if (m_mayAct)
+                m_actsRevision = result.revision;
+            else
+                readActsRevision();
+            const bool may = fresh && mayAct();
+            for (const std::function<void(bool)>& send : sends)
+                send(may);
+        }));
+    }
+
     /// Reads how far the wave has come before it goes on.
     void begin(const WaveRequest& wave)
     {
-        m_options.store->read(waveRecordKey(wave.number), inTerm<ReadResult>([this, wave](const ReadResult& result) {
+        m_options.store->read(waveKey(wave.number), inTerm<ReadResult>([this, wave](const ReadResult& result) {
             if (result.outcome != StoreOutcome::Done && result.outcome != StoreOutcome::NotFound) {
                 later(storeRetry, [this, wave] { begin(wave); });
                 return;
             }
-            m_plans.emplace(wave.number, MaintenancePlan(wave, readDone(result.item.value), m_options.loop->now()));
+            m_plans.emplace(wave.number, MaintenancePlan(wave, decodeInstances(result.item.value).value_or(std::set<std::string> {}), m_options.loop->now()));
             writeStatus(wave.number, false);
             tickSoon();
         }));
@@ -234,7 +298,7 @@
         std::vector<MaintenanceCandidate> fleet;
         for (const auto& [id, instance] : m_list) {
             const PoolSettings* pool = configuration->pool(instance.pool);
-            if (m_moving.contains(id))
+            if (m_moving.contains(id) || isBlocked(id))
                 continue;
             MaintenanceCandidate candidate { .instance = id, .pool = instance.pool, .worker = {}, .reserve = pool && pool->reserve, .up = instance.state == FleetState::Up };
             const auto use = uses.find(instance.worker);
@@ -242,6 +306,7 @@
                 candidate.worker = instance.worker;
                 candidate.evacuating = use->second.evacuating;
                 candidate.attempts = use->second.attempts;
+                candidate.up = candidate.up && use->second.known;
             } else if (!candidate.reserve) {
                 // A worker that is not known here may run what nobody has looked at.
                 candidate.up = false;
@@ -283,7 +348,7 @@
             const bool known = use != uses.end();
             pool.unsound += instance.state == FleetState::Up && !pool.reserve && known && !use->second.sound ? 1 : 0;
             const bool isIdle = instance.state == FleetState::Up && (pool.reserve || (known && use->second.sound && !use->second.evacuating && use->second.attempts == 0));
-            if (!isIdle || isOrdered(id))
+            if (!isIdle || isOrdered(id) || isBlocked(id))
                 continue;
             const auto before = m_idleSince.find(id);
             const MonotonicInstant since = before == m_idleSince.end() ? now : before->second;
@@ -336,24 +401,37 @@
         // No task may be placed there between this decision and the act.
         m_options.scheduler->setEvacuating(worker, true);
         m_options.log->decision("instance-move", { { "instance", move.instance }, { "from", move.from }, { "to", move.to }, { "worker", worker } });
-        m_options.fleet->move(move.instance, move.to, { m_options.holder, m_ownership.epoch }, inTerm<FleetOutcome>([this, move, worker](const FleetOutcome& outcome) {
-            m_moving.erase(move.instance);
-            if (outcome == FleetOutcome::Done) {
-                ++counts.moved;
-                noteActed(move.instance, move.to, FleetState::Moving, m_options.moveTime);
-                m_options.scheduler->noteLifeOver(worker);
-                return;
-            }
-            m_options.log->decision("instance-move-failed", { { "instance", move.instance }, { "outcome", std::string(nameOf(outcome)) } });
-            if (outcome == FleetOutcome::Refused)
-                m_capacity.noteRefused(m_list[move.instance].kind, move.to);
-            counts.unknown += outcome == FleetOutcome::Unknown ? 1 : 0;
-            // An act without an answer may yet be carried out: the instance stays empty, and
-            // the list will show where it is.
-            noteActed(move.instance, move.from, FleetState::Moving, outcome == FleetOutcome::Unknown ? lateAct : retryBusy);
-            if (outcome != FleetOutcome::Unknown)
-                m_options.scheduler->setEvacuating(worker, false);
-        }));
+        record(move.instance, [this, move, worker](bool may) {
+            if (may)
+                sendMove(move, worker);
+            else
+                moved(move, worker, FleetOutcome::NotDone);
+        });
+    }
+
+    void sendMove(const CapacityMove& move, const std::string& worker)
+    {
+        m_options.fleet->move(move.instance, move.to, { m_options.holder, m_ownership.epoch }, inTerm<FleetOutcome>([this, move, worker](const FleetOutcome& outcome) { moved(move, worker, outcome); }));
+    }
+
+    void moved(const CapacityMove& move, const std::string& worker, FleetOutcome outcome)
+    {
+        m_moving.erase(move.instance);
+        if (outcome == FleetOutcome::Done) {
+            ++counts.moved;
+            noteActed(move.instance, move.to, FleetState::Moving, m_options.moveTime);
+            m_options.scheduler->noteLifeOver(worker);
+            return;
+        }
+        m_options.log->decision("instance-move-failed", { { "instance", move.instance }, { "outcome", std::string(nameOf(outcome)) } });
+        if (outcome == FleetOutcome::Refused)
+            m_capacity.noteRefused(m_list[move.instance].kind, move.to);
+        counts.unknown += outcome == FleetOutcome::Unknown ? 1 : 0;
+        // An act without an answer may yet be carried out: the instance stays empty, and
+        // the list will show where it is.
+        noteActed(move.instance, move.from, FleetState::Moving, outcome == FleetOutcome::Unknown ? lateAct : retryBusy);
+        if (outcome != FleetOutcome::Unknown)
+            m_options.scheduler->setEvacuating(worker, false);
     }
 
     void planWaves()
@@ -393,6 +471,16 @@
         const std::uint64_t number = plan.wave().number;
         const std::string worker = m_list[instance].worker;
         m_options.log->decision("maintenance-ordered", { { "instance", instance }, { "wave", static_cast<std::int64_t>(number) }, { "worker", worker } });
+        record(instance, [this, number, instance, worker](bool may) {
+            if (may)
+                sendMaintenance(number, instance, worker);
+            else
+                maintained(number, instance, worker, FleetOutcome::NotDone);
+        });
+    }
+
+    void sendMaintenance(std::uint64_t number, const std::string& instance, const std::string& worker)
+    {
         m_options.fleet->maintain(instance, number, { m_options.holder, m_ownership.epoch }, inTerm<FleetOutcome>([this, number, instance, worker](const FleetOutcome& outcome) {
             maintained(number, instance, worker, outcome);
         }));
@@ -442,9 +530,15 @@
 
     void writeStatus(std::uint64_t number, bool finished)
     {
-        const Transaction transaction { .expected = { m_options.ownership->condition() }, .writes = { { m_options.documents->waveStatusKey(number), m_options.documents->formatWaveStatus(finished), 0 } }, .removals = {} };
+        // A wave is called running only while nothing was said of it, so that this, carried out
+        // late, can't take back that it is finished.
+        std::vector<KeyRevision> expected { m_options.ownership->condition() };
+        if (!finished)
+            expected.push_back({ m_options.documents->waveStatusKey(number), 0 });
+        const Transaction transaction { .expected = expected, .writes = { { m_options.documents->waveStatusKey(number), m_options.documents->formatWaveStatus(finished), 0 } }, .removals = {} };
         m_options.store->commit(transaction, inTerm<CommitResult>([this, number, finished](const CommitResult& result) {
-            if (result.outcome != StoreOutcome::Done && finished == m_finished.contains(number))
+            const bool alreadySaid = !finished && result.outcome == StoreOutcome::Conflict;
+            if (result.outcome != StoreOutcome::Done && !alreadySaid && finished == m_finished.contains(number))
                 later(storeRetry, [this, number, finished] { writeStatus(number, finished); });
         }));
     }
@@ -453,8 +547,7 @@
     /// platform knows as done.
     void writeRecord(const MaintenancePlan& plan)
     {
-        const nlohmann::json done(plan.done());
-        const Transaction transaction { .expected = { m_options.ownership->condition() }, .writes = { { waveRecordKey(plan.wave().number), done.dump(), 0 } }, .removals = {} };
+        const Transaction transaction { .expected = { m_options.ownership->condition() }, .writes = { { waveKey(plan.wave().number), encode(plan.done()), 0 } }, .removals = {} };
         m_options.store->commit(transaction, [](const CommitResult&) {});
     }
 
@@ -463,7 +556,11 @@
     bool m_tickSoon = false;
     std::uint64_t m_generation = 0;
     Ownership m_ownership;
-    MonotonicInstant m_actsFrom;
+    bool m_mayAct = false; ///< The former owner's acts are known, and no record is under way.
+    std::uint64_t m_actsRevision = 0;
+    std::map<std::string, MonotonicInstant> m_blockedUntil; ///< Instances that the former owner acted on of late.
+    std::map<std::string, MonotonicInstant> m_recentActs; ///< This owner's own.
+    std::vector<std::function<void(bool)>> m_unsent; ///< Acts that wait for their record.
     std::map<std::uint64_t, WaveRequest> m_waves;
     std::map<std::uint64_t, MaintenancePlan> m_plans;
     std::set<std::uint64_t> m_finished;
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -99,6 +99,27 @@
     return std::string(cancelKeyPrefix).append(id);
 }
 
+std::string waveKey(std::uint64_t wave)
+{
+    return std::string(jobServicePrefix) + "wave/" + std::to_string(wave);
+}
+
+std::string encode(const std::set<std::string>& instances)
+{
+    wire::InstancesDocument document;
+    for (const std::string& instance : instances)
+        document.add_instances(instance);
+    return document.SerializeAsString();
+}
+
+std::optional<std::set<std::string>> decodeInstances(std::string_view bytes)
+{
+    wire::InstancesDocument document;
+    if (!parse(bytes, document))
+        return std::nullopt;
+    return std::set<std::string>(document.instances().begin(), document.instances().end());
+}
+
 std::string encode(const JobRecord& record)
 {
     wire::JobDocument document;
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -189,6 +189,7 @@
             WorkerUse use { .worker = id, .pool = book.entry.pool, .capacity = book.entry.capacity, .free = book.free(), .attempts = static_cast<std::uint32_t>(book.bookings.size()), .evacuating = book.evacuating };
             for (const auto& [attempt, booking] : book.bookings)
                 use.longRunning += booking.step->longRunning ? 1 : 0;
+            use.known = book.session->isMet() || now >= book.session->leaseOverBy();
             use.sound = book.listed && !book.entry.draining && book.session->isMet() && !book.session->isSilent() && !book.session->isLifeOver() && !book.health.isQuarantined(now);
             uses.push_back(std::move(use));
         }
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -190,6 +190,7 @@
         return false;
     begin(attempt.task, attempt.number, worker, now);
     setPhase(attempt, AttemptPhase::Running, now);
+    state->live->adopted = true;
     return true;
 }
 
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -14,6 +14,7 @@
 constexpr Millis cancelBound { 3'000 }; // In which a cancelled job's starts must stop.
 constexpr Millis atWorkAfter { 500 }; // A long-running task is at work so long after its start.
 constexpr Millis noticeTime { 4'500 }; // A task away for so long counts, whatever the cause.
+constexpr Millis holderTime { 3'000 }; // Two holders may not act on one instance within it.
 constexpr Millis resend { 500 }; // Between a caller's attempts.
 
 std::string nameOf(const std::string& job, const TaskId& task)
@@ -195,6 +196,19 @@
     noteDeparture(attempt, departure);
 }
 
+void JobWitness::onAct(const std::string& instance, const FleetHolder& holder)
+{
+    const auto last = m_lastAct.find(instance);
+    if (last != m_lastAct.end()) {
+        const auto& [epoch, at] = last->second;
+        if (holder.epoch < epoch)
+            breach("ONE", instance + " hears an older holder");
+        else if (holder.epoch > epoch && m_clock.now() - at < holderTime)
+            breach("ONE", instance + " hears two holders in turn");
+    }
+    m_lastAct[instance] = { holder.epoch, m_clock.now() };
+}
+
 void JobWitness::onStored(const std::string&, const EndedAttempt& ended)
 {
     const Task task { ended.attempt.job, ended.attempt.task };
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -55,6 +55,7 @@
     void onStart(const std::string& worker, const jobs::StartOrder& order) override;
     void onEnd(const std::string& worker, const jobs::Attempt& attempt, jobs::AttemptEnd end, const Departure& departure) override;
     void onDead(const std::string& worker, const jobs::Attempt& attempt, const Departure& departure) override;
+    void onAct(const std::string& instance, const jobs::FleetHolder& holder) override;
     void onStored(const std::string& worker, const jobs::EndedAttempt& ended) override;
 
     [[nodiscard]] const std::vector<Breach>& breaches() const noexcept { return m_breaches; }
@@ -92,6 +93,7 @@
     std::set<Task> m_storedSuccess;
     std::map<Task, std::set<std::uint64_t>> m_storedFailures;
     std::map<Task, MonotonicInstant> m_takenByOrder; ///< Until at work again.
+    std::map<std::string, std::pair<std::uint64_t, MonotonicInstant>> m_lastAct; ///< Epoch and time, by instance.
     std::map<Task, MonotonicInstant> m_awaySince; ///< Long-running tasks that run nowhere.
     std::uint64_t m_starts = 0;
     std::vector<Breach> m_breaches;
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -177,12 +177,14 @@
     return { .outcome = OrderOutcome::Done, .workerClock = clockOf(model) };
 }
 
-FleetOutcome WorkersModel::take(const std::string& instance, const std::string& pool, FleetState state, Millis time)
+FleetOutcome WorkersModel::take(const std::string& instance, const FleetHolder& holder, const std::string& pool, FleetState state, Millis time)
 {
     const auto found = m_instances.find(instance);
     if (found == m_instances.end())
         return FleetOutcome::Refused;
     FleetInstance& on = found->second;
+    if (witness)
+        witness->onAct(instance, holder);
     if (on.state != FleetState::Up)
         return FleetOutcome::Busy;
     if (WorkerModel* worker = find(on.worker))
@@ -333,23 +335,23 @@
     m_workers.m_clock.after(halfTrip * 2, [answer, list] { answer(list); });
 }
 
-void FleetClient::move(const std::string& instance, const std::string& pool, const FleetHolder&, std::function<void(FleetOutcome)> done)
+void FleetClient::move(const std::string& instance, const std::string& pool, const FleetHolder& holder, std::function<void(FleetOutcome)> done)
 {
     const std::function<void(FleetOutcome)> answer = m_process.deliver<FleetOutcome>(std::move(done));
-    m_workers.m_clock.after(halfTrip, [this, instance, pool, answer] {
-        const FleetOutcome outcome = m_workers.take(instance, pool, FleetState::Moving, m_workers.moveTime);
+    m_workers.m_clock.after(halfTrip, [this, instance, pool, holder, answer] {
+        const FleetOutcome outcome = m_workers.take(instance, holder, pool, FleetState::Moving, m_workers.moveTime);
         m_workers.m_clock.after(halfTrip, [answer, outcome] { answer(outcome); });
     });
 }
 
-void FleetClient::maintain(const std::string& instance, std::uint64_t wave, const FleetHolder&, std::function<void(FleetOutcome)> done)
+void FleetClient::maintain(const std::string& instance, std::uint64_t wave, const FleetHolder& holder, std::function<void(FleetOutcome)> done)
 {
     const std::function<void(FleetOutcome)> answer = m_process.deliver<FleetOutcome>(std::move(done));
-    m_workers.m_clock.after(halfTrip, [this, instance, wave, answer] {
+    m_workers.m_clock.after(halfTrip, [this, instance, wave, holder, answer] {
         std::set<std::string>& maintained = m_workers.m_maintained[wave];
         FleetOutcome outcome = FleetOutcome::Done;
         if (!maintained.contains(instance))
-            outcome = m_workers.take(instance, m_workers.m_instances[instance].pool, FleetState::InMaintenance, m_workers.maintenanceTime);
+            outcome = m_workers.take(instance, holder, m_workers.m_instances[instance].pool, FleetState::InMaintenance, m_workers.maintenanceTime);
         if (outcome == FleetOutcome::Done)
             maintained.insert(instance);
         m_workers.m_clock.after(halfTrip, [answer, outcome] { answer(outcome); });
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -45,6 +45,7 @@
     virtual void onStart(const std::string& worker, const jobs::StartOrder& order) = 0;
     virtual void onEnd(const std::string& worker, const jobs::Attempt& attempt, jobs::AttemptEnd end, const Departure& departure) = 0;
     virtual void onDead(const std::string& worker, const jobs::Attempt& attempt, const Departure& departure) = 0;
+    virtual void onAct(const std::string& instance, const jobs::FleetHolder& holder) = 0;
     virtual void onStored(const std::string& worker, const jobs::EndedAttempt& ended) = 0;
 };
 
@@ -118,7 +119,7 @@
     [[nodiscard]] bool isAtWork(const WorkerModel& worker, const WorkerModel::Run& run) const;
     void lapse(const std::string& worker);
     [[nodiscard]] std::int64_t clockOf(const WorkerModel& worker) const;
-    jobs::FleetOutcome take(const std::string& instance, const std::string& pool, jobs::FleetState state, Millis time);
+    jobs::FleetOutcome take(const std::string& instance, const jobs::FleetHolder& holder, const std::string& pool, jobs::FleetState state, Millis time);
 
     SimClock& m_clock;
     std::mt19937_64& m_random;
--- a/tests/jobs/random_test.cpp
+++ b/tests/jobs/random_test.cpp
@@ -248,11 +248,15 @@
 
 TEST_CASE("Random runs that failed once keep the promises")
 {
-    constexpr std::array<std::uint64_t, 5> seeds {
+    constexpr std::array<std::uint64_t, 9> seeds {
         42, // The members of a gang on a hanging worker waited for ever.
         785, // A stuck task was stopped beside the budget of its step.
         1'094, // A late success was dropped, and a third attempt began after it was stored.
         7'315, // The same with the newer start still on its way; the lease had lapsed.
+        218, // The second owner's record of acts left out the first one's; later, a late record undid a newer one.
+        244, // An instance whose worker had not been met looked empty and was maintained.
+        4'564, // A new owner took a task away while a former one's stop of another was under way.
+        10'873, // A record of acts that was carried out late undid a newer one.
         8'163, // A member of a failed gang ran on while the gang started again.
     };
     for (const std::uint64_t seed : seeds)
--- a/tests/jobs/service_test.cpp
+++ b/tests/jobs/service_test.cpp
@@ -172,6 +172,41 @@
     requireNoBreach(cluster);
 }
 
+TEST_CASE("A new owner takes no instance whose worker it has not met")
+{
+    // Found by random run 244: no attempt was booked at a worker that was cut off when the
+    // owner changed, so its instance looked empty and was maintained.
+    SmallCluster cluster(1, 3, 4, 0);
+    cluster.submit(0, "work", jobId(1), job({ longStep(3) }));
+    REQUIRE(cluster.waitFor(Millis(3'000), [&] { return cluster.witness.starts() == 3; }));
+    cluster.clock.runFor(Millis(2'000));
+    const std::string hidden = cluster.witness.workerOf(jobId(1), {});
+    cluster.workers.find(hidden)->trouble.cutOff = true;
+    cluster.kill(cluster.owner().value());
+    cluster.clock.runFor(Millis(2'000));
+    cluster.askWave({ .number = 1, .instances = { cluster.workers.find(hidden)->instance }, .duration = Millis(10'000), .mostAtOnce = 1 });
+    cluster.clock.runFor(Millis(1'500));
+    CHECK(cluster.workers.find(hidden)->alive);
+    requireNoBreach(cluster);
+}
+
+TEST_CASE("Two owners in turn act on one instance only a while apart, a third one too")
+{
+    // Found by random runs 218 and 244: the second owner's record left out what the first had
+    // acted on, and the third acted on it at once.
+    SmallCluster cluster(1, 4, 2, 6);
+    const auto handIn = [&](std::uint64_t number) { cluster.submit(0, "work", jobId(number), job({ step(30) })); };
+    handIn(1);
+    for (std::uint64_t number = 2; number < 5; ++number) {
+        cluster.clock.runFor(Millis(300));
+        if (cluster.owner().value_or(0) != 0)
+            cluster.kill(*cluster.owner());
+        handIn(number);
+        cluster.clock.runFor(Millis(1'900));
+    }
+    requireNoBreach(cluster);
+}
+
 TEST_CASE("A pool keeps enough instances for tasks that must not share one")
 {
     // Found on tellelag-drift scale-1: a pool of idle instances was switched off below the
