--- /dev/null
+++ b/include/lanemoor/jobs/job_metrics.h
@@ -0,0 +1,57 @@
+#pragma once
+/// \file
+/// Metrics of the job service, in Prometheus' text format.
+
+#include "lanemoor/jobs/job_intake.h"
+#include "lanemoor/jobs/job_scheduler.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace lanemoor::jobs {
+
+struct FleetCounts;
+
+/// What is read at the moment of a scrape.
+struct MetricsReading {
+    bool ready = false;
+    bool owner = false;
+    std::uint64_t configurationVersion = 0;
+    std::uint64_t jobs = 0; ///< Known from the store.
+    double storeAgeSeconds = 0; ///< Since the copy of the store was last known to be fresh.
+    std::uint64_t unreadableItems = 0;
+    std::uint64_t logLinesDropped = 0;
+    std::uint64_t decisionsOmitted = 0;
+};
+
+/// \brief The metrics of one process of the job service. Labels take few values: outcomes, and
+/// the operators' queues.
+class JobMetrics {
+public:
+    JobMetrics();
+    ~JobMetrics();
+    JobMetrics(const JobMetrics&) = delete;
+    JobMetrics& operator=(const JobMetrics&) = delete;
+
+    /// \brief Counts a job that was handed in, and how long its caller waited.
+    void noteHandedIn(const std::string& queue, AcceptOutcome outcome, double seconds);
+
+    /// \brief Counts a request to cancel.
+    void noteCancel(LookupOutcome outcome, double seconds);
+
+    /// \brief Counts a status that was asked for.
+    void noteLookup(LookupOutcome outcome);
+
+    /// \brief Counts a description that could not be read.
+    void noteRejected();
+
+    /// \returns All metrics as text.
+    [[nodiscard]] std::string text(const MetricsReading& reading, const SchedulerCounts& scheduler, const FleetCounts& fleet) const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace lanemoor::jobs
--- a/include/lanemoor/jobs/job_service.h
+++ b/include/lanemoor/jobs/job_service.h
@@ -30,16 +30,6 @@
     EventLog* log = nullptr;
 };
 
-/// Counts of one process since its start.
-struct ServiceCounts {
-    std::uint64_t accepted = 0;
-    std::uint64_t notTaken = 0;
-    std::uint64_t unknown = 0; ///< Answered as such to the caller.
-    std::uint64_t rejected = 0; ///< Descriptions that can't be read.
-    std::uint64_t cancels = 0;
-    std::uint64_t lookups = 0;
-};
-
 /// \brief One entry instance.
 class JobService {
 public:
--- a/include/lanemoor/jobs/job_service_settings.h
+++ b/include/lanemoor/jobs/job_service_settings.h
@@ -31,6 +31,8 @@
     Millis stopGrace { 6'000 }; ///< From the signal to stop until the process is killed.
     Millis statusTime { 120'000 }; ///< A finished job's status is kept this long.
     bool logAsJson = true;
+
+    [[nodiscard]] bool operator==(const JobServiceSettings&) const = default;
 };
 
 /// \brief Reads job service settings and checks them whole.
--- a/include/lanemoor/net/http_message.h
+++ b/include/lanemoor/net/http_message.h
@@ -66,6 +66,8 @@
 struct HttpAddress {
     std::string ip;
     std::uint16_t port = 0;
+
+    [[nodiscard]] friend bool operator==(const HttpAddress& a, const HttpAddress& b) noexcept { return a.ip == b.ip && a.port == b.port; }
 };
 
 /// \returns Whether `a` and `b` are the same but for the case of ASCII letters.
--- a/src/jobs/fleet_keeper.cpp
+++ b/src/jobs/fleet_keeper.cpp
@@ -226,6 +226,8 @@
     void list()
     {
         m_options.fleet->list(inTerm<FleetList>([this](const FleetList& list) {
+            if (std::exchange(m_listAnswers, list.complete) != list.complete)
+                m_options.log->change(list.complete ? "fleet-list-back" : "fleet-list-lost", {});
             if (list.complete)
                 takeList(list.instances);
             if (list.complete)
@@ -554,6 +556,7 @@
     FleetKeeperOptions m_options;
     bool m_active = false;
     bool m_tickSoon = false;
+    bool m_listAnswers = true;
     std::uint64_t m_generation = 0;
     Ownership m_ownership;
     bool m_mayAct = false; ///< The former owner's acts are known, and no record is under way.
--- /dev/null
+++ b/src/jobs/job_metrics.cpp
@@ -0,0 +1,126 @@
+#include "lanemoor/jobs/job_metrics.h"
+
+#include "lanemoor/jobs/fleet_keeper.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+#include <sstream>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+/// From one answer of the store (4 ms) to the time after which a call to it is given up.
+const prometheus::Histogram::BucketBoundaries latencyBounds { 0.004, 0.008, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5, 1, 2 };
+
+prometheus::MetricFamily single(const std::string& name, const std::string& help, prometheus::MetricType type, double value)
+{
+    prometheus::MetricFamily family { name, help, type, {} };
+    prometheus::ClientMetric metric;
+    if (type == prometheus::MetricType::Counter)
+        metric.counter.value = value;
+    else
+        metric.gauge.value = value;
+    family.metric.push_back(std::move(metric));
+    return family;
+}
+
+prometheus::MetricFamily counter(const std::string& name, const std::string& help, std::uint64_t value)
+{
+    return single(name, help, prometheus::MetricType::Counter, static_cast<double>(value));
+}
+
+prometheus::MetricFamily gauge(const std::string& name, const std::string& help, double value)
+{
+    return single(name, help, prometheus::MetricType::Gauge, value);
+}
+
+void addScheduler(std::vector<prometheus::MetricFamily>& families, const SchedulerCounts& counts)
+{
+    families.push_back(counter("lanemoor_ownership_terms_total", "Terms of ownership that this process began", counts.terms));
+    families.push_back(counter("lanemoor_task_starts_total", "Starts ordered", counts.starts));
+    families.push_back(counter("lanemoor_task_successes_total", "Tasks that succeeded", counts.successes));
+    families.push_back(counter("lanemoor_task_failures_total", "Attempts that failed", counts.failures));
+    families.push_back(counter("lanemoor_task_lapses_total", "Attempts whose lease lapsed", counts.lapses));
+    families.push_back(counter("lanemoor_task_start_doubts_total", "Starts without a usable answer", counts.doubts));
+    families.push_back(counter("lanemoor_task_start_refusals_total", "Starts that a worker refused", counts.refusals));
+    families.push_back(counter("lanemoor_jobs_succeeded_total", "Jobs that succeeded", counts.jobsSucceeded));
+    families.push_back(counter("lanemoor_jobs_failed_total", "Jobs that failed", counts.jobsFailed));
+    families.push_back(counter("lanemoor_jobs_cancelled_total", "Jobs that callers cancelled", counts.jobsCancelled));
+}
+
+void addFleet(std::vector<prometheus::MetricFamily>& families, const FleetCounts& counts)
+{
+    families.push_back(counter("lanemoor_instance_moves_total", "Instances moved between pools", counts.moved));
+    families.push_back(counter("lanemoor_instance_maintenances_total", "Maintenances begun", counts.maintained));
+    families.push_back(counter("lanemoor_instance_act_refusals_total", "Acts that the platform refused", counts.refused));
+    families.push_back(counter("lanemoor_instance_act_doubts_total", "Acts without a usable answer", counts.unknown));
+    families.push_back(counter("lanemoor_waves_finished_total", "Waves brought to their end", counts.wavesFinished));
+}
+
+} // namespace
+
+class JobMetrics::Impl {
+public:
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& handedIn = prometheus::BuildCounter().Name("lanemoor_jobs_handed_in_total").Help("Jobs handed in, by queue and answer").Register(registry);
+    prometheus::Family<prometheus::Histogram>& handInTime = prometheus::BuildHistogram().Name("lanemoor_job_hand_in_seconds").Help("From a job's arrival to its answer, by queue").Register(registry);
+    prometheus::Family<prometheus::Counter>& cancels = prometheus::BuildCounter().Name("lanemoor_job_cancels_total").Help("Requests to cancel, by answer").Register(registry);
+    prometheus::Family<prometheus::Histogram>& cancelTimes = prometheus::BuildHistogram().Name("lanemoor_job_cancel_seconds").Help("From a request to cancel to its answer").Register(registry);
+    prometheus::Histogram& cancelTime = cancelTimes.Add({}, latencyBounds);
+    prometheus::Family<prometheus::Counter>& lookups = prometheus::BuildCounter().Name("lanemoor_job_lookups_total").Help("Statuses asked for, by answer").Register(registry);
+    prometheus::Family<prometheus::Counter>& rejections = prometheus::BuildCounter().Name("lanemoor_jobs_rejected_total").Help("Descriptions that could not be read").Register(registry);
+    prometheus::Counter& rejected = rejections.Add({});
+};
+
+JobMetrics::JobMetrics()
+    : m_impl(std::make_unique<Impl>())
+{
+}
+
+JobMetrics::~JobMetrics() = default;
+
+void JobMetrics::noteHandedIn(const std::string& queue, AcceptOutcome outcome, double seconds)
+{
+    m_impl->handedIn.Add({ { "queue", queue }, { "outcome", std::string(nameOf(outcome)) } }).Increment();
+    m_impl->handInTime.Add({ { "queue", queue } }, latencyBounds).Observe(seconds);
+}
+
+void JobMetrics::noteCancel(LookupOutcome outcome, double seconds)
+{
+    m_impl->cancels.Add({ { "outcome", std::string(nameOf(outcome)) } }).Increment();
+    m_impl->cancelTime.Observe(seconds);
+}
+
+void JobMetrics::noteLookup(LookupOutcome outcome)
+{
+    m_impl->lookups.Add({ { "outcome", std::string(nameOf(outcome)) } }).Increment();
+}
+
+void JobMetrics::noteRejected()
+{
+    m_impl->rejected.Increment();
+}
+
+std::string JobMetrics::text(const MetricsReading& reading, const SchedulerCounts& scheduler, const FleetCounts& fleet) const
+{
+    std::vector<prometheus::MetricFamily> families = m_impl->registry.Collect();
+    families.push_back(gauge("lanemoor_ready", "1 if the balancer should send callers here", reading.ready ? 1 : 0));
+    families.push_back(gauge("lanemoor_owner", "1 while this process owns the shard", reading.owner ? 1 : 0));
+    families.push_back(gauge("lanemoor_configuration_version", "Version in force", static_cast<double>(reading.configurationVersion)));
+    families.push_back(gauge("lanemoor_jobs_known", "Jobs known from the store", static_cast<double>(reading.jobs)));
+    families.push_back(gauge("lanemoor_store_age_seconds", "Age of the copy of the store", reading.storeAgeSeconds));
+    families.push_back(counter("lanemoor_store_items_unreadable_total", "Items in the store that could not be read", reading.unreadableItems));
+    families.push_back(counter("lanemoor_log_lines_dropped_total", "Log lines lost because standard output was slow", reading.logLinesDropped));
+    families.push_back(counter("lanemoor_log_decisions_omitted_total", "Log lines left out for want of budget", reading.decisionsOmitted));
+    addScheduler(families, scheduler);
+    addFleet(families, fleet);
+    std::ostringstream out;
+    prometheus::TextSerializer().Serialize(out, families);
+    return out.str();
+}
+
+} // namespace lanemoor::jobs
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -3,6 +3,7 @@
 #include "lanemoor/adapters/event_log.h"
 #include "lanemoor/jobs/fleet_keeper.h"
 #include "lanemoor/jobs/job_catalog.h"
+#include "lanemoor/jobs/job_metrics.h"
 #include "lanemoor/jobs/job_scheduler.h"
 #include "lanemoor/jobs/key_value_store.h"
 #include "lanemoor/jobs/ownership_keeper.h"
@@ -90,9 +91,7 @@
         const QueueSettings* settings = m_configuration->queue(queue);
         const JobRecord record { .queue = queue, .pool = settings ? settings->pool : std::string(), .acceptedAt = m_parts.loop->timeOfDay(), .spec = std::move(spec) };
         m_intake.accept(id, record, [this, id, queue, done = std::move(done), sentAt = m_parts.loop->now()](AcceptOutcome outcome) {
-            counts.accepted += outcome == AcceptOutcome::Accepted ? 1 : 0;
-            counts.notTaken += outcome == AcceptOutcome::NotTaken ? 1 : 0;
-            counts.unknown += outcome == AcceptOutcome::Unknown ? 1 : 0;
+            metrics.noteHandedIn(queue, outcome, secondsSince(sentAt));
             m_parts.log->decision("job-handed-in",
                 { { "job", id }, { "queue", queue }, { "configuration", static_cast<std::int64_t>(m_configuration->version) }, { "outcome", std::string(nameOf(outcome)) }, { "ms", since(sentAt) } });
             done(outcome);
@@ -101,14 +100,35 @@
 
     void cancel(const std::string& id, std::function<void(LookupOutcome)> done)
     {
-        ++counts.cancels;
         m_intake.cancel(id, [this, id, done = std::move(done), sentAt = m_parts.loop->now()](LookupOutcome outcome) {
+            metrics.noteCancel(outcome, secondsSince(sentAt));
             m_parts.log->decision("job-cancel-asked", { { "job", id }, { "outcome", std::string(nameOf(outcome)) }, { "ms", since(sentAt) } });
             done(outcome);
         });
     }
 
-    ServiceCounts counts;
+    void status(const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done)
+    {
+        m_intake.status(id, [this, done](LookupOutcome outcome, JobStatus status) {
+            metrics.noteLookup(outcome);
+            done(outcome, status);
+        });
+    }
+
+    [[nodiscard]] std::string metricsText() const
+    {
+        const MetricsReading reading { .ready = isReady(),
+            .owner = m_ownership.isHeld(),
+            .configurationVersion = m_configuration ? m_configuration->version : 0,
+            .jobs = m_catalog.all().size(),
+            .storeAgeSeconds = secondsSince(m_jobs.freshAt()),
+            .unreadableItems = m_catalog.unreadable(),
+            .logLinesDropped = m_parts.log->dropped(),
+            .decisionsOmitted = m_parts.log->omitted() };
+        return metrics.text(reading, m_scheduler.counts(), m_fleet.counts());
+    }
+
+    JobMetrics metrics;
     JobServiceParts m_parts;
     JobServiceSettings m_settings;
     std::string m_holder;
@@ -125,8 +145,14 @@
     FleetKeeper m_fleet;
     JobIntake m_intake;
     bool m_stopping = false;
+    bool m_storeAnswers = true;
 
 private:
+    [[nodiscard]] double secondsSince(MonotonicInstant from) const
+    {
+        return std::chrono::duration<double>(m_parts.loop->now() - from).count();
+    }
+
     [[nodiscard]] std::int64_t since(MonotonicInstant from) const
     {
         return std::chrono::duration_cast<Millis>(m_parts.loop->now() - from).count();
@@ -219,11 +245,21 @@
             m_parts.store->read(m_parts.documents->configurationKey(), [this](const ReadResult& result) {
                 if (result.outcome == StoreOutcome::Done)
                     m_configurations.noteWritten(result.item);
+                noteStore(result.outcome);
                 readConfigurationLater();
             });
         });
     }
 
+    /// One line when the store stops to answer, one when it does again.
+    void noteStore(StoreOutcome outcome)
+    {
+        const bool answers = outcome == StoreOutcome::Done || outcome == StoreOutcome::NotFound;
+        if (std::exchange(m_storeAnswers, answers) == answers)
+            return;
+        m_parts.log->change(answers ? "store-back" : "store-lost", { { "outcome", std::string(nameOf(outcome)) }, { "copy_age_ms", since(m_jobs.freshAt()) } });
+    }
+
     /// Orders wait until this copy holds everything written before the ownership was taken.
     void gained(const Ownership& ownership)
     {
@@ -307,14 +343,13 @@
 
 void JobService::noteRejected(const std::string& id, JobFault fault)
 {
-    ++m_impl->counts.rejected;
+    m_impl->metrics.noteRejected();
     m_impl->m_parts.log->decision("job-rejected", { { "job", id }, { "reason", std::string(describe(fault)) } });
 }
 
 void JobService::status(const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done)
 {
-    ++m_impl->counts.lookups;
-    m_impl->m_intake.status(id, done);
+    m_impl->status(id, done);
 }
 
 void JobService::cancel(const std::string& id, std::function<void(LookupOutcome)> done)
@@ -329,7 +364,7 @@
 
 std::string JobService::metrics() const
 {
-    return {};
+    return m_impl->metricsText();
 }
 
 } // namespace lanemoor::jobs
--- /dev/null
+++ b/tests/jobs/front_test.cpp
@@ -0,0 +1,130 @@
+/// Callers' requests through the platform's front, on the models; and the metrics.
+
+#include "platform/adapters.h"
+#include "support.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lanemoor;
+using namespace lanemoor::jobs;
+using namespace lanemoor::jobs::test;
+
+namespace {
+
+constexpr const char* oneTask = R"({"spec":"x","steps":[{"count":1,"cpu":100}]})";
+
+/// \returns The answer of entry `index`, waited for on the simulated clock.
+HttpResponse ask(SmallCluster& cluster, const std::string& method, const std::string& target, const std::string& body = {}, const std::string& host = "h:80", std::size_t index = 0)
+{
+    HttpRequest request { .method = method, .target = target, .headers = {}, .body = body };
+    request.headers.add("Host", host);
+    std::optional<HttpResponse> answer;
+    if (method == "POST") {
+        const auto job = platform::makeFront(cluster.entry(index));
+        cluster.witness.noteSubmitted(target.substr(target.rfind('/') + 1), { .payload = "x", .steps = { step(1) } }, 3);
+        job(request, [&](HttpResponse response) { answer = std::move(response); });
+    } else {
+        platform::makeFront(cluster.entry(index))(request, [&](HttpResponse response) { answer = std::move(response); });
+    }
+    REQUIRE(cluster.waitFor(Millis(3'000), [&] { return answer.has_value(); }));
+    return *answer;
+}
+
+} // namespace
+
+TEST_CASE("A job is handed in, looked up, counted and cancelled over HTTP")
+{
+    SmallCluster cluster;
+    cluster.workers.runTimes = [](const Attempt&) { return Millis(10'000); };
+    CHECK(ask(cluster, "GET", "/work/" + jobId(1)).status == 410);
+    CHECK(ask(cluster, "POST", "/work/" + jobId(1), oneTask).status == 200);
+    CHECK(ask(cluster, "POST", "/work/" + jobId(1), oneTask, "H", 1).status == 200);
+    cluster.clock.runFor(Millis(1'000));
+    CHECK(ask(cluster, "GET", "/work/" + jobId(1), {}, "h", 2).body == R"({"state":"running"})");
+    CHECK(ask(cluster, "GET", "/work/").body == R"({"pending":0})");
+    CHECK(ask(cluster, "DELETE", "/work/" + jobId(1)).status == 200);
+    CHECK(ask(cluster, "GET", "/work/" + jobId(1)).body == R"({"state":"cancelled"})");
+    CHECK(ask(cluster, "DELETE", "/work/" + jobId(2)).status == 410);
+    CHECK(cluster.witness.starts() == 1);
+}
+
+TEST_CASE("Wrong requests get a 4xx with a reason, and cost nobody anything")
+{
+    SmallCluster cluster;
+    CHECK(ask(cluster, "GET", "/other/").status == 404);
+    CHECK(ask(cluster, "GET", "/work/", {}, "elsewhere").status == 404);
+    CHECK(ask(cluster, "POST", "/work/short", oneTask).status == 400);
+    CHECK(ask(cluster, "PUT", "/work/" + jobId(1), oneTask).status == 405);
+    for (const char* body : { "", "{", "[]", R"({"steps":[]})", R"({"steps":[{"count":1,"depends_on":[0]}]})", R"({"steps":[{"count":0}]})" }) {
+        const HttpResponse answer = ask(cluster, "POST", "/work/" + jobId(1), body);
+        CHECK(answer.status == 400);
+        CHECK(answer.body.find("reason") != std::string::npos);
+    }
+    CHECK(ask(cluster, "POST", "/work/" + jobId(1), oneTask).status == 200);
+}
+
+TEST_CASE("A refusal is given at once with a time to come back, and what was refused never runs")
+{
+    SmallCluster cluster;
+    cluster.store.trouble.refusing = true;
+    const HttpResponse refused = ask(cluster, "POST", "/work/" + jobId(1), oneTask);
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.find("Retry-After").has_value());
+    cluster.store.trouble = {};
+    cluster.clock.runFor(Millis(5'000));
+    CHECK(cluster.witness.starts() == 0);
+    CHECK(ask(cluster, "GET", "/work/" + jobId(1)).status == 410);
+}
+
+TEST_CASE("A job whose fate the store does not tell is answered as unknown, and may be sent again")
+{
+    SmallCluster cluster;
+    cluster.store.trouble.lateWrites = 1.0;
+    CHECK(ask(cluster, "POST", "/work/" + jobId(1), oneTask).status == 504);
+    cluster.store.trouble = {};
+    CHECK(ask(cluster, "POST", "/work/" + jobId(1), oneTask, "h", 1).status == 200);
+    REQUIRE(cluster.waitFor(Millis(10'000), [&] { return cluster.shows(jobId(1), JobStatus::Succeeded); }));
+    CHECK(cluster.witness.starts() == 1);
+    CHECK(cluster.witness.breaches().empty());
+}
+
+TEST_CASE("An entry without a configuration or cut off from the store calls itself not ready")
+{
+    SmallCluster cluster;
+    CHECK(cluster.entry(0).isReady());
+    cluster.cutFromStore(0, true);
+    CHECK(cluster.waitFor(Millis(4'000), [&] { return !cluster.entry(0).isReady(); }));
+    CHECK(cluster.entry(1).isReady());
+    cluster.cutFromStore(0, false);
+    CHECK(cluster.waitFor(Millis(3'000), [&] { return cluster.entry(0).isReady(); }));
+}
+
+TEST_CASE("A planned stop passes the ownership on at once")
+{
+    SmallCluster cluster;
+    cluster.workers.runTimes = [](const Attempt&) { return Millis(3'000); };
+    CHECK(ask(cluster, "POST", "/work/" + jobId(1), oneTask).status == 200);
+    cluster.clock.runFor(Millis(500));
+    const std::size_t owner = cluster.owner().value();
+    bool stopped = false;
+    cluster.entry(owner).stop([&] { stopped = true; });
+    CHECK_FALSE(cluster.entry(owner).isReady());
+    CHECK(cluster.waitFor(Millis(500), [&] { return stopped && cluster.owner().has_value() && cluster.owner() != owner; }));
+    const std::size_t next = cluster.owner().value_or(owner);
+    CHECK(cluster.waitFor(Millis(5'000), [&] { return cluster.shows(jobId(1), JobStatus::Succeeded, next); }));
+    CHECK(cluster.witness.starts() == 1);
+    CHECK(cluster.witness.breaches().empty());
+}
+
+TEST_CASE("Metrics tell what was answered and who owns")
+{
+    SmallCluster cluster;
+    CHECK(ask(cluster, "POST", "/work/" + jobId(1), oneTask).status == 200);
+    cluster.clock.runFor(Millis(2'000));
+    const std::string text = cluster.entry(0).metrics();
+    CHECK(text.find("lanemoor_jobs_handed_in_total{outcome=\"accepted\",queue=\"work\"} 1") != std::string::npos);
+    CHECK(text.find("lanemoor_job_hand_in_seconds_count{queue=\"work\"} 1") != std::string::npos);
+    const std::string owner = cluster.entry(cluster.owner().value()).metrics();
+    CHECK(owner.find("lanemoor_owner 1") != std::string::npos);
+    CHECK(owner.find("lanemoor_jobs_succeeded_total 1") != std::string::npos);
+}
