Ask also workers whose entries come back after a takeover before old tasks start

Cause: the workers that may run what a former owner started were collected once, when the term began. Change: every worker that is met in a term belongs to the set until it answers or is over.

--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -111,10 +111,8 @@
         for (const auto& [id, entry] : m_options.catalog->all())
             load(id, entry, ownership.term > 1);
         m_options.directory->forgetOld();
-        for (const auto& [id, entry] : m_options.directory->all()) {
+        for (const auto& [id, entry] : m_options.directory->all())
             meet(entry);
-            m_term->unmet.insert(id);
-        }
         m_options.log->change("ownership-taken",
             { { "epoch", static_cast<std::int64_t>(ownership.epoch) }, { "term", static_cast<std::int64_t>(ownership.term) }, { "jobs", static_cast<std::int64_t>(state.jobs.size()) },
                 { "workers", static_cast<std::int64_t>(state.workers.size()) } });
@@ -322,6 +320,8 @@
             .mayOrder = [this] { return m_options.ownership->isHeld(); } };
         book.session = std::make_shared<WorkerSession>(*m_options.loop, *m_options.workers, WorkerLife { entry.worker.id, entry.worker.address }, std::move(options), m_term->reports);
         book.session->start();
+        // Also one whose entry comes later: it may have been missing while its tasks ran on.
+        m_term->unmet.insert(entry.worker.id);
     }
 
     /// A draining worker ends soon with all that runs on it.
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -81,7 +81,7 @@
 
 bool WorkersModel::isAtWork(const WorkerModel& worker, const WorkerModel::Run& run) const
 {
-    return run.longRunning && !worker.trouble.hanging && m_clock.now() - run.startedAt >= startOfService;
+    return run.longRunning && !worker.trouble.hanging && !worker.entry.draining && m_clock.now() - run.startedAt >= startOfService;
 }
 
 void WorkersModel::endRun(WorkerModel& worker, const Attempt& attempt, AttemptEnd end, bool byOrder)
--- a/tests/jobs/service_test.cpp
+++ b/tests/jobs/service_test.cpp
@@ -314,3 +314,25 @@
     CHECK(cluster.waitFor(Millis(5'500), [&] { return cluster.witness.starts() == 4; }));
     requireNoBreach(cluster);
 }
+
+TEST_CASE("A new owner asks a worker whose entry comes back late before it starts old tasks")
+{
+    // Found by random run 20243: the entry came back between the takeover and the first list, its
+    // worker did not answer yet, and its tasks were started a second time.
+    SmallCluster cluster(1, 3, 3, 0);
+    cluster.workers.runTimes = [](const Attempt&) { return Millis(20'000); };
+    cluster.submit(0, "work", jobId(1), job({ step(3) }));
+    REQUIRE(cluster.waitFor(Millis(3'000), [&] { return cluster.witness.starts() == 3; }));
+    const std::string hidden = cluster.witness.workerOf(jobId(1), {});
+    for (std::size_t i = 0; i < cluster.entries(); ++i)
+        cluster.kill(i);
+    cluster.store.remove(cluster.documents.workerPrefix() + hidden);
+    cluster.workers.find(hidden)->trouble.cutOff = true;
+    cluster.clock.runFor(Millis(1'000));
+    for (std::size_t i = 0; i < cluster.entries(); ++i)
+        cluster.start(i);
+    cluster.clock.runFor(Millis(1'200));
+    cluster.store.put(cluster.documents.workerPrefix() + hidden, hidden);
+    cluster.clock.runFor(Millis(2'000));
+    requireNoBreach(cluster);
+}
