Let larger machines own the shard, and an owner that lags behind start nothing

Change: a machine with less than 0.2 cores leaves a free ownership to others for 600 ms; an owner whose copy is older than 2 s starts nothing, and after 4 s gives the ownership up for 5 s.

--- a/include/lanemoor/jobs/job_service_settings.h
+++ b/include/lanemoor/jobs/job_service_settings.h
@@ -23,6 +23,7 @@
     HttpAddress store;
     HttpAddress fleet;
     std::optional<HttpAddress> advisor; ///< Nothing: no queue needs advice.
+    double machineCores = 0; ///< Of processor time that the machine gives; 0: not known.
     Millis ownershipTime { 1'500 }; ///< A lost owner's pools stand still this long.
     Millis workerLeaseTime { 5'000 }; ///< See WorkerSessionOptions.
     Millis handover { 3'000 }; ///< Between acts of two owners on instances; the platform's lease time.
--- a/include/lanemoor/jobs/ownership_keeper.h
+++ b/include/lanemoor/jobs/ownership_keeper.h
@@ -21,6 +21,8 @@
     Millis leaseTime { 1'500 }; ///< Short, since a lost owner's pools stand still that long.
     Millis renewEvery { 400 }; ///< Three renewals may fail before the lease is over.
     Millis retryPause { 150 };
+    /// How long a free ownership is left to others, who are better able to hold it.
+    Millis claimDelay { 0 };
 };
 
 /// A term of ownership.
@@ -62,6 +64,9 @@
     /// \brief Another owner was met: stops acting at once.
     void noteSuperseded();
 
+    /// \brief Gives the ownership up and leaves it to others for `pause`.
+    void resign(Millis pause);
+
     /// \returns Whether orders may be given now.
     [[nodiscard]] bool isHeld() const noexcept;
 
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -22,6 +22,9 @@
 constexpr std::uint64_t attemptsPerTerm = 4'096;
 /// A worker's clock may lose 2% of an inherited lease's time; more for its timer.
 constexpr double leaseStretch = 1.03;
+/// Cancels that are not known here count after 3 s: nothing is started on an older copy of the
+/// jobs. A watch that hears nothing is answered each second.
+constexpr Millis oldestCopy { 2'000 };
 /// A pass runs at least this often while there are jobs: for what becomes possible by time.
 constexpr Millis idlePass { 200 };
 
@@ -360,7 +363,9 @@
     void pass()
     {
         const std::shared_ptr<Term> term = m_term;
-        if (!m_options.ownership->isHeld()) {
+        const bool knowsCancels = m_options.loop->now() - m_options.mirror->freshAt() < oldestCopy;
+        noteCopy(knowsCancels);
+        if (!m_options.ownership->isHeld() || !knowsCancels) {
             schedulePass(m_options.loop->now() + idlePass);
             return;
         }
@@ -376,6 +381,15 @@
         schedulePass(wake && *wake < idle ? *wake : idle);
     }
 
+    /// One line when starts wait for a newer copy of the jobs, one when they go on.
+    void noteCopy(bool isNew)
+    {
+        if (std::exchange(m_copyIsNew, isNew) == isNew)
+            return;
+        const auto age = std::chrono::duration_cast<Millis>(m_options.loop->now() - m_options.mirror->freshAt());
+        m_options.log->change(isNew ? "copy-new-again" : "copy-too-old", { { "copy_age_ms", std::int64_t { age.count() } } });
+    }
+
     /// Jobs that are over, stored, and run nowhere.
     void dropFinished()
     {
@@ -402,6 +416,7 @@
     JobSchedulerOptions m_options;
     std::shared_ptr<Term> m_term;
     std::map<std::string, std::int64_t> m_waiting;
+    bool m_copyIsNew = true;
     TimerId m_passTimer = 0;
     MonotonicInstant m_passAt;
 };
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -32,10 +32,25 @@
 /// A watch that hears nothing while changes are made looks like a quiet one: the
 /// configuration is read as well, well within the 2 s in which a new one must be in force.
 constexpr Millis configurationRead { 700 };
+/// The owner of 349 workers took 0.18 cores (tellelag-drift-grown, quiet-1): a machine with less
+/// than this leaves a free ownership to others for a while.
+constexpr double coresOfOwner = 0.2;
+constexpr Millis claimDelayOfSmall { 600 };
+/// An owner whose copy of the jobs is older than this hears of cancels too late. It gives the
+/// ownership up, and leaves it to others for a while.
+constexpr Millis oldestCopyOfOwner { 4'000 };
+constexpr Millis resignedFor { 5'000 };
+constexpr Millis copyCheck { 500 };
 constexpr Millis defaultRetryAfter { 1'000 };
 constexpr Millis stopCheck { 20 };
 constexpr Millis stopReserve { 1'500 }; // Of the grace, kept for the ownership's release.
 
+Millis claimDelayOf(const JobServiceSettings& settings)
+{
+    const bool isSmall = settings.machineCores > 0 && settings.machineCores < coresOfOwner;
+    return isSmall ? claimDelayOfSmall : Millis(0);
+}
+
 } // namespace
 
 class JobService::Impl {
@@ -50,7 +65,7 @@
         , m_configurations(*parts.loop, *parts.store, { .prefix = parts.documents->configurationKey(), .watchTime = watchTime }, [this](const StoreItem& item) { onConfiguration(item); })
         , m_workers(*parts.loop, *parts.store, { .prefix = parts.documents->workerPrefix(), .leastGap = workerWatchGap }, [this](const StoreItem& item) { onWorker(item); })
         , m_waves(*parts.loop, *parts.store, { .prefix = parts.documents->wavePrefix() }, [this](const StoreItem& item) { onWave(item); })
-        , m_ownership(*parts.loop, *parts.store, m_owners, { .shard = theShard, .holder = m_holder, .leaseTime = settings.ownershipTime },
+        , m_ownership(*parts.loop, *parts.store, m_owners, { .shard = theShard, .holder = m_holder, .leaseTime = settings.ownershipTime, .claimDelay = claimDelayOf(settings) },
               { .gained = [this](const Ownership& ownership) { gained(ownership); }, .lost = [this] { lost(); } })
         , m_scheduler(schedulerOptions())
         , m_fleet(fleetOptions())
@@ -69,6 +84,7 @@
         m_waves.start();
         m_ownership.start();
         readConfigurationLater();
+        checkCopyLater();
     }
 
     void stop(const std::function<void()>& done)
@@ -251,6 +267,18 @@
         });
     }
 
+    /// An owner that lags behind the store, for want of processor time or of a path, is none.
+    void checkCopyLater()
+    {
+        m_parts.loop->callAt(m_parts.loop->now() + copyCheck, [this] {
+            if (m_ownership.isHeld() && m_parts.loop->now() - m_jobs.freshAt() > oldestCopyOfOwner) {
+                m_parts.log->change("ownership-resigned", { { "epoch", static_cast<std::int64_t>(m_ownership.ownership().epoch) }, { "copy_age_ms", since(m_jobs.freshAt()) } });
+                m_ownership.resign(resignedFor);
+            }
+            checkCopyLater();
+        });
+    }
+
     /// One line when the store stops to answer, one when it does again.
     void noteStore(StoreOutcome outcome)
     {
--- a/src/jobs/job_service_settings.cpp
+++ b/src/jobs/job_service_settings.cpp
@@ -75,6 +75,9 @@
             settings.store = readAddress(service, "store", true).value_or(HttpAddress {});
             settings.fleet = readAddress(service, "fleet", true).value_or(HttpAddress {});
             settings.advisor = readAddress(service, "advisor", false);
+            constexpr double mostCores = 1'024;
+            if (const std::optional<double> cores = service.number("machineCores", 0, mostCores))
+                settings.machineCores = *cores;
             service.object("times", [&](ObjectReader& times) { readTimes(times, settings); });
         },
         true);
--- a/src/jobs/ownership_keeper.cpp
+++ b/src/jobs/ownership_keeper.cpp
@@ -3,6 +3,7 @@
 #include "lanemoor/jobs/job_record.h"
 #include "lanemoor/jobs/store_mirror.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lanemoor::jobs {
@@ -27,6 +28,12 @@
     {
     }
 
+    void start()
+    {
+        m_claimFrom = m_loop.now() + m_options.claimDelay;
+        compete();
+    }
+
     void compete()
     {
         if (m_released || m_claiming || m_held)
@@ -35,6 +42,13 @@
             later(&Impl::compete);
             return;
         }
+        if (m_loop.now() < m_claimFrom) {
+            m_loop.callAt(m_claimFrom, [self = weak_from_this()] {
+                if (const auto impl = self.lock())
+                    impl->compete();
+            });
+            return;
+        }
         m_claiming = true;
         const MonotonicInstant sentAt = m_loop.now();
         m_store.grantLease(m_options.leaseTime, [self = shared_from_this(), sentAt](const LeaseResult& result) {
@@ -59,8 +73,10 @@
             return;
         if (m_held && item.revision > m_ownership.epoch)
             lose();
-        if (item.removed)
-            compete();
+        if (!item.removed)
+            return;
+        m_claimFrom = std::max(m_claimFrom, m_loop.now() + m_options.claimDelay);
+        compete();
     }
 
     void release(const std::function<void()>& done)
@@ -85,6 +101,12 @@
         later(&Impl::compete);
     }
 
+    void resign(Millis pause)
+    {
+        m_claimFrom = m_loop.now() + pause;
+        lose();
+    }
+
     [[nodiscard]] bool isHeld() const { return m_held && m_loop.now() < m_validUntil; }
     [[nodiscard]] const Ownership& ownership() const { return m_ownership; }
     [[nodiscard]] KeyRevision condition() const { return { m_ownerKey, m_ownership.epoch }; }
@@ -196,6 +218,7 @@
     std::uint64_t m_claimedTerm = 0;
     Ownership m_ownership;
     MonotonicInstant m_validUntil;
+    MonotonicInstant m_claimFrom;
 };
 
 OwnershipKeeper::OwnershipKeeper(EventLoop& loop, KeyValueStore& store, const StoreMirror& mirror, OwnershipOptions options, OwnershipObserver observer)
@@ -207,7 +230,7 @@
 
 void OwnershipKeeper::start()
 {
-    m_impl->compete();
+    m_impl->start();
 }
 
 void OwnershipKeeper::observe(const StoreItem& item)
@@ -225,6 +248,11 @@
     m_impl->lose();
 }
 
+void OwnershipKeeper::resign(Millis pause)
+{
+    m_impl->resign(pause);
+}
+
 bool OwnershipKeeper::isHeld() const noexcept
 {
     return m_impl->isHeld();
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -272,6 +272,7 @@
     entry.workerClient = std::make_unique<WorkerClient>(workers, *entry.process);
     entry.fleetClient = std::make_unique<FleetClient>(workers, *entry.process);
     JobServiceSettings settings;
+    settings.machineCores = entry.cores;
     settings.name = entry.name + '-' + std::to_string(++entry.lives);
     entry.service = std::make_unique<JobService>(JobServiceParts { .loop = entry.process.get(),
                                                      .store = entry.storeClient.get(),
@@ -310,6 +311,12 @@
         m_entries[index].storeClient->cutOff = cut;
 }
 
+void JobCluster::cutWatches(std::size_t index, bool cut)
+{
+    if (m_entries[index].storeClient)
+        m_entries[index].storeClient->watchesCutOff = cut;
+}
+
 std::optional<std::size_t> JobCluster::owner() const
 {
     const StoreItem* item = store.find(std::string(ownerKeyPrefix) + "all");
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -129,6 +129,10 @@
     void freeze(std::size_t index);
     void thaw(std::size_t index);
     void cutFromStore(std::size_t index, bool cut);
+    void cutWatches(std::size_t index, bool cut);
+
+    /// \brief Sets the processor time of an entry's machine, for its next start.
+    void setCores(std::size_t index, double cores) { m_entries[index].cores = cores; }
 
     /// \returns The entry that holds the ownership by the store's word, or nothing.
     [[nodiscard]] std::optional<std::size_t> owner() const;
@@ -157,6 +161,7 @@
     struct Entry {
         std::string name;
         std::uint64_t lives = 0;
+        double cores = 0;
         std::unique_ptr<SimProcess> process;
         std::unique_ptr<StoreClient> storeClient;
         std::unique_ptr<WorkerClient> workerClient;
--- a/standins/model/store_model.cpp
+++ b/standins/model/store_model.cpp
@@ -235,7 +235,7 @@
     ++m_store.m_calls;
     const std::function<void(ItemsResult)> answer = m_process.deliver<ItemsResult>(std::move(done));
     SimClock& clock = m_store.m_clock;
-    if (cutOff || m_store.trouble.silent || m_store.trouble.refusing) {
+    if (cutOff || watchesCutOff || m_store.trouble.silent || m_store.trouble.refusing) {
         clock.after(callTime, [answer] { answer({}); });
         return;
     }
--- a/standins/model/store_model.h
+++ b/standins/model/store_model.h
@@ -90,6 +90,7 @@
     {
     }
 
+    bool watchesCutOff = false; ///< Watches get no answer; all else does.
     bool cutOff = false; ///< This process does not reach the store.
 
     void read(const std::string& key, std::function<void(jobs::ReadResult)> done) override;
--- a/tests/jobs/service_test.cpp
+++ b/tests/jobs/service_test.cpp
@@ -336,3 +336,37 @@
     cluster.clock.runFor(Millis(2'000));
     requireNoBreach(cluster);
 }
+
+TEST_CASE("An owner that hears nothing of the store starts nothing more and makes room for another")
+{
+    // Found on tellelag-drift-grown trouble-3: an owner whose copy was 11 s old started tasks of a
+    // job that had been cancelled 7 s before.
+    SmallCluster cluster(1, 3, 4, 0);
+    cluster.workers.runTimes = [](const Attempt&) { return Millis(3'500); };
+    const std::size_t first = cluster.owner().value();
+    const std::size_t other = (first + 1) % cluster.entries();
+    cluster.submit(other, "work", jobId(1), job({ step(2), step(2, { 0 }) }));
+    REQUIRE(cluster.waitFor(Millis(2'000), [&] { return cluster.witness.starts() == 2; }));
+    cluster.cutWatches(first, true);
+    cluster.cancel(other, jobId(1));
+    cluster.submit(other, "work", jobId(2), job({ step(1) }));
+    CHECK(cluster.waitFor(Millis(15'000), [&] { return cluster.witness.hasSucceeded(jobId(2)); }));
+    CHECK(cluster.owner() != first);
+    requireNoBreach(cluster);
+}
+
+TEST_CASE("A small machine owns only while no larger one can")
+{
+    SmallCluster cluster(1, 3, 2, 0);
+    for (std::size_t i = 0; i < cluster.entries(); ++i) {
+        cluster.kill(i);
+        cluster.setCores(i, i == 2 ? 0.5 : 0.12);
+    }
+    cluster.clock.runFor(Millis(2'000));
+    for (std::size_t i = 0; i < cluster.entries(); ++i)
+        cluster.start(i);
+    REQUIRE(cluster.waitFor(Millis(2'000), [&] { return cluster.owner().has_value(); }));
+    CHECK(cluster.owner() == 2U);
+    cluster.kill(2);
+    CHECK(cluster.waitFor(Millis(4'000), [&] { return cluster.owner().has_value() && cluster.owner() != 2U; }));
+}
