Take unmet lives that no list names as over, and keep a quiet owner's copy new

Cause: a new owner let inherited tasks wait until every worker known within 12 s had answered or the longest lease was over. The guard against old copies tripped on a quiet store, whose watch is as old as its last question. Ruled out: entries of later lives (the store's entries do not name the instance). Change: an unmet life that lists name on no instance for longer than lists lag (1.2 s) is over, if every instance that is up has its life named. The owner's watch waits 500 ms. Claims are logged. Before: the new test fails.

--- a/include/lanemoor/jobs/fleet_control.h
+++ b/include/lanemoor/jobs/fleet_control.h
@@ -34,6 +34,10 @@
     [[nodiscard]] bool operator==(const FleetInstance&) const = default;
 };
 
+/// A list may be this much older than the answer that brings it: after an act it may still show
+/// the instance as it was.
+constexpr Millis fleetListLag { 1'200 };
+
 /// What came of an act on an instance.
 enum class FleetOutcome {
     Done,
--- a/include/lanemoor/jobs/ownership_keeper.h
+++ b/include/lanemoor/jobs/ownership_keeper.h
@@ -37,6 +37,7 @@
 struct OwnershipObserver {
     std::function<void(const Ownership&)> gained;
     std::function<void()> lost;
+    std::function<void(StoreOutcome)> claimFailed; ///< Null: nobody is told.
 };
 
 /// \brief Takes the ownership when nobody holds it, renews it, and knows when it may be over.
--- a/include/lanemoor/jobs/store_mirror.h
+++ b/include/lanemoor/jobs/store_mirror.h
@@ -38,8 +38,9 @@
     /// \brief Begins to list and to watch.
     void start();
 
-    /// \brief Sets the least time between two watches; a wait under way is cut short.
-    void setLeastGap(Millis gap);
+    /// \brief Sets the least time between two watches, and how long a watch waits for a change;
+    /// a pause under way is cut short.
+    void setPace(Millis leastGap, Millis watchTime);
 
     /// \returns Whether a listing has been completed.
     [[nodiscard]] bool isLoaded() const noexcept;
--- a/src/jobs/fleet_keeper.cpp
+++ b/src/jobs/fleet_keeper.cpp
@@ -25,8 +25,6 @@
 constexpr Millis retryBusy { 500 }; // An instance that was busy is looked at again after this.
 /// Beyond the maintenance time itself: the order's way, and the worker's start.
 constexpr Millis backMargin { 150 };
-/// After an act the list may still show the instance as it was.
-constexpr Millis listLag { 1'200 };
 
 } // namespace
 
@@ -309,7 +307,7 @@
         }
         if (!life.goneSince)
             life.goneSince = now;
-        if (now - *life.goneSince < listLag)
+        if (now - *life.goneSince < fleetListLag)
             return;
         m_options.scheduler->noteLifeOver(life.worker);
         life = { instance.worker, std::nullopt };
@@ -323,7 +321,7 @@
         instance.pool = pool;
         instance.state = state;
         instance.worker.clear();
-        m_acted[id] = { instance, m_options.loop->now() + time + listLag, {} };
+        m_acted[id] = { instance, m_options.loop->now() + time + fleetListLag, {} };
     }
 
     [[nodiscard]] std::vector<MaintenanceCandidate> candidates() const
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -89,6 +89,7 @@
     /// the list was read in this term.
     std::optional<std::uint32_t> unknownInstances;
     std::set<std::string> unmet; ///< Workers that might run inherited tasks and were not asked yet.
+    std::map<std::string, MonotonicInstant> unnamedSince; ///< Those of them that no list has named since.
 };
 
 } // namespace
@@ -247,6 +248,7 @@
             unknown += runs && !m_term->state.worker(instance.worker) ? 1 : 0;
         }
         m_term->unknownInstances = unknown;
+        noteUnnamed(instances, *configuration);
         if (first)
             m_options.log->change("fleet-listed", { { "instances", static_cast<std::int64_t>(instances.size()) }, { "unknown", std::int64_t { unknown } }, { "unmet", static_cast<std::int64_t>(m_term->unmet.size()) } });
         requestPass();
@@ -390,6 +392,33 @@
         m_options.log->change(isNew ? "copy-new-again" : "copy-too-old", { { "copy_age_ms", std::int64_t { age.count() } } });
     }
 
+    /// An unmet life that lists name on no instance for longer than they lag is over, if every
+    /// instance that is up has its life named: one without may be running that very life.
+    void noteUnnamed(const std::vector<FleetInstance>& instances, const ServiceConfiguration& configuration)
+    {
+        std::set<std::string> named;
+        bool isComplete = true;
+        for (const FleetInstance& instance : instances) {
+            const PoolSettings* pool = configuration.pool(instance.pool);
+            const bool runs = instance.state == FleetState::Up && !(pool && pool->reserve);
+            isComplete = isComplete && !(runs && instance.worker.empty());
+            named.insert(instance.worker);
+        }
+        const MonotonicInstant now = m_options.loop->now();
+        std::vector<std::string> over;
+        for (const std::string& id : m_term->unmet) {
+            if (!isComplete || named.contains(id)) {
+                m_term->unnamedSince.erase(id);
+                continue;
+            }
+            const auto [since, first] = m_term->unnamedSince.emplace(id, now);
+            if (now - since->second >= fleetListLag)
+                over.push_back(id);
+        }
+        for (const std::string& id : over)
+            noteLifeOver(id);
+    }
+
     /// Jobs that are over, stored, and run nowhere.
     void dropFinished()
     {
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -23,6 +23,8 @@
 /// Between watches of the jobs. The owner should hear of a job soon; the others only show
 /// their status, which may be some seconds old by the platform's bound.
 constexpr Millis ownerWatchGap { 20 };
+/// What a quiet watch proves is as old as the watch: the owner's copy stays below a second old.
+constexpr Millis ownerWatchTime { 500 };
 constexpr Millis watchGap { 500 };
 /// Workers drain with seconds of notice; sooner only saves work.
 constexpr Millis workerWatchGap { 150 };
@@ -66,7 +68,7 @@
         , m_workers(*parts.loop, *parts.store, { .prefix = parts.documents->workerPrefix(), .leastGap = workerWatchGap }, [this](const StoreItem& item) { onWorker(item); })
         , m_waves(*parts.loop, *parts.store, { .prefix = parts.documents->wavePrefix() }, [this](const StoreItem& item) { onWave(item); })
         , m_ownership(*parts.loop, *parts.store, m_owners, { .shard = theShard, .holder = m_holder, .leaseTime = settings.ownershipTime, .claimDelay = claimDelayOf(settings) },
-              { .gained = [this](const Ownership& ownership) { gained(ownership); }, .lost = [this] { lost(); } })
+              { .gained = [this](const Ownership& ownership) { gained(ownership); }, .lost = [this] { lost(); }, .claimFailed = [this](StoreOutcome outcome) { m_parts.log->decision("ownership-claim-failed", { { "outcome", std::string(nameOf(outcome)) } }); } })
         , m_scheduler(schedulerOptions())
         , m_fleet(fleetOptions())
         , m_intake(*parts.loop, *parts.store, m_jobs, m_catalog)
@@ -291,7 +293,8 @@
     /// Orders wait until this copy holds everything written before the ownership was taken.
     void gained(const Ownership& ownership)
     {
-        m_jobs.setLeastGap(ownerWatchGap);
+        m_parts.log->change("ownership-claimed", { { "epoch", static_cast<std::int64_t>(ownership.epoch) }, { "term", static_cast<std::int64_t>(ownership.term) }, { "copy_age_ms", since(m_jobs.freshAt()) } });
+        m_jobs.setPace(ownerWatchGap, ownerWatchTime);
         m_jobs.whenAt(ownership.epoch, [this, ownership] { m_workers.refresh([this, ownership] { activate(ownership); }); });
     }
 
@@ -309,7 +312,7 @@
 
     void lost()
     {
-        m_jobs.setLeastGap(watchGap);
+        m_jobs.setPace(watchGap, watchTime);
         m_fleet.deactivate();
         m_scheduler.deactivate();
     }
--- a/src/jobs/ownership_keeper.cpp
+++ b/src/jobs/ownership_keeper.cpp
@@ -54,6 +54,7 @@
         m_store.grantLease(m_options.leaseTime, [self = shared_from_this(), sentAt](const LeaseResult& result) {
             if (result.outcome != StoreOutcome::Done) {
                 self->m_claiming = false;
+                self->noteFailedClaim(result.outcome);
                 self->later(&Impl::compete);
                 return;
             }
@@ -137,6 +138,7 @@
             gain(result.revision);
             return;
         }
+        noteFailedClaim(result.outcome);
         if (result.outcome != StoreOutcome::Unknown) {
             abandonClaim();
             return;
@@ -151,6 +153,12 @@
         });
     }
 
+    void noteFailedClaim(StoreOutcome outcome) const
+    {
+        if (m_observer.claimFailed)
+            m_observer.claimFailed(outcome);
+    }
+
     /// A claim whose answer was lost may be carried out later: without its lease it can't be.
     void abandonClaim()
     {
--- a/src/jobs/store_mirror.cpp
+++ b/src/jobs/store_mirror.cpp
@@ -18,9 +18,10 @@
 
     void stop() { m_stopped = true; }
 
-    void setLeastGap(Millis gap)
+    void setPace(Millis leastGap, Millis watchTime)
     {
-        m_options.leastGap = gap;
+        m_options.leastGap = leastGap;
+        m_options.watchTime = watchTime;
         if (m_gapTimer == 0)
             return;
         m_loop.cancel(m_gapTimer);
@@ -219,9 +220,9 @@
     m_impl->list();
 }
 
-void StoreMirror::setLeastGap(Millis gap)
+void StoreMirror::setPace(Millis leastGap, Millis watchTime)
 {
-    m_impl->setLeastGap(gap);
+    m_impl->setPace(leastGap, watchTime);
 }
 
 bool StoreMirror::isLoaded() const noexcept
--- a/tests/jobs/service_test.cpp
+++ b/tests/jobs/service_test.cpp
@@ -370,3 +370,17 @@
     cluster.kill(2);
     CHECK(cluster.waitFor(Millis(4'000), [&] { return cluster.owner().has_value() && cluster.owner() != 2U; }));
 }
+
+TEST_CASE("A new owner does not wait for lives that ended before it came")
+{
+    // Found on tellelag-drift-grown trouble-3: 250 lives that had ended with a move of their instance
+    // kept all inherited tasks waiting for the longest lease, 6.6 s.
+    SmallCluster cluster(1, 3, 4, 0);
+    cluster.submit(0, "work", jobId(1), job({ step(1), step(1, { 0 }) }));
+    REQUIRE(cluster.waitFor(Millis(2'000), [&] { return cluster.witness.starts() == 1; }));
+    const std::string busy = cluster.witness.workerOf(jobId(1), {});
+    cluster.workers.crash(busy == "i-1" ? "i-2" : "i-1", Millis(600'000));
+    cluster.kill(cluster.owner().value());
+    CHECK(cluster.waitFor(Millis(4'500), [&] { return cluster.witness.hasSucceeded(jobId(1)); }));
+    requireNoBreach(cluster);
+}
