Ask the store less often, and keep pools as they are until work comes

Ruled out: a longer gap between standbys' watches of the jobs (callers would see ends later). Change: standbys watch workers each second, the configuration (also read each 700 ms) and waves wait 5 s, the ownership 3 s (the watch of the jobs tells it too); the owner's gap is 50 ms, that of progress 40 ms. Pools are not switched off before jobs have arrived for 3 s, or 60 s without any.

--- a/include/lanemoor/jobs/capacity_plan.h
+++ b/include/lanemoor/jobs/capacity_plan.h
@@ -29,6 +29,7 @@
     std::uint32_t instances = 0; ///< Up, on their way, or back soon from maintenance.
     std::int64_t instanceMilliCpu = 0; ///< Capacity of one instance.
     std::int64_t demandMilliCpu = 0; ///< What runs and what waits.
+    bool hasArrivals = false; ///< Whether jobs that end by themselves arrive.
     std::uint32_t leastInstances = 0; ///< Sound ones that its jobs need, whatever their load.
     std::uint32_t unsound = 0; ///< Of the instances, those that take no work.
     std::vector<IdleInstance> idle;
@@ -51,7 +52,9 @@
     /// Of an instance's processor time that tasks of some cores can be packed into.
     double packing = 0.85;
     Millis demandMemory { 2'000 }; ///< Before an instance is switched off, the highest demand of this long counts.
-    Millis observation { 12'000 }; ///< Nothing is switched off before load was watched for so long.
+    /// Nothing is switched off before load was watched for so long: more than the demand's memory.
+    Millis observation { 3'000 };
+    Millis mostIdleStart { 60'000 }; ///< Without any load, pools keep what they began with for so long.
     Millis idleBeforeOff { 1'200 }; ///< A move costs what an instance costs in about this time.
     std::uint32_t leastInstances = 2; ///< Of a pool with queues, so that one may fail.
 };
@@ -83,12 +86,14 @@
         std::int64_t milliCpu = 0;
     };
 
+    [[nodiscard]] bool mayPowerOff(MonotonicInstant now) const;
     void note(const PoolLoad& pool, MonotonicInstant now);
     [[nodiscard]] std::uint32_t instancesFor(std::int64_t milliCpu, const PoolLoad& pool) const;
     [[nodiscard]] bool takes(const std::string& pool, const std::string& kind) const;
 
     CapacityOptions m_options;
     std::optional<MonotonicInstant> m_firstSeen;
+    std::optional<MonotonicInstant> m_firstArrival;
     bool m_short = false;
     std::map<std::string, std::deque<Sample>> m_samples; ///< By pool; falling in value.
     std::map<std::string, std::vector<std::string>> m_refusedKinds; ///< By pool.
--- a/src/jobs/capacity_plan.cpp
+++ b/src/jobs/capacity_plan.cpp
@@ -82,10 +82,20 @@
     return instancesFor(highest, pool);
 }
 
+bool CapacityPlan::mayPowerOff(MonotonicInstant now) const
+{
+    if (m_firstArrival)
+        return now - *m_firstArrival >= m_options.observation;
+    return now - *m_firstSeen >= m_options.mostIdleStart;
+}
+
 std::vector<CapacityMove> CapacityPlan::next(const std::vector<PoolLoad>& pools, MonotonicInstant now)
 {
     if (!m_firstSeen)
         m_firstSeen = now;
+    const auto hasArrivals = [](const PoolLoad& pool) { return pool.hasArrivals; };
+    if (!m_firstArrival && std::any_of(pools.begin(), pools.end(), hasArrivals))
+        m_firstArrival = now;
     std::vector<Balance> balances;
     std::optional<std::string> reserve;
     for (const PoolLoad& pool : pools) {
@@ -127,7 +137,7 @@
             needy->target = needy->instances;
     }
     for (Balance& pool : balances) {
-        if (!reserve || pool.load->reserve || now - *m_firstSeen < m_options.observation)
+        if (!reserve || pool.load->reserve || !mayPowerOff(now))
             continue;
         while (pool.canGive() && pool.instances > pool.keeps && now - pool.idle.back().idleSince >= m_options.idleBeforeOff && takes(*reserve, pool.idle.back().kind))
             give(pool, pool.idle.size() - 1, *reserve);
--- a/src/jobs/fleet_keeper.cpp
+++ b/src/jobs/fleet_keeper.cpp
@@ -366,7 +366,7 @@
         std::map<std::string, PoolLoad> loads;
         for (const PoolSettings& pool : configuration->pools) {
             const PoolDemand demand = m_options.scheduler->demand(pool.name);
-            loads[pool.name] = { .pool = pool.name, .reserve = pool.reserve, .demandMilliCpu = std::max(demand.runningMilliCpu + demand.waitingMilliCpu, demand.forecastMilliCpu), .leastInstances = demand.leastInstances, .idle = {} };
+            loads[pool.name] = { .pool = pool.name, .reserve = pool.reserve, .demandMilliCpu = std::max(demand.runningMilliCpu + demand.waitingMilliCpu, demand.forecastMilliCpu), .hasArrivals = demand.forecastMilliCpu > 0, .leastInstances = demand.leastInstances, .idle = {} };
         }
         const MonotonicInstant now = m_options.loop->now();
         std::map<std::string, MonotonicInstant> idleSince;
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -22,12 +22,18 @@
 constexpr Millis watchTime { 1'000 };
 /// Between watches of the jobs. The owner should hear of a job soon; the others only show
 /// their status, which may be some seconds old by the platform's bound.
-constexpr Millis ownerWatchGap { 20 };
+constexpr Millis ownerWatchGap { 50 };
 /// What a quiet watch proves is as old as the watch: the owner's copy stays below a second old.
 constexpr Millis ownerWatchTime { 500 };
 constexpr Millis watchGap { 500 };
-/// Workers drain with seconds of notice; sooner only saves work.
-constexpr Millis workerWatchGap { 150 };
+/// The keys of the ownership change seldom, and the watch of the jobs hears of them too.
+constexpr Millis ownershipWatchTime { 3'000 };
+/// The configuration is read as well, and waves last some dozens of seconds.
+constexpr Millis quietWatchTime { 5'000 };
+/// Workers drain with seconds of notice; sooner only saves work. Each heartbeat is a change, so
+/// that nearly every watch of the workers is answered at once: those that own nothing ask seldom.
+constexpr Millis ownerWorkerWatchGap { 150 };
+constexpr Millis workerWatchGap { 1'000 };
 /// The store's answers are missed after a watch's time and a call's; then this instance can
 /// take nothing and says so to the balancer.
 constexpr Millis storeMissedAfter { 2'500 };
@@ -63,10 +69,10 @@
         , m_holder(settings.name + '-' + std::to_string(parts.loop->timeOfDay().time_since_epoch().count()))
         , m_directory(*parts.loop)
         , m_jobs(*parts.loop, *parts.store, { .prefix = std::string(jobServicePrefix), .watchTime = watchTime, .leastGap = watchGap }, [this](const StoreItem& item) { onItem(item); })
-        , m_owners(*parts.loop, *parts.store, { .prefix = std::string(ownershipPrefix), .watchTime = watchTime }, [this](const StoreItem& item) { m_ownership.observe(item); })
-        , m_configurations(*parts.loop, *parts.store, { .prefix = parts.documents->configurationKey(), .watchTime = watchTime }, [this](const StoreItem& item) { onConfiguration(item); })
-        , m_workers(*parts.loop, *parts.store, { .prefix = parts.documents->workerPrefix(), .leastGap = workerWatchGap }, [this](const StoreItem& item) { onWorker(item); })
-        , m_waves(*parts.loop, *parts.store, { .prefix = parts.documents->wavePrefix() }, [this](const StoreItem& item) { onWave(item); })
+        , m_owners(*parts.loop, *parts.store, { .prefix = std::string(ownershipPrefix), .watchTime = ownershipWatchTime }, [this](const StoreItem& item) { m_ownership.observe(item); })
+        , m_configurations(*parts.loop, *parts.store, { .prefix = parts.documents->configurationKey(), .watchTime = quietWatchTime }, [this](const StoreItem& item) { onConfiguration(item); })
+        , m_workers(*parts.loop, *parts.store, { .prefix = parts.documents->workerPrefix(), .watchTime = watchTime, .leastGap = workerWatchGap }, [this](const StoreItem& item) { onWorker(item); })
+        , m_waves(*parts.loop, *parts.store, { .prefix = parts.documents->wavePrefix(), .watchTime = quietWatchTime }, [this](const StoreItem& item) { onWave(item); })
         , m_ownership(*parts.loop, *parts.store, m_owners, { .shard = theShard, .holder = m_holder, .leaseTime = settings.ownershipTime, .claimDelay = claimDelayOf(settings) },
               { .gained = [this](const Ownership& ownership) { gained(ownership); }, .lost = [this] { lost(); }, .claimFailed = [this](StoreOutcome outcome) { m_parts.log->decision("ownership-claim-failed", { { "outcome", std::string(nameOf(outcome)) } }); } })
         , m_scheduler(schedulerOptions())
@@ -210,6 +216,8 @@
 
     void onItem(const StoreItem& item)
     {
+        if (item.key.compare(0, ownershipPrefix.size(), ownershipPrefix) == 0)
+            m_owners.noteWritten(item);
         static_cast<void>(m_catalog.apply(item));
     }
 
@@ -295,6 +303,7 @@
     {
         m_parts.log->change("ownership-claimed", { { "epoch", static_cast<std::int64_t>(ownership.epoch) }, { "term", static_cast<std::int64_t>(ownership.term) }, { "copy_age_ms", since(m_jobs.freshAt()) } });
         m_jobs.setPace(ownerWatchGap, ownerWatchTime);
+        m_workers.setPace(ownerWorkerWatchGap, watchTime);
         m_jobs.whenAt(ownership.epoch, [this, ownership] { m_workers.refresh([this, ownership] { activate(ownership); }); });
     }
 
@@ -313,6 +322,7 @@
     void lost()
     {
         m_jobs.setPace(watchGap, watchTime);
+        m_workers.setPace(workerWatchGap, watchTime);
         m_fleet.deactivate();
         m_scheduler.deactivate();
     }
--- a/src/jobs/progress_writer.cpp
+++ b/src/jobs/progress_writer.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t mostJobsOfWrite = (mostTransactionEntries - 1) / 2;
 /// Between two writes: each call is paid for, and an end waits this long only for being told
 /// to the worker, not for what follows it.
-constexpr Millis leastGap { 15 };
+constexpr Millis leastGap { 40 };
 /// After a call that failed; the store's rates are shared by all entry instances.
 constexpr Millis retryPause { 50 };
 
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -355,6 +355,7 @@
     std::uniform_real_distribution<double> share(0, 1);
     SimClock& clock = m_workers.m_clock;
     if (share(m_workers.m_random) < m_workers.fleetTrouble.dropped) {
+        ++m_workers.m_dropped;
         clock.after(callTime, [answer] { answer(FleetOutcome::Unknown); });
         return;
     }
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -116,6 +116,9 @@
     /// \param announced Its entry says that it drains; if not, the entry is removed at once.
     void leave(const std::string& worker, bool announced, Millis serving);
 
+    /// \returns Acts on instances that were neither carried out nor answered.
+    [[nodiscard]] std::uint64_t dropped() const noexcept { return m_dropped; }
+
     [[nodiscard]] const std::map<std::string, jobs::FleetInstance>& instances() const noexcept { return m_instances; }
     [[nodiscard]] std::map<std::string, WorkerModel>& workers() noexcept { return m_workers; }
 
@@ -141,6 +144,7 @@
     std::set<std::string> m_reserves;
     std::map<std::uint64_t, std::set<std::string>> m_maintained; ///< By wave.
     std::uint64_t m_lives = 0;
+    std::uint64_t m_dropped = 0;
 };
 
 /// \brief One process's way to the workers.
