--- a/src/jobs/progress_writer.cpp
+++ b/src/jobs/progress_writer.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t mostJobsOfWrite = (mostTransactionEntries - 1) / 2;
 /// Between two writes: each call is paid for, and an end waits this long only for being told
 /// to the worker, not for what follows it.
-constexpr Millis leastGap { 40 };
+constexpr Millis leastGap { 25 };
 /// After a call that failed; the store's rates are shared by all entry instances.
 constexpr Millis retryPause { 50 };
 
@@ -68,21 +68,26 @@
 
     void sendSoon()
     {
-        if (m_scheduled || m_writing || m_stopped)
+        if (m_writing || m_stopped)
             return;
-        sendAt(std::max(m_loop.now(), m_sentAt + leastGap));
+        // A full write waits for nothing: workers are asked for more ends only once theirs are stored.
+        const Millis gap = m_order.size() >= mostJobsOfWrite ? Millis(0) : leastGap;
+        sendAt(std::max(m_loop.now(), m_sentAt + gap));
     }
 
     void sendLater() { sendAt(m_loop.now() + retryPause); }
 
     void sendAt(MonotonicInstant when)
     {
-        m_scheduled = true;
-        m_loop.callAt(when, [self = weak_from_this()] {
+        if (m_timer != 0 && m_timerAt <= when)
+            return;
+        m_loop.cancel(m_timer);
+        m_timerAt = when;
+        m_timer = m_loop.callAt(when, [self = weak_from_this()] {
             const auto impl = self.lock();
             if (!impl || impl->m_stopped)
                 return;
-            impl->m_scheduled = false;
+            impl->m_timer = 0;
             impl->send();
         });
     }
@@ -191,7 +196,8 @@
     std::vector<Waiter> m_waiting;
     std::uint64_t m_sequence = 0;
     MonotonicInstant m_sentAt;
-    bool m_scheduled = false;
+    TimerId m_timer = 0;
+    MonotonicInstant m_timerAt;
     bool m_writing = false;
     bool m_stopped = false;
 };
