Let an owner go on when the store is back and its lease still stands

Ruled out: a longer lease (a lost owner's pools would stand still longer). Change: past its lease's time the ownership is suspended: nothing is ordered or stored, renewals go on. The store's word (the lease is there or not) or another owner's key decides. Stops that fall due meanwhile are sent afterwards; a term that was claimed begins when it may.

--- a/include/lanemoor/jobs/ownership_keeper.h
+++ b/include/lanemoor/jobs/ownership_keeper.h
@@ -37,6 +37,8 @@
 struct OwnershipObserver {
     std::function<void(const Ownership&)> gained;
     std::function<void()> lost;
+    std::function<void()> suspended; ///< The lease may be over, the store does not tell. Null: nobody is told.
+    std::function<void()> resumed; ///< It is not over. Null: nobody is told.
     std::function<void(StoreOutcome)> claimFailed; ///< Null: nobody is told.
 };
 
@@ -71,6 +73,9 @@
     /// \returns Whether orders may be given now.
     [[nodiscard]] bool isHeld() const noexcept;
 
+    /// \returns Since when orders may be given without a pause; meaningful while `isHeld()`.
+    [[nodiscard]] MonotonicInstant heldSince() const noexcept;
+
     /// \returns The term that is held; meaningful while `isHeld()`.
     [[nodiscard]] const Ownership& ownership() const noexcept;
 
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -74,7 +74,7 @@
         , m_workers(*parts.loop, *parts.store, { .prefix = parts.documents->workerPrefix(), .watchTime = watchTime, .leastGap = workerWatchGap }, [this](const StoreItem& item) { onWorker(item); })
         , m_waves(*parts.loop, *parts.store, { .prefix = parts.documents->wavePrefix(), .watchTime = quietWatchTime }, [this](const StoreItem& item) { onWave(item); })
         , m_ownership(*parts.loop, *parts.store, m_owners, { .shard = theShard, .holder = m_holder, .leaseTime = settings.ownershipTime, .claimDelay = claimDelayOf(settings) },
-              { .gained = [this](const Ownership& ownership) { gained(ownership); }, .lost = [this] { lost(); }, .claimFailed = [this](StoreOutcome outcome) { m_parts.log->decision("ownership-claim-failed", { { "outcome", std::string(nameOf(outcome)) } }); } })
+              { .gained = [this](const Ownership& ownership) { gained(ownership); }, .lost = [this] { lost(); }, .suspended = [this] { m_parts.log->change("ownership-suspended", { { "copy_age_ms", since(m_jobs.freshAt()) } }); }, .resumed = [this] { m_parts.log->change("ownership-resumed", { { "copy_age_ms", since(m_jobs.freshAt()) } }); }, .claimFailed = [this](StoreOutcome outcome) { m_parts.log->decision("ownership-claim-failed", { { "outcome", std::string(nameOf(outcome)) } }); } })
         , m_scheduler(schedulerOptions())
         , m_fleet(fleetOptions())
         , m_intake(*parts.loop, *parts.store, m_jobs, m_catalog)
@@ -168,6 +168,7 @@
     JobScheduler m_scheduler;
     FleetKeeper m_fleet;
     JobIntake m_intake;
+    std::optional<Ownership> m_claimed; ///< A term that has not begun yet.
     bool m_stopping = false;
     bool m_storeAnswers = true;
 
@@ -281,7 +282,9 @@
     void checkCopyLater()
     {
         m_parts.loop->callAt(m_parts.loop->now() + copyCheck, [this] {
-            if (m_ownership.isHeld() && m_parts.loop->now() - m_jobs.freshAt() > oldestCopyOfOwner) {
+            const MonotonicInstant now = m_parts.loop->now();
+            const bool lags = now - m_jobs.freshAt() > oldestCopyOfOwner && now - m_ownership.heldSince() > oldestCopyOfOwner;
+            if (m_ownership.isHeld() && lags) {
                 m_parts.log->change("ownership-resigned", { { "epoch", static_cast<std::int64_t>(m_ownership.ownership().epoch) }, { "copy_age_ms", since(m_jobs.freshAt()) } });
                 m_ownership.resign(resignedFor);
             }
@@ -302,6 +305,7 @@
     void gained(const Ownership& ownership)
     {
         m_parts.log->change("ownership-claimed", { { "epoch", static_cast<std::int64_t>(ownership.epoch) }, { "term", static_cast<std::int64_t>(ownership.term) }, { "copy_age_ms", since(m_jobs.freshAt()) } });
+        m_claimed = ownership;
         m_jobs.setPace(ownerWatchGap, ownerWatchTime);
         m_workers.setPace(ownerWorkerWatchGap, watchTime);
         m_jobs.whenAt(ownership.epoch, [this, ownership] { m_workers.refresh([this, ownership] { activate(ownership); }); });
@@ -309,18 +313,20 @@
 
     void activate(const Ownership& ownership)
     {
-        if (!m_ownership.isHeld() || m_ownership.ownership() != ownership)
+        if (m_claimed != ownership)
             return;
-        if (!m_configuration || !m_workers.isLoaded()) {
+        if (!m_ownership.isHeld() || !m_configuration || !m_workers.isLoaded()) {
             m_parts.loop->callAt(m_parts.loop->now() + stopCheck, [this, ownership] { activate(ownership); });
             return;
         }
+        m_claimed.reset();
         m_scheduler.activate(ownership);
         m_fleet.activate(ownership);
     }
 
     void lost()
     {
+        m_claimed.reset();
         m_jobs.setPace(watchGap, watchTime);
         m_workers.setPace(workerWatchGap, watchTime);
         m_fleet.deactivate();
--- a/src/jobs/order_desk.cpp
+++ b/src/jobs/order_desk.cpp
@@ -100,8 +100,13 @@
 void OrderDesk::stop(const Attempt& attempt, const std::string& worker)
 {
     WorkerBook* book = m_state.worker(worker);
-    if (!book || !m_state.options.ownership->isHeld())
+    if (!book)
+        return;
+    // While the store is away the ownership may not be used, and may yet go on.
+    if (!m_state.options.ownership->isHeld()) {
+        stopLater(attempt, worker);
         return;
+    }
     if (OwnerJob* job = m_state.job(attempt.job))
         job->state.setPhase(attempt, AttemptPhase::Stopping, m_state.now());
     m_state.options.log->decision("task-stop", { { "attempt", nameOf(attempt) }, { "worker", worker } });
@@ -132,6 +137,11 @@
     default:
         break;
     }
+    stopLater(attempt, worker);
+}
+
+void OrderDesk::stopLater(const Attempt& attempt, const std::string& worker)
+{
     m_state.options.loop->callAt(m_state.now() + stopRetry, [self = weak_from_this(), attempt, worker] {
         const auto desk = self.lock();
         if (!desk || desk->m_closed)
--- a/src/jobs/order_desk.h
+++ b/src/jobs/order_desk.h
@@ -36,6 +36,7 @@
 private:
     void started(const Attempt& attempt, const std::string& worker, const OrderResult& result);
     void refused(const Attempt& attempt, const std::string& worker, OrderOutcome outcome);
+    void stopLater(const Attempt& attempt, const std::string& worker);
     void stopped(const Attempt& attempt, const std::string& worker, const OrderResult& result);
 
     OwnerState& m_state;
--- a/src/jobs/ownership_keeper.cpp
+++ b/src/jobs/ownership_keeper.cpp
@@ -109,6 +109,7 @@
     }
 
     [[nodiscard]] bool isHeld() const { return m_held && m_loop.now() < m_validUntil; }
+    [[nodiscard]] MonotonicInstant heldSince() const { return m_heldSince; }
     [[nodiscard]] const Ownership& ownership() const { return m_ownership; }
     [[nodiscard]] KeyRevision condition() const { return { m_ownerKey, m_ownership.epoch }; }
     [[nodiscard]] bool isOwned() const { return m_held || m_mirror.revisionOf(m_ownerKey) != 0; }
@@ -176,6 +177,8 @@
             return;
         }
         m_held = true;
+        m_suspended = false;
+        m_heldSince = m_loop.now();
         m_ownership = { epoch, m_claimedTerm };
         m_observer.gained(m_ownership);
         renewLater();
@@ -190,12 +193,12 @@
         });
     }
 
+    /// Past its lease's time the ownership is not used, but it may still stand: while the store is
+    /// away, leases may wait. Only the store's word ends it, or another owner.
     void renew()
     {
-        if (m_loop.now() >= m_validUntil) {
-            lose();
-            return;
-        }
+        if (m_loop.now() >= m_validUntil)
+            suspend();
         const MonotonicInstant sentAt = m_loop.now();
         const std::uint64_t epoch = m_ownership.epoch;
         m_store.renewLease(m_lease, [self = shared_from_this(), sentAt, epoch](const LeaseResult& result) {
@@ -206,11 +209,27 @@
                 return;
             }
             if (result.outcome == StoreOutcome::Done)
-                self->m_validUntil = std::max(self->m_validUntil, sentAt + result.timeToLive - leaseMargin);
+                self->renewed(sentAt + result.timeToLive - leaseMargin);
         });
         renewLater();
     }
 
+    void suspend()
+    {
+        if (!std::exchange(m_suspended, true) && m_observer.suspended)
+            m_observer.suspended();
+    }
+
+    void renewed(MonotonicInstant validUntil)
+    {
+        const bool wasOver = m_loop.now() >= m_validUntil;
+        m_validUntil = std::max(m_validUntil, validUntil);
+        if (wasOver)
+            m_heldSince = m_loop.now();
+        if (std::exchange(m_suspended, false) && m_observer.resumed)
+            m_observer.resumed();
+    }
+
     EventLoop& m_loop;
     KeyValueStore& m_store;
     const StoreMirror& m_mirror;
@@ -221,12 +240,14 @@
     bool m_claiming = false;
     bool m_held = false;
     bool m_released = false;
+    bool m_suspended = false; ///< Held, but its lease may be over.
     std::uint64_t m_lease = 0;
     std::uint64_t m_lastTerm = 0;
     std::uint64_t m_claimedTerm = 0;
     Ownership m_ownership;
     MonotonicInstant m_validUntil;
     MonotonicInstant m_claimFrom;
+    MonotonicInstant m_heldSince;
 };
 
 OwnershipKeeper::OwnershipKeeper(EventLoop& loop, KeyValueStore& store, const StoreMirror& mirror, OwnershipOptions options, OwnershipObserver observer)
@@ -266,6 +287,11 @@
     return m_impl->isHeld();
 }
 
+MonotonicInstant OwnershipKeeper::heldSince() const noexcept
+{
+    return m_impl->heldSince();
+}
+
 const Ownership& OwnershipKeeper::ownership() const noexcept
 {
     return m_impl->ownership();
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -53,7 +53,7 @@
     void noteCancelSent(const std::string& id);
     void noteCancelled(const std::string& id);
     void noteWave(const jobs::WaveRequest& wave);
-    void onStart(const std::string& worker, const jobs::StartOrder& order) override;
+    void onStart(const std::string& worker, const jobs::StartOrder& order, bool late) override;
     void onEnd(const std::string& worker, const jobs::Attempt& attempt, jobs::AttemptEnd end, const Departure& departure) override;
     void onDead(const std::string& worker, const jobs::Attempt& attempt, const Departure& departure) override;
     void onAct(const std::string& instance, const jobs::FleetHolder& holder) override;
--- a/standins/model/store_model.cpp
+++ b/standins/model/store_model.cpp
@@ -108,6 +108,18 @@
 
 void StoreModel::expire()
 {
+    constexpr Millis look { 100 }; // While leases wait, they are made to last longer this often.
+    if (trouble.leasesWait) {
+        for (auto& [id, lease] : m_leases)
+            lease.endsAt = m_clock.now() + lease.timeToLive;
+        if (!std::exchange(m_looksAgain, true)) {
+            m_clock.after(look, [this] {
+                m_looksAgain = false;
+                expire();
+            });
+        }
+        return;
+    }
     std::vector<std::uint64_t> over;
     for (const auto& [id, lease] : m_leases) {
         if (lease.endsAt <= m_clock.now())
--- a/standins/model/store_model.h
+++ b/standins/model/store_model.h
@@ -15,6 +15,7 @@
 
 /// How the store fails. Shares are of the calls.
 struct StoreTrouble {
+    bool leasesWait = false; ///< Leases do not run out meanwhile.
     bool silent = false; ///< Calls do nothing and get no answer.
     bool refusing = false; ///< Calls are refused.
     double lostAnswers = 0; ///< Of writes: carried out, and not answered.
@@ -77,6 +78,7 @@
     std::uint64_t m_lastLease = 0;
     std::uint64_t m_lastWatch = 0;
     std::uint64_t m_calls = 0;
+    bool m_looksAgain = false; ///< A look at leases that wait is due.
     std::map<std::uint64_t, Lease> m_leases;
     std::map<std::uint64_t, Watch> m_watches;
 };
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -143,7 +143,7 @@
     m_clock.after(serving, [this, worker] { crash(worker, pause); });
 }
 
-OrderResult WorkersModel::start(const std::string& worker, const StartOrder& order)
+OrderResult WorkersModel::start(const std::string& worker, const StartOrder& order, bool late)
 {
     WorkerModel& model = m_workers[worker];
     const OrderResult done { .outcome = OrderOutcome::Done, .workerClock = clockOf(model) };
@@ -174,7 +174,7 @@
         run.end = m_clock.after(time, [this, worker, attempt = order.attempt, end] { endRun(m_workers[worker], Attempt(attempt), end, false); });
     model.running[order.attempt] = run;
     if (witness)
-        witness->onStart(worker, order);
+        witness->onStart(worker, order, late);
     return done;
 }
 
@@ -249,7 +249,7 @@
 void WorkerClient::start(const WorkerLife& worker, const StartOrder& order, std::function<void(OrderResult)> done)
 {
     this->order(
-        worker.id, [this, id = worker.id, order](bool) { return m_workers.start(id, order); }, std::move(done));
+        worker.id, [this, id = worker.id, order](bool late) { return m_workers.start(id, order, late); }, std::move(done));
 }
 
 void WorkerClient::stop(const WorkerLife& worker, const Attempt& attempt, std::uint64_t epoch, std::function<void(OrderResult)> done)
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -48,7 +48,8 @@
 class WorkerWitness {
 public:
     virtual ~WorkerWitness() = default;
-    virtual void onStart(const std::string& worker, const jobs::StartOrder& order) = 0;
+    /// \param late The order was carried out long after it was sent.
+    virtual void onStart(const std::string& worker, const jobs::StartOrder& order, bool late) = 0;
     virtual void onEnd(const std::string& worker, const jobs::Attempt& attempt, jobs::AttemptEnd end, const Departure& departure) = 0;
     virtual void onDead(const std::string& worker, const jobs::Attempt& attempt, const Departure& departure) = 0;
     virtual void onAct(const std::string& instance, const jobs::FleetHolder& holder) = 0;
@@ -126,7 +127,7 @@
     friend class WorkerClient;
     friend class FleetClient;
 
-    jobs::OrderResult start(const std::string& worker, const jobs::StartOrder& order);
+    jobs::OrderResult start(const std::string& worker, const jobs::StartOrder& order, bool late);
     jobs::OrderResult stop(const std::string& worker, const jobs::Attempt& attempt, std::uint64_t epoch, bool late);
     void beginLife(const std::string& instance);
     void endLife(WorkerModel& worker, bool byOrder);
--- a/tests/jobs/service_test.cpp
+++ b/tests/jobs/service_test.cpp
@@ -407,3 +407,44 @@
     cluster.clock.runFor(Millis(8'000));
     requireNoBreach(cluster);
 }
+
+TEST_CASE("An owner goes on where it was when the store comes back and its lease still stands")
+{
+    // Found on prc-montevideo trouble-3: after an outage in which leases wait, nobody owned until
+    // the former owner's lease was over, and then all was adopted anew.
+    SmallCluster cluster(1, 3, 4, 0);
+    cluster.workers.runTimes = [](const Attempt&) { return Millis(3'500); };
+    const std::size_t first = cluster.owner().value();
+    const std::size_t other = (first + 1) % cluster.entries();
+    cluster.submit(other, "work", jobId(1), job({ step(2), step(2, { 0 }) }));
+    REQUIRE(cluster.waitFor(Millis(2'000), [&] { return cluster.witness.starts() == 2; }));
+    cluster.store.trouble.silent = true;
+    cluster.store.trouble.leasesWait = true;
+    cluster.clock.runFor(Millis(4'000));
+    cluster.store.trouble = {};
+    CHECK(cluster.waitFor(Millis(1'500), [&] { return cluster.witness.starts() == 4; }));
+    CHECK(cluster.owner() == first);
+    requireNoBreach(cluster);
+}
+
+TEST_CASE("A stop that falls due while the store is away is sent when it is back")
+{
+    // Found by a random run: tasks on a hanging worker were to be stopped while the owner waited for
+    // the store; nobody told the worker, and they never started elsewhere.
+    SmallCluster cluster(1, 3, 2, 0);
+    for (auto& [id, worker] : cluster.workers.workers())
+        worker.trouble.hanging = true;
+    cluster.submit(0, "work", jobId(1), job({ step(1) }));
+    REQUIRE(cluster.waitFor(Millis(2'000), [&] { return cluster.witness.starts() == 1; }));
+    cluster.clock.runFor(Millis(2'400));
+    for (auto& [id, worker] : cluster.workers.workers())
+        worker.trouble = { .lateOrders = 1 };
+    cluster.store.trouble.silent = true;
+    cluster.store.trouble.leasesWait = true;
+    cluster.clock.runFor(Millis(3'100));
+    for (auto& [id, worker] : cluster.workers.workers())
+        worker.trouble = {};
+    cluster.store.trouble = {};
+    CHECK(cluster.waitFor(Millis(1'500), [&] { return cluster.witness.hasSucceeded(jobId(1)); }));
+    requireNoBreach(cluster);
+}
