Serve callers until the balancer has seen a stopping instance

Cause: on SIGTERM an entry closed its port at once, while the balancer, which asks each second and believes the second refusal, sent new connections for 2 s more: callers got no connection. Ruled out: longer grace (it was not used).

--- a/include/lanemoor/aio/http_listener.h
+++ b/include/lanemoor/aio/http_listener.h
@@ -38,6 +38,9 @@
     /// \brief Accepts no more connections; the open ones end with their next answer.
     void drain();
 
+    /// \brief Goes on accepting connections, and closes each after its next answer.
+    void closeAfterAnswers();
+
     [[nodiscard]] std::uint16_t port() const noexcept;
 
     /// \returns Requests that were handed over and are not answered yet.
--- a/src/aio/http_listener.cpp
+++ b/src/aio/http_listener.cpp
@@ -191,6 +191,8 @@
         });
     }
 
+    void closeAfterAnswers() { m_shared->draining = true; }
+
     void drain()
     {
         m_shared->draining = true;
@@ -227,6 +229,11 @@
     m_impl->drain();
 }
 
+void HttpListener::closeAfterAnswers()
+{
+    m_impl->closeAfterAnswers();
+}
+
 std::uint16_t HttpListener::port() const noexcept
 {
     return m_impl->port();
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -51,7 +51,10 @@
 constexpr Millis copyCheck { 500 };
 constexpr Millis defaultRetryAfter { 1'000 };
 constexpr Millis stopCheck { 20 };
-constexpr Millis stopReserve { 1'500 }; // Of the grace, kept for the ownership's release.
+/// The balancer asks for readiness each second and believes the second refusal: until then new
+/// connections come, and a closed port would turn them away.
+constexpr Millis seenUnready { 2'600 };
+constexpr Millis stopReserve { 1'500 }; // Of the grace, kept for the last answers to leave.
 
 Millis claimDelayOf(const JobServiceSettings& settings)
 {
@@ -99,8 +102,13 @@
     {
         m_stopping = true;
         m_parts.log->change("stopping", { { "owner", std::int64_t { m_ownership.isHeld() } } });
-        const MonotonicInstant by = m_parts.loop->now() + std::max(m_settings.stopGrace - stopReserve, Millis(0));
-        finishIntake(by, done);
+        // Others run the jobs from now on; callers are served here as before.
+        m_fleet.deactivate();
+        m_scheduler.deactivate();
+        m_ownership.release([] {});
+        const MonotonicInstant now = m_parts.loop->now();
+        const MonotonicInstant by = now + std::max(m_settings.stopGrace - stopReserve, Millis(0));
+        serveUntil(std::min(now + seenUnready, by), by, done);
     }
 
     [[nodiscard]] bool takesRequests() const { return m_configuration && m_jobs.isLoaded(); }
@@ -333,16 +341,14 @@
         m_scheduler.deactivate();
     }
 
-    void finishIntake(MonotonicInstant by, const std::function<void()>& done)
+    /// Serves until `least`, then until every call has its answer, at the most until `most`.
+    void serveUntil(MonotonicInstant least, MonotonicInstant most, const std::function<void()>& done)
     {
-        if (m_intake.inFlight() > 0 && m_parts.loop->now() < by) {
-            m_parts.loop->callAt(m_parts.loop->now() + stopCheck, [this, by, done] { finishIntake(by, done); });
-            return;
-        }
-        m_fleet.deactivate();
-        m_scheduler.whenStored([] {});
-        m_scheduler.deactivate();
-        m_ownership.release(done);
+        const MonotonicInstant now = m_parts.loop->now();
+        if (now < least || (m_intake.inFlight() > 0 && now < most))
+            m_parts.loop->callAt(now + stopCheck, [this, least, most, done] { serveUntil(least, most, done); });
+        else
+            done();
     }
 };
 
--- a/tests/jobs/http_test.cpp
+++ b/tests/jobs/http_test.cpp
@@ -153,6 +153,19 @@
     CHECK(client.counts().connections == 2);
 }
 
+TEST_CASE("A listener that stops soon takes new connections and closes each after its answer")
+{
+    Exchange exchange;
+    HttpListener listener(exchange.loop, { .address = { "127.0.0.1", 0 } }, [](const HttpRequest&, const HttpResponder& respond) { respond({ .status = 200, .headers = {}, .body = {} }); });
+    HttpClient client(exchange.loop, {});
+    const HttpAddress address { "127.0.0.1", listener.port() };
+    CHECK(exchange.call(client, address, post("a")).delivery == Delivery::Answered);
+    listener.closeAfterAnswers();
+    CHECK(exchange.call(client, address, post("b")).delivery == Delivery::Answered);
+    CHECK(exchange.call(client, address, post("c")).delivery == Delivery::Answered);
+    CHECK(client.counts().connections == 2);
+}
+
 TEST_CASE("What is no HTTP gets 400 and a body over the limit 413, and the listener lives on")
 {
     Exchange exchange;
