Remove finished jobs from the store once their status need not be shown

Cause: finished jobs stayed in the store and in every copy for ever; statusSeconds was read and not used. Ruled out: leases on the keys (one lease a job would cost a call each). Change: every instance counts from when it heard of the end; the owner removes the keys of up to ten jobs in one transaction under its ownership, each 200 ms, 5 s after the status' time. Tests: a finished job is shown for its time, over a change of owner, and then is gone.

--- /dev/null
+++ b/src/jobs/job_retirement.cpp
@@ -0,0 +1,123 @@
+#include "lanemoor/jobs/job_retirement.h"
+
+#include "lanemoor/adapters/event_log.h"
+#include "lanemoor/jobs/job_catalog.h"
+#include "lanemoor/jobs/key_value_store.h"
+#include "lanemoor/jobs/ownership_keeper.h"
+#include "lanemoor/jobs/store_mirror.h"
+
+#include <array>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+/// Between two looks. At 50 jobs a second, the busiest day measured, ten a look would not do.
+constexpr Millis lookEvery { 200 };
+/// For callers whose call is on its way, and for ends heard a little late elsewhere.
+constexpr Millis margin { 5'000 };
+/// Each job takes three removals of a transaction, the ownership's condition one entry.
+constexpr std::size_t mostAtOnce = (mostTransactionEntries - 1) / 3;
+
+std::array<std::string, 3> keysOf(const std::string& id)
+{
+    return { std::string(jobKeyPrefix) + id, std::string(progressKeyPrefix) + id, std::string(cancelKeyPrefix) + id };
+}
+
+} // namespace
+
+class JobRetirement::Impl : public std::enable_shared_from_this<JobRetirement::Impl> {
+public:
+    explicit Impl(JobRetirementOptions options)
+        : m_options(options)
+    {
+    }
+
+    void onJobChanged(const std::string& id)
+    {
+        const CatalogEntry* entry = m_options.catalog->find(id);
+        if (!entry)
+            m_finishedAt.erase(id);
+        else if (isFinal(entry->progress.status))
+            m_finishedAt.emplace(id, m_options.loop->now());
+    }
+
+    void lookLater()
+    {
+        m_options.loop->callAt(m_options.loop->now() + lookEvery, [self = weak_from_this()] {
+            const auto impl = self.lock();
+            if (!impl)
+                return;
+            impl->look();
+            impl->lookLater();
+        });
+    }
+
+private:
+    void look()
+    {
+        if (m_removing || !m_options.ownership->isHeld())
+            return;
+        const MonotonicInstant now = m_options.loop->now();
+        std::vector<std::string> over;
+        for (const auto& [id, at] : m_finishedAt) {
+            if (now - at >= m_options.statusTime + margin && over.size() < mostAtOnce)
+                over.push_back(id);
+        }
+        if (!over.empty())
+            remove(std::move(over));
+    }
+
+    void remove(std::vector<std::string> ids)
+    {
+        Transaction transaction { .expected = { m_options.ownership->condition() }, .writes = {}, .removals = {} };
+        for (const std::string& id : ids) {
+            for (std::string& key : keysOf(id))
+                transaction.removals.push_back(std::move(key));
+        }
+        m_removing = true;
+        m_options.store->commit(transaction, [self = weak_from_this(), ids = std::move(ids)](const CommitResult& result) {
+            if (const auto impl = self.lock())
+                impl->removed(ids, result);
+        });
+    }
+
+    /// Without an answer the same jobs are removed once more, which changes nothing.
+    void removed(const std::vector<std::string>& ids, const CommitResult& result)
+    {
+        m_removing = false;
+        if (result.outcome != StoreOutcome::Done)
+            return;
+        m_options.log->decision("jobs-retired", { { "jobs", static_cast<std::int64_t>(ids.size()) }, { "first", ids.front() }, { "revision", static_cast<std::int64_t>(result.revision) } });
+        for (const std::string& id : ids) {
+            for (const std::string& key : keysOf(id))
+                m_options.mirror->noteWritten({ .key = key, .value = {}, .revision = result.revision, .removed = true });
+        }
+    }
+
+    JobRetirementOptions m_options;
+    std::map<std::string, MonotonicInstant> m_finishedAt; ///< When the end was heard of, by job.
+    bool m_removing = false;
+};
+
+JobRetirement::JobRetirement(JobRetirementOptions options)
+    : m_impl(std::make_shared<Impl>(options))
+{
+}
+
+JobRetirement::~JobRetirement() = default;
+
+void JobRetirement::start()
+{
+    m_impl->lookLater();
+}
+
+void JobRetirement::onJobChanged(const std::string& id)
+{
+    m_impl->onJobChanged(id);
+}
+
+} // namespace lanemoor::jobs
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -4,6 +4,7 @@
 #include "lanemoor/jobs/fleet_keeper.h"
 #include "lanemoor/jobs/job_catalog.h"
 #include "lanemoor/jobs/job_metrics.h"
+#include "lanemoor/jobs/job_retirement.h"
 #include "lanemoor/jobs/job_scheduler.h"
 #include "lanemoor/jobs/key_value_store.h"
 #include "lanemoor/jobs/ownership_keeper.h"
@@ -81,8 +82,12 @@
         , m_scheduler(schedulerOptions())
         , m_fleet(fleetOptions())
         , m_intake(*parts.loop, *parts.store, m_jobs, m_catalog)
+        , m_retirement({ .loop = parts.loop, .store = parts.store, .mirror = &m_jobs, .catalog = &m_catalog, .ownership = &m_ownership, .log = parts.log, .statusTime = settings.statusTime })
     {
-        m_catalog.observe([this](const std::string& id) { m_scheduler.onJobChanged(id); });
+        m_catalog.observe([this](const std::string& id) {
+            m_scheduler.onJobChanged(id);
+            m_retirement.onJobChanged(id);
+        });
         m_directory.observe([this](const std::string& id) { m_scheduler.onWorkerChanged(id); });
     }
 
@@ -96,6 +101,7 @@
         m_ownership.start();
         readConfigurationLater();
         checkCopyLater();
+        m_retirement.start();
     }
 
     void stop(const std::function<void()>& done)
@@ -176,6 +182,7 @@
     JobScheduler m_scheduler;
     FleetKeeper m_fleet;
     JobIntake m_intake;
+    JobRetirement m_retirement;
     std::optional<Ownership> m_claimed; ///< A term that has not begun yet.
     bool m_stopping = false;
     bool m_storeAnswers = true;
--- a/tests/jobs/service_test.cpp
+++ b/tests/jobs/service_test.cpp
@@ -448,3 +448,22 @@
     CHECK(cluster.waitFor(Millis(1'800), [&] { return cluster.witness.workerOf(jobId(1), {}).empty(); }));
     requireNoBreach(cluster);
 }
+
+TEST_CASE("A finished job is shown for its time and then leaves the store")
+{
+    SmallCluster cluster(1, 3, 2, 0);
+    cluster.submit(0, "work", jobId(1), job({ step(1) }));
+    cluster.submit(0, "work", jobId(2), job({ longStep(1) }));
+    REQUIRE(cluster.waitFor(Millis(4'000), [&] { return cluster.accepted().contains(jobId(1)) && cluster.witness.hasSucceeded(jobId(1)); }));
+    cluster.clock.runFor(Millis(60'000));
+    cluster.kill(cluster.owner().value());
+    cluster.clock.runFor(Millis(58'000));
+    const std::size_t any = cluster.owner().value();
+    CHECK(cluster.shows(jobId(1), JobStatus::Succeeded, any));
+    cluster.clock.runFor(Millis(12'000));
+    CHECK(cluster.store.find(jobKey(jobId(1))) == nullptr);
+    CHECK(cluster.store.find(progressKey(jobId(1))) == nullptr);
+    CHECK_FALSE(cluster.status(any, jobId(1)).has_value());
+    CHECK(cluster.shows(jobId(2), JobStatus::Running, any));
+    requireNoBreach(cluster);
+}
