Show operators jobs, why their tasks wait, and who owns, on the command line

Cause: whoever looked into a job had only log lines; the command line knew nothing of jobs. Ruled out: a port of its own (the platform gives no further one; the metrics address is theirs). Change: lanemoor jobs [list|show|cancel], explain JOB and shards ask the job service at its metrics address (--entry): jobs, steps, attempts with their workers, and what placement met when tasks found no place.

--- a/include/lanemoor/client/text_report.h
+++ b/include/lanemoor/client/text_report.h
@@ -17,6 +17,11 @@
 [[nodiscard]] std::string wavesText(const std::string& body);
 [[nodiscard]] std::string statusText(const std::string& body);
 [[nodiscard]] std::string instanceText(const std::string& body);
+[[nodiscard]] std::string jobsText(const std::string& body);
+
+/// \returns A job with its steps: where tasks run, and why others wait.
+[[nodiscard]] std::string jobText(const std::string& body);
+[[nodiscard]] std::string shardsText(const std::string& body);
 
 /// \param patch A JSON patch (RFC 6902). \returns One line for each change.
 [[nodiscard]] std::string patchText(const std::string& patch);
--- /dev/null
+++ b/include/lanemoor/jobs/job_report.h
@@ -0,0 +1,89 @@
+#pragma once
+/// \file
+/// What operators are shown of jobs: values, and their JSON.
+
+#include "lanemoor/jobs/job_spec.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lanemoor::jobs {
+
+/// Why tasks of a step found no place when placement last tried.
+struct StepWait {
+    std::uint32_t tasks = 0; ///< That wait.
+    std::uint32_t workers = 0; ///< Of the pool.
+    std::uint32_t open = 0; ///< Of them, those that take work now.
+    std::uint32_t withRoom = 0; ///< Of the open ones, those with room for one task.
+    std::uint32_t belowSpread = 0; ///< Workers that run fewer tasks of the step than may share one.
+
+    [[nodiscard]] bool operator==(const StepWait&) const = default;
+};
+
+/// An attempt that is not over.
+struct AttemptReport {
+    std::uint32_t task = 0; ///< Its number within the step.
+    std::uint64_t attempt = 0;
+    std::string worker;
+    std::string phase;
+
+    [[nodiscard]] bool operator==(const AttemptReport&) const = default;
+};
+
+/// One step of one occurrence.
+struct StepReport {
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t tasks = 0;
+    std::uint32_t succeeded = 0;
+    bool blocked = false; ///< By steps that it depends on.
+    std::vector<AttemptReport> attempts;
+    std::optional<StepWait> wait;
+
+    [[nodiscard]] bool operator==(const StepReport&) const = default;
+};
+
+/// A job in a list.
+struct JobSummary {
+    std::string id;
+    std::string queue;
+    JobStatus status = JobStatus::Queued;
+    std::uint32_t steps = 0;
+    std::uint32_t tasks = 0; ///< Of one occurrence.
+
+    [[nodiscard]] bool operator==(const JobSummary&) const = default;
+};
+
+/// A job in full. Only the shard's owner knows its steps.
+struct JobReport {
+    JobSummary job;
+    std::string pool;
+    bool cancelled = false; ///< A caller asked for it.
+    bool ownedHere = false; ///< This instance runs the job; if not, the steps are not known here.
+    std::string owner; ///< Holder of the shard, as far as is known; empty: nobody.
+    std::vector<StepReport> steps;
+
+    [[nodiscard]] bool operator==(const JobReport&) const = default;
+};
+
+/// Who owns a shard.
+struct ShardReport {
+    std::string shard;
+    std::string owner; ///< Empty: nobody, as far as is known.
+    std::uint64_t term = 0;
+    bool ownedHere = false;
+    std::int64_t copyAgeMillis = 0; ///< Of this instance's copy of the store.
+
+    [[nodiscard]] bool operator==(const ShardReport&) const = default;
+};
+
+/// \name JSON for operators
+///@{
+[[nodiscard]] std::string formatJobs(const std::vector<JobSummary>& jobs, bool more);
+[[nodiscard]] std::string formatJob(const JobReport& job);
+[[nodiscard]] std::string formatShards(const std::vector<ShardReport>& shards);
+///@}
+
+} // namespace lanemoor::jobs
--- a/include/lanemoor/jobs/job_scheduler.h
+++ b/include/lanemoor/jobs/job_scheduler.h
@@ -4,6 +4,7 @@
 
 #include "lanemoor/jobs/event_loop.h"
 #include "lanemoor/jobs/forward_declarations.h"
+#include "lanemoor/jobs/job_report.h"
 #include "lanemoor/jobs/ownership_keeper.h"
 #include "lanemoor/jobs/service_configuration.h"
 
@@ -118,6 +119,9 @@
     void noteLifeOver(const std::string& worker);
     ///@}
 
+    /// \returns The job's steps, as the owner knows them; nothing if it does not run the job.
+    [[nodiscard]] std::optional<std::vector<StepReport>> report(const std::string& job) const;
+
     /// \brief Calls `stored` once all that is known has been stored, or the term is over.
     void whenStored(std::function<void()> stored);
 
--- a/include/lanemoor/jobs/job_service.h
+++ b/include/lanemoor/jobs/job_service.h
@@ -5,13 +5,16 @@
 #include "lanemoor/jobs/event_loop.h"
 #include "lanemoor/jobs/forward_declarations.h"
 #include "lanemoor/jobs/job_intake.h"
+#include "lanemoor/jobs/job_report.h"
 #include "lanemoor/jobs/job_service_settings.h"
 #include "lanemoor/jobs/job_spec.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace lanemoor {
 class EventLog;
@@ -66,6 +69,17 @@
     [[nodiscard]] std::uint64_t pending(const std::string& queue) const;
     ///@}
 
+    /// \name Operators
+    ///@{
+    /// \returns Jobs of `queue`, or of all, at most `most`, ordered by id.
+    [[nodiscard]] std::vector<JobSummary> jobs(const std::optional<std::string>& queue, std::size_t most) const;
+
+    /// \returns What this instance knows of the job; nothing if it knows none.
+    [[nodiscard]] std::optional<JobReport> job(const std::string& id) const;
+
+    [[nodiscard]] std::vector<ShardReport> shards() const;
+    ///@}
+
     /// \returns Metrics in Prometheus' text format.
     [[nodiscard]] std::string metrics() const;
 
--- a/include/lanemoor/jobs/job_state.h
+++ b/include/lanemoor/jobs/job_state.h
@@ -22,6 +22,9 @@
     Stopping, ///< A stop was sent.
 };
 
+/// \returns A short name of `phase`.
+[[nodiscard]] std::string_view nameOf(AttemptPhase phase) noexcept;
+
 /// An attempt that is not over.
 struct LiveAttempt {
     std::uint64_t number = 0;
--- a/include/lanemoor/jobs/ownership_keeper.h
+++ b/include/lanemoor/jobs/ownership_keeper.h
@@ -82,6 +82,12 @@
     /// \returns The condition under which the owner writes.
     [[nodiscard]] KeyRevision condition() const;
 
+    /// \returns Who holds the ownership, as far as this instance knows; empty: nobody.
+    [[nodiscard]] std::string holder() const;
+
+    /// \returns The newest term that this instance heard of.
+    [[nodiscard]] std::uint64_t lastTerm() const noexcept;
+
     /// \returns Whether anybody holds the ownership, as far as this instance knows.
     [[nodiscard]] bool isOwned() const noexcept;
 
--- a/src/client/command_line.cpp
+++ b/src/client/command_line.cpp
@@ -3,6 +3,7 @@
 #include "lanemoor/client/operator_client.h"
 #include "lanemoor/client/text_report.h"
 #include "lanemoor/jobs/job_service_settings.h"
+#include "lanemoor/jobs/job_spec.h"
 #include "lanemoor/serve/process/daemon.h"
 #include "lanemoor/serve/process/peer_keys.h"
 #include "lanemoor/state/configuration_document.h"
@@ -211,6 +212,30 @@
     return callAndShow(invocation, "POST", "/v1/waves", acceptedText);
 }
 
+ExitCode listOrChangeJobs(const Invocation& invocation)
+{
+    const std::string verb = invocation.operands.empty() ? "list" : invocation.operands.front();
+    const std::string operand = invocation.operands.size() > 1 ? invocation.operands[1] : std::string();
+    if (verb == "list")
+        return callAndShow(invocation, "GET", operand.empty() ? "/v1/jobs" : "/v1/jobs?queue=" + operand, jobsText);
+    if (operand.empty() || (verb != "show" && verb != "cancel")) {
+        std::cerr << "usage: lanemoor jobs [list [QUEUE] | show ID | cancel ID]\n";
+        return ExitCode::WrongUsage;
+    }
+    if (verb == "show")
+        return callAndShow(invocation, "GET", "/v1/jobs/" + operand, jobText);
+    return callAndShow(invocation, "DELETE", "/v1/jobs/" + operand, [](const std::string&) { return "cancelled"; });
+}
+
+/// Jobs have ids of their own form, so one command serves both.
+ExitCode explain(const Invocation& invocation)
+{
+    const std::string& operand = invocation.operands.front();
+    if (jobs::isJobId(operand))
+        return callAndShow(invocation, "GET", "/v1/jobs/" + operand, jobText);
+    return callAndShow(invocation, "GET", "/v1/instances/" + operand, instanceText);
+}
+
 const std::vector<Command>& commands()
 {
     static const std::vector<Command> all {
@@ -226,7 +251,9 @@
         { "drain", "INSTANCE", "take an instance out of service when its budget permits", 1, 1, [](const Invocation& invocation) { return callAndShow(invocation, "POST", "/v1/instances/" + invocation.operands.front() + "/drain", acceptedText); } },
         { "undrain", "INSTANCE", "let an instance serve again", 1, 1, [](const Invocation& invocation) { return callAndShow(invocation, "POST", "/v1/instances/" + invocation.operands.front() + "/undrain", acceptedText); } },
         { "status", "", "show an entry instance, its peers and what is in force on each", 0, 0, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/status", statusText); } },
-        { "explain", "INSTANCE", "tell why an instance is in its pool and whether it may be taken", 1, 1, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/instances/" + invocation.operands.front(), instanceText); } },
+        { "explain", "INSTANCE|JOB", "tell why an instance is in its pool and whether it may be taken, or why a job's tasks run or wait where they do", 1, 1, explain },
+        { "jobs", "[list [QUEUE] | show ID | cancel ID]", "show or cancel jobs of the job service, by its metrics address", 0, 2, listOrChangeJobs },
+        { "shards", "", "show the job service's shards and their owners", 0, 0, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/shards", shardsText); } },
     };
     return all;
 }
--- a/src/client/text_report.cpp
+++ b/src/client/text_report.cpp
@@ -71,6 +71,27 @@
     return text;
 }
 
+/// \returns Why tasks of a step wait, by what placement met last.
+std::string waitText(const Json& wait)
+{
+    std::string text = "    " + plain(wait["tasks"]) + " wait: of " + plain(wait["workers"]) + " workers " + plain(wait["open"]) + " take work, " + plain(wait["withRoom"]) + " of them have room";
+    if (wait["belowSpread"] != wait["workers"])
+        text += ", " + plain(wait["belowSpread"]) + " run fewer tasks of the step than may share one";
+    return text;
+}
+
+std::string stepText(const Json& step)
+{
+    std::string text = "  step " + plain(step["occurrence"]) + '/' + plain(step["step"]) + ": " + plain(step["succeeded"]) + " of " + plain(step["tasks"]) + " tasks succeeded";
+    if (step["blocked"].get<bool>())
+        text += ", blocked by a step it depends on";
+    for (const Json& attempt : step["attempts"])
+        text += "\n    task " + plain(attempt["task"]) + ", attempt " + plain(attempt["attempt"]) + ": " + plain(attempt["phase"]) + " on " + plain(attempt["worker"]);
+    if (step.contains("wait"))
+        text += '\n' + waitText(step["wait"]);
+    return text;
+}
+
 } // namespace
 
 std::string problemText(const std::string& body)
@@ -130,6 +151,38 @@
     return keyValueText(Json::parse(body));
 }
 
+std::string jobsText(const std::string& body)
+{
+    const Json json = Json::parse(body);
+    Table table({ "JOB", "QUEUE", "STATUS", "STEPS", "TASKS" });
+    for (const Json& job : json["jobs"])
+        table.add({ plain(job["id"]), plain(job["queue"]), plain(job["status"]), plain(job["steps"]), plain(job["tasks"]) });
+    return table.text() + (json["more"].get<bool>() ? "\n(there are more: name a queue)" : "");
+}
+
+std::string jobText(const std::string& body)
+{
+    Json json = Json::parse(body);
+    const Json steps = json["steps"];
+    const bool isOwnedHere = json["ownedHere"].get<bool>();
+    json.erase("steps");
+    std::string text = keyValueText(json);
+    if (!isOwnedHere)
+        return text + "\nsteps are known to the owner only, while the job is not over";
+    for (const Json& step : steps)
+        text += '\n' + stepText(step);
+    return text;
+}
+
+std::string shardsText(const std::string& body)
+{
+    const Json json = Json::parse(body);
+    Table table({ "SHARD", "OWNER", "TERM", "HERE", "COPY AGE MS" });
+    for (const Json& shard : json["shards"])
+        table.add({ plain(shard["shard"]), shard["owner"] == "" ? "-" : plain(shard["owner"]), plain(shard["term"]), plain(shard["ownedHere"]), plain(shard["copyAgeMillis"]) });
+    return table.text();
+}
+
 std::string patchText(const std::string& patch)
 {
     std::string text;
--- /dev/null
+++ b/src/jobs/job_report.cpp
@@ -0,0 +1,68 @@
+#include "lanemoor/jobs/job_report.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+Json summary(const JobSummary& job)
+{
+    return { { "id", job.id }, { "queue", job.queue }, { "status", nameOf(job.status) }, { "steps", job.steps }, { "tasks", job.tasks } };
+}
+
+Json attempt(const AttemptReport& report)
+{
+    return { { "task", report.task }, { "attempt", report.attempt }, { "worker", report.worker }, { "phase", report.phase } };
+}
+
+Json wait(const StepWait& wait)
+{
+    return { { "tasks", wait.tasks }, { "workers", wait.workers }, { "open", wait.open }, { "withRoom", wait.withRoom }, { "belowSpread", wait.belowSpread } };
+}
+
+Json step(const StepReport& report)
+{
+    Json json { { "occurrence", report.occurrence }, { "step", report.step }, { "tasks", report.tasks }, { "succeeded", report.succeeded }, { "blocked", report.blocked } };
+    json["attempts"] = Json::array();
+    for (const AttemptReport& running : report.attempts)
+        json["attempts"].push_back(attempt(running));
+    if (report.wait)
+        json["wait"] = wait(*report.wait);
+    return json;
+}
+
+} // namespace
+
+std::string formatJobs(const std::vector<JobSummary>& jobs, bool more)
+{
+    Json list = Json::array();
+    for (const JobSummary& job : jobs)
+        list.push_back(summary(job));
+    return Json { { "jobs", std::move(list) }, { "more", more } }.dump();
+}
+
+std::string formatJob(const JobReport& job)
+{
+    Json json = summary(job.job);
+    json["pool"] = job.pool;
+    json["cancelled"] = job.cancelled;
+    json["ownedHere"] = job.ownedHere;
+    json["owner"] = job.owner;
+    json["steps"] = Json::array();
+    for (const StepReport& report : job.steps)
+        json["steps"].push_back(step(report));
+    return json.dump();
+}
+
+std::string formatShards(const std::vector<ShardReport>& shards)
+{
+    Json list = Json::array();
+    for (const ShardReport& shard : shards)
+        list.push_back({ { "shard", shard.shard }, { "owner", shard.owner }, { "term", shard.term }, { "ownedHere", shard.ownedHere }, { "copyAgeMillis", shard.copyAgeMillis } });
+    return Json { { "shards", std::move(list) } }.dump();
+}
+
+} // namespace lanemoor::jobs
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -282,9 +282,33 @@
         return m_term->unknownInstances == 0U && m_term->unmet.empty();
     }
 
+    [[nodiscard]] std::optional<std::vector<StepReport>> report(const std::string& id) const
+    {
+        const OwnerJob* job = m_term ? m_term->state.job(id) : nullptr;
+        if (!job)
+            return std::nullopt;
+        std::vector<StepReport> reports;
+        for (const auto& [step, state] : job->state.steps())
+            reports.push_back(reportOf(job->state, step, state));
+        return reports;
+    }
+
     SchedulerCounts counts;
 
 private:
+    [[nodiscard]] StepReport reportOf(const JobState& job, const StepId& id, const StepState& step) const
+    {
+        StepReport report { .occurrence = id.occurrence, .step = id.step, .tasks = static_cast<std::uint32_t>(step.tasks.size()), .succeeded = step.succeeded, .blocked = !job.isUnblocked(id), .attempts = {}, .wait = std::nullopt };
+        for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+            if (const std::optional<LiveAttempt>& live = step.tasks[i].live)
+                report.attempts.push_back({ .task = i, .attempt = live->number, .worker = live->worker, .phase = std::string(nameOf(live->phase)) });
+        }
+        const auto waiting = m_term->state.waits.find({ job.id(), id });
+        if (waiting != m_term->state.waits.end() && step.idle() > 0)
+            report.wait = waiting->second.wait;
+        return report;
+    }
+
     void load(const std::string& id, const CatalogEntry& entry, bool inherited)
     {
         if (!entry.record || isFinal(entry.progress.status))
@@ -412,7 +436,7 @@
     void dropFinished()
     {
         OwnerState& state = m_term->state;
-        std::erase_if(state.waitsLoggedAt, [&](const auto& entry) { return !state.jobs.contains(entry.first.first); });
+        std::erase_if(state.waits, [&](const auto& entry) { return !state.jobs.contains(entry.first.first); });
         std::erase_if(state.jobs, [&](const auto& entry) {
             const JobState& job = entry.second.state;
             if (!isFinal(job.status()))
@@ -507,6 +531,11 @@
     m_impl->noteLifeOver(worker);
 }
 
+std::optional<std::vector<StepReport>> JobScheduler::report(const std::string& job) const
+{
+    return m_impl->report(job);
+}
+
 void JobScheduler::whenStored(std::function<void()> stored)
 {
     m_impl->whenStored(std::move(stored));
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -63,6 +63,14 @@
     return isSmall ? claimDelayOfSmall : Millis(0);
 }
 
+JobSummary summaryOf(const std::string& id, const CatalogEntry& entry)
+{
+    JobSummary summary { .id = id, .queue = entry.record->queue, .status = entry.status(), .steps = static_cast<std::uint32_t>(entry.record->spec.steps.size()) };
+    for (const StepSpec& step : entry.record->spec.steps)
+        summary.tasks += step.count;
+    return summary;
+}
+
 } // namespace
 
 class JobService::Impl {
@@ -153,6 +161,32 @@
         });
     }
 
+    [[nodiscard]] std::vector<JobSummary> jobs(const std::optional<std::string>& queue, std::size_t most) const
+    {
+        std::vector<JobSummary> list;
+        for (const auto& [id, entry] : m_catalog.all()) {
+            if (list.size() == most)
+                break;
+            if (entry.record && (!queue || entry.record->queue == *queue))
+                list.push_back(summaryOf(id, entry));
+        }
+        return list;
+    }
+
+    [[nodiscard]] std::optional<JobReport> job(const std::string& id) const
+    {
+        const CatalogEntry* entry = m_catalog.find(id);
+        if (!entry || !entry->record)
+            return std::nullopt;
+        std::optional<std::vector<StepReport>> steps = m_scheduler.report(id);
+        return JobReport { .job = summaryOf(id, *entry), .pool = entry->record->pool, .cancelled = entry->cancelled, .ownedHere = steps.has_value(), .owner = m_ownership.holder(), .steps = std::move(steps).value_or(std::vector<StepReport>()) };
+    }
+
+    [[nodiscard]] std::vector<ShardReport> shards() const
+    {
+        return { { .shard = theShard, .owner = m_ownership.holder(), .term = m_ownership.lastTerm(), .ownedHere = m_ownership.isHeld(), .copyAgeMillis = since(m_jobs.freshAt()) } };
+    }
+
     [[nodiscard]] std::string metricsText() const
     {
         const MetricsReading reading { .ready = isReady(),
@@ -422,6 +456,21 @@
     return m_impl->m_catalog.pending(queue);
 }
 
+std::vector<JobSummary> JobService::jobs(const std::optional<std::string>& queue, std::size_t most) const
+{
+    return m_impl->jobs(queue, most);
+}
+
+std::optional<JobReport> JobService::job(const std::string& id) const
+{
+    return m_impl->job(id);
+}
+
+std::vector<ShardReport> JobService::shards() const
+{
+    return m_impl->shards();
+}
+
 std::string JobService::metrics() const
 {
     return m_impl->metricsText();
--- a/src/jobs/names.cpp
+++ b/src/jobs/names.cpp
@@ -1,4 +1,5 @@
 #include "lanemoor/jobs/fleet_control.h"
+#include "lanemoor/jobs/job_state.h"
 #include "lanemoor/jobs/key_value_store.h"
 #include "lanemoor/jobs/worker_control.h"
 
@@ -23,6 +24,21 @@
     return "unknown";
 }
 
+std::string_view nameOf(AttemptPhase phase) noexcept
+{
+    switch (phase) {
+    case AttemptPhase::Ordered:
+        return "ordered";
+    case AttemptPhase::Running:
+        return "running";
+    case AttemptPhase::Doubtful:
+        return "in-doubt";
+    case AttemptPhase::Stopping:
+        return "stopping";
+    }
+    return "unknown";
+}
+
 std::string_view nameOf(OrderOutcome outcome) noexcept
 {
     switch (outcome) {
--- a/src/jobs/owner_state.h
+++ b/src/jobs/owner_state.h
@@ -31,7 +31,12 @@
     std::map<std::string, WorkerBook> workers; ///< By id of the life.
     std::unique_ptr<ProgressWriter> writer;
     LoadForecast forecast;
-    std::map<std::pair<std::string, StepId>, MonotonicInstant> waitsLoggedAt; ///< Steps that found no room, and when the log told so last.
+    /// A step that found no room, and when the log told so last.
+    struct WaitingStep {
+        MonotonicInstant loggedAt;
+        StepWait wait;
+    };
+    std::map<std::pair<std::string, StepId>, WaitingStep> waits; ///< By job and step.
     std::function<void()> requestPass; ///< Asks for placement soon.
 
     [[nodiscard]] MonotonicInstant now() const { return options.loop->now(); }
--- a/src/jobs/ownership_keeper.cpp
+++ b/src/jobs/ownership_keeper.cpp
@@ -72,6 +72,8 @@
         }
         if (item.key != m_ownerKey)
             return;
+        const std::optional<OwnerRecord> owner = item.removed ? std::nullopt : decodeOwner(item.value);
+        m_holder = owner ? owner->holder : std::string();
         if (m_held && item.revision > m_ownership.epoch)
             lose();
         if (!item.removed)
@@ -109,6 +111,8 @@
     }
 
     [[nodiscard]] bool isHeld() const { return m_held && m_loop.now() < m_validUntil; }
+    [[nodiscard]] const std::string& holder() const { return m_held ? m_options.holder : m_holder; }
+    [[nodiscard]] std::uint64_t lastTerm() const { return m_held ? m_ownership.term : m_lastTerm; }
     [[nodiscard]] MonotonicInstant heldSince() const { return m_heldSince; }
     [[nodiscard]] const Ownership& ownership() const { return m_ownership; }
     [[nodiscard]] KeyRevision condition() const { return { m_ownerKey, m_ownership.epoch }; }
@@ -243,6 +247,7 @@
     bool m_suspended = false; ///< Held, but its lease may be over.
     std::uint64_t m_lease = 0;
     std::uint64_t m_lastTerm = 0;
+    std::string m_holder; ///< By the store's word.
     std::uint64_t m_claimedTerm = 0;
     Ownership m_ownership;
     MonotonicInstant m_validUntil;
@@ -302,6 +307,16 @@
     return m_impl->condition();
 }
 
+std::string OwnershipKeeper::holder() const
+{
+    return m_impl->holder();
+}
+
+std::uint64_t OwnershipKeeper::lastTerm() const noexcept
+{
+    return m_impl->lastTerm();
+}
+
 bool OwnershipKeeper::isOwned() const noexcept
 {
     return m_impl->isOwned();
--- a/src/jobs/placement_pass.cpp
+++ b/src/jobs/placement_pass.cpp
@@ -140,7 +140,7 @@
         const std::optional<std::size_t> site = sites.placer->choose(step, query);
         if (!site) {
             noteWaiting(step, sites, pool, candidate.tasks.size() - i);
-            logWait(candidate, sites, query, candidate.tasks.size() - i);
+            noteWait(candidate, sites, query, candidate.tasks.size() - i);
             return;
         }
         WorkerBook& book = *sites.books[*site];
@@ -163,27 +163,26 @@
         m_waiting[pool] += std::max<std::int64_t>(asMilliCpu(needs, capacity), 1) * static_cast<std::int64_t>(tasks);
 }
 
-/// Tells why a step waits, seldom enough for steps that wait long.
-void PlacementPass::logWait(const Candidate& candidate, const PoolSites& sites, const PlacementQuery& query, std::size_t tasks)
+/// Notes why a step waits, and logs it seldom enough for steps that wait long.
+void PlacementPass::noteWait(const Candidate& candidate, const PoolSites& sites, const PlacementQuery& query, std::size_t tasks)
 {
     const MonotonicInstant now = m_state.now();
-    const auto [logged, first] = m_state.waitsLoggedAt.emplace(std::pair(candidate.job->state.id(), candidate.step), now);
-    if (!first && now - logged->second < waitLogPause)
+    const auto [place, first] = m_state.waits.emplace(std::pair(candidate.job->state.id(), candidate.step), OwnerState::WaitingStep { .loggedAt = now, .wait = {} });
+    OwnerState::WaitingStep& waiting = place->second;
+    if (!first && now - waiting.loggedAt < waitLogPause)
         return;
-    logged->second = now;
     const StepSpec& step = candidate.job->state.spec(candidate.step.step);
-    std::int64_t open = 0;
-    std::int64_t roomy = 0;
-    std::int64_t spread = 0;
     const std::vector<PlacementSite>& list = sites.placer->sites();
+    StepWait wait { .tasks = static_cast<std::uint32_t>(tasks), .workers = static_cast<std::uint32_t>(list.size()) };
     for (std::size_t i = 0; i < list.size(); ++i) {
-        open += list[i].open ? 1 : 0;
-        roomy += list[i].open && list[i].free.covers(footprint(step)) ? 1 : 0;
-        spread += step.mostPerInstance == 0 || query.tasksOfStep(i) < step.mostPerInstance ? 1 : 0;
+        wait.open += list[i].open ? 1 : 0;
+        wait.withRoom += list[i].open && list[i].free.covers(footprint(step)) ? 1 : 0;
+        wait.belowSpread += step.mostPerInstance == 0 || query.tasksOfStep(i) < step.mostPerInstance ? 1 : 0;
     }
+    waiting = { .loggedAt = now, .wait = wait };
     m_state.options.log->decision("step-waits",
-        { { "job", candidate.job->state.id() }, { "step", std::int64_t { candidate.step.step } }, { "tasks", static_cast<std::int64_t>(tasks) }, { "sites", static_cast<std::int64_t>(list.size()) }, { "open", open },
-            { "with_room", roomy }, { "below_spread_limit", spread }, { "memory_mb", step.needs.memoryMb }, { "milli_cpu", footprint(step).milliCpu } });
+        { { "job", candidate.job->state.id() }, { "step", std::int64_t { candidate.step.step } }, { "tasks", std::int64_t { wait.tasks } }, { "sites", std::int64_t { wait.workers } }, { "open", std::int64_t { wait.open } },
+            { "with_room", std::int64_t { wait.withRoom } }, { "below_spread_limit", std::int64_t { wait.belowSpread } }, { "memory_mb", step.needs.memoryMb }, { "milli_cpu", footprint(step).milliCpu } });
 }
 
 void PlacementPass::placeGang(const Candidate& candidate, PoolSites& sites, const std::string& pool)
--- a/src/jobs/placement_pass.h
+++ b/src/jobs/placement_pass.h
@@ -43,7 +43,7 @@
     void place(const Candidate& candidate, const std::string& pool);
     void placeEach(const Candidate& candidate, PoolSites& sites, const std::string& pool);
     void noteWaiting(const StepSpec& step, const PoolSites& sites, const std::string& pool, std::size_t tasks);
-    void logWait(const Candidate& candidate, const PoolSites& sites, const PlacementQuery& query, std::size_t tasks);
+    void noteWait(const Candidate& candidate, const PoolSites& sites, const PlacementQuery& query, std::size_t tasks);
     void placeGang(const Candidate& candidate, PoolSites& sites, const std::string& pool);
     bool placeGangIn(const Candidate& candidate, PoolSites& sites, const std::string& rack);
     [[nodiscard]] PlacementQuery queryFor(const Candidate& candidate, const PoolSites& sites) const;
--- /dev/null
+++ b/tests/jobs/operator_test.cpp
@@ -0,0 +1,63 @@
+/// The operators' calls of the job service, and their answers as text.
+
+#include "lanemoor/client/text_report.h"
+#include "lanemoor/jobs/operator_api.h"
+#include "support.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+using namespace lanemoor;
+using namespace lanemoor::jobs;
+using namespace lanemoor::jobs::test;
+
+namespace {
+
+HttpResponse call(SmallCluster& cluster, std::size_t entry, const std::string& method, const std::string& target)
+{
+    std::optional<HttpResponse> answer;
+    answerOperator(cluster.entry(entry), { .method = method, .target = target, .headers = {}, .body = {} }, [&](HttpResponse response) { answer = std::move(response); });
+    REQUIRE(cluster.waitFor(Millis(2'000), [&] { return answer.has_value(); }));
+    return *answer;
+}
+
+} // namespace
+
+TEST_CASE("Operators see jobs, where their tasks run and why others wait")
+{
+    SmallCluster cluster(1, 3, 2, 0);
+    cluster.workers.runTimes = [](const Attempt&) { return Millis(30'000); };
+    cluster.submit(0, "work", jobId(1), job({ step(20), step(1, { 0 }) }));
+    REQUIRE(cluster.waitFor(Millis(2'000), [&] { return cluster.witness.starts() == 16; }));
+    cluster.clock.runFor(Millis(1'500));
+    const std::size_t owner = cluster.owner().value();
+    const std::string text = jobText(call(cluster, owner, "GET", "/v1/jobs/" + jobId(1)).body);
+    CHECK(text.find("status: running") != std::string::npos);
+    CHECK(text.find("step 0/0: 0 of 20 tasks succeeded") != std::string::npos);
+    CHECK(text.find("task 15, attempt 1: running on i-") != std::string::npos);
+    CHECK(text.find("4 wait: of 2 workers 2 take work, 0 of them have room") != std::string::npos);
+    CHECK(text.find("step 0/1: 0 of 1 tasks succeeded, blocked by a step it depends on") != std::string::npos);
+    const std::size_t other = (owner + 1) % cluster.entries();
+    CHECK(jobText(call(cluster, other, "GET", "/v1/jobs/" + jobId(1)).body).find("known to the owner only") != std::string::npos);
+    CHECK(jobsText(call(cluster, other, "GET", "/v1/jobs?queue=work").body).find(jobId(1)) != std::string::npos);
+    CHECK(jobsText(call(cluster, other, "GET", "/v1/jobs?queue=none").body).find(jobId(1)) == std::string::npos);
+}
+
+TEST_CASE("Operators see who owns, cancel jobs, and get typed refusals")
+{
+    SmallCluster cluster;
+    cluster.submit(0, "work", jobId(1), job({ longStep(1) }));
+    cluster.clock.runFor(Millis(1'000));
+    const std::size_t owner = cluster.owner().value();
+    const std::size_t other = (owner + 1) % cluster.entries();
+    const std::string shards = shardsText(call(cluster, other, "GET", "/v1/shards").body);
+    CHECK(shards.find("entry-" + std::to_string(owner)) != std::string::npos);
+    CHECK(call(cluster, other, "DELETE", "/v1/jobs/" + jobId(1)).status == 200);
+    CHECK(cluster.waitFor(Millis(3'000), [&] { return cluster.shows(jobId(1), JobStatus::Cancelled, other); }));
+    CHECK(call(cluster, other, "GET", "/v1/jobs/" + jobId(9)).status == 404);
+    CHECK(call(cluster, other, "DELETE", "/v1/jobs/" + jobId(9)).status == 404);
+    CHECK(call(cluster, other, "PUT", "/v1/jobs/" + jobId(1)).status == 405);
+    CHECK(call(cluster, other, "POST", "/v1/shards").status == 405);
+    CHECK(problemText(call(cluster, other, "GET", "/v1/nothing").body) == "there is no such page");
+    CHECK(call(cluster, other, "GET", "/metrics").body.find("lanemoor_ready 1") != std::string::npos);
+}
