Make the linter's findings in the new code good

Cause: two findings of clang-tidy (a constant captured by a lambda, a comparison with an empty text); the whole tree was linted and found nothing else. No change of behaviour; 78 job tests pass.

--- a/src/client/text_report.cpp
+++ b/src/client/text_report.cpp
@@ -179,7 +179,7 @@
     const Json json = Json::parse(body);
     Table table({ "SHARD", "OWNER", "TERM", "HERE", "COPY AGE MS" });
     for (const Json& shard : json["shards"])
-        table.add({ plain(shard["shard"]), shard["owner"] == "" ? "-" : plain(shard["owner"]), plain(shard["term"]), plain(shard["ownedHere"]), plain(shard["copyAgeMillis"]) });
+        table.add({ plain(shard["shard"]), shard["owner"].get<std::string>().empty() ? "-" : plain(shard["owner"]), plain(shard["term"]), plain(shard["ownedHere"]), plain(shard["copyAgeMillis"]) });
     return table.text();
 }
 
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -11,6 +11,7 @@
 constexpr Millis callTime { 800 }; // After which a client gives an order up.
 constexpr Millis halfTrip { 1 };
 constexpr Millis stopTime { 100 };
+constexpr Millis betweenLives { 1'000 }; // Of one instance, after a planned end.
 constexpr Millis startOfService { 500 }; // Until a long-running task is at work.
 constexpr std::uint32_t whole = 100;
 
@@ -131,7 +132,6 @@
 
 void WorkersModel::leave(const std::string& worker, bool announced, Millis serving)
 {
-    constexpr Millis pause { 1'000 }; // Between two lives.
     WorkerModel* model = find(worker);
     if (!model || !model->alive)
         return;
@@ -140,7 +140,7 @@
         onEntry(*model);
     if (!announced && onGone)
         onGone(worker);
-    m_clock.after(serving, [this, worker] { crash(worker, pause); });
+    m_clock.after(serving, [this, worker] { crash(worker, betweenLives); });
 }
 
 OrderResult WorkersModel::start(const std::string& worker, const StartOrder& order, bool late)
