Count a failure that is heard of beside a newer attempt

Cause: an owner heard of a task's second failure, started the third attempt and was lost before the failure was stored. Its successor adopted the third attempt first; the second failure then said "nothing about that attempt" and was dropped, so a fourth attempt followed the third failure (random run 62262: BUDGET). Change: a failure counts beside a live attempt, once a number, and is stored; the live one stays.

--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -309,7 +309,15 @@
     // A success that comes after the task was given up there and started elsewhere still
     // stands: the newer attempt is in vain. Any other end says nothing about that attempt.
     const bool lateSuccess = otherIsLive && ended.end == AttemptEnd::Succeeded && !spec(ended.attempt.task.step).longRunning;
-    if (state->succeeded || (otherIsLive && !lateSuccess))
+    if (state->succeeded)
+        return {};
+    // A failure counts all the same: the former owner may not have stored it.
+    if (otherIsLive && ended.end == AttemptEnd::Failed) {
+        EndEffect late = fail(ended.attempt, worker, mostAttempts, now);
+        late.counted = late.toBeStored;
+        return late;
+    }
+    if (otherIsLive && !lateSuccess)
         return {};
     clearLive(ended.attempt.task, *state);
     const bool longRunning = spec(ended.attempt.task.step).longRunning;
--- a/tests/jobs/job_state_test.cpp
+++ b/tests/jobs/job_state_test.cpp
@@ -200,3 +200,19 @@
     CHECK_FALSE(isJobId("0123456789ABCDEF"));
     CHECK_FALSE(isJobId("123"));
 }
+
+TEST_CASE("A failure that is heard of beside a newer attempt counts")
+{
+    // Found by random run 62262: the former owner had not stored the second failure; its successor
+    // had adopted the third attempt by then, dropped the failure, and started a fourth one.
+    JobState state = open(job({ step(1) }), {}, 4'096);
+    REQUIRE(state.adopt({ jobId(1), {}, 2 }, "w", start));
+    const EndEffect late = state.end(ended({}, 1, AttemptEnd::Failed), "v", mostAttempts, start);
+    CHECK(late.toBeStored);
+    CHECK_FALSE(late.finished);
+    REQUIRE(state.find({})->live);
+    CHECK(state.find({})->live->number == 2);
+    CHECK_FALSE(state.end(ended({}, 1, AttemptEnd::Failed), "v", mostAttempts, start).toBeStored);
+    CHECK(state.end(ended({}, 2, AttemptEnd::Failed), "w", mostAttempts, start).finished);
+    CHECK(state.status() == JobStatus::Failed);
+}
--- a/tests/jobs/random_test.cpp
+++ b/tests/jobs/random_test.cpp
@@ -311,6 +311,8 @@
     };
     for (const std::uint64_t seed : laterSeeds)
         RandomRun(seed, Faults::Second).play();
+    // A failure that a new owner heard of beside a newer attempt was dropped.
+    RandomRun(62'262, Faults::All).play();
 }
 
 TEST_CASE("No promise is broken in random runs")
