Refuse truly while the store is silent, in place of not knowing

Ruled out: trying the write again (it would be held, against the same store). Change: after a write without an answer, jobs are refused without a try, hence truly, until the store has answered anything asked later; one in 500 ms is tried. Meanwhile the instance is not ready.

--- a/include/lanemoor/jobs/job_intake.h
+++ b/include/lanemoor/jobs/job_intake.h
@@ -53,6 +53,14 @@
     /// \brief Answers from the copy if it knows the job, else from the store.
     void status(const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done);
 
+    /// \returns Whether a write got no answer and the store has answered nothing that was asked
+    /// since: new jobs are then refused as not taken, but for one now and then.
+    [[nodiscard]] bool isStoreSilent() const noexcept;
+
+    /// \brief Notes that the store answered a call of somebody else's.
+    /// \param sentAt When that call was sent.
+    void noteAnswered(MonotonicInstant sentAt);
+
     /// \returns Accepts and cancels that wait for the store.
     [[nodiscard]] std::size_t inFlight() const noexcept;
 
--- a/src/jobs/job_intake.cpp
+++ b/src/jobs/job_intake.cpp
@@ -17,6 +17,9 @@
 /// Transactions under way at once, so that one slow answer holds up only what came with it.
 constexpr std::size_t mostBatches = 8;
 
+/// While the store is silent, a job is tried this often; the others are refused without a try.
+constexpr Millis probePause { 500 };
+
 /// A job that waits to be kept.
 struct WaitingJob {
     std::string id;
@@ -70,12 +73,26 @@
 
     std::size_t inFlight = 0;
 
+    /// \returns Whether a write got no answer and the store has answered nothing that was asked since.
+    [[nodiscard]] bool isStoreSilent() const { return m_unansweredSentAt && m_mirror.freshAt() < *m_unansweredSentAt; }
+
+    void noteAnswered(MonotonicInstant sentAt)
+    {
+        if (m_unansweredSentAt && sentAt > *m_unansweredSentAt)
+            m_unansweredSentAt.reset();
+    }
+
     void accept(const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done)
     {
         if (const CatalogEntry* known = m_catalog.find(id); known && known->record) {
             done(AcceptOutcome::Accepted);
             return;
         }
+        // Nothing is sent, so the refusal is true; a caller that hears "unknown" can only ask again.
+        if (isStoreSilent() && m_loop.now() < m_probeAt) {
+            done(AcceptOutcome::NotTaken);
+            return;
+        }
         ++inFlight;
         const auto same = std::find_if(m_queue.begin(), m_queue.end(), [&](const WaitingJob& job) { return job.id == id; });
         if (same != m_queue.end()) {
@@ -148,8 +165,10 @@
             transaction.writes.push_back({ jobKey(job.id), job.value, 0 });
         }
         ++m_batches;
-        m_store.commit(transaction, [self = shared_from_this(), batch = std::move(batch)](const CommitResult& result) mutable {
+        m_store.commit(transaction, [self = shared_from_this(), batch = std::move(batch), sentAt = m_loop.now()](const CommitResult& result) mutable {
             --self->m_batches;
+            if (result.outcome == StoreOutcome::Unknown)
+                self->noteUnanswered(sentAt);
             self->committed(std::move(batch), result);
             self->send();
         });
@@ -175,6 +194,12 @@
         }
     }
 
+    void noteUnanswered(MonotonicInstant sentAt)
+    {
+        m_unansweredSentAt = sentAt;
+        m_probeAt = m_loop.now() + probePause;
+    }
+
     /// Some of the batch were kept before; the others go again.
     void separate(std::vector<WaitingJob> batch, const std::vector<StoreItem>& current)
     {
@@ -248,6 +273,8 @@
     KeyValueStore& m_store;
     StoreMirror& m_mirror;
     const JobCatalog& m_catalog;
+    std::optional<MonotonicInstant> m_unansweredSentAt; ///< When the last write without an answer was sent.
+    MonotonicInstant m_probeAt;
     std::vector<WaitingJob> m_queue;
     std::size_t m_batches = 0;
 };
@@ -274,6 +301,16 @@
     m_impl->status(id, done);
 }
 
+void JobIntake::noteAnswered(MonotonicInstant sentAt)
+{
+    m_impl->noteAnswered(sentAt);
+}
+
+bool JobIntake::isStoreSilent() const noexcept
+{
+    return m_impl->isStoreSilent();
+}
+
 std::size_t JobIntake::inFlight() const noexcept
 {
     return m_impl->inFlight;
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -129,7 +129,7 @@
 
     [[nodiscard]] bool isReady() const
     {
-        return !m_stopping && takesRequests() && m_parts.loop->now() - m_jobs.freshAt() < storeMissedAfter;
+        return !m_stopping && takesRequests() && !m_intake.isStoreSilent() && m_parts.loop->now() - m_jobs.freshAt() < storeMissedAfter;
     }
 
     void submit(const std::string& queue, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done)
@@ -318,9 +318,11 @@
     void readConfigurationLater()
     {
         m_parts.loop->callAt(m_parts.loop->now() + configurationRead, [this] {
-            m_parts.store->read(m_parts.documents->configurationKey(), [this](const ReadResult& result) {
-                if (result.outcome == StoreOutcome::Done)
+            m_parts.store->read(m_parts.documents->configurationKey(), [this, sentAt = m_parts.loop->now()](const ReadResult& result) {
+                if (result.outcome == StoreOutcome::Done) {
                     m_configurations.noteWritten(result.item);
+                    m_intake.noteAnswered(sentAt);
+                }
                 noteStore(result.outcome);
                 readConfigurationLater();
             });
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -317,6 +317,12 @@
         m_entries[index].storeClient->watchesCutOff = cut;
 }
 
+void JobCluster::resetStoreCalls(std::size_t index, bool reset)
+{
+    if (m_entries[index].storeClient)
+        m_entries[index].storeClient->resetting = reset;
+}
+
 std::optional<std::size_t> JobCluster::owner() const
 {
     const StoreItem* item = store.find(std::string(ownerKeyPrefix) + "all");
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -130,6 +130,7 @@
     void thaw(std::size_t index);
     void cutFromStore(std::size_t index, bool cut);
     void cutWatches(std::size_t index, bool cut);
+    void resetStoreCalls(std::size_t index, bool reset);
 
     /// \brief Sets the processor time of an entry's machine, for its next start.
     void setCores(std::size_t index, double cores) { m_entries[index].cores = cores; }
--- a/standins/model/store_model.cpp
+++ b/standins/model/store_model.cpp
@@ -180,6 +180,10 @@
     SimClock& clock = m_store.m_clock;
     const StoreTrouble& trouble = m_store.trouble;
     std::uniform_real_distribution<double> share(0, 1);
+    if (resetting) {
+        clock.after(Millis(1), [answer] { answer(Result {}); });
+        return;
+    }
     if (cutOff || trouble.silent) {
         clock.after(callTime, [answer] { answer(Result {}); });
         return;
@@ -247,7 +251,7 @@
     ++m_store.m_calls;
     const std::function<void(ItemsResult)> answer = m_process.deliver<ItemsResult>(std::move(done));
     SimClock& clock = m_store.m_clock;
-    if (cutOff || watchesCutOff || m_store.trouble.silent || m_store.trouble.refusing) {
+    if (resetting || cutOff || watchesCutOff || m_store.trouble.silent || m_store.trouble.refusing) {
         clock.after(callTime, [answer] { answer({}); });
         return;
     }
--- a/standins/model/store_model.h
+++ b/standins/model/store_model.h
@@ -92,6 +92,7 @@
     {
     }
 
+    bool resetting = false; ///< Calls are lost on their way and fail at once, without an answer.
     bool watchesCutOff = false; ///< Watches get no answer; all else does.
     bool cutOff = false; ///< This process does not reach the store.
 
--- a/tests/jobs/front_test.cpp
+++ b/tests/jobs/front_test.cpp
@@ -4,6 +4,7 @@
 #include "support.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 
 using namespace lanemoor;
 using namespace lanemoor::jobs;
@@ -99,6 +100,28 @@
     CHECK(cluster.waitFor(Millis(3'000), [&] { return cluster.entry(0).isReady(); }));
 }
 
+TEST_CASE("An instance whose calls to the store are lost refuses truly, and says that it is not ready")
+{
+    // Found by an incident on tellelag-drift: for seconds, each job got "unknown" within 20 ms from
+    // an instance whose connections to the store were reset, 305 times.
+    SmallCluster cluster;
+    const std::size_t entry = (cluster.owner().value() + 1) % cluster.entries();
+    cluster.resetStoreCalls(entry, true);
+    std::map<AcceptOutcome, int> outcomes;
+    for (std::uint64_t number = 1; number <= 20; ++number) {
+        cluster.entry(entry).submit("work", jobId(number), job({ step(1) }), [&](AcceptOutcome outcome) { ++outcomes[outcome]; });
+        cluster.clock.runFor(Millis(100));
+    }
+    CHECK(outcomes[AcceptOutcome::Unknown] <= 4);
+    CHECK(outcomes[AcceptOutcome::NotTaken] >= 16);
+    CHECK_FALSE(cluster.entry(entry).isReady());
+    CHECK(cluster.witness.starts() == 0);
+    cluster.resetStoreCalls(entry, false);
+    CHECK(cluster.waitFor(Millis(3'000), [&] { return cluster.entry(entry).isReady(); }));
+    cluster.submit(entry, "work", jobId(30), job({ step(1) }));
+    CHECK(cluster.waitFor(Millis(100), [&] { return cluster.accepted().contains(jobId(30)); }));
+}
+
 TEST_CASE("A planned stop passes the ownership on at once, and serves callers until they go elsewhere")
 {
     SmallCluster cluster;
