Leave a late failure out of the counts of ends

Change: the failure is stored and counts against the attempts; it is no end of the live attempt. 81 job tests pass.

--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -312,11 +312,8 @@
     if (state->succeeded)
         return {};
     // A failure counts all the same: the former owner may not have stored it.
-    if (otherIsLive && ended.end == AttemptEnd::Failed) {
-        EndEffect late = fail(ended.attempt, worker, mostAttempts, now);
-        late.counted = late.toBeStored;
-        return late;
-    }
+    if (otherIsLive && ended.end == AttemptEnd::Failed)
+        return fail(ended.attempt, worker, mostAttempts, now);
     if (otherIsLive && !lateSuccess)
         return {};
     clearLive(ended.attempt.task, *state);
