--- a/include/lanemoor/jobs/capacity_plan.h
+++ b/include/lanemoor/jobs/capacity_plan.h
@@ -30,6 +30,7 @@
     std::int64_t instanceMilliCpu = 0; ///< Capacity of one instance.
     std::int64_t demandMilliCpu = 0; ///< What runs and what waits.
     bool hasArrivals = false; ///< Whether jobs that end by themselves arrive.
+    bool hasWaiting = false; ///< Whether tasks wait that could start if there were room.
     std::uint32_t leastInstances = 0; ///< Sound ones that its jobs need, whatever their load.
     std::uint32_t unsound = 0; ///< Of the instances, those that take no work.
     std::vector<IdleInstance> idle;
--- a/include/lanemoor/jobs/job_scheduler.h
+++ b/include/lanemoor/jobs/job_scheduler.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -102,7 +103,9 @@
     /// \name For those who decide on instances
     ///@{
     [[nodiscard]] std::vector<WorkerUse> uses() const;
-    [[nodiscard]] PoolDemand demand(const std::string& pool) const;
+
+    /// \returns What jobs ask for, by pool; pools that nobody asks anything of may be missing.
+    [[nodiscard]] std::map<std::string, PoolDemand> demands() const;
 
     /// \brief Empties a worker, or lets it have work again.
     void setEvacuating(const std::string& worker, bool evacuating);
--- a/src/jobs/fleet_keeper.cpp
+++ b/src/jobs/fleet_keeper.cpp
@@ -324,11 +324,19 @@
         m_acted[id] = { instance, m_options.loop->now() + time + fleetListLag, {} };
     }
 
-    [[nodiscard]] std::vector<MaintenanceCandidate> candidates() const
+    [[nodiscard]] std::map<std::string, WorkerUse> usesByWorker() const
     {
         std::map<std::string, WorkerUse> uses;
-        for (WorkerUse& use : m_options.scheduler->uses())
-            uses.emplace(use.worker, use);
+        for (WorkerUse& use : m_options.scheduler->uses()) {
+            std::string worker = use.worker;
+            uses.emplace(std::move(worker), std::move(use));
+        }
+        return uses;
+    }
+
+    [[nodiscard]] std::vector<MaintenanceCandidate> candidates() const
+    {
+        const std::map<std::string, WorkerUse> uses = usesByWorker();
         const std::shared_ptr<const ServiceConfiguration> configuration = m_options.configuration();
         std::vector<MaintenanceCandidate> fleet;
         for (const auto& [id, instance] : m_list) {
@@ -357,18 +365,46 @@
         planCapacity();
     }
 
-    [[nodiscard]] std::vector<PoolLoad> loads()
+    /// \returns Each pool's load before its instances are counted.
+    [[nodiscard]] std::map<std::string, PoolLoad> demandedLoads() const
     {
-        const std::shared_ptr<const ServiceConfiguration> configuration = m_options.configuration();
-        std::map<std::string, WorkerUse> uses;
-        for (WorkerUse& use : m_options.scheduler->uses())
-            uses.emplace(use.worker, use);
+        std::map<std::string, PoolDemand> demands = m_options.scheduler->demands();
         std::map<std::string, PoolLoad> loads;
-        for (const PoolSettings& pool : configuration->pools) {
-            const PoolDemand demand = m_options.scheduler->demand(pool.name);
-            loads[pool.name] = { .pool = pool.name, .reserve = pool.reserve, .demandMilliCpu = std::max(demand.runningMilliCpu + demand.waitingMilliCpu, demand.forecastMilliCpu), .hasArrivals = demand.forecastMilliCpu > 0, .leastInstances = demand.leastInstances, .idle = {} };
+        for (const PoolSettings& pool : m_options.configuration()->pools) {
+            const PoolDemand& demand = demands[pool.name];
+            const std::int64_t now = demand.runningMilliCpu + demand.waitingMilliCpu;
+            loads[pool.name] = { .pool = pool.name,
+                .reserve = pool.reserve,
+                .demandMilliCpu = std::max(now, demand.forecastMilliCpu),
+                .hasArrivals = demand.forecastMilliCpu > 0,
+                .hasWaiting = demand.waitingMilliCpu > 0,
+                .leastInstances = demand.leastInstances,
+                .idle = {} };
         }
-        const MonotonicInstant now = m_options.loop->now();
+        return loads;
+    }
+
+    /// Counts an instance in its pool's load. \param use Null if its worker is not known.
+    void count(const FleetInstance& instance, const WorkerUse* use, PoolLoad& pool, std::map<std::string, MonotonicInstant>& idleSince) const
+    {
+        const bool isUp = instance.state == FleetState::Up;
+        const bool isSound = use && use->sound && !use->evacuating;
+        ++pool.instances;
+        pool.instanceMilliCpu = std::max(pool.instanceMilliCpu, instance.capacity.milliCpu);
+        pool.unsound += isUp && !pool.reserve && use && !isSound && !m_moving.contains(instance.id) ? 1 : 0;
+        const bool isIdle = isUp && (pool.reserve || (isSound && use->attempts == 0));
+        if (!isIdle || isOrdered(instance.id) || isBlocked(instance.id))
+            return;
+        const auto before = m_idleSince.find(instance.id);
+        const MonotonicInstant since = before == m_idleSince.end() ? m_options.loop->now() : before->second;
+        idleSince[instance.id] = since;
+        pool.idle.push_back({ instance.id, instance.kind, since });
+    }
+
+    [[nodiscard]] std::vector<PoolLoad> loads()
+    {
+        std::map<std::string, PoolLoad> loads = demandedLoads();
+        const std::map<std::string, WorkerUse> uses = usesByWorker();
         std::map<std::string, MonotonicInstant> idleSince;
         for (const auto& [id, instance] : m_list) {
             // An instance on its way counts where it goes.
@@ -376,34 +412,22 @@
             const auto load = loads.find(moving == m_moving.end() ? instance.pool : moving->second);
             if (load == loads.end() || instance.state == FleetState::Down)
                 continue;
-            PoolLoad& pool = load->second;
-            ++pool.instances;
-            pool.instanceMilliCpu = std::max(pool.instanceMilliCpu, instance.capacity.milliCpu);
             const auto use = uses.find(instance.worker);
-            const bool known = use != uses.end();
-            pool.unsound += moving == m_moving.end() && instance.state == FleetState::Up && !pool.reserve && known && (!use->second.sound || use->second.evacuating) ? 1 : 0;
-            const bool isIdle = instance.state == FleetState::Up && (pool.reserve || (known && use->second.sound && !use->second.evacuating && use->second.attempts == 0));
-            if (!isIdle || isOrdered(id) || isBlocked(id))
-                continue;
-            const auto before = m_idleSince.find(id);
-            const MonotonicInstant since = before == m_idleSince.end() ? now : before->second;
-            idleSince[id] = since;
-            pool.idle.push_back({ id, instance.kind, since });
+            count(instance, use == uses.end() ? nullptr : &use->second, load->second, idleSince);
         }
         m_idleSince = std::move(idleSince);
-        std::vector<PoolLoad> list;
         std::int64_t largest = 0;
         for (const auto& [name, load] : loads)
             largest = std::max(largest, load.instanceMilliCpu);
-        // A pool without instances is sized by those it may get.
+        std::vector<PoolLoad> list;
         for (auto& [name, load] : loads) {
             // What waits found no room on any instance, whatever the sum of what is free.
-            if (m_options.scheduler->demand(name).waitingMilliCpu > 0)
+            if (load.hasWaiting)
                 load.leastInstances = std::max(load.leastInstances, load.instances - load.unsound);
+            // A pool without instances is sized by those it may get.
             load.instanceMilliCpu = load.instanceMilliCpu > 0 ? load.instanceMilliCpu : largest;
-        }
-        for (auto& [name, load] : loads)
             list.push_back(std::move(load));
+        }
         return list;
     }
 
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -198,29 +198,29 @@
         return uses;
     }
 
-    [[nodiscard]] PoolDemand demand(const std::string& pool) const
+    [[nodiscard]] std::map<std::string, PoolDemand> demands() const
     {
-        PoolDemand demand;
+        std::map<std::string, PoolDemand> demands;
         if (!m_term)
-            return demand;
-        const auto waiting = m_waiting.find(pool);
-        demand.waitingMilliCpu = waiting == m_waiting.end() ? 0 : waiting->second;
-        for (const auto& [id, book] : m_term->state.workers) {
-            if (book.entry.pool != pool)
-                continue;
+            return demands;
+        const OwnerState& state = m_term->state;
+        const MonotonicInstant now = m_options.loop->now();
+        for (const auto& [pool, milliCpu] : m_waiting)
+            demands[pool].waitingMilliCpu = milliCpu;
+        for (const auto& [id, book] : state.workers) {
             Resources used = book.entry.capacity;
             used -= book.free();
-            demand.runningMilliCpu += asMilliCpu(used, book.entry.capacity);
+            demands[book.entry.pool].runningMilliCpu += asMilliCpu(used, book.entry.capacity);
         }
-        for (const auto& [id, job] : m_term->state.jobs) {
-            if (!isFinal(job.state.status()) && m_term->state.poolOf(job.state) == pool)
-                demand.leastInstances = std::max(demand.leastInstances, instancesFor(job.state));
-        }
-        for (const QueueSettings& queue : m_term->state.configuration()->queues) {
-            if (queue.pool == pool)
-                demand.forecastMilliCpu += m_term->state.forecast.milliCpu(queue.name, m_options.loop->now());
+        for (const auto& [id, job] : state.jobs) {
+            if (isFinal(job.state.status()))
+                continue;
+            PoolDemand& demand = demands[state.poolOf(job.state)];
+            demand.leastInstances = std::max(demand.leastInstances, instancesFor(job.state));
         }
-        return demand;
+        for (const QueueSettings& queue : state.configuration()->queues)
+            demands[queue.pool].forecastMilliCpu += state.forecast.milliCpu(queue.name, now);
+        return demands;
     }
 
     void setEvacuating(const std::string& worker, bool evacuating)
@@ -506,9 +506,9 @@
     return m_impl->uses();
 }
 
-PoolDemand JobScheduler::demand(const std::string& pool) const
+std::map<std::string, PoolDemand> JobScheduler::demands() const
 {
-    return m_impl->demand(pool);
+    return m_impl->demands();
 }
 
 void JobScheduler::setEvacuating(const std::string& worker, bool evacuating)
