Let a new owner act on an instance as soon as the act on it is old enough

Change: ages in the record, which is written again each second while they matter; an instance is free 0.7 s and the lease time after its act. What a wave's record of acts names counts as down from the act's age on; acts are kept long enough for deployments with long maintenance. Before: the new test fails with the ages taken out.

--- a/include/lanemoor/jobs/fleet_keeper.h
+++ b/include/lanemoor/jobs/fleet_keeper.h
@@ -29,9 +29,9 @@
     EventLog* log = nullptr;
     std::function<std::shared_ptr<const ServiceConfiguration>()> configuration;
     std::string holder; ///< Name that acts carry.
-    /// After a change of owner, no act on an instance that the former owner acted on within
-    /// this time: the platform must not see two holders in turn within its lease time.
-    Millis handover { 4'500 };
+    /// Least time between acts of two owners on one instance: the platform must not see two
+    /// holders in turn within its lease time.
+    Millis handover { 3'000 };
     Millis maintenanceTime { 2'000 }; ///< Of one instance, as the platform says.
     Millis moveTime { 1'500 }; ///< Of one instance between pools.
     Millis planEvery { 100 }; ///< A pool that is short waits at most this long for the plan.
--- a/include/lanemoor/jobs/job_record.h
+++ b/include/lanemoor/jobs/job_record.h
@@ -84,6 +84,10 @@
 [[nodiscard]] std::string encode(const OwnerRecord& record);
 [[nodiscard]] std::string encode(const std::set<std::string>& instances);
 [[nodiscard]] std::optional<std::set<std::string>> decodeInstances(std::string_view bytes);
+
+/// \param ages How long ago each instance was acted on.
+[[nodiscard]] std::string encodeActs(const std::map<std::string, Millis>& ages);
+[[nodiscard]] std::optional<std::map<std::string, Millis>> decodeActs(std::string_view bytes);
 [[nodiscard]] std::optional<JobRecord> decodeJob(std::string_view bytes);
 [[nodiscard]] std::optional<ProgressRecord> decodeProgress(std::string_view bytes);
 [[nodiscard]] std::optional<OwnerRecord> decodeOwner(std::string_view bytes);
--- a/src/jobs/fleet_keeper.cpp
+++ b/src/jobs/fleet_keeper.cpp
@@ -21,6 +21,9 @@
 
 constexpr Millis storeRetry { 300 };
 constexpr Millis recordLasts { 500 }; // An act is sent this soon after its record was asked for, or not at all.
+/// An act reaches the platform this soon after its record was asked for, with some time for its way.
+constexpr Millis actSpread { 700 };
+constexpr Millis actsRefresh { 1'000 }; // Some three calls after the last act of a burst.
 constexpr Millis lateAct { 3'000 }; // An act without an answer is settled by the list after this.
 constexpr Millis retryBusy { 500 }; // An instance that was busy is looked at again after this.
 /// Beyond the maintenance time itself: the order's way, and the worker's start.
@@ -41,7 +44,7 @@
         m_active = true;
         m_ownership = ownership;
         m_mayAct = false;
-        m_blockedUntil.clear();
+        m_formerActs.clear();
         m_recentActs.clear();
         m_unsent.clear();
         readActs();
@@ -123,8 +126,8 @@
                 later(storeRetry, [this] { readActs(); });
                 return;
             }
-            for (const std::string& instance : decodeInstances(result.item.value).value_or(std::set<std::string> {}))
-                noteFormerAct(instance);
+            for (const auto& [instance, age] : decodeActs(result.item.value).value_or(std::map<std::string, Millis> {}))
+                noteFormerAct(instance, age);
             for (auto& [number, plan] : m_plans)
                 noteFormerMaintenance(plan);
             m_actsRevision = result.item.revision;
@@ -146,39 +149,44 @@
         }));
     }
 
-    /// The next owner must hear of it too, should this one not last.
-    void noteFormerAct(const std::string& instance)
+    /// \param age When the record was written; it was written before now, so the act is at least
+    /// as old. The next owner must hear of it too, should this one not last.
+    void noteFormerAct(const std::string& instance, Millis age)
     {
-        m_blockedUntil[instance] = m_options.loop->now() + m_options.handover;
-        m_recentActs[instance] = m_options.loop->now();
+        const MonotonicInstant asked = m_options.loop->now() - age;
+        m_formerActs[instance] = asked + actSpread;
+        m_recentActs[instance] = asked;
     }
 
     /// What the former owner acted on of late may be down for its maintenance, answered or not.
     void noteFormerMaintenance(MaintenancePlan& plan)
     {
-        for (const auto& [instance, until] : m_blockedUntil) {
+        for (const auto& [instance, actedBy] : m_formerActs) {
             if (plan.wave().contains(instance))
-                plan.noteMayBeDown(instance, backBy());
+                plan.noteMayBeDown(instance, backAfter(actedBy));
         }
     }
 
-    /// \returns When an instance whose maintenance begins now at the latest is surely back.
-    [[nodiscard]] MonotonicInstant backBy() const { return m_options.loop->now() + m_options.maintenanceTime + backMargin; }
+    /// \returns When an instance whose maintenance begins at `begin` at the latest is surely back.
+    [[nodiscard]] MonotonicInstant backAfter(MonotonicInstant begin) const { return begin + m_options.maintenanceTime + backMargin; }
 
+    /// \returns Whether the former owner acted on it too short a time ago.
     [[nodiscard]] bool isBlocked(const std::string& instance) const
     {
-        const auto found = m_blockedUntil.find(instance);
-        return found != m_blockedUntil.end() && m_options.loop->now() < found->second;
+        const auto found = m_formerActs.find(instance);
+        return found != m_formerActs.end() && m_options.loop->now() < found->second + m_options.handover;
     }
 
+    /// \returns How long an act must stand in the record: for as long as a successor must leave
+    /// the instance alone, or count it as down.
+    [[nodiscard]] Millis actsKept() const { return actSpread + std::max(m_options.handover, m_options.maintenanceTime + backMargin); }
+
     /// Records an act under the ownership's condition before it is sent: an owner that was
     /// superseded without knowing it can send none. Acts of one turn of the loop share a record.
     /// \param send Told whether the act may be sent.
     void record(const std::string& instance, std::function<void(bool)> send)
     {
-        const MonotonicInstant now = m_options.loop->now();
-        std::erase_if(m_recentActs, [&](const auto& act) { return now - act.second > m_options.handover; });
-        m_recentActs[instance] = now;
+        m_recentActs[instance] = m_options.loop->now();
         m_unsent.push_back(std::move(send));
         if (m_unsent.size() == 1)
             later(Millis(0), [this] { writeActs(); });
@@ -186,11 +194,14 @@
 
     void writeActs()
     {
-        std::set<std::string> instances;
+        const MonotonicInstant now = m_options.loop->now();
+        m_actsWrittenAt = now;
+        std::erase_if(m_recentActs, [&](const auto& act) { return now - act.second > actsKept(); });
+        std::map<std::string, Millis> ages;
         for (const auto& [instance, at] : m_recentActs)
-            instances.insert(instance);
+            ages[instance] = std::chrono::duration_cast<Millis>(now - at);
         // Under its own revision too: a record that is carried out late must not undo a newer one.
-        const Transaction transaction { .expected = { m_options.ownership->condition(), { std::string(actsKey), m_actsRevision } }, .writes = { { std::string(actsKey), encode(instances), 0 } }, .removals = {} };
+        const Transaction transaction { .expected = { m_options.ownership->condition(), { std::string(actsKey), m_actsRevision } }, .writes = { { std::string(actsKey), encodeActs(ages), 0 } }, .removals = {} };
         m_mayAct = false;
         const MonotonicInstant sentAt = m_options.loop->now();
         m_options.store->commit(transaction, inTerm<CommitResult>([this, sends = std::exchange(m_unsent, {}), sentAt](const CommitResult& result) {
@@ -206,6 +217,15 @@
         }));
     }
 
+    /// A record says how old acts were when it was written: it is written again while that matters,
+    /// so that a successor need not take old acts for new ones.
+    void refreshActs()
+    {
+        const bool isOld = m_options.loop->now() - m_actsWrittenAt >= actsRefresh;
+        if (mayAct() && isOld && !m_recentActs.empty() && m_unsent.empty())
+            writeActs();
+    }
+
     /// Reads how far the wave has come before it goes on.
     void begin(const WaveRequest& wave)
     {
@@ -255,6 +275,7 @@
     void planAgain()
     {
         plan();
+        refreshActs();
         later(m_options.planEvery, [this] { planAgain(); });
     }
 
@@ -562,7 +583,7 @@
         switch (outcome) {
         case FleetOutcome::Done:
             ++counts.maintained;
-            plan.noteBegun(instance, backBy());
+            plan.noteBegun(instance, backAfter(now));
             noteActed(instance, m_list[instance].pool, FleetState::InMaintenance, m_options.maintenanceTime);
             m_options.scheduler->noteLifeOver(worker);
             writeRecord(plan);
@@ -576,7 +597,7 @@
             break;
         case FleetOutcome::Unknown:
             ++counts.unknown;
-            plan.noteMayBeDown(instance, backBy());
+            plan.noteMayBeDown(instance, backAfter(now));
             [[fallthrough]];
         default:
             plan.noteRefused(instance, now + retryBusy);
@@ -625,8 +646,9 @@
     Ownership m_ownership;
     bool m_mayAct = false; ///< The former owner's acts are known, and no record is under way.
     std::uint64_t m_actsRevision = 0;
-    std::map<std::string, MonotonicInstant> m_blockedUntil; ///< Instances that the former owner acted on of late.
-    std::map<std::string, MonotonicInstant> m_recentActs; ///< This owner's own.
+    std::map<std::string, MonotonicInstant> m_formerActs; ///< When the former owner's act on an instance was over at the latest.
+    MonotonicInstant m_actsWrittenAt;
+    std::map<std::string, MonotonicInstant> m_recentActs; ///< When acts, the former owner's too, were asked for.
     std::vector<std::function<void(bool)>> m_unsent; ///< Acts that wait for their record.
     std::map<std::uint64_t, WaveRequest> m_waves;
     std::map<std::uint64_t, MaintenancePlan> m_plans;
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -120,6 +120,27 @@
     return std::set<std::string>(document.instances().begin(), document.instances().end());
 }
 
+std::string encodeActs(const std::map<std::string, Millis>& ages)
+{
+    wire::InstancesDocument document;
+    for (const auto& [instance, age] : ages) {
+        document.add_instances(instance);
+        document.add_ages_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(age.count(), 0)));
+    }
+    return document.SerializeAsString();
+}
+
+std::optional<std::map<std::string, Millis>> decodeActs(std::string_view bytes)
+{
+    wire::InstancesDocument document;
+    if (!parse(bytes, document))
+        return std::nullopt;
+    std::map<std::string, Millis> ages;
+    for (int i = 0; i < document.instances_size(); ++i)
+        ages[document.instances(i)] = i < document.ages_ms_size() ? Millis(document.ages_ms(i)) : Millis(0);
+    return ages;
+}
+
 std::string encode(const JobRecord& record)
 {
     wire::JobDocument document;
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -259,7 +259,7 @@
             .log = m_parts.log,
             .configuration = [this] { return m_configuration; },
             .holder = m_settings.name,
-            .handover = m_settings.handover + m_settings.ownershipTime,
+            .handover = m_settings.handover,
             .maintenanceTime = m_settings.maintenanceTime,
             .moveTime = m_settings.moveTime };
     }
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -85,3 +85,12 @@
         CHECK(std::find(fields.begin(), fields.end(), field) != fields.end());
     CHECK(reader.faults().front().position.line >= 1);
 }
+
+TEST_CASE("Acts on instances keep their ages; a record without ages is as young as can be")
+{
+    const std::map<std::string, Millis> acts { { "m-1", Millis(0) }, { "m-2", Millis(3'700) } };
+    CHECK(decodeActs(encodeActs(acts)) == acts);
+    const std::map<std::string, Millis> young { { "m-1", Millis(0) } };
+    CHECK(decodeActs(encode(std::set<std::string> { "m-1" })) == young);
+    CHECK_FALSE(decodeActs("\xff\xff").has_value());
+}
--- a/tests/jobs/service_test.cpp
+++ b/tests/jobs/service_test.cpp
@@ -467,3 +467,24 @@
     CHECK(cluster.shows(jobId(2), JobStatus::Running, any));
     requireNoBreach(cluster);
 }
+
+TEST_CASE("A new owner leaves an instance alone for as long as the act on it is young")
+{
+    // Found by an incident on prc-montevideo: a pool stayed short for 4.5 s after a takeover, since
+    // all instances that the former owner had moved in its last seconds were left alone.
+    SmallCluster cluster(1, 3, 2, 4);
+    cluster.workers.runTimes = [](const Attempt&) { return Millis(400); };
+    cluster.submit(0, "work", jobId(1), job({ step(40) }));
+    REQUIRE(cluster.waitFor(Millis(6'000), [&] { return cluster.witness.hasSucceeded(jobId(1)); }));
+    const auto isOff = [](const auto& entry) { return entry.second.pool == "off" && entry.second.state == FleetState::Up; };
+    const auto off = [&] { return std::count_if(cluster.workers.instances().begin(), cluster.workers.instances().end(), isOff); };
+    REQUIRE(cluster.waitFor(Millis(20'000), [&] { return off() == 4; }));
+    cluster.clock.runFor(Millis(1'000));
+    const std::size_t owner = cluster.owner().value();
+    cluster.kill(owner);
+    REQUIRE(cluster.waitFor(Millis(3'000), [&] { return cluster.owner().has_value() && cluster.owner() != owner; }));
+    cluster.workers.runTimes = [](const Attempt&) { return Millis(60'000); };
+    cluster.submit((owner + 1) % 3, "work", jobId(2), job({ step(48) }));
+    CHECK(cluster.waitFor(Millis(4'000), [&] { return cluster.witness.starts() == 88; }));
+    requireNoBreach(cluster);
+}
