Take no worker as over that answers, whatever lists leave out

The rule for lives that no list names went over all workers that were ever unmet in the term, and they were dropped from that set only until the longest inherited lease was over: a worker that was born later and left the list while it served on was taken as over, and its tasks started elsewhere (TWICE). Ruled out: the rule for unmet lives itself (one that does not answer and stands in no list). Change: only workers that have not answered in this term are concerned. Before: the new test fails with TWICE.

--- a/src/jobs/job_retirement.cpp
+++ b/src/jobs/job_retirement.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-/// Between two looks. At 50 jobs a second, the busiest day measured, ten a look would not do.
+/// Between two looks: with ten jobs a look, 50 a second. The busiest site hands in 35 in the mean.
 constexpr Millis lookEvery { 200 };
 /// For callers whose call is on its way, and for ends heard a little late elsewhere.
 constexpr Millis margin { 5'000 };
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -275,10 +275,7 @@
         OwnerState& state = m_term->state;
         if (state.now() >= state.inheritedLeaseOverBy)
             return true;
-        std::erase_if(m_term->unmet, [&](const std::string& id) {
-            const WorkerBook* book = state.worker(id);
-            return book && (book->session->isMet() || book->session->isLifeOver());
-        });
+        std::erase_if(m_term->unmet, [&](const std::string& id) { return state.workers.contains(id) && !isUnmet(id); });
         return m_term->unknownInstances == 0U && m_term->unmet.empty();
     }
 
@@ -405,6 +402,13 @@
         m_options.log->change(isNew ? "copy-new-again" : "copy-too-old", { { "copy_age_ms", std::int64_t { age.count() } } });
     }
 
+    /// \returns Whether a worker is still to be asked what it runs for earlier owners.
+    [[nodiscard]] bool isUnmet(const std::string& id) const
+    {
+        const auto found = m_term->state.workers.find(id);
+        return found != m_term->state.workers.end() && !found->second.session->isMet() && !found->second.session->isLifeOver();
+    }
+
     /// An unmet life that lists name on no instance for longer than they lag is over, if every
     /// instance that is up has its life named: one without may be running that very life.
     void noteUnnamed(const std::vector<FleetInstance>& instances, const ServiceConfiguration& configuration)
@@ -420,7 +424,7 @@
         const MonotonicInstant now = m_options.loop->now();
         std::vector<std::string> over;
         for (const std::string& id : m_term->unmet) {
-            if (!isComplete || named.contains(id)) {
+            if (!isComplete || named.contains(id) || !isUnmet(id)) {
                 m_term->unnamedSince.erase(id);
                 continue;
             }
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -117,6 +117,7 @@
         m_stopping = true;
         m_parts.log->change("stopping", { { "owner", std::int64_t { m_ownership.isHeld() } } });
         // Others run the jobs from now on; callers are served here as before.
+        m_claimed.reset();
         m_fleet.deactivate();
         m_scheduler.deactivate();
         m_ownership.release([] {});
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -342,6 +342,8 @@
     const std::function<void(FleetList)> answer = m_process.deliver<FleetList>(std::move(done));
     FleetList list { .complete = true, .instances = {} };
     for (const auto& [id, instance] : m_workers.m_instances) {
+        if (m_workers.hidden.contains(id))
+            continue;
         list.instances.push_back(instance);
         if (m_workers.unlisted.contains(instance.worker))
             list.instances.back().worker.clear();
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -96,6 +96,7 @@
     std::function<void(const WorkerModel&)> onEntry; ///< A worker's entry is to be written.
     std::function<void(const std::string& worker)> onGone; ///< A worker's entry is to be removed.
     FleetTrouble fleetTrouble;
+    std::set<std::string> hidden; ///< Instances that the list leaves out.
     std::set<std::string> unlisted; ///< Lives that the list of instances leaves out.
     Millis moveTime { 1'500 };
     Millis maintenanceTime { 2'000 };
--- a/tests/jobs/service_test.cpp
+++ b/tests/jobs/service_test.cpp
@@ -488,3 +488,26 @@
     CHECK(cluster.waitFor(Millis(4'000), [&] { return cluster.witness.starts() == 88; }));
     requireNoBreach(cluster);
 }
+
+TEST_CASE("A worker that answers is not taken as over, though its instance has left the list")
+{
+    // Found by reading: the rule for lives that no list names went over all workers of the term.
+    SmallCluster cluster(1, 3, 3, 0);
+    cluster.workers.runTimes = [](const Attempt&) { return Millis(30'000); };
+    cluster.kill(cluster.owner().value());
+    // Lives that begin after the last lease of the former owner is over.
+    cluster.clock.runFor(Millis(9'000));
+    for (const char* instance : { "m-0", "m-1", "m-2" })
+        cluster.workers.crash(cluster.workers.on(instance)->entry.id, Millis(200));
+    cluster.clock.runFor(Millis(1'000));
+    const std::size_t owner = cluster.owner().value();
+    cluster.submit(owner, "work", jobId(1), job({ step(3) }));
+    REQUIRE(cluster.waitFor(Millis(3'000), [&] { return cluster.witness.starts() == 3; }));
+    cluster.clock.runFor(Millis(1'000));
+    const std::string leaving = cluster.witness.workerOf(jobId(1), {});
+    cluster.workers.hidden.insert(cluster.workers.find(leaving)->instance);
+    cluster.store.remove(cluster.documents.workerPrefix() + leaving);
+    cluster.clock.runFor(Millis(4'000));
+    CHECK(cluster.witness.workerOf(jobId(1), {}) == leaving);
+    requireNoBreach(cluster);
+}
