Answer unknown for a job whose earlier write is in doubt, also while the store is silent

Cause: found by reading: a job whose first write had no answer, sent again to the same instance, was refused as "not taken" while the store was silent, or by the store, though the first write may be carried out. Change: ids whose write was sent and not settled are remembered for 15 s; a refusal of one says unknown. Before: the new test fails.

--- a/src/jobs/job_intake.cpp
+++ b/src/jobs/job_intake.cpp
@@ -5,6 +5,8 @@
 #include "lanemoor/jobs/store_mirror.h"
 
 #include <algorithm>
+#include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -20,11 +22,15 @@
 /// While the store is silent, a job is tried this often; the others are refused without a try.
 constexpr Millis probePause { 500 };
 
+/// A write without an answer may be carried out seconds later; six are the most that were seen.
+constexpr Millis doubtLasts { 15'000 };
+
 /// A job that waits to be kept.
 struct WaitingJob {
     std::string id;
     std::string value;
     std::vector<std::function<void(AcceptOutcome)>> callers;
+    bool inDoubt = false; ///< An earlier write of it may yet be carried out.
 
     void answer(AcceptOutcome outcome) const
     {
@@ -90,7 +96,7 @@
         }
         // Nothing is sent, so the refusal is true; a caller that hears "unknown" can only ask again.
         if (isStoreSilent() && m_loop.now() < m_probeAt) {
-            done(AcceptOutcome::NotTaken);
+            done(mayBeKept(id) ? AcceptOutcome::Unknown : AcceptOutcome::NotTaken);
             return;
         }
         ++inFlight;
@@ -99,7 +105,7 @@
             same->callers.push_back(std::move(done));
             return;
         }
-        m_queue.push_back({ id, encode(record), { std::move(done) } });
+        m_queue.push_back({ id, encode(record), { std::move(done) }, mayBeKept(id) });
         // Jobs that come in the same turn of the loop travel together.
         if (m_queue.size() == 1)
             m_loop.callAt(m_loop.now(), [self = shared_from_this()] { self->send(); });
@@ -165,6 +171,8 @@
             transaction.writes.push_back({ jobKey(job.id), job.value, 0 });
         }
         ++m_batches;
+        for (const WaitingJob& job : batch)
+            m_inDoubt[job.id] = m_loop.now() + doubtLasts;
         m_store.commit(transaction, [self = shared_from_this(), batch = std::move(batch), sentAt = m_loop.now()](const CommitResult& result) mutable {
             --self->m_batches;
             if (result.outcome == StoreOutcome::Unknown)
@@ -186,7 +194,7 @@
             return;
         case StoreOutcome::NotDone:
             for (const WaitingJob& job : batch)
-                finish(job, AcceptOutcome::NotTaken);
+                finish(job, job.inDoubt ? AcceptOutcome::Unknown : AcceptOutcome::NotTaken);
             return;
         default:
             for (WaitingJob& job : batch)
@@ -194,6 +202,14 @@
         }
     }
 
+    /// \returns Whether a write of the job that is under way or had no answer may yet keep it.
+    [[nodiscard]] bool mayBeKept(const std::string& id)
+    {
+        const MonotonicInstant now = m_loop.now();
+        std::erase_if(m_inDoubt, [&](const auto& job) { return now >= job.second; });
+        return m_inDoubt.contains(id);
+    }
+
     void noteUnanswered(MonotonicInstant sentAt)
     {
         m_unansweredSentAt = sentAt;
@@ -240,6 +256,8 @@
     void finish(const WaitingJob& job, AcceptOutcome outcome)
     {
         inFlight -= job.callers.size();
+        if (outcome != AcceptOutcome::Unknown)
+            m_inDoubt.erase(job.id);
         job.answer(outcome);
     }
 
@@ -275,6 +293,7 @@
     const JobCatalog& m_catalog;
     std::optional<MonotonicInstant> m_unansweredSentAt; ///< When the last write without an answer was sent.
     MonotonicInstant m_probeAt;
+    std::map<std::string, MonotonicInstant> m_inDoubt; ///< Jobs whose write was sent and not settled, and until when it counts.
     std::vector<WaitingJob> m_queue;
     std::size_t m_batches = 0;
 };
--- a/tests/jobs/front_test.cpp
+++ b/tests/jobs/front_test.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 #include <map>
+#include <vector>
 
 using namespace lanemoor;
 using namespace lanemoor::jobs;
@@ -122,6 +123,33 @@
     CHECK(cluster.waitFor(Millis(100), [&] { return cluster.accepted().contains(jobId(30)); }));
 }
 
+TEST_CASE("A job whose outcome is unknown is not refused as not taken when it is sent again")
+{
+    // Found by reading: its first write may yet be carried out.
+    SmallCluster cluster;
+    const std::size_t entry = (cluster.owner().value() + 1) % cluster.entries();
+    cluster.resetStoreCalls(entry, true);
+    std::vector<AcceptOutcome> outcomes;
+    const auto send = [&](std::uint64_t number) { cluster.entry(entry).submit("work", jobId(number), job({ step(1) }), [&](AcceptOutcome outcome) { outcomes.push_back(outcome); }); };
+    send(1);
+    send(1);
+    cluster.clock.runFor(Millis(50));
+    send(1);
+    send(2);
+    cluster.clock.runFor(Millis(50));
+    const std::vector<AcceptOutcome> expected { AcceptOutcome::Unknown, AcceptOutcome::Unknown, AcceptOutcome::Unknown, AcceptOutcome::NotTaken };
+    CHECK(outcomes == expected);
+    // Refused by the store itself, the first one is still in doubt.
+    cluster.resetStoreCalls(entry, false);
+    cluster.clock.runFor(Millis(1'500));
+    cluster.store.trouble.refusing = true;
+    outcomes.clear();
+    send(1);
+    send(3);
+    cluster.clock.runFor(Millis(50));
+    CHECK(outcomes == std::vector<AcceptOutcome> { AcceptOutcome::Unknown, AcceptOutcome::NotTaken });
+}
+
 TEST_CASE("A planned stop passes the ownership on at once, and serves callers until they go elsewhere")
 {
     SmallCluster cluster;
