Ask the budget again before a stop is sent again

Ruled out: the suspension itself (any unanswered stop does it, given time enough between two tries). Change: a stop is sent again only if the job is over or the step's budget allows it; else it waits.

--- a/src/jobs/order_desk.cpp
+++ b/src/jobs/order_desk.cpp
@@ -1,5 +1,7 @@
 #include "order_desk.h"
 
+#include "evacuation.h"
+
 namespace lanemoor::jobs {
 
 namespace {
@@ -147,11 +149,24 @@
         if (!desk || desk->m_closed)
             return;
         const WorkerBook* again = desk->m_state.worker(worker);
-        if (again && again->bookings.contains(attempt))
+        if (!again || !again->bookings.contains(attempt))
+            return;
+        // Others of its step may have been lost since the first stop, which may not have arrived.
+        if (desk->mayStopNow(attempt))
             desk->stop(attempt, worker);
+        else
+            desk->stopLater(attempt, worker);
     });
 }
 
+bool OrderDesk::mayStopNow(const Attempt& attempt) const
+{
+    const OwnerJob* job = m_state.job(attempt.job);
+    if (!job || !job->state.find(attempt.task))
+        return true;
+    return isFinal(job->state.status()) || mayDisrupt(m_state, job->state, attempt.task);
+}
+
 void OrderDesk::stopAll(OwnerJob& job)
 {
     for (const Attempt& attempt : job.state.liveAttempts()) {
--- a/src/jobs/order_desk.h
+++ b/src/jobs/order_desk.h
@@ -37,6 +37,7 @@
     void started(const Attempt& attempt, const std::string& worker, const OrderResult& result);
     void refused(const Attempt& attempt, const std::string& worker, OrderOutcome outcome);
     void stopLater(const Attempt& attempt, const std::string& worker);
+    [[nodiscard]] bool mayStopNow(const Attempt& attempt) const;
     void stopped(const Attempt& attempt, const std::string& worker, const OrderResult& result);
 
     OwnerState& m_state;
--- a/tests/jobs/random_test.cpp
+++ b/tests/jobs/random_test.cpp
@@ -313,6 +313,8 @@
         RandomRun(seed, Faults::Second).play();
     // A failure that a new owner heard of beside a newer attempt was dropped.
     RandomRun(62'262, Faults::All).play();
+    // A stop without an answer was sent again after an outage, when another of its step had been lost.
+    RandomRun(110'400, Faults::All).play();
 }
 
 TEST_CASE("No promise is broken in random runs")
