--- a/include/lanemoor/jobs/capacity_plan.h
+++ b/include/lanemoor/jobs/capacity_plan.h
@@ -3,46 +3,44 @@
 /// Decides how many instances each pool has, by the load of its jobs. Pure.
 
 #include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/pool_load.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lanemoor::jobs {
 
-/// An instance that could be moved now: up, and with nothing running.
-struct IdleInstance {
+/// An instance that is to change pool.
+struct CapacityMove {
     std::string instance;
-    std::string kind; ///< Pools take instances of some kinds only.
-    MonotonicInstant idleSince;
-
-    [[nodiscard]] bool operator==(const IdleInstance&) const = default;
-};
+    std::string from;
+    std::string to;
 
-/// A pool as capacity planning sees it.
-struct PoolLoad {
-    std::string pool;
-    bool reserve = false; ///< Its instances are off.
-    std::uint32_t instances = 0; ///< Up, on their way, or back soon from maintenance.
-    std::int64_t instanceMilliCpu = 0; ///< Capacity of one instance.
-    std::int64_t demandMilliCpu = 0; ///< What runs and what waits.
-    bool hasArrivals = false; ///< Whether jobs that end by themselves arrive.
-    bool hasWaiting = false; ///< Whether tasks wait that could start if there were room.
-    std::uint32_t leastInstances = 0; ///< Sound ones that its jobs need, whatever their load.
-    std::uint32_t unsound = 0; ///< Of the instances, those that take no work.
-    std::vector<IdleInstance> idle;
+    [[nodiscard]] bool operator==(const CapacityMove&) const = default;
 };
 
-/// An instance that is to change pool.
-struct CapacityMove {
+/// An instance that is to be emptied, so that a pool that has less can get it.
+struct CapacityDrain {
     std::string instance;
+    std::string worker;
     std::string from;
     std::string to;
 
-    [[nodiscard]] bool operator==(const CapacityMove&) const = default;
+    [[nodiscard]] bool operator==(const CapacityDrain&) const = default;
+};
+
+/// What to do now.
+struct CapacityStep {
+    std::vector<CapacityMove> moves; ///< At most one for each instance.
+    std::vector<CapacityDrain> drains; ///< Each is to be moved once its worker is empty.
+    std::vector<std::string> undrains; ///< Instances whose drain no pool needs any more.
+
+    [[nodiscard]] bool operator==(const CapacityStep&) const = default;
 };
 
 /// Weights of capacity planning.
@@ -58,24 +56,42 @@
     Millis mostIdleStart { 60'000 }; ///< Without any load, pools keep what they began with for so long.
     Millis idleBeforeOff { 1'200 }; ///< A move costs what an instance costs in about this time.
     std::uint32_t leastInstances = 2; ///< Of a pool with queues, so that one may fail.
+    bool sharesFairly = true; ///< Whether a pool that has more than another empties instances for it.
+    /// By how many of an instance's processor time a pool must have more than another to do so: a
+    /// drain and a move waste some 2.5 s of the instance.
+    double fairnessGap = 2.0;
+    bool leastFirst = true; ///< Whether the pool that has least is relieved first, or else the one that lacks the largest share.
+
+    [[nodiscard]] bool operator==(const CapacityOptions&) const = default;
+};
+
+/// Processor time and instances that a requirement class needs of its pool.
+struct CapacityNeed {
+    double milliCpu = 0;
+    std::uint32_t instances = 0;
+
+    [[nodiscard]] bool operator==(const CapacityNeed&) const = default;
 };
 
 /// \brief Follows load: instances come from the reserve or from pools that have idle ones to
 /// spare, and go back once they were idle for a while.
+///
+/// Demand is reckoned by requirement class. A pool is short of a class if the sound instances
+/// with its label do not cover it; it gives no instance away that one of its classes needs.
+/// While there are too few for all, shares are max-min fair: the pool that has least gets the
+/// next instance, and one that has more empties instances for it.
 class CapacityPlan {
 public:
     explicit CapacityPlan(CapacityOptions options = {});
 
-    /// \returns Moves to begin now, at most one for each instance.
-    [[nodiscard]] std::vector<CapacityMove> next(const std::vector<PoolLoad>& pools, MonotonicInstant now);
+    /// \returns What to do now.
+    [[nodiscard]] CapacityStep next(const std::vector<PoolLoad>& pools, MonotonicInstant now);
 
-    /// \returns Instances that `pool` needs for its demand now.
+    /// \returns Instances that `pool` needs for its demand now; unsound ones come on top.
     [[nodiscard]] std::uint32_t target(const PoolLoad& pool) const;
 
-    /// \returns Instances that `pool` keeps switched on, by the demand of late.
-    [[nodiscard]] std::uint32_t keeps(const PoolLoad& pool, MonotonicInstant now) const;
-
-    /// \returns Whether a pool had fewer instances than its target when moves were last chosen.
+    /// \returns Whether a pool lacked instances that its tasks can't do without when moves were
+    /// last chosen.
     [[nodiscard]] bool isShort() const noexcept { return m_short; }
 
     /// \brief Remembers that `pool` does not take instances of `kind`.
@@ -87,16 +103,23 @@
         std::int64_t milliCpu = 0;
     };
 
+    struct Balance;
+
+    [[nodiscard]] Balance balanceOf(const PoolLoad& pool, MonotonicInstant now);
+    [[nodiscard]] std::int64_t highestOfLate(const PoolLoad& pool, const Requirement& requirement, std::int64_t demand, MonotonicInstant now);
+    [[nodiscard]] CapacityNeed needOf(const Requirement& requirement, const RequirementLoad& load, std::int64_t milliCpu, std::uint32_t instances) const;
+    void undrain(std::vector<Balance>& pools, std::vector<std::string>& undrains) const;
+    void relieve(std::vector<Balance>& pools, std::vector<CapacityMove>& moves) const;
+    void share(std::vector<Balance>& pools, std::vector<CapacityDrain>& drains) const;
+    void powerOff(std::vector<Balance>& pools, std::vector<CapacityMove>& moves, MonotonicInstant now) const;
     [[nodiscard]] bool mayPowerOff(MonotonicInstant now) const;
-    void note(const PoolLoad& pool, MonotonicInstant now);
-    [[nodiscard]] std::uint32_t instancesFor(std::int64_t milliCpu, const PoolLoad& pool) const;
     [[nodiscard]] bool takes(const std::string& pool, const std::string& kind) const;
 
     CapacityOptions m_options;
     std::optional<MonotonicInstant> m_firstSeen;
     std::optional<MonotonicInstant> m_firstArrival;
     bool m_short = false;
-    std::map<std::string, std::deque<Sample>> m_samples; ///< By pool; falling in value.
+    std::map<std::pair<std::string, Requirement>, std::deque<Sample>> m_samples; ///< By pool and class; falling in value.
     std::map<std::string, std::vector<std::string>> m_refusedKinds; ///< By pool.
 };
 
--- a/include/lanemoor/jobs/fleet_keeper.h
+++ b/include/lanemoor/jobs/fleet_keeper.h
@@ -2,6 +2,7 @@
 /// \file
 /// Moves and maintains instances while this instance owns the fleet.
 
+#include "lanemoor/jobs/capacity_plan.h"
 #include "lanemoor/jobs/event_loop.h"
 #include "lanemoor/jobs/forward_declarations.h"
 #include "lanemoor/jobs/ownership_keeper.h"
@@ -34,6 +35,7 @@
     Millis handover { 3'000 };
     Millis maintenanceTime { 2'000 }; ///< Of one instance, as the platform says.
     Millis moveTime { 1'500 }; ///< Of one instance between pools.
+    CapacityOptions capacity;
     Millis planEvery { 100 }; ///< A pool that is short waits at most this long for the plan.
     Millis listEvery { 1'000 };
     Millis listEveryWhileActing { 300 }; ///< Also while waves or moves are under way; the list lags by some 800 ms.
--- a/include/lanemoor/jobs/job_report.h
+++ b/include/lanemoor/jobs/job_report.h
@@ -18,6 +18,11 @@
     std::uint32_t open = 0; ///< Of them, those that take work now.
     std::uint32_t withRoom = 0; ///< Of the open ones, those with room for one task.
     std::uint32_t belowSpread = 0; ///< Workers that run fewer tasks of the step than may share one.
+    std::string label; ///< That the tasks require; empty: none.
+    std::uint32_t labelled = 0; ///< Workers with it.
+    std::uint32_t labelledWithRoom = 0; ///< Of them, open ones with room for one task.
+    std::string rack; ///< Where the tasks' data lies; empty: nowhere in particular.
+    std::uint32_t near = 0; ///< Workers in that rack.
 
     [[nodiscard]] bool operator==(const StepWait&) const = default;
 };
--- a/include/lanemoor/jobs/job_scheduler.h
+++ b/include/lanemoor/jobs/job_scheduler.h
@@ -6,6 +6,8 @@
 #include "lanemoor/jobs/forward_declarations.h"
 #include "lanemoor/jobs/job_report.h"
 #include "lanemoor/jobs/ownership_keeper.h"
+#include "lanemoor/jobs/policies.h"
+#include "lanemoor/jobs/requirement.h"
 #include "lanemoor/jobs/service_configuration.h"
 
 #include <cstdint>
@@ -40,6 +42,7 @@
     std::function<std::shared_ptr<const ServiceConfiguration>()> configuration;
     Millis ownershipTime { 1'500 }; ///< Lease time of the ownership.
     Millis workerLeaseTime { 5'000 }; ///< The same for all owners, since a successor reckons with it.
+    PlacementOptions placement;
 };
 
 /// A worker's use, for those who decide on instances.
@@ -55,14 +58,24 @@
     bool evacuating = false;
 };
 
-/// What a pool's jobs ask for; memory and accelerators count by their share of an instance.
-struct PoolDemand {
-    std::int64_t waitingMilliCpu = 0; ///< Of tasks that could start if there were room.
+/// What tasks wait for, that could start if there were room.
+struct WaitingTasks {
+    std::int64_t milliCpu = 0;
+    Resources largest; ///< Of the tasks, the largest need of each resource.
+};
+
+/// What tasks of one requirement class ask of their pool; memory and accelerators count by their
+/// share of an instance.
+struct ClassDemand {
+    WaitingTasks waiting;
     std::int64_t runningMilliCpu = 0;
     std::uint32_t leastInstances = 0; ///< For steps whose tasks must not share an instance.
     std::int64_t forecastMilliCpu = 0; ///< What jobs arriving as they do now will keep busy.
 };
 
+/// What a pool's jobs ask for, by requirement class.
+using PoolDemand = std::map<Requirement, ClassDemand>;
+
 /// Counts of one process since its start.
 struct SchedulerCounts {
     std::uint64_t terms = 0;
@@ -104,8 +117,9 @@
     ///@{
     [[nodiscard]] std::vector<WorkerUse> uses() const;
 
-    /// \returns What jobs ask for, by pool; pools that nobody asks anything of may be missing.
-    [[nodiscard]] std::map<std::string, PoolDemand> demands() const;
+    /// \brief Reckons anew what jobs ask for; placement goes by it too.
+    /// \returns It by pool; pools that nobody asks anything of may be missing.
+    std::map<std::string, PoolDemand> demands();
 
     /// \brief Empties a worker, or lets it have work again.
     void setEvacuating(const std::string& worker, bool evacuating);
--- a/include/lanemoor/jobs/job_service_settings.h
+++ b/include/lanemoor/jobs/job_service_settings.h
@@ -3,6 +3,7 @@
 /// Settings of one process that runs the job service.
 
 #include "lanemoor/decisions/time.h"
+#include "lanemoor/jobs/policies.h"
 #include "lanemoor/net/http_message.h"
 #include "lanemoor/state/json_document.h"
 
@@ -31,6 +32,7 @@
     Millis moveTime { 1'500 }; ///< Of one instance between pools.
     Millis stopGrace { 6'000 }; ///< From the signal to stop until the process is killed.
     Millis statusTime { 120'000 }; ///< A finished job's status is kept this long.
+    Policies policies;
     bool logAsJson = true;
 
     [[nodiscard]] bool operator==(const JobServiceSettings&) const = default;
--- a/include/lanemoor/jobs/load_forecast.h
+++ b/include/lanemoor/jobs/load_forecast.h
@@ -3,7 +3,7 @@
 /// What jobs that arrive as they do now will keep busy. Pure.
 
 #include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/job_spec.h"
+#include "lanemoor/jobs/requirement.h"
 
 #include <cstdint>
 #include <deque>
@@ -24,13 +24,16 @@
     /// \returns Thousandths of a core that arrivals at the rate of the last moments keep busy.
     [[nodiscard]] std::int64_t milliCpu(const std::string& queue, MonotonicInstant now) const;
 
+    /// \returns The same by requirement class.
+    [[nodiscard]] std::map<Requirement, std::int64_t> milliCpuByClass(const std::string& queue, MonotonicInstant now) const;
+
     /// \returns Observed run times as a multiple of declared ones.
     [[nodiscard]] double ratio(const std::string& queue) const;
 
 private:
     struct Arrival {
         MonotonicInstant at;
-        double work = 0; ///< Thousandths of a core times declared seconds.
+        std::map<Requirement, double> work; ///< Thousandths of a core times declared seconds, by class.
     };
 
     struct Queue {
--- a/include/lanemoor/jobs/placement.h
+++ b/include/lanemoor/jobs/placement.h
@@ -20,12 +20,14 @@
     std::uint32_t bestEffortTasks = 0;
     bool open = true; ///< False: it takes no new work now.
     bool preferred = true; ///< False: only taken if no preferred site has room.
+    std::uint32_t wanted = 0; ///< How much tasks that require its labels ask of sites with them; see `wantedLevel`.
 };
 
 /// What is asked of a site beside the step's own needs.
 struct PlacementQuery {
     std::string avoidWorker; ///< Taken only if there is no other.
     std::string rack; ///< Only sites of this rack; empty: any.
+    bool nearOnly = false; ///< Only sites in the rack that the step prefers, if it prefers one.
     /// \returns Tasks of the same step and occurrence that site `index` has; asked only for
     /// steps with a limit.
     std::function<std::uint32_t(std::size_t index)> tasksOfStep;
@@ -58,10 +60,17 @@
     std::vector<PlacementSite> m_sites;
 };
 
+/// \returns Demand for sites with a label against what they have, in eighths and at most 16:
+/// tasks that run anywhere leave those sites alone that are wanted most.
+[[nodiscard]] std::uint32_t wantedLevel(std::int64_t demandMilliCpu, std::int64_t supplyMilliCpu) noexcept;
+
 /// \returns `used` as processor time: the largest of its shares of `capacity`, in thousandths of
 /// a core. A task that needs half of the memory takes half of the instance.
 [[nodiscard]] std::int64_t asMilliCpu(const Resources& used, const Resources& capacity) noexcept;
 
+/// \returns Whether `worker` has `label`.
+[[nodiscard]] bool hasLabel(const WorkerEntry& worker, std::string_view label) noexcept;
+
 /// \returns What a task of `step` takes of a worker's capacity.
 [[nodiscard]] Resources footprint(const StepSpec& step) noexcept;
 
--- /dev/null
+++ b/include/lanemoor/jobs/policies.h
@@ -0,0 +1,27 @@
+#pragma once
+/// \file
+/// What can be switched and weighed in the decisions, for experiments and ablations.
+
+#include "lanemoor/jobs/capacity_plan.h"
+
+namespace lanemoor::jobs {
+
+/// Weights of placement.
+struct PlacementOptions {
+    /// Whether a task waits for room in the rack of its data, as long as that costs less than
+    /// working far from it.
+    bool waitsForRack = true;
+    double farFactor = 2.0; ///< Work far from its data takes this many times as long; the platform says it.
+
+    [[nodiscard]] bool operator==(const PlacementOptions&) const = default;
+};
+
+/// \brief All policies of the job service. The defaults are what measured best.
+struct Policies {
+    CapacityOptions capacity;
+    PlacementOptions placement;
+
+    [[nodiscard]] bool operator==(const Policies&) const = default;
+};
+
+} // namespace lanemoor::jobs
--- a/include/lanemoor/state/json_document.h
+++ b/include/lanemoor/state/json_document.h
@@ -96,6 +96,7 @@
     [[nodiscard]] std::optional<std::string> string(const char* name, bool required = false);
     [[nodiscard]] std::optional<std::int64_t> integer(const char* name, std::int64_t least, std::int64_t most, bool required = false);
     [[nodiscard]] std::optional<double> number(const char* name, double least, double most);
+    [[nodiscard]] std::optional<bool> boolean(const char* name);
     [[nodiscard]] std::vector<std::string> strings(const char* name);
     void object(const char* name, const std::function<void(ObjectReader&)>& read, bool required = false);
     void objects(const char* name, const std::function<void(ObjectReader&)>& read);
--- a/src/jobs/capacity_plan.cpp
+++ b/src/jobs/capacity_plan.cpp
@@ -2,32 +2,127 @@
 
 #include <algorithm>
 #include <cmath>
-#include <optional>
+#include <tuple>
 
 namespace lanemoor::jobs {
 
 namespace {
 
-/// A pool while moves are being chosen.
-struct Balance {
-    const PoolLoad* load = nullptr;
-    std::uint32_t target = 0; ///< For the demand now.
-    std::uint32_t keeps = 0; ///< For the demand of late.
+/// What a pool has for a class: sound instances with its label, and their processor time.
+struct Supply {
+    double milliCpu = 0;
     std::uint32_t instances = 0;
-    std::vector<IdleInstance> idle; ///< Longest idle last.
 
-    [[nodiscard]] bool isShort() const { return !load->reserve && instances < target; }
-    [[nodiscard]] bool canGive() const { return !idle.empty() && (load->reserve || instances > target); }
+    void add(const PoolInstance& instance)
+    {
+        milliCpu += static_cast<double>(instance.capacity.milliCpu);
+        ++instances;
+    }
+
+    void remove(const PoolInstance& instance)
+    {
+        milliCpu -= static_cast<double>(instance.capacity.milliCpu);
+        --instances;
+    }
+
+    [[nodiscard]] bool covers(const CapacityNeed& need) const { return milliCpu >= need.milliCpu && instances >= need.instances; }
+
+    [[nodiscard]] bool coversWithout(const CapacityNeed& need, const PoolInstance& instance) const
+    {
+        Supply rest = *this;
+        rest.remove(instance);
+        return rest.covers(need);
+    }
 };
 
-/// \returns How short a pool is, relative to what it should have.
-double shortage(const Balance& pool)
-{
-    return static_cast<double>(pool.target - pool.instances) / static_cast<double>(pool.target);
-}
+/// A requirement class of a pool while moves are being chosen.
+struct ClassBalance {
+    Requirement requirement;
+    const RequirementLoad* load = nullptr;
+    CapacityNeed now; ///< For the demand now.
+    CapacityNeed ofLate; ///< For the highest demand of late.
+    Supply supply;
+    bool exhausted = false; ///< No instance that would help is to be had.
+
+    [[nodiscard]] bool isAny() const { return requirement.label.empty(); }
+    [[nodiscard]] bool isRequired() const { return !isAny() && !requirement.preferred; }
+};
+
+using Need = CapacityNeed ClassBalance::*;
 
 } // namespace
 
+/// A pool while moves are being chosen.
+struct CapacityPlan::Balance {
+    const PoolLoad* load = nullptr;
+    std::vector<ClassBalance> classes;
+    std::vector<const PoolInstance*> idle; ///< Longest idle first.
+    std::vector<const PoolInstance*> drainable;
+
+    /// \returns What the class needs. Tasks that run anywhere need room beside those that take up
+    /// instances with a label, as far as there are such: what lacks its label uses nothing.
+    [[nodiscard]] CapacityNeed needOf(const ClassBalance& each, Need which) const
+    {
+        CapacityNeed need = each.*which;
+        if (!each.isAny())
+            return need;
+        for (const ClassBalance& other : classes) {
+            if (other.isRequired())
+                need.milliCpu += std::min((other.*which).milliCpu, other.supply.milliCpu);
+        }
+        return need;
+    }
+
+    /// \returns What the class lacks, as a share of what it needs.
+    [[nodiscard]] double shortage(const ClassBalance& each) const
+    {
+        const CapacityNeed need = needOf(each, &ClassBalance::now);
+        const double ofCpu = need.milliCpu > 0 ? (need.milliCpu - each.supply.milliCpu) / need.milliCpu : 0;
+        const double ofInstances = need.instances > 0 ? (static_cast<double>(need.instances) - each.supply.instances) / need.instances : 0;
+        return std::max(ofCpu, ofInstances);
+    }
+
+    [[nodiscard]] bool isShort(const ClassBalance& each) const { return !each.exhausted && !each.supply.covers(needOf(each, &ClassBalance::now)); }
+
+    /// \returns Whether every class keeps what it needs without `instance`.
+    [[nodiscard]] bool canSpare(const PoolInstance& instance, Need which) const
+    {
+        return std::all_of(classes.begin(), classes.end(), [&](const ClassBalance& each) { return !instance.has(each.requirement.label) || each.supply.coversWithout(needOf(each, which), instance); });
+    }
+
+    [[nodiscard]] std::uint32_t shortClassesOf(const PoolInstance& instance) const
+    {
+        return static_cast<std::uint32_t>(std::count_if(classes.begin(), classes.end(), [&](const ClassBalance& each) { return isShort(each) && instance.has(each.requirement.label); }));
+    }
+
+    /// \returns Processor time of all sound instances.
+    [[nodiscard]] double size() const
+    {
+        const auto any = std::find_if(classes.begin(), classes.end(), [](const ClassBalance& each) { return each.isAny(); });
+        return any == classes.end() ? 0 : any->supply.milliCpu;
+    }
+
+    void take(const PoolInstance& instance)
+    {
+        for (ClassBalance& each : classes) {
+            if (instance.has(each.requirement.label))
+                each.supply.add(instance);
+        }
+    }
+
+    void give(const PoolInstance& instance)
+    {
+        std::erase(idle, &instance);
+        std::erase(drainable, &instance);
+        if (!instance.sound)
+            return;
+        for (ClassBalance& each : classes) {
+            if (instance.has(each.requirement.label))
+                each.supply.remove(instance);
+        }
+    }
+};
+
 CapacityPlan::CapacityPlan(CapacityOptions options)
     : m_options(options)
 {
@@ -44,42 +139,75 @@
     return refused == m_refusedKinds.end() || std::find(refused->second.begin(), refused->second.end(), kind) == refused->second.end();
 }
 
-void CapacityPlan::note(const PoolLoad& pool, MonotonicInstant now)
+std::int64_t CapacityPlan::highestOfLate(const PoolLoad& pool, const Requirement& requirement, std::int64_t demand, MonotonicInstant now)
 {
-    std::deque<Sample>& samples = m_samples[pool.pool];
+    std::deque<Sample>& samples = m_samples[{ pool.pool, requirement }];
     while (!samples.empty() && now - samples.front().at > m_options.demandMemory)
         samples.pop_front();
     // Only samples above all later ones can ever be the highest.
-    while (!samples.empty() && samples.back().milliCpu <= pool.demandMilliCpu)
+    while (!samples.empty() && samples.back().milliCpu <= demand)
         samples.pop_back();
-    samples.push_back({ now, pool.demandMilliCpu });
+    samples.push_back({ now, demand });
+    return samples.front().milliCpu;
 }
 
-std::uint32_t CapacityPlan::instancesFor(std::int64_t milliCpu, const PoolLoad& pool) const
+/// \param instances Sound instances of the class that the pool has.
+CapacityNeed CapacityPlan::needOf(const Requirement& requirement, const RequirementLoad& load, std::int64_t milliCpu, std::uint32_t instances) const
 {
-    if (pool.reserve || pool.instanceMilliCpu <= 0)
-        return 0;
-    const double wanted = static_cast<double>(milliCpu) * m_options.margin / (static_cast<double>(pool.instanceMilliCpu) * m_options.packing);
+    const bool isAny = requirement.label.empty();
+    CapacityNeed need { .milliCpu = static_cast<double>(milliCpu) * m_options.margin / m_options.packing };
     // One more than what must be spread, so that one can fail or be maintained.
-    const std::uint32_t spread = pool.leastInstances > 0 ? pool.leastInstances + 1 : 0;
-    return std::max({ static_cast<std::uint32_t>(std::ceil(wanted)), m_options.leastInstances, spread }) + pool.unsound;
+    const std::uint32_t spread = load.leastInstances > 0 ? load.leastInstances + 1 : 0;
+    // What waits found no room on any instance, whatever the sum of what is free.
+    const std::uint32_t more = load.hasWaiting ? instances + 1 : 0;
+    need.instances = std::max({ isAny ? m_options.leastInstances : 0, spread, more });
+    return need;
 }
 
 std::uint32_t CapacityPlan::target(const PoolLoad& pool) const
 {
-    return instancesFor(pool.demandMilliCpu, pool);
+    const auto any = pool.requirements.find(Requirement {});
+    if (pool.reserve || any == pool.requirements.end())
+        return 0;
+    Supply all;
+    Supply sound;
+    for (const PoolInstance& instance : pool.instances) {
+        all.add(instance);
+        if (instance.sound)
+            sound.add(instance);
+    }
+    std::int64_t demand = 0;
+    for (const auto& [requirement, load] : pool.requirements)
+        demand += requirement.preferred ? 0 : load.demandMilliCpu;
+    const CapacityNeed need = needOf(any->first, any->second, demand, sound.instances);
+    const double mean = all.instances > 0 ? all.milliCpu / all.instances : 0;
+    const auto byCpu = mean > 0 ? static_cast<std::uint32_t>(std::ceil(need.milliCpu / mean)) : 0;
+    return std::max(byCpu, need.instances) + (all.instances - sound.instances);
 }
 
-std::uint32_t CapacityPlan::keeps(const PoolLoad& pool, MonotonicInstant now) const
+CapacityPlan::Balance CapacityPlan::balanceOf(const PoolLoad& pool, MonotonicInstant now)
 {
-    std::int64_t highest = pool.demandMilliCpu;
-    if (const auto found = m_samples.find(pool.pool); found != m_samples.end()) {
-        for (const Sample& sample : found->second) {
-            if (now - sample.at <= m_options.demandMemory)
-                highest = std::max(highest, sample.milliCpu);
+    Balance balance { .load = &pool, .classes = {}, .idle = {}, .drainable = {} };
+    for (const auto& [requirement, load] : pool.requirements) {
+        if (pool.reserve)
+            break;
+        ClassBalance each { .requirement = requirement, .load = &load, .now = {}, .ofLate = {}, .supply = {} };
+        for (const PoolInstance& instance : pool.instances) {
+            if (instance.sound && instance.has(requirement.label))
+                each.supply.add(instance);
         }
+        each.now = needOf(requirement, load, load.demandMilliCpu, each.supply.instances);
+        each.ofLate = needOf(requirement, load, highestOfLate(pool, requirement, load.demandMilliCpu, now), each.supply.instances);
+        balance.classes.push_back(std::move(each));
     }
-    return instancesFor(highest, pool);
+    for (const PoolInstance& instance : pool.instances) {
+        if (instance.idleSince)
+            balance.idle.push_back(&instance);
+        else if (!instance.drainable.empty())
+            balance.drainable.push_back(&instance);
+    }
+    std::stable_sort(balance.idle.begin(), balance.idle.end(), [](const PoolInstance* a, const PoolInstance* b) { return *a->idleSince < *b->idleSince; });
+    return balance;
 }
 
 bool CapacityPlan::mayPowerOff(MonotonicInstant now) const
@@ -89,60 +217,147 @@
     return now - *m_firstSeen >= m_options.mostIdleStart;
 }
 
-std::vector<CapacityMove> CapacityPlan::next(const std::vector<PoolLoad>& pools, MonotonicInstant now)
+/// Gives instances to the class that lacks most, until none lacks any that are to be had.
+void CapacityPlan::relieve(std::vector<Balance>& pools, std::vector<CapacityMove>& moves) const
 {
-    if (!m_firstSeen)
-        m_firstSeen = now;
-    const auto hasArrivals = [](const PoolLoad& pool) { return pool.hasArrivals; };
-    if (!m_firstArrival && std::any_of(pools.begin(), pools.end(), hasArrivals))
-        m_firstArrival = now;
-    std::vector<Balance> balances;
-    std::optional<std::string> reserve;
-    for (const PoolLoad& pool : pools) {
-        note(pool, now);
-        Balance balance { .load = &pool, .target = target(pool), .keeps = keeps(pool, now), .instances = pool.instances, .idle = pool.idle };
-        std::sort(balance.idle.begin(), balance.idle.end(), [](const IdleInstance& a, const IdleInstance& b) { return a.idleSince > b.idleSince; });
-        balances.push_back(std::move(balance));
-        if (pool.reserve)
-            reserve = pool.pool;
-    }
-    m_short = std::any_of(balances.begin(), balances.end(), [](const Balance& pool) { return pool.isShort(); });
-    std::vector<CapacityMove> moves;
-    const auto give = [&](Balance& from, std::size_t index, const std::string& to) {
-        moves.push_back({ from.idle[index].instance, from.load->pool, to });
-        from.idle.erase(from.idle.begin() + static_cast<std::ptrdiff_t>(index));
-        --from.instances;
-    };
     for (;;) {
-        const auto needy = std::max_element(balances.begin(), balances.end(), [](const Balance& a, const Balance& b) { return (a.isShort() ? shortage(a) : 0) < (b.isShort() ? shortage(b) : 0); });
-        if (needy == balances.end() || !needy->isShort())
-            break;
-        bool found = false;
-        // The reserve first: what is off costs nobody anything.
-        for (const bool fromReserve : { true, false }) {
-            for (Balance& giver : balances) {
-                if (found || giver.load->reserve != fromReserve || !giver.canGive() || &giver == &*needy)
+        Balance* needy = nullptr;
+        ClassBalance* lacking = nullptr;
+        // What tasks can't do without comes before what only makes them faster.
+        std::pair<bool, double> worst;
+        std::map<std::string, std::uint32_t> shortPools; // That lack instances with a label, by label.
+        for (Balance& pool : pools) {
+            for (ClassBalance& each : pool.classes) {
+                if (!pool.isShort(each))
+                    continue;
+                if (!each.isAny())
+                    ++shortPools[each.requirement.label];
+                const std::pair<bool, double> lack { each.requirement.preferred, m_options.leastFirst ? each.supply.milliCpu : -pool.shortage(each) };
+                if (lacking && lack >= worst)
                     continue;
-                for (std::size_t i = giver.idle.size(); i-- > 0 && !found;) {
-                    if (!takes(needy->load->pool, giver.idle[i].kind))
+                worst = lack;
+                needy = &pool;
+                lacking = &each;
+            }
+        }
+        if (!lacking)
+            return;
+        // The reserve first, since what is off costs nobody anything. Then what helps most of the
+        // pool's classes and is needed least elsewhere, and the largest.
+        using Rank = std::tuple<bool, std::int64_t, std::uint32_t, std::int64_t>;
+        Balance* giver = nullptr;
+        const PoolInstance* chosen = nullptr;
+        Rank best;
+        for (Balance& pool : pools) {
+            for (const PoolInstance* instance : pool.idle) {
+                const bool helps = instance->has(lacking->requirement.label) && (!lacking->load->hasWaiting || instance->capacity.covers(lacking->load->largestWaiting));
+                if (&pool == needy || !helps || !takes(needy->load->pool, instance->kind) || !(pool.load->reserve || pool.canSpare(*instance, &ClassBalance::now)))
+                    continue;
+                const auto wanted = [&](const std::string& label) { return shortPools.contains(label) ? shortPools[label] : 0; };
+                const Rank rank { !pool.load->reserve, -std::int64_t { needy->shortClassesOf(*instance) }, wanted(instance->kind) + wanted(instance->rack), -instance->capacity.milliCpu };
+                if (chosen && rank >= best)
+                    continue;
+                best = rank;
+                giver = &pool;
+                chosen = instance;
+            }
+        }
+        if (!chosen) {
+            lacking->exhausted = true;
+            continue;
+        }
+        moves.push_back({ chosen->instance, giver->load->pool, needy->load->pool });
+        giver->give(*chosen);
+        needy->take(*chosen);
+    }
+}
+
+/// Ends the drains for pools that are no longer short.
+void CapacityPlan::undrain(std::vector<Balance>& pools, std::vector<std::string>& undrains) const
+{
+    for (Balance& pool : pools) {
+        for (const PoolInstance& instance : pool.load->instances) {
+            if (instance.drainingFrom.empty() || !pool.canSpare(instance, &ClassBalance::now))
+                continue;
+            undrains.push_back(instance.instance);
+            pool.give(instance);
+        }
+    }
+}
+
+/// Empties instances of pools that have more for pools that lack some and have less.
+void CapacityPlan::share(std::vector<Balance>& pools, std::vector<CapacityDrain>& drains) const
+{
+    for (Balance& needy : pools) {
+        for (ClassBalance& lacking : needy.classes) {
+            if (lacking.requirement.preferred)
+                continue;
+            // Exhausted classes are those that found no idle instance.
+            while (!lacking.supply.covers(needy.needOf(lacking, &ClassBalance::now))) {
+                Balance* giver = nullptr;
+                const PoolInstance* chosen = nullptr;
+                std::pair<double, std::uint32_t> best;
+                for (Balance& pool : pools) {
+                    if (&pool == &needy || pool.load->reserve)
                         continue;
-                    give(giver, i, needy->load->pool);
-                    found = true;
+                    for (const PoolInstance* instance : pool.drainable) {
+                        const double gap = m_options.fairnessGap * static_cast<double>(instance->capacity.milliCpu);
+                        const std::pair<double, std::uint32_t> rank { -pool.size(), instance->attempts };
+                        if (!instance->has(lacking.requirement.label) || !takes(needy.load->pool, instance->kind) || pool.size() - needy.size() < gap || (chosen && rank >= best))
+                            continue;
+                        best = rank;
+                        giver = &pool;
+                        chosen = instance;
+                    }
                 }
+                if (!chosen)
+                    break;
+                drains.push_back({ chosen->instance, chosen->drainable, giver->load->pool, needy.load->pool });
+                giver->give(*chosen);
+                needy.take(*chosen);
             }
         }
-        if (found)
-            ++needy->instances;
-        else
-            needy->target = needy->instances;
     }
-    for (Balance& pool : balances) {
-        if (!reserve || pool.load->reserve || !mayPowerOff(now))
+}
+
+void CapacityPlan::powerOff(std::vector<Balance>& pools, std::vector<CapacityMove>& moves, MonotonicInstant now) const
+{
+    const auto reserve = std::find_if(pools.begin(), pools.end(), [](const Balance& pool) { return pool.load->reserve; });
+    if (reserve == pools.end() || !mayPowerOff(now))
+        return;
+    for (Balance& pool : pools) {
+        if (pool.load->reserve)
             continue;
-        while (pool.canGive() && pool.instances > pool.keeps && now - pool.idle.back().idleSince >= m_options.idleBeforeOff && takes(*reserve, pool.idle.back().kind))
-            give(pool, pool.idle.size() - 1, *reserve);
+        for (const PoolInstance* instance : std::vector<const PoolInstance*>(pool.idle)) {
+            const bool isLong = now - *instance->idleSince >= m_options.idleBeforeOff;
+            if (!isLong || !takes(reserve->load->pool, instance->kind) || !pool.canSpare(*instance, &ClassBalance::ofLate) || !pool.canSpare(*instance, &ClassBalance::now))
+                continue;
+            moves.push_back({ instance->instance, pool.load->pool, reserve->load->pool });
+            pool.give(*instance);
+        }
     }
-    return moves;
+}
+
+CapacityStep CapacityPlan::next(const std::vector<PoolLoad>& pools, MonotonicInstant now)
+{
+    if (!m_firstSeen)
+        m_firstSeen = now;
+    const auto hasArrivals = [](const PoolLoad& pool) { return pool.hasArrivals; };
+    if (!m_firstArrival && std::any_of(pools.begin(), pools.end(), hasArrivals))
+        m_firstArrival = now;
+    std::vector<Balance> balances;
+    for (const PoolLoad& pool : pools)
+        balances.push_back(balanceOf(pool, now));
+    m_short = std::any_of(balances.begin(), balances.end(), [](const Balance& pool) {
+        return std::any_of(pool.classes.begin(), pool.classes.end(), [&](const ClassBalance& each) { return !each.requirement.preferred && pool.isShort(each); });
+    });
+    CapacityStep step;
+    undrain(balances, step.undrains);
+    relieve(balances, step.moves);
+    if (m_options.sharesFairly)
+        share(balances, step.drains);
+    powerOff(balances, step.moves, now);
+    return step;
 }
 
 } // namespace lanemoor::jobs
--- a/src/jobs/fleet_keeper.cpp
+++ b/src/jobs/fleet_keeper.cpp
@@ -53,9 +53,10 @@
         m_list.clear();
         m_acted.clear();
         m_moving.clear();
+        m_draining.clear();
         m_lives.clear();
         m_idleSince.clear();
-        m_capacity = CapacityPlan();
+        m_capacity = CapacityPlan(m_options.capacity);
         for (const auto& [number, wave] : m_waves)
             begin(wave);
         list();
@@ -362,7 +363,7 @@
         std::vector<MaintenanceCandidate> fleet;
         for (const auto& [id, instance] : m_list) {
             const PoolSettings* pool = configuration->pool(instance.pool);
-            if (m_moving.contains(id) || isBlocked(id))
+            if (m_moving.contains(id) || m_draining.contains(id) || isBlocked(id))
                 continue;
             MaintenanceCandidate candidate { .instance = id, .pool = instance.pool, .worker = {}, .reserve = pool && pool->reserve, .up = instance.state == FleetState::Up };
             const auto use = uses.find(instance.worker);
@@ -387,39 +388,56 @@
     }
 
     /// \returns Each pool's load before its instances are counted.
-    [[nodiscard]] std::map<std::string, PoolLoad> demandedLoads() const
+    [[nodiscard]] std::map<std::string, PoolLoad> demandedLoads()
     {
         std::map<std::string, PoolDemand> demands = m_options.scheduler->demands();
         std::map<std::string, PoolLoad> loads;
         for (const PoolSettings& pool : m_options.configuration()->pools) {
-            const PoolDemand& demand = demands[pool.name];
-            const std::int64_t now = demand.runningMilliCpu + demand.waitingMilliCpu;
-            loads[pool.name] = { .pool = pool.name,
-                .reserve = pool.reserve,
-                .demandMilliCpu = std::max(now, demand.forecastMilliCpu),
-                .hasArrivals = demand.forecastMilliCpu > 0,
-                .hasWaiting = demand.waitingMilliCpu > 0,
-                .leastInstances = demand.leastInstances,
-                .idle = {} };
+            PoolLoad load { .pool = pool.name, .reserve = pool.reserve, .requirements = { { Requirement {}, RequirementLoad {} } }, .instances = {} };
+            for (const auto& [requirement, demand] : demands[pool.name]) {
+                load.requirements[requirement] = { .demandMilliCpu = std::max(demand.runningMilliCpu + demand.waiting.milliCpu, demand.forecastMilliCpu),
+                    .leastInstances = demand.leastInstances,
+                    .hasWaiting = demand.waiting.milliCpu > 0,
+                    .largestWaiting = demand.waiting.largest };
+                load.hasArrivals = load.hasArrivals || demand.forecastMilliCpu > 0;
+            }
+            loads[pool.name] = std::move(load);
         }
         return loads;
     }
 
-    /// Counts an instance in its pool's load. \param use Null if its worker is not known.
-    void count(const FleetInstance& instance, const WorkerUse* use, PoolLoad& pool, std::map<std::string, MonotonicInstant>& idleSince) const
+    /// \returns An instance as capacity planning sees it. \param use Null if its worker is not known.
+    [[nodiscard]] PoolInstance instanceOf(const FleetInstance& instance, const WorkerUse* use, bool reserve) const
     {
         const bool isUp = instance.state == FleetState::Up;
         const bool isSound = use && use->sound && !use->evacuating;
-        ++pool.instances;
-        pool.instanceMilliCpu = std::max(pool.instanceMilliCpu, instance.capacity.milliCpu);
-        pool.unsound += isUp && !pool.reserve && use && !isSound && !m_moving.contains(instance.id) ? 1 : 0;
-        const bool isIdle = isUp && (pool.reserve || (isSound && use->attempts == 0));
-        if (!isIdle || isOrdered(instance.id) || isBlocked(instance.id))
-            return;
+        PoolInstance seen { .instance = instance.id, .kind = instance.kind, .rack = instance.rack, .capacity = instance.capacity, .idleSince = std::nullopt };
+        const auto draining = m_draining.find(instance.id);
+        if (draining != m_draining.end())
+            seen.drainingFrom = draining->second.from;
+        seen.sound = !isUp || reserve || !use || isSound || m_moving.contains(instance.id) || draining != m_draining.end();
+        if (isOrdered(instance.id) || isBlocked(instance.id))
+            return seen;
+        if (isUp && !reserve && isSound && use->attempts > 0 && use->longRunning == 0) {
+            seen.drainable = use->worker;
+            seen.attempts = use->attempts;
+        }
+        const bool isIdle = isUp && (reserve || (isSound && use->attempts == 0));
+        if (!isIdle)
+            return seen;
         const auto before = m_idleSince.find(instance.id);
-        const MonotonicInstant since = before == m_idleSince.end() ? m_options.loop->now() : before->second;
-        idleSince[instance.id] = since;
-        pool.idle.push_back({ instance.id, instance.kind, since });
+        seen.idleSince = before == m_idleSince.end() ? m_options.loop->now() : before->second;
+        return seen;
+    }
+
+    /// \returns The pool that the instance counts in: an instance on its way counts where it goes.
+    [[nodiscard]] const std::string& destinationOf(const FleetInstance& instance) const
+    {
+        const auto moving = m_moving.find(instance.id);
+        if (moving != m_moving.end())
+            return moving->second;
+        const auto draining = m_draining.find(instance.id);
+        return draining == m_draining.end() ? instance.pool : draining->second.to;
     }
 
     [[nodiscard]] std::vector<PoolLoad> loads()
@@ -428,27 +446,19 @@
         const std::map<std::string, WorkerUse> uses = usesByWorker();
         std::map<std::string, MonotonicInstant> idleSince;
         for (const auto& [id, instance] : m_list) {
-            // An instance on its way counts where it goes.
-            const auto moving = m_moving.find(id);
-            const auto load = loads.find(moving == m_moving.end() ? instance.pool : moving->second);
+            const auto load = loads.find(destinationOf(instance));
             if (load == loads.end() || instance.state == FleetState::Down)
                 continue;
             const auto use = uses.find(instance.worker);
-            count(instance, use == uses.end() ? nullptr : &use->second, load->second, idleSince);
+            PoolInstance seen = instanceOf(instance, use == uses.end() ? nullptr : &use->second, load->second.reserve);
+            if (seen.idleSince)
+                idleSince[id] = *seen.idleSince;
+            load->second.instances.push_back(std::move(seen));
         }
         m_idleSince = std::move(idleSince);
-        std::int64_t largest = 0;
-        for (const auto& [name, load] : loads)
-            largest = std::max(largest, load.instanceMilliCpu);
         std::vector<PoolLoad> list;
-        for (auto& [name, load] : loads) {
-            // What waits found no room on any instance, whatever the sum of what is free.
-            if (load.hasWaiting)
-                load.leastInstances = std::max(load.leastInstances, load.instances - load.unsound);
-            // A pool without instances is sized by those it may get.
-            load.instanceMilliCpu = load.instanceMilliCpu > 0 ? load.instanceMilliCpu : largest;
+        for (auto& [name, load] : loads)
             list.push_back(std::move(load));
-        }
         return list;
     }
 
@@ -460,22 +470,63 @@
         if (!mayAct() || m_list.empty())
             return;
         const std::vector<PoolLoad> pools = loads();
-        const std::vector<CapacityMove> moves = m_capacity.next(pools, m_options.loop->now());
+        const CapacityStep step = m_capacity.next(pools, m_options.loop->now());
         for (const PoolLoad& pool : pools)
             logSize(pool);
-        for (const CapacityMove& move : moves)
+        for (const std::string& instance : step.undrains)
+            undrain(instance);
+        for (const CapacityMove& move : step.moves)
             this->move(move);
+        for (const CapacityDrain& drain : step.drains)
+            this->drain(drain);
+        moveDrained();
+    }
+
+    void drain(const CapacityDrain& drain)
+    {
+        m_draining[drain.instance] = drain;
+        m_options.log->decision("instance-drain", { { "instance", drain.instance }, { "from", drain.from }, { "to", drain.to }, { "worker", drain.worker } });
+        m_options.scheduler->setEvacuating(drain.worker, true);
+    }
+
+    void undrain(const std::string& instance)
+    {
+        const auto found = m_draining.find(instance);
+        if (found == m_draining.end())
+            return;
+        m_options.log->decision("instance-drain-ended", { { "instance", instance }, { "to", found->second.to } });
+        m_options.scheduler->setEvacuating(found->second.worker, false);
+        m_draining.erase(found);
+    }
+
+    /// Moves the instances whose workers are empty by now.
+    void moveDrained()
+    {
+        const std::map<std::string, WorkerUse> uses = usesByWorker();
+        std::vector<CapacityDrain> empty;
+        std::erase_if(m_draining, [&](const auto& entry) {
+            const CapacityDrain& drain = entry.second;
+            const auto use = uses.find(drain.worker);
+            const auto listed = m_list.find(drain.instance);
+            const bool isThere = use != uses.end() && listed != m_list.end() && listed->second.state == FleetState::Up && listed->second.worker == drain.worker;
+            if (isThere && use->second.attempts == 0)
+                empty.push_back(drain);
+            return !isThere || use->second.attempts == 0;
+        });
+        for (const CapacityDrain& drain : empty)
+            move({ drain.instance, drain.from, drain.to });
     }
 
     /// One line for each change of a pool's size or target.
     void logSize(const PoolLoad& pool)
     {
-        const std::pair<std::uint32_t, std::uint32_t> size { pool.instances, m_capacity.target(pool) };
+        const std::pair<std::uint32_t, std::uint32_t> size { static_cast<std::uint32_t>(pool.instances.size()), m_capacity.target(pool) };
         if (std::exchange(m_loggedSizes[pool.pool], size) == size)
             return;
+        const auto idle = std::count_if(pool.instances.begin(), pool.instances.end(), [](const PoolInstance& instance) { return instance.idleSince.has_value(); });
         m_options.log->decision("pool-sized",
-            { { "pool", pool.pool }, { "instances", std::int64_t { size.first } }, { "target", std::int64_t { size.second } }, { "idle", static_cast<std::int64_t>(pool.idle.size()) },
-                { "demand_mcpu", pool.demandMilliCpu } });
+            { { "pool", pool.pool }, { "instances", std::int64_t { size.first } }, { "target", std::int64_t { size.second } }, { "idle", std::int64_t { idle } },
+                { "demand_mcpu", pool.requirements.at(Requirement {}).demandMilliCpu } });
     }
 
     void move(const CapacityMove& move)
@@ -656,6 +707,7 @@
     std::map<std::string, FleetInstance> m_list;
     std::map<std::string, Acted> m_acted; ///< Instances that the list may show as they were.
     std::map<std::string, std::string> m_moving; ///< Instances whose move is not answered yet, and where they go.
+    std::map<std::string, CapacityDrain> m_draining; ///< Instances that are emptied for another pool.
     std::map<std::string, ListedLife> m_lives; ///< By instance.
     std::map<std::string, MonotonicInstant> m_idleSince;
     CapacityPlan m_capacity;
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -47,23 +47,52 @@
     return ends.empty() ? Millis(0) : *std::max_element(ends.begin(), ends.end());
 }
 
-/// \returns Instances over which the tasks of open steps must be spread.
-std::uint32_t instancesFor(const JobState& job)
+/// Notes over how many instances the tasks of open steps must be spread.
+void noteSpread(const JobState& job, PoolDemand& demand)
 {
-    std::uint32_t instances = 0;
     for (const auto& [id, step] : job.steps()) {
-        const std::uint32_t most = job.spec(id.step).mostPerInstance;
+        const StepSpec& spec = job.spec(id.step);
+        const std::uint32_t most = spec.mostPerInstance;
         const auto left = static_cast<std::uint32_t>(step.tasks.size()) - step.succeeded;
-        if (most > 0)
-            instances = std::max(instances, (left + most - 1) / most);
+        // Tasks that last need a second instance with their label to move to.
+        const std::uint32_t least = most > 0 ? (left + most - 1) / most : 1;
+        if (left == 0 || (most == 0 && !(spec.longRunning && !spec.requiredLabel.empty())))
+            continue;
+        for (const Requirement& requirement : requirementsOf(spec)) {
+            if (!requirement.preferred)
+                demand[requirement].leastInstances = std::max(demand[requirement].leastInstances, least);
+        }
+    }
+}
+
+/// Notes what the attempts booked at a worker take.
+void noteRunning(const WorkerBook& book, PoolDemand& demand)
+{
+    std::map<Requirement, Resources> used;
+    for (const auto& [attempt, booking] : book.bookings) {
+        for (const Requirement& requirement : requirementsOf(*booking.step))
+            used[requirement] += footprint(*booking.step);
     }
-    return instances;
+    for (const auto& [requirement, resources] : used)
+        demand[requirement].runningMilliCpu += asMilliCpu(resources, book.entry.capacity);
+}
+
+/// \returns How many instances there are of each kind, for example `a 30, b 19`.
+std::string kindsText(const std::vector<FleetInstance>& instances)
+{
+    std::map<std::string, std::size_t> kinds;
+    for (const FleetInstance& instance : instances)
+        ++kinds[instance.kind];
+    std::string text;
+    for (const auto& [kind, count] : kinds)
+        text += (text.empty() ? "" : ", ") + kind + ' ' + std::to_string(count);
+    return text;
 }
 
 /// All that lives for one term.
 struct Term {
     Term(const JobSchedulerOptions& options, const Ownership& ownership, SchedulerCounts& counts)
-        : state { options, ownership, options.loop->now() + options.ownershipTime + Millis(static_cast<std::int64_t>(leaseStretch * static_cast<double>(options.workerLeaseTime.count()))), {}, {}, nullptr, {}, {}, {} }
+        : state { options, ownership, options.loop->now() + options.ownershipTime + Millis(static_cast<std::int64_t>(leaseStretch * static_cast<double>(options.workerLeaseTime.count()))), {}, {}, nullptr, {}, {}, {}, {}, {} }
         , orders(std::make_shared<OrderDesk>(state, counts))
         , advice(std::make_shared<AdviceDesk>(state))
         , reports(state, *orders, counts)
@@ -198,29 +227,14 @@
         return uses;
     }
 
-    [[nodiscard]] std::map<std::string, PoolDemand> demands() const
+    std::map<std::string, PoolDemand> demands()
     {
-        std::map<std::string, PoolDemand> demands;
         if (!m_term)
-            return demands;
-        const OwnerState& state = m_term->state;
-        const MonotonicInstant now = m_options.loop->now();
-        for (const auto& [pool, milliCpu] : m_waiting)
-            demands[pool].waitingMilliCpu = milliCpu;
-        for (const auto& [id, book] : state.workers) {
-            Resources used = book.entry.capacity;
-            used -= book.free();
-            demands[book.entry.pool].runningMilliCpu += asMilliCpu(used, book.entry.capacity);
-        }
-        for (const auto& [id, job] : state.jobs) {
-            if (isFinal(job.state.status()))
-                continue;
-            PoolDemand& demand = demands[state.poolOf(job.state)];
-            demand.leastInstances = std::max(demand.leastInstances, instancesFor(job.state));
-        }
-        for (const QueueSettings& queue : state.configuration()->queues)
-            demands[queue.pool].forecastMilliCpu += state.forecast.milliCpu(queue.name, now);
-        return demands;
+            return {};
+        OwnerState& state = m_term->state;
+        state.demands = demandsNow();
+        noteWanted(state);
+        return state.demands;
     }
 
     void setEvacuating(const std::string& worker, bool evacuating)
@@ -240,6 +254,7 @@
             return;
         const std::shared_ptr<const ServiceConfiguration> configuration = m_options.configuration();
         const bool first = !m_term->unknownInstances;
+        m_term->state.noteInstances(instances);
         std::uint32_t unknown = 0;
         for (const FleetInstance& instance : instances) {
             const PoolSettings* pool = configuration->pool(instance.pool);
@@ -250,7 +265,7 @@
         m_term->unknownInstances = unknown;
         noteUnnamed(instances, *configuration);
         if (first)
-            m_options.log->change("fleet-listed", { { "instances", static_cast<std::int64_t>(instances.size()) }, { "unknown", std::int64_t { unknown } }, { "unmet", static_cast<std::int64_t>(m_term->unmet.size()) } });
+            m_options.log->change("fleet-listed", { { "instances", static_cast<std::int64_t>(instances.size()) }, { "kinds", kindsText(instances) }, { "unknown", std::int64_t { unknown } }, { "unmet", static_cast<std::int64_t>(m_term->unmet.size()) } });
         requestPass();
     }
 
@@ -293,6 +308,44 @@
     SchedulerCounts counts;
 
 private:
+    [[nodiscard]] std::map<std::string, PoolDemand> demandsNow() const
+    {
+        std::map<std::string, PoolDemand> demands;
+        const OwnerState& state = m_term->state;
+        const MonotonicInstant now = m_options.loop->now();
+        for (const auto& [pool, classes] : m_waiting) {
+            for (const auto& [requirement, waiting] : classes)
+                demands[pool][requirement].waiting = waiting;
+        }
+        for (const auto& [id, book] : state.workers)
+            noteRunning(book, demands[book.entry.pool]);
+        for (const auto& [id, job] : state.jobs) {
+            if (!isFinal(job.state.status()))
+                noteSpread(job.state, demands[state.poolOf(job.state)]);
+        }
+        for (const QueueSettings& queue : state.configuration()->queues) {
+            for (const auto& [requirement, milliCpu] : state.forecast.milliCpuByClass(queue.name, now))
+                demands[queue.pool][requirement].forecastMilliCpu += milliCpu;
+        }
+        return demands;
+    }
+
+    /// Notes how much the labels that tasks require are wanted, for the placement of other tasks.
+    static void noteWanted(OwnerState& state)
+    {
+        state.wanted.clear();
+        for (const auto& [pool, classes] : state.demands) {
+            for (const auto& [requirement, demand] : classes) {
+                if (requirement.label.empty() || requirement.preferred)
+                    continue;
+                std::int64_t supply = 0;
+                for (const auto& [id, book] : state.workers)
+                    supply += book.entry.pool == pool && book.listed && hasLabel(book.entry, requirement.label) ? book.entry.capacity.milliCpu : 0;
+                state.wanted[{ pool, requirement.label }] = wantedLevel(std::max(demand.runningMilliCpu + demand.waiting.milliCpu, demand.forecastMilliCpu), supply);
+            }
+        }
+    }
+
     [[nodiscard]] StepReport reportOf(const JobState& job, const StepId& id, const StepState& step) const
     {
         StepReport report { .occurrence = id.occurrence, .step = id.step, .tasks = static_cast<std::uint32_t>(step.tasks.size()), .succeeded = step.succeeded, .blocked = !job.isUnblocked(id), .attempts = {}, .wait = std::nullopt };
@@ -461,7 +514,7 @@
 
     JobSchedulerOptions m_options;
     std::shared_ptr<Term> m_term;
-    std::map<std::string, std::int64_t> m_waiting;
+    PlacementPass::Waiting m_waiting;
     bool m_copyIsNew = true;
     TimerId m_passTimer = 0;
     MonotonicInstant m_passAt;
@@ -510,7 +563,7 @@
     return m_impl->uses();
 }
 
-std::map<std::string, PoolDemand> JobScheduler::demands() const
+std::map<std::string, PoolDemand> JobScheduler::demands()
 {
     return m_impl->demands();
 }
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -246,7 +246,8 @@
             .log = m_parts.log,
             .configuration = [this] { return m_configuration; },
             .ownershipTime = m_settings.ownershipTime,
-            .workerLeaseTime = m_settings.workerLeaseTime };
+            .workerLeaseTime = m_settings.workerLeaseTime,
+            .placement = m_settings.policies.placement };
     }
 
     FleetKeeperOptions fleetOptions()
@@ -262,7 +263,8 @@
             .holder = m_settings.name,
             .handover = m_settings.handover,
             .maintenanceTime = m_settings.maintenanceTime,
-            .moveTime = m_settings.moveTime };
+            .moveTime = m_settings.moveTime,
+            .capacity = m_settings.policies.capacity };
     }
 
     void onItem(const StoreItem& item)
--- a/src/jobs/job_service_settings.cpp
+++ b/src/jobs/job_service_settings.cpp
@@ -61,6 +61,33 @@
     readSeconds(reader, "statusSeconds", settings.statusTime);
 }
 
+void readNumber(ObjectReader& reader, const char* name, double least, double most, double& number)
+{
+    if (const std::optional<double> value = reader.number(name, least, most))
+        number = *value;
+}
+
+void readSwitch(ObjectReader& reader, const char* name, bool& isOn)
+{
+    if (const std::optional<bool> value = reader.boolean(name))
+        isOn = *value;
+}
+
+void readPolicies(ObjectReader& reader, Policies& policies)
+{
+    constexpr double mostMargin = 10;
+    constexpr double mostGap = 1'000;
+    reader.object("capacity", [&](ObjectReader& capacity) {
+        readNumber(capacity, "margin", 1, mostMargin, policies.capacity.margin);
+        readMillis(capacity, "demandMemoryMs", 0, policies.capacity.demandMemory);
+        readMillis(capacity, "idleBeforeOffMs", 0, policies.capacity.idleBeforeOff);
+        readSwitch(capacity, "sharesFairly", policies.capacity.sharesFairly);
+        readNumber(capacity, "fairnessGap", 0, mostGap, policies.capacity.fairnessGap);
+        readSwitch(capacity, "leastFirst", policies.capacity.leastFirst);
+    });
+    reader.object("placement", [&](ObjectReader& placement) { readSwitch(placement, "waitsForRack", policies.placement.waitsForRack); });
+}
+
 JobServiceSettings readSettings(ObjectReader& reader)
 {
     JobServiceSettings settings;
@@ -78,7 +105,10 @@
             constexpr double mostCores = 1'024;
             if (const std::optional<double> cores = service.number("machineCores", 0, mostCores))
                 settings.machineCores = *cores;
+            constexpr double mostFactor = 1'000;
+            readNumber(service, "farFactor", 1, mostFactor, settings.policies.placement.farFactor);
             service.object("times", [&](ObjectReader& times) { readTimes(times, settings); });
+            service.object("policies", [&](ObjectReader& policies) { readPolicies(policies, settings.policies); });
         },
         true);
     reader.object("log", [&](ObjectReader& log) {
--- a/src/jobs/load_forecast.cpp
+++ b/src/jobs/load_forecast.cpp
@@ -12,12 +12,14 @@
 constexpr double newestWeight = 0.05; // Of one task in the running mean of ratios.
 constexpr double mostRatio = 10.0; // One task on a slow worker must not spoil the mean.
 
-double workOf(const JobSpec& job)
+std::map<Requirement, double> workOf(const JobSpec& job)
 {
-    double work = 0;
+    std::map<Requirement, double> work;
     for (const StepSpec& step : job.steps) {
-        if (!step.longRunning)
-            work += static_cast<double>(step.count) * static_cast<double>(step.needs.milliCpu) * std::chrono::duration<double>(step.estimate).count();
+        if (step.longRunning)
+            continue;
+        for (const Requirement& requirement : requirementsOf(step))
+            work[requirement] += static_cast<double>(step.count) * static_cast<double>(step.needs.milliCpu) * std::chrono::duration<double>(step.estimate).count();
     }
     return work;
 }
@@ -44,13 +46,27 @@
 
 std::int64_t LoadForecast::milliCpu(const std::string& queue, MonotonicInstant now) const
 {
+    const std::map<Requirement, std::int64_t> byClass = milliCpuByClass(queue, now);
+    const auto any = byClass.find(Requirement {});
+    return any == byClass.end() ? 0 : any->second;
+}
+
+std::map<Requirement, std::int64_t> LoadForecast::milliCpuByClass(const std::string& queue, MonotonicInstant now) const
+{
+    std::map<Requirement, std::int64_t> byClass;
     const auto found = m_queues.find(queue);
     if (found == m_queues.end())
-        return 0;
-    double work = 0;
-    for (const Arrival& arrival : found->second.arrivals)
-        work += now - arrival.at <= arrivalWindow ? arrival.work : 0;
-    return static_cast<std::int64_t>(work * found->second.ratio / arrivalWindow.count());
+        return byClass;
+    std::map<Requirement, double> sums;
+    for (const Arrival& arrival : found->second.arrivals) {
+        if (now - arrival.at > arrivalWindow)
+            continue;
+        for (const auto& [requirement, work] : arrival.work)
+            sums[requirement] += work;
+    }
+    for (const auto& [requirement, work] : sums)
+        byClass[requirement] = static_cast<std::int64_t>(work * found->second.ratio / arrivalWindow.count());
+    return byClass;
 }
 
 double LoadForecast::ratio(const std::string& queue) const
--- a/src/jobs/owner_state.cpp
+++ b/src/jobs/owner_state.cpp
@@ -29,6 +29,30 @@
     return queue ? queue->pool : job.record().pool;
 }
 
+std::uint32_t OwnerState::wantedLevelOf(const WorkerEntry& worker) const
+{
+    std::uint32_t level = 0;
+    if (wanted.empty())
+        return level;
+    for (const std::string& label : worker.labels) {
+        const auto found = wanted.find({ worker.pool, label });
+        level = found == wanted.end() ? level : std::max(level, found->second);
+    }
+    return level;
+}
+
+void OwnerState::noteInstances(const std::vector<FleetInstance>& instances)
+{
+    racks.clear();
+    shapes.clear();
+    for (const FleetInstance& instance : instances) {
+        racks.insert(instance.rack);
+        InstanceShape shape { .kind = instance.kind, .capacity = instance.capacity };
+        if (std::find(shapes.begin(), shapes.end(), shape) == shapes.end())
+            shapes.push_back(std::move(shape));
+    }
+}
+
 std::uint32_t OwnerState::mostAttemptsOf(const JobState& job) const
 {
     const QueueSettings* queue = configuration()->queue(job.record().queue);
--- a/src/jobs/owner_state.h
+++ b/src/jobs/owner_state.h
@@ -3,6 +3,7 @@
 /// What the owner of a shard knows while it owns it. Lives for one term of ownership.
 
 #include "lanemoor/adapters/event_log.h"
+#include "lanemoor/jobs/fleet_control.h"
 #include "lanemoor/jobs/job_scheduler.h"
 #include "lanemoor/jobs/job_state.h"
 #include "lanemoor/jobs/load_forecast.h"
@@ -11,7 +12,9 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace lanemoor::jobs {
 
@@ -22,6 +25,14 @@
     MonotonicInstant objective; ///< When it should have ended.
 };
 
+/// What instances there are, whatever their pool.
+struct InstanceShape {
+    std::string kind;
+    Resources capacity;
+
+    [[nodiscard]] bool operator==(const InstanceShape&) const = default;
+};
+
 /// \brief Jobs and workers of one term, and what the parts of the owner share.
 struct OwnerState {
     const JobSchedulerOptions& options;
@@ -33,11 +44,23 @@
     LoadForecast forecast;
     /// A step that found no room, and when the log told so last.
     struct WaitingStep {
+        MonotonicInstant since; ///< When it first found none.
         MonotonicInstant loggedAt;
         StepWait wait;
     };
     std::map<std::pair<std::string, StepId>, WaitingStep> waits; ///< By job and step.
     std::function<void()> requestPass; ///< Asks for placement soon.
+    std::set<std::string> racks; ///< Of all instances that the platform lists, whatever their pool.
+    std::vector<InstanceShape> shapes; ///< Of the same, each once.
+
+    std::map<std::string, PoolDemand> demands; ///< As last reckoned.
+    std::map<std::pair<std::string, std::string>, std::uint32_t> wanted; ///< Level by pool and label, of labels that tasks require.
+
+    /// \returns How much the labels of a worker are wanted in its pool.
+    [[nodiscard]] std::uint32_t wantedLevelOf(const WorkerEntry& worker) const;
+
+    /// \brief Takes in the platform's list.
+    void noteInstances(const std::vector<FleetInstance>& instances);
 
     [[nodiscard]] MonotonicInstant now() const { return options.loop->now(); }
     [[nodiscard]] std::shared_ptr<const ServiceConfiguration> configuration() const { return options.configuration(); }
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-bool hasLabel(const WorkerEntry& worker, const std::string& label)
+bool isFar(const PlacementSite& site, const StepSpec& step)
 {
-    return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+    return !step.preferredRack.empty() && !hasLabel(*site.worker, step.preferredRack);
 }
 
 bool fits(const PlacementSite& site, const StepSpec& step)
@@ -26,19 +26,23 @@
 }
 
 /// Smaller is better; the fields in the order in which they decide.
-using Rank = std::tuple<bool, bool, bool, bool, std::int64_t>;
+using Rank = std::tuple<bool, bool, bool, bool, std::uint32_t, std::int64_t>;
 
 Rank rankOf(const PlacementSite& site, const StepSpec& step, const PlacementQuery& query)
 {
-    const bool far = !step.preferredRack.empty() && !hasLabel(*site.worker, step.preferredRack);
     const bool avoided = site.worker->id == query.avoidWorker;
     // Best-effort tasks take no processor time of their own: fewest of them on a site first.
     const std::int64_t fullness = step.bestEffort ? std::int64_t { site.bestEffortTasks } : site.free.milliCpu;
-    return { avoided, !site.preferred, far, wouldMix(site, step), fullness };
+    return { avoided, !site.preferred, isFar(site, step), wouldMix(site, step), step.requiredLabel.empty() ? site.wanted : 0, fullness };
 }
 
 } // namespace
 
+bool hasLabel(const WorkerEntry& worker, std::string_view label) noexcept
+{
+    return std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+}
+
 Resources footprint(const StepSpec& step) noexcept
 {
     Resources needs = step.needs;
@@ -47,6 +51,15 @@
     return needs;
 }
 
+std::uint32_t wantedLevel(std::int64_t demandMilliCpu, std::int64_t supplyMilliCpu) noexcept
+{
+    constexpr std::int64_t levels = 8;
+    constexpr std::int64_t highest = 16;
+    if (demandMilliCpu <= 0)
+        return 0;
+    return static_cast<std::uint32_t>(std::min(1 + demandMilliCpu * levels / std::max<std::int64_t>(supplyMilliCpu, 1), highest));
+}
+
 std::int64_t asMilliCpu(const Resources& used, const Resources& capacity) noexcept
 {
     const auto scaled = [&](std::int64_t part, std::int64_t whole) { return whole > 0 ? part * capacity.milliCpu / whole : 0; };
@@ -66,6 +79,8 @@
         const PlacementSite& site = m_sites[i];
         if (!fits(site, step) || (!query.rack.empty() && site.worker->rack != query.rack))
             continue;
+        if (query.nearOnly && isFar(site, step))
+            continue;
         if (query.admits && !query.admits(i))
             continue;
         if (step.mostPerInstance > 0 && query.tasksOfStep && query.tasksOfStep(i) >= step.mostPerInstance)
--- a/src/jobs/placement_pass.cpp
+++ b/src/jobs/placement_pass.cpp
@@ -87,6 +87,7 @@
             continue;
         sites.books.push_back(&book);
         list.push_back(book.site(m_state.now()));
+        list.back().wanted = m_state.wantedLevelOf(book.entry);
     }
     sites.placer.emplace(std::move(list));
     return sites;
@@ -130,16 +131,35 @@
     return ticket == m_tickets->end() ? std::string() : ticket->second;
 }
 
+/// A task waits for room near its data as long as the work far from it would take longer: at the
+/// most it then ends twice as late as with the better choice.
+bool PlacementPass::mayGoFar(const Candidate& candidate)
+{
+    const PlacementOptions& options = m_state.options.placement;
+    const StepSpec& step = candidate.job->state.spec(candidate.step.step);
+    if (step.preferredRack.empty() || !options.waitsForRack || !m_state.racks.contains(step.preferredRack))
+        return true;
+    const auto waiting = m_state.waits.find({ candidate.job->state.id(), candidate.step });
+    const MonotonicInstant since = waiting == m_state.waits.end() ? m_state.now() : waiting->second.since;
+    const double longer = (options.farFactor - 1) * m_state.forecast.ratio(candidate.job->state.record().queue);
+    const MonotonicInstant until = since + std::chrono::duration_cast<Millis>(step.estimate * longer);
+    if (m_state.now() >= until)
+        return true;
+    wakeAt(until);
+    return false;
+}
+
 void PlacementPass::placeEach(const Candidate& candidate, PoolSites& sites, const std::string& pool)
 {
     const StepSpec& step = candidate.job->state.spec(candidate.step.step);
     PlacementQuery query = queryFor(candidate, sites);
+    query.nearOnly = !mayGoFar(candidate);
     for (std::size_t i = 0; i < candidate.tasks.size(); ++i) {
         const TaskId& task = candidate.tasks[i];
         query.avoidWorker = candidate.job->state.find(task)->avoidWorker;
         const std::optional<std::size_t> site = sites.placer->choose(step, query);
         if (!site) {
-            noteWaiting(step, sites, pool, candidate.tasks.size() - i);
+            noteWaiting(step, pool, candidate.tasks.size() - i);
             noteWait(candidate, sites, query, candidate.tasks.size() - i);
             return;
         }
@@ -150,39 +170,52 @@
 }
 
 /// Counts what more instances would help: a task too large for any of them waits in vain.
-void PlacementPass::noteWaiting(const StepSpec& step, const PoolSites& sites, const std::string& pool, std::size_t tasks)
+void PlacementPass::noteWaiting(const StepSpec& step, const std::string& pool, std::size_t tasks)
 {
-    Resources capacity;
-    for (const auto& [id, book] : m_state.workers) {
-        const bool better = book.entry.capacity.milliCpu > capacity.milliCpu;
-        if (better && (sites.books.empty() || book.entry.pool == pool))
-            capacity = book.entry.capacity;
-    }
     const Resources needs = footprint(step);
-    if (capacity.milliCpu == 0 || capacity.covers(needs))
-        m_waiting[pool] += std::max<std::int64_t>(asMilliCpu(needs, capacity), 1) * static_cast<std::int64_t>(tasks);
+    Resources capacity; // Of the largest instance that could run it.
+    for (const InstanceShape& shape : m_state.shapes) {
+        const bool isLabelled = step.requiredLabel.empty() || step.requiredLabel == shape.kind || m_state.racks.contains(step.requiredLabel);
+        if (isLabelled && shape.capacity.covers(needs) && shape.capacity.milliCpu > capacity.milliCpu)
+            capacity = shape.capacity;
+    }
+    if (!m_state.shapes.empty() && capacity.milliCpu == 0)
+        return;
+    for (const Requirement& requirement : requirementsOf(step)) {
+        WaitingTasks& waiting = m_waiting[pool][requirement];
+        waiting.milliCpu += std::max<std::int64_t>(asMilliCpu(needs, capacity), 1) * static_cast<std::int64_t>(tasks);
+        waiting.largest.milliCpu = std::max(waiting.largest.milliCpu, needs.milliCpu);
+        waiting.largest.memoryMb = std::max(waiting.largest.memoryMb, needs.memoryMb);
+        waiting.largest.accelerators = std::max(waiting.largest.accelerators, needs.accelerators);
+    }
 }
 
 /// Notes why a step waits, and logs it seldom enough for steps that wait long.
 void PlacementPass::noteWait(const Candidate& candidate, const PoolSites& sites, const PlacementQuery& query, std::size_t tasks)
 {
     const MonotonicInstant now = m_state.now();
-    const auto [place, first] = m_state.waits.emplace(std::pair(candidate.job->state.id(), candidate.step), OwnerState::WaitingStep { .loggedAt = now, .wait = {} });
+    const auto [place, first] = m_state.waits.emplace(std::pair(candidate.job->state.id(), candidate.step), OwnerState::WaitingStep { .since = now, .loggedAt = now, .wait = {} });
     OwnerState::WaitingStep& waiting = place->second;
     if (!first && now - waiting.loggedAt < waitLogPause)
         return;
     const StepSpec& step = candidate.job->state.spec(candidate.step.step);
     const std::vector<PlacementSite>& list = sites.placer->sites();
-    StepWait wait { .tasks = static_cast<std::uint32_t>(tasks), .workers = static_cast<std::uint32_t>(list.size()) };
+    StepWait wait { .tasks = static_cast<std::uint32_t>(tasks), .workers = static_cast<std::uint32_t>(list.size()), .label = step.requiredLabel, .rack = step.preferredRack };
     for (std::size_t i = 0; i < list.size(); ++i) {
+        const bool hasRoom = list[i].open && list[i].free.covers(footprint(step));
+        const bool isLabelled = step.requiredLabel.empty() || hasLabel(*list[i].worker, step.requiredLabel);
         wait.open += list[i].open ? 1 : 0;
-        wait.withRoom += list[i].open && list[i].free.covers(footprint(step)) ? 1 : 0;
+        wait.withRoom += hasRoom ? 1 : 0;
+        wait.labelled += isLabelled ? 1 : 0;
+        wait.labelledWithRoom += isLabelled && hasRoom ? 1 : 0;
+        wait.near += !step.preferredRack.empty() && list[i].worker->rack == step.preferredRack ? 1 : 0;
         wait.belowSpread += step.mostPerInstance == 0 || query.tasksOfStep(i) < step.mostPerInstance ? 1 : 0;
     }
-    waiting = { .loggedAt = now, .wait = wait };
+    waiting.loggedAt = now;
+    waiting.wait = wait;
     m_state.options.log->decision("step-waits",
         { { "job", candidate.job->state.id() }, { "step", std::int64_t { candidate.step.step } }, { "tasks", std::int64_t { wait.tasks } }, { "sites", std::int64_t { wait.workers } }, { "open", std::int64_t { wait.open } },
-            { "with_room", std::int64_t { wait.withRoom } }, { "below_spread_limit", std::int64_t { wait.belowSpread } }, { "memory_mb", step.needs.memoryMb }, { "milli_cpu", footprint(step).milliCpu } });
+            { "with_room", std::int64_t { wait.withRoom } }, { "label", wait.label }, { "labelled", std::int64_t { wait.labelled } }, { "labelled_with_room", std::int64_t { wait.labelledWithRoom } }, { "rack", wait.rack }, { "near", std::int64_t { wait.near } }, { "below_spread_limit", std::int64_t { wait.belowSpread } }, { "memory_mb", step.needs.memoryMb }, { "milli_cpu", footprint(step).milliCpu } });
 }
 
 void PlacementPass::placeGang(const Candidate& candidate, PoolSites& sites, const std::string& pool)
@@ -203,7 +236,7 @@
         }
     }
     if (!placeGangIn(candidate, sites, {}))
-        noteWaiting(step, sites, pool, step.count);
+        noteWaiting(step, pool, step.count);
 }
 
 bool PlacementPass::placeGangIn(const Candidate& candidate, PoolSites& sites, const std::string& rack)
--- a/src/jobs/placement_pass.h
+++ b/src/jobs/placement_pass.h
@@ -19,8 +19,10 @@
     /// \returns When the next task or occurrence becomes startable by time alone, if any does.
     std::optional<MonotonicInstant> run();
 
-    /// \returns What found no room in the last run, by pool, in thousandths of a core.
-    [[nodiscard]] const std::map<std::string, std::int64_t>& waiting() const noexcept { return m_waiting; }
+    using Waiting = std::map<std::string, std::map<Requirement, WaitingTasks>>;
+
+    /// \returns What found no room in the last run, by pool and requirement class.
+    [[nodiscard]] const Waiting& waiting() const noexcept { return m_waiting; }
 
 private:
     struct Candidate {
@@ -42,10 +44,11 @@
     PoolSites& sitesOf(const std::string& pool);
     void place(const Candidate& candidate, const std::string& pool);
     void placeEach(const Candidate& candidate, PoolSites& sites, const std::string& pool);
-    void noteWaiting(const StepSpec& step, const PoolSites& sites, const std::string& pool, std::size_t tasks);
+    void noteWaiting(const StepSpec& step, const std::string& pool, std::size_t tasks);
     void noteWait(const Candidate& candidate, const PoolSites& sites, const PlacementQuery& query, std::size_t tasks);
     void placeGang(const Candidate& candidate, PoolSites& sites, const std::string& pool);
     bool placeGangIn(const Candidate& candidate, PoolSites& sites, const std::string& rack);
+    [[nodiscard]] bool mayGoFar(const Candidate& candidate);
     [[nodiscard]] PlacementQuery queryFor(const Candidate& candidate, const PoolSites& sites) const;
     [[nodiscard]] std::string ticketFor(const WorkerBook& book) const;
     void wakeAt(MonotonicInstant when);
@@ -56,7 +59,7 @@
     std::function<bool()> m_isSettled;
     std::map<std::string, std::vector<Candidate>> m_candidates; ///< By pool.
     std::map<std::string, PoolSites> m_sites;
-    std::map<std::string, std::int64_t> m_waiting;
+    Waiting m_waiting;
     std::optional<MonotonicInstant> m_wake;
     const std::map<std::string, std::string>* m_tickets = nullptr; ///< Of the step being placed; null: none needed.
 };
--- a/src/state/json_document.cpp
+++ b/src/state/json_document.cpp
@@ -323,6 +323,18 @@
     return number;
 }
 
+std::optional<bool> ObjectReader::boolean(const char* name)
+{
+    const nlohmann::json* value = take(name, false);
+    if (!value)
+        return std::nullopt;
+    if (!value->is_boolean()) {
+        fault(DocumentFaultCode::WrongType, name, "true or false is expected");
+        return std::nullopt;
+    }
+    return value->get<bool>();
+}
+
 std::vector<std::string> ObjectReader::strings(const char* name)
 {
     std::vector<std::string> result;
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -121,6 +121,11 @@
         breach("BUDGET", nameOf(attempt.job, attempt.task) + " starts after its last attempt");
     if (!late && job.cancelledAt && m_clock.now() - *job.cancelledAt > cancelBound)
         breach("UNASKED", nameOf(attempt.job, attempt.task) + " starts though its job was cancelled");
+    if (labelsOf && !step.requiredLabel.empty()) {
+        const std::vector<std::string> labels = labelsOf(worker);
+        if (std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end())
+            breach("ROUTE", nameOf(attempt.job, attempt.task) + " starts on " + worker + " without its label");
+    }
     m_running[task].insert(worker);
     m_awaySince.erase(task);
     if (m_takenByOrder.contains(task))
@@ -242,6 +247,10 @@
 {
     workers.witness = &witness;
     witness.onBreach = [this](const Breach& breach) { m_log.change("breach", { { "rule", breach.rule }, { "detail", breach.detail } }); };
+    witness.labelsOf = [this](const std::string& worker) {
+        const WorkerModel* model = workers.find(worker);
+        return model ? model->entry.labels : std::vector<std::string> {};
+    };
     workers.runTimes = [](const Attempt&) { return Millis(500); };
     workers.stepOf = [this](const Attempt& attempt) {
         const JobSpec* job = witness.job(attempt.job);
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -48,6 +48,7 @@
     }
 
     std::function<void(const Breach&)> onBreach; ///< Null: nobody is told at once.
+    std::function<std::vector<std::string>(const std::string& worker)> labelsOf; ///< Null: labels are not checked.
 
     void noteSubmitted(const std::string& id, const jobs::JobSpec& spec, std::uint32_t mostAttempts);
     void noteCancelSent(const std::string& id);
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -23,9 +23,9 @@
 {
 }
 
-void WorkersModel::addInstance(const std::string& id, const std::string& pool, const std::string& rack, Resources capacity)
+void WorkersModel::addInstance(const std::string& id, const std::string& pool, const std::string& rack, Resources capacity, const std::string& kind)
 {
-    m_instances[id] = { .id = id, .pool = pool, .state = FleetState::Up, .dataHall = "hall", .kind = "a", .rack = rack, .capacity = capacity, .worker = {} };
+    m_instances[id] = { .id = id, .pool = pool, .state = FleetState::Up, .dataHall = "hall", .kind = kind, .rack = rack, .capacity = capacity, .worker = {} };
     beginLife(id);
 }
 
@@ -166,7 +166,8 @@
     used += step.needs;
     if (!model.entry.capacity.covers(used))
         return refuse(OrderOutcome::NoRoom);
-    const Millis time = runTimes(order.attempt);
+    const bool isFar = !step.preferredRack.empty() && step.preferredRack != model.entry.rack;
+    const Millis time = isFar ? std::chrono::duration_cast<Millis>(runTimes(order.attempt) * farFactor) : runTimes(order.attempt);
     WorkerModel::Run run { .checkpoint = order.checkpoint, .startedAt = m_clock.now(), .endsAt = m_clock.now() + time, .needs = step.needs, .longRunning = step.longRunning };
     std::uniform_real_distribution<double> share(0, 1);
     const AttemptEnd end = share(m_random) < model.trouble.failing ? AttemptEnd::Failed : AttemptEnd::Succeeded;
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -90,6 +90,7 @@
     WorkersModel(SimClock& clock, std::mt19937_64& random);
 
     RunTimes runTimes;
+    double farFactor = 2.0; ///< Work away from the rack of its data takes this many times as long.
     /// \returns What a task needs; the model knows it as a real worker does from the payload.
     std::function<jobs::StepSpec(const jobs::Attempt&)> stepOf;
     WorkerWitness* witness = nullptr;
@@ -102,7 +103,7 @@
     Millis maintenanceTime { 2'000 };
 
     /// \brief Adds an instance; a worker starts on it unless its pool is a reserve.
-    void addInstance(const std::string& id, const std::string& pool, const std::string& rack, jobs::Resources capacity);
+    void addInstance(const std::string& id, const std::string& pool, const std::string& rack, jobs::Resources capacity, const std::string& kind = "a");
 
     void addReserve(const std::string& pool) { m_reserves.insert(pool); }
 
--- a/tests/jobs/plan_test.cpp
+++ b/tests/jobs/plan_test.cpp
@@ -28,11 +28,20 @@
     return { .worker = &worker, .free = { .milliCpu = freeMilliCpu, .memoryMb = 1'000 } };
 }
 
+PoolInstance instance(const std::string& id, const std::string& kind = "a", const std::string& rack = "r")
+{
+    return { .instance = id, .kind = kind, .rack = rack, .capacity = { .milliCpu = 10'000, .memoryMb = 1'000 }, .idleSince = std::nullopt };
+}
+
+/// Moves away first come those that are idle, which are the first of the pool.
 PoolLoad pool(const std::string& name, std::uint32_t instances, std::int64_t demandCores, std::size_t idle)
 {
-    PoolLoad load { .pool = name, .instances = instances, .instanceMilliCpu = 10'000, .demandMilliCpu = demandCores * 1'000, .idle = {} };
-    for (std::size_t i = 0; i < idle; ++i)
-        load.idle.push_back({ name + std::to_string(i), "a", start - Millis(10'000) });
+    PoolLoad load { .pool = name, .requirements = { { Requirement {}, { .demandMilliCpu = demandCores * 1'000 } } }, .instances = {} };
+    for (std::size_t i = 0; i < instances; ++i) {
+        load.instances.push_back(instance(name + std::to_string(i)));
+        if (i < idle)
+            load.instances.back().idleSince = start - Millis(10'000);
+    }
     return load;
 }
 
@@ -101,7 +110,7 @@
 TEST_CASE("A short pool gets instances from the reserve first, then from idle ones elsewhere")
 {
     CapacityPlan plan(exact());
-    const auto moves = plan.next({ pool("a", 2, 60, 0), pool("b", 8, 0, 8), reserve(2) }, start);
+    const auto moves = plan.next({ pool("a", 2, 60, 0), pool("b", 8, 0, 8), reserve(2) }, start).moves;
     CHECK(movesTo(moves, "a") == 4);
     CHECK(std::count_if(moves.begin(), moves.end(), [](const CapacityMove& move) { return move.from == "off"; }) == 2);
     CHECK(plan.isShort());
@@ -111,39 +120,39 @@
 {
     CapacityPlan plan(exact());
     PoolLoad spread = pool("a", 8, 0, 8);
-    spread.leastInstances = 5;
-    CHECK(plan.next({ spread, reserve(0) }, start).size() == 2);
+    spread.requirements[{}].leastInstances = 5;
+    CHECK(plan.next({ spread, reserve(0) }, start).moves.size() == 2);
     PoolLoad fresh = pool("a", 8, 0, 8);
-    for (IdleInstance& idle : fresh.idle)
+    for (PoolInstance& idle : fresh.instances)
         idle.idleSince = start;
-    CHECK(plan.next({ fresh, reserve(0) }, start + Millis(500)).empty());
+    CHECK(plan.next({ fresh, reserve(0) }, start + Millis(500)).moves.empty());
 }
 
 TEST_CASE("A pool without instances has a target, and one that was watched too short keeps its own")
 {
     // Found on prc-montevideo quiet-1: a pool that was emptied never got an instance again.
     CapacityPlan plan(exact());
-    CHECK(movesTo(plan.next({ pool("a", 0, 30, 0), reserve(9) }, start), "a") == 3);
+    CHECK(movesTo(plan.next({ pool("a", 0, 30, 0), reserve(9) }, start).moves, "a") == 3);
     CapacityPlan young(CapacityOptions {});
     PoolLoad quiet = pool("a", 8, 0, 8);
-    CHECK(young.next({ quiet, reserve(0) }, start).empty());
+    CHECK(young.next({ quiet, reserve(0) }, start).moves.empty());
     // Found on tellelag-drift-grown quiet-1: pools were switched off before the first job came.
-    CHECK(young.next({ quiet, reserve(0) }, start + Millis(14'000)).empty());
+    CHECK(young.next({ quiet, reserve(0) }, start + Millis(14'000)).moves.empty());
     PoolLoad busy = quiet;
     busy.hasArrivals = true;
-    CHECK(young.next({ busy, reserve(0) }, start + Millis(14'000)).empty());
-    CHECK(young.next({ quiet, reserve(0) }, start + Millis(16'900)).empty());
-    CHECK_FALSE(young.next({ quiet, reserve(0) }, start + Millis(17'000)).empty());
+    CHECK(young.next({ busy, reserve(0) }, start + Millis(14'000)).moves.empty());
+    CHECK(young.next({ quiet, reserve(0) }, start + Millis(16'900)).moves.empty());
+    CHECK_FALSE(young.next({ quiet, reserve(0) }, start + Millis(17'000)).moves.empty());
     CapacityPlan idle(CapacityOptions {});
-    CHECK(idle.next({ quiet, reserve(0) }, start).empty());
-    CHECK_FALSE(idle.next({ quiet, reserve(0) }, start + Millis(60'000)).empty());
+    CHECK(idle.next({ quiet, reserve(0) }, start).moves.empty());
+    CHECK_FALSE(idle.next({ quiet, reserve(0) }, start + Millis(60'000)).moves.empty());
 }
 
 TEST_CASE("An instance whose kind a pool refused is not offered to it again")
 {
     CapacityPlan plan(exact());
     plan.noteRefused("a", "needy");
-    CHECK(plan.next({ pool("needy", 1, 50, 0), reserve(3) }, start).empty());
+    CHECK(plan.next({ pool("needy", 1, 50, 0), reserve(3) }, start).moves.empty());
 }
 
 TEST_CASE("Maintenance takes what is off first, never more than may be down, and then the emptiest")
--- a/tests/jobs/support.h
+++ b/tests/jobs/support.h
@@ -47,6 +47,26 @@
     return std::string(16 - id.size(), '0') + id;
 }
 
+/// \returns Two queues, `work` on pool `main` and `other` on pool `side`, beside a reserve.
+[[nodiscard]] inline ServiceConfiguration twoPools()
+{
+    ServiceConfiguration configuration = smallConfiguration(2);
+    QueueSettings other = configuration.queues.front();
+    other.name = "other";
+    other.pathPrefix = "/o/";
+    other.pool = "side";
+    configuration.queues.push_back(other);
+    configuration.pools.push_back({ .name = "side" });
+    return configuration;
+}
+
+/// \returns A step that needs a label.
+[[nodiscard]] inline StepSpec labelled(StepSpec spec, const std::string& label)
+{
+    spec.requiredLabel = label;
+    return spec;
+}
+
 /// A cluster with `instances` in the pool and `reserve` beside it, four to a rack.
 struct SmallCluster : model::JobCluster {
     explicit SmallCluster(std::uint64_t seed = 1, std::size_t entries = 3, std::size_t instances = 4, std::size_t reserve = 2)
