Ask for one instance more than those there while tasks wait, not one more each round

Change: what waits asks for one more than the instances that take work now; one that comes counts as that.

--- a/include/lanemoor/jobs/capacity_plan.h
+++ b/include/lanemoor/jobs/capacity_plan.h
@@ -107,7 +107,7 @@
 
     [[nodiscard]] Balance balanceOf(const PoolLoad& pool, MonotonicInstant now);
     [[nodiscard]] std::int64_t highestOfLate(const PoolLoad& pool, const Requirement& requirement, std::int64_t demand, MonotonicInstant now);
-    [[nodiscard]] CapacityNeed needOf(const Requirement& requirement, const RequirementLoad& load, std::int64_t milliCpu, std::uint32_t instances) const;
+    [[nodiscard]] CapacityNeed needOf(const Requirement& requirement, const RequirementLoad& load, std::int64_t milliCpu, std::uint32_t present) const;
     void undrain(std::vector<Balance>& pools, std::vector<std::string>& undrains) const;
     void relieve(std::vector<Balance>& pools, std::vector<CapacityMove>& moves) const;
     void share(std::vector<Balance>& pools, std::vector<CapacityDrain>& drains) const;
--- a/include/lanemoor/jobs/pool_load.h
+++ b/include/lanemoor/jobs/pool_load.h
@@ -21,6 +21,7 @@
     std::string rack;
     Resources capacity;
     bool sound = true; ///< Takes work now, or will when it is there.
+    bool coming = false; ///< On its way to the pool, or not back from maintenance: it takes no work yet.
     std::optional<MonotonicInstant> idleSince; ///< It is up, has nothing to run, and could be moved now.
     std::string drainable; ///< The worker, if it runs only what ends by itself and could be emptied; else empty.
     std::uint32_t attempts = 0; ///< Not over on its worker.
--- a/src/jobs/capacity_plan.cpp
+++ b/src/jobs/capacity_plan.cpp
@@ -12,17 +12,20 @@
 struct Supply {
     double milliCpu = 0;
     std::uint32_t instances = 0;
+    std::uint32_t present = 0; ///< Of the instances, those that take work now.
 
     void add(const PoolInstance& instance)
     {
         milliCpu += static_cast<double>(instance.capacity.milliCpu);
         ++instances;
+        present += instance.coming ? 0 : 1;
     }
 
     void remove(const PoolInstance& instance)
     {
         milliCpu -= static_cast<double>(instance.capacity.milliCpu);
         --instances;
+        present -= instance.coming ? 0 : 1;
     }
 
     [[nodiscard]] bool covers(const CapacityNeed& need) const { return milliCpu >= need.milliCpu && instances >= need.instances; }
@@ -151,15 +154,16 @@
     return samples.front().milliCpu;
 }
 
-/// \param instances Sound instances of the class that the pool has.
-CapacityNeed CapacityPlan::needOf(const Requirement& requirement, const RequirementLoad& load, std::int64_t milliCpu, std::uint32_t instances) const
+/// \param present Instances of the class that take work now.
+CapacityNeed CapacityPlan::needOf(const Requirement& requirement, const RequirementLoad& load, std::int64_t milliCpu, std::uint32_t present) const
 {
     const bool isAny = requirement.label.empty();
     CapacityNeed need { .milliCpu = static_cast<double>(milliCpu) * m_options.margin / m_options.packing };
     // One more than what must be spread, so that one can fail or be maintained.
     const std::uint32_t spread = load.leastInstances > 0 ? load.leastInstances + 1 : 0;
-    // What waits found no room on any instance, whatever the sum of what is free.
-    const std::uint32_t more = load.hasWaiting ? instances + 1 : 0;
+    // What waits found no room on any instance, whatever the sum of what is free. One that comes
+    // may be enough.
+    const std::uint32_t more = load.hasWaiting ? present + 1 : 0;
     need.instances = std::max({ isAny ? m_options.leastInstances : 0, spread, more });
     return need;
 }
@@ -179,7 +183,7 @@
     std::int64_t demand = 0;
     for (const auto& [requirement, load] : pool.requirements)
         demand += requirement.preferred ? 0 : load.demandMilliCpu;
-    const CapacityNeed need = needOf(any->first, any->second, demand, sound.instances);
+    const CapacityNeed need = needOf(any->first, any->second, demand, sound.present);
     const double mean = all.instances > 0 ? all.milliCpu / all.instances : 0;
     const auto byCpu = mean > 0 ? static_cast<std::uint32_t>(std::ceil(need.milliCpu / mean)) : 0;
     return std::max(byCpu, need.instances) + (all.instances - sound.instances);
@@ -196,8 +200,8 @@
             if (instance.sound && instance.has(requirement.label))
                 each.supply.add(instance);
         }
-        each.now = needOf(requirement, load, load.demandMilliCpu, each.supply.instances);
-        each.ofLate = needOf(requirement, load, highestOfLate(pool, requirement, load.demandMilliCpu, now), each.supply.instances);
+        each.now = needOf(requirement, load, load.demandMilliCpu, each.supply.present);
+        each.ofLate = needOf(requirement, load, highestOfLate(pool, requirement, load.demandMilliCpu, now), each.supply.present);
         balance.classes.push_back(std::move(each));
     }
     for (const PoolInstance& instance : pool.instances) {
--- a/src/jobs/fleet_keeper.cpp
+++ b/src/jobs/fleet_keeper.cpp
@@ -416,6 +416,7 @@
         if (draining != m_draining.end())
             seen.drainingFrom = draining->second.from;
         seen.sound = !isUp || reserve || !use || isSound || m_moving.contains(instance.id) || draining != m_draining.end();
+        seen.coming = !reserve && (!isUp || !use || m_moving.contains(instance.id) || draining != m_draining.end());
         if (isOrdered(instance.id) || isBlocked(instance.id))
             return seen;
         if (isUp && !reserve && isSound && use->attempts > 0 && use->longRunning == 0) {
