Empty busy instances for tasks that run anywhere only as fair shares ask

Pools of timed jobs ask for little between due times and lost what ran. Change: only for tasks that need a label; for others the gap between the two pools decides, as before.

--- a/src/jobs/capacity_plan.cpp
+++ b/src/jobs/capacity_plan.cpp
@@ -125,7 +125,7 @@
     /// \returns Whether a busy instance may be emptied for a class of another pool.
     [[nodiscard]] bool mayDrain(const PoolInstance& instance, const ClassBalance& lacking, double gap) const
     {
-        if (mayGive(instance, lacking) && (instance.longRunning == 0 || lacking.isRequired()))
+        if (lacking.isRequired() && mayGive(instance, lacking))
             return true;
         if (instance.longRunning > 0)
             return false;
