Put off evacuations whose tasks need the kind and find no room, whatever others of the kind there are

Change: a worker with tasks that last and need its kind is emptied for 8 s at a time, with 4 s of work between.

--- a/include/lanemoor/jobs/maintenance_plan.h
+++ b/include/lanemoor/jobs/maintenance_plan.h
@@ -23,7 +23,8 @@
     bool up = true; ///< As the list says; others can't be taken.
     bool evacuating = false;
     std::uint32_t attempts = 0; ///< Not over on its worker.
-    bool stays = false; ///< It runs what can run nowhere else: it is left alone until another can.
+    bool pinned = false; ///< It runs tasks that last and need an instance of its kind.
+    bool lastOfKind = false; ///< No other sound instance of its pool is of its kind.
     MonotonicInstant evacuatingSince; ///< Meaningful while evacuating.
 };
 
--- a/src/jobs/fleet_keeper.cpp
+++ b/src/jobs/fleet_keeper.cpp
@@ -382,7 +382,8 @@
                 candidate.evacuating = use->second.evacuating;
                 candidate.attempts = use->second.attempts;
                 candidate.up = candidate.up && use->second.known;
-                candidate.stays = use->second.pinned > 0 && isLastOfKind(instance, uses);
+                candidate.pinned = use->second.pinned > 0;
+                candidate.lastOfKind = candidate.pinned && isLastOfKind(instance, uses);
                 candidate.evacuatingSince = use->second.evacuatingSince;
             } else if (!candidate.reserve) {
                 // A worker that is not known here may run what nobody has looked at.
--- a/src/jobs/maintenance_plan.cpp
+++ b/src/jobs/maintenance_plan.cpp
@@ -16,9 +16,9 @@
 constexpr std::uint32_t poolShare = 4;
 /// A wave that is paced ends after this share of its time; the rest is for what goes wrong.
 constexpr double pacedShare = 0.6;
-/// A worker with tasks that can go nowhere else is emptied for so long: another may be on its way,
-/// which takes 1.5 s, and tasks start on it.
-constexpr Millis patience { 4'000 };
+/// A worker with tasks that need its kind is emptied for so long at a time, since they may find no room
+/// elsewhere: another may be on its way, which takes 1.5 s, and tasks go one after the other.
+constexpr Millis patience { 8'000 };
 /// Then it has work again for so long.
 constexpr Millis putOff { 4'000 };
 /// Of one instance's maintenance, with the time to empty it.
@@ -83,12 +83,12 @@
             --slots;
             continue;
         }
-        if (candidate->evacuating && candidate->stays && now - candidate->evacuatingSince > patience) {
+        if (candidate->evacuating && candidate->pinned && now - candidate->evacuatingSince > patience) {
             m_retryAt[candidate->instance] = now + putOff;
             step.release.push_back(candidate->worker);
             continue;
         }
-        if (evacuations == 0 || (candidate->stays && !candidate->evacuating))
+        if (evacuations == 0 || (candidate->pinned && candidate->lastOfKind && !candidate->evacuating))
             continue;
         --evacuations;
         if (candidate->evacuating)
--- a/tests/jobs/plan_test.cpp
+++ b/tests/jobs/plan_test.cpp
@@ -181,6 +181,24 @@
     CHECK(plan.isFinished());
 }
 
+TEST_CASE("A worker that can't be emptied because of its kind has work again for a while")
+{
+    // Found on a changed deployment: an instance stood half empty to the end of the day, since the other one
+    // of its kind was full, while tasks waited for that kind.
+    MaintenancePlan plan({ .number = 1, .instances = { "a" }, .duration = Millis(60'000), .mostAtOnce = 2 }, {}, start);
+    MaintenanceCandidate candidate { .instance = "a", .pool = "main", .worker = "wa", .attempts = 2, .pinned = true };
+    CHECK(plan.next({ candidate }, false, start).evacuate == std::vector<std::string> { "wa" });
+    candidate.evacuating = true;
+    candidate.evacuatingSince = start;
+    CHECK(plan.next({ candidate }, false, start + Millis(5'000)).release.empty());
+    CHECK(plan.next({ candidate }, false, start + Millis(8'001)).release == std::vector<std::string> { "wa" });
+    candidate.evacuating = false;
+    CHECK(plan.next({ candidate }, false, start + Millis(9'000)).evacuate.empty());
+    CHECK(plan.next({ candidate }, false, start + Millis(13'000)).evacuate == std::vector<std::string> { "wa" });
+    candidate.lastOfKind = true;
+    CHECK(plan.next({ candidate }, false, start + Millis(13'000)).evacuate.empty());
+}
+
 TEST_CASE("A wave is paced while a pool is short, and hurries when its time runs out")
 {
     std::vector<std::string> instances;
