--- a/src/jobs/capacity_plan.cpp
+++ b/src/jobs/capacity_plan.cpp
@@ -317,7 +317,7 @@
 {
     for (Balance& pool : pools) {
         for (const PoolInstance& instance : pool.load->instances) {
-            if (instance.drainingFrom.empty() || !pool.canSpare(instance, &ClassBalance::now))
+            if (instance.drainingFrom.empty() || !pool.canSpare(instance, &ClassBalance::ofLate) || !pool.canSpare(instance, &ClassBalance::now))
                 continue;
             undrains.push_back(instance.instance);
             pool.give(instance);
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -368,12 +368,13 @@
             return;
         OwnerState& state = m_term->state;
         const std::uint64_t base = (state.ownership.term - 1) * attemptsPerTerm;
-        auto [place, inserted] = state.jobs.emplace(id, OwnerJob { JobState(id, entry.record, entry.progress, base), inherited, {} });
+        auto [place, inserted] = state.jobs.emplace(id, OwnerJob { JobState(id, entry.record, entry.progress, base), inherited, {}, Millis(0) });
         OwnerJob& job = place->second;
         const Millis age = m_options.loop->timeOfDay() - entry.record->acceptedAt;
         const QueueSettings* queue = state.configuration()->queue(entry.record->queue);
         const double stretch = queue ? queue->stretch : 1.0;
-        const Millis allowed(static_cast<std::int64_t>(stretch * static_cast<double>(longestChain(entry.record->spec).count())));
+        job.chain = longestChain(entry.record->spec);
+        const Millis allowed(static_cast<std::int64_t>(stretch * static_cast<double>(job.chain.count())));
         job.objective = state.now() - age + allowed + (queue ? queue->latencyTarget : Millis(0));
         if (inherited)
             job.state.openOccurrences(m_options.loop->timeOfDay());
--- a/src/jobs/job_service_settings.cpp
+++ b/src/jobs/job_service_settings.cpp
@@ -86,7 +86,11 @@
         readSwitch(capacity, "leastFirst", policies.capacity.leastFirst);
     });
     reader.object("lookup", [&](ObjectReader& lookup) { readSwitch(lookup, "readsThrough", policies.lookup.readsThrough); });
-    reader.object("placement", [&](ObjectReader& placement) { readSwitch(placement, "waitsForRack", policies.placement.waitsForRack); });
+    reader.object("placement", [&](ObjectReader& placement) {
+        readSwitch(placement, "waitsForRack", policies.placement.waitsForRack);
+        readSwitch(placement, "hopelessLast", policies.placement.hopelessLast);
+        readNumber(placement, "hopelessShare", 0, mostMargin, policies.placement.hopelessShare);
+    });
 }
 
 JobServiceSettings readSettings(ObjectReader& reader)
--- a/src/jobs/owner_state.h
+++ b/src/jobs/owner_state.h
@@ -23,6 +23,7 @@
     JobState state;
     bool inherited = false; ///< From before this term: its tasks may run where nobody has looked yet.
     MonotonicInstant objective; ///< When it should have ended.
+    Millis chain { 0 }; ///< Declared work time of its longest chain of steps.
 };
 
 /// What instances there are, whatever their pool.
--- a/src/jobs/placement_pass.cpp
+++ b/src/jobs/placement_pass.cpp
@@ -34,7 +34,7 @@
         collect(job, *configuration);
     }
     for (auto& [pool, candidates] : m_candidates) {
-        std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return std::tie(a.priority, a.objective) < std::tie(b.priority, b.objective); });
+        std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return std::tie(a.priority, a.hopeless, a.objective) < std::tie(b.priority, b.hopeless, b.objective); });
         for (const Candidate& candidate : candidates)
             place(candidate, pool);
     }
@@ -55,10 +55,24 @@
         wakeAt(m_state.now() + std::max(Millis(1), *due - timeOfDay));
 }
 
+/// Under overload every job would end a little late if the oldest always came first; those that
+/// can still make it come before those that can't. What has begun goes on.
+bool PlacementPass::isHopeless(const OwnerJob& job) const
+{
+    const PlacementOptions& options = m_state.options.placement;
+    const JobSpec& spec = job.state.record().spec;
+    const bool lasts = std::any_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec& step) { return step.longRunning; });
+    if (!options.hopelessLast || job.state.status() != JobStatus::Queued || spec.occurrences > 0 || lasts)
+        return false;
+    const double share = options.hopelessShare * m_state.forecast.ratio(job.state.record().queue);
+    return m_state.now() + std::chrono::duration_cast<Millis>(job.chain * share) > job.objective;
+}
+
 void PlacementPass::collect(OwnerJob& job, const ServiceConfiguration& configuration)
 {
     const QueueSettings* queue = configuration.queue(job.state.record().queue);
     const MonotonicInstant now = m_state.now();
+    const bool hopeless = isHopeless(job);
     for (const auto& [id, step] : job.state.steps()) {
         if (step.idle() == 0)
             continue;
@@ -72,7 +86,7 @@
         if (tasks.empty())
             continue;
         m_candidates[m_state.poolOf(job.state)].push_back(
-            { .priority = queue ? queue->priority : 0, .objective = job.objective, .job = &job, .step = id, .queue = queue, .tasks = std::move(tasks) });
+            { .priority = queue ? queue->priority : 0, .hopeless = hopeless, .objective = job.objective, .job = &job, .step = id, .queue = queue, .tasks = std::move(tasks) });
     }
 }
 
--- a/src/jobs/placement_pass.h
+++ b/src/jobs/placement_pass.h
@@ -27,6 +27,7 @@
 private:
     struct Candidate {
         std::uint32_t priority = 0;
+        bool hopeless = false; ///< Not begun, and its objective can't be met any more.
         MonotonicInstant objective;
         OwnerJob* job = nullptr;
         StepId step;
@@ -40,6 +41,7 @@
     };
 
     void openDue(OwnerJob& job);
+    [[nodiscard]] bool isHopeless(const OwnerJob& job) const;
     void collect(OwnerJob& job, const ServiceConfiguration& configuration);
     PoolSites& sitesOf(const std::string& pool);
     void place(const Candidate& candidate, const std::string& pool);
