--- /dev/null
+++ b/include/lanemoor/aio/peer_sockets.h
@@ -0,0 +1,46 @@
+#pragma once
+/// \file
+/// Links between entry instances over TCP.
+
+#include "lanemoor/aio/asio_event_loop.h"
+#include "lanemoor/jobs/relay/peer_transport.h"
+#include "lanemoor/net/http_message.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace lanemoor::aio {
+
+/// Bounds of the links.
+struct PeerSocketsOptions {
+    HttpAddress address; ///< Where others reach this process; port 0: chosen by the kernel.
+    Millis connectTime { 1'000 }; ///< A path that drops packets says nothing.
+    std::uint32_t mostFrameBytes = 8'388'608; ///< A frame holds what is gathered in some ms, a few kB.
+    /// Bytes that wait for a peer that does not read; above them the link ends. Heartbeats notice such a
+    /// peer within a second, in which a loaded owner sends some 100 kB.
+    std::size_t mostWaitingBytes = 4'194'304;
+    std::uint32_t mostLinks = 512; ///< Accepted ones; further ones are closed at once.
+};
+
+/// \brief TCP connections that carry frames: four bytes of length, the most significant first, then
+/// the frame. Traffic is neither encrypted nor authenticated: it stays on the platform's own network,
+/// as the calls to workers and to the store do.
+class PeerSockets final : public jobs::PeerTransport {
+public:
+    /// \throws std::runtime_error if the address can't be listened on.
+    PeerSockets(AsioEventLoop& loop, PeerSocketsOptions options);
+    ~PeerSockets() override;
+    PeerSockets(const PeerSockets&) = delete;
+    PeerSockets& operator=(const PeerSockets&) = delete;
+
+    void accept(std::function<void(std::shared_ptr<jobs::PeerLink>)> accepted) override;
+    [[nodiscard]] std::shared_ptr<jobs::PeerLink> connect(const std::string& address) override;
+
+    [[nodiscard]] std::uint16_t port() const noexcept;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace lanemoor::aio
--- a/include/lanemoor/client/operator_client.h
+++ b/include/lanemoor/client/operator_client.h
@@ -32,7 +32,4 @@
     std::string m_lastReason;
 };
 
-/// \param text `IP:PORT`. \returns Nothing if it is something else.
-[[nodiscard]] std::optional<HttpAddress> parseAddress(std::string_view text);
-
 } // namespace lanemoor
--- a/include/lanemoor/jobs/forward_declarations.h
+++ b/include/lanemoor/jobs/forward_declarations.h
@@ -13,6 +13,7 @@
 class JobState;
 class KeyValueStore;
 class OwnershipKeeper;
+class PeerTransport;
 class PlacementAdvisor;
 class PlatformDocuments;
 class ProgressWriter;
--- a/include/lanemoor/jobs/job_metrics.h
+++ b/include/lanemoor/jobs/job_metrics.h
@@ -12,6 +12,7 @@
 namespace lanemoor::jobs {
 
 struct FleetCounts;
+struct RelayCounts;
 
 /// What is read at the moment of a scrape.
 struct MetricsReading {
@@ -23,6 +24,7 @@
     std::uint64_t unreadableItems = 0;
     std::uint64_t logLinesDropped = 0;
     std::uint64_t decisionsOmitted = 0;
+    std::uint64_t carriedCalls = 0; ///< That this process carried for an owner elsewhere.
 };
 
 /// \brief The metrics of one process of the job service. Labels take few values: outcomes, and
@@ -47,7 +49,7 @@
     void noteRejected();
 
     /// \returns All metrics as text.
-    [[nodiscard]] std::string text(const MetricsReading& reading, const SchedulerCounts& scheduler, const FleetCounts& fleet) const;
+    [[nodiscard]] std::string text(const MetricsReading& reading, const SchedulerCounts& scheduler, const FleetCounts& fleet, const RelayCounts& relay) const;
 
 private:
     class Impl;
--- a/include/lanemoor/jobs/job_record.h
+++ b/include/lanemoor/jobs/job_record.h
@@ -72,6 +72,7 @@
 struct OwnerRecord {
     std::string holder;
     std::uint64_t term = 0; ///< 1 for the first owner, one more for each later one.
+    std::string peer; ///< Address where instances offer to relay its calls; empty: it takes no offers.
 
     [[nodiscard]] bool operator==(const OwnerRecord&) const = default;
 };
--- a/include/lanemoor/jobs/job_service.h
+++ b/include/lanemoor/jobs/job_service.h
@@ -27,6 +27,8 @@
     EventLoop* loop = nullptr;
     KeyValueStore* store = nullptr;
     WorkerControl* workers = nullptr;
+    PeerTransport* peers = nullptr; ///< Null: the owner calls every worker itself.
+    std::string peerAddress; ///< Where other instances reach `peers`.
     FleetControl* fleet = nullptr;
     PlacementAdvisor* advisor = nullptr;
     const PlatformDocuments* documents = nullptr;
@@ -36,7 +38,7 @@
 /// \brief One entry instance.
 class JobService {
 public:
-    JobService(JobServiceParts parts, const JobServiceSettings& settings);
+    JobService(const JobServiceParts& parts, const JobServiceSettings& settings);
     ~JobService();
     JobService(const JobService&) = delete;
     JobService& operator=(const JobService&) = delete;
--- a/include/lanemoor/jobs/job_service_settings.h
+++ b/include/lanemoor/jobs/job_service_settings.h
@@ -21,6 +21,7 @@
     HttpAddress front; ///< For callers.
     HttpAddress readiness; ///< For the balancer.
     HttpAddress metrics; ///< For the collector of metrics; port 0: none.
+    std::optional<HttpAddress> peers; ///< Where other instances reach this one; nothing: no calls are relayed.
     HttpAddress store;
     HttpAddress fleet;
     std::optional<HttpAddress> advisor; ///< Nothing: no queue needs advice.
--- a/include/lanemoor/jobs/ownership_keeper.h
+++ b/include/lanemoor/jobs/ownership_keeper.h
@@ -18,6 +18,7 @@
 struct OwnershipOptions {
     std::string shard;
     std::string holder; ///< Unique to this process, not only to its name.
+    std::string peer; ///< Where other instances reach it; empty: nowhere.
     Millis leaseTime { 1'500 }; ///< Short, since a lost owner's pools stand still that long.
     Millis renewEvery { 400 }; ///< Three renewals may fail before the lease is over.
     Millis retryPause { 150 };
@@ -85,6 +86,9 @@
     /// \returns Who holds the ownership, as far as this instance knows; empty: nobody.
     [[nodiscard]] std::string holder() const;
 
+    /// \returns Where the holder takes offers to relay its calls; empty: nowhere, or this process is the holder.
+    [[nodiscard]] std::string holderPeer() const;
+
     /// \returns The newest term that this instance heard of.
     [[nodiscard]] std::uint64_t lastTerm() const noexcept;
 
--- a/include/lanemoor/jobs/policies.h
+++ b/include/lanemoor/jobs/policies.h
@@ -4,6 +4,7 @@
 
 #include "lanemoor/jobs/capacity_plan.h"
 #include "lanemoor/jobs/job_lookup.h"
+#include "lanemoor/jobs/relay/relay_plan.h"
 
 namespace lanemoor::jobs {
 
@@ -17,6 +18,8 @@
     /// A job counts as unable to meet its objective if this share of its declared work time, corrected by
     /// what is observed, does not fit in what is left: declared times are wrong by half and more.
     double hopelessShare = 0.8;
+    /// Whether a job that has begun comes after those that can meet their objective, once its own is past.
+    bool lateLast = true;
     double farFactor = 2.0; ///< Work far from its data takes this many times as long; the platform says it.
 
     [[nodiscard]] bool operator==(const PlacementOptions&) const = default;
@@ -27,6 +30,7 @@
     CapacityOptions capacity;
     PlacementOptions placement;
     JobLookupOptions lookup;
+    RelayOptions relay;
 
     [[nodiscard]] bool operator==(const Policies&) const = default;
 };
--- /dev/null
+++ b/include/lanemoor/jobs/relay/order_relay.h
@@ -0,0 +1,59 @@
+#pragma once
+/// \file
+/// Carries calls to workers for an owner on another machine.
+
+#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/key_value_store.h"
+#include "lanemoor/jobs/relay/peer_transport.h"
+#include "lanemoor/jobs/worker_control.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace lanemoor {
+class EventLog;
+} // namespace lanemoor
+
+namespace lanemoor::jobs {
+
+/// What a relay works with. All of it outlives the relay.
+struct OrderRelayParts {
+    EventLoop* loop = nullptr;
+    PeerTransport* peers = nullptr; ///< Null: this process relays nothing.
+    WorkerControl* workers = nullptr;
+    KeyValueStore* store = nullptr; ///< For payloads that the owner does not send along.
+    EventLog* log = nullptr;
+};
+
+/// \brief Offers itself to the owner, makes the calls that the owner asks for, and sends the
+/// answers back in groups. It decides nothing and remembers nothing.
+///
+/// A call that took too long from the owner to here, as after a freeze of this machine, is not made:
+/// the owner has long given it up.
+class OrderRelay {
+public:
+    /// \param name Unique among the instances. \param cores Processor time of this machine.
+    OrderRelay(OrderRelayParts parts, std::string name, double cores);
+    ~OrderRelay();
+    OrderRelay(const OrderRelay&) = delete;
+    OrderRelay& operator=(const OrderRelay&) = delete;
+
+    /// \brief Offers itself to the owner at `address`; empty: to nobody. The same address changes nothing.
+    void follow(const std::string& address);
+
+    /// \brief Planned stop: takes no more calls, and answers those under way.
+    void leave();
+
+    /// \returns Calls under way.
+    [[nodiscard]] std::size_t inFlight() const noexcept;
+
+    /// \returns Calls made since the start.
+    [[nodiscard]] std::uint64_t calls() const noexcept;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/include/lanemoor/jobs/relay/relayed_workers.h
@@ -0,0 +1,67 @@
+#pragma once
+/// \file
+/// The owner's calls to workers, carried by relays where there are too many for one machine.
+
+#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/relay/peer_transport.h"
+#include "lanemoor/jobs/relay/relay_plan.h"
+#include "lanemoor/jobs/worker_control.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace lanemoor {
+class EventLog;
+} // namespace lanemoor
+
+namespace lanemoor::jobs {
+
+/// What relayed calls work with. All of it outlives them.
+struct RelayedWorkersParts {
+    EventLoop* loop = nullptr;
+    PeerTransport* peers = nullptr; ///< Null: every call is made directly.
+    WorkerControl* direct = nullptr;
+    EventLog* log = nullptr;
+};
+
+/// Counts of one process since its start.
+struct RelayCounts {
+    std::uint64_t direct = 0; ///< Calls that this process made itself.
+    std::uint64_t relayed = 0; ///< Calls that a relay was given.
+    std::uint64_t unanswered = 0; ///< Of them, those that had no answer in time, or whose relay was lost.
+    std::uint64_t relays = 0; ///< In use now.
+};
+
+/// \brief Hands calls to relays, in groups, and their answers back.
+///
+/// A relay keeps nothing that must last: the owner's epoch stands in each order and its lease in each
+/// start, so that a call which a relay carries out late is fenced or late at the worker. A relay that
+/// says nothing for a while is lost: its calls are answered as unknown, which the owner settles as for
+/// any call without an answer, and its workers are given to others at their next call.
+class RelayedWorkers final : public WorkerControl {
+public:
+    RelayedWorkers(RelayedWorkersParts parts, RelayOptions options, double ownCores);
+    ~RelayedWorkers() override;
+    RelayedWorkers(const RelayedWorkers&) = delete;
+    RelayedWorkers& operator=(const RelayedWorkers&) = delete;
+
+    /// \brief Begins to take relays in, at the beginning of a term.
+    void activate();
+
+    /// \brief Lets all relays go; calls under way are answered as unknown.
+    void deactivate();
+
+    void start(const WorkerLife& worker, const StartOrder& order, std::function<void(OrderResult)> done) override;
+    void stop(const WorkerLife& worker, const Attempt& attempt, std::uint64_t epoch, std::function<void(OrderResult)> done) override;
+    void renew(const WorkerLife& worker, const RenewOrder& order, std::function<void(RenewResult)> done) override;
+    void throttle(const WorkerLife& worker, const Attempt& attempt, std::uint32_t percent, std::uint64_t epoch, std::function<void(OrderResult)> done) override;
+    void forget(const WorkerLife& worker) override;
+
+    [[nodiscard]] RelayCounts counts() const noexcept;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace lanemoor::jobs
--- a/include/lanemoor/jobs/store_mirror.h
+++ b/include/lanemoor/jobs/store_mirror.h
@@ -38,6 +38,13 @@
     /// \brief Begins to list and to watch.
     void start();
 
+    /// \brief Stops to watch: the copy stays as it is and grows old.
+    void pause();
+
+    /// \brief Lists and watches again, or for the first time. \param done Called once the copy holds all
+    /// that the store held when this was called, unless it is paused before.
+    void resume(std::function<void()> done);
+
     /// \brief Sets the least time between two watches, and how long a watch waits for a change;
     /// a pause under way is cut short.
     void setPace(Millis leastGap, Millis watchTime);
@@ -58,10 +65,6 @@
     /// \brief Calls `reached` once every change up to `revision` has been heard.
     void whenAt(std::uint64_t revision, std::function<void()> reached);
 
-    /// \brief Reads the prefix once more beside the watch, and calls `done` when the copy holds
-    /// all that the store held when this was called.
-    void refresh(std::function<void()> done);
-
     /// \brief Notes what this process wrote or read, ahead of the watch.
     void noteWritten(const StoreItem& item);
 
--- a/include/lanemoor/jobs/worker_directory.h
+++ b/include/lanemoor/jobs/worker_directory.h
@@ -23,7 +23,8 @@
 public:
     explicit WorkerDirectory(const EventLoop& loop);
 
-    void put(const WorkerEntry& worker);
+    /// \returns Whether it changes anything: a heartbeat alone does not.
+    bool put(const WorkerEntry& worker);
 
     void remove(const std::string& id);
 
--- a/include/lanemoor/net/http_message.h
+++ b/include/lanemoor/net/http_message.h
@@ -76,6 +76,11 @@
 /// \param text Digits only. \returns Nothing if `text` is not a number below 2^63.
 [[nodiscard]] std::optional<std::uint64_t> parseDecimal(std::string_view text) noexcept;
 
+/// \param text Such as `10.0.0.1:8080`; the part before the last colon is taken as it is.
+/// \param leastPort 0 where the kernel may choose the port.
+/// \returns Nothing if `text` is no address.
+[[nodiscard]] std::optional<HttpAddress> parseAddress(std::string_view text, std::uint16_t leastPort = 1);
+
 /// \returns A strong entity tag for `version`, such as `"7"`.
 [[nodiscard]] std::string formatEntityTag(std::uint64_t version);
 
--- /dev/null
+++ b/src/aio/peer_sockets.cpp
@@ -0,0 +1,305 @@
+#include "lanemoor/aio/peer_sockets.h"
+
+#include "asio_event_loop_impl.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <deque>
+#include <optional>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+namespace lanemoor::aio {
+
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+constexpr std::size_t lengthBytes = 4;
+constexpr std::size_t readBytes = 65'536; // At once.
+constexpr unsigned bitsOfByte = 8;
+
+std::string withLength(const std::string& frame)
+{
+    std::string text(lengthBytes, '\0');
+    for (std::size_t i = 0; i < lengthBytes; ++i)
+        text[i] = static_cast<char>(frame.size() >> (bitsOfByte * (lengthBytes - 1 - i)));
+    return text + frame;
+}
+
+std::size_t lengthAt(const std::string& text, std::size_t at)
+{
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < lengthBytes; ++i)
+        length = (length << bitsOfByte) | static_cast<unsigned char>(text[at + i]);
+    return length;
+}
+
+/// One connection.
+class PeerSocket final : public jobs::PeerLink, public std::enable_shared_from_this<PeerSocket> {
+public:
+    PeerSocket(boost::asio::io_context& context, PeerSocketsOptions options)
+        : m_context(context)
+        , m_socket(context)
+        , m_timer(context)
+        , m_options(std::move(options))
+    {
+    }
+
+    [[nodiscard]] Tcp::socket& socket() { return m_socket; }
+
+    void connect(const Tcp::endpoint& endpoint)
+    {
+        m_timer.expires_after(m_options.connectTime);
+        m_timer.async_wait([self = shared_from_this()](const ErrorCode& error) {
+            if (!error && !self->m_open)
+                self->end();
+        });
+        m_socket.async_connect(endpoint, [self = shared_from_this()](const ErrorCode& error) {
+            if (error)
+                self->end();
+            else
+                self->begin();
+        });
+    }
+
+    void begin()
+    {
+        if (m_closed)
+            return;
+        m_open = true;
+        m_timer.cancel();
+        ErrorCode ignored;
+        m_socket.set_option(Tcp::no_delay(true), ignored);
+        read();
+        write();
+    }
+
+    /// Ends the link and tells the observer later.
+    void end()
+    {
+        if (std::exchange(m_closed, true))
+            return;
+        shut();
+        boost::asio::post(m_context, [self = shared_from_this()] {
+            const jobs::PeerLinkObserver observer = std::exchange(self->m_observer, {});
+            if (observer.closed)
+                observer.closed();
+        });
+    }
+
+    void observe(jobs::PeerLinkObserver observer) override { m_observer = std::move(observer); }
+
+    void send(std::string frame) override
+    {
+        if (m_closed)
+            return;
+        m_waitingBytes += frame.size() + lengthBytes;
+        if (m_waitingBytes > m_options.mostWaitingBytes) {
+            end();
+            return;
+        }
+        m_waiting.push_back(withLength(frame));
+        write();
+    }
+
+    void close() override
+    {
+        m_observer = {};
+        if (std::exchange(m_closed, true))
+            return;
+        shut();
+    }
+
+private:
+    void shut()
+    {
+        m_timer.cancel();
+        ErrorCode ignored;
+        m_socket.close(ignored);
+    }
+
+    void read()
+    {
+        m_socket.async_read_some(boost::asio::buffer(m_readBuffer), [self = shared_from_this()](const ErrorCode& error, std::size_t count) {
+            if (self->m_closed)
+                return;
+            if (error) {
+                self->end();
+                return;
+            }
+            self->m_received.append(self->m_readBuffer.data(), count);
+            self->deliver();
+            if (!self->m_closed)
+                self->read();
+        });
+    }
+
+    /// Hands over the whole frames.
+    void deliver()
+    {
+        std::size_t at = 0;
+        while (!m_closed && m_received.size() - at >= lengthBytes) {
+            const std::size_t length = lengthAt(m_received, at);
+            if (length > m_options.mostFrameBytes) {
+                end();
+                return;
+            }
+            if (m_received.size() - at - lengthBytes < length)
+                break;
+            const std::string frame = m_received.substr(at + lengthBytes, length);
+            at += lengthBytes + length;
+            if (m_observer.received)
+                m_observer.received(frame);
+        }
+        m_received.erase(0, at);
+    }
+
+    /// Writes what waits, in one call for all.
+    void write()
+    {
+        if (!m_open || m_writing || m_waiting.empty() || m_closed)
+            return;
+        m_writing = true;
+        m_sending.clear();
+        for (const std::string& frame : m_waiting)
+            m_sending += frame;
+        m_waiting.clear();
+        boost::asio::async_write(m_socket, boost::asio::buffer(m_sending), [self = shared_from_this()](const ErrorCode& error, std::size_t count) {
+            self->m_writing = false;
+            if (self->m_closed)
+                return;
+            if (error) {
+                self->end();
+                return;
+            }
+            self->m_waitingBytes -= count;
+            self->write();
+        });
+    }
+
+    boost::asio::io_context& m_context;
+    Tcp::socket m_socket;
+    boost::asio::steady_timer m_timer; ///< Of the attempt to connect.
+    PeerSocketsOptions m_options;
+    jobs::PeerLinkObserver m_observer;
+    bool m_open = false;
+    bool m_closed = false;
+    bool m_writing = false;
+    std::array<char, readBytes> m_readBuffer {};
+    std::string m_received; ///< What has come and is no whole frame yet.
+    std::string m_sending;
+    std::deque<std::string> m_waiting;
+    std::size_t m_waitingBytes = 0; ///< What is being sent included.
+};
+
+} // namespace
+
+class PeerSockets::Impl : public std::enable_shared_from_this<PeerSockets::Impl> {
+public:
+    Impl(AsioEventLoop& loop, PeerSocketsOptions options)
+        : m_context(loop.impl().context)
+        , m_acceptor(m_context)
+        , m_options(std::move(options))
+    {
+        ErrorCode error;
+        const Tcp::endpoint endpoint(boost::asio::ip::make_address_v4(m_options.address.ip, error), m_options.address.port);
+        if (!error)
+            m_acceptor.open(endpoint.protocol(), error);
+        if (!error)
+            m_acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+        if (!error)
+            m_acceptor.bind(endpoint, error);
+        if (!error)
+            m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+        if (error)
+            throw std::runtime_error("cannot listen for peers on " + m_options.address.ip + ':' + std::to_string(m_options.address.port) + ": " + error.message());
+    }
+
+    void acceptNext()
+    {
+        const auto link = std::make_shared<PeerSocket>(m_context, m_options);
+        m_acceptor.async_accept(link->socket(), [self = weak_from_this(), link](const ErrorCode& error) {
+            const auto impl = self.lock();
+            if (!impl || error == boost::asio::error::operation_aborted)
+                return;
+            if (!error)
+                impl->accepted(link);
+            impl->acceptNext();
+        });
+    }
+
+    void stop()
+    {
+        ErrorCode ignored;
+        m_acceptor.close(ignored);
+    }
+
+    [[nodiscard]] std::shared_ptr<jobs::PeerLink> connect(const std::string& address)
+    {
+        const auto link = std::make_shared<PeerSocket>(m_context, m_options);
+        const std::optional<HttpAddress> peer = parseAddress(address);
+        ErrorCode error;
+        const auto ip = boost::asio::ip::make_address_v4(peer ? peer->ip : std::string(), error);
+        if (!peer || error)
+            link->end();
+        else
+            link->connect({ ip, peer->port });
+        return link;
+    }
+
+    [[nodiscard]] std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+    std::function<void(std::shared_ptr<jobs::PeerLink>)> onAccepted;
+
+private:
+    void accepted(const std::shared_ptr<PeerSocket>& link)
+    {
+        std::erase_if(m_links, [](const std::weak_ptr<PeerSocket>& known) { return known.expired(); });
+        if (!onAccepted || m_links.size() >= m_options.mostLinks) {
+            link->close();
+            return;
+        }
+        m_links.push_back(link);
+        onAccepted(link);
+        link->begin();
+    }
+
+    boost::asio::io_context& m_context;
+    Tcp::acceptor m_acceptor;
+    PeerSocketsOptions m_options;
+    std::vector<std::weak_ptr<PeerSocket>> m_links; ///< Accepted ones.
+};
+
+PeerSockets::PeerSockets(AsioEventLoop& loop, PeerSocketsOptions options)
+    : m_impl(std::make_shared<Impl>(loop, std::move(options)))
+{
+    m_impl->acceptNext();
+}
+
+PeerSockets::~PeerSockets()
+{
+    m_impl->stop();
+}
+
+void PeerSockets::accept(std::function<void(std::shared_ptr<jobs::PeerLink>)> accepted)
+{
+    m_impl->onAccepted = std::move(accepted);
+}
+
+std::shared_ptr<jobs::PeerLink> PeerSockets::connect(const std::string& address)
+{
+    return m_impl->connect(address);
+}
+
+std::uint16_t PeerSockets::port() const noexcept
+{
+    return m_impl->port();
+}
+
+} // namespace lanemoor::aio
--- a/src/client/operator_client.cpp
+++ b/src/client/operator_client.cpp
@@ -11,7 +11,6 @@
 
 constexpr Millis callLimit { 10'000 };
 constexpr std::size_t mostAnswerBytes = 64 * 1024 * 1024;
-constexpr std::uint64_t mostPort = 65'535;
 
 } // namespace
 
@@ -41,15 +40,4 @@
     return std::nullopt;
 }
 
-std::optional<HttpAddress> parseAddress(std::string_view text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos || colon == 0)
-        return std::nullopt;
-    const std::optional<std::uint64_t> port = parseDecimal(text.substr(colon + 1));
-    if (!port || *port == 0 || *port > mostPort)
-        return std::nullopt;
-    return HttpAddress { std::string(text.substr(0, colon)), static_cast<std::uint16_t>(*port) };
-}
-
 } // namespace lanemoor
--- a/src/jobs/job_metrics.cpp
+++ b/src/jobs/job_metrics.cpp
@@ -1,6 +1,7 @@
 #include "lanemoor/jobs/job_metrics.h"
 
 #include "lanemoor/jobs/fleet_keeper.h"
+#include "lanemoor/jobs/relay/relayed_workers.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -61,6 +62,15 @@
     families.push_back(counter("lanemoor_waves_finished_total", "Waves brought to their end", counts.wavesFinished));
 }
 
+void addRelay(std::vector<prometheus::MetricFamily>& families, const RelayCounts& counts, std::uint64_t carried)
+{
+    families.push_back(gauge("lanemoor_relays_in_use", "Instances that carry this owner's calls to workers", static_cast<double>(counts.relays)));
+    families.push_back(counter("lanemoor_relay_calls_total", "The owner's calls to workers that a relay was given", counts.relayed));
+    families.push_back(counter("lanemoor_relay_calls_unanswered_total", "Of them, those without an answer in time", counts.unanswered));
+    families.push_back(counter("lanemoor_direct_calls_total", "The owner's calls to workers that it made itself", counts.direct));
+    families.push_back(counter("lanemoor_carried_calls_total", "Calls to workers that this process carried for an owner elsewhere", carried));
+}
+
 } // namespace
 
 class JobMetrics::Impl {
@@ -105,7 +115,7 @@
     m_impl->rejected.Increment();
 }
 
-std::string JobMetrics::text(const MetricsReading& reading, const SchedulerCounts& scheduler, const FleetCounts& fleet) const
+std::string JobMetrics::text(const MetricsReading& reading, const SchedulerCounts& scheduler, const FleetCounts& fleet, const RelayCounts& relay) const
 {
     std::vector<prometheus::MetricFamily> families = m_impl->registry.Collect();
     families.push_back(gauge("lanemoor_ready", "1 if the balancer should send callers here", reading.ready ? 1 : 0));
@@ -118,6 +128,7 @@
     families.push_back(counter("lanemoor_log_decisions_omitted_total", "Log lines left out for want of budget", reading.decisionsOmitted));
     addScheduler(families, scheduler);
     addFleet(families, fleet);
+    addRelay(families, relay, reading.carriedCalls);
     std::ostringstream out;
     prometheus::TextSerializer().Serialize(out, families);
     return out.str();
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -222,6 +222,7 @@
     wire::OwnerDocument document;
     document.set_holder(record.holder);
     document.set_term(record.term);
+    document.set_peer(record.peer);
     return document.SerializeAsString();
 }
 
@@ -230,7 +231,7 @@
     wire::OwnerDocument document;
     if (!parse(bytes, document))
         return std::nullopt;
-    return OwnerRecord { document.holder(), document.term() };
+    return OwnerRecord { document.holder(), document.term(), document.peer() };
 }
 
 } // namespace lanemoor::jobs
--- a/src/jobs/job_service.cpp
+++ b/src/jobs/job_service.cpp
@@ -10,6 +10,8 @@
 #include "lanemoor/jobs/key_value_store.h"
 #include "lanemoor/jobs/ownership_keeper.h"
 #include "lanemoor/jobs/platform_documents.h"
+#include "lanemoor/jobs/relay/order_relay.h"
+#include "lanemoor/jobs/relay/relayed_workers.h"
 #include "lanemoor/jobs/store_mirror.h"
 #include "lanemoor/jobs/worker_directory.h"
 
@@ -33,9 +35,9 @@
 /// The configuration is read as well, and waves last some dozens of seconds.
 constexpr Millis quietWatchTime { 5'000 };
 /// Workers drain with seconds of notice; sooner only saves work. Each heartbeat is a change, so
-/// that nearly every watch of the workers is answered at once: those that own nothing ask seldom.
-constexpr Millis ownerWorkerWatchGap { 150 };
-constexpr Millis workerWatchGap { 1'000 };
+/// that nearly every watch of the workers is answered at once. Only the owner watches them: 1,100
+/// workers have 730 heartbeats a second.
+constexpr Millis workerWatchGap { 150 };
 /// The store's answers are missed after a watch's time and a call's; then this instance can
 /// take nothing and says so to the balancer.
 constexpr Millis storeMissedAfter { 2'500 };
@@ -76,18 +78,20 @@
 
 class JobService::Impl {
 public:
-    Impl(JobServiceParts parts, const JobServiceSettings& settings)
+    Impl(const JobServiceParts& parts, const JobServiceSettings& settings)
         : m_parts(parts)
         , m_settings(settings)
         , m_holder(settings.name + '-' + std::to_string(parts.loop->timeOfDay().time_since_epoch().count()))
         , m_directory(*parts.loop)
         , m_jobs(*parts.loop, *parts.store, { .prefix = std::string(jobServicePrefix), .watchTime = watchTime, .leastGap = watchGap }, [this](const StoreItem& item) { onItem(item); })
-        , m_owners(*parts.loop, *parts.store, { .prefix = std::string(ownershipPrefix), .watchTime = ownershipWatchTime }, [this](const StoreItem& item) { m_ownership.observe(item); })
+        , m_owners(*parts.loop, *parts.store, { .prefix = std::string(ownershipPrefix), .watchTime = ownershipWatchTime }, [this](const StoreItem& item) { onOwnership(item); })
         , m_configurations(*parts.loop, *parts.store, { .prefix = parts.documents->configurationKey(), .watchTime = quietWatchTime }, [this](const StoreItem& item) { onConfiguration(item); })
         , m_workers(*parts.loop, *parts.store, { .prefix = parts.documents->workerPrefix(), .watchTime = watchTime, .leastGap = workerWatchGap }, [this](const StoreItem& item) { onWorker(item); })
         , m_waves(*parts.loop, *parts.store, { .prefix = parts.documents->wavePrefix(), .watchTime = quietWatchTime }, [this](const StoreItem& item) { onWave(item); })
-        , m_ownership(*parts.loop, *parts.store, m_owners, { .shard = theShard, .holder = m_holder, .leaseTime = settings.ownershipTime, .claimDelay = claimDelayOf(settings) },
+        , m_ownership(*parts.loop, *parts.store, m_owners, { .shard = theShard, .holder = m_holder, .peer = parts.peerAddress, .leaseTime = settings.ownershipTime, .claimDelay = claimDelayOf(settings) },
               { .gained = [this](const Ownership& ownership) { gained(ownership); }, .lost = [this] { lost(); }, .suspended = [this] { m_parts.log->change("ownership-suspended", { { "copy_age_ms", since(m_jobs.freshAt()) } }); }, .resumed = [this] { m_parts.log->change("ownership-resumed", { { "copy_age_ms", since(m_jobs.freshAt()) } }); }, .claimFailed = [this](StoreOutcome outcome) { m_parts.log->decision("ownership-claim-failed", { { "outcome", std::string(nameOf(outcome)) } }); } })
+        , m_relayedWorkers({ .loop = parts.loop, .peers = parts.peers, .direct = parts.workers, .log = parts.log }, settings.policies.relay, settings.machineCores)
+        , m_relay({ .loop = parts.loop, .peers = parts.peers, .workers = parts.workers, .store = parts.store, .log = parts.log }, settings.name, settings.machineCores)
         , m_scheduler(schedulerOptions())
         , m_fleet(fleetOptions())
         , m_intake(*parts.loop, *parts.store, m_jobs, m_catalog)
@@ -107,7 +111,6 @@
         m_jobs.start();
         m_owners.start();
         m_configurations.start();
-        m_workers.start();
         m_waves.start();
         m_ownership.start();
         readConfigurationLater();
@@ -121,8 +124,11 @@
         m_parts.log->change("stopping", { { "owner", std::int64_t { m_ownership.isHeld() } } });
         // Others run the jobs from now on; callers are served here as before.
         m_claimed.reset();
+        m_workers.pause();
         m_fleet.deactivate();
         m_scheduler.deactivate();
+        m_relayedWorkers.deactivate();
+        m_relay.leave();
         m_ownership.release([] {});
         const MonotonicInstant now = m_parts.loop->now();
         const MonotonicInstant by = now + std::max(m_settings.stopGrace - stopReserve, Millis(0));
@@ -200,8 +206,9 @@
             .storeAgeSeconds = secondsSince(m_jobs.freshAt()),
             .unreadableItems = m_catalog.unreadable(),
             .logLinesDropped = m_parts.log->dropped(),
-            .decisionsOmitted = m_parts.log->omitted() };
-        return metrics.text(reading, m_scheduler.counts(), m_fleet.counts());
+            .decisionsOmitted = m_parts.log->omitted(),
+            .carriedCalls = m_relay.calls() };
+        return metrics.text(reading, m_scheduler.counts(), m_fleet.counts(), m_relayedWorkers.counts());
     }
 
     JobMetrics metrics;
@@ -217,6 +224,8 @@
     StoreMirror m_workers;
     StoreMirror m_waves;
     OwnershipKeeper m_ownership;
+    RelayedWorkers m_relayedWorkers; ///< What the owner calls.
+    OrderRelay m_relay; ///< Carries calls for another owner.
     JobScheduler m_scheduler;
     FleetKeeper m_fleet;
     JobIntake m_intake;
@@ -244,7 +253,7 @@
             .mirror = &m_jobs,
             .catalog = &m_catalog,
             .directory = &m_directory,
-            .workers = m_parts.workers,
+            .workers = &m_relayedWorkers,
             .advisor = m_parts.advisor,
             .ownership = &m_ownership,
             .log = m_parts.log,
@@ -271,6 +280,12 @@
             .capacity = m_settings.policies.capacity };
     }
 
+    void onOwnership(const StoreItem& item)
+    {
+        m_ownership.observe(item);
+        m_relay.follow(m_ownership.holderPeer());
+    }
+
     void onItem(const StoreItem& item)
     {
         if (item.key.compare(0, ownershipPrefix.size(), ownershipPrefix) == 0)
@@ -307,9 +322,9 @@
             m_parts.log->decision("worker-unreadable", { { "worker", id } });
             return;
         }
-        m_parts.log->decision("worker-entry",
-            { { "worker", id }, { "pool", worker->pool }, { "draining", std::int64_t { worker->draining } }, { "revision", static_cast<std::int64_t>(item.revision) } });
-        m_directory.put(*worker);
+        if (m_directory.put(*worker))
+            m_parts.log->decision("worker-entry",
+                { { "worker", id }, { "pool", worker->pool }, { "draining", std::int64_t { worker->draining } }, { "revision", static_cast<std::int64_t>(item.revision) } });
     }
 
     void onWave(const StoreItem& item)
@@ -364,9 +379,13 @@
     {
         m_parts.log->change("ownership-claimed", { { "epoch", static_cast<std::int64_t>(ownership.epoch) }, { "term", static_cast<std::int64_t>(ownership.term) }, { "copy_age_ms", since(m_jobs.freshAt()) } });
         m_claimed = ownership;
+        m_relay.follow({});
+        m_relayedWorkers.activate();
         m_jobs.setPace(ownerWatchGap, ownerWatchTime);
-        m_workers.setPace(ownerWorkerWatchGap, watchTime);
-        m_jobs.whenAt(ownership.epoch, [this, ownership] { m_workers.refresh([this, ownership] { activate(ownership); }); });
+        m_jobs.whenAt(ownership.epoch, [this, ownership] {
+            if (m_claimed == ownership)
+                m_workers.resume([this, ownership] { activate(ownership); });
+        });
     }
 
     void activate(const Ownership& ownership)
@@ -386,23 +405,24 @@
     {
         m_claimed.reset();
         m_jobs.setPace(watchGap, watchTime);
-        m_workers.setPace(workerWatchGap, watchTime);
+        m_workers.pause();
         m_fleet.deactivate();
         m_scheduler.deactivate();
+        m_relayedWorkers.deactivate();
     }
 
     /// Serves until `least`, then until every call has its answer, at the most until `most`.
     void serveUntil(MonotonicInstant least, MonotonicInstant most, const std::function<void()>& done)
     {
         const MonotonicInstant now = m_parts.loop->now();
-        if (now < least || (m_intake.inFlight() + m_lookup.inFlight() > 0 && now < most))
+        if (now < least || (m_intake.inFlight() + m_lookup.inFlight() + m_relay.inFlight() > 0 && now < most))
             m_parts.loop->callAt(now + stopCheck, [this, least, most, done] { serveUntil(least, most, done); });
         else
             done();
     }
 };
 
-JobService::JobService(JobServiceParts parts, const JobServiceSettings& settings)
+JobService::JobService(const JobServiceParts& parts, const JobServiceSettings& settings)
     : m_impl(std::make_unique<Impl>(parts, settings))
 {
 }
--- a/src/jobs/job_service_settings.cpp
+++ b/src/jobs/job_service_settings.cpp
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <cmath>
-#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace lanemoor::jobs {
@@ -11,27 +10,17 @@
 
 constexpr std::int64_t longestMillis = 3'600'000;
 
-std::optional<HttpAddress> parseAddressText(const std::string& text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    const std::string ip = text.substr(0, colon);
-    in_addr number {};
-    const std::optional<std::uint64_t> port = parseDecimal(std::string_view(text).substr(colon + 1));
-    if (inet_pton(AF_INET, ip.c_str(), &number) != 1 || !port || *port > std::numeric_limits<std::uint16_t>::max())
-        return std::nullopt;
-    return HttpAddress { ip, static_cast<std::uint16_t>(*port) };
-}
-
 std::optional<HttpAddress> readAddress(ObjectReader& reader, const char* name, bool required)
 {
     const std::optional<std::string> text = reader.string(name, required);
     if (!text || (text->empty() && !required))
         return std::nullopt;
-    std::optional<HttpAddress> address = parseAddressText(*text);
-    if (!address)
+    std::optional<HttpAddress> address = parseAddress(*text, 0);
+    in_addr number {};
+    if (!address || inet_pton(AF_INET, address->ip.c_str(), &number) != 1) {
+        address.reset();
         reader.fault(DocumentFaultCode::BadValue, name, "an address such as 10.0.0.1:8080");
+    }
     return address;
 }
 
@@ -85,10 +74,17 @@
         readNumber(capacity, "fairnessGap", 0, mostGap, policies.capacity.fairnessGap);
         readSwitch(capacity, "leastFirst", policies.capacity.leastFirst);
     });
+    reader.object("relay", [&](ObjectReader& relay) {
+        constexpr double mostWorkers = 100'000;
+        constexpr double mostShrink = 100;
+        readNumber(relay, "workersPerCore", 0, mostWorkers, policies.relay.workersPerCore);
+        readNumber(relay, "shrinkAt", 1, mostShrink, policies.relay.shrinkAt);
+    });
     reader.object("lookup", [&](ObjectReader& lookup) { readSwitch(lookup, "readsThrough", policies.lookup.readsThrough); });
     reader.object("placement", [&](ObjectReader& placement) {
         readSwitch(placement, "waitsForRack", policies.placement.waitsForRack);
         readSwitch(placement, "hopelessLast", policies.placement.hopelessLast);
+        readSwitch(placement, "lateLast", policies.placement.lateLast);
         readNumber(placement, "hopelessShare", 0, mostMargin, policies.placement.hopelessShare);
     });
 }
@@ -104,6 +100,7 @@
             settings.front = readAddress(service, "front", true).value_or(HttpAddress {});
             settings.readiness = readAddress(service, "readiness", true).value_or(HttpAddress {});
             settings.metrics = readAddress(service, "metrics", false).value_or(HttpAddress {});
+            settings.peers = readAddress(service, "peers", false);
             settings.store = readAddress(service, "store", true).value_or(HttpAddress {});
             settings.fleet = readAddress(service, "fleet", true).value_or(HttpAddress {});
             settings.advisor = readAddress(service, "advisor", false);
--- a/src/jobs/ownership_keeper.cpp
+++ b/src/jobs/ownership_keeper.cpp
@@ -74,6 +74,7 @@
             return;
         const std::optional<OwnerRecord> owner = item.removed ? std::nullopt : decodeOwner(item.value);
         m_holder = owner ? owner->holder : std::string();
+        m_holderPeer = owner ? owner->peer : std::string();
         if (m_held && item.revision > m_ownership.epoch)
             lose();
         if (!item.removed)
@@ -112,6 +113,7 @@
 
     [[nodiscard]] bool isHeld() const { return m_held && m_loop.now() < m_validUntil; }
     [[nodiscard]] const std::string& holder() const { return m_held ? m_options.holder : m_holder; }
+    [[nodiscard]] std::string holderPeer() const { return m_held || m_holder == m_options.holder ? std::string() : m_holderPeer; }
     [[nodiscard]] std::uint64_t lastTerm() const { return m_held ? m_ownership.term : m_lastTerm; }
     [[nodiscard]] MonotonicInstant heldSince() const { return m_heldSince; }
     [[nodiscard]] const Ownership& ownership() const { return m_ownership; }
@@ -130,7 +132,7 @@
     void claim()
     {
         m_claimedTerm = m_lastTerm + 1;
-        const std::string value = encode(OwnerRecord { m_options.holder, m_claimedTerm });
+        const std::string value = encode(OwnerRecord { m_options.holder, m_claimedTerm, m_options.peer });
         const Transaction transaction { .expected = { { m_ownerKey, 0 }, { m_termKey, m_mirror.revisionOf(m_termKey) } },
             .writes = { { m_ownerKey, value, m_lease }, { m_termKey, value, 0 } },
             .removals = {} };
@@ -150,7 +152,7 @@
         }
         m_store.read(m_ownerKey, [self = shared_from_this()](const ReadResult& read) {
             const std::optional<OwnerRecord> owner = decodeOwner(read.item.value);
-            const bool ours = read.outcome == StoreOutcome::Done && owner == OwnerRecord { self->m_options.holder, self->m_claimedTerm };
+            const bool ours = read.outcome == StoreOutcome::Done && owner == OwnerRecord { self->m_options.holder, self->m_claimedTerm, self->m_options.peer };
             if (ours)
                 self->gain(read.item.revision);
             else
@@ -248,6 +250,7 @@
     std::uint64_t m_lease = 0;
     std::uint64_t m_lastTerm = 0;
     std::string m_holder; ///< By the store's word.
+    std::string m_holderPeer; ///< The same holder's address for peers.
     std::uint64_t m_claimedTerm = 0;
     Ownership m_ownership;
     MonotonicInstant m_validUntil;
@@ -312,6 +315,11 @@
     return m_impl->holder();
 }
 
+std::string OwnershipKeeper::holderPeer() const
+{
+    return m_impl->holderPeer();
+}
+
 std::uint64_t OwnershipKeeper::lastTerm() const noexcept
 {
     return m_impl->lastTerm();
--- /dev/null
+++ b/src/jobs/relay/order_relay.cpp
@@ -0,0 +1,266 @@
+#include "lanemoor/jobs/relay/order_relay.h"
+
+#include "lanemoor/adapters/event_log.h"
+#include "payload_reader.h"
+#include "relay_codec.h"
+#include "relay_times.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+constexpr Millis reconnectPause { 300 };
+/// A call that came so much later than the fastest one of its link is not made: this machine was
+/// frozen or far behind, and the owner gives calls up after 1.1 s.
+constexpr Millis oldestCall { 400 };
+
+} // namespace
+
+class OrderRelay::Impl : public std::enable_shared_from_this<OrderRelay::Impl> {
+public:
+    Impl(OrderRelayParts parts, std::string name, double cores)
+        : m_parts(parts)
+        , m_name(std::move(name))
+        , m_cores(cores)
+        , m_payloads(parts.store ? std::make_shared<PayloadReader>(*parts.store) : nullptr)
+    {
+    }
+
+    void follow(const std::string& address)
+    {
+        if (!m_parts.peers || m_leaving || address == m_address)
+            return;
+        m_address = address;
+        disconnect();
+        connect();
+    }
+
+    void leave()
+    {
+        m_leaving = true;
+        if (!m_link)
+            return;
+        m_frame.set_leaving(true);
+        sendSoon();
+    }
+
+    std::size_t inFlight = 0;
+    std::uint64_t calls = 0;
+
+private:
+    void disconnect()
+    {
+        if (!m_link)
+            return;
+        m_link->close();
+        m_link.reset();
+        ++m_generation;
+        m_frame.Clear();
+        m_gathering = false;
+    }
+
+    void connect()
+    {
+        if (m_address.empty() || m_link || m_leaving)
+            return;
+        constexpr double milli = 1'000;
+        m_link = m_parts.peers->connect(m_address);
+        m_heardAt = m_parts.loop->now();
+        m_fastest.reset();
+        m_link->observe({ .received = [self = weak_from_this(), generation = m_generation](const std::string& frame) {
+                             if (const auto impl = self.lock(); impl && impl->m_generation == generation)
+                                 impl->received(frame); },
+            .closed = [self = weak_from_this(), generation = m_generation] {
+                if (const auto impl = self.lock(); impl && impl->m_generation == generation)
+                    impl->ended("closed"); } });
+        m_frame.mutable_hello()->set_name(m_name);
+        m_frame.mutable_hello()->set_milli_cores(static_cast<std::uint32_t>(std::lround(m_cores * milli)));
+        sendSoon();
+        watchLink();
+    }
+
+    /// The owner may yet be there: it is tried again until another one is heard of.
+    void ended(const char* reason)
+    {
+        m_parts.log->decision("relay-link-ended", { { "owner", m_address }, { "reason", std::string(reason) }, { "calls", static_cast<std::int64_t>(inFlight) } });
+        disconnect();
+        m_parts.loop->callAt(m_parts.loop->now() + reconnectPause, [self = weak_from_this()] {
+            if (const auto impl = self.lock())
+                impl->connect();
+        });
+    }
+
+    void watchLink()
+    {
+        m_parts.loop->callAt(m_heardAt + idleLinkSilence, [self = weak_from_this(), generation = m_generation] {
+            const auto impl = self.lock();
+            if (!impl || impl->m_generation != generation || !impl->m_link)
+                return;
+            if (impl->m_parts.loop->now() - impl->m_heardAt >= idleLinkSilence)
+                impl->ended("silent");
+            else
+                impl->watchLink();
+        });
+    }
+
+    void received(const std::string& text)
+    {
+        wire::RelayFrame frame;
+        if (!frame.ParseFromString(text)) {
+            ended("unreadable");
+            return;
+        }
+        m_heardAt = m_parts.loop->now();
+        const bool isOld = isLate(frame.sent_at_us());
+        for (const wire::RelayCall& call : frame.calls()) {
+            if (isOld)
+                refuse(call);
+            else
+                make(call);
+        }
+        for (const wire::RelayLife& life : frame.forgotten())
+            m_parts.workers->forget({ .id = life.worker(), .address = life.address() });
+        // The owner hears from here whenever it says something.
+        if (frame.calls().empty())
+            sendSoon();
+    }
+
+    /// The two clocks differ by an unknown constant: the smallest difference seen stands for no delay.
+    bool isLate(std::int64_t sentAtMicros)
+    {
+        const std::int64_t passed = m_parts.loop->now().time_since_epoch().count() - sentAtMicros;
+        m_fastest = std::min(m_fastest.value_or(passed), passed);
+        return std::chrono::microseconds(passed - *m_fastest) > oldestCall;
+    }
+
+    void refuse(const wire::RelayCall& call)
+    {
+        wire::RelayAnswer& answer = *m_frame.add_answers();
+        answer.set_call(call.call());
+        answer.set_outcome(static_cast<std::uint32_t>(OrderOutcome::NotDone));
+        sendSoon();
+    }
+
+    void make(const wire::RelayCall& call)
+    {
+        ++calls;
+        ++inFlight;
+        const WorkerLife worker = lifeOf(call);
+        switch (call.kind_case()) {
+        case wire::RelayCall::kStart:
+            start(worker, call);
+            return;
+        case wire::RelayCall::kStop:
+            m_parts.workers->stop(worker, attemptOf(call.stop().attempt()), call.epoch(), answerTo<OrderResult>(call.call()));
+            return;
+        case wire::RelayCall::kRenew:
+            m_parts.workers->renew(worker, renewalOf(call), answerTo<RenewResult>(call.call()));
+            return;
+        case wire::RelayCall::kThrottle:
+            m_parts.workers->throttle(worker, attemptOf(call.throttle().attempt()), call.throttle().percent(), call.epoch(), answerTo<OrderResult>(call.call()));
+            return;
+        case wire::RelayCall::KIND_NOT_SET:
+            --inFlight;
+            refuse(call);
+        }
+    }
+
+    void start(const WorkerLife& worker, const wire::RelayCall& call)
+    {
+        StartOrder order = startOf(call);
+        if (!call.start().payload_in_store()) {
+            m_parts.workers->start(worker, order, answerTo<OrderResult>(call.call()));
+            return;
+        }
+        const MonotonicInstant receivedAt = m_parts.loop->now();
+        const std::string job = order.attempt.job;
+        m_payloads->read(job, [self = shared_from_this(), worker, order = std::move(order), done = answerTo<OrderResult>(call.call()), receivedAt](const std::optional<std::string>& payload) mutable {
+            if (!payload || self->m_parts.loop->now() - receivedAt > oldestCall) {
+                done({ .outcome = OrderOutcome::NotDone });
+                return;
+            }
+            order.payload = *payload;
+            self->m_parts.workers->start(worker, order, std::move(done));
+        });
+    }
+
+    template <typename Result>
+    std::function<void(Result)> answerTo(std::uint64_t call)
+    {
+        return [self = shared_from_this(), call, generation = m_generation](const Result& result) {
+            --self->inFlight;
+            if (self->m_generation != generation || !self->m_link)
+                return;
+            wire::RelayAnswer& answer = *self->m_frame.add_answers();
+            answer.set_call(call);
+            fill(answer, result);
+            self->sendSoon();
+        };
+    }
+
+    void sendSoon()
+    {
+        if (std::exchange(m_gathering, true))
+            return;
+        m_parts.loop->callAt(m_parts.loop->now() + answersGather, [self = weak_from_this(), generation = m_generation] {
+            const auto impl = self.lock();
+            if (impl && impl->m_generation == generation && impl->m_link)
+                impl->send();
+        });
+    }
+
+    void send()
+    {
+        m_gathering = false;
+        m_frame.set_sent_at_us(m_parts.loop->now().time_since_epoch().count());
+        m_link->send(m_frame.SerializeAsString());
+        m_frame.Clear();
+    }
+
+    OrderRelayParts m_parts;
+    std::string m_name;
+    double m_cores;
+    std::shared_ptr<PayloadReader> m_payloads;
+    std::string m_address; ///< Of the owner.
+    std::shared_ptr<PeerLink> m_link;
+    std::uint64_t m_generation = 0; ///< Of the link: what belongs to an earlier one is not heard.
+    wire::RelayFrame m_frame; ///< That is being gathered.
+    bool m_gathering = false;
+    bool m_leaving = false;
+    MonotonicInstant m_heardAt;
+    std::optional<std::int64_t> m_fastest; ///< Least difference of the two clocks, in us.
+};
+
+OrderRelay::OrderRelay(OrderRelayParts parts, std::string name, double cores)
+    : m_impl(std::make_shared<Impl>(parts, std::move(name), cores))
+{
+}
+
+OrderRelay::~OrderRelay() = default;
+
+void OrderRelay::follow(const std::string& address)
+{
+    m_impl->follow(address);
+}
+
+void OrderRelay::leave()
+{
+    m_impl->leave();
+}
+
+std::size_t OrderRelay::inFlight() const noexcept
+{
+    return m_impl->inFlight;
+}
+
+std::uint64_t OrderRelay::calls() const noexcept
+{
+    return m_impl->calls;
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/relay/relay_codec.cpp
@@ -0,0 +1,139 @@
+#include "relay_codec.h"
+
+namespace lanemoor::jobs {
+
+namespace {
+
+/// A longer payload is read by the relay, once for all tasks of the job that it starts. A read costs
+/// some 300 bytes of headers, and a job has some 24 tasks with up to 4,000 bytes each.
+constexpr std::size_t mostPayloadInCall = 200;
+
+void write(wire::RelayAttempt& message, const Attempt& attempt)
+{
+    message.set_job(attempt.job);
+    message.set_occurrence(attempt.task.occurrence);
+    message.set_step(attempt.task.step);
+    message.set_index(attempt.task.index);
+    message.set_number(attempt.number);
+}
+
+void writeLife(wire::RelayCall& message, const WorkerLife& worker, std::uint64_t epoch)
+{
+    message.set_worker(worker.id);
+    message.set_address(worker.address);
+    message.set_epoch(epoch);
+}
+
+/// Codes are the enumerators' numbers: both ends are of one version but for a rolling update.
+OrderOutcome outcomeOf(std::uint32_t code)
+{
+    return code <= static_cast<std::uint32_t>(OrderOutcome::Unknown) ? static_cast<OrderOutcome>(code) : OrderOutcome::Unknown;
+}
+
+AttemptEnd endOf(std::uint32_t code)
+{
+    return code <= static_cast<std::uint32_t>(AttemptEnd::GangIncomplete) ? static_cast<AttemptEnd>(code) : AttemptEnd::Stopped;
+}
+
+} // namespace
+
+void fill(wire::RelayCall& message, const WorkerLife& worker, const StartOrder& order)
+{
+    writeLife(message, worker, order.epoch);
+    wire::RelayCall::Start& start = *message.mutable_start();
+    write(*start.mutable_attempt(), order.attempt);
+    if (order.payload.size() > mostPayloadInCall)
+        start.set_payload_in_store(true);
+    else
+        start.set_payload(order.payload);
+    start.set_lease_until(order.leaseUntil);
+    start.set_checkpoint(order.checkpoint);
+    start.set_ticket(order.ticket);
+}
+
+void fillStop(wire::RelayCall& message, const WorkerLife& worker, const Attempt& attempt, std::uint64_t epoch)
+{
+    writeLife(message, worker, epoch);
+    write(*message.mutable_stop()->mutable_attempt(), attempt);
+}
+
+void fill(wire::RelayCall& message, const WorkerLife& worker, const RenewOrder& order)
+{
+    writeLife(message, worker, order.epoch);
+    wire::RelayCall::Renew& renew = *message.mutable_renew();
+    renew.set_lease_until(order.leaseUntil);
+    renew.set_ends_stored_up_to(order.endsStoredUpTo);
+    renew.set_wait_ms(static_cast<std::uint32_t>(order.wait.count()));
+}
+
+void fillThrottle(wire::RelayCall& message, const WorkerLife& worker, const Attempt& attempt, std::uint32_t percent, std::uint64_t epoch)
+{
+    writeLife(message, worker, epoch);
+    write(*message.mutable_throttle()->mutable_attempt(), attempt);
+    message.mutable_throttle()->set_percent(percent);
+}
+
+void fill(wire::RelayAnswer& message, const OrderResult& result)
+{
+    message.set_outcome(static_cast<std::uint32_t>(result.outcome));
+    message.set_worker_clock(result.workerClock);
+}
+
+void fill(wire::RelayAnswer& message, const RenewResult& result)
+{
+    message.set_outcome(static_cast<std::uint32_t>(result.outcome));
+    message.set_worker_clock(result.workerClock);
+    for (const RunningAttempt& running : result.running) {
+        wire::RelayRunning& row = *message.add_running();
+        write(*row.mutable_attempt(), running.attempt);
+        row.set_checkpoint(running.checkpoint);
+        row.set_percent(running.percent);
+        row.set_load(running.load);
+    }
+    for (const EndedAttempt& ended : result.ended) {
+        wire::RelayEnded& row = *message.add_ended();
+        row.set_sequence(ended.sequence);
+        write(*row.mutable_attempt(), ended.attempt);
+        row.set_end(static_cast<std::uint32_t>(ended.end));
+        row.set_checkpoint(ended.checkpoint);
+    }
+}
+
+WorkerLife lifeOf(const wire::RelayCall& message)
+{
+    return { .id = message.worker(), .address = message.address() };
+}
+
+Attempt attemptOf(const wire::RelayAttempt& message)
+{
+    return { message.job(), { message.occurrence(), message.step(), message.index() }, message.number() };
+}
+
+StartOrder startOf(const wire::RelayCall& message)
+{
+    const wire::RelayCall::Start& start = message.start();
+    return { .attempt = attemptOf(start.attempt()), .payload = start.payload(), .leaseUntil = start.lease_until(), .epoch = message.epoch(), .checkpoint = start.checkpoint(), .ticket = start.ticket() };
+}
+
+RenewOrder renewalOf(const wire::RelayCall& message)
+{
+    const wire::RelayCall::Renew& renew = message.renew();
+    return { .leaseUntil = renew.lease_until(), .epoch = message.epoch(), .endsStoredUpTo = renew.ends_stored_up_to(), .wait = Millis(renew.wait_ms()) };
+}
+
+OrderResult orderResultOf(const wire::RelayAnswer& message)
+{
+    return { .outcome = outcomeOf(message.outcome()), .workerClock = message.worker_clock() };
+}
+
+RenewResult renewResultOf(const wire::RelayAnswer& message)
+{
+    RenewResult result { .outcome = outcomeOf(message.outcome()), .workerClock = message.worker_clock(), .running = {}, .ended = {} };
+    for (const wire::RelayRunning& row : message.running())
+        result.running.push_back({ .attempt = attemptOf(row.attempt()), .checkpoint = row.checkpoint(), .percent = row.percent(), .load = row.load() });
+    for (const wire::RelayEnded& row : message.ended())
+        result.ended.push_back({ .sequence = row.sequence(), .attempt = attemptOf(row.attempt()), .end = endOf(row.end()), .checkpoint = row.checkpoint() });
+    return result;
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/relay/relay_codec.h
@@ -0,0 +1,34 @@
+#pragma once
+/// \file
+/// Calls and answers as they travel between the owner and its relays.
+
+#include "generated/relay.pb.h"
+#include "lanemoor/jobs/worker_control.h"
+
+#include <cstdint>
+
+namespace lanemoor::jobs {
+
+/// \name Into the message
+/// `call` names the call; the worker and the kind are set.
+///@{
+void fill(wire::RelayCall& message, const WorkerLife& worker, const StartOrder& order);
+void fillStop(wire::RelayCall& message, const WorkerLife& worker, const Attempt& attempt, std::uint64_t epoch);
+void fill(wire::RelayCall& message, const WorkerLife& worker, const RenewOrder& order);
+void fillThrottle(wire::RelayCall& message, const WorkerLife& worker, const Attempt& attempt, std::uint32_t percent, std::uint64_t epoch);
+void fill(wire::RelayAnswer& message, const OrderResult& result);
+void fill(wire::RelayAnswer& message, const RenewResult& result);
+///@}
+
+/// \name Out of the message
+/// A value that this version does not know reads as an unknown outcome.
+///@{
+[[nodiscard]] WorkerLife lifeOf(const wire::RelayCall& message);
+[[nodiscard]] Attempt attemptOf(const wire::RelayAttempt& message);
+[[nodiscard]] StartOrder startOf(const wire::RelayCall& message);
+[[nodiscard]] RenewOrder renewalOf(const wire::RelayCall& message);
+[[nodiscard]] OrderResult orderResultOf(const wire::RelayAnswer& message);
+[[nodiscard]] RenewResult renewResultOf(const wire::RelayAnswer& message);
+///@}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/relay/relayed_workers.cpp
@@ -0,0 +1,390 @@
+#include "lanemoor/jobs/relay/relayed_workers.h"
+
+#include "lanemoor/adapters/event_log.h"
+#include "relay_codec.h"
+#include "relay_times.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+constexpr Millis check { 100 }; // Between looks at silent links and calls without an answer.
+/// A relay's call to a worker ends within 0.8 s; the way there and back, and gathering, come on top.
+constexpr Millis callTime { 1'100 };
+/// This process was held up if its own timer is later than this: it says nothing about the relays.
+constexpr Millis heldUp { 300 };
+
+} // namespace
+
+class RelayedWorkers::Impl : public std::enable_shared_from_this<RelayedWorkers::Impl> {
+public:
+    Impl(RelayedWorkersParts parts, RelayOptions options, double ownCores)
+        : m_parts(parts)
+        , m_options(options)
+        , m_ownCores(ownCores)
+        , m_plan(options, ownCores)
+    {
+    }
+
+    void activate()
+    {
+        if (!m_parts.peers || m_options.workersPerCore <= 0)
+            return;
+        m_active = true;
+        ++m_term;
+        m_parts.peers->accept([self = weak_from_this()](std::shared_ptr<PeerLink> link) {
+            if (const auto impl = self.lock(); impl && impl->m_active)
+                impl->accepted(std::move(link));
+            else
+                link->close();
+        });
+        m_checkedAt = m_parts.loop->now();
+        checkLater();
+    }
+
+    void deactivate()
+    {
+        m_active = false;
+        for (auto& [number, relay] : m_relays)
+            relay.link->close();
+        m_relays.clear();
+        m_byName.clear();
+        m_plan = RelayPlan(m_options, m_ownCores);
+        std::vector<std::uint64_t> all;
+        for (const auto& [call, pending] : m_pending)
+            all.push_back(call);
+        for (const std::uint64_t call : all)
+            giveUp(call);
+    }
+
+    using Done = std::variant<std::function<void(OrderResult)>, std::function<void(RenewResult)>>;
+
+    /// \returns The message to fill in for a call that a relay carries; null: call the worker directly.
+    wire::RelayCall* relayed(const WorkerLife& worker, Millis time, Done& done)
+    {
+        const std::string name = m_active ? m_plan.relayOf(worker.id) : std::string();
+        noteSize();
+        const auto relay = m_byName.find(name);
+        if (name.empty() || relay == m_byName.end()) {
+            ++m_counts.direct;
+            return nullptr;
+        }
+        ++m_counts.relayed;
+        const std::uint64_t call = ++m_lastCall;
+        m_pending.emplace(call, Pending { .relay = relay->second, .deadline = m_parts.loop->now() + time, .done = std::move(done) });
+        Relay& used = m_relays.at(relay->second);
+        // Silence counts from the first call after a pause: before it there were few heartbeats.
+        if (m_parts.loop->now() - used.usedAt >= usedLinkSilence)
+            used.heardAt = m_parts.loop->now();
+        used.usedAt = m_parts.loop->now();
+        wire::RelayCall* message = used.frame.add_calls();
+        message->set_call(call);
+        sendSoon(relay->second, used);
+        return message;
+    }
+
+    void forget(const WorkerLife& worker)
+    {
+        const std::string name = m_plan.relayOf(worker.id);
+        m_plan.forget(worker.id);
+        m_parts.direct->forget(worker);
+        const auto relay = m_byName.find(name);
+        if (relay == m_byName.end())
+            return;
+        Relay& used = m_relays.at(relay->second);
+        wire::RelayLife& life = *used.frame.add_forgotten();
+        life.set_worker(worker.id);
+        life.set_address(worker.address);
+        sendSoon(relay->second, used);
+    }
+
+    [[nodiscard]] RelayCounts counts() const
+    {
+        RelayCounts counts = m_counts;
+        counts.relays = m_plan.relaysInUse();
+        return counts;
+    }
+
+    [[nodiscard]] WorkerControl& direct() { return *m_parts.direct; }
+
+private:
+    /// One link, from its first frame on with the name of its relay.
+    struct Relay {
+        std::shared_ptr<PeerLink> link;
+        std::string name; ///< Empty before its first frame.
+        wire::RelayFrame frame; ///< That is being gathered.
+        bool gathering = false;
+        MonotonicInstant heardAt;
+        MonotonicInstant usedAt;
+        MonotonicInstant heartbeatAt; ///< Of the last one.
+    };
+
+    struct Pending {
+        std::uint64_t relay = 0;
+        MonotonicInstant deadline;
+        Done done;
+    };
+
+    void accepted(std::shared_ptr<PeerLink> link)
+    {
+        const std::uint64_t number = ++m_lastRelay;
+        const MonotonicInstant now = m_parts.loop->now();
+        Relay& relay = m_relays[number];
+        relay.link = std::move(link);
+        relay.heardAt = now;
+        relay.heartbeatAt = now;
+        relay.link->observe({ .received = [self = weak_from_this(), number](const std::string& frame) {
+                                 if (const auto impl = self.lock())
+                                     impl->received(number, frame); },
+            .closed = [self = weak_from_this(), number] {
+                if (const auto impl = self.lock())
+                    impl->lost(number, "closed"); } });
+    }
+
+    void received(std::uint64_t number, const std::string& text)
+    {
+        const auto found = m_relays.find(number);
+        if (found == m_relays.end())
+            return;
+        wire::RelayFrame frame;
+        if (!frame.ParseFromString(text)) {
+            lost(number, "unreadable");
+            return;
+        }
+        found->second.heardAt = m_parts.loop->now();
+        if (frame.has_hello())
+            joined(number, found->second, frame.hello());
+        for (const wire::RelayAnswer& answer : frame.answers())
+            answered(answer);
+        if (frame.leaving())
+            leaves(number);
+    }
+
+    void joined(std::uint64_t number, Relay& relay, const wire::RelayHello& hello)
+    {
+        constexpr double milli = 1'000;
+        relay.name = hello.name();
+        // An earlier link of the same instance is no use any more.
+        const auto before = m_byName.find(relay.name);
+        if (before != m_byName.end() && before->second != number)
+            lost(before->second, "replaced");
+        m_byName[relay.name] = number;
+        m_plan.addRelay(relay.name, hello.milli_cores() / milli);
+        m_parts.log->decision("relay-joined", { { "relay", hello.name() }, { "milli_cores", std::int64_t { hello.milli_cores() } } });
+    }
+
+    void answered(const wire::RelayAnswer& answer)
+    {
+        const auto found = m_pending.find(answer.call());
+        if (found == m_pending.end())
+            return;
+        const Done done = std::move(found->second.done);
+        m_pending.erase(found);
+        if (const auto* order = std::get_if<std::function<void(OrderResult)>>(&done))
+            (*order)(orderResultOf(answer));
+        else
+            std::get<std::function<void(RenewResult)>>(done)(renewResultOf(answer));
+    }
+
+    void giveUp(std::uint64_t call)
+    {
+        ++m_counts.unanswered;
+        wire::RelayAnswer unknown;
+        unknown.set_call(call);
+        unknown.set_outcome(static_cast<std::uint32_t>(OrderOutcome::Unknown));
+        answered(unknown);
+    }
+
+    void leaves(std::uint64_t number)
+    {
+        const auto found = m_relays.find(number);
+        if (found == m_relays.end() || found->second.name.empty())
+            return;
+        m_parts.log->decision("relay-leaves", { { "relay", found->second.name } });
+        m_plan.removeRelay(found->second.name);
+        m_byName.erase(found->second.name);
+        found->second.name.clear();
+    }
+
+    void lost(std::uint64_t number, const char* reason)
+    {
+        const auto found = m_relays.find(number);
+        if (found == m_relays.end())
+            return;
+        std::vector<std::uint64_t> calls;
+        for (const auto& [call, pending] : m_pending) {
+            if (pending.relay == number)
+                calls.push_back(call);
+        }
+        if (!found->second.name.empty() || !calls.empty())
+            m_parts.log->change("relay-lost", { { "relay", found->second.name }, { "reason", std::string(reason) }, { "calls", static_cast<std::int64_t>(calls.size()) } });
+        const std::string name = found->second.name;
+        found->second.link->close();
+        m_relays.erase(found);
+        if (!name.empty()) {
+            m_byName.erase(name);
+            m_plan.removeRelay(name);
+        }
+        for (const std::uint64_t call : calls)
+            giveUp(call);
+    }
+
+    /// One line when relays come into use or go.
+    void noteSize()
+    {
+        const std::size_t relays = m_plan.relaysInUse();
+        if (std::exchange(m_loggedRelays, relays) != relays)
+            m_parts.log->change("relays-in-use", { { "relays", static_cast<std::int64_t>(relays) }, { "of", static_cast<std::int64_t>(m_byName.size()) }, { "workers", static_cast<std::int64_t>(m_plan.workers()) } });
+    }
+
+    void sendSoon(std::uint64_t number, Relay& relay)
+    {
+        if (std::exchange(relay.gathering, true))
+            return;
+        m_parts.loop->callAt(m_parts.loop->now() + callsGather, [self = weak_from_this(), number] {
+            const auto impl = self.lock();
+            if (!impl)
+                return;
+            const auto found = impl->m_relays.find(number);
+            if (found != impl->m_relays.end())
+                impl->send(found->second);
+        });
+    }
+
+    void send(Relay& relay)
+    {
+        relay.gathering = false;
+        relay.heartbeatAt = m_parts.loop->now();
+        relay.frame.set_sent_at_us(relay.heartbeatAt.time_since_epoch().count());
+        relay.link->send(relay.frame.SerializeAsString());
+        relay.frame.Clear();
+    }
+
+    void checkLater()
+    {
+        m_parts.loop->callAt(m_parts.loop->now() + check, [self = weak_from_this(), term = m_term] {
+            const auto impl = self.lock();
+            if (!impl || !impl->m_active || impl->m_term != term)
+                return;
+            impl->checkLinks();
+            impl->checkCalls();
+            impl->checkLater();
+        });
+    }
+
+    void checkLinks()
+    {
+        const MonotonicInstant now = m_parts.loop->now();
+        const bool wasHeldUp = now - std::exchange(m_checkedAt, now) > check + heldUp;
+        std::vector<std::uint64_t> silent;
+        for (auto& [number, relay] : m_relays) {
+            const bool isUsed = now - relay.usedAt < usedLinkSilence;
+            if (wasHeldUp)
+                relay.heardAt = std::max(relay.heardAt, now - heartbeatOfUsed);
+            if (now - relay.heardAt > (isUsed ? usedLinkSilence : idleLinkSilence))
+                silent.push_back(number);
+            else if (now - relay.heartbeatAt >= (isUsed ? heartbeatOfUsed : heartbeatOfIdle))
+                send(relay);
+        }
+        for (const std::uint64_t number : silent)
+            lost(number, "silent");
+    }
+
+    void checkCalls()
+    {
+        const MonotonicInstant now = m_parts.loop->now();
+        std::vector<std::uint64_t> late;
+        for (const auto& [call, pending] : m_pending) {
+            if (now >= pending.deadline)
+                late.push_back(call);
+        }
+        for (const std::uint64_t call : late)
+            giveUp(call);
+    }
+
+    RelayedWorkersParts m_parts;
+    RelayOptions m_options;
+    double m_ownCores;
+    RelayPlan m_plan;
+    RelayCounts m_counts;
+    bool m_active = false;
+    std::uint64_t m_term = 0;
+    std::uint64_t m_lastRelay = 0;
+    std::uint64_t m_lastCall = 0;
+    std::size_t m_loggedRelays = 0;
+    MonotonicInstant m_checkedAt;
+    std::map<std::uint64_t, Relay> m_relays; ///< By number of the link.
+    std::map<std::string, std::uint64_t> m_byName; ///< Of those that take calls.
+    std::map<std::uint64_t, Pending> m_pending; ///< By number of the call.
+};
+
+RelayedWorkers::RelayedWorkers(RelayedWorkersParts parts, RelayOptions options, double ownCores)
+    : m_impl(std::make_shared<Impl>(parts, options, ownCores))
+{
+}
+
+RelayedWorkers::~RelayedWorkers() = default;
+
+void RelayedWorkers::activate()
+{
+    m_impl->activate();
+}
+
+void RelayedWorkers::deactivate()
+{
+    m_impl->deactivate();
+}
+
+void RelayedWorkers::start(const WorkerLife& worker, const StartOrder& order, std::function<void(OrderResult)> done)
+{
+    Impl::Done relayed(std::move(done));
+    if (wire::RelayCall* message = m_impl->relayed(worker, callTime, relayed))
+        fill(*message, worker, order);
+    else
+        m_impl->direct().start(worker, order, std::move(std::get<std::function<void(OrderResult)>>(relayed)));
+}
+
+void RelayedWorkers::stop(const WorkerLife& worker, const Attempt& attempt, std::uint64_t epoch, std::function<void(OrderResult)> done)
+{
+    Impl::Done relayed(std::move(done));
+    if (wire::RelayCall* message = m_impl->relayed(worker, callTime, relayed))
+        fillStop(*message, worker, attempt, epoch);
+    else
+        m_impl->direct().stop(worker, attempt, epoch, std::move(std::get<std::function<void(OrderResult)>>(relayed)));
+}
+
+void RelayedWorkers::renew(const WorkerLife& worker, const RenewOrder& order, std::function<void(RenewResult)> done)
+{
+    Impl::Done relayed(std::move(done));
+    if (wire::RelayCall* message = m_impl->relayed(worker, order.wait + callTime, relayed))
+        fill(*message, worker, order);
+    else
+        m_impl->direct().renew(worker, order, std::move(std::get<std::function<void(RenewResult)>>(relayed)));
+}
+
+void RelayedWorkers::throttle(const WorkerLife& worker, const Attempt& attempt, std::uint32_t percent, std::uint64_t epoch, std::function<void(OrderResult)> done)
+{
+    Impl::Done relayed(std::move(done));
+    if (wire::RelayCall* message = m_impl->relayed(worker, callTime, relayed))
+        fillThrottle(*message, worker, attempt, percent, epoch);
+    else
+        m_impl->direct().throttle(worker, attempt, percent, epoch, std::move(std::get<std::function<void(OrderResult)>>(relayed)));
+}
+
+void RelayedWorkers::forget(const WorkerLife& worker)
+{
+    m_impl->forget(worker);
+}
+
+RelayCounts RelayedWorkers::counts() const noexcept
+{
+    return m_impl->counts();
+}
+
+} // namespace lanemoor::jobs
--- a/src/jobs/store_mirror.cpp
+++ b/src/jobs/store_mirror.cpp
@@ -16,7 +16,21 @@
     {
     }
 
-    void stop() { m_stopped = true; }
+    /// What is under way belongs to an earlier generation, and is not heard any more.
+    void stop()
+    {
+        ++m_generation;
+        m_loop.cancel(m_gapTimer);
+        m_gapTimer = 0;
+        m_whenListed = nullptr;
+    }
+
+    void resume(std::function<void()> done)
+    {
+        stop();
+        m_whenListed = std::move(done);
+        list();
+    }
 
     void setPace(Millis leastGap, Millis watchTime)
     {
@@ -66,42 +80,19 @@
         }
     }
 
-    /// Pages of a refresh bring what is there; what is gone the watch will tell.
-    void refresh(const std::string& afterKey, std::function<void()> done)
-    {
-        m_store.range(m_options.prefix, afterKey, [self = weak_from_this(), afterKey, done = std::move(done)](const ItemsResult& result) {
-            const auto impl = self.lock();
-            if (!impl || impl->m_stopped)
-                return;
-            if (result.outcome != StoreOutcome::Done) {
-                impl->m_loop.callAt(impl->m_loop.now() + impl->m_options.retryPause, [self, afterKey, done] {
-                    if (const auto again = self.lock(); again && !again->m_stopped)
-                        again->refresh(afterKey, done);
-                });
-                return;
-            }
-            for (const StoreItem& item : result.items)
-                impl->note(item);
-            if (result.more && !result.items.empty())
-                impl->refresh(result.items.back().key, done);
-            else
-                done();
-        });
-    }
-
 private:
     void later(void (Impl::*step)())
     {
-        m_loop.callAt(m_loop.now() + m_options.retryPause, [self = weak_from_this(), step] {
-            if (const auto impl = self.lock(); impl && !impl->m_stopped)
+        m_loop.callAt(m_loop.now() + m_options.retryPause, [self = weak_from_this(), generation = m_generation, step] {
+            if (const auto impl = self.lock(); impl && impl->m_generation == generation)
                 (impl.get()->*step)();
         });
     }
 
     void listPage(const std::string& afterKey)
     {
-        m_store.range(m_options.prefix, afterKey, [self = weak_from_this()](const ItemsResult& result) {
-            if (const auto impl = self.lock(); impl && !impl->m_stopped)
+        m_store.range(m_options.prefix, afterKey, [self = weak_from_this(), generation = m_generation](const ItemsResult& result) {
+            if (const auto impl = self.lock(); impl && impl->m_generation == generation)
                 impl->listed(result);
         });
     }
@@ -126,7 +117,11 @@
         freshAt = m_listStart;
         m_at = m_listRevision;
         advance(m_listRevision);
-        watch();
+        const std::uint64_t generation = m_generation;
+        if (const std::function<void()> done = std::exchange(m_whenListed, nullptr))
+            done();
+        if (generation == m_generation)
+            watch();
     }
 
     /// Keys that were known and are not listed are gone, unless they were written since.
@@ -154,9 +149,9 @@
             watch();
             return;
         }
-        m_gapTimer = m_loop.callAt(earliest, [self = weak_from_this()] {
+        m_gapTimer = m_loop.callAt(earliest, [self = weak_from_this(), generation = m_generation] {
             const auto impl = self.lock();
-            if (!impl || impl->m_stopped)
+            if (!impl || impl->m_generation != generation)
                 return;
             impl->m_gapTimer = 0;
             impl->watch();
@@ -167,8 +162,8 @@
     {
         const MonotonicInstant sentAt = m_loop.now();
         m_watchSentAt = sentAt;
-        m_store.watch(m_options.prefix, m_at, m_options.watchTime, [self = weak_from_this(), sentAt](const ItemsResult& result) {
-            if (const auto impl = self.lock(); impl && !impl->m_stopped)
+        m_store.watch(m_options.prefix, m_at, m_options.watchTime, [self = weak_from_this(), sentAt, generation = m_generation](const ItemsResult& result) {
+            if (const auto impl = self.lock(); impl && impl->m_generation == generation)
                 impl->watched(result, sentAt);
         });
     }
@@ -202,7 +197,8 @@
     TimerId m_gapTimer = 0;
     MonotonicInstant m_watchSentAt;
     std::uint64_t m_at = 0; ///< Where the watch goes on.
-    bool m_stopped = false;
+    std::uint64_t m_generation = 0; ///< Of the calls under way.
+    std::function<void()> m_whenListed;
 };
 
 StoreMirror::StoreMirror(EventLoop& loop, KeyValueStore& store, StoreMirrorOptions options, ItemObserver observer)
@@ -220,6 +216,16 @@
     m_impl->list();
 }
 
+void StoreMirror::pause()
+{
+    m_impl->stop();
+}
+
+void StoreMirror::resume(std::function<void()> done)
+{
+    m_impl->resume(std::move(done));
+}
+
 void StoreMirror::setPace(Millis leastGap, Millis watchTime)
 {
     m_impl->setPace(leastGap, watchTime);
@@ -252,11 +258,6 @@
     m_impl->advance(m_impl->revision);
 }
 
-void StoreMirror::refresh(std::function<void()> done)
-{
-    m_impl->refresh({}, std::move(done));
-}
-
 void StoreMirror::noteWritten(const StoreItem& item)
 {
     m_impl->note(item);
--- a/src/jobs/worker_directory.cpp
+++ b/src/jobs/worker_directory.cpp
@@ -14,14 +14,15 @@
 {
 }
 
-void WorkerDirectory::put(const WorkerEntry& worker)
+bool WorkerDirectory::put(const WorkerEntry& worker)
 {
     const auto found = m_entries.find(worker.id);
     if (found != m_entries.end() && found->second.listed && found->second.worker == worker)
-        return;
+        return false;
     m_entries[worker.id] = { .worker = worker };
     if (m_observer)
         m_observer(worker.id);
+    return true;
 }
 
 void WorkerDirectory::remove(const std::string& id)
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -37,6 +37,17 @@
     return number;
 }
 
+std::optional<HttpAddress> parseAddress(std::string_view text, std::uint16_t leastPort)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return std::nullopt;
+    const std::optional<std::uint64_t> port = parseDecimal(text.substr(colon + 1));
+    if (!port || *port < leastPort || *port > std::numeric_limits<std::uint16_t>::max())
+        return std::nullopt;
+    return HttpAddress { std::string(text.substr(0, colon)), static_cast<std::uint16_t>(*port) };
+}
+
 HttpHeaders::HttpHeaders(std::vector<HttpHeader> headers)
     : m_headers(std::move(headers))
 {
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -246,6 +246,7 @@
     : random(seed)
     , store(clock, random)
     , workers(clock, random)
+    , peers(clock, random)
     , witness(clock)
     , m_log({ .discard = std::getenv("LANEMOOR_MODEL_LOG") == nullptr, .queueLines = 1'000'000, .decisionsPerSecond = 1'000'000 })
     , m_entries(entries)
@@ -285,12 +286,16 @@
     entry.storeClient = std::make_unique<StoreClient>(store, *entry.process);
     entry.workerClient = std::make_unique<WorkerClient>(workers, *entry.process);
     entry.fleetClient = std::make_unique<FleetClient>(workers, *entry.process);
+    entry.port = std::make_unique<PeerPort>(peers, *entry.process, entry.name);
     JobServiceSettings settings;
+    settings.policies.relay.workersPerCore = m_workersPerCore;
     settings.machineCores = entry.cores;
     settings.name = entry.name + '-' + std::to_string(++entry.lives);
     entry.service = std::make_unique<JobService>(JobServiceParts { .loop = entry.process.get(),
                                                      .store = entry.storeClient.get(),
                                                      .workers = entry.workerClient.get(),
+                                                     .peers = entry.port.get(),
+                                                     .peerAddress = entry.name,
                                                      .fleet = entry.fleetClient.get(),
                                                      .advisor = entry.fleetClient.get(),
                                                      .documents = &documents,
@@ -299,13 +304,14 @@
     entry.service->start();
 }
 
-void JobCluster::kill(std::size_t index)
+void JobCluster::kill(std::size_t index, bool silently)
 {
     Entry& entry = m_entries[index];
     if (!entry.service)
         return;
+    entry.port->close(silently);
     entry.process->kill();
-    m_remains.push_back({ std::move(entry.process), std::move(entry.storeClient), std::move(entry.workerClient), std::move(entry.fleetClient), std::move(entry.service) });
+    m_remains.push_back({ std::move(entry.process), std::move(entry.storeClient), std::move(entry.workerClient), std::move(entry.fleetClient), std::move(entry.port), std::move(entry.service) });
 }
 
 void JobCluster::freeze(std::size_t index)
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -5,6 +5,7 @@
 #include "lanemoor/adapters/event_log.h"
 #include "lanemoor/jobs/job_service.h"
 #include "lanemoor/jobs/platform_documents.h"
+#include "peers_model.h"
 #include "store_model.h"
 #include "workers_model.h"
 
@@ -117,6 +118,7 @@
     SimClock clock;
     StoreModel store;
     WorkersModel workers;
+    PeersModel peers;
     ModelDocuments documents;
     JobWitness witness;
     ///@}
@@ -126,7 +128,8 @@
     [[nodiscard]] std::size_t entries() const noexcept { return m_entries.size(); }
     [[nodiscard]] jobs::JobService& entry(std::size_t index) { return *m_entries[index].service; }
     [[nodiscard]] bool isUp(std::size_t index) const { return m_entries[index].service != nullptr; }
-    void kill(std::size_t index);
+    /// \param silently Its peers hear nothing of it, as after a loss of power.
+    void kill(std::size_t index, bool silently = false);
     void start(std::size_t index);
     void freeze(std::size_t index);
     void thaw(std::size_t index);
@@ -134,6 +137,13 @@
     void cutWatches(std::size_t index, bool cut);
     void resetStoreCalls(std::size_t index, bool reset);
 
+    /// \brief Lets owners that start from now on have their calls relayed, from the first worker on
+    /// or by as many as one machine's core carries.
+    void relayAt(double workersPerCore) { m_workersPerCore = workersPerCore; }
+
+    /// \returns How other entries reach entry `index`.
+    [[nodiscard]] std::string peerAddress(std::size_t index) const { return m_entries[index].name; }
+
     /// \brief Sets the processor time of an entry's machine, for its next start.
     void setCores(std::size_t index, double cores) { m_entries[index].cores = cores; }
 
@@ -169,6 +179,7 @@
         std::unique_ptr<StoreClient> storeClient;
         std::unique_ptr<WorkerClient> workerClient;
         std::unique_ptr<FleetClient> fleetClient;
+        std::unique_ptr<PeerPort> port;
         std::unique_ptr<jobs::JobService> service;
     };
 
@@ -178,10 +189,12 @@
         std::unique_ptr<StoreClient> storeClient;
         std::unique_ptr<WorkerClient> workerClient;
         std::unique_ptr<FleetClient> fleetClient;
+        std::unique_ptr<PeerPort> port;
         std::unique_ptr<jobs::JobService> service;
     };
 
     EventLog m_log;
+    double m_workersPerCore = 0; ///< 0: owners call every worker themselves.
     std::vector<Entry> m_entries;
     std::vector<Remains> m_remains;
     std::set<std::string> m_accepted;
--- a/tests/jobs/random_test.cpp
+++ b/tests/jobs/random_test.cpp
@@ -23,14 +23,15 @@
     First, ///< Those of store, entry instances and workers that stop.
     Second, ///< Also those of the fleet's interface, and workers that drain or lose their entry.
     All, ///< Also outages of the store in which leases wait.
-    Mixed, ///< The same on two pools, with instances of two kinds that do not guard their room, labels and racks.
+    Relayed, ///< The faults of `All`, with calls carried by other entry instances, whose links break and go silent.
+    Mixed, ///< The same as `All` on two pools, with instances of two kinds that do not guard their room, labels and racks.
 };
 
 /// One run: jobs arrive, faults come and go, then all heals and every job must end.
 class RandomRun {
 public:
     RandomRun(std::uint64_t seed, Faults faults)
-        : m_cluster(seed, 3, 6, 2)
+        : m_cluster(seed, 3, 6, 2, faults == Faults::Relayed ? 1 : 0)
         , m_seed(seed)
         , m_faults(faults)
         , m_laterRandom(seed)
@@ -53,6 +54,8 @@
                 cancel();
             if (m_faults != Faults::First && pickLater(0, 30) == 0)
                 laterFault();
+            if (m_faults == Faults::Relayed && pickLater(0, 15) == 0)
+                faultOfLinks();
         }
         heal();
         m_cluster.clock.runFor(m_faults == Faults::Mixed ? recoveryOfMixed : recovery);
@@ -249,10 +252,33 @@
         });
     }
 
+    void faultOfLinks()
+    {
+        model::PeersTrouble& trouble = m_cluster.peers.trouble;
+        switch (pickLater(0, 4)) {
+        case 0:
+            m_cluster.peers.resetAll();
+            return;
+        case 1:
+            m_cluster.peers.silenceAll();
+            return;
+        case 2:
+            trouble.silenced = 0.5;
+            m_cluster.peers.resetAll();
+            break;
+        case 3:
+            trouble.delay = Millis(pickLater(100, 600));
+            break;
+        default:
+            trouble.cutOff.insert(m_cluster.peerAddress(pickLater(0, m_cluster.entries() - 1)));
+        }
+        m_cluster.clock.after(Millis(pickLater(500, 4'000)), [this] { m_cluster.peers.trouble = {}; });
+    }
+
     void laterFault()
     {
         model::WorkerModel* worker = anyWorker();
-        switch (pickLater(0, m_faults == Faults::All ? 4 : 3)) {
+        switch (pickLater(0, m_faults == Faults::All || m_faults == Faults::Relayed ? 4 : 3)) {
         case 0:
             m_cluster.workers.fleetTrouble.lostAnswers = 0.5;
             break;
@@ -290,6 +316,7 @@
     {
         m_cluster.clock.runFor(Millis(8'000));
         m_cluster.store.trouble = {};
+        m_cluster.peers.trouble = {};
         for (std::size_t i = 0; i < m_cluster.entries(); ++i)
             m_cluster.start(i);
     }
@@ -381,3 +408,11 @@
     for (std::uint64_t seed = first; seed < first + runs; ++seed)
         RandomRun(seed, Faults::Mixed).play();
 }
+
+TEST_CASE("No promise is broken in random runs with relays")
+{
+    const std::uint64_t first = numberFrom("LANEMOOR_SEED", 1);
+    const std::uint64_t runs = numberFrom("LANEMOOR_RUNS", 200);
+    for (std::uint64_t seed = first; seed < first + runs; ++seed)
+        RandomRun(seed, Faults::Relayed).play();
+}
