Give jobs that end late whatever is done only what nobody else asks for

What piled up counted as demand (584 and 702 instances asked for, of 132 there), so pools whose jobs could still make it got no more than an equal share, and half-run jobs whose objective was past went first for ever.

Change: jobs past their objective, or not begun and unable to make it, are a backlog of their own. They come after the others, pools get instances for them only from what was idle for a while, and busy instances that work on them may be emptied for others. Instances that are empty soonest are drained first. While a pool is short, instances being emptied and down for maintenance are paced together. A line a second, fleet-use, says what the instances are doing.

--- a/include/lanemoor/jobs/capacity_plan.h
+++ b/include/lanemoor/jobs/capacity_plan.h
@@ -111,6 +111,7 @@
     [[nodiscard]] CapacityNeed needOf(const Requirement& requirement, const RequirementLoad& load, std::int64_t milliCpu, std::uint32_t present) const;
     void undrain(std::vector<Balance>& pools, std::vector<std::string>& undrains) const;
     void relieve(std::vector<Balance>& pools, std::vector<CapacityMove>& moves) const;
+    void addBacklog(std::vector<Balance>& pools) const;
     void share(std::vector<Balance>& pools, std::vector<CapacityDrain>& drains) const;
     void powerOff(std::vector<Balance>& pools, std::vector<CapacityMove>& moves, MonotonicInstant now) const;
     [[nodiscard]] bool mayPowerOff(MonotonicInstant now) const;
--- a/include/lanemoor/jobs/job_scheduler.h
+++ b/include/lanemoor/jobs/job_scheduler.h
@@ -54,6 +54,7 @@
     std::uint32_t attempts = 0; ///< Not over.
     std::uint32_t longRunning = 0; ///< Of them.
     std::uint32_t pinned = 0; ///< Of the long-running ones, those that require a label.
+    MonotonicInstant emptyBy; ///< When the other ones should have ended, by their declared times and what is observed.
     bool known = false; ///< What runs there is known: it was met in this term, or every lease there is over.
     bool sound = false; ///< Listed, answering, not draining, not quarantined.
     bool evacuating = false;
@@ -62,7 +63,8 @@
 
 /// What tasks wait for, that could start if there were room.
 struct WaitingTasks {
-    std::int64_t milliCpu = 0;
+    std::int64_t milliCpu = 0; ///< Of jobs that can meet their objective, or have begun.
+    std::int64_t backlogMilliCpu = 0; ///< Of the others.
     Resources largest; ///< Of the tasks, the largest need of each resource.
 };
 
@@ -71,6 +73,7 @@
 struct ClassDemand {
     WaitingTasks waiting;
     std::int64_t runningMilliCpu = 0;
+    std::int64_t runningBacklogMilliCpu = 0; ///< Of it, what jobs take that end late whatever is done.
     std::uint32_t leastInstances = 0; ///< For steps whose tasks must not share an instance.
     std::int64_t forecastMilliCpu = 0; ///< What jobs arriving as they do now will keep busy.
 };
--- a/include/lanemoor/jobs/pool_load.h
+++ b/include/lanemoor/jobs/pool_load.h
@@ -25,6 +25,7 @@
     std::optional<MonotonicInstant> idleSince; ///< It is up, has nothing to run, and could be moved now.
     std::string drainable; ///< The worker, if it is busy and could be emptied; else empty.
     std::uint32_t attempts = 0; ///< Not over on its worker.
+    MonotonicInstant emptyBy; ///< When those of them that end by themselves should have ended.
     std::uint32_t longRunning = 0; ///< Of them, those that don't end by themselves.
     std::string drainingFrom; ///< The pool that it is being emptied in for this one; empty: none.
 
@@ -37,6 +38,9 @@
 /// What the tasks of one requirement class ask of their pool.
 struct RequirementLoad {
     std::int64_t demandMilliCpu = 0; ///< What runs and what waits, or what arrivals will keep busy.
+    /// What runs and waits of jobs that end late whatever is done: it gets what nobody else asks for.
+    std::int64_t backlogMilliCpu = 0;
+    bool backlogWaits = false; ///< Whether some of it found no room.
     std::uint32_t leastInstances = 0; ///< Sound ones that its jobs need, whatever their load.
     bool hasWaiting = false; ///< Whether tasks wait that could start if there were room.
     Resources largestWaiting; ///< Of the tasks that wait, the largest need of each resource.
--- a/include/lanemoor/jobs/worker_book.h
+++ b/include/lanemoor/jobs/worker_book.h
@@ -19,6 +19,7 @@
 struct Booking {
     std::shared_ptr<const StepSpec> step;
     std::uint32_t throttledTo = 100; ///< Percent that the worker was last told.
+    MonotonicInstant endsBy; ///< When it should have ended, by its declared time and what is observed.
 };
 
 /// \brief Judges whether a worker is sound by how attempts of different jobs end there.
--- a/src/jobs/capacity_plan.cpp
+++ b/src/jobs/capacity_plan.cpp
@@ -109,6 +109,11 @@
         return milliCpu;
     }
 
+    [[nodiscard]] bool hasBacklog() const
+    {
+        return std::any_of(classes.begin(), classes.end(), [](const ClassBalance& each) { return each.load->backlogMilliCpu > 0; });
+    }
+
     [[nodiscard]] bool needsLabel(const std::string& label) const
     {
         return std::any_of(classes.begin(), classes.end(), [&](const ClassBalance& each) { return each.isRequired() && each.requirement.label == label; });
@@ -129,6 +134,9 @@
             return true;
         if (instance.longRunning > 0)
             return false;
+        // It works on what ends late whatever is done, and there on what may yet end in time.
+        if (hasBacklog() && mayGive(instance, lacking))
+            return true;
         const auto milliCpu = static_cast<double>(instance.capacity.milliCpu);
         // Nobody here needs the label, and nobody there can do without.
         if (lacking.isRequired() && !needsLabel(lacking.requirement.label))
@@ -312,6 +320,23 @@
     }
 }
 
+/// Lets pools ask for more, for jobs that end late whatever is done. Under a turn of load such jobs pile
+/// up to several times the fleet; counted like the others, they kept instances from pools whose jobs
+/// could still make it.
+void CapacityPlan::addBacklog(std::vector<Balance>& pools) const
+{
+    for (Balance& pool : pools) {
+        for (ClassBalance& each : pool.classes) {
+            each.exhausted = false;
+            if (each.load->backlogMilliCpu == 0)
+                continue;
+            each.now.milliCpu += static_cast<double>(each.load->backlogMilliCpu) / m_options.packing;
+            if (each.load->backlogWaits)
+                each.now.instances = std::max(each.now.instances, each.supply.present + 1);
+        }
+    }
+}
+
 /// Ends the drains for pools that are no longer short.
 void CapacityPlan::undrain(std::vector<Balance>& pools, std::vector<std::string>& undrains) const
 {
@@ -336,12 +361,12 @@
             while (!lacking.supply.covers(needy.needOf(lacking, &ClassBalance::now))) {
                 Balance* giver = nullptr;
                 const PoolInstance* chosen = nullptr;
-                std::tuple<bool, double, std::uint32_t> best;
+                std::tuple<bool, double, MonotonicInstant> best;
                 for (Balance& pool : pools) {
                     if (&pool == &needy || pool.load->reserve)
                         continue;
                     for (const PoolInstance* instance : pool.drainable) {
-                        const std::tuple<bool, double, std::uint32_t> rank { instance->longRunning > 0, -pool.sizeOf({}), instance->attempts };
+                        const std::tuple<bool, double, MonotonicInstant> rank { instance->longRunning > 0, -pool.sizeOf({}), instance->emptyBy };
                         if (!instance->has(lacking.requirement.label) || !takes(needy.load->pool, instance->kind) || (chosen && rank >= best))
                             continue;
                         if (!pool.mayDrain(*instance, lacking, m_options.fairnessGap))
@@ -397,6 +422,13 @@
     relieve(balances, step.moves);
     if (m_options.sharesFairly)
         share(balances, step.drains);
+    addBacklog(balances);
+    // What was idle for a moment only may be wanted by its own pool in the next.
+    for (Balance& pool : balances) {
+        if (!pool.load->reserve)
+            std::erase_if(pool.idle, [&](const PoolInstance* instance) { return now - *instance->idleSince < m_options.idleBeforeOff; });
+    }
+    relieve(balances, step.moves);
     powerOff(balances, step.moves, now);
     return step;
 }
--- a/src/jobs/fleet_keeper.cpp
+++ b/src/jobs/fleet_keeper.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr Millis storeRetry { 300 };
+constexpr Millis useLogPause { 1'000 }; // Between lines on what the instances are doing.
 constexpr Millis recordLasts { 500 }; // An act is sent this soon after its record was asked for, or not at all.
 /// An act reaches the platform this soon after its record was asked for, with some time for its way.
 constexpr Millis actSpread { 700 };
@@ -398,6 +399,42 @@
     {
         planWaves();
         planCapacity();
+        logUse();
+    }
+
+    /// One line a second on what the instances are doing.
+    void logUse()
+    {
+        const MonotonicInstant now = m_options.loop->now();
+        if (now - m_useLoggedAt < useLogPause)
+            return;
+        m_useLoggedAt = now;
+        const std::map<std::string, WorkerUse> uses = usesByWorker();
+        std::int64_t off = 0;
+        std::int64_t away = 0;
+        std::int64_t evacuating = 0;
+        std::int64_t unsound = 0;
+        std::int64_t open = 0;
+        std::int64_t free = 0;
+        for (const auto& [id, instance] : m_list) {
+            const PoolSettings* pool = m_options.configuration()->pool(instance.pool);
+            const auto use = uses.find(instance.worker);
+            const bool isReserve = pool && pool->reserve;
+            off += isReserve ? 1 : 0;
+            if (isReserve)
+                continue;
+            if (instance.state != FleetState::Up || use == uses.end()) {
+                ++away;
+            } else if (use->second.evacuating) {
+                ++evacuating;
+            } else if (!use->second.sound) {
+                ++unsound;
+            } else {
+                ++open;
+                free += use->second.free.milliCpu;
+            }
+        }
+        m_options.log->decision("fleet-use", { { "off", off }, { "away", away }, { "evacuating", evacuating }, { "unsound", unsound }, { "open", open }, { "free_mcpu_of_open", free } });
     }
 
     /// \returns Each pool's load before its instances are counted.
@@ -408,7 +445,10 @@
         for (const PoolSettings& pool : m_options.configuration()->pools) {
             PoolLoad load { .pool = pool.name, .reserve = pool.reserve, .requirements = { { Requirement {}, RequirementLoad {} } }, .instances = {} };
             for (const auto& [requirement, demand] : demands[pool.name]) {
-                load.requirements[requirement] = { .demandMilliCpu = std::max(demand.runningMilliCpu + demand.waiting.milliCpu, demand.forecastMilliCpu),
+                const std::int64_t running = demand.runningMilliCpu - demand.runningBacklogMilliCpu;
+                load.requirements[requirement] = { .demandMilliCpu = std::max(running + demand.waiting.milliCpu, demand.forecastMilliCpu),
+                    .backlogMilliCpu = demand.runningBacklogMilliCpu + demand.waiting.backlogMilliCpu,
+                    .backlogWaits = demand.waiting.backlogMilliCpu > 0,
                     .leastInstances = demand.leastInstances,
                     .hasWaiting = demand.waiting.milliCpu > 0,
                     .largestWaiting = demand.waiting.largest };
@@ -435,6 +475,7 @@
         if (isUp && !reserve && isSound && use->attempts > 0 && use->pinned == 0) {
             seen.drainable = use->worker;
             seen.attempts = use->attempts;
+            seen.emptyBy = use->emptyBy;
             seen.longRunning = use->longRunning;
         }
         const bool isIdle = isUp && (reserve || (isSound && use->attempts == 0));
@@ -730,6 +771,7 @@
     std::map<std::string, ListedLife> m_lives; ///< By instance.
     std::map<std::string, MonotonicInstant> m_idleSince;
     CapacityPlan m_capacity;
+    MonotonicInstant m_useLoggedAt;
     std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> m_loggedSizes; ///< Instances and target, by pool.
 };
 
--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -66,16 +66,23 @@
     }
 }
 
-/// Notes what the attempts booked at a worker take.
-void noteRunning(const WorkerBook& book, PoolDemand& demand)
+/// Notes what the attempts booked at a worker take. \param hopeless Jobs that end late whatever is done.
+void noteRunning(const WorkerBook& book, const std::set<std::string>& hopeless, PoolDemand& demand)
 {
     std::map<Requirement, Resources> used;
+    std::map<Requirement, Resources> usedInVain;
     for (const auto& [attempt, booking] : book.bookings) {
-        for (const Requirement& requirement : requirementsOf(*booking.step))
+        const bool isInVain = hopeless.contains(attempt.job);
+        for (const Requirement& requirement : requirementsOf(*booking.step)) {
             used[requirement] += footprint(*booking.step);
+            if (isInVain)
+                usedInVain[requirement] += footprint(*booking.step);
+        }
     }
     for (const auto& [requirement, resources] : used)
         demand[requirement].runningMilliCpu += asMilliCpu(resources, book.entry.capacity);
+    for (const auto& [requirement, resources] : usedInVain)
+        demand[requirement].runningBacklogMilliCpu += asMilliCpu(resources, book.entry.capacity);
 }
 
 /// \returns How many instances there are of each kind, for example `a 30, b 19`.
@@ -221,6 +228,8 @@
             WorkerUse use { .worker = id, .pool = book.entry.pool, .capacity = book.entry.capacity, .free = book.free(), .attempts = static_cast<std::uint32_t>(book.bookings.size()), .evacuating = book.evacuating, .evacuatingSince = book.evacuatingSince };
             for (const auto& [attempt, booking] : book.bookings) {
                 use.longRunning += booking.step->longRunning ? 1 : 0;
+                if (!booking.step->longRunning)
+                    use.emptyBy = std::max(use.emptyBy, booking.endsBy);
                 use.pinned += booking.step->longRunning && !booking.step->requiredLabel.empty() ? 1 : 0;
             }
             use.known = book.session->isMet() || now >= book.session->leaseOverBy();
@@ -320,8 +329,13 @@
             for (const auto& [requirement, waiting] : classes)
                 demands[pool][requirement].waiting = waiting;
         }
+        std::set<std::string> hopeless;
+        for (const auto& [id, job] : state.jobs) {
+            if (!isFinal(job.state.status()) && state.isHopeless(job))
+                hopeless.insert(id);
+        }
         for (const auto& [id, book] : state.workers)
-            noteRunning(book, demands[book.entry.pool]);
+            noteRunning(book, hopeless, demands[book.entry.pool]);
         for (const auto& [id, job] : state.jobs) {
             if (!isFinal(job.state.status()))
                 noteSpread(job.state, demands[state.poolOf(job.state)]);
--- a/src/jobs/maintenance_plan.cpp
+++ b/src/jobs/maintenance_plan.cpp
@@ -70,7 +70,8 @@
     const std::uint32_t downNow = down(now);
     const std::uint32_t most = hasShortage ? pace(now) : m_wave.mostAtOnce;
     std::uint32_t slots = most > downNow ? most - downNow : 0;
-    std::uint32_t evacuations = most + (hasShortage ? 0 : evacuateAhead);
+    // While a pool is short, those being emptied and those that are down are paced together.
+    std::uint32_t evacuations = hasShortage ? std::max(slots, 1U) : most + evacuateAhead;
     for (const MaintenanceCandidate* candidate : due) {
         const auto retry = m_retryAt.find(candidate->instance);
         if (retry != m_retryAt.end() && retry->second > now)
--- a/src/jobs/owner_state.cpp
+++ b/src/jobs/owner_state.cpp
@@ -53,6 +53,26 @@
     }
 }
 
+/// Under overload every job would end a little late if the oldest always came first; those that
+/// can still make it come before those that can't. What has begun goes on until its objective is past.
+bool OwnerState::isHopeless(const OwnerJob& job) const
+{
+    const PlacementOptions& weights = options.placement;
+    const JobSpec& spec = job.state.record().spec;
+    const bool lasts = std::any_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec& step) { return step.longRunning; });
+    if (!weights.hopelessLast || spec.occurrences > 0 || lasts)
+        return false;
+    if (job.state.status() != JobStatus::Queued)
+        return weights.lateLast && now() > job.objective;
+    const double share = weights.hopelessShare * forecast.ratio(job.state.record().queue);
+    return now() + std::chrono::duration_cast<Millis>(job.chain * share) > job.objective;
+}
+
+MonotonicInstant OwnerState::expectedEnd(const OwnerJob& job, const TaskId& task) const
+{
+    return now() + std::chrono::duration_cast<Millis>(job.state.spec(task.step).estimate * forecast.ratio(job.state.record().queue));
+}
+
 std::uint32_t OwnerState::mostAttemptsOf(const JobState& job) const
 {
     const QueueSettings* queue = configuration()->queue(job.record().queue);
--- a/src/jobs/owner_state.h
+++ b/src/jobs/owner_state.h
@@ -76,6 +76,12 @@
     /// \returns Failures of a task with which the job fails.
     [[nodiscard]] std::uint32_t mostAttemptsOf(const JobState& job) const;
 
+    /// \returns Whether the job will end late whatever is done: it comes after the others.
+    [[nodiscard]] bool isHopeless(const OwnerJob& job) const;
+
+    /// \returns When an attempt of the task that starts now should have ended.
+    [[nodiscard]] MonotonicInstant expectedEnd(const OwnerJob& job, const TaskId& task) const;
+
     /// \brief Marks a job's progress as to be stored.
     void store(const std::string& id) { writer->markChanged(id); }
 };
--- a/src/jobs/placement_pass.cpp
+++ b/src/jobs/placement_pass.cpp
@@ -55,24 +55,11 @@
         wakeAt(m_state.now() + std::max(Millis(1), *due - timeOfDay));
 }
 
-/// Under overload every job would end a little late if the oldest always came first; those that
-/// can still make it come before those that can't. What has begun goes on.
-bool PlacementPass::isHopeless(const OwnerJob& job) const
-{
-    const PlacementOptions& options = m_state.options.placement;
-    const JobSpec& spec = job.state.record().spec;
-    const bool lasts = std::any_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec& step) { return step.longRunning; });
-    if (!options.hopelessLast || job.state.status() != JobStatus::Queued || spec.occurrences > 0 || lasts)
-        return false;
-    const double share = options.hopelessShare * m_state.forecast.ratio(job.state.record().queue);
-    return m_state.now() + std::chrono::duration_cast<Millis>(job.chain * share) > job.objective;
-}
-
 void PlacementPass::collect(OwnerJob& job, const ServiceConfiguration& configuration)
 {
     const QueueSettings* queue = configuration.queue(job.state.record().queue);
     const MonotonicInstant now = m_state.now();
-    const bool hopeless = isHopeless(job);
+    const bool hopeless = m_state.isHopeless(job);
     for (const auto& [id, step] : job.state.steps()) {
         if (step.idle() == 0)
             continue;
@@ -173,7 +160,7 @@
         query.avoidWorker = candidate.job->state.find(task)->avoidWorker;
         const std::optional<std::size_t> site = sites.placer->choose(step, query);
         if (!site) {
-            noteWaiting(step, pool, candidate.tasks.size() - i);
+            noteWaiting(candidate, pool, candidate.tasks.size() - i);
             noteWait(candidate, sites, query, candidate.tasks.size() - i);
             return;
         }
@@ -184,8 +171,9 @@
 }
 
 /// Counts what more instances would help: a task too large for any of them waits in vain.
-void PlacementPass::noteWaiting(const StepSpec& step, const std::string& pool, std::size_t tasks)
+void PlacementPass::noteWaiting(const Candidate& candidate, const std::string& pool, std::size_t tasks)
 {
+    const StepSpec& step = candidate.job->state.spec(candidate.step.step);
     const Resources needs = footprint(step);
     Resources capacity; // Of the largest instance that could run it.
     for (const InstanceShape& shape : m_state.shapes) {
@@ -197,7 +185,8 @@
         return;
     for (const Requirement& requirement : requirementsOf(step)) {
         WaitingTasks& waiting = m_waiting[pool][requirement];
-        waiting.milliCpu += std::max<std::int64_t>(asMilliCpu(needs, capacity), 1) * static_cast<std::int64_t>(tasks);
+        std::int64_t& demand = candidate.hopeless ? waiting.backlogMilliCpu : waiting.milliCpu;
+        demand += std::max<std::int64_t>(asMilliCpu(needs, capacity), 1) * static_cast<std::int64_t>(tasks);
         waiting.largest.milliCpu = std::max(waiting.largest.milliCpu, needs.milliCpu);
         waiting.largest.memoryMb = std::max(waiting.largest.memoryMb, needs.memoryMb);
         waiting.largest.accelerators = std::max(waiting.largest.accelerators, needs.accelerators);
@@ -251,7 +240,7 @@
     }
     if (placeGangIn(candidate, sites, {}))
         return;
-    noteWaiting(step, pool, step.count);
+    noteWaiting(candidate, pool, step.count);
     noteWait(candidate, sites, queryFor(candidate, sites), step.count);
 }
 
--- a/src/jobs/placement_pass.h
+++ b/src/jobs/placement_pass.h
@@ -41,12 +41,11 @@
     };
 
     void openDue(OwnerJob& job);
-    [[nodiscard]] bool isHopeless(const OwnerJob& job) const;
     void collect(OwnerJob& job, const ServiceConfiguration& configuration);
     PoolSites& sitesOf(const std::string& pool);
     void place(const Candidate& candidate, const std::string& pool);
     void placeEach(const Candidate& candidate, PoolSites& sites, const std::string& pool);
-    void noteWaiting(const StepSpec& step, const std::string& pool, std::size_t tasks);
+    void noteWaiting(const Candidate& candidate, const std::string& pool, std::size_t tasks);
     void noteWait(const Candidate& candidate, const PoolSites& sites, const PlacementQuery& query, std::size_t tasks);
     void placeGang(const Candidate& candidate, PoolSites& sites, const std::string& pool);
     bool placeGangIn(const Candidate& candidate, PoolSites& sites, const std::string& rack);
--- a/src/jobs/report_reader.cpp
+++ b/src/jobs/report_reader.cpp
@@ -120,7 +120,7 @@
         return;
     }
     if (task && job->state.adopt(report.attempt, worker.entry.id, m_state.now())) {
-        worker.bookings[report.attempt] = { .step = job->state.sharedSpec(report.attempt.task.step) };
+        worker.bookings[report.attempt] = { .step = job->state.sharedSpec(report.attempt.task.step), .endsBy = m_state.expectedEnd(*job, report.attempt.task) };
         job->state.noteReport(report, m_state.now());
         m_state.options.log->decision("task-adopted", { { "attempt", nameOf(report.attempt) }, { "worker", worker.entry.id } });
         // A member of a gang that failed: its attempt is in vain.
