--- a/include/lanemoor/jobs/relay/relay_plan.h
+++ b/include/lanemoor/jobs/relay/relay_plan.h
@@ -2,8 +2,12 @@
 /// \file
 /// Decides which instance carries the owner's calls to which worker. Pure.
 
+#include "lanemoor/jobs/event_loop.h"
+
 #include <cstddef>
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace lanemoor::jobs {
@@ -29,7 +33,7 @@
 /// \code
 /// RelayPlan plan(options, 0.5);
 /// plan.addRelay("entry-2", 0.5);
-/// const std::string relay = plan.relayOf("worker-17"); // Empty: call it directly.
+/// const std::string relay = plan.relayOf("worker-17", now); // Empty: call it directly.
 /// \endcode
 class RelayPlan {
 public:
@@ -44,7 +48,14 @@
 
     /// \brief Assigns a worker if it has no relay, or one that carries far more than others.
     /// \returns The relay; empty: call it directly.
-    [[nodiscard]] std::string relayOf(const std::string& worker);
+    [[nodiscard]] std::string relayOf(const std::string& worker, MonotonicInstant now);
+
+    /// \brief A call that `relay` was given for the worker was answered by the worker.
+    void noteAnswered(const std::string& relay);
+
+    /// \brief The worker did not answer a call through `relay`: others are tried. A relay through which worker after
+    /// worker does not answer rests for a while, since it may be the one that is cut off.
+    void noteUnanswered(const std::string& relay, const std::string& worker, MonotonicInstant now);
 
     /// \brief The worker is gone.
     void forget(const std::string& worker);
@@ -59,11 +70,14 @@
     struct Relay {
         double capacity = 0; ///< In workers.
         std::size_t workers = 0;
+        std::uint32_t unanswered = 0; ///< Calls in a row.
+        MonotonicInstant restsUntil; ///< Gets no workers before.
         bool inUse = false;
     };
 
     void resize();
     void choose(std::string& relay);
+    void release(const std::string& relay);
     [[nodiscard]] bool isOverloaded(const std::string& relay) const;
     [[nodiscard]] double capacityOf(double cores) const;
 
@@ -72,6 +86,8 @@
     std::map<std::string, Relay> m_relays;
     std::map<std::string, std::string> m_relayByWorker; ///< Empty: called directly.
     std::size_t m_inUse = 0;
+    MonotonicInstant m_now; ///< Of the last call that told it.
+    std::optional<MonotonicInstant> m_restEndsAt; ///< Of the relay that rests the shortest; nothing: none rests.
     double m_fairShare = 0; ///< Workers by capacity, if all relays in use carried the same share.
 };
 
--- a/src/jobs/relay/relay_plan.cpp
+++ b/src/jobs/relay/relay_plan.cpp
@@ -13,6 +13,10 @@
 /// A relay gives workers away once it has so many more than its share. Relays come one after the
 /// other, and the first ones would keep all workers.
 constexpr double unevenness = 1.25;
+/// Calls in a row without an answer of a worker. A lost rack has some 12 workers, whose calls are spread over relays and
+/// mixed with those of others.
+constexpr std::uint32_t unansweredToRest = 8;
+constexpr Millis rest { 5'000 };
 
 } // namespace
 
@@ -44,10 +48,54 @@
     resize();
 }
 
-std::string RelayPlan::relayOf(const std::string& worker)
+void RelayPlan::noteAnswered(const std::string& relay)
 {
+    const auto found = m_relays.find(relay);
+    if (found != m_relays.end())
+        found->second.unanswered = 0;
+}
+
+void RelayPlan::noteUnanswered(const std::string& relay, const std::string& worker, MonotonicInstant now)
+{
+    m_now = now;
+    const auto place = m_relayByWorker.find(worker);
+    const auto found = m_relays.find(relay);
+    if (found == m_relays.end() || place == m_relayByWorker.end() || place->second != relay)
+        return;
+    if (++found->second.unanswered >= unansweredToRest) {
+        found->second.unanswered = 0;
+        found->second.restsUntil = now + rest;
+        for (auto& [id, name] : m_relayByWorker) {
+            if (name == relay)
+                name.clear();
+        }
+        found->second.workers = 0;
+        resize();
+        return;
+    }
+    // Any other one in use.
+    for (auto& [name, other] : m_relays) {
+        if (name == relay || !other.inUse || other.workers > found->second.workers + 1)
+            continue;
+        release(relay);
+        ++other.workers;
+        place->second = name;
+        return;
+    }
+}
+
+void RelayPlan::release(const std::string& relay)
+{
+    const auto found = m_relays.find(relay);
+    if (found != m_relays.end())
+        --found->second.workers;
+}
+
+std::string RelayPlan::relayOf(const std::string& worker, MonotonicInstant now)
+{
+    m_now = now;
     const auto [place, isNew] = m_relayByWorker.try_emplace(worker);
-    if (isNew)
+    if (isNew || (m_restEndsAt && now >= *m_restEndsAt))
         resize();
     if (m_inUse > 0 && (place->second.empty() || isOverloaded(place->second)))
         choose(place->second);
@@ -65,9 +113,7 @@
     const auto found = m_relayByWorker.find(worker);
     if (found == m_relayByWorker.end())
         return;
-    const auto relay = m_relays.find(found->second);
-    if (relay != m_relays.end())
-        --relay->second.workers;
+    release(found->second);
     m_relayByWorker.erase(found);
     resize();
 }
@@ -84,10 +130,14 @@
     double capacity = 0;
     double capacityInUse = 0;
     m_inUse = 0;
+    m_restEndsAt.reset();
     for (auto* relay : largestFirst) {
         const double enough = relay->second.inUse ? needed * m_options.shrinkAt : needed;
-        const bool isUsed = relays && capacity < enough;
-        capacity += relay->second.capacity;
+        const bool rests = relay->second.restsUntil > m_now;
+        if (rests)
+            m_restEndsAt = std::min(m_restEndsAt.value_or(relay->second.restsUntil), relay->second.restsUntil);
+        const bool isUsed = relays && capacity < enough && !rests;
+        capacity += isUsed ? relay->second.capacity : 0;
         m_inUse += isUsed ? 1 : 0;
         capacityInUse += isUsed ? relay->second.capacity : 0;
         if (std::exchange(relay->second.inUse, isUsed) == isUsed || isUsed)
@@ -112,8 +162,7 @@
     }
     if (!best || best->first == relay)
         return;
-    if (const auto former = m_relays.find(relay); former != m_relays.end())
-        --former->second.workers;
+    release(relay);
     ++best->second.workers;
     relay = best->first;
 }
--- a/src/jobs/relay/relayed_workers.cpp
+++ b/src/jobs/relay/relayed_workers.cpp
@@ -68,7 +68,7 @@
     /// \returns The message to fill in for a call that a relay carries; null: call the worker directly.
     wire::RelayCall* relayed(const WorkerLife& worker, Millis time, Done& done)
     {
-        const std::string name = m_active ? m_plan.relayOf(worker.id) : std::string();
+        const std::string name = m_active ? m_plan.relayOf(worker.id, m_parts.loop->now()) : std::string();
         noteSize();
         const auto relay = m_byName.find(name);
         if (name.empty() || relay == m_byName.end()) {
@@ -77,7 +77,7 @@
         }
         ++m_counts.relayed;
         const std::uint64_t call = ++m_lastCall;
-        m_pending.emplace(call, Pending { .relay = relay->second, .deadline = m_parts.loop->now() + time, .done = std::move(done) });
+        m_pending.emplace(call, Pending { .relay = relay->second, .worker = worker.id, .deadline = m_parts.loop->now() + time, .done = std::move(done) });
         Relay& used = m_relays.at(relay->second);
         // Silence counts from the first call after a pause: before it there were few heartbeats.
         if (m_parts.loop->now() - used.usedAt >= usedLinkSilence)
@@ -91,7 +91,7 @@
 
     void forget(const WorkerLife& worker)
     {
-        const std::string name = m_plan.relayOf(worker.id);
+        const std::string name = m_plan.relayOf(worker.id, m_parts.loop->now());
         m_plan.forget(worker.id);
         m_parts.direct->forget(worker);
         const auto relay = m_byName.find(name);
@@ -126,7 +126,8 @@
     };
 
     struct Pending {
-        std::uint64_t relay = 0;
+        std::uint64_t relay = 0; ///< Number of its link.
+        std::string worker;
         MonotonicInstant deadline;
         Done done;
     };
@@ -184,6 +185,7 @@
         const auto found = m_pending.find(answer.call());
         if (found == m_pending.end())
             return;
+        judge(found->second, answer);
         const Done done = std::move(found->second.done);
         m_pending.erase(found);
         if (const auto* order = std::get_if<std::function<void(OrderResult)>>(&done))
@@ -192,6 +194,19 @@
             std::get<std::function<void(RenewResult)>>(done)(renewResultOf(answer));
     }
 
+    /// Notes whether the worker answered through this relay; a lost relay has been dealt with.
+    void judge(const Pending& pending, const wire::RelayAnswer& answer)
+    {
+        const auto relay = m_relays.find(pending.relay);
+        if (relay == m_relays.end() || relay->second.name.empty())
+            return;
+        const bool isAnswered = answer.outcome() != static_cast<std::uint32_t>(OrderOutcome::Unknown) && answer.outcome() != static_cast<std::uint32_t>(OrderOutcome::NotDone);
+        if (isAnswered)
+            m_plan.noteAnswered(relay->second.name);
+        else
+            m_plan.noteUnanswered(relay->second.name, pending.worker, m_parts.loop->now());
+    }
+
     void giveUp(std::uint64_t call)
     {
         ++m_counts.unanswered;
--- a/tests/jobs/relay_test.cpp
+++ b/tests/jobs/relay_test.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr MonotonicInstant now { std::chrono::seconds(100) };
+
 /// Workers that note who called them last, and answer when they are told to.
 class NotingWorkers final : public WorkerControl {
 public:
@@ -104,12 +106,12 @@
     RelayPlan plan({ .workersPerCore = 10 }, 0.5);
     plan.addRelay("large", 0.5);
     for (int i = 0; i < 5; ++i)
-        CHECK(plan.relayOf("w" + std::to_string(i)).empty());
+        CHECK(plan.relayOf("w" + std::to_string(i), now).empty());
     CHECK(plan.relaysInUse() == 0);
-    CHECK(plan.relayOf("w5") == "large");
+    CHECK(plan.relayOf("w5", now) == "large");
     CHECK(plan.relaysInUse() == 1);
     // Those that were called directly get it too.
-    CHECK(plan.relayOf("w0") == "large");
+    CHECK(plan.relayOf("w0", now) == "large");
 }
 
 TEST_CASE("Machines with the most processor time relay first, and each by what it has")
@@ -122,13 +124,13 @@
     for (int round = 0; round < 2; ++round) {
         byRelay.clear();
         for (int i = 0; i < 20; ++i)
-            ++byRelay[plan.relayOf("w" + std::to_string(i))];
+            ++byRelay[plan.relayOf("w" + std::to_string(i), now)];
     }
     CHECK(byRelay.count("a-small") == 0);
     CHECK(byRelay["b-large"] >= 8);
     CHECK(byRelay["c-large"] >= 8);
     for (int i = 20; i < 23; ++i)
-        static_cast<void>(plan.relayOf("w" + std::to_string(i)));
+        static_cast<void>(plan.relayOf("w" + std::to_string(i), now));
     CHECK(plan.relaysInUse() == 3);
 }
 
@@ -137,11 +139,11 @@
     RelayPlan plan({ .workersPerCore = 10 }, 0.1);
     plan.addRelay("early", 2.0);
     for (int i = 0; i < 40; ++i)
-        static_cast<void>(plan.relayOf("w" + std::to_string(i)));
+        static_cast<void>(plan.relayOf("w" + std::to_string(i), now));
     plan.addRelay("late", 2.0);
     std::map<std::string, int> byRelay;
     for (int i = 0; i < 40; ++i)
-        ++byRelay[plan.relayOf("w" + std::to_string(i))];
+        ++byRelay[plan.relayOf("w" + std::to_string(i), now)];
     CHECK(byRelay["late"] >= 14);
     CHECK(byRelay["early"] + byRelay["late"] == 40);
 }
@@ -152,15 +154,49 @@
     plan.addRelay("a", 1.0);
     plan.addRelay("b", 1.0);
     std::set<std::string> used;
-    CHECK(plan.relayOf("w0").empty()); // One worker the owner's machine carries.
+    CHECK(plan.relayOf("w0", now).empty()); // One worker the owner's machine carries.
     for (int i = 1; i < 15; ++i)
-        used.insert(plan.relayOf("w" + std::to_string(i)));
+        used.insert(plan.relayOf("w" + std::to_string(i), now));
     CHECK(used == std::set<std::string> { "a", "b" });
     plan.removeRelay("a");
     for (int i = 0; i < 15; ++i)
-        CHECK(plan.relayOf("w" + std::to_string(i)) == "b");
+        CHECK(plan.relayOf("w" + std::to_string(i), now) == "b");
     plan.removeRelay("b");
-    CHECK(plan.relayOf("w1").empty());
+    CHECK(plan.relayOf("w1", now).empty());
+}
+
+TEST_CASE("A worker that does not answer through one relay is called through another")
+{
+    RelayPlan plan({ .workersPerCore = 10 }, 0.1);
+    plan.addRelay("a", 1.0);
+    plan.addRelay("b", 1.0);
+    for (int round = 0; round < 2; ++round) {
+        for (int i = 0; i < 15; ++i)
+            static_cast<void>(plan.relayOf("w" + std::to_string(i), now));
+    }
+    const std::string before = plan.relayOf("w3", now);
+    plan.noteUnanswered(before, "w3", now);
+    CHECK(plan.relayOf("w3", now) != before);
+}
+
+TEST_CASE("A relay through which worker after worker does not answer rests, and gets no new workers meanwhile")
+{
+    RelayPlan plan({ .workersPerCore = 10 }, 0.1);
+    plan.addRelay("a", 2.0);
+    plan.addRelay("b", 2.0);
+    for (int i = 0; i < 30; ++i)
+        static_cast<void>(plan.relayOf("w" + std::to_string(i), now));
+    for (int i = 0; i < 30; ++i) {
+        if (plan.relayOf("w" + std::to_string(i), now) == "a")
+            plan.noteUnanswered("a", "w" + std::to_string(i), now);
+    }
+    for (int i = 0; i < 40; ++i)
+        CHECK(plan.relayOf("w" + std::to_string(i), now + Millis(4'000)) == "b");
+    // Afterwards it is tried again.
+    std::set<std::string> used;
+    for (int i = 0; i < 40; ++i)
+        used.insert(plan.relayOf("w" + std::to_string(i), now + Millis(6'000)));
+    CHECK(used.contains("a"));
 }
 
 TEST_CASE("Relays are let go only when the others have room to spare")
@@ -169,7 +205,7 @@
     for (const char* name : { "a", "b", "c" })
         plan.addRelay(name, 1.0);
     for (int i = 0; i < 25; ++i)
-        static_cast<void>(plan.relayOf("w" + std::to_string(i)));
+        static_cast<void>(plan.relayOf("w" + std::to_string(i), now));
     CHECK(plan.relaysInUse() == 3);
     for (int i = 24; i >= 18; --i)
         plan.forget("w" + std::to_string(i));
