Send payloads along to relays that can't read the store; try a relay that rested with one worker

Change: a relay that has no payload after 0.25 s says that it made no call, and so at once for 2 s; the owner sends the call again with the payload in it, and to that relay for 5 s. A relay that rested gets one worker until that one answers, and rests twice as long if it doesn't.

--- a/include/lanemoor/jobs/relay/relay_plan.h
+++ b/include/lanemoor/jobs/relay/relay_plan.h
@@ -54,7 +54,8 @@
     void noteAnswered(const std::string& relay);
 
     /// \brief The worker did not answer a call through `relay`: others are tried. A relay through which worker after
-    /// worker does not answer rests for a while, since it may be the one that is cut off.
+    /// worker does not answer rests for a while, since it may be the one that is cut off; then it gets one worker
+    /// until that one answers.
     void noteUnanswered(const std::string& relay, const std::string& worker, MonotonicInstant now);
 
     /// \brief The worker is gone.
@@ -68,11 +69,15 @@
 
 private:
     struct Relay {
-        double capacity = 0; ///< In workers.
+        double fullCapacity = 0; ///< In workers.
+        bool onProbation = false; ///< It rested, and no worker has answered through it since: it gets one.
         std::size_t workers = 0;
         std::uint32_t unanswered = 0; ///< Calls in a row.
+        std::uint32_t rests = 0; ///< In a row.
         MonotonicInstant restsUntil; ///< Gets no workers before.
         bool inUse = false;
+
+        [[nodiscard]] double capacity() const noexcept { return onProbation ? 1.0 : fullCapacity; }
     };
 
     void resize();
@@ -88,6 +93,7 @@
     std::size_t m_inUse = 0;
     MonotonicInstant m_now; ///< Of the last call that told it.
     std::optional<MonotonicInstant> m_restEndsAt; ///< Of the relay that rests the shortest; nothing: none rests.
+    bool m_awaitsProbe = false; ///< A relay on probation has no worker yet.
     double m_fairShare = 0; ///< Workers by capacity, if all relays in use carried the same share.
 };
 
--- a/src/jobs/relay/order_relay.cpp
+++ b/src/jobs/relay/order_relay.cpp
@@ -18,6 +18,10 @@
 /// A call that came so much later than the fastest one of its link is not made: this machine was
 /// frozen or far behind, and the owner gives calls up after 1.1 s.
 constexpr Millis oldestCall { 400 };
+/// A payload that the store does not give in this time is not waited for: the owner sends it along then. The store
+/// answers in 4 ms, and in some 200 ms while it is slow.
+constexpr Millis payloadPatience { 250 };
+constexpr Millis storePause { 2'000 }; // Before the store is asked for a payload again.
 
 } // namespace
 
@@ -177,16 +181,31 @@
             m_parts.workers->start(worker, order, answerTo<OrderResult>(call.call()));
             return;
         }
-        const MonotonicInstant receivedAt = m_parts.loop->now();
+        // Whoever comes first decides: the payload, or the end of the patience. What is not sent by then is never sent.
+        const auto isSettled = std::make_shared<bool>(false);
+        const std::function<void(OrderResult)> done = answerTo<OrderResult>(call.call());
+        const auto refuse = [self = shared_from_this(), isSettled, done] {
+            if (std::exchange(*isSettled, true))
+                return;
+            self->m_storeSilentUntil = self->m_parts.loop->now() + storePause;
+            done({ .outcome = OrderOutcome::NotDone });
+        };
+        if (m_parts.loop->now() < m_storeSilentUntil) {
+            m_parts.loop->callAt(m_parts.loop->now(), refuse);
+            return;
+        }
         const std::string job = order.attempt.job;
-        m_payloads->read(job, [self = shared_from_this(), worker, order = std::move(order), done = answerTo<OrderResult>(call.call()), receivedAt](const std::optional<std::string>& payload) mutable {
-            if (!payload || self->m_parts.loop->now() - receivedAt > oldestCall) {
-                done({ .outcome = OrderOutcome::NotDone });
+        m_payloads->read(job, [self = shared_from_this(), isSettled, refuse, worker, order = std::move(order), done](const std::optional<std::string>& payload) mutable {
+            if (!payload) {
+                refuse();
                 return;
             }
+            if (std::exchange(*isSettled, true))
+                return;
             order.payload = *payload;
-            self->m_parts.workers->start(worker, order, std::move(done));
+            self->m_parts.workers->start(worker, order, done);
         });
+        m_parts.loop->callAt(m_parts.loop->now() + payloadPatience, refuse);
     }
 
     template <typename Result>
@@ -232,6 +251,7 @@
     wire::RelayFrame m_frame; ///< That is being gathered.
     bool m_gathering = false;
     bool m_leaving = false;
+    MonotonicInstant m_storeSilentUntil; ///< It gave no payload a short time ago.
     MonotonicInstant m_heardAt;
     std::optional<std::int64_t> m_fastest; ///< Least difference of the two clocks, in us.
 };
--- a/src/jobs/relay/relay_codec.cpp
+++ b/src/jobs/relay/relay_codec.cpp
@@ -37,12 +37,17 @@
 
 } // namespace
 
-void fill(wire::RelayCall& message, const WorkerLife& worker, const StartOrder& order)
+bool isLongPayload(const StartOrder& order) noexcept
+{
+    return order.payload.size() > mostPayloadInCall;
+}
+
+void fill(wire::RelayCall& message, const WorkerLife& worker, const StartOrder& order, bool refers)
 {
     writeLife(message, worker, order.epoch);
     wire::RelayCall::Start& start = *message.mutable_start();
     write(*start.mutable_attempt(), order.attempt);
-    if (order.payload.size() > mostPayloadInCall)
+    if (refers)
         start.set_payload_in_store(true);
     else
         start.set_payload(order.payload);
--- a/src/jobs/relay/relay_codec.h
+++ b/src/jobs/relay/relay_codec.h
@@ -9,10 +9,15 @@
 
 namespace lanemoor::jobs {
 
+/// \returns Whether the payload is long enough to be read from the store by the relay: once for all tasks of the
+/// job that it starts.
+[[nodiscard]] bool isLongPayload(const StartOrder& order) noexcept;
+
 /// \name Into the message
 /// `call` names the call; the worker and the kind are set.
 ///@{
-void fill(wire::RelayCall& message, const WorkerLife& worker, const StartOrder& order);
+/// \param refers Whether the relay is to read a long payload from the store.
+void fill(wire::RelayCall& message, const WorkerLife& worker, const StartOrder& order, bool refers);
 void fillStop(wire::RelayCall& message, const WorkerLife& worker, const Attempt& attempt, std::uint64_t epoch);
 void fill(wire::RelayCall& message, const WorkerLife& worker, const RenewOrder& order);
 void fillThrottle(wire::RelayCall& message, const WorkerLife& worker, const Attempt& attempt, std::uint32_t percent, std::uint64_t epoch);
--- a/src/jobs/relay/relay_plan.cpp
+++ b/src/jobs/relay/relay_plan.cpp
@@ -17,6 +17,7 @@
 /// mixed with those of others.
 constexpr std::uint32_t unansweredToRest = 8;
 constexpr Millis rest { 5'000 };
+constexpr std::uint32_t mostDoublings = 3; // Of the rest, if it is in vain.
 
 } // namespace
 
@@ -33,7 +34,7 @@
 
 void RelayPlan::addRelay(const std::string& name, double cores)
 {
-    m_relays[name].capacity = capacityOf(cores);
+    m_relays[name].fullCapacity = capacityOf(cores);
     resize();
 }
 
@@ -51,8 +52,12 @@
 void RelayPlan::noteAnswered(const std::string& relay)
 {
     const auto found = m_relays.find(relay);
-    if (found != m_relays.end())
-        found->second.unanswered = 0;
+    if (found == m_relays.end())
+        return;
+    found->second.unanswered = 0;
+    found->second.rests = 0;
+    if (std::exchange(found->second.onProbation, false))
+        resize();
 }
 
 void RelayPlan::noteUnanswered(const std::string& relay, const std::string& worker, MonotonicInstant now)
@@ -62,9 +67,10 @@
     const auto found = m_relays.find(relay);
     if (found == m_relays.end() || place == m_relayByWorker.end() || place->second != relay)
         return;
-    if (++found->second.unanswered >= unansweredToRest) {
+    if (found->second.onProbation || ++found->second.unanswered >= unansweredToRest) {
         found->second.unanswered = 0;
-        found->second.restsUntil = now + rest;
+        found->second.onProbation = true;
+        found->second.restsUntil = now + rest * (1U << std::min(found->second.rests++, mostDoublings));
         for (auto& [id, name] : m_relayByWorker) {
             if (name == relay)
                 name.clear();
@@ -97,7 +103,7 @@
     const auto [place, isNew] = m_relayByWorker.try_emplace(worker);
     if (isNew || (m_restEndsAt && now >= *m_restEndsAt))
         resize();
-    if (m_inUse > 0 && (place->second.empty() || isOverloaded(place->second)))
+    if (m_inUse > 0 && (place->second.empty() || isOverloaded(place->second) || m_awaitsProbe))
         choose(place->second);
     return place->second;
 }
@@ -105,7 +111,7 @@
 bool RelayPlan::isOverloaded(const std::string& relay) const
 {
     const Relay& used = m_relays.at(relay);
-    return static_cast<double>(used.workers) > 1 + unevenness * m_fairShare * used.capacity;
+    return static_cast<double>(used.workers) > 1 + unevenness * m_fairShare * used.capacity();
 }
 
 void RelayPlan::forget(const std::string& worker)
@@ -126,20 +132,22 @@
     std::vector<std::pair<const std::string, Relay>*> largestFirst;
     for (auto& relay : m_relays)
         largestFirst.push_back(&relay);
-    std::stable_sort(largestFirst.begin(), largestFirst.end(), [](const auto* a, const auto* b) { return a->second.capacity > b->second.capacity; });
+    std::stable_sort(largestFirst.begin(), largestFirst.end(), [](const auto* a, const auto* b) { return a->second.fullCapacity > b->second.fullCapacity; });
     double capacity = 0;
     double capacityInUse = 0;
     m_inUse = 0;
     m_restEndsAt.reset();
+    m_awaitsProbe = false;
     for (auto* relay : largestFirst) {
         const double enough = relay->second.inUse ? needed * m_options.shrinkAt : needed;
         const bool rests = relay->second.restsUntil > m_now;
         if (rests)
             m_restEndsAt = std::min(m_restEndsAt.value_or(relay->second.restsUntil), relay->second.restsUntil);
         const bool isUsed = relays && capacity < enough && !rests;
-        capacity += isUsed ? relay->second.capacity : 0;
+        capacity += isUsed ? relay->second.capacity() : 0;
         m_inUse += isUsed ? 1 : 0;
-        capacityInUse += isUsed ? relay->second.capacity : 0;
+        m_awaitsProbe = m_awaitsProbe || (isUsed && relay->second.onProbation && relay->second.workers == 0);
+        capacityInUse += isUsed ? relay->second.capacity() : 0;
         if (std::exchange(relay->second.inUse, isUsed) == isUsed || isUsed)
             continue;
         relay->second.workers = 0;
@@ -155,11 +163,12 @@
 void RelayPlan::choose(std::string& relay)
 {
     std::pair<const std::string, Relay>* best = nullptr;
-    const auto share = [](const Relay& each) { return static_cast<double>(each.workers) / each.capacity; };
+    const auto share = [](const Relay& each) { return static_cast<double>(each.workers) / each.capacity(); };
     for (auto& each : m_relays) {
         if (each.second.inUse && (!best || share(each.second) < share(best->second)))
             best = &each;
     }
+    m_awaitsProbe = false;
     if (!best || best->first == relay)
         return;
     release(relay);
--- a/src/jobs/relay/relayed_workers.cpp
+++ b/src/jobs/relay/relayed_workers.cpp
@@ -17,6 +17,8 @@
 constexpr Millis check { 100 }; // Between looks at silent links and calls without an answer.
 /// A relay's call to a worker ends within 0.8 s; the way there and back, and gathering, come on top.
 constexpr Millis callTime { 1'100 };
+/// A relay that could not read a payload from the store gets payloads with its calls for so long.
+constexpr Millis inlineTime { 5'000 };
 /// This process was held up if its own timer is later than this: it says nothing about the relays.
 constexpr Millis heldUp { 300 };
 
@@ -65,15 +67,21 @@
 
     using Done = std::variant<std::function<void(OrderResult)>, std::function<void(RenewResult)>>;
 
-    /// \returns The message to fill in for a call that a relay carries; null: call the worker directly.
-    wire::RelayCall* relayed(const WorkerLife& worker, Millis time, Done& done)
+    /// A call that a relay carries, to be filled in.
+    struct RelayedCall {
+        wire::RelayCall* message = nullptr; ///< Null: call the worker directly.
+        std::uint64_t relay = 0; ///< Number of the link.
+        bool readsStore = true; ///< Whether the relay has been able to read payloads.
+    };
+
+    RelayedCall relayed(const WorkerLife& worker, Millis time, Done& done)
     {
         const std::string name = m_active ? m_plan.relayOf(worker.id, m_parts.loop->now()) : std::string();
         noteSize();
         const auto relay = m_byName.find(name);
         if (name.empty() || relay == m_byName.end()) {
             ++m_counts.direct;
-            return nullptr;
+            return {};
         }
         ++m_counts.relayed;
         const std::uint64_t call = ++m_lastCall;
@@ -86,7 +94,35 @@
         wire::RelayCall* message = used.frame.add_calls();
         message->set_call(call);
         sendSoon(used);
-        return message;
+        return { message, relay->second, m_parts.loop->now() >= used.inlineUntil };
+    }
+
+    /// Starts an attempt through a relay, or directly. One that the relay did not make, since it could not read the
+    /// payload, goes again with the payload in it.
+    void start(const WorkerLife& worker, const StartOrder& order, const std::function<void(OrderResult)>& done, bool mayRefer)
+    {
+        const auto relay = std::make_shared<std::uint64_t>(0);
+        const bool isLong = mayRefer && isLongPayload(order);
+        std::function<void(OrderResult)> heard = done;
+        if (isLong) {
+            heard = [self = shared_from_this(), relay, worker, order, done](const OrderResult& result) {
+                if (result.outcome != OrderOutcome::NotDone || *relay == 0) {
+                    done(result);
+                    return;
+                }
+                self->noteUnreadPayload(*relay);
+                self->start(worker, order, done, false);
+            };
+        }
+        Done wrapped(std::move(heard));
+        const RelayedCall call = relayed(worker, callTime, wrapped);
+        if (!call.message) {
+            direct().start(worker, order, std::move(std::get<std::function<void(OrderResult)>>(wrapped)));
+            return;
+        }
+        const bool refers = isLong && call.readsStore;
+        *relay = refers ? call.relay : 0;
+        fill(*call.message, worker, order, refers);
     }
 
     void forget(const WorkerLife& worker)
@@ -114,6 +150,13 @@
     [[nodiscard]] WorkerControl& direct() { return *m_parts.direct; }
 
 private:
+    void noteUnreadPayload(std::uint64_t number)
+    {
+        const auto relay = m_relays.find(number);
+        if (relay != m_relays.end())
+            relay->second.inlineUntil = m_parts.loop->now() + inlineTime;
+    }
+
     /// One link, from its first frame on with the name of its relay.
     struct Relay {
         std::shared_ptr<PeerLink> link;
@@ -122,6 +165,7 @@
         bool hasCalls = false; ///< The frame goes with the next round.
         MonotonicInstant heardAt;
         MonotonicInstant usedAt;
+        MonotonicInstant inlineUntil; ///< Payloads travel with the calls until then: it could not read one.
         MonotonicInstant heartbeatAt; ///< Of the last one.
     };
 
@@ -366,17 +410,13 @@
 
 void RelayedWorkers::start(const WorkerLife& worker, const StartOrder& order, std::function<void(OrderResult)> done)
 {
-    Impl::Done relayed(std::move(done));
-    if (wire::RelayCall* message = m_impl->relayed(worker, callTime, relayed))
-        fill(*message, worker, order);
-    else
-        m_impl->direct().start(worker, order, std::move(std::get<std::function<void(OrderResult)>>(relayed)));
+    m_impl->start(worker, order, done, true);
 }
 
 void RelayedWorkers::stop(const WorkerLife& worker, const Attempt& attempt, std::uint64_t epoch, std::function<void(OrderResult)> done)
 {
     Impl::Done relayed(std::move(done));
-    if (wire::RelayCall* message = m_impl->relayed(worker, callTime, relayed))
+    if (wire::RelayCall* message = m_impl->relayed(worker, callTime, relayed).message)
         fillStop(*message, worker, attempt, epoch);
     else
         m_impl->direct().stop(worker, attempt, epoch, std::move(std::get<std::function<void(OrderResult)>>(relayed)));
@@ -385,7 +425,7 @@
 void RelayedWorkers::renew(const WorkerLife& worker, const RenewOrder& order, std::function<void(RenewResult)> done)
 {
     Impl::Done relayed(std::move(done));
-    if (wire::RelayCall* message = m_impl->relayed(worker, order.wait + callTime, relayed))
+    if (wire::RelayCall* message = m_impl->relayed(worker, order.wait + callTime, relayed).message)
         fill(*message, worker, order);
     else
         m_impl->direct().renew(worker, order, std::move(std::get<std::function<void(RenewResult)>>(relayed)));
@@ -394,7 +434,7 @@
 void RelayedWorkers::throttle(const WorkerLife& worker, const Attempt& attempt, std::uint32_t percent, std::uint64_t epoch, std::function<void(OrderResult)> done)
 {
     Impl::Done relayed(std::move(done));
-    if (wire::RelayCall* message = m_impl->relayed(worker, callTime, relayed))
+    if (wire::RelayCall* message = m_impl->relayed(worker, callTime, relayed).message)
         fillThrottle(*message, worker, attempt, percent, epoch);
     else
         m_impl->direct().throttle(worker, attempt, percent, epoch, std::move(std::get<std::function<void(OrderResult)>>(relayed)));
