--- a/src/jobs/job_scheduler.cpp
+++ b/src/jobs/job_scheduler.cpp
@@ -118,12 +118,14 @@
 /// All that lives for one term.
 struct Term {
     Term(const JobSchedulerOptions& options, const Ownership& ownership, SchedulerCounts& counts)
-        : state { options, ownership, options.loop->now() + options.ownershipTime + Millis(static_cast<std::int64_t>(leaseStretch * static_cast<double>(options.workerLeaseTime.count()))), {}, {}, nullptr, {}, {}, {}, {}, {}, {}, {}, {} }
+        : state { .options = options,
+            .ownership = ownership,
+            .inheritedLeaseOverBy = options.loop->now() + options.ownershipTime + Millis(static_cast<std::int64_t>(leaseStretch * static_cast<double>(options.workerLeaseTime.count()))),
+            .forecast = LoadForecast(options.seesRises) }
         , orders(std::make_shared<OrderDesk>(state, counts))
         , advice(std::make_shared<AdviceDesk>(state))
         , reports(state, *orders, counts)
     {
-        state.forecast = LoadForecast(options.seesRises);
         // Nobody owned before the first term, so nothing runs.
         if (ownership.term == 1)
             state.inheritedLeaseOverBy = options.loop->now();
