Open ports in one place, forget a worker without assigning it, and drop a count nobody reads

Cause, found by reading the whole change again: the listener of peers repeated the HTTP listener's opening of a port; forgetting a worker first asked for its relay, which assigned one to a worker that had none and resized the plan twice; PoolInstance kept a count of attempts that drains no longer rank by; a test connected a raw socket in two places.

Decisions are as before; a worker that was never called is no longer announced to a relay.

--- a/include/lanemoor/jobs/pool_load.h
+++ b/include/lanemoor/jobs/pool_load.h
@@ -24,9 +24,8 @@
     bool coming = false; ///< On its way to the pool, or not back from maintenance: it takes no work yet.
     std::optional<MonotonicInstant> idleSince; ///< It is up, has nothing to run, and could be moved now.
     std::string drainable; ///< The worker, if it is busy and could be emptied; else empty.
-    std::uint32_t attempts = 0; ///< Not over on its worker.
-    MonotonicInstant emptyBy; ///< When those of them that end by themselves should have ended.
-    std::uint32_t longRunning = 0; ///< Of them, those that don't end by themselves.
+    MonotonicInstant emptyBy; ///< When the attempts there that end by themselves should have ended.
+    std::uint32_t longRunning = 0; ///< Attempts there that don't end by themselves.
     std::string drainingFrom; ///< The pool that it is being emptied in for this one; empty: none.
 
     /// \returns Whether tasks that ask for `label` may run there.
--- a/include/lanemoor/jobs/relay/relay_plan.h
+++ b/include/lanemoor/jobs/relay/relay_plan.h
@@ -58,8 +58,8 @@
     /// until that one answers.
     void noteUnanswered(const std::string& relay, const std::string& worker, MonotonicInstant now);
 
-    /// \brief The worker is gone.
-    void forget(const std::string& worker);
+    /// \brief The worker is gone. \returns The relay that it had; empty: none.
+    std::string forget(const std::string& worker);
 
     /// \returns Relays that workers are assigned to now.
     [[nodiscard]] std::size_t relaysInUse() const noexcept { return m_inUse; }
--- a/src/aio/http_listener.cpp
+++ b/src/aio/http_listener.cpp
@@ -1,12 +1,12 @@
 #include "lanemoor/aio/http_listener.h"
 
 #include "asio_event_loop_impl.h"
+#include "listen.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
-#include <stdexcept>
 
 namespace lanemoor::aio {
 
@@ -160,20 +160,7 @@
         : m_acceptor(loop.impl().context)
         , m_shared(std::make_shared<Shared>(Shared { loop, std::move(options), std::move(handler) }))
     {
-        const HttpAddress& address = m_shared->options.address;
-        boost::system::error_code error;
-        const auto ip = boost::asio::ip::make_address_v4(address.ip, error);
-        const Tcp::endpoint endpoint(ip, address.port);
-        if (!error)
-            m_acceptor.open(endpoint.protocol(), error);
-        if (!error)
-            m_acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-        if (!error)
-            m_acceptor.bind(endpoint, error);
-        if (!error)
-            m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-        if (error)
-            throw std::runtime_error("can't listen on " + address.ip + ':' + std::to_string(address.port) + ": " + error.message());
+        listenOn(m_acceptor, m_shared->options.address);
     }
 
     void accept()
--- a/src/aio/peer_sockets.cpp
+++ b/src/aio/peer_sockets.cpp
@@ -1,6 +1,7 @@
 #include "lanemoor/aio/peer_sockets.h"
 
 #include "asio_event_loop_impl.h"
+#include "listen.h"
 
 #include <algorithm>
 #include <array>
@@ -9,7 +10,6 @@
 #include <boost/asio/write.hpp>
 #include <deque>
 #include <optional>
-#include <stdexcept>
 #include <utility>
 #include <vector>
 
@@ -207,18 +207,7 @@
         , m_acceptor(m_context)
         , m_options(std::move(options))
     {
-        ErrorCode error;
-        const Tcp::endpoint endpoint(boost::asio::ip::make_address_v4(m_options.address.ip, error), m_options.address.port);
-        if (!error)
-            m_acceptor.open(endpoint.protocol(), error);
-        if (!error)
-            m_acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-        if (!error)
-            m_acceptor.bind(endpoint, error);
-        if (!error)
-            m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-        if (error)
-            throw std::runtime_error("cannot listen for peers on " + m_options.address.ip + ':' + std::to_string(m_options.address.port) + ": " + error.message());
+        listenOn(m_acceptor, m_options.address);
     }
 
     void acceptNext()
--- a/src/jobs/fleet_keeper.cpp
+++ b/src/jobs/fleet_keeper.cpp
@@ -480,7 +480,6 @@
             return seen;
         if (isUp && !reserve && isSound && use->attempts > 0 && use->pinned == 0) {
             seen.drainable = use->worker;
-            seen.attempts = use->attempts;
             seen.emptyBy = use->emptyBy;
             seen.longRunning = use->longRunning;
         }
--- a/src/jobs/relay/relay_plan.cpp
+++ b/src/jobs/relay/relay_plan.cpp
@@ -114,14 +114,16 @@
     return static_cast<double>(used.workers) > 1 + unevenness * m_fairShare * used.capacity();
 }
 
-void RelayPlan::forget(const std::string& worker)
+std::string RelayPlan::forget(const std::string& worker)
 {
     const auto found = m_relayByWorker.find(worker);
     if (found == m_relayByWorker.end())
-        return;
-    release(found->second);
+        return {};
+    std::string relay = std::move(found->second);
+    release(relay);
     m_relayByWorker.erase(found);
     resize();
+    return relay;
 }
 
 /// Takes as many relays into use as the workers need, and lets those go that are far too many.
--- a/src/jobs/relay/relayed_workers.cpp
+++ b/src/jobs/relay/relayed_workers.cpp
@@ -127,8 +127,7 @@
 
     void forget(const WorkerLife& worker)
     {
-        const std::string name = m_plan.relayOf(worker.id, m_parts.loop->now());
-        m_plan.forget(worker.id);
+        const std::string name = m_plan.forget(worker.id);
         m_parts.direct->forget(worker);
         const auto relay = m_byName.find(name);
         if (relay == m_byName.end())
--- a/tests/jobs/peer_sockets_test.cpp
+++ b/tests/jobs/peer_sockets_test.cpp
@@ -62,6 +62,18 @@
     }
 };
 
+/// \returns A socket that is connected to `port`.
+int connectRaw(std::uint16_t port)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in to {};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(port);
+    inet_pton(AF_INET, "127.0.0.1", &to.sin_addr);
+    REQUIRE(::connect(socket, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0);
+    return socket;
+}
+
 } // namespace
 
 TEST_CASE("Frames of any size arrive whole and in order, both ways")
@@ -110,12 +122,7 @@
 TEST_CASE("A frame longer than allowed ends the link")
 {
     Ends ends;
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in to {};
-    to.sin_family = AF_INET;
-    to.sin_port = htons(ends.server.port());
-    inet_pton(AF_INET, "127.0.0.1", &to.sin_addr);
-    REQUIRE(::connect(socket, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0);
+    const int socket = connectRaw(ends.server.port());
     const std::string length("\xff\xff\xff\xff", 4);
     REQUIRE(::send(socket, length.data(), length.size(), 0) == 4);
     CHECK(ends.waitFor([&] { return ends.acceptedEnded; }));
@@ -126,12 +133,7 @@
 TEST_CASE("A peer that does not read ends the link before it takes memory without bound")
 {
     Ends ends;
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in to {};
-    to.sin_family = AF_INET;
-    to.sin_port = htons(ends.server.port());
-    inet_pton(AF_INET, "127.0.0.1", &to.sin_addr);
-    REQUIRE(::connect(socket, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0);
+    const int socket = connectRaw(ends.server.port());
     REQUIRE(ends.waitFor([&] { return ends.accepted != nullptr; }));
     const std::string frame(1'000'000, 'x');
     for (int i = 0; i < 20; ++i)
--- a/tests/jobs/turns_test.cpp
+++ b/tests/jobs/turns_test.cpp
@@ -28,7 +28,6 @@
             instance.idleSince = idleSince;
         } else {
             instance.drainable = "worker-" + instance.instance;
-            instance.attempts = 2;
             instance.emptyBy = start + Millis(100 * static_cast<std::int64_t>(i));
         }
         pool.instances.push_back(std::move(instance));
