Give the job service rooms with imports one way

Cause: src/jobs and its headers were 43 files in one flat folder; a newcomer could not tell from the tree what is decided where, and nothing kept a decision from including what talks to the outside. Ruled out: namespaces a room, which would touch every name for no reader's gain.

--- a/include/lanemoor/aio/asio_event_loop.h
+++ b/include/lanemoor/aio/asio_event_loop.h
@@ -2,7 +2,7 @@
 /// \file
 /// The event loop of a process, on Boost.Asio.
 
-#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/model/event_loop.h"
 
 #include <functional>
 #include <memory>
--- a/include/lanemoor/jobs/job_catalog.h
+++ b/include/lanemoor/jobs/intake/job_catalog.h
@@ -2,8 +2,8 @@
 /// \file
 /// Every job that the store holds, as an entry instance knows them.
 
-#include "lanemoor/jobs/job_record.h"
-#include "lanemoor/jobs/key_value_store.h"
+#include "lanemoor/jobs/model/job_record.h"
+#include "lanemoor/jobs/model/key_value_store.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/lanemoor/jobs/job_intake.h
+++ b/include/lanemoor/jobs/intake/job_intake.h
@@ -2,9 +2,9 @@
 /// \file
 /// Takes jobs in and cancels them: at every entry instance, by conditional writes.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/forward_declarations.h"
-#include "lanemoor/jobs/job_record.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/forward_declarations.h"
+#include "lanemoor/jobs/model/job_record.h"
 
 #include <functional>
 #include <memory>
--- a/include/lanemoor/jobs/job_lookup.h
+++ b/include/lanemoor/jobs/intake/job_lookup.h
@@ -2,9 +2,9 @@
 /// \file
 /// Tells callers how their jobs stand.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/forward_declarations.h"
-#include "lanemoor/jobs/job_intake.h"
+#include "lanemoor/jobs/intake/job_intake.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/forward_declarations.h"
 
 #include <functional>
 #include <memory>
--- a/include/lanemoor/jobs/fleet_control.h
+++ b/include/lanemoor/jobs/model/fleet_control.h
@@ -2,7 +2,7 @@
 /// \file
 /// The platform's list of instances, and the acts on them.
 
-#include "lanemoor/jobs/job_spec.h"
+#include "lanemoor/jobs/model/job_spec.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/lanemoor/jobs/job_record.h
+++ b/include/lanemoor/jobs/model/job_record.h
@@ -2,7 +2,7 @@
 /// \file
 /// What the store holds of a job, its progress and the owner, and under which keys.
 
-#include "lanemoor/jobs/job_spec.h"
+#include "lanemoor/jobs/model/job_spec.h"
 
 #include <cstdint>
 #include <map>
--- a/include/lanemoor/jobs/job_state.h
+++ b/include/lanemoor/jobs/model/job_state.h
@@ -2,9 +2,9 @@
 /// \file
 /// A job under way, as its owner sees it: which tasks may start, run, have ended.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/job_record.h"
-#include "lanemoor/jobs/worker_control.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/job_record.h"
+#include "lanemoor/jobs/model/worker_control.h"
 
 #include <cstdint>
 #include <memory>
--- a/include/lanemoor/jobs/key_value_store.h
+++ b/include/lanemoor/jobs/model/key_value_store.h
@@ -3,7 +3,7 @@
 /// The store as the job service needs it: conditional transactions, ranges, watches and leases.
 
 #include "lanemoor/decisions/time.h"
-#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/model/event_loop.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/lanemoor/jobs/platform_documents.h
+++ b/include/lanemoor/jobs/model/platform_documents.h
@@ -2,7 +2,7 @@
 /// \file
 /// Where the platform keeps what it writes to the store, and how to read it.
 
-#include "lanemoor/jobs/service_configuration.h"
+#include "lanemoor/jobs/model/service_configuration.h"
 
 #include <cstdint>
 #include <optional>
--- a/include/lanemoor/jobs/pool_load.h
+++ b/include/lanemoor/jobs/model/pool_load.h
@@ -3,7 +3,7 @@
 /// A pool as capacity planning sees it: its instances and what its jobs ask of them.
 
 #include "lanemoor/decisions/time.h"
-#include "lanemoor/jobs/requirement.h"
+#include "lanemoor/jobs/model/requirement.h"
 
 #include <cstdint>
 #include <map>
--- a/include/lanemoor/jobs/requirement.h
+++ b/include/lanemoor/jobs/model/requirement.h
@@ -2,7 +2,7 @@
 /// \file
 /// What tasks ask of an instance beyond room: a label, or to be near their data.
 
-#include "lanemoor/jobs/job_spec.h"
+#include "lanemoor/jobs/model/job_spec.h"
 
 #include <compare>
 #include <string>
--- a/include/lanemoor/jobs/service_configuration.h
+++ b/include/lanemoor/jobs/model/service_configuration.h
@@ -3,7 +3,7 @@
 /// Queues and pools as operators configure them for the job service.
 
 #include "lanemoor/decisions/time.h"
-#include "lanemoor/jobs/job_spec.h"
+#include "lanemoor/jobs/model/job_spec.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/include/lanemoor/jobs/worker_control.h
+++ b/include/lanemoor/jobs/model/worker_control.h
@@ -3,8 +3,8 @@
 /// Orders to workers, and what workers answer.
 
 #include "lanemoor/decisions/time.h"
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/job_spec.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/job_spec.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/lanemoor/jobs/fleet_keeper.h
+++ b/include/lanemoor/jobs/owner/fleet_keeper.h
@@ -2,11 +2,11 @@
 /// \file
 /// Moves and maintains instances while this instance owns the fleet.
 
-#include "lanemoor/jobs/capacity_plan.h"
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/forward_declarations.h"
-#include "lanemoor/jobs/ownership_keeper.h"
-#include "lanemoor/jobs/service_configuration.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/forward_declarations.h"
+#include "lanemoor/jobs/model/service_configuration.h"
+#include "lanemoor/jobs/owner/ownership_keeper.h"
+#include "lanemoor/jobs/policy/capacity_plan.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/lanemoor/jobs/job_report.h
+++ b/include/lanemoor/jobs/owner/job_report.h
@@ -2,7 +2,7 @@
 /// \file
 /// What operators are shown of jobs: values, and their JSON.
 
-#include "lanemoor/jobs/job_spec.h"
+#include "lanemoor/jobs/model/job_spec.h"
 
 #include <cstdint>
 #include <optional>
--- a/include/lanemoor/jobs/job_retirement.h
+++ b/include/lanemoor/jobs/owner/job_retirement.h
@@ -2,8 +2,8 @@
 /// \file
 /// Removes finished jobs from the store once their status need not be shown any more.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/forward_declarations.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/forward_declarations.h"
 
 #include <memory>
 #include <string>
--- a/include/lanemoor/jobs/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -2,13 +2,13 @@
 /// \file
 /// Runs the jobs of a shard while this instance owns it.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/forward_declarations.h"
-#include "lanemoor/jobs/job_report.h"
-#include "lanemoor/jobs/ownership_keeper.h"
-#include "lanemoor/jobs/policies.h"
-#include "lanemoor/jobs/requirement.h"
-#include "lanemoor/jobs/service_configuration.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/forward_declarations.h"
+#include "lanemoor/jobs/model/requirement.h"
+#include "lanemoor/jobs/model/service_configuration.h"
+#include "lanemoor/jobs/owner/job_report.h"
+#include "lanemoor/jobs/owner/ownership_keeper.h"
+#include "lanemoor/jobs/policy/placement_options.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/lanemoor/jobs/ownership_keeper.h
+++ b/include/lanemoor/jobs/owner/ownership_keeper.h
@@ -2,8 +2,8 @@
 /// \file
 /// Holds the ownership of a shard by a lease in the store.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/key_value_store.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/key_value_store.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/lanemoor/jobs/worker_book.h
+++ b/include/lanemoor/jobs/owner/worker_book.h
@@ -2,11 +2,11 @@
 /// \file
 /// What the owner keeps of one life of a worker.
 
-#include "lanemoor/jobs/bookings.h"
-#include "lanemoor/jobs/job_record.h"
-#include "lanemoor/jobs/placement.h"
-#include "lanemoor/jobs/throttle.h"
-#include "lanemoor/jobs/worker_session.h"
+#include "lanemoor/jobs/model/job_record.h"
+#include "lanemoor/jobs/owner/worker_session.h"
+#include "lanemoor/jobs/policy/bookings.h"
+#include "lanemoor/jobs/policy/placement.h"
+#include "lanemoor/jobs/policy/throttle.h"
 
 #include <map>
 #include <memory>
--- a/include/lanemoor/jobs/worker_directory.h
+++ b/include/lanemoor/jobs/owner/worker_directory.h
@@ -2,8 +2,8 @@
 /// \file
 /// The workers' entries in the store, and those that were removed of late.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/service_configuration.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/service_configuration.h"
 
 #include <functional>
 #include <map>
--- a/include/lanemoor/jobs/worker_session.h
+++ b/include/lanemoor/jobs/owner/worker_session.h
@@ -2,8 +2,8 @@
 /// \file
 /// The owner's link to one life of a worker: its lease, its clock, what runs and ended there.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/worker_control.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/worker_control.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/lanemoor/jobs/bookings.h
+++ b/include/lanemoor/jobs/policy/bookings.h
@@ -2,9 +2,9 @@
 /// \file
 /// What attempts take at one worker, until they are over.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/job_record.h"
-#include "lanemoor/jobs/worker_control.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/job_record.h"
+#include "lanemoor/jobs/model/worker_control.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/lanemoor/jobs/capacity_plan.h
+++ b/include/lanemoor/jobs/policy/capacity_plan.h
@@ -2,8 +2,8 @@
 /// \file
 /// Decides how many instances each pool has, by the load of its jobs. Pure.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/pool_load.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/pool_load.h"
 
 #include <cstdint>
 #include <deque>
--- a/include/lanemoor/jobs/load_forecast.h
+++ b/include/lanemoor/jobs/policy/load_forecast.h
@@ -2,8 +2,8 @@
 /// \file
 /// What jobs that arrive as they do now will keep busy. Pure.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/requirement.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/requirement.h"
 
 #include <cstdint>
 #include <deque>
--- a/include/lanemoor/jobs/maintenance_plan.h
+++ b/include/lanemoor/jobs/policy/maintenance_plan.h
@@ -2,9 +2,9 @@
 /// \file
 /// Chooses the instances that a maintenance wave takes next. Pure.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/fleet_control.h"
-#include "lanemoor/jobs/service_configuration.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/fleet_control.h"
+#include "lanemoor/jobs/model/service_configuration.h"
 
 #include <cstdint>
 #include <map>
--- a/include/lanemoor/jobs/placement.h
+++ b/include/lanemoor/jobs/policy/placement.h
@@ -2,7 +2,7 @@
 /// \file
 /// Chooses the worker for a task. Pure.
 
-#include "lanemoor/jobs/service_configuration.h"
+#include "lanemoor/jobs/model/service_configuration.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/lanemoor/jobs/policies.h
+++ b/include/lanemoor/jobs/policy/placement_options.h
@@ -1,10 +1,6 @@
 #pragma once
 /// \file
-/// What can be switched and weighed in the decisions, for experiments and ablations.
-
-#include "lanemoor/jobs/capacity_plan.h"
-#include "lanemoor/jobs/job_lookup.h"
-#include "lanemoor/jobs/relay/relay_plan.h"
+/// What can be switched and weighed in placement.
 
 namespace lanemoor::jobs {
 
@@ -23,14 +19,4 @@
     [[nodiscard]] bool operator==(const PlacementOptions&) const = default;
 };
 
-/// \brief All policies of the job service. The defaults are what measured best.
-struct Policies {
-    CapacityOptions capacity;
-    PlacementOptions placement;
-    JobLookupOptions lookup;
-    RelayOptions relay;
-
-    [[nodiscard]] bool operator==(const Policies&) const = default;
-};
-
 } // namespace lanemoor::jobs
--- a/include/lanemoor/jobs/throttle.h
+++ b/include/lanemoor/jobs/policy/throttle.h
@@ -2,7 +2,7 @@
 /// \file
 /// Slows best-effort tasks down where they disturb serving ones. Pure.
 
-#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/model/event_loop.h"
 
 #include <cstdint>
 
--- a/include/lanemoor/jobs/relay/order_relay.h
+++ b/include/lanemoor/jobs/relay/order_relay.h
@@ -2,10 +2,10 @@
 /// \file
 /// Carries calls to workers for an owner on another machine.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/key_value_store.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/key_value_store.h"
+#include "lanemoor/jobs/model/worker_control.h"
 #include "lanemoor/jobs/relay/peer_transport.h"
-#include "lanemoor/jobs/worker_control.h"
 
 #include <cstdint>
 #include <memory>
--- a/include/lanemoor/jobs/relay/relay_plan.h
+++ b/include/lanemoor/jobs/relay/relay_plan.h
@@ -2,7 +2,7 @@
 /// \file
 /// Decides which instance carries the owner's calls to which worker. Pure.
 
-#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/model/event_loop.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/lanemoor/jobs/relay/relayed_workers.h
+++ b/include/lanemoor/jobs/relay/relayed_workers.h
@@ -2,10 +2,10 @@
 /// \file
 /// The owner's calls to workers, carried by relays where there are too many for one machine.
 
-#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/worker_control.h"
 #include "lanemoor/jobs/relay/peer_transport.h"
 #include "lanemoor/jobs/relay/relay_plan.h"
-#include "lanemoor/jobs/worker_control.h"
 
 #include <cstdint>
 #include <memory>
--- a/include/lanemoor/jobs/job_metrics.h
+++ b/include/lanemoor/jobs/service/job_metrics.h
@@ -2,8 +2,8 @@
 /// \file
 /// Metrics of the job service, in Prometheus' text format.
 
-#include "lanemoor/jobs/job_intake.h"
-#include "lanemoor/jobs/job_scheduler.h"
+#include "lanemoor/jobs/intake/job_intake.h"
+#include "lanemoor/jobs/owner/job_scheduler.h"
 
 #include <cstdint>
 #include <memory>
--- a/include/lanemoor/jobs/job_service.h
+++ b/include/lanemoor/jobs/service/job_service.h
@@ -2,12 +2,12 @@
 /// \file
 /// One entry instance of the job service: takes jobs, and runs them while it owns the shard.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/forward_declarations.h"
-#include "lanemoor/jobs/job_intake.h"
-#include "lanemoor/jobs/job_report.h"
-#include "lanemoor/jobs/job_service_settings.h"
-#include "lanemoor/jobs/job_spec.h"
+#include "lanemoor/jobs/intake/job_intake.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/forward_declarations.h"
+#include "lanemoor/jobs/model/job_spec.h"
+#include "lanemoor/jobs/owner/job_report.h"
+#include "lanemoor/jobs/service/job_service_settings.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/lanemoor/jobs/job_service_settings.h
+++ b/include/lanemoor/jobs/service/job_service_settings.h
@@ -3,7 +3,7 @@
 /// Settings of one process that runs the job service.
 
 #include "lanemoor/decisions/time.h"
-#include "lanemoor/jobs/policies.h"
+#include "lanemoor/jobs/service/policies.h"
 #include "lanemoor/net/http_message.h"
 #include "lanemoor/state/json_document.h"
 
--- /dev/null
+++ b/include/lanemoor/jobs/service/policies.h
@@ -0,0 +1,22 @@
+#pragma once
+/// \file
+/// What can be switched and weighed in the decisions, for experiments and ablations.
+
+#include "lanemoor/jobs/intake/job_lookup.h"
+#include "lanemoor/jobs/policy/capacity_plan.h"
+#include "lanemoor/jobs/policy/placement_options.h"
+#include "lanemoor/jobs/relay/relay_plan.h"
+
+namespace lanemoor::jobs {
+
+/// \brief All policies of the job service. The defaults are what measured best.
+struct Policies {
+    CapacityOptions capacity;
+    PlacementOptions placement;
+    JobLookupOptions lookup;
+    RelayOptions relay;
+
+    [[nodiscard]] bool operator==(const Policies&) const = default;
+};
+
+} // namespace lanemoor::jobs
--- a/include/lanemoor/jobs/progress_writer.h
+++ b/include/lanemoor/jobs/store/progress_writer.h
@@ -2,9 +2,9 @@
 /// \file
 /// Stores the progress of jobs under the owner's condition.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/job_record.h"
-#include "lanemoor/jobs/key_value_store.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/job_record.h"
+#include "lanemoor/jobs/model/key_value_store.h"
 
 #include <functional>
 #include <memory>
--- a/include/lanemoor/jobs/store_mirror.h
+++ b/include/lanemoor/jobs/store/store_mirror.h
@@ -2,8 +2,8 @@
 /// \file
 /// A copy of all keys under a prefix, kept up to date by a watch.
 
-#include "lanemoor/jobs/event_loop.h"
-#include "lanemoor/jobs/key_value_store.h"
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/key_value_store.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/client/command_line.cpp
+++ b/src/client/command_line.cpp
@@ -2,8 +2,8 @@
 
 #include "lanemoor/client/operator_client.h"
 #include "lanemoor/client/text_report.h"
-#include "lanemoor/jobs/job_service_settings.h"
-#include "lanemoor/jobs/job_spec.h"
+#include "lanemoor/jobs/model/job_spec.h"
+#include "lanemoor/jobs/service/job_service_settings.h"
 #include "lanemoor/serve/process/daemon.h"
 #include "lanemoor/serve/process/peer_keys.h"
 #include "lanemoor/state/configuration_document.h"
--- a/src/jobs/job_catalog.cpp
+++ b/src/jobs/intake/job_catalog.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/job_catalog.h"
+#include "lanemoor/jobs/intake/job_catalog.h"
 
 namespace lanemoor::jobs {
 
--- a/src/jobs/job_lookup.cpp
+++ b/src/jobs/intake/job_lookup.cpp
@@ -1,8 +1,8 @@
-#include "lanemoor/jobs/job_lookup.h"
+#include "lanemoor/jobs/intake/job_lookup.h"
 
-#include "lanemoor/jobs/job_catalog.h"
-#include "lanemoor/jobs/key_value_store.h"
-#include "lanemoor/jobs/store_mirror.h"
+#include "lanemoor/jobs/intake/job_catalog.h"
+#include "lanemoor/jobs/model/key_value_store.h"
+#include "lanemoor/jobs/store/store_mirror.h"
 
 #include <algorithm>
 #include <map>
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/model/job_record.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/job_record.h"
+#include "lanemoor/jobs/model/job_record.h"
 
 #include "generated/jobs.pb.h"
 
--- a/src/jobs/job_spec.cpp
+++ b/src/jobs/model/job_spec.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/job_spec.h"
+#include "lanemoor/jobs/model/job_spec.h"
 
 #include <algorithm>
 
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/model/job_state.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/job_state.h"
+#include "lanemoor/jobs/model/job_state.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/jobs/names.cpp
+++ b/src/jobs/model/names.cpp
@@ -1,7 +1,7 @@
-#include "lanemoor/jobs/fleet_control.h"
-#include "lanemoor/jobs/job_state.h"
-#include "lanemoor/jobs/key_value_store.h"
-#include "lanemoor/jobs/worker_control.h"
+#include "lanemoor/jobs/model/fleet_control.h"
+#include "lanemoor/jobs/model/job_state.h"
+#include "lanemoor/jobs/model/key_value_store.h"
+#include "lanemoor/jobs/model/worker_control.h"
 
 namespace lanemoor::jobs {
 
--- a/src/jobs/requirement.cpp
+++ b/src/jobs/model/requirement.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/requirement.h"
+#include "lanemoor/jobs/model/requirement.h"
 
 namespace lanemoor::jobs {
 
--- a/src/jobs/service_configuration.cpp
+++ b/src/jobs/model/service_configuration.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/service_configuration.h"
+#include "lanemoor/jobs/model/service_configuration.h"
 
 #include "lanemoor/net/http_message.h"
 
--- a/src/jobs/operator_api.cpp
+++ b/src/jobs/operator/operator_api.cpp
@@ -1,7 +1,7 @@
-#include "lanemoor/jobs/operator_api.h"
+#include "lanemoor/jobs/operator/operator_api.h"
 
-#include "lanemoor/jobs/job_report.h"
-#include "lanemoor/jobs/job_service.h"
+#include "lanemoor/jobs/owner/job_report.h"
+#include "lanemoor/jobs/service/job_service.h"
 
 #include <nlohmann/json.hpp>
 #include <optional>
--- a/src/jobs/advice_desk.cpp
+++ b/src/jobs/owner/advice_desk.cpp
@@ -1,6 +1,6 @@
 #include "advice_desk.h"
 
-#include "lanemoor/jobs/fleet_control.h"
+#include "lanemoor/jobs/model/fleet_control.h"
 
 namespace lanemoor::jobs {
 
--- a/src/jobs/fleet_keeper.cpp
+++ b/src/jobs/owner/fleet_keeper.cpp
@@ -1,13 +1,13 @@
-#include "lanemoor/jobs/fleet_keeper.h"
+#include "lanemoor/jobs/owner/fleet_keeper.h"
 
 #include "lanemoor/adapters/event_log.h"
-#include "lanemoor/jobs/capacity_plan.h"
-#include "lanemoor/jobs/fleet_control.h"
-#include "lanemoor/jobs/job_record.h"
-#include "lanemoor/jobs/job_scheduler.h"
-#include "lanemoor/jobs/key_value_store.h"
-#include "lanemoor/jobs/maintenance_plan.h"
-#include "lanemoor/jobs/platform_documents.h"
+#include "lanemoor/jobs/model/fleet_control.h"
+#include "lanemoor/jobs/model/job_record.h"
+#include "lanemoor/jobs/model/key_value_store.h"
+#include "lanemoor/jobs/model/platform_documents.h"
+#include "lanemoor/jobs/owner/job_scheduler.h"
+#include "lanemoor/jobs/policy/capacity_plan.h"
+#include "lanemoor/jobs/policy/maintenance_plan.h"
 
 #include <algorithm>
 #include <map>
--- a/src/jobs/job_report.cpp
+++ b/src/jobs/owner/job_report.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/job_report.h"
+#include "lanemoor/jobs/owner/job_report.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/jobs/job_retirement.cpp
+++ b/src/jobs/owner/job_retirement.cpp
@@ -1,10 +1,10 @@
-#include "lanemoor/jobs/job_retirement.h"
+#include "lanemoor/jobs/owner/job_retirement.h"
 
 #include "lanemoor/adapters/event_log.h"
-#include "lanemoor/jobs/job_catalog.h"
-#include "lanemoor/jobs/key_value_store.h"
-#include "lanemoor/jobs/ownership_keeper.h"
-#include "lanemoor/jobs/store_mirror.h"
+#include "lanemoor/jobs/intake/job_catalog.h"
+#include "lanemoor/jobs/model/key_value_store.h"
+#include "lanemoor/jobs/owner/ownership_keeper.h"
+#include "lanemoor/jobs/store/store_mirror.h"
 
 #include <array>
 #include <map>
--- a/src/jobs/owner_state.h
+++ b/src/jobs/owner/owner_state.h
@@ -3,12 +3,12 @@
 /// What the owner of a shard knows while it owns it. Lives for one term of ownership.
 
 #include "lanemoor/adapters/event_log.h"
-#include "lanemoor/jobs/fleet_control.h"
-#include "lanemoor/jobs/job_scheduler.h"
-#include "lanemoor/jobs/job_state.h"
-#include "lanemoor/jobs/load_forecast.h"
-#include "lanemoor/jobs/progress_writer.h"
-#include "lanemoor/jobs/worker_book.h"
+#include "lanemoor/jobs/model/fleet_control.h"
+#include "lanemoor/jobs/model/job_state.h"
+#include "lanemoor/jobs/owner/job_scheduler.h"
+#include "lanemoor/jobs/owner/worker_book.h"
+#include "lanemoor/jobs/policy/load_forecast.h"
+#include "lanemoor/jobs/store/progress_writer.h"
 
 #include <map>
 #include <memory>
--- a/src/jobs/ownership_keeper.cpp
+++ b/src/jobs/owner/ownership_keeper.cpp
@@ -1,7 +1,7 @@
-#include "lanemoor/jobs/ownership_keeper.h"
+#include "lanemoor/jobs/owner/ownership_keeper.h"
 
-#include "lanemoor/jobs/job_record.h"
-#include "lanemoor/jobs/store_mirror.h"
+#include "lanemoor/jobs/model/job_record.h"
+#include "lanemoor/jobs/store/store_mirror.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/jobs/report_reader.cpp
+++ b/src/jobs/owner/report_reader.cpp
@@ -1,7 +1,7 @@
 #include "report_reader.h"
 
 #include "evacuation.h"
-#include "lanemoor/jobs/job_catalog.h"
+#include "lanemoor/jobs/intake/job_catalog.h"
 
 #include <algorithm>
 
--- a/src/jobs/worker_book.cpp
+++ b/src/jobs/owner/worker_book.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/worker_book.h"
+#include "lanemoor/jobs/owner/worker_book.h"
 
 #include <algorithm>
 
--- a/src/jobs/worker_directory.cpp
+++ b/src/jobs/owner/worker_directory.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/worker_directory.h"
+#include "lanemoor/jobs/owner/worker_directory.h"
 
 namespace lanemoor::jobs {
 
--- a/src/jobs/worker_session.cpp
+++ b/src/jobs/owner/worker_session.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/worker_session.h"
+#include "lanemoor/jobs/owner/worker_session.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/jobs/bookings.cpp
+++ b/src/jobs/policy/bookings.cpp
@@ -1,6 +1,6 @@
-#include "lanemoor/jobs/bookings.h"
+#include "lanemoor/jobs/policy/bookings.h"
 
-#include "lanemoor/jobs/placement.h"
+#include "lanemoor/jobs/policy/placement.h"
 
 #include <utility>
 
--- a/src/jobs/capacity_plan.cpp
+++ b/src/jobs/policy/capacity_plan.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/capacity_plan.h"
+#include "lanemoor/jobs/policy/capacity_plan.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/jobs/load_forecast.cpp
+++ b/src/jobs/policy/load_forecast.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/load_forecast.h"
+#include "lanemoor/jobs/policy/load_forecast.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/jobs/maintenance_plan.cpp
+++ b/src/jobs/policy/maintenance_plan.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/maintenance_plan.h"
+#include "lanemoor/jobs/policy/maintenance_plan.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/jobs/placement.cpp
+++ b/src/jobs/policy/placement.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/placement.h"
+#include "lanemoor/jobs/policy/placement.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/jobs/throttle.cpp
+++ b/src/jobs/policy/throttle.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/throttle.h"
+#include "lanemoor/jobs/policy/throttle.h"
 
 #include <algorithm>
 
--- a/src/jobs/relay/payload_reader.cpp
+++ b/src/jobs/relay/payload_reader.cpp
@@ -1,6 +1,6 @@
 #include "payload_reader.h"
 
-#include "lanemoor/jobs/job_record.h"
+#include "lanemoor/jobs/model/job_record.h"
 
 #include <utility>
 
--- a/src/jobs/relay/payload_reader.h
+++ b/src/jobs/relay/payload_reader.h
@@ -2,7 +2,7 @@
 /// \file
 /// Payloads of jobs, read from the store by those who start their tasks for the owner.
 
-#include "lanemoor/jobs/key_value_store.h"
+#include "lanemoor/jobs/model/key_value_store.h"
 
 #include <deque>
 #include <functional>
--- a/src/jobs/relay/relay_codec.h
+++ b/src/jobs/relay/relay_codec.h
@@ -3,7 +3,7 @@
 /// Calls and answers as they travel between the owner and its relays.
 
 #include "generated/relay.pb.h"
-#include "lanemoor/jobs/worker_control.h"
+#include "lanemoor/jobs/model/worker_control.h"
 
 #include <cstdint>
 
--- a/src/jobs/job_metrics.cpp
+++ b/src/jobs/service/job_metrics.cpp
@@ -1,6 +1,6 @@
-#include "lanemoor/jobs/job_metrics.h"
+#include "lanemoor/jobs/service/job_metrics.h"
 
-#include "lanemoor/jobs/fleet_keeper.h"
+#include "lanemoor/jobs/owner/fleet_keeper.h"
 #include "lanemoor/jobs/relay/relayed_workers.h"
 
 #include <prometheus/counter.h>
--- a/src/jobs/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/job_service_settings.h"
+#include "lanemoor/jobs/service/job_service_settings.h"
 
 #include <arpa/inet.h>
 #include <cmath>
--- a/src/jobs/progress_writer.cpp
+++ b/src/jobs/store/progress_writer.cpp
@@ -1,6 +1,6 @@
-#include "lanemoor/jobs/progress_writer.h"
+#include "lanemoor/jobs/store/progress_writer.h"
 
-#include "lanemoor/jobs/store_mirror.h"
+#include "lanemoor/jobs/store/store_mirror.h"
 
 #include <algorithm>
 #include <deque>
--- a/src/jobs/store_mirror.cpp
+++ b/src/jobs/store/store_mirror.cpp
@@ -1,4 +1,4 @@
-#include "lanemoor/jobs/store_mirror.h"
+#include "lanemoor/jobs/store/store_mirror.h"
 
 #include <set>
 #include <utility>
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -1,6 +1,6 @@
 #include "job_cluster.h"
 
-#include "lanemoor/jobs/job_record.h"
+#include "lanemoor/jobs/model/job_record.h"
 
 #include <algorithm>
 #include <cstdlib>
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -3,8 +3,8 @@
 /// Entry instances of the job service on the models of store, workers and instances.
 
 #include "lanemoor/adapters/event_log.h"
-#include "lanemoor/jobs/job_service.h"
-#include "lanemoor/jobs/platform_documents.h"
+#include "lanemoor/jobs/model/platform_documents.h"
+#include "lanemoor/jobs/service/job_service.h"
 #include "peers_model.h"
 #include "store_model.h"
 #include "workers_model.h"
--- a/standins/model/sim_loop.h
+++ b/standins/model/sim_loop.h
@@ -2,7 +2,7 @@
 /// \file
 /// A simulated clock, and the loops of processes that can be killed and frozen on it.
 
-#include "lanemoor/jobs/event_loop.h"
+#include "lanemoor/jobs/model/event_loop.h"
 
 #include <functional>
 #include <map>
--- a/standins/model/store_model.h
+++ b/standins/model/store_model.h
@@ -2,7 +2,7 @@
 /// \file
 /// A model of the platform's store, with its failures.
 
-#include "lanemoor/jobs/key_value_store.h"
+#include "lanemoor/jobs/model/key_value_store.h"
 #include "sim_loop.h"
 
 #include <cstdint>
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -2,9 +2,9 @@
 /// \file
 /// A model of the platform's workers and instances, with their failures.
 
-#include "lanemoor/jobs/fleet_control.h"
-#include "lanemoor/jobs/service_configuration.h"
-#include "lanemoor/jobs/worker_control.h"
+#include "lanemoor/jobs/model/fleet_control.h"
+#include "lanemoor/jobs/model/service_configuration.h"
+#include "lanemoor/jobs/model/worker_control.h"
 #include "sim_loop.h"
 
 #include <cstdint>
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -1,7 +1,7 @@
 /// Records in the store and settings of the job service.
 
-#include "lanemoor/jobs/job_record.h"
-#include "lanemoor/jobs/job_service_settings.h"
+#include "lanemoor/jobs/model/job_record.h"
+#include "lanemoor/jobs/service/job_service_settings.h"
 #include "support.h"
 
 #include <catch2/catch.hpp>
--- a/tests/jobs/job_state_test.cpp
+++ b/tests/jobs/job_state_test.cpp
@@ -1,6 +1,6 @@
 /// Transitions of a job under way.
 
-#include "lanemoor/jobs/job_state.h"
+#include "lanemoor/jobs/model/job_state.h"
 #include "support.h"
 
 #include <catch2/catch.hpp>
--- a/tests/jobs/operator_test.cpp
+++ b/tests/jobs/operator_test.cpp
@@ -1,7 +1,7 @@
 /// The operators' calls of the job service, and their answers as text.
 
 #include "lanemoor/client/text_report.h"
-#include "lanemoor/jobs/operator_api.h"
+#include "lanemoor/jobs/operator/operator_api.h"
 #include "support.h"
 
 #include <catch2/catch.hpp>
--- a/tests/jobs/plan_test.cpp
+++ b/tests/jobs/plan_test.cpp
@@ -1,11 +1,11 @@
 /// Pure decisions: placement, capacity, maintenance, throttling, forecast, health.
 
-#include "lanemoor/jobs/capacity_plan.h"
-#include "lanemoor/jobs/load_forecast.h"
-#include "lanemoor/jobs/maintenance_plan.h"
-#include "lanemoor/jobs/placement.h"
-#include "lanemoor/jobs/throttle.h"
-#include "lanemoor/jobs/worker_book.h"
+#include "lanemoor/jobs/owner/worker_book.h"
+#include "lanemoor/jobs/policy/capacity_plan.h"
+#include "lanemoor/jobs/policy/load_forecast.h"
+#include "lanemoor/jobs/policy/maintenance_plan.h"
+#include "lanemoor/jobs/policy/placement.h"
+#include "lanemoor/jobs/policy/throttle.h"
 #include "support.h"
 
 #include <catch2/catch.hpp>
--- a/tests/jobs/requirement_test.cpp
+++ b/tests/jobs/requirement_test.cpp
@@ -1,6 +1,6 @@
 /// Jobs that care where they run: labels, kinds of instances, racks, instances of unequal size.
 
-#include "lanemoor/jobs/capacity_plan.h"
+#include "lanemoor/jobs/policy/capacity_plan.h"
 #include "support.h"
 
 #include <algorithm>
--- a/tests/jobs/turns_test.cpp
+++ b/tests/jobs/turns_test.cpp
@@ -1,9 +1,9 @@
 /// Turns of load: a queue asks five times its mean for some seconds, more than its pool has, and a
 /// twentieth in between. What answers that load is decided without a network.
 
-#include "lanemoor/jobs/capacity_plan.h"
-#include "lanemoor/jobs/load_forecast.h"
-#include "lanemoor/jobs/maintenance_plan.h"
+#include "lanemoor/jobs/policy/capacity_plan.h"
+#include "lanemoor/jobs/policy/load_forecast.h"
+#include "lanemoor/jobs/policy/maintenance_plan.h"
 #include "support.h"
 
 #include <algorithm>
