--- a/include/lanemoor/client/text_report.h
+++ b/include/lanemoor/client/text_report.h
@@ -23,6 +23,9 @@
 [[nodiscard]] std::string jobText(const std::string& body);
 [[nodiscard]] std::string shardsText(const std::string& body);
 
+/// \returns What each organisation has running against its quota.
+[[nodiscard]] std::string organisationsText(const std::string& body);
+
 /// \param patch A JSON patch (RFC 6902). \returns One line for each change.
 [[nodiscard]] std::string patchText(const std::string& patch);
 
--- a/include/lanemoor/jobs/intake/job_intake.h
+++ b/include/lanemoor/jobs/intake/job_intake.h
@@ -20,12 +20,14 @@
     Accepted, ///< It is kept; also if it was kept before.
     NotTaken, ///< It was not taken and, unless handed in again, will never run.
     Unknown, ///< It may have been kept, or may be yet.
+    Foreign, ///< A job of this id belongs to another organisation.
 };
 
 /// What came of asking to cancel a job, or for its status.
 enum class LookupOutcome {
     Done,
     NoSuchJob,
+    Foreign, ///< The job belongs to another organisation.
     Unavailable, ///< The store gave no answer.
 };
 
--- a/include/lanemoor/jobs/model/job_record.h
+++ b/include/lanemoor/jobs/model/job_record.h
@@ -38,6 +38,7 @@
     std::string pool; ///< Of the queue when the job came, for when the queue is gone.
     Instant acceptedAt; ///< By the clock of the entry instance that took it.
     JobSpec spec;
+    std::string organisation; ///< That handed it in; empty: nobody was asked. Outlasts its keys.
 
     [[nodiscard]] bool operator==(const JobRecord&) const = default;
 };
--- a/include/lanemoor/jobs/model/service_configuration.h
+++ b/include/lanemoor/jobs/model/service_configuration.h
@@ -4,6 +4,7 @@
 
 #include "lanemoor/decisions/time.h"
 #include "lanemoor/jobs/model/job_spec.h"
+#include "lanemoor/jobs/model/organisation.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -34,6 +35,7 @@
     double stretch = 1.0; ///< The objective is this many times the job's longest chain,
     Millis latencyTarget { 0 }; ///< and this much more.
     std::optional<AdvicePolicy> advice;
+    bool isPublic = false; ///< Callers need no key.
 
     [[nodiscard]] bool operator==(const QueueSettings&) const = default;
 };
@@ -53,6 +55,7 @@
     std::uint64_t version = 0;
     std::vector<QueueSettings> queues;
     std::vector<PoolSettings> pools;
+    OrganisationTable organisations; ///< None: callers need no key, and nothing has a quota.
     std::uint64_t mostBodyBytes = 262'144; ///< Of a caller's request, unless the operator says otherwise.
 
     /// \returns The queue with `name`, or null.
--- a/include/lanemoor/jobs/owner/job_report.h
+++ b/include/lanemoor/jobs/owner/job_report.h
@@ -23,6 +23,7 @@
     std::uint32_t labelledWithRoom = 0; ///< Of them, open ones with room for one task.
     std::string rack; ///< Where the tasks' data lies; empty: nowhere in particular.
     std::uint32_t near = 0; ///< Workers in that rack.
+    std::string heldByQuotaOf; ///< The organisation whose quota is used up; empty: no quota holds the tasks back.
 
     [[nodiscard]] bool operator==(const StepWait&) const = default;
 };
@@ -84,10 +85,32 @@
     [[nodiscard]] bool operator==(const ShardReport&) const = default;
 };
 
+/// What an organisation takes of the fleet.
+struct OrganisationReport {
+    std::string name;
+    Resources used;
+    Resources quota; ///< 0: no limit.
+    double weight = 0;
+    std::uint32_t heldTasks = 0; ///< That the quota held back when placement last tried.
+    std::uint64_t beyondRate = 0; ///< Jobs of this term beyond its rate.
+
+    [[nodiscard]] bool operator==(const OrganisationReport&) const = default;
+};
+
+/// All organisations. Only the shard's owner knows what they have running.
+struct OrganisationsReport {
+    bool ownedHere = false;
+    std::string owner; ///< Empty: nobody, as far as is known.
+    std::vector<OrganisationReport> organisations;
+
+    [[nodiscard]] bool operator==(const OrganisationsReport&) const = default;
+};
+
 /// \name JSON for operators
 ///@{
 [[nodiscard]] std::string formatJobs(const std::vector<JobSummary>& jobs, bool more);
 [[nodiscard]] std::string formatJob(const JobReport& job);
+[[nodiscard]] std::string formatOrganisations(const OrganisationsReport& report);
 [[nodiscard]] std::string formatShards(const std::vector<ShardReport>& shards);
 ///@}
 
--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -40,6 +40,7 @@
     OwnershipKeeper* ownership = nullptr;
     EventLog* log = nullptr;
     std::function<std::shared_ptr<const ServiceConfiguration>()> configuration;
+    std::function<bool()> isConfigurationCurrent; ///< Whether quotas may be relied on; null: always.
     Millis ownershipTime { 1'500 }; ///< Lease time of the ownership.
     Millis workerLeaseTime { 5'000 }; ///< The same for all owners, since a successor reckons with it.
     PlacementOptions placement;
@@ -145,6 +146,9 @@
     /// \returns The job's steps, as the owner knows them; nothing if it does not run the job.
     [[nodiscard]] std::optional<std::vector<StepReport>> report(const std::string& job) const;
 
+    /// \returns The configured organisations and those that have jobs; none while this instance does not own.
+    [[nodiscard]] std::vector<OrganisationReport> organisations() const;
+
     /// \brief Calls `stored` once all that is known has been stored, or the term is over.
     void whenStored(std::function<void()> stored);
 
--- a/include/lanemoor/jobs/policy/bookings.h
+++ b/include/lanemoor/jobs/policy/bookings.h
@@ -13,9 +13,12 @@
 
 namespace lanemoor::jobs {
 
+struct OrganisationAccount;
+
 /// What an attempt takes at its worker until it is over.
 struct Booking {
     std::shared_ptr<const StepSpec> step;
+    OrganisationAccount* account = nullptr; ///< That the attempt counts for, by all that its step asks; null: nobody's.
     std::uint32_t throttledTo = 100; ///< Percent that the worker was last told.
     MonotonicInstant endsBy; ///< When it should have ended, by its declared time and what is observed.
 };
@@ -65,7 +68,7 @@
     ///@}
 
 private:
-    void count(const StepSpec& step, int sign);
+    void count(const Booking& booking, int sign);
 
     Map m_bookings;
     Resources m_used;
--- a/include/lanemoor/jobs/policy/load_forecast.h
+++ b/include/lanemoor/jobs/policy/load_forecast.h
@@ -22,7 +22,8 @@
     }
 
     /// \brief Notes a new job. Long-running steps are left out: they show in what runs.
-    void noteArrival(const std::string& queue, const JobSpec& job, MonotonicInstant now);
+    /// \param share Of its work, what may run at once, from 0 to 1: the rest waits whatever room there is.
+    void noteArrival(const std::string& queue, const JobSpec& job, MonotonicInstant now, double share = 1);
 
     /// \brief Notes a task that succeeded.
     void noteRunTime(const std::string& queue, Millis declared, Millis observed);
--- a/include/lanemoor/jobs/service/job_metrics.h
+++ b/include/lanemoor/jobs/service/job_metrics.h
@@ -48,6 +48,9 @@
     /// \brief Counts a description that could not be read.
     void noteRejected();
 
+    /// \param reason One of a few fixed words.
+    void noteTurnedAway(const std::string& reason);
+
     /// \returns All metrics as text.
     [[nodiscard]] std::string text(const MetricsReading& reading, const SchedulerCounts& scheduler, const FleetCounts& fleet, const RelayCounts& relay) const;
 
--- a/include/lanemoor/jobs/service/job_service.h
+++ b/include/lanemoor/jobs/service/job_service.h
@@ -2,6 +2,7 @@
 /// \file
 /// One entry instance of the job service: takes jobs, and runs them while it owns the shard.
 
+#include "lanemoor/jobs/intake/caller_access.h"
 #include "lanemoor/jobs/intake/job_intake.h"
 #include "lanemoor/jobs/model/event_loop.h"
 #include "lanemoor/jobs/model/forward_declarations.h"
@@ -14,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lanemoor {
@@ -53,6 +55,10 @@
     /// \returns The configuration in force here, or null before the first.
     [[nodiscard]] std::shared_ptr<const ServiceConfiguration> configuration() const;
 
+    /// \returns Whether the store named no newer configuration a short time ago. If not, a queue or a key
+    /// that is not known here may be there all the same.
+    [[nodiscard]] bool isConfigurationCurrent() const;
+
     /// \returns Whether callers' requests can be handled at all.
     [[nodiscard]] bool takesRequests() const;
 
@@ -64,11 +70,23 @@
 
     /// \name Callers
     ///@{
-    void submit(const std::string& queue, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done);
+    /// \returns Whether the configuration here is known to be new enough to let callers in by their keys.
+    [[nodiscard]] bool trustsKeys() const;
+    void submit(const Caller& caller, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done);
     void noteRejected(const std::string& id, JobFault fault);
+
+    /// \brief Counts and logs a call that was refused for its key. \param key As it came, if any did.
+    void noteTurnedAway(const std::string& queue, std::optional<std::string_view> key);
+    void status(const Caller& caller, const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done);
+    void cancel(const Caller& caller, const std::string& id, std::function<void(LookupOutcome)> done);
+    [[nodiscard]] std::uint64_t pending(const std::string& queue) const;
+    ///@}
+
+    /// \name Without a check of the caller, for operators
+    ///@{
+    void submit(const std::string& queue, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done);
     void status(const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done);
     void cancel(const std::string& id, std::function<void(LookupOutcome)> done);
-    [[nodiscard]] std::uint64_t pending(const std::string& queue) const;
     ///@}
 
     /// \name Operators
@@ -80,6 +98,9 @@
     [[nodiscard]] std::optional<JobReport> job(const std::string& id) const;
 
     [[nodiscard]] std::vector<ShardReport> shards() const;
+
+    /// \returns What each organisation has running against its quota, as the owner knows it.
+    [[nodiscard]] OrganisationsReport organisations() const;
     ///@}
 
     /// \returns Metrics in Prometheus' text format.
--- a/include/lanemoor/jobs/service/job_service_settings.h
+++ b/include/lanemoor/jobs/service/job_service_settings.h
@@ -33,6 +33,9 @@
     Millis moveTime { 1'500 }; ///< Of one instance between pools.
     Millis stopGrace { 6'000 }; ///< From the signal to stop until the process is killed.
     Millis statusTime { 120'000 }; ///< A finished job's status is kept this long.
+    /// Callers are let in by their keys as long as the store named no newer configuration so short a time
+    /// ago, and refused for a while beyond; 0: always, since callers of a cut-off instance lose more by it.
+    Millis configurationTrust { 0 };
     Policies policies;
     bool logAsJson = true;
 
--- a/src/client/command_line.cpp
+++ b/src/client/command_line.cpp
@@ -253,6 +253,7 @@
         { "status", "", "show an entry instance, its peers and what is in force on each", 0, 0, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/status", statusText); } },
         { "explain", "INSTANCE|JOB", "tell why an instance is in its pool and whether it may be taken, or why a job's tasks run or wait where they do", 1, 1, explain },
         { "jobs", "[list [QUEUE] | show ID | cancel ID]", "show or cancel jobs of the job service, by its metrics address", 0, 2, listOrChangeJobs },
+        { "organisations", "", "show what organisations of the job service have running against their quotas, by the owner's metrics address", 0, 0, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/organisations", organisationsText); } },
         { "shards", "", "show the job service's shards and their owners", 0, 0, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/shards", shardsText); } },
     };
     return all;
--- a/src/client/text_report.cpp
+++ b/src/client/text_report.cpp
@@ -74,6 +74,8 @@
 /// \returns Why tasks of a step wait, by what placement met last.
 std::string waitText(const Json& wait)
 {
+    if (const std::string held = wait.value("heldByQuotaOf", std::string()); !held.empty())
+        return "    " + plain(wait["tasks"]) + " tasks wait: the quota of " + held + " is used up, see lanemoor organisations";
     std::string text = "    " + plain(wait["tasks"]) + " wait: of " + plain(wait["workers"]) + " workers " + plain(wait["open"]) + " take work, " + plain(wait["withRoom"]) + " of them have room";
     if (!wait.value("label", std::string()).empty())
         text += "; needs label " + plain(wait["label"]) + ": " + plain(wait["labelled"]) + " of them have it, " + plain(wait["labelledWithRoom"]) + " with room";
@@ -178,6 +180,23 @@
     return text;
 }
 
+std::string organisationsText(const std::string& body)
+{
+    const Json json = Json::parse(body);
+    if (!json["ownedHere"].get<bool>())
+        return "what organisations have running is known to the owner only: " + (json["owner"].get<std::string>().empty() ? std::string("nobody owns now") : plain(json["owner"]));
+    const auto against = [](const Json& organisation, const char* resource) {
+        const Json& limit = organisation["quota"][resource];
+        return plain(organisation["used"][resource]) + " of " + (limit == 0 ? std::string("-") : plain(limit));
+    };
+    Table table({ "ORGANISATION", "MILLI CPU", "MEMORY MB", "ACCELERATORS", "WEIGHT", "HELD TASKS", "BEYOND RATE" });
+    for (const Json& organisation : json["organisations"]) {
+        table.add({ plain(organisation["name"]), against(organisation, "milliCpu"), against(organisation, "memoryMb"), against(organisation, "accelerators"), plain(organisation["weight"]), plain(organisation["heldTasks"]),
+            plain(organisation["beyondRate"]) });
+    }
+    return table.text();
+}
+
 std::string shardsText(const std::string& body)
 {
     const Json json = Json::parse(body);
--- /dev/null
+++ b/src/jobs/intake/caller_access.cpp
@@ -0,0 +1,23 @@
+#include "lanemoor/jobs/intake/caller_access.h"
+
+#include "lanemoor/jobs/model/job_record.h"
+
+namespace lanemoor::jobs {
+
+std::optional<Caller> identify(const ServiceConfiguration& configuration, const QueueSettings& queue, std::optional<std::string_view> key)
+{
+    const bool isOpen = queue.isPublic || configuration.organisations.empty();
+    const OrganisationSettings* holder = key ? configuration.organisations.holderOf(ApiKeyDigest::of(*key)) : nullptr;
+    if (!isOpen && !holder)
+        return std::nullopt;
+    return Caller { .queue = queue.name, .organisation = holder ? holder->name : std::string(), .isOpen = isOpen };
+}
+
+bool mayUse(const Caller& caller, const JobRecord& job)
+{
+    if (job.organisation.empty() || job.organisation == caller.organisation)
+        return true;
+    return caller.isOpen && job.queue == caller.queue;
+}
+
+} // namespace lanemoor::jobs
--- a/src/jobs/intake/job_intake.cpp
+++ b/src/jobs/intake/job_intake.cpp
@@ -29,6 +29,7 @@
 struct WaitingJob {
     std::string id;
     std::string value;
+    std::string organisation;
     std::vector<std::function<void(AcceptOutcome)>> callers;
     bool inDoubt = false; ///< An earlier write of it may yet be carried out.
 
@@ -39,6 +40,12 @@
     }
 };
 
+/// \returns Whether a job that is kept belongs to another organisation than the one that hands it in.
+bool isForeign(const std::string& organisation, const JobRecord& kept)
+{
+    return !organisation.empty() && !kept.organisation.empty() && organisation != kept.organisation;
+}
+
 } // namespace
 
 std::string_view nameOf(AcceptOutcome outcome) noexcept
@@ -50,6 +57,8 @@
         return "not-taken";
     case AcceptOutcome::Unknown:
         return "unknown";
+    case AcceptOutcome::Foreign:
+        return "foreign";
     }
     return "unknown";
 }
@@ -61,6 +70,8 @@
         return "done";
     case LookupOutcome::NoSuchJob:
         return "no-such-job";
+    case LookupOutcome::Foreign:
+        return "foreign";
     case LookupOutcome::Unavailable:
         return "unavailable";
     }
@@ -91,7 +102,7 @@
     void accept(const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done)
     {
         if (const CatalogEntry* known = m_catalog.find(id); known && known->record) {
-            done(AcceptOutcome::Accepted);
+            done(isForeign(record.organisation, *known->record) ? AcceptOutcome::Foreign : AcceptOutcome::Accepted);
             return;
         }
         // Nothing is sent, so the refusal is true; a caller that hears "unknown" can only ask again.
@@ -99,13 +110,18 @@
             done(mayBeKept(id) ? AcceptOutcome::Unknown : AcceptOutcome::NotTaken);
             return;
         }
-        ++inFlight;
         const auto same = std::find_if(m_queue.begin(), m_queue.end(), [&](const WaitingJob& job) { return job.id == id; });
+        // Whose job it becomes is open; the next try will tell.
+        if (same != m_queue.end() && same->organisation != record.organisation) {
+            done(AcceptOutcome::Unknown);
+            return;
+        }
+        ++inFlight;
         if (same != m_queue.end()) {
             same->callers.push_back(std::move(done));
             return;
         }
-        m_queue.push_back({ id, encode(record), { std::move(done) }, mayBeKept(id) });
+        m_queue.push_back({ id, encode(record), record.organisation, { std::move(done) }, mayBeKept(id) });
         // Jobs that come in the same turn of the loop travel together.
         if (m_queue.size() == 1)
             m_loop.callAt(m_loop.now(), [self = shared_from_this()] { self->send(); });
@@ -228,7 +244,8 @@
     void keep(const WaitingJob& job, const StoreItem& item)
     {
         m_mirror.noteWritten(item);
-        finish(job, AcceptOutcome::Accepted);
+        const std::optional<JobRecord> kept = item.value == job.value ? std::nullopt : decodeJob(item.value);
+        finish(job, kept && isForeign(job.organisation, *kept) ? AcceptOutcome::Foreign : AcceptOutcome::Accepted);
     }
 
     void finish(const WaitingJob& job, AcceptOutcome outcome)
--- a/src/jobs/model/job_record.cpp
+++ b/src/jobs/model/job_record.cpp
@@ -153,6 +153,7 @@
     document.set_occurrences(record.spec.occurrences);
     document.set_first_start_ms(record.spec.firstStart.time_since_epoch().count());
     document.set_interval_ms(record.spec.interval.count());
+    document.set_organisation(record.organisation);
     return document.SerializeAsString();
 }
 
@@ -171,6 +172,7 @@
     record.spec.occurrences = document.occurrences();
     record.spec.firstStart = instantFrom(document.first_start_ms());
     record.spec.interval = Millis(document.interval_ms());
+    record.organisation = document.organisation();
     if (faultOf(record.spec))
         return std::nullopt;
     return record;
--- a/src/jobs/operator/operator_api.cpp
+++ b/src/jobs/operator/operator_api.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned unavailable = 503;
 constexpr std::size_t mostJobsListed = 1'000; // Some 100 bytes each.
 constexpr std::string_view jobsPath = "/v1/jobs";
+constexpr std::string_view organisationsPath = "/v1/organisations";
 
 HttpResponse answer(std::string body, const char* type = "application/json")
 {
@@ -60,6 +61,7 @@
             respond(answer("{}"));
             return;
         case LookupOutcome::NoSuchJob:
+        case LookupOutcome::Foreign:
             respond(problem(notFound, "there is no such job"));
             return;
         case LookupOutcome::Unavailable:
@@ -94,12 +96,14 @@
         serveJob(service, std::string(path.substr(jobPrefix.size())), request, std::move(respond));
         return;
     }
-    if (path != jobsPath && path != "/v1/shards" && path != "/metrics")
+    if (path != jobsPath && path != organisationsPath && path != "/v1/shards" && path != "/metrics")
         respond(problem(notFound, "there is no such page"));
     else if (request.method != "GET")
         respond(problem(notAllowed, "this can only be read"));
     else if (path == jobsPath)
         listJobs(service, target, respond);
+    else if (path == organisationsPath)
+        respond(answer(formatOrganisations(service.organisations())));
     else if (path == "/metrics")
         respond(answer(service.metrics(), "text/plain; version=0.0.4"));
     else
--- a/src/jobs/owner/job_report.cpp
+++ b/src/jobs/owner/job_report.cpp
@@ -21,7 +21,7 @@
 Json wait(const StepWait& wait)
 {
     return { { "tasks", wait.tasks }, { "workers", wait.workers }, { "open", wait.open }, { "withRoom", wait.withRoom }, { "belowSpread", wait.belowSpread }, { "label", wait.label }, { "labelled", wait.labelled },
-        { "labelledWithRoom", wait.labelledWithRoom }, { "rack", wait.rack }, { "near", wait.near } };
+        { "labelledWithRoom", wait.labelledWithRoom }, { "rack", wait.rack }, { "near", wait.near }, { "heldByQuotaOf", wait.heldByQuotaOf } };
 }
 
 Json step(const StepReport& report)
@@ -58,6 +58,17 @@
     return json.dump();
 }
 
+std::string formatOrganisations(const OrganisationsReport& report)
+{
+    const auto resources = [](const Resources& from) { return Json { { "milliCpu", from.milliCpu }, { "memoryMb", from.memoryMb }, { "accelerators", from.accelerators } }; };
+    Json list = Json::array();
+    for (const OrganisationReport& organisation : report.organisations) {
+        list.push_back({ { "name", organisation.name }, { "used", resources(organisation.used) }, { "quota", resources(organisation.quota) }, { "weight", organisation.weight }, { "heldTasks", organisation.heldTasks },
+            { "beyondRate", organisation.beyondRate } });
+    }
+    return Json { { "ownedHere", report.ownedHere }, { "owner", report.owner }, { "organisations", std::move(list) } }.dump();
+}
+
 std::string formatShards(const std::vector<ShardReport>& shards)
 {
     Json list = Json::array();
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -207,7 +207,7 @@
         OwnerJob* job = m_term->state.job(id);
         if (!job) {
             load(id, *entry, false);
-            m_term->state.forecast.noteArrival(entry->record->queue, entry->record->spec, m_options.loop->now());
+            noteArrival(id);
             requestPass();
             return;
         }
@@ -338,6 +338,33 @@
         return reports;
     }
 
+    [[nodiscard]] std::vector<OrganisationReport> organisations() const
+    {
+        std::vector<OrganisationReport> reports;
+        if (!m_term)
+            return reports;
+        const std::map<std::string, OrganisationAccount>& accounts = m_term->state.organisations.all();
+        const std::shared_ptr<const ServiceConfiguration> configuration = m_options.configuration();
+        std::set<std::string> names;
+        for (const OrganisationSettings& organisation : configuration->organisations.all())
+            names.insert(organisation.name);
+        for (const auto& [name, account] : accounts)
+            names.insert(name);
+        for (const std::string& name : names) {
+            OrganisationReport& report = reports.emplace_back(OrganisationReport { .name = name });
+            if (const auto account = accounts.find(name); account != accounts.end()) {
+                report.used = account->second.used;
+                report.heldTasks = account->second.heldTasks;
+                report.beyondRate = account->second.beyondRate;
+            }
+            if (const OrganisationSettings* organisation = configuration->organisations.find(name)) {
+                report.quota = organisation->quota;
+                report.weight = organisation->weight;
+            }
+        }
+        return reports;
+    }
+
     SchedulerCounts counts;
 
 private:
@@ -405,6 +432,7 @@
         const std::uint64_t base = (state.ownership.term - 1) * attemptsPerTerm;
         auto [place, inserted] = state.jobs.emplace(id, OwnerJob { JobState(id, entry.record, entry.progress, base), inherited, {}, Millis(0) });
         OwnerJob& job = place->second;
+        job.account = state.accountOf(*entry.record);
         const Millis age = m_options.loop->timeOfDay() - entry.record->acceptedAt;
         const QueueSettings* queue = state.configuration()->queue(entry.record->queue);
         const double stretch = queue ? queue->stretch : 1.0;
@@ -417,6 +445,24 @@
             cancel(job);
     }
 
+    /// Counts a new job towards the load to come, as far as its organisation's quota lets it run, and
+    /// against what the organisation may send.
+    void noteArrival(const std::string& id)
+    {
+        OwnerJob* job = m_term->state.job(id);
+        if (!job)
+            return;
+        const JobRecord& record = job->state.record();
+        const MonotonicInstant now = m_options.loop->now();
+        const std::shared_ptr<const ServiceConfiguration> configuration = m_options.configuration();
+        const OrganisationSettings* organisation = job->account ? configuration->organisations.find(record.organisation) : nullptr;
+        m_term->state.forecast.noteArrival(record.queue, record.spec, now, organisation ? shareWithinQuota(*job->account, organisation->quota, record.spec) : 1);
+        if (!organisation)
+            return;
+        job->beyondRate = !job->account->rate.take(organisation->weight, now);
+        job->account->beyondRate += job->beyondRate ? 1 : 0;
+    }
+
     void cancel(OwnerJob& job)
     {
         job.state.cancel();
@@ -639,6 +685,11 @@
     return m_impl->report(job);
 }
 
+std::vector<OrganisationReport> JobScheduler::organisations() const
+{
+    return m_impl->organisations();
+}
+
 void JobScheduler::whenStored(std::function<void()> stored)
 {
     m_impl->whenStored(std::move(stored));
--- a/src/jobs/owner/order_desk.cpp
+++ b/src/jobs/owner/order_desk.cpp
@@ -32,7 +32,7 @@
         .ticket = ticket };
     const bool first = job.state.status() == JobStatus::Queued;
     job.state.begin(task, number, worker.entry.id, m_state.now());
-    worker.bookings.put(attempt, { .step = job.state.sharedSpec(task.step), .endsBy = m_state.expectedEnd(job, task) });
+    worker.bookings.put(attempt, { .step = job.state.sharedSpec(task.step), .account = job.account, .endsBy = m_state.expectedEnd(job, task) });
     if (first)
         m_state.store(job.state.id());
     ++m_counts.starts;
--- a/src/jobs/owner/owner_state.h
+++ b/src/jobs/owner/owner_state.h
@@ -8,6 +8,7 @@
 #include "lanemoor/jobs/owner/job_scheduler.h"
 #include "lanemoor/jobs/owner/worker_book.h"
 #include "lanemoor/jobs/policy/load_forecast.h"
+#include "lanemoor/jobs/policy/organisation_use.h"
 #include "lanemoor/jobs/store/progress_writer.h"
 
 #include <map>
@@ -24,6 +25,8 @@
     bool inherited = false; ///< From before this term: its tasks may run where nobody has looked yet.
     MonotonicInstant objective; ///< When it should have ended.
     Millis chain { 0 }; ///< Declared work time of its longest chain of steps.
+    OrganisationAccount* account = nullptr; ///< Of the organisation that handed it in; null: not known.
+    bool beyondRate = false; ///< It came beyond what the organisation may send a second.
 };
 
 /// What instances there are, whatever their pool.
@@ -39,6 +42,7 @@
     const JobSchedulerOptions& options;
     Ownership ownership;
     MonotonicInstant inheritedLeaseOverBy; ///< Leases given by earlier owners are over by then.
+    OrganisationUse organisations; ///< Outlives the bookings, which point into it.
     std::map<std::string, OwnerJob> jobs;
     std::map<std::string, WorkerBook> workers; ///< By id of the life.
     std::unique_ptr<ProgressWriter> writer;
@@ -70,6 +74,9 @@
     [[nodiscard]] OwnerJob* job(const std::string& id);
     [[nodiscard]] WorkerBook* worker(const std::string& id);
 
+    /// \returns The account of the organisation that handed a job in, or null.
+    [[nodiscard]] OrganisationAccount* accountOf(const JobRecord& record) { return record.organisation.empty() ? nullptr : &organisations.account(record.organisation); }
+
     /// \returns The pool that runs the job now.
     [[nodiscard]] std::string poolOf(const JobState& job) const;
 
--- a/src/jobs/owner/placement_pass.cpp
+++ b/src/jobs/owner/placement_pass.cpp
@@ -29,14 +29,24 @@
     const bool settled = m_isSettled();
     m_now = m_state.now();
     m_timeOfDay = m_state.options.loop->timeOfDay();
+    m_configuration = configuration;
+    m_knowsQuotas = !m_state.options.isConfigurationCurrent || m_state.options.isConfigurationCurrent();
+    m_state.organisations.startPass();
     for (auto& [id, job] : m_state.jobs) {
-        if (isFinal(job.state.status()) || (job.inherited && !settled))
+        if (isFinal(job.state.status()))
             continue;
+        if (job.inherited && !settled) {
+            noteUnseen(job);
+            continue;
+        }
         openDue(job);
         collect(job, *configuration);
     }
     for (auto& [pool, candidates] : m_candidates) {
-        std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return std::tie(a.priority, a.hopeless, a.objective) < std::tie(b.priority, b.hopeless, b.objective); });
+        if (m_state.options.placement.sharesByWeight)
+            noteShares(candidates);
+        std::stable_sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) { return std::tie(a.priority, a.hopeless, a.beyondRate, a.aboveShare, a.objective) < std::tie(b.priority, b.hopeless, b.beyondRate, b.aboveShare, b.objective); });
         for (const Candidate& candidate : candidates)
             place(candidate, pool);
     }
@@ -78,7 +88,59 @@
             hopeless = m_state.isHopeless(job, now);
         }
         m_candidates[queue ? queue->pool : job.state.record().pool].push_back(
-            { .priority = queue ? queue->priority : 0, .hopeless = *hopeless, .objective = job.objective, .job = &job, .step = id, .queue = queue, .tasks = std::move(tasks) });
+            { .priority = queue ? queue->priority : 0, .hopeless = *hopeless, .beyondRate = job.beyondRate && m_state.options.placement.beyondRateLast, .objective = job.objective, .job = &job, .step = id, .queue = queue, .tasks = std::move(tasks) });
+    }
+}
+
+/// Its tasks may run at workers that nobody has asked yet; until then the quota counts them all.
+void PlacementPass::noteUnseen(const OwnerJob& job)
+{
+    if (!job.account)
+        return;
+    for (const auto& [id, step] : job.state.steps()) {
+        if (step.idle() == 0 || !job.state.isUnblocked(id))
+            continue;
+        const Resources& needs = job.state.spec(id.step).needs;
+        job.account->unseen += { .milliCpu = needs.milliCpu * step.idle(), .memoryMb = needs.memoryMb * step.idle(), .accelerators = needs.accelerators * step.idle() };
+    }
+}
+
+/// Work that a quota holds back is no demand: more instances would not help it. While the configuration
+/// may be an old one, a quota may have been lowered since.
+bool PlacementPass::isHeldByQuota(const Candidate& candidate, std::uint32_t tasks) const
+{
+    const OwnerJob& job = *candidate.job;
+    const OrganisationSettings* organisation = job.account ? m_configuration->organisations.find(job.state.record().organisation) : nullptr;
+    if (!organisation || organisation->quota == Resources {})
+        return false;
+    return !m_knowsQuotas || !fitsQuota(*job.account, organisation->quota, job.state.spec(candidate.step.step).needs, tasks);
+}
+
+void PlacementPass::noteHeld(const Candidate& candidate, const PoolSites& sites, std::size_t tasks)
+{
+    candidate.job->account->heldTasks += static_cast<std::uint32_t>(tasks);
+    noteWait(candidate, sites, queryFor(candidate, sites), tasks, candidate.job->state.record().organisation);
+}
+
+/// Marks what belongs to organisations that have more running than their weights' share of what all
+/// organisations with waiting tasks have.
+void PlacementPass::noteShares(std::vector<Candidate>& candidates) const
+{
+    std::map<const OrganisationAccount*, double> weights;
+    for (const Candidate& candidate : candidates) {
+        const OrganisationSettings* organisation = candidate.job->account ? m_configuration->organisations.find(candidate.job->state.record().organisation) : nullptr;
+        if (organisation)
+            weights.emplace(candidate.job->account, std::max(organisation->weight, 1.0));
+    }
+    double used = 0;
+    double weight = 0;
+    for (const auto& [account, part] : weights) {
+        used += static_cast<double>(account->used.milliCpu);
+        weight += part;
+    }
+    for (Candidate& candidate : candidates) {
+        const auto part = weights.find(candidate.job->account);
+        candidate.aboveShare = part != weights.end() && static_cast<double>(part->first->used.milliCpu) * weight > used * part->second;
     }
 }
 
@@ -102,6 +164,12 @@
 void PlacementPass::place(const Candidate& candidate, const std::string& pool)
 {
     PoolSites& sites = sitesOf(pool);
+    const StepSpec& step = candidate.job->state.spec(candidate.step.step);
+    // A gang starts whole or not at all.
+    if (isHeldByQuota(candidate, step.gang ? step.count : 1)) {
+        noteHeld(candidate, sites, candidate.tasks.size());
+        return;
+    }
     m_tickets = nullptr;
     static const std::map<std::string, std::string> none;
     if (candidate.queue && candidate.queue->advice) {
@@ -114,7 +182,7 @@
         if (!m_tickets)
             return;
     }
-    if (candidate.job->state.spec(candidate.step.step).gang)
+    if (step.gang)
         placeGang(candidate, sites, pool);
     else
         placeEach(candidate, sites, pool);
@@ -162,6 +230,10 @@
     query.nearOnly = !mayGoFar(candidate);
     for (std::size_t i = 0; i < candidate.tasks.size(); ++i) {
         const TaskId& task = candidate.tasks[i];
+        if (isHeldByQuota(candidate, 1)) {
+            noteHeld(candidate, sites, candidate.tasks.size() - i);
+            return;
+        }
         query.avoidWorker = candidate.job->state.find(task)->avoidWorker;
         const std::optional<std::size_t> site = sites.placer->choose(step, query);
         if (!site) {
@@ -199,7 +271,7 @@
 }
 
 /// Notes why a step waits, and logs it seldom enough for steps that wait long.
-void PlacementPass::noteWait(const Candidate& candidate, const PoolSites& sites, const PlacementQuery& query, std::size_t tasks)
+void PlacementPass::noteWait(const Candidate& candidate, const PoolSites& sites, const PlacementQuery& query, std::size_t tasks, const std::string& heldByQuotaOf)
 {
     const MonotonicInstant now = m_now;
     const auto [place, first] = m_state.waits.emplace(std::pair(candidate.job->state.id(), candidate.step), OwnerState::WaitingStep { .since = now, .loggedAt = now, .wait = {} });
@@ -208,7 +280,7 @@
         return;
     const StepSpec& step = candidate.job->state.spec(candidate.step.step);
     const std::vector<PlacementSite>& list = sites.placer->sites();
-    StepWait wait { .tasks = static_cast<std::uint32_t>(tasks), .workers = static_cast<std::uint32_t>(list.size()), .label = step.requiredLabel, .rack = step.preferredRack };
+    StepWait wait { .tasks = static_cast<std::uint32_t>(tasks), .workers = static_cast<std::uint32_t>(list.size()), .label = step.requiredLabel, .rack = step.preferredRack, .heldByQuotaOf = heldByQuotaOf };
     for (std::size_t i = 0; i < list.size(); ++i) {
         const bool hasRoom = list[i].open && list[i].free.covers(footprint(step));
         const bool isLabelled = step.requiredLabel.empty() || hasLabel(*list[i].worker, step.requiredLabel);
@@ -223,7 +295,7 @@
     waiting.wait = wait;
     m_state.options.log->decision("step-waits",
         { { "job", candidate.job->state.id() }, { "step", std::int64_t { candidate.step.step } }, { "tasks", std::int64_t { wait.tasks } }, { "sites", std::int64_t { wait.workers } }, { "open", std::int64_t { wait.open } },
-            { "with_room", std::int64_t { wait.withRoom } }, { "label", wait.label }, { "labelled", std::int64_t { wait.labelled } }, { "labelled_with_room", std::int64_t { wait.labelledWithRoom } }, { "rack", wait.rack }, { "near", std::int64_t { wait.near } }, { "below_spread_limit", std::int64_t { wait.belowSpread } }, { "memory_mb", step.needs.memoryMb }, { "milli_cpu", footprint(step).milliCpu } });
+            { "with_room", std::int64_t { wait.withRoom } }, { "label", wait.label }, { "labelled", std::int64_t { wait.labelled } }, { "labelled_with_room", std::int64_t { wait.labelledWithRoom } }, { "rack", wait.rack }, { "held_by_quota_of", wait.heldByQuotaOf }, { "near", std::int64_t { wait.near } }, { "below_spread_limit", std::int64_t { wait.belowSpread } }, { "memory_mb", step.needs.memoryMb }, { "milli_cpu", footprint(step).milliCpu } });
 }
 
 void PlacementPass::placeGang(const Candidate& candidate, PoolSites& sites, const std::string& pool)
--- a/src/jobs/owner/placement_pass.h
+++ b/src/jobs/owner/placement_pass.h
@@ -28,6 +28,8 @@
     struct Candidate {
         std::uint32_t priority = 0;
         bool hopeless = false; ///< Not begun, and its objective can't be met any more.
+        bool beyondRate = false; ///< Its organisation sent more jobs than it may.
+        bool aboveShare = false; ///< Its organisation has more running than its weight's share.
         MonotonicInstant objective;
         OwnerJob* job = nullptr;
         StepId step;
@@ -42,11 +44,15 @@
 
     void openDue(OwnerJob& job);
     void collect(OwnerJob& job, const ServiceConfiguration& configuration);
+    static void noteUnseen(const OwnerJob& job);
+    [[nodiscard]] bool isHeldByQuota(const Candidate& candidate, std::uint32_t tasks) const;
+    void noteHeld(const Candidate& candidate, const PoolSites& sites, std::size_t tasks);
+    void noteShares(std::vector<Candidate>& candidates) const;
     PoolSites& sitesOf(const std::string& pool);
     void place(const Candidate& candidate, const std::string& pool);
     void placeEach(const Candidate& candidate, PoolSites& sites, const std::string& pool);
     void noteWaiting(const Candidate& candidate, const std::string& pool, std::size_t tasks);
-    void noteWait(const Candidate& candidate, const PoolSites& sites, const PlacementQuery& query, std::size_t tasks);
+    void noteWait(const Candidate& candidate, const PoolSites& sites, const PlacementQuery& query, std::size_t tasks, const std::string& heldByQuotaOf = {});
     void placeGang(const Candidate& candidate, PoolSites& sites, const std::string& pool);
     bool placeGangIn(const Candidate& candidate, PoolSites& sites, const std::string& rack);
     [[nodiscard]] bool mayGoFar(const Candidate& candidate);
@@ -55,6 +61,8 @@
     void wakeAt(MonotonicInstant when);
 
     OwnerState& m_state;
+    std::shared_ptr<const ServiceConfiguration> m_configuration; ///< Of the pass.
+    bool m_knowsQuotas = true; ///< The configuration is no old one.
     OrderDesk& m_orders;
     AdviceDesk& m_advice;
     std::function<bool()> m_isSettled;
--- a/src/jobs/owner/report_reader.cpp
+++ b/src/jobs/owner/report_reader.cpp
@@ -120,7 +120,7 @@
         return;
     }
     if (task && job->state.adopt(report.attempt, worker.entry.id, m_state.now())) {
-        worker.bookings.put(report.attempt, { .step = job->state.sharedSpec(report.attempt.task.step), .endsBy = m_state.expectedEnd(*job, report.attempt.task) });
+        worker.bookings.put(report.attempt, { .step = job->state.sharedSpec(report.attempt.task.step), .account = job->account, .endsBy = m_state.expectedEnd(*job, report.attempt.task) });
         job->state.noteReport(report, m_state.now());
         m_state.options.log->decision("task-adopted", { { "attempt", nameOf(report.attempt) }, { "worker", worker.entry.id } });
         // A member of a gang that failed: its attempt is in vain.
@@ -146,11 +146,20 @@
     return std::make_shared<const StepSpec>(StepSpec { .count = 1, .needs = worker.entry.capacity });
 }
 
+/// \returns The account that an attempt counts for, also if its job was over before this term; null: not known.
+OrganisationAccount* ReportReader::accountOf(const Attempt& attempt, const OwnerJob* job) const
+{
+    if (job)
+        return job->account;
+    const CatalogEntry* entry = m_state.options.catalog->find(attempt.job);
+    return entry && entry->record ? m_state.accountOf(*entry->record) : nullptr;
+}
+
 /// Nobody wants the attempt: its job is over, or its task runs elsewhere.
 void ReportReader::stopStray(WorkerBook& worker, const Attempt& attempt, const OwnerJob* job)
 {
     if (!worker.bookings.contains(attempt))
-        worker.bookings.put(attempt, { .step = specOf(worker, attempt, job) });
+        worker.bookings.put(attempt, { .step = specOf(worker, attempt, job), .account = accountOf(attempt, job) });
     MonotonicInstant& stopAgainAt = worker.strayStops[attempt];
     if (m_state.now() < stopAgainAt)
         return;
--- a/src/jobs/owner/report_reader.h
+++ b/src/jobs/owner/report_reader.h
@@ -23,6 +23,7 @@
     void readRunning(WorkerBook& worker, const RunningAttempt& report);
     void readEnded(WorkerBook& worker, const EndedAttempt& ended);
     [[nodiscard]] std::shared_ptr<const StepSpec> specOf(const WorkerBook& worker, const Attempt& attempt, const OwnerJob* job) const;
+    [[nodiscard]] OrganisationAccount* accountOf(const Attempt& attempt, const OwnerJob* job) const;
     void stopStray(WorkerBook& worker, const Attempt& attempt, const OwnerJob* job);
     void noteHealth(WorkerBook& worker, const EndedAttempt& ended);
     void noteFinished(OwnerJob& job);
--- a/src/jobs/policy/bookings.cpp
+++ b/src/jobs/policy/bookings.cpp
@@ -1,5 +1,6 @@
 #include "lanemoor/jobs/policy/bookings.h"
 
+#include "lanemoor/jobs/policy/organisation_use.h"
 #include "lanemoor/jobs/policy/placement.h"
 
 #include <utility>
@@ -9,7 +10,7 @@
 void Bookings::put(const Attempt& attempt, Booking booking)
 {
     erase(attempt);
-    count(*booking.step, 1);
+    count(booking, 1);
     m_bookings.emplace(attempt, std::move(booking));
 }
 
@@ -18,16 +19,15 @@
     const auto found = m_bookings.find(attempt);
     if (found == m_bookings.end())
         return;
-    count(*found->second.step, -1);
+    count(found->second, -1);
     m_bookings.erase(found);
 }
 
 Bookings::Map Bookings::takeAll()
 {
     Map all = std::exchange(m_bookings, {});
-    m_used = {};
-    m_servingTasks = 0;
-    m_bestEffortTasks = 0;
+    for (const auto& [attempt, booking] : all)
+        count(booking, -1);
     return all;
 }
 
@@ -38,12 +38,17 @@
         found->second.throttledTo = percent;
 }
 
-void Bookings::count(const StepSpec& step, int sign)
+void Bookings::count(const Booking& booking, int sign)
 {
+    const StepSpec& step = *booking.step;
     if (sign > 0)
         m_used += footprint(step);
     else
         m_used -= footprint(step);
+    if (booking.account && sign > 0)
+        booking.account->used += step.needs;
+    else if (booking.account)
+        booking.account->used -= step.needs;
     const auto add = static_cast<std::uint32_t>(sign);
     m_servingTasks += step.latencyTarget.count() > 0 ? add : 0;
     m_bestEffortTasks += step.bestEffort ? add : 0;
--- a/src/jobs/policy/load_forecast.cpp
+++ b/src/jobs/policy/load_forecast.cpp
@@ -36,27 +36,27 @@
     return std::min(now / std::max(before, 1.0), mostGrowth);
 }
 
-std::map<Requirement, double> workOf(const JobSpec& job)
+std::map<Requirement, double> workOf(const JobSpec& job, double share)
 {
     std::map<Requirement, double> work;
     for (const StepSpec& step : job.steps) {
         if (step.longRunning)
             continue;
         for (const Requirement& requirement : requirementsOf(step))
-            work[requirement] += static_cast<double>(step.count) * static_cast<double>(step.needs.milliCpu) * std::chrono::duration<double>(step.estimate).count();
+            work[requirement] += share * static_cast<double>(step.count) * static_cast<double>(step.needs.milliCpu) * std::chrono::duration<double>(step.estimate).count();
     }
     return work;
 }
 
 } // namespace
 
-void LoadForecast::noteArrival(const std::string& queue, const JobSpec& job, MonotonicInstant now)
+void LoadForecast::noteArrival(const std::string& queue, const JobSpec& job, MonotonicInstant now, double share)
 {
     std::deque<Arrival>& arrivals = m_queues[queue].arrivals;
     while (!arrivals.empty() && now - arrivals.front().at > arrivalWindow)
         arrivals.pop_front();
     if (job.occurrences == 0)
-        arrivals.push_back({ now, workOf(job) });
+        arrivals.push_back({ now, workOf(job, share) });
 }
 
 void LoadForecast::noteRunTime(const std::string& queue, Millis declared, Millis observed)
--- a/src/jobs/service/job_metrics.cpp
+++ b/src/jobs/service/job_metrics.cpp
@@ -84,6 +84,7 @@
     prometheus::Family<prometheus::Counter>& lookups = prometheus::BuildCounter().Name("lanemoor_job_lookups_total").Help("Statuses asked for, by answer").Register(registry);
     prometheus::Family<prometheus::Counter>& rejections = prometheus::BuildCounter().Name("lanemoor_jobs_rejected_total").Help("Descriptions that could not be read").Register(registry);
     prometheus::Counter& rejected = rejections.Add({});
+    prometheus::Family<prometheus::Counter>& turnedAway = prometheus::BuildCounter().Name("lanemoor_callers_refused_total").Help("Calls refused for their key, by reason").Register(registry);
 };
 
 JobMetrics::JobMetrics()
@@ -115,6 +116,11 @@
     m_impl->rejected.Increment();
 }
 
+void JobMetrics::noteTurnedAway(const std::string& reason)
+{
+    m_impl->turnedAway.Add({ { "reason", reason } }).Increment();
+}
+
 std::string JobMetrics::text(const MetricsReading& reading, const SchedulerCounts& scheduler, const FleetCounts& fleet, const RelayCounts& relay) const
 {
     std::vector<prometheus::MetricFamily> families = m_impl->registry.Collect();
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -44,6 +44,10 @@
 /// A watch that hears nothing while changes are made looks like a quiet one: the
 /// configuration is read as well, well within the 2 s in which a new one must be in force.
 constexpr Millis configurationRead { 700 };
+/// While the store does not answer: starts within quotas wait for the configuration after an outage.
+constexpr Millis configurationRetry { 150 };
+/// A configuration that was not checked for so long may be an old one: two reads have failed.
+constexpr Millis configurationCurrent { 2'000 };
 /// The owner of 349 workers took 0.18 cores (tellelag-drift-grown, quiet-1): a machine with less
 /// than this leaves a free ownership to others for a while.
 constexpr double coresOfOwner = 0.2;
@@ -142,18 +146,57 @@
         return !m_stopping && takesRequests() && !m_intake.isStoreSilent() && m_parts.loop->now() - m_jobs.freshAt() < storeMissedAfter;
     }
 
-    void submit(const std::string& queue, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done)
+    [[nodiscard]] bool isConfigurationCurrent() const { return m_parts.loop->now() - m_configurationCheckedAt <= configurationCurrent; }
+
+    [[nodiscard]] bool trustsKeys() const
+    {
+        const Millis bound = m_settings.configurationTrust;
+        return bound.count() == 0 || m_parts.loop->now() - m_configurationCheckedAt <= bound;
+    }
+
+    void submit(const Caller& caller, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done)
     {
-        const QueueSettings* settings = m_configuration->queue(queue);
-        const JobRecord record { .queue = queue, .pool = settings ? settings->pool : std::string(), .acceptedAt = m_parts.loop->timeOfDay(), .spec = std::move(spec) };
-        m_intake.accept(id, record, [this, id, queue, done = std::move(done), sentAt = m_parts.loop->now()](AcceptOutcome outcome) {
-            metrics.noteHandedIn(queue, outcome, secondsSince(sentAt));
+        const QueueSettings* settings = m_configuration->queue(caller.queue);
+        const JobRecord record { .queue = caller.queue, .pool = settings ? settings->pool : std::string(), .acceptedAt = m_parts.loop->timeOfDay(), .spec = std::move(spec), .organisation = caller.organisation };
+        m_intake.accept(id, record, [this, id, caller, done = std::move(done), sentAt = m_parts.loop->now(), version = m_configuration->version](AcceptOutcome outcome) {
+            metrics.noteHandedIn(caller.queue, outcome, secondsSince(sentAt));
             m_parts.log->decision("job-handed-in",
-                { { "job", id }, { "queue", queue }, { "configuration", static_cast<std::int64_t>(m_configuration->version) }, { "outcome", std::string(nameOf(outcome)) }, { "ms", since(sentAt) } });
+                { { "job", id }, { "queue", caller.queue }, { "organisation", caller.organisation }, { "configuration", static_cast<std::int64_t>(version) }, { "outcome", std::string(nameOf(outcome)) }, { "ms", since(sentAt) } });
             done(outcome);
         });
     }
 
+    void noteTurnedAway(const std::string& queue, std::optional<std::string_view> key)
+    {
+        metrics.noteTurnedAway(key ? "unknown-key" : "no-key");
+        m_parts.log->decision("caller-refused",
+            { { "queue", queue }, { "reason", std::string(key ? "unknown-key" : "no-key") }, { "key", key ? ApiKeyDigest::of(*key).fingerprint() : std::string() }, { "configuration", static_cast<std::int64_t>(m_configuration->version) }, { "configuration_age_ms", since(m_configurationCheckedAt) } });
+    }
+
+    void status(const Caller& caller, const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done)
+    {
+        status(id, [this, caller, id, done](LookupOutcome outcome, JobStatus status) { done(outcome == LookupOutcome::Done && isForeign(caller, id) ? LookupOutcome::Foreign : outcome, status); });
+    }
+
+    /// Whose job it is stands in its record, which is read first where this instance does not know it.
+    void cancel(const Caller& caller, const std::string& id, std::function<void(LookupOutcome)> done)
+    {
+        const CatalogEntry* entry = m_catalog.find(id);
+        if (!entry || !entry->record) {
+            m_lookup.status(id, [this, caller, id, done = std::move(done)](LookupOutcome outcome, JobStatus) {
+                if (outcome == LookupOutcome::Done)
+                    cancel(caller, id, done);
+                else
+                    done(outcome);
+            });
+            return;
+        }
+        if (isForeign(caller, id))
+            done(LookupOutcome::Foreign);
+        else
+            cancel(id, std::move(done));
+    }
+
     void cancel(const std::string& id, std::function<void(LookupOutcome)> done)
     {
         m_intake.cancel(id, [this, id, done = std::move(done), sentAt = m_parts.loop->now()](LookupOutcome outcome) {
@@ -197,6 +240,11 @@
         return { { .shard = theShard, .owner = m_ownership.holder(), .term = m_ownership.lastTerm(), .ownedHere = m_ownership.isHeld(), .copyAgeMillis = since(m_jobs.freshAt()) } };
     }
 
+    [[nodiscard]] OrganisationsReport organisations() const
+    {
+        return { .ownedHere = m_scheduler.isActive(), .owner = m_ownership.holder(), .organisations = m_scheduler.organisations() };
+    }
+
     [[nodiscard]] std::string metricsText() const
     {
         const MetricsReading reading { .ready = isReady(),
@@ -232,10 +280,22 @@
     JobLookup m_lookup;
     JobRetirement m_retirement;
     std::optional<Ownership> m_claimed; ///< A term that has not begun yet.
+    MonotonicInstant m_configurationCheckedAt; ///< The store named no newer configuration then.
     bool m_stopping = false;
     bool m_storeAnswers = true;
 
 private:
+    /// \returns Whether the job is known and not for this caller; logs it.
+    bool isForeign(const Caller& caller, const std::string& id)
+    {
+        const CatalogEntry* entry = m_catalog.find(id);
+        if (!entry || !entry->record || mayUse(caller, *entry->record))
+            return false;
+        metrics.noteTurnedAway("other-organisation");
+        m_parts.log->decision("caller-refused", { { "job", id }, { "queue", caller.queue }, { "reason", std::string("other-organisation") }, { "organisation", caller.organisation } });
+        return true;
+    }
+
     [[nodiscard]] double secondsSince(MonotonicInstant from) const
     {
         return std::chrono::duration<double>(m_parts.loop->now() - from).count();
@@ -258,6 +318,7 @@
             .ownership = &m_ownership,
             .log = m_parts.log,
             .configuration = [this] { return m_configuration; },
+            .isConfigurationCurrent = [this] { return isConfigurationCurrent(); },
             .ownershipTime = m_settings.ownershipTime,
             .workerLeaseTime = m_settings.workerLeaseTime,
             .placement = m_settings.policies.placement,
@@ -305,7 +366,10 @@
         }
         if (m_configuration && configuration->version <= m_configuration->version)
             return;
-        m_parts.log->change("configuration-in-force", { { "version", static_cast<std::int64_t>(configuration->version) }, { "queues", static_cast<std::int64_t>(configuration->queues.size()) } });
+        m_parts.log->change("configuration-in-force",
+            { { "version", static_cast<std::int64_t>(configuration->version) }, { "queues", static_cast<std::int64_t>(configuration->queues.size()) }, { "organisations", static_cast<std::int64_t>(configuration->organisations.all().size()) } });
+        for (const OrganisationFault& fault : configuration->organisations.faults())
+            m_parts.log->change("configuration-fault", { { "version", static_cast<std::int64_t>(configuration->version) }, { "organisation", fault.organisation }, { "fault", std::string(describe(fault.code)) } });
         m_configuration = std::make_shared<const ServiceConfiguration>(std::move(*configuration));
         m_scheduler.onConfigurationChanged();
     }
@@ -340,10 +404,11 @@
 
     void readConfigurationLater()
     {
-        m_parts.loop->callAt(m_parts.loop->now() + configurationRead, [this] {
+        m_parts.loop->callAt(m_parts.loop->now() + (m_storeAnswers ? configurationRead : configurationRetry), [this] {
             m_parts.store->read(m_parts.documents->configurationKey(), [this, sentAt = m_parts.loop->now()](const ReadResult& result) {
                 if (result.outcome == StoreOutcome::Done) {
                     m_configurations.noteWritten(result.item);
+                    m_configurationCheckedAt = std::max(m_configurationCheckedAt, sentAt);
                     m_intake.noteAnswered(sentAt);
                 }
                 noteStore(result.outcome);
@@ -460,9 +525,44 @@
     return defaultRetryAfter;
 }
 
+bool JobService::isConfigurationCurrent() const
+{
+    return m_impl->isConfigurationCurrent();
+}
+
+bool JobService::trustsKeys() const
+{
+    return m_impl->trustsKeys();
+}
+
+void JobService::submit(const Caller& caller, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done)
+{
+    m_impl->submit(caller, id, std::move(spec), std::move(done));
+}
+
 void JobService::submit(const std::string& queue, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done)
 {
-    m_impl->submit(queue, id, std::move(spec), std::move(done));
+    m_impl->submit({ .queue = queue, .organisation = {}, .isOpen = true }, id, std::move(spec), std::move(done));
+}
+
+void JobService::noteTurnedAway(const std::string& queue, std::optional<std::string_view> key)
+{
+    m_impl->noteTurnedAway(queue, key);
+}
+
+void JobService::status(const Caller& caller, const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done)
+{
+    m_impl->status(caller, id, done);
+}
+
+void JobService::cancel(const Caller& caller, const std::string& id, std::function<void(LookupOutcome)> done)
+{
+    m_impl->cancel(caller, id, std::move(done));
+}
+
+OrganisationsReport JobService::organisations() const
+{
+    return m_impl->organisations();
 }
 
 void JobService::noteRejected(const std::string& id, JobFault fault)
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -44,6 +44,7 @@
     readMillis(reader, "ownershipMs", leastLease, settings.ownershipTime);
     readMillis(reader, "workerLeaseMs", leastLease, settings.workerLeaseTime);
     readMillis(reader, "handoverMs", 0, settings.handover);
+    readMillis(reader, "configurationTrustMs", 0, settings.configurationTrust);
     readSeconds(reader, "maintenanceSeconds", settings.maintenanceTime);
     readSeconds(reader, "moveSeconds", settings.moveTime);
     readSeconds(reader, "stopGraceSeconds", settings.stopGrace);
@@ -87,6 +88,8 @@
         readSwitch(placement, "waitsForRack", policies.placement.waitsForRack);
         readSwitch(placement, "hopelessLast", policies.placement.hopelessLast);
         readNumber(placement, "hopelessShare", 0, mostMargin, policies.placement.hopelessShare);
+        readSwitch(placement, "beyondRateLast", policies.placement.beyondRateLast);
+        readSwitch(placement, "sharesByWeight", policies.placement.sharesByWeight);
     });
 }
 
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -15,6 +15,8 @@
 constexpr Millis atWorkAfter { 500 }; // A long-running task is at work so long after its start.
 constexpr Millis noticeTime { 4'500 }; // A task away for so long counts, whatever the cause.
 constexpr Millis holderTime { 3'000 }; // Two holders may not act on one instance within it.
+constexpr Millis quotaInForce { 3'000 }; // After a change, in which the former quota still counts.
+constexpr double quotaSlack = 0.1; // Of a quota, and one task more: attempts of former owners may not all be known.
 constexpr Millis resend { 500 }; // Between a caller's attempts.
 
 std::string nameOf(const std::string& job, const TaskId& task)
@@ -127,11 +129,40 @@
             breach("ROUTE", nameOf(attempt.job, attempt.task) + " starts on " + worker + " without its label");
     }
     m_running[task].insert(worker);
+    checkQuota(attempt, step);
     m_awaySince.erase(task);
     if (m_takenByOrder.contains(task))
         m_takenByOrder[task] = m_clock.now() + atWorkAfter;
 }
 
+void JobWitness::noteQuota(const std::string& organisation, const Resources& quota)
+{
+    std::vector<Quota>& quotas = m_quotas[organisation];
+    if (!quotas.empty())
+        quotas.back().until = m_clock.now() + quotaInForce;
+    quotas.push_back({ quota, std::nullopt });
+}
+
+void JobWitness::checkQuota(const Attempt& attempt, const StepSpec& step)
+{
+    const auto organisation = m_organisations.find(attempt.job);
+    const auto quotas = organisation == m_organisations.end() ? m_quotas.end() : m_quotas.find(organisation->second);
+    if (quotas == m_quotas.end())
+        return;
+    std::int64_t most = 0;
+    for (const Quota& quota : quotas->second)
+        most = std::max(most, !quota.until || *quota.until > m_clock.now() ? quota.most.milliCpu : 0);
+    std::int64_t used = 0;
+    for (const auto& [task, workers] : m_running) {
+        const auto owner = m_organisations.find(task.first);
+        if (owner != m_organisations.end() && owner->second == organisation->second)
+            used += m_jobs.at(task.first).spec.steps[task.second.step].needs.milliCpu * static_cast<std::int64_t>(workers.size());
+    }
+    const auto allowed = static_cast<std::int64_t>(static_cast<double>(most) * (1 + quotaSlack)) + step.needs.milliCpu;
+    if (used > allowed)
+        breach("QUOTA", organisation->second + " has " + std::to_string(used) + " thousandths of a core running where " + std::to_string(most) + " are its quota");
+}
+
 void JobWitness::leave(const std::string& worker, const Attempt& attempt)
 {
     std::set<std::string>& running = m_running[{ attempt.job, attempt.task }];
@@ -370,12 +401,12 @@
     store.put(documents.wavePrefix() + std::to_string(wave.number), text);
 }
 
-void JobCluster::submit(std::size_t index, const std::string& queue, const std::string& id, const JobSpec& spec)
+void JobCluster::submit(std::size_t index, const std::string& queue, const std::string& id, const JobSpec& spec, const std::string& organisation)
 {
-    const auto retry = [this, queue, id, spec] {
-        clock.after(resend, [this, queue, id, spec] {
+    const auto retry = [this, queue, id, spec, organisation] {
+        clock.after(resend, [this, queue, id, spec, organisation] {
             std::uniform_int_distribution<std::size_t> any(0, m_entries.size() - 1);
-            submit(any(random), queue, id, spec);
+            submit(any(random), queue, id, spec, organisation);
         });
     };
     if (!m_entries[index].service || !m_entries[index].service->takesRequests()) {
@@ -384,7 +415,10 @@
     }
     const QueueSettings* settings = m_entries[index].service->configuration()->queue(queue);
     witness.noteSubmitted(id, spec, settings ? settings->mostAttempts : 1);
-    m_entries[index].service->submit(queue, id, spec, [this, id, retry](AcceptOutcome outcome) {
+    if (!organisation.empty())
+        witness.noteOrganisation(id, organisation);
+    const Caller caller { .queue = queue, .organisation = organisation, .isOpen = organisation.empty() };
+    m_entries[index].service->submit(caller, id, spec, [this, id, retry](AcceptOutcome outcome) {
         if (outcome == AcceptOutcome::Accepted)
             m_accepted.insert(id);
         else
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -52,6 +52,11 @@
     std::function<std::vector<std::string>(const std::string& worker)> labelsOf; ///< Null: labels are not checked.
 
     void noteSubmitted(const std::string& id, const jobs::JobSpec& spec, std::uint32_t mostAttempts);
+    /// \brief Names the organisation whose quota a job counts for.
+    void noteOrganisation(const std::string& id, const std::string& organisation) { m_organisations[id] = organisation; }
+
+    /// \brief Notes a quota that operators set. One that is lowered holds once instances must have heard of it.
+    void noteQuota(const std::string& organisation, const jobs::Resources& quota);
     void noteCancelSent(const std::string& id);
     void noteCancelled(const std::string& id);
     void noteWave(const jobs::WaveRequest& wave);
@@ -90,6 +95,7 @@
     void leave(const std::string& worker, const jobs::Attempt& attempt);
     void noteDeparture(const jobs::Attempt& attempt, const Departure& departure);
     void checkBudget(const jobs::Attempt& attempt);
+    void checkQuota(const jobs::Attempt& attempt, const jobs::StepSpec& step);
 
     const SimClock& m_clock;
     std::map<std::string, Job> m_jobs;
@@ -102,6 +108,14 @@
     std::map<std::uint64_t, std::uint32_t> m_mostAtOnce; ///< By wave.
     std::map<std::uint64_t, std::vector<MonotonicInstant>> m_backAt; ///< Of the instances taken down, by wave.
     std::map<Task, MonotonicInstant> m_awaySince; ///< Long-running tasks that run nowhere.
+    /// A quota, and until when it still counts beside the next one.
+    struct Quota {
+        jobs::Resources most;
+        std::optional<MonotonicInstant> until;
+    };
+
+    std::map<std::string, std::string> m_organisations; ///< By job.
+    std::map<std::string, std::vector<Quota>> m_quotas; ///< By organisation, in their order.
     std::uint64_t m_starts = 0;
     std::vector<Breach> m_breaches;
 };
@@ -157,7 +171,8 @@
     void askWave(const jobs::WaveRequest& wave);
 
     /// \brief Hands a job in and sends it again until it is accepted or refused.
-    void submit(std::size_t index, const std::string& queue, const std::string& id, const jobs::JobSpec& spec);
+    /// \param organisation Whose key the caller has; empty: none.
+    void submit(std::size_t index, const std::string& queue, const std::string& id, const jobs::JobSpec& spec, const std::string& organisation = {});
     void cancel(std::size_t index, const std::string& id);
 
     /// \returns Jobs that a caller was told are kept.
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -43,6 +43,7 @@
 {
     REQUIRE(rc::check([] {
         JobRecord record { .queue = "q", .pool = "p", .acceptedAt = Instant(Millis(*rc::gen::inRange(0, 1'000'000))), .spec = {} };
+        record.organisation = *rc::gen::arbitrary<std::string>();
         record.spec.payload = std::string(*rc::gen::inRange(0U, 4'000U), 'x');
         const std::uint32_t steps = *rc::gen::inRange(1U, 5U);
         for (std::uint32_t i = 0; i < steps; ++i)
--- a/tests/jobs/operator_test.cpp
+++ b/tests/jobs/operator_test.cpp
@@ -72,3 +72,23 @@
     CHECK(problemText(call(cluster, other, "GET", "/v1/nothing").body) == "there is no such page");
     CHECK(call(cluster, other, "GET", "/metrics").body.find("lanemoor_ready 1") != std::string::npos);
 }
+
+TEST_CASE("Operators see what organisations have running, and that a quota is what tasks wait for")
+{
+    SmallCluster cluster;
+    cluster.workers.runTimes = [](const Attempt&) { return Millis(30'000); };
+    ServiceConfiguration configuration = smallConfiguration(2);
+    configuration.organisations = OrganisationTable({ { .name = "north", .keys = { ApiKeyDigest::of("k") }, .weight = 7, .quota = { .milliCpu = 2'000 } } });
+    cluster.configure(configuration);
+    cluster.clock.runFor(Millis(1'500));
+    cluster.submit(0, "work", jobId(1), job({ step(5) }), "north");
+    cluster.clock.runFor(Millis(1'000));
+    const std::size_t owner = cluster.owner().value();
+    const std::string table = organisationsText(call(cluster, owner, "GET", "/v1/organisations").body);
+    CHECK(table.find("north") != std::string::npos);
+    CHECK(table.find("2000 of 2000") != std::string::npos);
+    CHECK(jobText(call(cluster, owner, "GET", "/v1/jobs/" + jobId(1)).body).find("the quota of north is used up") != std::string::npos);
+    const std::size_t other = (owner + 1) % cluster.entries();
+    CHECK(organisationsText(call(cluster, other, "GET", "/v1/organisations").body).find("known to the owner only: entry-" + std::to_string(owner)) != std::string::npos);
+    CHECK(call(cluster, other, "POST", "/v1/organisations").status == 405);
+}
--- a/tests/jobs/random_test.cpp
+++ b/tests/jobs/random_test.cpp
@@ -24,6 +24,7 @@
     Second, ///< Also those of the fleet's interface, and workers that drain or lose their entry.
     All, ///< Also outages of the store in which leases wait.
     Relayed, ///< The faults of `All`, with calls carried by other entry instances, whose links break and go silent.
+    Organised, ///< The faults of `All`, with organisations whose quotas change and are often used up.
     Mixed, ///< The same as `All` on two pools, with instances of two kinds that do not guard their room, labels and racks.
 };
 
@@ -39,6 +40,8 @@
         m_cluster.workers.runTimes = [this](const Attempt&) { return Millis(pick(100, 2'500)); };
         if (faults == Faults::Mixed)
             mix();
+        if (faults == Faults::Organised)
+            organise();
     }
 
     void play()
@@ -56,9 +59,11 @@
                 laterFault();
             if (m_faults == Faults::Relayed && pickLater(0, 15) == 0)
                 faultOfLinks();
+            if (m_faults == Faults::Organised && pickLater(0, 25) == 0)
+                organise();
         }
         heal();
-        m_cluster.clock.runFor(m_faults == Faults::Mixed ? recoveryOfMixed : recovery);
+        m_cluster.clock.runFor(m_faults == Faults::Mixed || m_faults == Faults::Organised ? recoveryOfMixed : recovery);
         check();
     }
 
@@ -76,6 +81,22 @@
         m_cluster.clock.runFor(Millis(500));
     }
 
+    /// Gives organisations other quotas; the largest gang fits the least of them.
+    void organise()
+    {
+        constexpr std::int64_t core = 1'000;
+        ServiceConfiguration configuration = smallConfiguration(++m_version);
+        std::vector<OrganisationSettings> organisations;
+        for (const char* name : { "north", "south" }) {
+            const Resources quota { .milliCpu = static_cast<std::int64_t>(pickLater(5, 12)) * core };
+            organisations.push_back({ .name = name, .keys = { ApiKeyDigest::of(name) }, .weight = 1, .quota = quota });
+            m_cluster.witness.noteQuota(name, quota);
+        }
+        organisations.push_back({ .name = "east", .keys = { ApiKeyDigest::of("east") } });
+        configuration.organisations = OrganisationTable(std::move(organisations));
+        m_cluster.configure(configuration);
+    }
+
     /// Makes a job of a mixed run ask for more.
     void ask(std::vector<StepSpec>& steps)
     {
@@ -113,9 +134,15 @@
             ask(steps);
             queue = pick(0, 2) == 0 ? "other" : queue;
         }
-        m_cluster.submit(anyEntry(), queue, id, job(steps));
+        std::string organisation;
+        if (m_faults == Faults::Organised)
+            organisation = std::array { "north", "south", "east" }.at(pickLater(0, 2));
+        // Tasks that last might use a quota up for ever.
+        if (m_faults == Faults::Organised && steps[0].longRunning)
+            organisation = "east";
+        m_cluster.submit(anyEntry(), queue, id, job(steps), organisation);
         if (pick(0, 5) == 0)
-            m_cluster.submit(anyEntry(), queue, id, job(steps));
+            m_cluster.submit(anyEntry(), queue, id, job(steps), organisation);
     }
 
     void cancel()
@@ -278,7 +305,7 @@
     void laterFault()
     {
         model::WorkerModel* worker = anyWorker();
-        switch (pickLater(0, m_faults == Faults::All || m_faults == Faults::Relayed ? 4 : 3)) {
+        switch (pickLater(0, m_faults == Faults::All || m_faults == Faults::Relayed || m_faults == Faults::Organised ? 4 : 3)) {
         case 0:
             m_cluster.workers.fleetTrouble.lostAnswers = 0.5;
             break;
@@ -354,6 +381,7 @@
     std::mt19937_64 m_laterRandom;
     std::uint64_t m_jobs = 0;
     std::uint64_t m_waves = 0;
+    std::uint64_t m_version = 1; ///< Of the configuration, in runs with organisations.
 };
 
 /// \returns The number in an environment variable, or `otherwise`.
@@ -389,6 +417,9 @@
         RandomRun(seed, Faults::Second).play();
     // A failure that a new owner heard of beside a newer attempt was dropped.
     RandomRun(62'262, Faults::All).play();
+    // Quotas were lowered while the store was silent to the owner, which went on by the former ones.
+    RandomRun(140, Faults::Organised).play();
+    RandomRun(5'108, Faults::Organised).play();
     // A stop without an answer was sent again after an outage, when another of its step had been lost.
     RandomRun(110'400, Faults::All).play();
 }
@@ -416,3 +447,11 @@
     for (std::uint64_t seed = first; seed < first + runs; ++seed)
         RandomRun(seed, Faults::Relayed).play();
 }
+
+TEST_CASE("No promise is broken in random runs with organisations and quotas")
+{
+    const std::uint64_t first = numberFrom("LANEMOOR_SEED", 1);
+    const std::uint64_t runs = numberFrom("LANEMOOR_RUNS", 200);
+    for (std::uint64_t seed = first; seed < first + runs; ++seed)
+        RandomRun(seed, Faults::Organised).play();
+}
