Let machines that can own know since when they have known each worker's life

Cause: inherited tasks wait until every worker was met or is over. A new owner finds some 90 entries of lives that ended with a move of their instance, and had to see two lists of the fleet 1.2 s apart to take them as over, since lists lag. A life that had begun before the time that a list shows, and is not in it, is over at that list. Entries are still read once more before a term begins. Ruled out: beginning the term when the watch has reached the claim's revision, which takes up to a second where nothing changes; taking a life as over by another one's entry, which leaves those being moved. The test fails without the change.

--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -133,7 +133,8 @@
 
     /// \brief Takes in the platform's list: it names lives whose entries may be missing in the
     /// store, and that may run what an earlier owner started.
-    void noteFleet(const std::vector<FleetInstance>& instances);
+    /// \param askedAt When the list was asked for.
+    void noteFleet(const std::vector<FleetInstance>& instances, MonotonicInstant askedAt);
 
     /// \returns Whether every worker that might run what an earlier owner started has been met,
     /// or its lease is over; also if this instance is not the owner.
--- a/include/lanemoor/jobs/owner/worker_book.h
+++ b/include/lanemoor/jobs/owner/worker_book.h
@@ -40,6 +40,7 @@
 /// One life of a worker and what the owner gave it.
 struct WorkerBook {
     WorkerEntry entry;
+    MonotonicInstant knownSince; ///< When this process first heard of the life.
     bool listed = true; ///< False: its entry is gone from the store, though it may live on.
     std::shared_ptr<WorkerSession> session;
     Bookings bookings; ///< Attempts that are not over.
--- a/include/lanemoor/jobs/owner/worker_directory.h
+++ b/include/lanemoor/jobs/owner/worker_directory.h
@@ -14,6 +14,7 @@
 /// A worker's entry. One that was removed is kept for a while, since the worker may run on.
 struct DirectoryEntry {
     WorkerEntry worker;
+    MonotonicInstant knownSince; ///< When this process first heard of the life, which had begun by then.
     bool listed = true;
     MonotonicInstant removedAt; ///< Meaningful if not listed.
 };
@@ -28,6 +29,9 @@
 
     void remove(const std::string& id);
 
+    /// \brief Drops entries that were removed, as a process that begins now would not know them.
+    void forgetRemoved();
+
     /// \brief Drops entries that were removed so long ago that every lease there is over.
     void forgetOld();
 
--- a/src/jobs/owner/fleet_keeper.cpp
+++ b/src/jobs/owner/fleet_keeper.cpp
@@ -263,13 +263,13 @@
     /// Lists the fleet again and again.
     void list()
     {
-        m_options.fleet->list(inTerm<FleetList>([this](const FleetList& list) {
+        m_options.fleet->list(inTerm<FleetList>([this, askedAt = m_options.loop->now()](const FleetList& list) {
             if (std::exchange(m_listAnswers, list.complete) != list.complete)
                 m_options.log->change(list.complete ? "fleet-list-back" : "fleet-list-lost", {});
             if (list.complete)
                 takeList(list.instances);
             if (list.complete)
-                m_options.scheduler->noteFleet(list.instances);
+                m_options.scheduler->noteFleet(list.instances, askedAt);
             tickSoon();
             later(hasWork() ? m_options.listEveryWhileActing : m_options.listEvery, [this] { this->list(); });
         }));
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -150,7 +150,6 @@
     /// the list was read in this term.
     std::optional<std::uint32_t> unknownInstances;
     std::set<std::string> unmet; ///< Workers that might run inherited tasks and were not asked yet.
-    std::map<std::string, MonotonicInstant> unnamedSince; ///< Those of them that no list has named since.
 };
 
 } // namespace
@@ -281,7 +280,7 @@
         requestPass();
     }
 
-    void noteFleet(const std::vector<FleetInstance>& instances)
+    void noteFleet(const std::vector<FleetInstance>& instances, MonotonicInstant askedAt)
     {
         if (!m_term)
             return;
@@ -296,7 +295,7 @@
             unknown += runs && !m_term->state.worker(instance.worker) ? 1 : 0;
         }
         m_term->unknownInstances = unknown;
-        noteUnnamed(instances, *configuration);
+        noteUnnamed(instances, askedAt, *configuration);
         if (first)
             m_options.log->change("fleet-listed", { { "instances", static_cast<std::int64_t>(instances.size()) }, { "kinds", kindsText(instances) }, { "unknown", std::int64_t { unknown } }, { "unmet", static_cast<std::int64_t>(m_term->unmet.size()) } });
         requestPass();
@@ -478,6 +477,7 @@
         WorkerBook& book = state.workers[entry.worker.id];
         book.entry = entry.worker;
         book.listed = entry.listed;
+        book.knownSince = entry.knownSince;
         WorkerSessionOptions options { .epoch = state.ownership.epoch,
             .inheritedLeaseOverBy = state.inheritedLeaseOverBy,
             .leaseTime = m_options.workerLeaseTime,
@@ -553,27 +553,22 @@
         return found != m_term->state.workers.end() && !found->second.session->isMet() && !found->second.session->isLifeOver();
     }
 
-    /// An unmet life that lists name on no instance for longer than they lag is over, if every
-    /// instance that is up has its life named: one without may be running that very life.
-    void noteUnnamed(const std::vector<FleetInstance>& instances, const ServiceConfiguration& configuration)
+    /// An unmet life that the list names on no instance is over, if it had begun by the time that the list
+    /// shows, which is as old as lists lag, and if every instance that is up has its life named: one without
+    /// may be running that very life.
+    void noteUnnamed(const std::vector<FleetInstance>& instances, MonotonicInstant askedAt, const ServiceConfiguration& configuration)
     {
         std::set<std::string> named;
-        bool isComplete = true;
         for (const FleetInstance& instance : instances) {
             const PoolSettings* pool = configuration.pool(instance.pool);
             const bool runs = instance.state == FleetState::Up && !(pool && pool->reserve);
-            isComplete = isComplete && !(runs && instance.worker.empty());
+            if (runs && instance.worker.empty())
+                return;
             named.insert(instance.worker);
         }
-        const MonotonicInstant now = m_options.loop->now();
         std::vector<std::string> over;
         for (const std::string& id : m_term->unmet) {
-            if (!isComplete || named.contains(id) || !isUnmet(id)) {
-                m_term->unnamedSince.erase(id);
-                continue;
-            }
-            const auto [since, first] = m_term->unnamedSince.emplace(id, now);
-            if (now - since->second >= fleetListLag)
+            if (!named.contains(id) && isUnmet(id) && askedAt - m_term->state.worker(id)->knownSince >= fleetListLag)
                 over.push_back(id);
         }
         for (const std::string& id : over)
@@ -665,9 +660,9 @@
     m_impl->setEvacuating(worker, evacuating);
 }
 
-void JobScheduler::noteFleet(const std::vector<FleetInstance>& instances)
+void JobScheduler::noteFleet(const std::vector<FleetInstance>& instances, MonotonicInstant askedAt)
 {
-    m_impl->noteFleet(instances);
+    m_impl->noteFleet(instances, askedAt);
 }
 
 bool JobScheduler::isSettled() const
--- a/src/jobs/owner/worker_directory.cpp
+++ b/src/jobs/owner/worker_directory.cpp
@@ -19,7 +19,8 @@
     const auto found = m_entries.find(worker.id);
     if (found != m_entries.end() && found->second.listed && found->second.worker == worker)
         return false;
-    m_entries[worker.id] = { .worker = worker };
+    const MonotonicInstant knownSince = found == m_entries.end() ? m_loop.now() : found->second.knownSince;
+    m_entries[worker.id] = { .worker = worker, .knownSince = knownSince };
     if (m_observer)
         m_observer(worker.id);
     return true;
@@ -36,6 +37,11 @@
         m_observer(id);
 }
 
+void WorkerDirectory::forgetRemoved()
+{
+    std::erase_if(m_entries, [](const auto& entry) { return !entry.second.listed; });
+}
+
 void WorkerDirectory::forgetOld()
 {
     const MonotonicInstant now = m_loop.now();
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -35,9 +35,12 @@
 /// The configuration is read as well, and waves last some dozens of seconds.
 constexpr Millis quietWatchTime { 5'000 };
 /// Workers drain with seconds of notice; sooner only saves work. Each heartbeat is a change, so
-/// that nearly every watch of the workers is answered at once. Only the owner watches them: 1,100
+/// that nearly every watch of the workers is answered at once. Only the owner watches them that often: 1,100
 /// workers have 730 heartbeats a second.
 constexpr Millis workerWatchGap { 150 };
+/// Machines that can own watch the workers less often: a new owner then knows for how long it has known a life,
+/// and one list of the fleet tells which of them are over.
+constexpr Millis standbyWatchGap { 1'000 };
 /// The store's answers are missed after a watch's time and a call's; then this instance can
 /// take nothing and says so to the balancer.
 constexpr Millis storeMissedAfter { 2'500 };
@@ -91,7 +94,7 @@
         , m_jobs(*parts.loop, *parts.store, { .prefix = std::string(jobServicePrefix), .watchTime = watchTime, .leastGap = watchGap }, [this](const StoreItem& item) { onItem(item); })
         , m_owners(*parts.loop, *parts.store, { .prefix = std::string(ownershipPrefix), .watchTime = ownershipWatchTime }, [this](const StoreItem& item) { onOwnership(item); })
         , m_configurations(*parts.loop, *parts.store, { .prefix = parts.documents->configurationKey(), .watchTime = quietWatchTime }, [this](const StoreItem& item) { onConfiguration(item); })
-        , m_workers(*parts.loop, *parts.store, { .prefix = parts.documents->workerPrefix(), .watchTime = watchTime, .leastGap = workerWatchGap }, [this](const StoreItem& item) { onWorker(item); })
+        , m_workers(*parts.loop, *parts.store, { .prefix = parts.documents->workerPrefix(), .watchTime = watchTime, .leastGap = standbyWatchGap }, [this](const StoreItem& item) { onWorker(item); })
         , m_waves(*parts.loop, *parts.store, { .prefix = parts.documents->wavePrefix(), .watchTime = quietWatchTime }, [this](const StoreItem& item) { onWave(item); })
         , m_ownership(*parts.loop, *parts.store, m_owners, { .shard = theShard, .holder = m_holder, .peer = parts.peerAddress, .leaseTime = settings.ownershipTime, .renewEvery = settings.ownershipTime / renewalsOfLease, .claimDelay = claimDelayOf(settings) },
               { .gained = [this](const Ownership& ownership) { gained(ownership); }, .lost = [this] { lost(); }, .suspended = [this] { m_parts.log->change("ownership-suspended", { { "copy_age_ms", since(m_jobs.freshAt()) } }); }, .resumed = [this] { m_parts.log->change("ownership-resumed", { { "copy_age_ms", since(m_jobs.freshAt()) } }); }, .claimFailed = [this](StoreOutcome outcome) { m_parts.log->decision("ownership-claim-failed", { { "outcome", std::string(nameOf(outcome)) } }); }, .endsLost = [this](const std::string& holder) { m_parts.log->change("lost-owner-lease-ended", { { "holder", holder } }); } })
@@ -117,6 +120,8 @@
         m_owners.start();
         m_configurations.start();
         m_waves.start();
+        if (isStandby())
+            m_workers.start();
         m_ownership.start();
         readConfigurationLater();
         checkCopyLater();
@@ -297,6 +302,9 @@
         return true;
     }
 
+    /// \returns Whether this machine is one that takes a free ownership at once.
+    [[nodiscard]] bool isStandby() const { return claimDelayOf(m_settings).count() == 0; }
+
     [[nodiscard]] double secondsSince(MonotonicInstant from) const
     {
         return std::chrono::duration<double>(m_parts.loop->now() - from).count();
@@ -379,7 +387,8 @@
     {
         const std::string id = item.key.substr(m_parts.documents->workerPrefix().size());
         if (item.removed) {
-            m_parts.log->decision("worker-removed", { { "worker", id } });
+            if (m_ownership.isHeld())
+                m_parts.log->decision("worker-removed", { { "worker", id } });
             m_directory.remove(id);
             return;
         }
@@ -388,7 +397,7 @@
             m_parts.log->decision("worker-unreadable", { { "worker", id } });
             return;
         }
-        if (m_directory.put(*worker))
+        if (m_directory.put(*worker) && m_ownership.isHeld())
             m_parts.log->decision("worker-entry",
                 { { "worker", id }, { "pool", worker->pool }, { "draining", std::int64_t { worker->draining } }, { "revision", static_cast<std::int64_t>(item.revision) } });
     }
@@ -428,6 +437,7 @@
                 m_parts.log->change("ownership-resigned", { { "epoch", static_cast<std::int64_t>(m_ownership.ownership().epoch) }, { "copy_age_ms", since(m_jobs.freshAt()) } });
                 m_ownership.resign(resignedFor);
             }
+            m_directory.forgetOld();
             checkCopyLater();
         });
     }
@@ -449,9 +459,14 @@
         m_relay.follow({});
         m_relayedWorkers.activate();
         m_jobs.setPace(ownerWatchGap, ownerWatchTime);
+        m_workers.setPace(workerWatchGap, watchTime);
         m_jobs.whenAt(ownership.epoch, [this, ownership] {
-            if (m_claimed == ownership)
-                m_workers.resume([this, ownership] { activate(ownership); });
+            if (m_claimed != ownership)
+                return;
+            m_workers.resume([this, ownership] {
+                m_directory.forgetRemoved();
+                activate(ownership);
+            });
         });
     }
 
@@ -472,7 +487,10 @@
     {
         m_claimed.reset();
         m_jobs.setPace(watchGap, watchTime);
-        m_workers.pause();
+        if (isStandby())
+            m_workers.setPace(standbyWatchGap, watchTime);
+        else
+            m_workers.pause();
         m_fleet.deactivate();
         m_scheduler.deactivate();
         m_relayedWorkers.deactivate();
--- a/tests/jobs/lost_owner_test.cpp
+++ b/tests/jobs/lost_owner_test.cpp
@@ -74,6 +74,26 @@
     CHECK(cluster.waitFor(Millis(400), [&] { return cluster.entry(0).shards().front().ownedHere; }));
 }
 
+TEST_CASE("A successor that has watched the workers does not wait for lives that ended before it came")
+{
+    LinkedCluster cluster;
+    cluster.workers.runTimes = [](const Attempt&) { return Millis(400); };
+    cluster.clock.runFor(Millis(2'000));
+    cluster.submit(0, "work", jobId(1), job({ step(1), step(1, { 0 }) }));
+    REQUIRE(cluster.waitFor(Millis(1'000), [&] { return cluster.witness.starts() == 1; }));
+    const std::string busy = cluster.witness.workerOf(jobId(1), {});
+    // Its entry stays for some seconds.
+    for (const auto& [id, worker] : cluster.workers.workers()) {
+        if (worker.alive && id != busy) {
+            cluster.workers.crash(id, Millis(600'000));
+            break;
+        }
+    }
+    cluster.kill(cluster.owner().value());
+    CHECK(cluster.waitFor(Millis(1'000), [&] { return cluster.witness.starts() == 2; }));
+    CHECK(cluster.witness.breaches().empty());
+}
+
 TEST_CASE("A holder is named after its instance and its start, and no other instance's name is taken for it")
 {
     const Instant start { Millis(1'700) };
