Move the relay's parts in place of copying them

Cause: the linter's finding since the parts hold a callback; the payload reader's store is now read from the moved parts. Ruled out: a const reference, which would copy the callback all the same. Measured: lint clean on the file, the tests of relays and owners pass.

--- a/src/jobs/relay/order_relay.cpp
+++ b/src/jobs/relay/order_relay.cpp
@@ -30,10 +30,10 @@
 class OrderRelay::Impl : public std::enable_shared_from_this<OrderRelay::Impl> {
 public:
     Impl(OrderRelayParts parts, std::string name, double cores)
-        : m_parts(parts)
+        : m_parts(std::move(parts))
         , m_name(std::move(name))
         , m_cores(cores)
-        , m_payloads(parts.store ? std::make_shared<PayloadReader>(*parts.store) : nullptr)
+        , m_payloads(m_parts.store ? std::make_shared<PayloadReader>(*m_parts.store) : nullptr)
     {
     }
 
@@ -278,7 +278,7 @@
 };
 
 OrderRelay::OrderRelay(OrderRelayParts parts, std::string name, double cores)
-    : m_impl(std::make_shared<Impl>(parts, std::move(name), cores))
+    : m_impl(std::make_shared<Impl>(std::move(parts), std::move(name), cores))
 {
 }
 
