--- a/tests/jobs/wire_test.cpp
+++ b/tests/jobs/wire_test.cpp
@@ -2,8 +2,10 @@
 
 #include "platform/wire.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
+#include <rapidcheck.h>
 
 using namespace lanemoor;
 using namespace lanemoor::jobs;
@@ -158,3 +160,49 @@
     CHECK_FALSE(platform::readAdvice(answer(429, "")).answered);
     CHECK(json::parse(platform::formatQuestion("j", 0, 1, { "i" })) == json::parse(R"({"step":"j.0.1","workers":["i"]})"));
 }
+
+namespace {
+
+/// \returns A value of any type, with bounds of numbers among them.
+json anyValue(int depth = 0)
+{
+    const std::array<json, 12> plain { json(), json(true), json(0), json(-1), json(1e300), json(-2.5), json(std::numeric_limits<std::uint64_t>::max()), json(std::numeric_limits<std::int64_t>::min()), json(""), json("text"), json::array(), json::object() };
+    const auto kind = *rc::gen::inRange<std::size_t>(0, plain.size() + (depth < 2 ? 2 : 0));
+    if (kind < plain.size())
+        return plain.at(kind);
+    return kind == plain.size() ? json::array({ anyValue(depth + 1) }) : json { { "cpu", anyValue(depth + 1) }, { "name", anyValue(depth + 1) } };
+}
+
+/// Puts a value of any type somewhere into `document`.
+void spoil(json& document)
+{
+    json* place = &document;
+    while (place->is_structured() && !place->empty() && *rc::gen::inRange(0, 4) != 0) {
+        const auto index = *rc::gen::inRange<std::size_t>(0, place->size());
+        auto child = place->begin();
+        std::advance(child, static_cast<std::ptrdiff_t>(index));
+        place = &*child;
+    }
+    *place = anyValue();
+}
+
+} // namespace
+
+TEST_CASE("Whatever stands in documents and callers' jobs, reading them ends with a value or none")
+{
+    const json configuration = json::parse(R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","priority":1,"service":"s","max_attempts":2,"stretch":1.6,"target_latency_ms":600,"public":false,
+        "advice":{"decide_ms":1,"each_ms":2,"valid_ms":3}}],"services":[{"name":"s","max_conns":64,"rejects_overload":true,"headroom":false}],"limits":{"max_body_bytes":1000},
+        "tenants":[{"name":"n","api_keys":["a","b"],"priority":1,"weight":154,"max_items":{"cpu":5,"mem_mb":6,"gpus":0}}]})");
+    const json job = json::parse(R"({"spec":"x","times":2,"start_at_ms":5,"interval_ms":6,"steps":[{"count":1,"cpu":1,"mem_mb":2,"gpus":3,"est_ms":4},{"count":2,"depends_on":[0],"constraints":"a","affinity":"r","anti_affinity":1,"may_miss":1}]})");
+    const json worker = json::parse(R"({"address":"1.2.3.4:5","service":"s","zone":"z","labels":["a","r"],"capacity":{"cpu":1},"state":"ready"})");
+    const json wave = json::parse(R"({"wave":3,"machines":["m"],"duration_s":2.5,"max_items":1})");
+    REQUIRE(rc::check([&] {
+        std::array<json, 4> documents { configuration, job, worker, wave };
+        for (json& document : documents)
+            spoil(document);
+        static_cast<void>(platform::readConfiguration(documents[0].dump()));
+        static_cast<void>(platform::readJob(documents[1].dump()));
+        static_cast<void>(platform::readWorker("id", documents[2].dump()));
+        static_cast<void>(platform::readWave(documents[3].dump()));
+    }));
+}
