Measure what the owner's thread spends its time on, and tell it each second

Cause: no log line or metric could tell the incident's hypotheses apart: the plan of the pools, placement, or lives and calls. Ruled out: reading it from the lines that are there, which only count starts and ends. Change: a meter of work by kind, with work inside other work counted once; the owner logs owner-load each second (passes, starts, looks at workers, time by kind, the longest piece, how late its timer was); metric lanemoor_work_seconds_total by kind, counters of passes and looks; fleet-use has the plan's looks. No decision changed.

--- a/include/lanemoor/jobs/owner/fleet_keeper.h
+++ b/include/lanemoor/jobs/owner/fleet_keeper.h
@@ -19,6 +19,8 @@
 
 namespace lanemoor::jobs {
 
+class WorkMeter;
+
 /// What a fleet keeper works with. All of it outlives the keeper.
 struct FleetKeeperOptions {
     EventLoop* loop = nullptr;
@@ -28,6 +30,7 @@
     OwnershipKeeper* ownership = nullptr;
     const PlatformDocuments* documents = nullptr;
     EventLog* log = nullptr;
+    WorkMeter* meter = nullptr; ///< Null: work is not measured.
     std::function<std::shared_ptr<const ServiceConfiguration>()> configuration;
     std::string holder; ///< Name that acts carry.
     /// Least time between acts of two owners on one instance: the platform must not see two
--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -26,6 +26,7 @@
 
 class StoreMirror;
 class WorkerDirectory;
+class WorkMeter;
 struct FleetInstance;
 
 /// What a scheduler works with. All of it outlives the scheduler.
@@ -39,6 +40,7 @@
     PlacementAdvisor* advisor = nullptr;
     OwnershipKeeper* ownership = nullptr;
     EventLog* log = nullptr;
+    WorkMeter* meter = nullptr; ///< Null: work is not measured.
     std::function<std::shared_ptr<const ServiceConfiguration>()> configuration;
     std::function<bool()> isConfigurationCurrent; ///< Whether quotas may be relied on; null: always.
     Millis ownershipTime { 1'000 }; ///< Lease time of the ownership.
@@ -95,6 +97,8 @@
     std::uint64_t jobsSucceeded = 0;
     std::uint64_t jobsFailed = 0;
     std::uint64_t jobsCancelled = 0;
+    std::uint64_t passes = 0; ///< Over the tasks that could start.
+    std::uint64_t sitesInspected = 0; ///< By all passes: how many times a worker was looked at for a task.
 };
 
 /// \brief Places tasks, renews leases and stores endings, for one term after another.
--- a/include/lanemoor/jobs/policy/capacity_plan.h
+++ b/include/lanemoor/jobs/policy/capacity_plan.h
@@ -97,6 +97,10 @@
     /// last chosen.
     [[nodiscard]] bool isShort() const noexcept { return m_short; }
 
+    /// \returns How many times an instance was looked at when moves were last chosen: what a plan costs,
+    /// whatever the machine.
+    [[nodiscard]] std::uint64_t inspected() const noexcept { return m_inspected; }
+
     /// \brief Remembers that `pool` does not take instances of `kind`.
     void noteRefused(const std::string& kind, const std::string& pool);
 
@@ -123,6 +127,7 @@
     std::optional<MonotonicInstant> m_firstSeen;
     std::optional<MonotonicInstant> m_firstArrival;
     bool m_short = false;
+    std::uint64_t m_inspected = 0;
     std::map<std::pair<std::string, Requirement>, std::deque<Sample>> m_samples; ///< By pool and class; falling in value.
     std::map<std::string, std::vector<std::string>> m_refusedKinds; ///< By pool.
 };
--- a/include/lanemoor/jobs/policy/placement.h
+++ b/include/lanemoor/jobs/policy/placement.h
@@ -57,8 +57,12 @@
 
     [[nodiscard]] const std::vector<PlacementSite>& sites() const noexcept { return m_sites; }
 
+    /// \returns How many times a site was looked at: what the choices cost, whatever the machine.
+    [[nodiscard]] std::uint64_t inspected() const noexcept { return m_inspected; }
+
 private:
     std::vector<PlacementSite> m_sites;
+    mutable std::uint64_t m_inspected = 0;
 };
 
 /// \returns Demand for sites with a label against what they have, in eighths and at most 16:
--- a/include/lanemoor/jobs/relay/relayed_workers.h
+++ b/include/lanemoor/jobs/relay/relayed_workers.h
@@ -16,12 +16,15 @@
 
 namespace lanemoor::jobs {
 
+class WorkMeter;
+
 /// What relayed calls work with. All of it outlives them.
 struct RelayedWorkersParts {
     EventLoop* loop = nullptr;
     PeerTransport* peers = nullptr; ///< Null: every call is made directly.
     WorkerControl* direct = nullptr;
     EventLog* log = nullptr;
+    WorkMeter* meter = nullptr; ///< Null: work is not measured.
 };
 
 /// Counts of one process since its start.
--- a/include/lanemoor/jobs/service/job_metrics.h
+++ b/include/lanemoor/jobs/service/job_metrics.h
@@ -3,6 +3,7 @@
 /// Metrics of the job service, in Prometheus' text format.
 
 #include "lanemoor/jobs/intake/job_intake.h"
+#include "lanemoor/jobs/model/work_meter.h"
 #include "lanemoor/jobs/owner/job_scheduler.h"
 
 #include <cstdint>
@@ -25,6 +26,7 @@
     std::uint64_t logLinesDropped = 0;
     std::uint64_t decisionsOmitted = 0;
     std::uint64_t carriedCalls = 0; ///< That this process carried for an owner elsewhere.
+    WorkReading work; ///< What the process's thread was at work on.
 };
 
 /// \brief The metrics of one process of the job service. Labels take few values: outcomes, and
--- a/include/lanemoor/jobs/service/job_service.h
+++ b/include/lanemoor/jobs/service/job_service.h
@@ -8,6 +8,7 @@
 #include "lanemoor/jobs/model/forward_declarations.h"
 #include "lanemoor/jobs/model/job_spec.h"
 #include "lanemoor/jobs/owner/job_report.h"
+#include "lanemoor/jobs/owner/job_scheduler.h"
 #include "lanemoor/jobs/service/job_service_settings.h"
 
 #include <cstdint>
@@ -103,6 +104,9 @@
     [[nodiscard]] OrganisationsReport organisations() const;
     ///@}
 
+    /// \returns Counts of this process as an owner, as its metrics show them.
+    [[nodiscard]] const SchedulerCounts& schedulerCounts() const noexcept;
+
     /// \returns Metrics in Prometheus' text format.
     [[nodiscard]] std::string metrics() const;
 
--- a/include/lanemoor/jobs/store/progress_writer.h
+++ b/include/lanemoor/jobs/store/progress_writer.h
@@ -14,6 +14,7 @@
 namespace lanemoor::jobs {
 
 class StoreMirror;
+class WorkMeter;
 
 /// What the writer asks of its owner.
 struct ProgressSource {
@@ -21,6 +22,7 @@
     std::function<std::optional<ProgressRecord>(const std::string& id)> read;
     std::function<bool()> mayWrite; ///< Whether the ownership is held.
     std::function<void()> superseded; ///< The store says that the ownership is another's.
+    WorkMeter* meter = nullptr; ///< Null: work is not measured.
 };
 
 /// \brief Writes the progress of changed jobs, many in one transaction and a few transactions at
--- a/src/jobs/owner/fleet_keeper.cpp
+++ b/src/jobs/owner/fleet_keeper.cpp
@@ -5,6 +5,7 @@
 #include "lanemoor/jobs/model/job_record.h"
 #include "lanemoor/jobs/model/key_value_store.h"
 #include "lanemoor/jobs/model/platform_documents.h"
+#include "lanemoor/jobs/model/work_meter.h"
 #include "lanemoor/jobs/owner/job_scheduler.h"
 #include "lanemoor/jobs/policy/capacity_plan.h"
 #include "lanemoor/jobs/policy/maintenance_plan.h"
@@ -264,6 +265,7 @@
     void list()
     {
         m_options.fleet->list(inTerm<FleetList>([this, askedAt = m_options.loop->now()](const FleetList& list) {
+            const WorkMeter::Piece piece(m_options.meter, WorkKind::FleetPlan);
             if (std::exchange(m_listAnswers, list.complete) != list.complete)
                 m_options.log->change(list.complete ? "fleet-list-back" : "fleet-list-lost", {});
             if (list.complete)
@@ -401,6 +403,7 @@
 
     void plan()
     {
+        const WorkMeter::Piece piece(m_options.meter, WorkKind::FleetPlan);
         planWaves();
         planCapacity();
         logUse();
@@ -438,7 +441,7 @@
                 free += use->second.free.milliCpu;
             }
         }
-        m_options.log->decision("fleet-use", { { "off", off }, { "away", away }, { "evacuating", evacuating }, { "unsound", unsound }, { "open", open }, { "free_mcpu_of_open", free } });
+        m_options.log->decision("fleet-use", { { "off", off }, { "away", away }, { "evacuating", evacuating }, { "unsound", unsound }, { "open", open }, { "free_mcpu_of_open", free }, { "plan_inspected", static_cast<std::int64_t>(m_capacity.inspected()) } });
     }
 
     /// \returns Each pool's load before its instances are counted.
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -5,9 +5,11 @@
 #include "evacuation.h"
 #include "lanemoor/jobs/intake/job_catalog.h"
 #include "lanemoor/jobs/model/fleet_control.h"
+#include "lanemoor/jobs/model/work_meter.h"
 #include "lanemoor/jobs/owner/worker_directory.h"
 #include "lanemoor/jobs/store/store_mirror.h"
 #include "order_desk.h"
+#include "owner_load.h"
 #include "owner_state.h"
 #include "placement_pass.h"
 #include "report_reader.h"
@@ -125,6 +127,7 @@
         , orders(std::make_shared<OrderDesk>(state, counts))
         , advice(std::make_shared<AdviceDesk>(state))
         , reports(state, *orders, counts)
+        , load(std::make_shared<OwnerLoad>(options, counts))
     {
         // Nobody owned before the first term, so nothing runs.
         if (ownership.term == 1)
@@ -133,6 +136,7 @@
 
     void close()
     {
+        load->close();
         orders->close();
         advice->close();
         for (auto& [id, worker] : state.workers) {
@@ -146,6 +150,7 @@
     std::shared_ptr<OrderDesk> orders;
     std::shared_ptr<AdviceDesk> advice;
     ReportReader reports;
+    std::shared_ptr<OwnerLoad> load;
     /// Instances of the platform's list that may run what nobody has looked at; nothing before
     /// the list was read in this term.
     std::optional<std::uint32_t> unknownInstances;
@@ -171,7 +176,8 @@
         state.writer = std::make_unique<ProgressWriter>(*m_options.loop, *m_options.store, *m_options.mirror, m_options.ownership->condition(),
             ProgressSource { .read = [this](const std::string& id) { return progressOf(id); },
                 .mayWrite = [this] { return m_options.ownership->isHeld(); },
-                .superseded = [this] { m_options.ownership->noteSuperseded(); } });
+                .superseded = [this] { m_options.ownership->noteSuperseded(); },
+                .meter = m_options.meter });
         for (const auto& [id, entry] : m_options.catalog->all())
             load(id, entry, ownership.term > 1);
         m_options.directory->forgetOld();
@@ -180,6 +186,7 @@
         m_options.log->change("ownership-taken",
             { { "epoch", static_cast<std::int64_t>(ownership.epoch) }, { "term", static_cast<std::int64_t>(ownership.term) }, { "jobs", static_cast<std::int64_t>(state.jobs.size()) },
                 { "workers", static_cast<std::int64_t>(state.workers.size()) } });
+        m_term->load->start();
         requestPass();
     }
 
@@ -511,7 +518,9 @@
 
     void pass()
     {
+        const WorkMeter::Piece piece(m_options.meter, WorkKind::Placement);
         const std::shared_ptr<Term> term = m_term;
+        ++counts.passes;
         const MonotonicInstant begin = m_options.loop->now();
         m_passFrom = begin + leastPassGap;
         const bool knowsCancels = begin - m_options.mirror->freshAt() < oldestCopy;
@@ -524,6 +533,7 @@
         PlacementPass placement(term->state, *term->orders, *term->advice, [this] { return isSettled(); });
         const std::optional<MonotonicInstant> wake = placement.run();
         m_waiting = placement.waiting();
+        counts.sitesInspected += placement.sitesInspected();
         if (term != m_term)
             return;
         Displacement(term->state, *term->orders).run();
--- a/src/jobs/owner/placement_pass.cpp
+++ b/src/jobs/owner/placement_pass.cpp
@@ -51,6 +51,14 @@
     return m_wake;
 }
 
+std::uint64_t PlacementPass::sitesInspected() const
+{
+    std::uint64_t inspected = 0;
+    for (const auto& [pool, sites] : m_sites)
+        inspected += sites.placer ? sites.placer->inspected() : 0;
+    return inspected;
+}
+
 void PlacementPass::wakeAt(MonotonicInstant when)
 {
     if (!m_wake || when < *m_wake)
--- a/src/jobs/owner/placement_pass.h
+++ b/src/jobs/owner/placement_pass.h
@@ -24,6 +24,9 @@
     /// \returns What found no room in the last run, by pool and requirement class.
     [[nodiscard]] const Waiting& waiting() const noexcept { return m_waiting; }
 
+    /// \returns How many times a worker was looked at for a task in the last run.
+    [[nodiscard]] std::uint64_t sitesInspected() const;
+
 private:
     struct Candidate {
         std::uint32_t priority = 0;
--- a/src/jobs/owner/report_reader.cpp
+++ b/src/jobs/owner/report_reader.cpp
@@ -2,6 +2,7 @@
 
 #include "evacuation.h"
 #include "lanemoor/jobs/intake/job_catalog.h"
+#include "lanemoor/jobs/model/work_meter.h"
 
 #include <algorithm>
 
@@ -33,6 +34,7 @@
 
 void ReportReader::onAnswer(WorkerSession& session, const RenewResult& result, MonotonicInstant sentAt)
 {
+    const WorkMeter::Piece piece(m_state.options.meter, WorkKind::Reports);
     WorkerBook* worker = m_state.worker(session.life().id);
     if (!worker)
         return;
--- a/src/jobs/policy/capacity_plan.cpp
+++ b/src/jobs/policy/capacity_plan.cpp
@@ -63,6 +63,7 @@
     std::vector<const PoolInstance*> idle; ///< Longest idle first.
     std::vector<const PoolInstance*> drainable;
     std::vector<const PoolInstance*> sound;
+    mutable std::uint64_t inspected = 0; ///< Instances looked at, each time that one was.
 
     /// \returns What the class needs. Tasks that run anywhere need room beside those that take up
     /// instances with a label, as far as there are such: what lacks its label uses nothing.
@@ -104,6 +105,7 @@
     [[nodiscard]] double sizeOf(const std::string& label) const
     {
         double milliCpu = 0;
+        inspected += sound.size();
         for (const PoolInstance* instance : sound)
             milliCpu += instance->has(label) ? static_cast<double>(instance->capacity.milliCpu) : 0;
         return milliCpu;
@@ -297,6 +299,7 @@
         const PoolInstance* chosen = nullptr;
         Rank best;
         for (Balance& pool : pools) {
+            pool.inspected += pool.idle.size();
             for (const PoolInstance* instance : pool.idle) {
                 const bool helps = instance->has(lacking->requirement.label) && (!lacking->load->hasWaiting || instance->capacity.covers(lacking->load->largestWaiting));
                 if (&pool == needy || !helps || !takes(needy->load->pool, instance->kind) || !pool.mayGive(*instance, *lacking))
@@ -365,6 +368,7 @@
                 for (Balance& pool : pools) {
                     if (&pool == &needy || pool.load->reserve)
                         continue;
+                    pool.inspected += pool.drainable.size();
                     for (const PoolInstance* instance : pool.drainable) {
                         const std::tuple<bool, double, MonotonicInstant> rank { instance->longRunning > 0, -pool.sizeOf({}), instance->emptyBy };
                         if (!instance->has(lacking.requirement.label) || !takes(needy.load->pool, instance->kind) || (chosen && rank >= best))
@@ -430,6 +434,9 @@
     }
     relieve(balances, step.moves);
     powerOff(balances, step.moves, now);
+    m_inspected = 0;
+    for (const Balance& pool : balances)
+        m_inspected += pool.inspected;
     return step;
 }
 
--- a/src/jobs/policy/placement.cpp
+++ b/src/jobs/policy/placement.cpp
@@ -75,6 +75,7 @@
 {
     std::optional<std::size_t> best;
     Rank bestRank;
+    m_inspected += m_sites.size();
     for (std::size_t i = 0; i < m_sites.size(); ++i) {
         const PlacementSite& site = m_sites[i];
         if (!fits(site, step) || (!query.rack.empty() && site.worker->rack != query.rack))
--- a/src/jobs/relay/relayed_workers.cpp
+++ b/src/jobs/relay/relayed_workers.cpp
@@ -1,6 +1,7 @@
 #include "lanemoor/jobs/relay/relayed_workers.h"
 
 #include "lanemoor/adapters/event_log.h"
+#include "lanemoor/jobs/model/work_meter.h"
 #include "relay_codec.h"
 #include "relay_times.h"
 
@@ -76,6 +77,7 @@
 
     RelayedCall relayed(const WorkerLife& worker, Millis time, Done& done)
     {
+        const WorkMeter::Piece piece(m_parts.meter, WorkKind::RelayFrames);
         const std::string name = m_active ? m_plan.relayOf(worker.id, m_parts.loop->now()) : std::string();
         noteSize();
         const auto relay = m_byName.find(name);
@@ -193,6 +195,7 @@
 
     void received(std::uint64_t number, const std::string& text)
     {
+        const WorkMeter::Piece piece(m_parts.meter, WorkKind::RelayFrames);
         const auto found = m_relays.find(number);
         if (found == m_relays.end())
             return;
@@ -317,6 +320,7 @@
 
     void sendAll()
     {
+        const WorkMeter::Piece piece(m_parts.meter, WorkKind::RelayFrames);
         m_gathering = false;
         for (auto& [number, relay] : m_relays) {
             if (relay.hasCalls)
--- a/src/jobs/service/job_metrics.cpp
+++ b/src/jobs/service/job_metrics.cpp
@@ -51,6 +51,8 @@
     families.push_back(counter("lanemoor_jobs_succeeded_total", "Jobs that succeeded", counts.jobsSucceeded));
     families.push_back(counter("lanemoor_jobs_failed_total", "Jobs that failed", counts.jobsFailed));
     families.push_back(counter("lanemoor_jobs_cancelled_total", "Jobs that callers cancelled", counts.jobsCancelled));
+    families.push_back(counter("lanemoor_placement_passes_total", "Passes over the tasks that could start", counts.passes));
+    families.push_back(counter("lanemoor_placement_sites_inspected_total", "How many times a worker was looked at for a task", counts.sitesInspected));
 }
 
 void addFleet(std::vector<prometheus::MetricFamily>& families, const FleetCounts& counts)
@@ -71,6 +73,19 @@
     families.push_back(counter("lanemoor_carried_calls_total", "Calls to workers that this process carried for an owner elsewhere", carried));
 }
 
+void addWork(std::vector<prometheus::MetricFamily>& families, const WorkReading& work)
+{
+    prometheus::MetricFamily family { "lanemoor_work_seconds_total", "Time that the process's thread was at work, by kind", prometheus::MetricType::Counter, {} };
+    for (std::size_t i = 0; i < workKinds; ++i) {
+        const auto kind = static_cast<WorkKind>(i);
+        prometheus::ClientMetric metric;
+        metric.label.push_back({ "kind", std::string(nameOf(kind)) });
+        metric.counter.value = std::chrono::duration<double>(work.of(kind)).count();
+        family.metric.push_back(std::move(metric));
+    }
+    families.push_back(std::move(family));
+}
+
 } // namespace
 
 class JobMetrics::Impl {
@@ -135,6 +150,7 @@
     addScheduler(families, scheduler);
     addFleet(families, fleet);
     addRelay(families, relay, reading.carriedCalls);
+    addWork(families, reading.work);
     std::ostringstream out;
     prometheus::TextSerializer().Serialize(out, families);
     return out.str();
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -5,6 +5,7 @@
 #include "lanemoor/jobs/intake/job_lookup.h"
 #include "lanemoor/jobs/model/key_value_store.h"
 #include "lanemoor/jobs/model/platform_documents.h"
+#include "lanemoor/jobs/model/work_meter.h"
 #include "lanemoor/jobs/owner/fleet_keeper.h"
 #include "lanemoor/jobs/owner/job_retirement.h"
 #include "lanemoor/jobs/owner/job_scheduler.h"
@@ -89,6 +90,7 @@
     Impl(const JobServiceParts& parts, const JobServiceSettings& settings)
         : m_parts(parts)
         , m_settings(settings)
+        , m_meter(*parts.loop)
         , m_holder(holderOf(settings.name, parts.loop->timeOfDay()))
         , m_directory(*parts.loop)
         , m_jobs(*parts.loop, *parts.store, { .prefix = std::string(jobServicePrefix), .watchTime = watchTime, .leastGap = watchGap }, [this](const StoreItem& item) { onItem(item); })
@@ -98,7 +100,7 @@
         , m_waves(*parts.loop, *parts.store, { .prefix = parts.documents->wavePrefix(), .watchTime = quietWatchTime }, [this](const StoreItem& item) { onWave(item); })
         , m_ownership(*parts.loop, *parts.store, m_owners, { .shard = theShard, .holder = m_holder, .peer = parts.peerAddress, .leaseTime = settings.ownershipTime, .renewEvery = settings.ownershipTime / renewalsOfLease, .claimDelay = claimDelayOf(settings) },
               { .gained = [this](const Ownership& ownership) { gained(ownership); }, .lost = [this] { lost(); }, .suspended = [this] { m_parts.log->change("ownership-suspended", { { "copy_age_ms", since(m_jobs.freshAt()) } }); }, .resumed = [this] { m_parts.log->change("ownership-resumed", { { "copy_age_ms", since(m_jobs.freshAt()) } }); }, .claimFailed = [this](StoreOutcome outcome) { m_parts.log->decision("ownership-claim-failed", { { "outcome", std::string(nameOf(outcome)) } }); }, .endsLost = [this](const std::string& holder) { m_parts.log->change("lost-owner-lease-ended", { { "holder", holder } }); } })
-        , m_relayedWorkers({ .loop = parts.loop, .peers = parts.peers, .direct = parts.workers, .log = parts.log }, settings.policies.relay, settings.machineCores)
+        , m_relayedWorkers({ .loop = parts.loop, .peers = parts.peers, .direct = parts.workers, .log = parts.log, .meter = &m_meter }, settings.policies.relay, settings.machineCores)
         , m_relay({ .loop = parts.loop, .peers = parts.peers, .workers = parts.workers, .store = parts.store, .log = parts.log, .ownerGone = [this](const std::string& address) { m_ownership.endLost(address); } }, settings.name, settings.machineCores)
         , m_scheduler(schedulerOptions())
         , m_fleet(fleetOptions())
@@ -261,13 +263,15 @@
             .unreadableItems = m_catalog.unreadable(),
             .logLinesDropped = m_parts.log->dropped(),
             .decisionsOmitted = m_parts.log->omitted(),
-            .carriedCalls = m_relay.calls() };
+            .carriedCalls = m_relay.calls(),
+            .work = m_meter.total() };
         return metrics.text(reading, m_scheduler.counts(), m_fleet.counts(), m_relayedWorkers.counts());
     }
 
     JobMetrics metrics;
     JobServiceParts m_parts;
     JobServiceSettings m_settings;
+    WorkMeter m_meter;
     std::string m_holder;
     std::shared_ptr<const ServiceConfiguration> m_configuration;
     JobCatalog m_catalog;
@@ -326,6 +330,7 @@
             .advisor = m_parts.advisor,
             .ownership = &m_ownership,
             .log = m_parts.log,
+            .meter = &m_meter,
             .configuration = [this] { return m_configuration; },
             .isConfigurationCurrent = [this] { return isConfigurationCurrent(); },
             .ownershipTime = m_settings.ownershipTime,
@@ -343,6 +348,7 @@
             .ownership = &m_ownership,
             .documents = m_parts.documents,
             .log = m_parts.log,
+            .meter = &m_meter,
             .configuration = [this] { return m_configuration; },
             .holder = m_settings.name,
             .handover = m_settings.handover,
@@ -359,6 +365,7 @@
 
     void onItem(const StoreItem& item)
     {
+        const WorkMeter::Piece piece(&m_meter, WorkKind::StoreNews);
         if (item.key.compare(0, ownershipPrefix.size(), ownershipPrefix) == 0)
             m_owners.noteWritten(item);
         static_cast<void>(m_catalog.apply(item));
@@ -385,6 +392,7 @@
 
     void onWorker(const StoreItem& item)
     {
+        const WorkMeter::Piece piece(&m_meter, WorkKind::StoreNews);
         const std::string id = item.key.substr(m_parts.documents->workerPrefix().size());
         if (item.removed) {
             if (m_ownership.isHeld())
@@ -620,6 +628,11 @@
     return m_impl->shards();
 }
 
+const SchedulerCounts& JobService::schedulerCounts() const noexcept
+{
+    return m_impl->m_scheduler.counts();
+}
+
 std::string JobService::metrics() const
 {
     return m_impl->metricsText();
--- a/src/jobs/store/progress_writer.cpp
+++ b/src/jobs/store/progress_writer.cpp
@@ -1,5 +1,6 @@
 #include "lanemoor/jobs/store/progress_writer.h"
 
+#include "lanemoor/jobs/model/work_meter.h"
 #include "lanemoor/jobs/store/store_mirror.h"
 
 #include <algorithm>
@@ -122,6 +123,7 @@
 
     void send()
     {
+        const WorkMeter::Piece piece(m_source.meter, WorkKind::Progress);
         if (m_writes == mostWrites || m_order.empty())
             return;
         if (!m_source.mayWrite()) {
@@ -151,6 +153,7 @@
 
     void written(const std::vector<Sent>& sent, const CommitResult& result)
     {
+        const WorkMeter::Piece piece(m_source.meter, WorkKind::Progress);
         --m_writes;
         for (const Sent& job : sent)
             m_writing.erase(job.id);
