Plan a turn of load in one look at each instance, with the same decisions

Cause: relieve compared all idle instances of all pools for each move; share did so for each drain with a sum over the pool's instances within, which is the cube of the fleet. Ruled out: planning less at once, which leaves pools short for longer. Change: idle instances that no class tells apart stand for each other; a pool's size is kept, not summed; what a pool may not give to a class is passed over once, since it only gets less; drainable instances are sorted once.

--- a/include/lanemoor/jobs/policy/capacity_plan.h
+++ b/include/lanemoor/jobs/policy/capacity_plan.h
@@ -110,12 +110,16 @@
         std::int64_t milliCpu = 0;
     };
 
+    struct ClassBalance;
     struct Balance;
+    struct IdleGroup;
 
     [[nodiscard]] Balance balanceOf(const PoolLoad& pool, MonotonicInstant now);
     [[nodiscard]] std::int64_t highestOfLate(const PoolLoad& pool, const Requirement& requirement, std::int64_t demand, MonotonicInstant now);
     [[nodiscard]] CapacityNeed needOf(const Requirement& requirement, const RequirementLoad& load, std::int64_t milliCpu, std::uint32_t present) const;
     void undrain(std::vector<Balance>& pools, std::vector<std::string>& undrains) const;
+    [[nodiscard]] static std::vector<IdleGroup> groupIdle(std::vector<Balance>& pools);
+    [[nodiscard]] const PoolInstance* nextDrainable(const Balance& pool, std::size_t& next, const Balance& needy, const ClassBalance& lacking) const;
     void relieve(std::vector<Balance>& pools, std::vector<CapacityMove>& moves) const;
     void addBacklog(std::vector<Balance>& pools) const;
     void share(std::vector<Balance>& pools, std::vector<CapacityDrain>& drains) const;
--- a/src/jobs/policy/capacity_plan.cpp
+++ b/src/jobs/policy/capacity_plan.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <tuple>
+#include <unordered_set>
 
 namespace lanemoor::jobs {
 
@@ -38,8 +40,10 @@
     }
 };
 
+} // namespace
+
 /// A requirement class of a pool while moves are being chosen.
-struct ClassBalance {
+struct CapacityPlan::ClassBalance {
     Requirement requirement;
     const RequirementLoad* load = nullptr;
     CapacityNeed now; ///< For the demand now.
@@ -52,17 +56,16 @@
     [[nodiscard]] bool isRequired() const { return !isAny() && !requirement.preferred; }
 };
 
-using Need = CapacityNeed ClassBalance::*;
-
-} // namespace
-
 /// A pool while moves are being chosen.
 struct CapacityPlan::Balance {
+    using Need = CapacityNeed ClassBalance::*;
+
     const PoolLoad* load = nullptr;
     std::vector<ClassBalance> classes;
     std::vector<const PoolInstance*> idle; ///< Longest idle first.
-    std::vector<const PoolInstance*> drainable;
-    std::vector<const PoolInstance*> sound;
+    std::vector<const PoolInstance*> drainable; ///< Those without long-running tasks first, then those that are empty soonest.
+    std::unordered_set<const PoolInstance*> sound;
+    mutable std::map<std::string, double> soundMilliCpu; ///< Of the sound instances, by label, of labels that were asked for.
     mutable std::uint64_t inspected = 0; ///< Instances looked at, each time that one was.
 
     /// \returns What the class needs. Tasks that run anywhere need room beside those that take up
@@ -104,11 +107,14 @@
     /// \returns Processor time of the sound instances with a label.
     [[nodiscard]] double sizeOf(const std::string& label) const
     {
-        double milliCpu = 0;
+        // Asked once for each instance that could be given: a sum each time made a plan cost the cube of the fleet.
+        const auto [size, isNew] = soundMilliCpu.try_emplace(label);
+        if (!isNew)
+            return size->second;
         inspected += sound.size();
         for (const PoolInstance* instance : sound)
-            milliCpu += instance->has(label) ? static_cast<double>(instance->capacity.milliCpu) : 0;
-        return milliCpu;
+            size->second += instance->has(label) ? static_cast<double>(instance->capacity.milliCpu) : 0;
+        return size->second;
     }
 
     [[nodiscard]] bool hasBacklog() const
@@ -146,9 +152,16 @@
         return sizeOf(lacking.requirement.label) - lacking.supply.milliCpu >= gap * milliCpu;
     }
 
+    void resize(const PoolInstance& instance, double sign)
+    {
+        for (auto& [label, milliCpu] : soundMilliCpu)
+            milliCpu += instance.has(label) ? sign * static_cast<double>(instance.capacity.milliCpu) : 0;
+    }
+
     void take(const PoolInstance& instance)
     {
-        sound.push_back(&instance);
+        sound.insert(&instance);
+        resize(instance, 1);
         for (ClassBalance& each : classes) {
             if (instance.has(each.requirement.label))
                 each.supply.add(instance);
@@ -159,8 +172,9 @@
     {
         std::erase(idle, &instance);
         std::erase(drainable, &instance);
-        if (std::erase(sound, &instance) == 0)
+        if (sound.erase(&instance) == 0)
             return;
+        resize(instance, -1);
         for (ClassBalance& each : classes) {
             if (instance.has(each.requirement.label))
                 each.supply.remove(instance);
@@ -250,13 +264,14 @@
     }
     for (const PoolInstance& instance : pool.instances) {
         if (instance.sound)
-            balance.sound.push_back(&instance);
+            balance.sound.insert(&instance);
         if (instance.idleSince)
             balance.idle.push_back(&instance);
         else if (!instance.drainable.empty())
             balance.drainable.push_back(&instance);
     }
     std::stable_sort(balance.idle.begin(), balance.idle.end(), [](const PoolInstance* a, const PoolInstance* b) { return *a->idleSince < *b->idleSince; });
+    std::stable_sort(balance.drainable.begin(), balance.drainable.end(), [](const PoolInstance* a, const PoolInstance* b) { return std::tuple(a->longRunning > 0, a->emptyBy) < std::tuple(b->longRunning > 0, b->emptyBy); });
     return balance;
 }
 
@@ -267,9 +282,44 @@
     return now - *m_firstSeen >= m_options.mostIdleStart;
 }
 
+/// Idle instances of one pool that no class tells apart: any of them may stand for all.
+struct CapacityPlan::IdleGroup {
+    Balance* pool = nullptr;
+    std::deque<std::pair<std::size_t, const PoolInstance*>> instances; ///< With their place in the pool's order.
+
+    [[nodiscard]] const PoolInstance& first() const { return *instances.front().second; }
+};
+
+/// A turn of load moves hundreds of instances; compared one by one for each move they made a plan cost the square of
+/// the fleet.
+std::vector<CapacityPlan::IdleGroup> CapacityPlan::groupIdle(std::vector<Balance>& pools)
+{
+    std::set<std::string> labels;
+    for (const Balance& pool : pools) {
+        for (const ClassBalance& each : pool.classes)
+            labels.insert(each.requirement.label);
+    }
+    std::vector<IdleGroup> groups;
+    for (Balance& pool : pools) {
+        std::map<std::tuple<std::string, std::string, std::int64_t, std::int64_t, std::int64_t>, std::size_t> known;
+        for (std::size_t i = 0; i < pool.idle.size(); ++i) {
+            const PoolInstance& instance = *pool.idle[i];
+            const Resources& capacity = instance.capacity;
+            const std::string& rack = labels.contains(instance.rack) ? instance.rack : std::string();
+            const auto [place, isNew] = known.try_emplace({ instance.kind, rack, capacity.milliCpu, capacity.memoryMb, capacity.accelerators }, groups.size());
+            if (isNew)
+                groups.push_back({ .pool = &pool, .instances = {} });
+            groups[place->second].instances.emplace_back(i, &instance);
+        }
+        pool.inspected += pool.idle.size();
+    }
+    return groups;
+}
+
 /// Gives instances to the class that lacks most, until none lacks any that are to be had.
 void CapacityPlan::relieve(std::vector<Balance>& pools, std::vector<CapacityMove>& moves) const
 {
+    std::vector<IdleGroup> groups = groupIdle(pools);
     for (;;) {
         Balance* needy = nullptr;
         ClassBalance* lacking = nullptr;
@@ -294,32 +344,34 @@
             return;
         // The reserve first, since what is off costs nobody anything. Then what helps most of the
         // pool's classes and is needed least elsewhere, and the largest.
-        using Rank = std::tuple<bool, std::int64_t, std::uint32_t, std::int64_t>;
-        Balance* giver = nullptr;
-        const PoolInstance* chosen = nullptr;
+        using Rank = std::tuple<bool, std::int64_t, std::uint32_t, std::int64_t, const Balance*, std::size_t>;
+        IdleGroup* giver = nullptr;
         Rank best;
-        for (Balance& pool : pools) {
-            pool.inspected += pool.idle.size();
-            for (const PoolInstance* instance : pool.idle) {
-                const bool helps = instance->has(lacking->requirement.label) && (!lacking->load->hasWaiting || instance->capacity.covers(lacking->load->largestWaiting));
-                if (&pool == needy || !helps || !takes(needy->load->pool, instance->kind) || !pool.mayGive(*instance, *lacking))
-                    continue;
-                const auto wanted = [&](const std::string& label) { return shortPools.contains(label) ? shortPools[label] : 0; };
-                const Rank rank { !pool.load->reserve, -std::int64_t { needy->shortClassesOf(*instance) }, wanted(instance->kind) + wanted(instance->rack), -instance->capacity.milliCpu };
-                if (chosen && rank >= best)
-                    continue;
-                best = rank;
-                giver = &pool;
-                chosen = instance;
-            }
+        for (IdleGroup& group : groups) {
+            if (group.instances.empty() || group.pool == needy)
+                continue;
+            ++group.pool->inspected;
+            const PoolInstance& instance = group.first();
+            const bool helps = instance.has(lacking->requirement.label) && (!lacking->load->hasWaiting || instance.capacity.covers(lacking->load->largestWaiting));
+            if (!helps || !takes(needy->load->pool, instance.kind) || !group.pool->mayGive(instance, *lacking))
+                continue;
+            const auto wanted = [&](const std::string& label) { return shortPools.contains(label) ? shortPools[label] : 0; };
+            // Of equals the one of the first pool, and there the one that is idle longest.
+            const Rank rank { !group.pool->load->reserve, -std::int64_t { needy->shortClassesOf(instance) }, wanted(instance.kind) + wanted(instance.rack), -instance.capacity.milliCpu, group.pool, group.instances.front().first };
+            if (giver && rank >= best)
+                continue;
+            best = rank;
+            giver = &group;
         }
-        if (!chosen) {
+        if (!giver) {
             lacking->exhausted = true;
             continue;
         }
-        moves.push_back({ chosen->instance, giver->load->pool, needy->load->pool });
-        giver->give(*chosen);
-        needy->take(*chosen);
+        const PoolInstance& chosen = giver->first();
+        giver->instances.pop_front();
+        moves.push_back({ chosen.instance, giver->pool->load->pool, needy->load->pool });
+        giver->pool->give(chosen);
+        needy->take(chosen);
     }
 }
 
@@ -353,6 +405,19 @@
     }
 }
 
+/// \param next Where to go on in the pool's order; moved on to the instance that is returned.
+/// \returns The first instance from there on that may be emptied for the class, or null.
+const PoolInstance* CapacityPlan::nextDrainable(const Balance& pool, std::size_t& next, const Balance& needy, const ClassBalance& lacking) const
+{
+    for (; next < pool.drainable.size(); ++next) {
+        const PoolInstance& instance = *pool.drainable[next];
+        ++pool.inspected;
+        if (instance.has(lacking.requirement.label) && takes(needy.load->pool, instance.kind) && pool.mayDrain(instance, lacking, m_options.fairnessGap))
+            return &instance;
+    }
+    return nullptr;
+}
+
 /// Empties instances of pools that have more for pools that lack some and have less.
 void CapacityPlan::share(std::vector<Balance>& pools, std::vector<CapacityDrain>& drains) const
 {
@@ -360,25 +425,27 @@
         for (ClassBalance& lacking : needy.classes) {
             if (lacking.requirement.preferred)
                 continue;
+            // What a pool may not give to this class now it may not later either, since it only gets less: each
+            // instance is looked at once.
+            std::vector<std::size_t> next(pools.size(), 0);
             // Exhausted classes are those that found no idle instance.
             while (!lacking.supply.covers(needy.needOf(lacking, &ClassBalance::now))) {
                 Balance* giver = nullptr;
                 const PoolInstance* chosen = nullptr;
                 std::tuple<bool, double, MonotonicInstant> best;
-                for (Balance& pool : pools) {
+                for (std::size_t i = 0; i < pools.size(); ++i) {
+                    Balance& pool = pools[i];
                     if (&pool == &needy || pool.load->reserve)
                         continue;
-                    pool.inspected += pool.drainable.size();
-                    for (const PoolInstance* instance : pool.drainable) {
-                        const std::tuple<bool, double, MonotonicInstant> rank { instance->longRunning > 0, -pool.sizeOf({}), instance->emptyBy };
-                        if (!instance->has(lacking.requirement.label) || !takes(needy.load->pool, instance->kind) || (chosen && rank >= best))
-                            continue;
-                        if (!pool.mayDrain(*instance, lacking, m_options.fairnessGap))
-                            continue;
-                        best = rank;
-                        giver = &pool;
-                        chosen = instance;
-                    }
+                    const PoolInstance* instance = nextDrainable(pool, next[i], needy, lacking);
+                    if (!instance)
+                        continue;
+                    const std::tuple<bool, double, MonotonicInstant> rank { instance->longRunning > 0, -pool.sizeOf({}), instance->emptyBy };
+                    if (chosen && rank >= best)
+                        continue;
+                    best = rank;
+                    giver = &pool;
+                    chosen = instance;
                 }
                 if (!chosen)
                     break;
