Show with failing tests that entries of another writer are taken for workers

Cause: the store's entries of workers may come from another writer, with fields missing or of another type, states or pools that nothing names, or bytes that are no document.

--- /dev/null
+++ b/tests/jobs/worker_entry_test.cpp
@@ -0,0 +1,133 @@
+/// Entries under the workers' prefix of the store may come from another writer: they name no worker to use, and
+/// cost the other workers nothing.
+
+#include "lanemoor/jobs/operator/operator_api.h"
+#include "platform/wire.h"
+#include "support.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+using namespace lanemoor;
+using namespace lanemoor::jobs;
+using namespace lanemoor::jobs::test;
+using nlohmann::json;
+
+namespace {
+
+json soundEntry()
+{
+    return json::parse(R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpus":0},"labels":["a","r1"],"seq":4})");
+}
+
+bool namesWorker(const json& entry)
+{
+    return platform::readWorker("i", entry.dump()).has_value();
+}
+
+/// \returns Calls to workers that the entry has made itself.
+std::uint64_t callsToWorkers(SmallCluster& cluster)
+{
+    const std::string text = cluster.entry(0).metrics();
+    const std::string name = "\nlanemoor_direct_calls_total ";
+    return std::stoull(text.substr(text.find(name) + name.size()));
+}
+
+} // namespace
+
+TEST_CASE("An entry whose fields are missing or of another type names no worker")
+{
+    REQUIRE(namesWorker(soundEntry()));
+    for (const char* field : { "service", "address", "zone", "state", "capacity" }) {
+        json entry = soundEntry();
+        entry.erase(field);
+        CAPTURE(field);
+        CHECK_FALSE(namesWorker(entry));
+    }
+    const json sound = soundEntry();
+    for (const auto& [field, value] : sound.items()) {
+        json entry = soundEntry();
+        entry[field] = value.is_string() ? json(7) : json("text");
+        CAPTURE(field);
+        CHECK_FALSE(namesWorker(entry));
+        entry[field] = nullptr;
+        CHECK_FALSE(namesWorker(entry));
+    }
+    // What is 0 or empty may be left out.
+    json brief = soundEntry();
+    for (const char* field : { "version", "slots", "cold_left_ms", "labels", "seq" })
+        brief.erase(field);
+    brief["capacity"].erase("gpus");
+    CHECK(namesWorker(brief));
+}
+
+TEST_CASE("An entry with a state or an address or a size that makes no sense names no worker")
+{
+    const std::vector<std::pair<const char*, json>> senseless { { "state", "resting" }, { "state", "" }, { "address", "10.0.0.1" }, { "address", "somewhere:80" }, { "address", "10.0.0.1:99999" }, { "service", "" },
+        { "capacity", json::object() }, { "capacity", { { "cpu", -5 } } }, { "capacity", { { "cpu", "many" } } }, { "capacity", { { "cpu", 1e300 } } }, { "capacity", { { "cpu", 5 }, { "mem_mb", "much" } } }, { "labels", { 1, 2 } } };
+    for (const auto& [field, value] : senseless) {
+        json entry = soundEntry();
+        entry[field] = value;
+        CAPTURE(field, value.dump());
+        CHECK_FALSE(namesWorker(entry));
+    }
+    for (const char* bytes : { "", "\x00\xff\xfe", "{", "[]", "7", "null", "\"ready\"" }) {
+        CAPTURE(bytes);
+        CHECK_FALSE(platform::readWorker("i", bytes).has_value());
+    }
+}
+
+TEST_CASE("An entry of a pool that no configuration names is asked nothing")
+{
+    SmallCluster cluster(1, 1, 4, 0);
+    cluster.clock.runFor(Millis(3'000));
+    const std::uint64_t before = callsToWorkers(cluster);
+    cluster.clock.runFor(Millis(3'000));
+    const std::uint64_t usual = callsToWorkers(cluster) - before;
+    cluster.documents.workers["stray"] = { .id = "stray", .address = "10.9.9.9:1", .pool = "nowhere", .dataHall = "hall", .capacity = { .milliCpu = 8'000, .memoryMb = 16'000 }, .labels = { "a", "r" }, .rack = "r" };
+    cluster.store.put(cluster.documents.workerPrefix() + "stray", "stray");
+    cluster.store.put(cluster.documents.workerPrefix() + "odd", "\xff no entry");
+    const std::uint64_t then = callsToWorkers(cluster);
+    cluster.clock.runFor(Millis(3'000));
+    CHECK(callsToWorkers(cluster) - then == usual);
+    cluster.submit(0, "work", jobId(1), job({ step(8) }));
+    cluster.clock.runFor(Millis(3'000));
+    CHECK(cluster.shows(jobId(1), JobStatus::Succeeded));
+}
+
+TEST_CASE("A pool that a later configuration names has its workers used")
+{
+    SmallCluster cluster(1, 1, 4, 0);
+    cluster.workers.addInstance("late", "side", "r-9", { .milliCpu = 8'000, .memoryMb = 16'000 });
+    cluster.clock.runFor(Millis(2'000));
+    cluster.configure(twoPools());
+    cluster.clock.runFor(Millis(1'500));
+    cluster.submit(0, "other", jobId(1), job({ step(2) }));
+    cluster.clock.runFor(Millis(3'000));
+    CHECK(cluster.shows(jobId(1), JobStatus::Succeeded));
+}
+
+TEST_CASE("A worker whose entry becomes unreadable gets no new work, and keeps what it has")
+{
+    SmallCluster cluster(1, 1, 2, 0);
+    cluster.workers.runTimes = [](const Attempt&) { return Millis(4'000); };
+    cluster.submit(0, "work", jobId(1), job({ step(9) }));
+    cluster.clock.runFor(Millis(600));
+    const std::string spoilt = cluster.witness.workerOf(jobId(1), { 0, 0, 0 });
+    REQUIRE_FALSE(spoilt.empty());
+    const std::uint64_t startsBefore = cluster.witness.starts();
+    cluster.documents.workers.erase(spoilt);
+    cluster.store.put(cluster.documents.workerPrefix() + spoilt, "\xff no entry");
+    cluster.clock.runFor(Millis(300));
+    cluster.submit(0, "work", jobId(2), job({ step(7) }));
+    cluster.clock.runFor(Millis(600));
+    for (std::uint32_t i = 0; i < 7; ++i)
+        CHECK(cluster.witness.workerOf(jobId(2), { 0, 0, i }) != spoilt);
+    CHECK(cluster.witness.starts() > startsBefore);
+    CHECK(cluster.witness.workerOf(jobId(1), { 0, 0, 0 }) == spoilt);
+    cluster.clock.runFor(Millis(12'000));
+    CHECK(cluster.shows(jobId(1), JobStatus::Succeeded));
+    CHECK(cluster.shows(jobId(2), JobStatus::Succeeded));
+    CHECK(cluster.witness.breaches().empty());
+}
