Take only what a worker wrote for a worker's entry; let the service decide who is let in

Cause: an entry with an address was a worker whatever else stood in it, and one of a pool that nothing names was called at once. Ruled out: dropping a life of a pool that a configuration no longer names, since it may run what an earlier owner started: it is met if the platform lists it. Change: each field that workers write is checked for its type and sense, with a typed reason in worker-unreadable; an entry that becomes unreadable counts as removed, so its worker gets nothing new and keeps what it has; entries of pools that no configuration names are asked nothing until one names them.

--- a/include/lanemoor/jobs/model/platform_documents.h
+++ b/include/lanemoor/jobs/model/platform_documents.h
@@ -28,7 +28,8 @@
     /// \name Documents
     ///@{
     [[nodiscard]] virtual std::optional<ServiceConfiguration> readConfiguration(std::string_view text) const = 0;
-    [[nodiscard]] virtual std::optional<WorkerEntry> readWorker(const std::string& id, std::string_view text) const = 0;
+    /// \param fault Set to why there is no worker; null: not asked for.
+    [[nodiscard]] virtual std::optional<WorkerEntry> readWorker(const std::string& id, std::string_view text, WorkerEntryFault* fault) const = 0;
     [[nodiscard]] virtual std::optional<WaveRequest> readWave(std::string_view text) const = 0;
     [[nodiscard]] virtual std::string formatWaveStatus(bool finished) const = 0;
     ///@}
--- a/include/lanemoor/jobs/model/service_configuration.h
+++ b/include/lanemoor/jobs/model/service_configuration.h
@@ -84,6 +84,20 @@
     [[nodiscard]] bool operator==(const WorkerEntry&) const = default;
 };
 
+/// Why an entry names no worker: it may come from another writer.
+enum class WorkerEntryFault {
+    None,
+    Unreadable, ///< No document of the kind that workers write.
+    Address, ///< Missing, or no IP number with a port.
+    Place, ///< The pool or the data hall is missing.
+    State, ///< Missing, or none that is known.
+    Capacity, ///< Missing, or no size.
+    OtherField, ///< One of another type.
+};
+
+/// \returns A few words on `fault`, for logs.
+[[nodiscard]] std::string_view nameOf(WorkerEntryFault fault) noexcept;
+
 /// A wave of maintenance that an operator asks for.
 struct WaveRequest {
     std::uint64_t number = 0;
--- a/include/lanemoor/jobs/service/job_service.h
+++ b/include/lanemoor/jobs/service/job_service.h
@@ -38,6 +38,21 @@
     EventLog* log = nullptr;
 };
 
+/// Whether a caller's request is let in.
+enum class Admission {
+    LetIn,
+    Later, ///< Nothing is known that would refuse it, and it can't be handled now: it has not run.
+    NoSuchQueue,
+    KeyRefused, ///< The key is missing, or nobody holds it.
+};
+
+/// What is known of a request before its body is read.
+struct AdmittedCall {
+    Admission admission = Admission::Later;
+    Caller caller; ///< Meaningful if it is let in.
+    std::string job; ///< What stands behind the queue's prefix; empty: the request is about the queue.
+};
+
 /// \brief One entry instance.
 class JobService {
 public:
@@ -56,10 +71,6 @@
     /// \returns The configuration in force here, or null before the first.
     [[nodiscard]] std::shared_ptr<const ServiceConfiguration> configuration() const;
 
-    /// \returns Whether the store named no newer configuration a short time ago. If not, a queue or a key
-    /// that is not known here may be there all the same.
-    [[nodiscard]] bool isConfigurationCurrent() const;
-
     /// \returns Whether callers' requests can be handled at all.
     [[nodiscard]] bool takesRequests() const;
 
@@ -71,13 +82,16 @@
 
     /// \name Callers
     ///@{
-    /// \returns Whether the configuration here is known to be new enough to let callers in by their keys.
-    [[nodiscard]] bool trustsKeys() const;
+    /// \brief Finds the queue of a request and checks its key, by one configuration.
+    ///
+    /// What an old configuration does not name may be there by now: only one that the store confirmed a short time
+    /// ago says no. A call that is refused for its key is counted and logged.
+    /// \param host Without its port.
+    /// \param key As the caller sent it, if any.
+    [[nodiscard]] AdmittedCall admit(std::string_view host, std::string_view path, std::optional<std::string_view> key);
     void submit(const Caller& caller, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done);
     void noteRejected(const std::string& id, JobFault fault);
 
-    /// \brief Counts and logs a call that was refused for its key. \param key As it came, if any did.
-    void noteTurnedAway(const std::string& queue, std::optional<std::string_view> key);
     void status(const Caller& caller, const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done);
     void cancel(const Caller& caller, const std::string& id, std::function<void(LookupOutcome)> done);
     [[nodiscard]] std::uint64_t pending(const std::string& queue) const;
--- a/src/jobs/model/service_configuration.cpp
+++ b/src/jobs/model/service_configuration.cpp
@@ -39,4 +39,25 @@
     return best;
 }
 
+std::string_view nameOf(WorkerEntryFault fault) noexcept
+{
+    switch (fault) {
+    case WorkerEntryFault::None:
+        return "none";
+    case WorkerEntryFault::Unreadable:
+        return "unreadable";
+    case WorkerEntryFault::Address:
+        return "address";
+    case WorkerEntryFault::Place:
+        return "pool-or-data-hall";
+    case WorkerEntryFault::State:
+        return "state";
+    case WorkerEntryFault::Capacity:
+        return "capacity";
+    case WorkerEntryFault::OtherField:
+        return "field-of-another-type";
+    }
+    return "unknown";
+}
+
 } // namespace lanemoor::jobs
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -184,8 +184,10 @@
         for (const auto& [id, entry] : m_options.catalog->all())
             load(id, entry, ownership.term > 1);
         m_options.directory->forgetOld();
-        for (const auto& [id, entry] : m_options.directory->all())
-            meet(entry);
+        for (const auto& [id, entry] : m_options.directory->all()) {
+            if (isNamed(entry))
+                meet(entry);
+        }
         m_options.log->change("ownership-taken",
             { { "epoch", static_cast<std::int64_t>(ownership.epoch) }, { "term", static_cast<std::int64_t>(ownership.term) }, { "jobs", static_cast<std::int64_t>(state.jobs.size()) },
                 { "workers", static_cast<std::int64_t>(state.workers.size()) } });
@@ -233,7 +235,8 @@
             return;
         WorkerBook* book = m_term->state.worker(id);
         if (!book) {
-            meet(found->second);
+            if (isNamed(found->second))
+                meet(found->second);
             return;
         }
         book->entry = found->second.worker;
@@ -241,6 +244,17 @@
         requestPass();
     }
 
+    void onConfigurationChanged()
+    {
+        if (!m_term)
+            return;
+        for (const auto& [id, entry] : m_options.directory->all()) {
+            if (entry.listed && !m_term->state.worker(id) && isNamed(entry))
+                meet(entry);
+        }
+        requestPass();
+    }
+
     void requestPass()
     {
         if (!m_term)
@@ -298,6 +312,7 @@
         const std::shared_ptr<const ServiceConfiguration> configuration = m_options.configuration();
         const bool first = !m_term->unknownInstances;
         m_term->state.noteInstances(instances);
+        meetListed(instances);
         std::uint32_t unknown = 0;
         for (const FleetInstance& instance : instances) {
             const PoolSettings* pool = configuration->pool(instance.pool);
@@ -482,6 +497,20 @@
         m_term->orders->stopAll(job);
     }
 
+    /// An entry of a pool that the configuration does not name may come from another writer: calls to its address
+    /// would reach whoever is there.
+    [[nodiscard]] bool isNamed(const DirectoryEntry& entry) const { return m_options.configuration()->pool(entry.worker.pool) != nullptr; }
+
+    /// A life that the platform lists is a worker's, whatever its pool: it may run what an earlier owner started.
+    void meetListed(const std::vector<FleetInstance>& instances)
+    {
+        for (const FleetInstance& instance : instances) {
+            const auto entry = m_options.directory->all().find(instance.worker);
+            if (entry != m_options.directory->all().end() && entry->second.listed && !isNamed(entry->second) && !m_term->state.worker(instance.worker))
+                meet(entry->second);
+        }
+    }
+
     void meet(const DirectoryEntry& entry)
     {
         OwnerState& state = m_term->state;
@@ -659,7 +688,7 @@
 
 void JobScheduler::onConfigurationChanged()
 {
-    m_impl->requestPass();
+    m_impl->onConfigurationChanged();
 }
 
 WorkerUses JobScheduler::uses() const
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -174,6 +174,25 @@
         });
     }
 
+    AdmittedCall admit(std::string_view host, std::string_view path, std::optional<std::string_view> key)
+    {
+        const std::shared_ptr<const ServiceConfiguration> configuration = m_configuration;
+        if (!configuration || !takesRequests())
+            return { .admission = Admission::Later, .caller = {}, .job = {} };
+        const auto refusal = [this](Admission admission) { return AdmittedCall { .admission = isConfigurationCurrent() ? admission : Admission::Later, .caller = {}, .job = {} }; };
+        const QueueSettings* queue = configuration->queueFor(host, path);
+        if (!queue)
+            return refusal(Admission::NoSuchQueue);
+        std::optional<Caller> caller = identify(*configuration, *queue, key);
+        if (!caller) {
+            noteTurnedAway(queue->name, key);
+            return refusal(Admission::KeyRefused);
+        }
+        if (!caller->isOpen && !trustsKeys())
+            return { .admission = Admission::Later, .caller = {}, .job = {} };
+        return { .admission = Admission::LetIn, .caller = std::move(*caller), .job = std::string(path.substr(queue->pathPrefix.size())) };
+    }
+
     void noteTurnedAway(const std::string& queue, std::optional<std::string_view> key)
     {
         metrics.noteTurnedAway(key ? "unknown-key" : "no-key");
@@ -400,9 +419,12 @@
             m_directory.remove(id);
             return;
         }
-        const std::optional<WorkerEntry> worker = m_parts.documents->readWorker(id, item.value);
+        WorkerEntryFault fault = WorkerEntryFault::None;
+        const std::optional<WorkerEntry> worker = m_parts.documents->readWorker(id, item.value, &fault);
         if (!worker) {
-            m_parts.log->decision("worker-unreadable", { { "worker", id } });
+            m_parts.log->decision("worker-unreadable", { { "worker", id }, { "fault", std::string(nameOf(fault)) }, { "revision", static_cast<std::int64_t>(item.revision) } });
+            // A worker that it named before may live on, as one whose entry was removed.
+            m_directory.remove(id);
             return;
         }
         if (m_directory.put(*worker) && m_ownership.isHeld())
@@ -552,16 +574,6 @@
     return defaultRetryAfter;
 }
 
-bool JobService::isConfigurationCurrent() const
-{
-    return m_impl->isConfigurationCurrent();
-}
-
-bool JobService::trustsKeys() const
-{
-    return m_impl->trustsKeys();
-}
-
 void JobService::submit(const Caller& caller, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done)
 {
     m_impl->submit(caller, id, std::move(spec), std::move(done));
@@ -572,11 +584,6 @@
     m_impl->submit({ .queue = queue, .organisation = {}, .isOpen = true }, id, std::move(spec), std::move(done));
 }
 
-void JobService::noteTurnedAway(const std::string& queue, std::optional<std::string_view> key)
-{
-    m_impl->noteTurnedAway(queue, key);
-}
-
 void JobService::status(const Caller& caller, const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done)
 {
     m_impl->status(caller, id, done);
@@ -587,6 +594,11 @@
     m_impl->cancel(caller, id, std::move(done));
 }
 
+AdmittedCall JobService::admit(std::string_view host, std::string_view path, std::optional<std::string_view> key)
+{
+    return m_impl->admit(host, path, key);
+}
+
 OrganisationsReport JobService::organisations() const
 {
     return m_impl->organisations();
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -39,9 +39,12 @@
     return lookUp(configurations, text);
 }
 
-std::optional<WorkerEntry> ModelDocuments::readWorker(const std::string&, std::string_view text) const
+std::optional<WorkerEntry> ModelDocuments::readWorker(const std::string&, std::string_view text, WorkerEntryFault* fault) const
 {
-    return lookUp(workers, text);
+    std::optional<WorkerEntry> worker = lookUp(workers, text);
+    if (fault)
+        *fault = worker ? WorkerEntryFault::None : WorkerEntryFault::Unreadable;
+    return worker;
 }
 
 std::optional<WaveRequest> ModelDocuments::readWave(std::string_view text) const
