--- a/include/lanemoor/jobs/intake/job_intake.h
+++ b/include/lanemoor/jobs/intake/job_intake.h
@@ -2,6 +2,7 @@
 /// \file
 /// Takes jobs in and cancels them: at every entry instance, by conditional writes.
 
+#include "lanemoor/jobs/intake/caller_access.h"
 #include "lanemoor/jobs/model/event_loop.h"
 #include "lanemoor/jobs/model/forward_declarations.h"
 #include "lanemoor/jobs/model/job_record.h"
@@ -47,7 +48,9 @@
     JobIntake(const JobIntake&) = delete;
     JobIntake& operator=(const JobIntake&) = delete;
 
-    void accept(const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done);
+    /// \brief Answers once the store holds the job, or it is known what became of it. One that is kept under this id
+    /// is accepted again for callers that may use it, and foreign to others.
+    void accept(const Caller& caller, const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done);
 
     /// \brief Answers once the store holds the wish to cancel.
     void cancel(const std::string& id, const std::function<void(LookupOutcome)>& done);
--- a/include/lanemoor/jobs/service/job_metrics.h
+++ b/include/lanemoor/jobs/service/job_metrics.h
@@ -4,11 +4,13 @@
 
 #include "lanemoor/jobs/intake/job_intake.h"
 #include "lanemoor/jobs/model/work_meter.h"
+#include "lanemoor/jobs/owner/job_report.h"
 #include "lanemoor/jobs/owner/job_scheduler.h"
 
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace lanemoor::jobs {
 
@@ -26,6 +28,7 @@
     std::uint64_t logLinesDropped = 0;
     std::uint64_t decisionsOmitted = 0;
     std::uint64_t carriedCalls = 0; ///< That this process carried for an owner elsewhere.
+    std::vector<OrganisationReport> organisations; ///< As the owner knows them; none elsewhere.
     WorkReading work; ///< What the process's thread was at work on.
 };
 
--- a/src/jobs/intake/job_intake.cpp
+++ b/src/jobs/intake/job_intake.cpp
@@ -29,23 +29,17 @@
 struct WaitingJob {
     std::string id;
     std::string value;
-    std::string organisation;
-    std::vector<std::function<void(AcceptOutcome)>> callers;
+    Caller caller; ///< All that wait for it are alike.
+    std::vector<std::function<void(AcceptOutcome)>> waiting;
     bool inDoubt = false; ///< An earlier write of it may yet be carried out.
 
     void answer(AcceptOutcome outcome) const
     {
-        for (const auto& caller : callers)
-            caller(outcome);
+        for (const auto& done : waiting)
+            done(outcome);
     }
 };
 
-/// \returns Whether a job that is kept belongs to another organisation than the one that hands it in.
-bool isForeign(const std::string& organisation, const JobRecord& kept)
-{
-    return !organisation.empty() && !kept.organisation.empty() && organisation != kept.organisation;
-}
-
 } // namespace
 
 std::string_view nameOf(AcceptOutcome outcome) noexcept
@@ -99,10 +93,10 @@
             m_unansweredSentAt.reset();
     }
 
-    void accept(const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done)
+    void accept(const Caller& caller, const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done)
     {
         if (const CatalogEntry* known = m_catalog.find(id); known && known->record) {
-            done(isForeign(record.organisation, *known->record) ? AcceptOutcome::Foreign : AcceptOutcome::Accepted);
+            done(mayUse(caller, *known->record) ? AcceptOutcome::Accepted : AcceptOutcome::Foreign);
             return;
         }
         // Nothing is sent, so the refusal is true; a caller that hears "unknown" can only ask again.
@@ -112,16 +106,16 @@
         }
         const auto same = std::find_if(m_queue.begin(), m_queue.end(), [&](const WaitingJob& job) { return job.id == id; });
         // Whose job it becomes is open; the next try will tell.
-        if (same != m_queue.end() && same->organisation != record.organisation) {
+        if (same != m_queue.end() && same->caller != caller) {
             done(AcceptOutcome::Unknown);
             return;
         }
         ++inFlight;
         if (same != m_queue.end()) {
-            same->callers.push_back(std::move(done));
+            same->waiting.push_back(std::move(done));
             return;
         }
-        m_queue.push_back({ id, encode(record), record.organisation, { std::move(done) }, mayBeKept(id) });
+        m_queue.push_back({ id, encode(record), caller, { std::move(done) }, mayBeKept(id) });
         // Jobs that come in the same turn of the loop travel together.
         if (m_queue.size() == 1)
             m_loop.callAt(m_loop.now(), [self = shared_from_this()] { self->send(); });
@@ -245,12 +239,12 @@
     {
         m_mirror.noteWritten(item);
         const std::optional<JobRecord> kept = item.value == job.value ? std::nullopt : decodeJob(item.value);
-        finish(job, kept && isForeign(job.organisation, *kept) ? AcceptOutcome::Foreign : AcceptOutcome::Accepted);
+        finish(job, !kept || mayUse(job.caller, *kept) ? AcceptOutcome::Accepted : AcceptOutcome::Foreign);
     }
 
     void finish(const WaitingJob& job, AcceptOutcome outcome)
     {
-        inFlight -= job.callers.size();
+        inFlight -= job.waiting.size();
         if (outcome != AcceptOutcome::Unknown)
             m_inDoubt.erase(job.id);
         job.answer(outcome);
@@ -300,9 +294,9 @@
 
 JobIntake::~JobIntake() = default;
 
-void JobIntake::accept(const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done)
+void JobIntake::accept(const Caller& caller, const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done)
 {
-    m_impl->accept(id, record, std::move(done));
+    m_impl->accept(caller, id, record, std::move(done));
 }
 
 void JobIntake::cancel(const std::string& id, const std::function<void(LookupOutcome)>& done)
--- a/src/jobs/service/job_metrics.cpp
+++ b/src/jobs/service/job_metrics.cpp
@@ -3,6 +3,7 @@
 #include "lanemoor/jobs/owner/fleet_keeper.h"
 #include "lanemoor/jobs/relay/relayed_workers.h"
 
+#include <functional>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -73,6 +74,37 @@
     families.push_back(counter("lanemoor_carried_calls_total", "Calls to workers that this process carried for an owner elsewhere", carried));
 }
 
+/// Organisations with lines of their own: the planned size has 180 of them. The others stand together under one name.
+constexpr std::size_t mostOrganisations = 256;
+constexpr const char* otherOrganisations = "(others)";
+
+prometheus::MetricFamily byOrganisation(const std::string& name, const std::string& help, const std::vector<OrganisationReport>& organisations, const std::function<double(const OrganisationReport&)>& valueOf)
+{
+    prometheus::MetricFamily family { name, help, prometheus::MetricType::Gauge, {} };
+    for (std::size_t i = 0; i < organisations.size(); ++i) {
+        if (i > mostOrganisations) {
+            family.metric.back().gauge.value += valueOf(organisations[i]);
+            continue;
+        }
+        prometheus::ClientMetric metric;
+        metric.label.push_back({ "organisation", i < mostOrganisations ? organisations[i].name : std::string(otherOrganisations) });
+        metric.gauge.value = valueOf(organisations[i]);
+        family.metric.push_back(std::move(metric));
+    }
+    return family;
+}
+
+void addOrganisations(std::vector<prometheus::MetricFamily>& families, const std::vector<OrganisationReport>& organisations)
+{
+    constexpr double milli = 1'000;
+    if (organisations.empty())
+        return;
+    families.push_back(byOrganisation("lanemoor_organisation_cores_used", "Processor time that an organisation's attempts are booked for", organisations, [](const OrganisationReport& each) { return static_cast<double>(each.used.milliCpu) / milli; }));
+    families.push_back(byOrganisation("lanemoor_organisation_cores_quota", "Its quota of processor time; 0: none", organisations, [](const OrganisationReport& each) { return static_cast<double>(each.quota.milliCpu) / milli; }));
+    families.push_back(byOrganisation("lanemoor_organisation_tasks_held", "Tasks that its quota held back when placement last tried", organisations, [](const OrganisationReport& each) { return static_cast<double>(each.heldTasks); }));
+    families.push_back(byOrganisation("lanemoor_organisation_jobs_beyond_rate", "Jobs of this term beyond its rate", organisations, [](const OrganisationReport& each) { return static_cast<double>(each.beyondRate); }));
+}
+
 void addWork(std::vector<prometheus::MetricFamily>& families, const WorkReading& work)
 {
     prometheus::MetricFamily family { "lanemoor_work_seconds_total", "Time that the process's thread was at work, by kind", prometheus::MetricType::Counter, {} };
@@ -151,6 +183,7 @@
     addFleet(families, fleet);
     addRelay(families, relay, reading.carriedCalls);
     addWork(families, reading.work);
+    addOrganisations(families, reading.organisations);
     std::ostringstream out;
     prometheus::TextSerializer().Serialize(out, families);
     return out.str();
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -166,7 +166,7 @@
     {
         const QueueSettings* settings = m_configuration->queue(caller.queue);
         const JobRecord record { .queue = caller.queue, .pool = settings ? settings->pool : std::string(), .acceptedAt = m_parts.loop->timeOfDay(), .spec = std::move(spec), .organisation = caller.organisation };
-        m_intake.accept(id, record, [this, id, caller, done = std::move(done), sentAt = m_parts.loop->now(), version = m_configuration->version](AcceptOutcome outcome) {
+        m_intake.accept(caller, id, record, [this, id, caller, done = std::move(done), sentAt = m_parts.loop->now(), version = m_configuration->version](AcceptOutcome outcome) {
             metrics.noteHandedIn(caller.queue, outcome, secondsSince(sentAt));
             m_parts.log->decision("job-handed-in",
                 { { "job", id }, { "queue", caller.queue }, { "organisation", caller.organisation }, { "configuration", static_cast<std::int64_t>(version) }, { "outcome", std::string(nameOf(outcome)) }, { "ms", since(sentAt) } });
@@ -283,6 +283,7 @@
             .logLinesDropped = m_parts.log->dropped(),
             .decisionsOmitted = m_parts.log->omitted(),
             .carriedCalls = m_relay.calls(),
+            .organisations = m_scheduler.organisations(),
             .work = m_meter.total() };
         return metrics.text(reading, m_scheduler.counts(), m_fleet.counts(), m_relayedWorkers.counts());
     }
--- a/tests/jobs/organisation_test.cpp
+++ b/tests/jobs/organisation_test.cpp
@@ -2,7 +2,10 @@
 
 #include "lanemoor/jobs/intake/caller_access.h"
 #include "lanemoor/jobs/model/organisation.h"
+#include "lanemoor/jobs/owner/fleet_keeper.h"
 #include "lanemoor/jobs/policy/organisation_use.h"
+#include "lanemoor/jobs/relay/relayed_workers.h"
+#include "lanemoor/jobs/service/job_metrics.h"
 #include "platform/adapters.h"
 #include "platform/wire.h"
 #include "support.h"
@@ -356,3 +359,34 @@
     CHECK(cluster.waitFor(Millis(1'400), [&] { return cluster.shows(jobId(99), JobStatus::Succeeded, cluster.owner().value()); }));
     CHECK(cluster.entry(cluster.owner().value()).organisations().organisations[0].beyondRate >= 50);
 }
+
+TEST_CASE("What organisations use and wait for stands in the owner's metrics, with a bounded number of lines")
+{
+    KeyedCluster cluster;
+    REQUIRE(cluster.ask("POST", "/q/" + jobId(1), "north-key", oneTask).status == 200);
+    cluster.clock.runFor(Millis(300));
+    CHECK(cluster.entry(*cluster.owner()).metrics().find("lanemoor_organisation_cores_used{organisation=\"north\"} 0.1") != std::string::npos);
+    MetricsReading reading;
+    constexpr int many = 300;
+    for (int i = 0; i < many; ++i)
+        reading.organisations.push_back({ .name = "o" + std::to_string(i), .used = { .milliCpu = 1'000 } });
+    const std::string text = JobMetrics().text(reading, {}, {}, {});
+    CHECK(text.find("lanemoor_organisation_cores_used{organisation=\"o255\"} 1") != std::string::npos);
+    CHECK(text.find("organisation=\"o256\"") == std::string::npos);
+    CHECK(text.find("lanemoor_organisation_cores_used{organisation=\"(others)\"} 44") != std::string::npos);
+}
+
+TEST_CASE("Whose job an id is is asked alike for handing in, looking up and cancelling")
+{
+    KeyedCluster cluster;
+    REQUIRE(cluster.ask("POST", "/q/" + jobId(1), "north-key", oneTask).status == 200);
+    cluster.clock.runFor(Millis(100));
+    // Another queue's callers, with no key at all, are told nothing of it.
+    CHECK(cluster.ask("POST", "/open/" + jobId(1), std::nullopt, oneTask).status == 403);
+    CHECK(cluster.ask("GET", "/open/" + jobId(1), std::nullopt).status == 403);
+    CHECK(cluster.ask("DELETE", "/open/" + jobId(1), std::nullopt).status == 403);
+    REQUIRE(cluster.ask("POST", "/open/" + jobId(2), "north-key", oneTask).status == 200);
+    cluster.clock.runFor(Millis(100));
+    CHECK(cluster.ask("POST", "/open/" + jobId(2), std::nullopt, oneTask).status == 200);
+    CHECK(cluster.ask("GET", "/open/" + jobId(2), std::nullopt).status == 200);
+}
