--- /dev/null
+++ b/tests/jobs/placement_test.cpp
@@ -0,0 +1,134 @@
+/// The order in which sites are kept, and what is remembered of those without room, change no choice.
+
+#include "lanemoor/jobs/policy/placement.h"
+#include "support.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <tuple>
+
+using namespace lanemoor;
+using namespace lanemoor::jobs;
+using namespace lanemoor::jobs::test;
+
+namespace {
+
+constexpr std::int64_t unit = 400; // Of processor time and memory that tasks ask and sites have.
+
+int anyOf(int below)
+{
+    return *rc::gen::inRange(0, below);
+}
+
+std::string name(const char* prefix, int number)
+{
+    return prefix + std::to_string(number);
+}
+
+/// Some workers of one pool and what they have left.
+struct Pool {
+    std::vector<WorkerEntry> workers;
+    std::vector<PlacementSite> sites;
+};
+
+Pool anyPool()
+{
+    Pool pool;
+    const int count = 1 + anyOf(12);
+    for (int i = 0; i < count; ++i) {
+        const std::string rack = name("r", anyOf(3));
+        pool.workers.push_back({ .id = name("w", i), .address = {}, .pool = "main", .dataHall = {}, .capacity = {}, .labels = { name("k", anyOf(2)), rack }, .rack = rack, .draining = anyOf(8) == 0 });
+    }
+    for (const WorkerEntry& worker : pool.workers) {
+        pool.sites.push_back({ .worker = &worker, .free = { .milliCpu = (anyOf(12) - 1) * unit, .memoryMb = anyOf(6) * unit }, .servingTasks = anyOf(3) == 0 ? 1U : 0U, .open = anyOf(8) != 0, .preferred = anyOf(8) != 0, .keptFor = anyOf(8) == 0 ? "k0" : "", .wanted = static_cast<std::uint32_t>(anyOf(3)) });
+    }
+    return pool;
+}
+
+StepSpec anyStep()
+{
+    StepSpec step { .count = 1, .needs = { .milliCpu = anyOf(5) * unit, .memoryMb = anyOf(4) * unit } };
+    if (anyOf(3) == 0)
+        step.requiredLabel = anyOf(2) == 0 ? "k0" : "r1";
+    if (anyOf(3) == 0)
+        step.preferredRack = name("r", anyOf(3));
+    step.bestEffort = anyOf(4) == 0;
+    step.latencyTarget = Millis(anyOf(4) == 0 ? 50 : 0);
+    step.mostPerInstance = anyOf(4) == 0 ? 1 : 0;
+    return step;
+}
+
+PlacementQuery anyQuery(std::size_t sites)
+{
+    PlacementQuery query;
+    query.avoidWorker = anyOf(3) == 0 ? name("w", anyOf(static_cast<int>(sites))) : "";
+    query.rack = anyOf(5) == 0 ? name("r", anyOf(3)) : "";
+    query.nearOnly = anyOf(4) == 0;
+    query.tasksOfStep = [](std::size_t index) { return index % 3 == 0 ? 1U : 0U; };
+    if (anyOf(5) == 0)
+        query.admits = [](std::size_t index) { return index % 2 == 0; };
+    return query;
+}
+
+/// \returns The site that a look at each of them finds.
+std::optional<std::size_t> bestOfAll(const std::vector<PlacementSite>& sites, const StepSpec& step, const PlacementQuery& query)
+{
+    using Rank = std::tuple<bool, bool, bool, bool, std::uint32_t, std::int64_t, std::size_t>;
+    std::optional<Rank> best;
+    for (std::size_t i = 0; i < sites.size(); ++i) {
+        const PlacementSite& site = sites[i];
+        const bool isFar = !step.preferredRack.empty() && !hasLabel(*site.worker, step.preferredRack);
+        const bool fits = site.open && !site.worker->draining && site.free.covers(footprint(step)) && (step.requiredLabel.empty() || hasLabel(*site.worker, step.requiredLabel)) && (site.keptFor.empty() || site.keptFor == step.requiredLabel);
+        const bool admitted = (query.rack.empty() || site.worker->rack == query.rack) && !(query.nearOnly && isFar) && (!query.admits || query.admits(i)) && (step.mostPerInstance == 0 || query.tasksOfStep(i) < step.mostPerInstance);
+        if (!fits || !admitted)
+            continue;
+        const bool mixes = (step.bestEffort && site.servingTasks > 0) || (step.latencyTarget.count() > 0 && site.bestEffortTasks > 0);
+        const Rank rank { site.worker->id == query.avoidWorker, !site.preferred, isFar, mixes, step.requiredLabel.empty() ? site.wanted : 0, step.bestEffort ? std::int64_t { site.bestEffortTasks } : site.free.milliCpu, i };
+        if (!best || rank < *best)
+            best = rank;
+    }
+    return best ? std::optional(std::get<std::size_t>(*best)) : std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("Placement chooses as a look at each site would, whatever was booked and released before")
+{
+    constexpr int choices = 30;
+    REQUIRE(rc::check([] {
+        const Pool pool = anyPool();
+        Placer placer(pool.sites);
+        std::vector<std::pair<std::size_t, StepSpec>> booked;
+        for (int i = 0; i < choices; ++i) {
+            const StepSpec step = anyStep();
+            const PlacementQuery query = anyQuery(pool.sites.size());
+            const std::optional<std::size_t> expected = bestOfAll(placer.sites(), step, query);
+            RC_ASSERT(placer.choose(step, query) == expected);
+            if (expected) {
+                placer.book(*expected, step);
+                booked.emplace_back(*expected, step);
+            }
+            if (!booked.empty() && anyOf(5) == 0) {
+                placer.release(booked.back().first, booked.back().second);
+                booked.pop_back();
+            }
+        }
+    }));
+}
+
+TEST_CASE("A task that found no room costs no look at the sites again, until one has more")
+{
+    const WorkerEntry worker { .id = "w", .address = {}, .pool = "main", .dataHall = {}, .capacity = {}, .labels = {}, .rack = {} };
+    Placer placer({ { .worker = &worker, .free = { .milliCpu = 1'000, .memoryMb = 100 } } });
+    StepSpec large = step(1);
+    large.needs.memoryMb = 200;
+    REQUIRE_FALSE(placer.choose(large, {}).has_value());
+    const std::uint64_t looks = placer.inspected();
+    CHECK_FALSE(placer.choose(large, {}).has_value());
+    CHECK(placer.inspected() == looks);
+    CHECK(placer.choose(step(1), {}) == 0U);
+    StepSpec freed = step(1);
+    freed.needs = { .milliCpu = 0, .memoryMb = 100 };
+    placer.release(0, freed);
+    CHECK(placer.choose(large, {}) == 0U);
+}
