--- a/src/jobs/store/store_mirror.cpp
+++ b/src/jobs/store/store_mirror.cpp
@@ -6,20 +6,6 @@
 
 namespace lanemoor::jobs {
 
-namespace {
-
-/// From so many changes on, an answer that ends with the change where the watch goes on may be a part of what there is: the
-/// store gives some 500 in one, fewer if they are large. One that has all usually ends before the store's newest change,
-/// which is another key's.
-constexpr std::size_t mayBePart = 100;
-
-bool isPart(const ItemsResult& result)
-{
-    return result.items.size() >= mayBePart && result.items.back().revision >= result.storeRevision;
-}
-
-} // namespace
-
 class StoreMirror::Impl : public std::enable_shared_from_this<StoreMirror::Impl> {
 public:
     Impl(EventLoop& loop, KeyValueStore& store, StoreMirrorOptions options, ItemObserver observer)
@@ -194,21 +180,11 @@
         }
         for (const StoreItem& item : result.items)
             note(item);
+        freshAt = sentAt;
         if (result.storeRevision > m_at)
             m_at = result.storeRevision;
-        // A part proves nothing about the rest, which is asked for at once: with the usual gap a copy fell behind for good,
-        // by seconds, and a successor of the owner had to make that up before it could begin.
-        const bool part = isPart(result);
-        if (!part)
-            freshAt = sentAt;
-        const std::uint64_t generation = m_generation;
         advance(m_at);
-        if (generation != m_generation)
-            return;
-        if (part)
-            watch();
-        else
-            watchAfterGap();
+        watchAfterGap();
     }
 
     EventLoop& m_loop;
