Say which attempts were at a lost worker, and how long it was heard of after each began

Cause: the log said only how many attempts a lost worker had, so that nobody could tell which of them its end follows on. Change: sight only: an attempt keeps the worker's clock of its first confirmation, a session the newest clock heard; the line worker-lost-with.

--- a/include/lanemoor/jobs/model/job_state.h
+++ b/include/lanemoor/jobs/model/job_state.h
@@ -36,6 +36,7 @@
     bool adopted = false; ///< An earlier owner started it, and may have ordered it to stop.
     std::uint32_t percent = 0; ///< As last reported.
     MonotonicInstant percentSince; ///< When `percent` last changed.
+    std::int64_t confirmedOnClock = 0; ///< The worker's clock, ms, when it first said that the attempt is there; 0: it never did.
 
     [[nodiscard]] bool operator==(const LiveAttempt&) const = default;
 };
@@ -140,6 +141,9 @@
     /// \brief Changes the phase of a live attempt; ignored if it is not live.
     void setPhase(const Attempt& attempt, AttemptPhase phase, MonotonicInstant now);
 
+    /// \brief Notes that the worker said, when its clock stood at `workerClock` ms, that a live attempt is there.
+    void noteConfirmed(const Attempt& attempt, std::int64_t workerClock);
+
     /// \brief Notes the answer to a stop.
     void noteStopAnswered(const Attempt& attempt, MonotonicInstant now);
 
--- a/include/lanemoor/jobs/owner/worker_session.h
+++ b/include/lanemoor/jobs/owner/worker_session.h
@@ -73,6 +73,9 @@
     /// \brief Takes in the clock that came with the answer to an order.
     void noteClock(std::int64_t workerClock);
 
+    /// \returns The newest time of the worker's clock that an answer brought, ms: it lived then; 0 before the first answer.
+    [[nodiscard]] std::int64_t heardOnClock() const noexcept { return m_heardOnClock; }
+
     [[nodiscard]] const WorkerLife& life() const noexcept { return m_life; }
 
     /// \returns Whether the worker answered a renewal of this owner, which keeps all earlier ones out.
@@ -112,6 +115,7 @@
     std::uint64_t m_storedUpTo = 0;
     std::int64_t m_clockSample = 0; ///< The worker's clock, ms,
     MonotonicInstant m_clockSampledBy; ///< which it had passed at this time of ours.
+    std::int64_t m_heardOnClock = 0; ///< Answers may overtake each other.
     std::int64_t m_longestLease = 0; ///< On the worker's clock, ms.
     TimerId m_timer = 0;
     MonotonicInstant m_timerAt;
--- a/src/jobs/model/job_state.cpp
+++ b/src/jobs/model/job_state.cpp
@@ -213,6 +213,13 @@
     state->live->phaseSince = now;
 }
 
+void JobState::noteConfirmed(const Attempt& attempt, std::int64_t workerClock)
+{
+    TaskState* state = findLive(attempt);
+    if (state && state->live->confirmedOnClock == 0)
+        state->live->confirmedOnClock = workerClock;
+}
+
 void JobState::noteStopAnswered(const Attempt& attempt, MonotonicInstant now)
 {
     if (TaskState* state = findLive(attempt))
--- a/src/jobs/owner/order_desk.cpp
+++ b/src/jobs/owner/order_desk.cpp
@@ -53,6 +53,8 @@
         book->session->noteClock(result.workerClock);
     switch (result.outcome) {
     case OrderOutcome::Done:
+        if (job)
+            job->state.noteConfirmed(attempt, result.workerClock);
         if (job && job->state.find(attempt.task) && job->state.find(attempt.task)->live && job->state.find(attempt.task)->live->phase == AttemptPhase::Ordered)
             job->state.setPhase(attempt, AttemptPhase::Running, m_state.now());
         return;
--- a/src/jobs/owner/report_reader.cpp
+++ b/src/jobs/owner/report_reader.cpp
@@ -18,6 +18,8 @@
 
 constexpr Millis strayStopPause { 500 }; // Between stops of an attempt that nobody wants.
 
+constexpr std::size_t mostLostLogged = 8; // Attempts in one line on a lost worker.
+
 bool judgesWorker(const EndedAttempt& ended)
 {
     return ended.end == AttemptEnd::Succeeded || ended.end == AttemptEnd::Failed;
@@ -49,7 +51,7 @@
         lastEnd = std::max(lastEnd, ended.sequence);
     }
     for (const RunningAttempt& running : result.running)
-        readRunning(*worker, running);
+        readRunning(*worker, running, result.workerClock);
     settleMissing(*worker, result, sentAt);
     findStuck(*worker);
     adjustThrottle(*worker, result);
@@ -109,7 +111,7 @@
     m_desk.stopAll(job);
 }
 
-void ReportReader::readRunning(WorkerBook& worker, const RunningAttempt& report)
+void ReportReader::readRunning(WorkerBook& worker, const RunningAttempt& report, std::int64_t workerClock)
 {
     OwnerJob* job = m_state.job(report.attempt.job);
     const TaskState* task = job ? job->state.find(report.attempt.task) : nullptr;
@@ -119,6 +121,7 @@
         if (phase == AttemptPhase::Ordered || phase == AttemptPhase::Doubtful)
             job->state.setPhase(report.attempt, AttemptPhase::Running, m_state.now());
         job->state.noteReport(report, m_state.now());
+        job->state.noteConfirmed(report.attempt, workerClock);
         return;
     }
     if (task && job->state.adopt(report.attempt, worker.entry.id, m_state.now())) {
@@ -250,6 +253,28 @@
         m_desk.throttle(worker, worker.throttle.update(worst, m_state.now()));
 }
 
+/// One line on what was at a worker that is over: for each attempt, the youngest first, how long the worker was heard of
+/// after it had confirmed the attempt.
+void ReportReader::logLoss(const WorkerBook& worker) const
+{
+    if (worker.bookings.empty())
+        return;
+    std::vector<std::pair<std::int64_t, std::string>> lived;
+    for (const auto& [attempt, booking] : worker.bookings) {
+        const OwnerJob* job = m_state.job(attempt.job);
+        const TaskState* task = job ? job->state.find(attempt.task) : nullptr;
+        const bool isLive = task && task->live && task->live->number == attempt.number;
+        const std::int64_t confirmed = isLive ? task->live->confirmedOnClock : 0;
+        const std::int64_t millis = confirmed == 0 ? 0 : std::max<std::int64_t>(worker.session->heardOnClock() - confirmed, 0);
+        lived.emplace_back(millis, nameOf(attempt) + (!isLive ? " not live" : confirmed == 0 ? " unconfirmed" : ' ' + std::to_string(millis) + " ms"));
+    }
+    std::sort(lived.begin(), lived.end());
+    std::string text;
+    for (std::size_t i = 0; i < std::min(lived.size(), mostLostLogged); ++i)
+        text += (text.empty() ? "" : ", ") + lived[i].second;
+    m_state.options.log->decision("worker-lost-with", { { "worker", worker.entry.id }, { "draining", std::int64_t { worker.entry.draining } }, { "evacuating", std::int64_t { worker.evacuating } }, { "attempts", static_cast<std::int64_t>(lived.size()) }, { "youngest", text } });
+}
+
 void ReportReader::onSilence(WorkerSession& session)
 {
     const WorkerBook* worker = m_state.worker(session.life().id);
@@ -264,6 +289,7 @@
         return;
     m_state.options.log->decision("worker-over",
         { { "worker", session.life().id }, { "life_over", std::int64_t { lifeOver } }, { "attempts", static_cast<std::int64_t>(worker->bookings.size()) } });
+    logLoss(*worker);
     const Bookings::Map bookings = worker->bookings.takeAll();
     for (const auto& [attempt, booking] : bookings)
         m_desk.release(attempt, session.life().id, m_state.now());
--- a/src/jobs/owner/report_reader.h
+++ b/src/jobs/owner/report_reader.h
@@ -20,7 +20,7 @@
     void onFenced(WorkerSession& session) override;
 
 private:
-    void readRunning(WorkerBook& worker, const RunningAttempt& report);
+    void readRunning(WorkerBook& worker, const RunningAttempt& report, std::int64_t workerClock);
     void readEnded(WorkerBook& worker, const EndedAttempt& ended);
     [[nodiscard]] std::shared_ptr<const StepSpec> specOf(const WorkerBook& worker, const Attempt& attempt, const OwnerJob* job) const;
     [[nodiscard]] OrganisationAccount* accountOf(const Attempt& attempt, const OwnerJob* job) const;
@@ -30,6 +30,7 @@
     void settleMissing(WorkerBook& worker, const RenewResult& result, MonotonicInstant sentAt);
     void settleMissing(WorkerBook& worker, const Attempt& attempt, MonotonicInstant sentAt);
     void findStuck(WorkerBook& worker);
+    void logLoss(const WorkerBook& worker) const;
     void adjustThrottle(WorkerBook& worker, const RenewResult& result);
 
     OwnerState& m_state;
--- a/src/jobs/owner/worker_session.cpp
+++ b/src/jobs/owner/worker_session.cpp
@@ -51,6 +51,7 @@
 {
     if (workerClock <= 0)
         return;
+    m_heardOnClock = std::max(m_heardOnClock, workerClock);
     m_clockSample = workerClock;
     m_clockSampledBy = m_loop.now();
 }
