Count lost workers against the tasks whose start they did not survive, place such tasks apart, give them up after three

Cause: an attempt that was lost with its worker left no trace, so a task that ends each worker which starts it went on for ever; what was lost with it restarted in the same pass and was packed beside it again. Class: an attempt that ends without a verdict costs nothing, and is repeated without bound. Ruled out: counting alone, since a long-running job beside it loses as many workers in a row; the worker as the cause, by the log line worker-lost-with. Change: workers lost in a row are kept with the task, in the store too, counted ahead while a suspect is on trial, so that an owner's loss forgets one at the most; a worker that is heard of again clears it; suspects go to the emptiest worker, with two losses they are alone; a task is given up that stands out, after three to five workers by how many others are lost. An adopted attempt, an ordered or announced end count for nothing.

--- a/include/lanemoor/jobs/model/job_record.h
+++ b/include/lanemoor/jobs/model/job_record.h
@@ -47,6 +47,7 @@
 struct TaskRecord {
     std::vector<std::uint64_t> failedAttempts;
     std::string checkpoint;
+    std::uint32_t workersLost = 0; ///< In a row, each soon after it had started the task.
 
     [[nodiscard]] bool operator==(const TaskRecord&) const = default;
 };
--- a/include/lanemoor/jobs/model/job_state.h
+++ b/include/lanemoor/jobs/model/job_state.h
@@ -37,6 +37,7 @@
     std::uint32_t percent = 0; ///< As last reported.
     MonotonicInstant percentSince; ///< When `percent` last changed.
     std::int64_t confirmedOnClock = 0; ///< The worker's clock, ms, when it first said that the attempt is there; 0: it never did.
+    bool lossForeseen = false; ///< The task's lost workers count this one already, until the worker has survived the start.
 
     [[nodiscard]] bool operator==(const LiveAttempt&) const = default;
 };
@@ -50,6 +51,12 @@
     std::optional<LiveAttempt> live;
     std::string avoidWorker; ///< Where it failed last; another one is tried first.
     MonotonicInstant notBefore; ///< Of the next start.
+    /// Workers lost in a row, each soon after it had started the task. The one that starts a task which has lost others counts
+    /// ahead: should the owner be lost with it, the next one knows.
+    std::uint32_t workersLost = 0;
+
+    /// \returns Workers that were lost before the live attempt, if there is one.
+    [[nodiscard]] std::uint32_t workersLostBefore() const noexcept { return workersLost - (live && live->lossForeseen ? 1 : 0); }
 };
 
 /// One step of one occurrence under way.
@@ -158,6 +165,15 @@
     /// \param retryAt When the task may start again.
     void drop(const Attempt& attempt, MonotonicInstant retryAt);
 
+    /// \brief Notes that a worker was lost soon after it had started the task.
+    void noteWorkerLost(const TaskId& task);
+
+    /// \brief Notes that a worker has survived a start of the task. \returns Whether that clears it of lost workers.
+    bool noteSurvived(const TaskId& task);
+
+    /// \brief Fails the job since one of its tasks ends the workers that start it. \returns Whether its status became final.
+    bool giveUp() noexcept;
+
     /// \brief Notes that a caller cancelled the job. Ignored if its status is final.
     void cancel() noexcept;
     ///@}
--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -9,6 +9,7 @@
 #include "lanemoor/jobs/owner/job_report.h"
 #include "lanemoor/jobs/owner/ownership_keeper.h"
 #include "lanemoor/jobs/policy/placement_options.h"
+#include "lanemoor/jobs/policy/worker_loss.h"
 
 #include <cstdint>
 #include <functional>
@@ -47,6 +48,7 @@
     Millis ownershipTime { 1'000 }; ///< Lease time of the ownership.
     Millis workerLeaseTime { 5'000 }; ///< The same for all owners, since a successor reckons with it.
     PlacementOptions placement;
+    LossOptions losses;
     bool seesRises = true; ///< See CapacityOptions.
 };
 
@@ -98,6 +100,8 @@
     std::uint64_t jobsSucceeded = 0;
     std::uint64_t jobsFailed = 0;
     std::uint64_t jobsCancelled = 0;
+    std::uint64_t suspicions = 0; ///< How many times the loss of a worker was counted against a task.
+    std::uint64_t givenUp = 0; ///< Tasks that ended worker after worker.
     std::uint64_t passes = 0; ///< Over the tasks that could start.
     std::uint64_t sitesInspected = 0; ///< By all passes: how many times a worker was looked at for a task.
 };
@@ -147,7 +151,8 @@
     [[nodiscard]] bool isSettled() const;
 
     /// \brief The worker's life is over, as the platform proves.
-    void noteLifeOver(const std::string& worker);
+    /// \param ordered By an act of this owner.
+    void noteLifeOver(const std::string& worker, bool ordered = false);
     ///@}
 
     /// \returns The job's steps, as the owner knows them; nothing if it does not run the job.
--- a/include/lanemoor/jobs/owner/worker_book.h
+++ b/include/lanemoor/jobs/owner/worker_book.h
@@ -48,6 +48,7 @@
     WorkerHealth health;
     Throttle throttle;
     bool met = false; ///< Its first report was taken in.
+    bool endOrdered = false; ///< Its life ends by an order of this owner.
     bool evacuating = false; ///< It is to be emptied: no new work.
     MonotonicInstant evacuatingSince; ///< Meaningful while evacuating.
     MonotonicInstant noWorkBefore; ///< After it refused an order.
--- a/include/lanemoor/jobs/owner/worker_session.h
+++ b/include/lanemoor/jobs/owner/worker_session.h
@@ -35,6 +35,9 @@
     /// \param sentAt When the renewal was sent: orders answered before that are reflected in it.
     virtual void onAnswer(WorkerSession& session, const RenewResult& result, MonotonicInstant sentAt) = 0;
 
+    /// \brief The worker lives: an answer told a newer time of its clock.
+    virtual void onHeard(WorkerSession& session) = 0;
+
     /// \brief A renewal was not answered.
     virtual void onSilence(WorkerSession& session) = 0;
 
@@ -73,6 +76,9 @@
     /// \brief Takes in the clock that came with the answer to an order.
     void noteClock(std::int64_t workerClock);
 
+    /// \brief Asks the worker after `pause` whether it lives, beside the renewal that waits for an end.
+    void probeAfter(Millis pause);
+
     /// \returns The newest time of the worker's clock that an answer brought, ms: it lived then; 0 before the first answer.
     [[nodiscard]] std::int64_t heardOnClock() const noexcept { return m_heardOnClock; }
 
@@ -98,6 +104,7 @@
     void renewAt(MonotonicInstant when);
     void answered(const RenewResult& result, MonotonicInstant sentAt);
     void watchLease();
+    void probe();
     void hurry(MonotonicInstant when);
 
     EventLoop& m_loop;
--- a/include/lanemoor/jobs/policy/bookings.h
+++ b/include/lanemoor/jobs/policy/bookings.h
@@ -21,6 +21,7 @@
     OrganisationAccount* account = nullptr; ///< That the attempt counts for, by all that its step asks; null: nobody's.
     std::uint32_t throttledTo = 100; ///< Percent that the worker was last told.
     MonotonicInstant endsBy; ///< When it should have ended, by its declared time and what is observed.
+    std::uint32_t workersLost = 0; ///< By its task, in a row; 0 once the worker has survived its start.
 };
 
 /// \brief The bookings at one worker, and their sums, which placement asks for at each pass.
@@ -45,6 +46,9 @@
     /// \brief Notes what the worker was told last; ignored if the attempt is not booked.
     void noteThrottled(const Attempt& attempt, std::uint32_t percent);
 
+    /// \brief Notes that the worker has survived the attempt's start; ignored if the attempt is not booked.
+    void noteSurvived(const Attempt& attempt);
+
     /// \name The bookings
     ///@{
     [[nodiscard]] Map::const_iterator begin() const noexcept { return m_bookings.begin(); }
@@ -65,6 +69,9 @@
     [[nodiscard]] std::uint32_t servingTasks() const noexcept { return m_servingTasks; }
 
     [[nodiscard]] std::uint32_t bestEffortTasks() const noexcept { return m_bestEffortTasks; }
+
+    /// \returns Attempts whose tasks have lost workers, and how many, while the worker has not survived their start.
+    [[nodiscard]] const std::map<Attempt, std::uint32_t>& suspects() const noexcept { return m_suspects; }
     ///@}
 
 private:
@@ -74,6 +81,7 @@
     Resources m_used;
     std::uint32_t m_servingTasks = 0;
     std::uint32_t m_bestEffortTasks = 0;
+    std::map<Attempt, std::uint32_t> m_suspects;
 };
 
 } // namespace lanemoor::jobs
--- a/include/lanemoor/jobs/policy/placement.h
+++ b/include/lanemoor/jobs/policy/placement.h
@@ -8,11 +8,18 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 namespace lanemoor::jobs {
 
+/// A job whose tasks may have ended the workers that started them, at a site that has not survived such a start yet.
+struct SuspectJob {
+    std::string job;
+    std::uint32_t workersLost = 0; ///< In a row, by the worst of its tasks there.
+};
+
 /// A worker as placement sees it.
 struct PlacementSite {
     const WorkerEntry* worker = nullptr;
@@ -23,11 +30,14 @@
     bool preferred = true; ///< False: only taken if no preferred site has room.
     std::string keptFor; ///< A label: only tasks that require it may come; empty: all may.
     std::uint32_t wanted = 0; ///< How much tasks that require its labels ask of sites with them; see `wantedLevel`.
+    std::vector<SuspectJob> suspects;
 };
 
 /// What is asked of a site beside the step's own needs.
 struct PlacementQuery {
     std::string avoidWorker; ///< Taken only if there is no other.
+    std::string_view job; ///< Of the task; lives as long as the query.
+    std::uint32_t workersLost = 0; ///< By the task, in a row.
     std::string rack; ///< Only sites of this rack; empty: any.
     bool nearOnly = false; ///< Only sites in the rack that the step prefers, if it prefers one.
     /// \returns Tasks of the same step and occurrence that site `index` has; asked only for
@@ -39,9 +49,9 @@
 
 /// \brief Chooses sites and books what they take.
 ///
-/// Among the sites that fit, those of the preferred rack come first, then those where serving
-/// and best-effort tasks keep apart, then the fullest: whole instances stay free for
-/// maintenance and for being powered off.
+/// Among the sites that fit, those come first that have no suspect of another job, then those of the preferred rack, then those
+/// where serving and best-effort tasks keep apart, then the fullest: whole instances stay free for
+/// maintenance and for being powered off. A suspect goes to the emptiest: what runs there is lost if it is guilty.
 ///
 /// Sites are kept in the order of what they have free, so that a choice looks at the few that are nearly full and
 /// not at all of them; what found no room is remembered, so that work which waits costs a look a pass and not one a
@@ -57,6 +67,9 @@
     /// \brief Books a task of `step` on site `index`.
     void book(std::size_t index, const StepSpec& step);
 
+    /// \brief Notes that a suspect was booked on site `index`.
+    void noteSuspect(std::size_t index, std::string_view job, std::uint32_t workersLost);
+
     /// \brief Takes a booking back.
     void release(std::size_t index, const StepSpec& step);
 
--- a/src/jobs/model/job_record.cpp
+++ b/src/jobs/model/job_record.cpp
@@ -197,6 +197,7 @@
         for (const std::uint64_t attempt : task.failedAttempts)
             out.add_failed_attempts(attempt);
         out.set_checkpoint(task.checkpoint);
+        out.set_workers_lost(task.workersLost);
     }
     return document.SerializeAsString();
 }
@@ -215,6 +216,7 @@
         TaskRecord& out = record.tasks[{ task.occurrence(), task.step(), task.index() }];
         out.failedAttempts.assign(task.failed_attempts().begin(), task.failed_attempts().end());
         out.checkpoint = task.checkpoint();
+        out.workersLost = task.workers_lost();
     }
     return record;
 }
--- a/src/jobs/model/job_state.cpp
+++ b/src/jobs/model/job_state.cpp
@@ -115,10 +115,11 @@
         for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
             const TaskState& task = step.tasks[i];
             const TaskId taskId { id.occurrence, id.step, i };
-            if (task.succeeded || (task.failedAttempts.empty() && task.checkpoint.empty()))
+            const TaskRecord kept { task.failedAttempts, task.checkpoint, task.workersLost };
+            if (task.succeeded || kept == TaskRecord {})
                 record.tasks.erase(taskId);
             else
-                record.tasks[taskId] = { task.failedAttempts, task.checkpoint };
+                record.tasks[taskId] = kept;
         }
     }
     return record;
@@ -155,6 +156,7 @@
                 continue;
             task.failedAttempts = kept->second.failedAttempts;
             task.checkpoint = kept->second.checkpoint;
+            task.workersLost = kept->second.workersLost;
         }
     }
 }
@@ -179,6 +181,8 @@
     state->live = LiveAttempt {
         .number = number, .worker = worker, .startedAt = now, .phaseSince = now, .stopAnsweredAt = std::nullopt, .percentSince = now
     };
+    state->live->lossForeseen = state->workersLost > 0;
+    state->workersLost += state->live->lossForeseen ? 1 : 0;
     ++m_steps.at({ task.occurrence, task.step }).live;
     if (m_status == JobStatus::Queued)
         m_status = JobStatus::Running;
@@ -243,6 +247,7 @@
     ++m_changes;
     if (!state.live)
         return;
+    state.workersLost = state.workersLostBefore();
     state.live.reset();
     --m_steps.at({ task.occurrence, task.step }).live;
 }
@@ -358,6 +363,31 @@
     state->notBefore = retryAt;
 }
 
+void JobState::noteWorkerLost(const TaskId& task)
+{
+    TaskState* state = mutableTask(task);
+    if (!state)
+        return;
+    if (!state->live || !std::exchange(state->live->lossForeseen, false))
+        ++state->workersLost;
+}
+
+bool JobState::noteSurvived(const TaskId& task)
+{
+    TaskState* state = mutableTask(task);
+    if (state && state->live)
+        state->live->lossForeseen = false;
+    return state && std::exchange(state->workersLost, 0) > 0;
+}
+
+bool JobState::giveUp() noexcept
+{
+    if (isFinal(m_status))
+        return false;
+    m_status = JobStatus::Failed;
+    return true;
+}
+
 void JobState::cancel() noexcept
 {
     if (!isFinal(m_status))
--- a/src/jobs/owner/fleet_keeper.cpp
+++ b/src/jobs/owner/fleet_keeper.cpp
@@ -642,7 +642,7 @@
         if (outcome == FleetOutcome::Done) {
             ++counts.moved;
             noteActed(move.instance, move.to, FleetState::Moving, m_options.moveTime);
-            m_options.scheduler->noteLifeOver(worker);
+            m_options.scheduler->noteLifeOver(worker, true);
             return;
         }
         m_options.log->decision("instance-move-failed", { { "instance", move.instance }, { "outcome", std::string(nameOf(outcome)) } });
@@ -727,7 +727,7 @@
             ++counts.maintained;
             plan.noteBegun(instance, backAfter(now));
             noteActed(instance, m_list[instance].pool, FleetState::InMaintenance, m_options.maintenanceTime);
-            m_options.scheduler->noteLifeOver(worker);
+            m_options.scheduler->noteLifeOver(worker, true);
             writeRecord(plan);
             later(m_options.maintenanceTime + backMargin, [this] { planSoon(); });
             break;
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -327,11 +327,13 @@
         requestPass();
     }
 
-    void noteLifeOver(const std::string& worker)
+    void noteLifeOver(const std::string& worker, bool ordered = false)
     {
         WorkerBook* book = m_term ? m_term->state.worker(worker) : nullptr;
-        if (book && book->session)
-            book->session->noteLifeOver();
+        if (!book || !book->session)
+            return;
+        book->endOrdered = ordered;
+        book->session->noteLifeOver();
     }
 
     void whenStored(std::function<void()> stored)
@@ -716,9 +718,9 @@
     return !m_impl->isActive() || m_impl->isSettled();
 }
 
-void JobScheduler::noteLifeOver(const std::string& worker)
+void JobScheduler::noteLifeOver(const std::string& worker, bool ordered)
 {
-    m_impl->noteLifeOver(worker);
+    m_impl->noteLifeOver(worker, ordered);
 }
 
 std::optional<std::vector<StepReport>> JobScheduler::report(const std::string& job) const
--- a/src/jobs/owner/order_desk.cpp
+++ b/src/jobs/owner/order_desk.cpp
@@ -7,9 +7,17 @@
 namespace {
 
 constexpr Millis stopRetry { 300 }; // A stop takes up to some hundred ms at the worker.
+constexpr Millis probeMargin { 10 }; // A worker's clock may be slow by 2%, and counts whole ms.
 constexpr Millis pauseAfterNoRoom { 200 }; // Until the worker's books and ours agree again.
 constexpr Millis pauseAfterFailedOrder { 400 }; // A worker that takes no orders is left alone a while.
 
+/// Renewals wait for an end: without these, a worker that has nothing to tell would be heard of only each second.
+void probeSoon(WorkerSession& session)
+{
+    for (Millis pause = leastTrial; pause < longestTrial; pause *= 2)
+        session.probeAfter(pause + probeMargin);
+}
+
 } // namespace
 
 OrderDesk::OrderDesk(OwnerState& state, SchedulerCounts& counts)
@@ -31,9 +39,10 @@
         .checkpoint = job.state.find(task)->checkpoint,
         .ticket = ticket };
     const bool first = job.state.status() == JobStatus::Queued;
+    const std::uint32_t workersLost = job.state.find(task)->workersLost;
     job.state.begin(task, number, worker.entry.id, m_state.now());
-    worker.bookings.put(attempt, { .step = job.state.sharedSpec(task.step), .account = job.account, .endsBy = m_state.expectedEnd(job, task) });
-    if (first)
+    worker.bookings.put(attempt, { .step = job.state.sharedSpec(task.step), .account = job.account, .endsBy = m_state.expectedEnd(job, task), .workersLost = workersLost });
+    if (first || workersLost > 0)
         m_state.store(job.state.id());
     ++m_counts.starts;
     m_state.options.log->decision("task-start", { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id }, { "epoch", static_cast<std::int64_t>(m_state.ownership.epoch) } });
@@ -55,6 +64,8 @@
     case OrderOutcome::Done:
         if (job)
             job->state.noteConfirmed(attempt, result.workerClock);
+        if (book && book->bookings.suspects().contains(attempt))
+            probeSoon(*book->session);
         if (job && job->state.find(attempt.task) && job->state.find(attempt.task)->live && job->state.find(attempt.task)->live->phase == AttemptPhase::Ordered)
             job->state.setPhase(attempt, AttemptPhase::Running, m_state.now());
         return;
--- a/src/jobs/owner/placement_pass.cpp
+++ b/src/jobs/owner/placement_pass.cpp
@@ -156,6 +156,8 @@
     for (const WorkerBook* book : sites.books) {
         list.push_back(book->site(m_now));
         list.back().wanted = m_state.wantedLevelOf(book->entry);
+        if (!m_state.options.losses.keepsSuspectsApart)
+            list.back().suspects.clear();
     }
     sites.placer.emplace(std::move(list));
     return sites;
@@ -191,6 +193,7 @@
 PlacementQuery PlacementPass::queryFor(const Candidate& candidate, const PoolSites& sites) const
 {
     PlacementQuery query;
+    query.job = candidate.job->state.id();
     query.tasksOfStep = [&sites, &candidate](std::size_t index) { return sites.books[index]->tasksOf(candidate.job->state.id(), candidate.step); };
     if (m_tickets)
         query.admits = [this, &sites](std::size_t index) { return m_tickets->contains(sites.books[index]->entry.id); };
@@ -235,6 +238,7 @@
             return;
         }
         query.avoidWorker = candidate.job->state.find(task)->avoidWorker;
+        query.workersLost = lossesOf(candidate, task);
         const std::optional<std::size_t> site = sites.placer->choose(step, query);
         if (!site) {
             noteWaiting(candidate, pool, candidate.tasks.size() - i);
@@ -243,10 +247,23 @@
         }
         WorkerBook& book = *sites.books[*site];
         if (m_orders.start(*candidate.job, task, candidate.job->state.nextAttempt(task), book, ticketFor(book)))
-            sites.placer->book(*site, step);
+            bookAt(sites, *site, step, query);
     }
 }
 
+/// \returns Workers that the task has lost in a row, as far as placement goes by it.
+std::uint32_t PlacementPass::lossesOf(const Candidate& candidate, const TaskId& task) const
+{
+    return m_state.options.losses.keepsSuspectsApart ? candidate.job->state.find(task)->workersLost : 0;
+}
+
+void PlacementPass::bookAt(PoolSites& sites, std::size_t site, const StepSpec& step, const PlacementQuery& query)
+{
+    sites.placer->book(site, step);
+    if (query.workersLost > 0)
+        sites.placer->noteSuspect(site, query.job, query.workersLost);
+}
+
 /// Counts what more instances would help: a task too large for any of them waits in vain.
 void PlacementPass::noteWaiting(const Candidate& candidate, const std::string& pool, std::size_t tasks)
 {
@@ -331,6 +348,8 @@
     std::map<std::size_t, std::uint32_t> members;
     query.tasksOfStep = [&](std::size_t index) { return members[index]; };
     for (std::size_t i = 0; i < candidate.tasks.size(); ++i) {
+        // A gang needs all its sites at once: a suspect of it may have to stand beside others.
+        query.workersLost = std::min(lossesOf(candidate, candidate.tasks[i]), lossesToIsolate - 1);
         const std::optional<std::size_t> site = sites.placer->choose(step, query);
         if (!site)
             break;
--- a/src/jobs/owner/placement_pass.h
+++ b/src/jobs/owner/placement_pass.h
@@ -59,6 +59,8 @@
     [[nodiscard]] bool mayGoFar(const Candidate& candidate);
     [[nodiscard]] PlacementQuery queryFor(const Candidate& candidate, const PoolSites& sites) const;
     [[nodiscard]] std::string ticketFor(const WorkerBook& book) const;
+    [[nodiscard]] std::uint32_t lossesOf(const Candidate& candidate, const TaskId& task) const;
+    static void bookAt(PoolSites& sites, std::size_t site, const StepSpec& step, const PlacementQuery& query);
     void wakeAt(MonotonicInstant when);
 
     OwnerState& m_state;
--- a/src/jobs/owner/report_reader.cpp
+++ b/src/jobs/owner/report_reader.cpp
@@ -18,8 +18,16 @@
 
 constexpr Millis strayStopPause { 500 }; // Between stops of an attempt that nobody wants.
 
+/// Times the workers that it has lost, below the three seconds after which a task that could run counts as forgotten.
+constexpr Millis pauseForSuspect { 570 };
+
 constexpr std::size_t mostLostLogged = 8; // Attempts in one line on a lost worker.
 
+std::size_t livingWorkers(const OwnerState& state)
+{
+    return static_cast<std::size_t>(std::count_if(state.workers.begin(), state.workers.end(), [](const auto& worker) { return !worker.second.session->isLifeOver(); }));
+}
+
 bool judgesWorker(const EndedAttempt& ended)
 {
     return ended.end == AttemptEnd::Succeeded || ended.end == AttemptEnd::Failed;
@@ -31,6 +39,7 @@
     : m_state(state)
     , m_desk(desk)
     , m_counts(counts)
+    , m_losses(state.options.losses)
 {
 }
 
@@ -77,6 +86,8 @@
         const Millis observed = std::chrono::duration_cast<Millis>(m_state.now() - task->live->startedAt);
         m_state.forecast.noteRunTime(job->state.record().queue, job->state.spec(ended.attempt.task.step).estimate, observed);
     }
+    // Whatever the end, the worker has lived to tell it.
+    clear(worker, *job, ended.attempt);
     const EndEffect effect = job->state.end(ended, worker.entry.id, m_state.mostAttemptsOf(job->state), m_state.now());
     m_state.options.log->decision("task-end",
         { { "attempt", nameOf(ended.attempt) }, { "worker", worker.entry.id }, { "end", std::string(nameOf(ended.end)) }, { "counted", std::int64_t { effect.counted } } });
@@ -128,6 +139,7 @@
         worker.bookings.put(report.attempt, { .step = job->state.sharedSpec(report.attempt.task.step), .account = job->account, .endsBy = m_state.expectedEnd(*job, report.attempt.task) });
         job->state.noteReport(report, m_state.now());
         m_state.options.log->decision("task-adopted", { { "attempt", nameOf(report.attempt) }, { "worker", worker.entry.id } });
+        clear(worker, *job, report.attempt);
         // A member of a gang that failed: its attempt is in vain.
         if (job->state.hasFailed(report.attempt))
             m_desk.stop(report.attempt, worker.entry.id);
@@ -253,26 +265,110 @@
         m_desk.throttle(worker, worker.throttle.update(worst, m_state.now()));
 }
 
+/// The worker has survived a start of the task, so the task did not end the others either.
+void ReportReader::clear(WorkerBook& worker, OwnerJob& job, const Attempt& attempt)
+{
+    worker.bookings.noteSurvived(attempt);
+    if (!job.state.noteSurvived(attempt.task))
+        return;
+    m_state.options.log->decision("task-cleared", { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id } });
+    m_state.store(attempt.job);
+}
+
+/// \returns The live attempts of jobs that are not over, the youngest first.
+std::vector<LostAttempt> ReportReader::lostAttempts(const WorkerBook& worker) const
+{
+    std::vector<LostAttempt> lost;
+    for (const auto& [attempt, booking] : worker.bookings) {
+        const OwnerJob* job = m_state.job(attempt.job);
+        const TaskState* task = job && !isFinal(job->state.status()) ? job->state.find(attempt.task) : nullptr;
+        if (!task || !task->live || task->live->number != attempt.number || task->live->worker != worker.entry.id)
+            continue;
+        LostAttempt& entry = lost.emplace_back(LostAttempt { .attempt = attempt, .survived = std::nullopt, .adopted = task->live->adopted, .lossesBefore = task->workersLostBefore() });
+        if (task->live->confirmedOnClock > 0)
+            entry.survived = Millis(std::max<std::int64_t>(worker.session->heardOnClock() - task->live->confirmedOnClock, 0));
+    }
+    std::sort(lost.begin(), lost.end(), [](const LostAttempt& a, const LostAttempt& b) { return a.survived < b.survived; });
+    return lost;
+}
+
 /// One line on what was at a worker that is over: for each attempt, the youngest first, how long the worker was heard of
 /// after it had confirmed the attempt.
-void ReportReader::logLoss(const WorkerBook& worker) const
+void ReportReader::logLoss(const WorkerBook& worker, const std::vector<LostAttempt>& lost, const LossVerdict& verdict) const
+{
+    std::string text;
+    for (std::size_t i = 0; i < std::min(lost.size(), mostLostLogged); ++i) {
+        text += (text.empty() ? "" : ", ") + nameOf(lost[i].attempt);
+        text += lost[i].adopted ? " adopted" : lost[i].survived ? ' ' + std::to_string(lost[i].survived->count()) + " ms"
+                                                                : " unconfirmed";
+    }
+    m_state.options.log->decision("worker-lost-with",
+        { { "worker", worker.entry.id }, { "attempts", static_cast<std::int64_t>(lost.size()) }, { "youngest", text }, { "suspects", static_cast<std::int64_t>(verdict.suspects.size()) }, { "losses_needed", std::int64_t { verdict.lossesNeeded } } });
+}
+
+/// A task that would be given up if fewer workers ended by themselves waits for them to do so less, and out of step with them.
+Millis ReportReader::pauseAfterLoss(const Attempt& attempt) const
 {
-    if (worker.bookings.empty())
+    const OwnerJob* job = m_state.job(attempt.job);
+    const TaskState* task = job ? job->state.find(attempt.task) : nullptr;
+    return task && task->workersLost >= m_state.options.losses.lossesToGiveUp ? pauseForSuspect * task->workersLost : Millis(0);
+}
+
+/// Counts the loss of a worker against the tasks whose start it may not have survived. An end that was ordered or
+/// announced is nobody's fault.
+LossVerdict ReportReader::judge(const WorkerBook& worker)
+{
+    if (worker.endOrdered || worker.entry.draining || !worker.session->isMet())
+        return {};
+    const std::vector<LostAttempt> lost = lostAttempts(worker);
+    LossVerdict verdict = m_losses.judge(lost, livingWorkers(m_state), m_state.now());
+    if (!lost.empty())
+        logLoss(worker, lost, verdict);
+    for (const LostAttempt& suspect : verdict.suspects) {
+        ++m_counts.suspicions;
+        m_state.job(suspect.attempt.job)->state.noteWorkerLost(suspect.attempt.task);
+        m_state.store(suspect.attempt.job);
+        m_state.options.log->decision("task-suspected", { { "attempt", nameOf(suspect.attempt) }, { "worker", worker.entry.id }, { "workers_lost", std::int64_t { suspect.lossesBefore + 1 } } });
+    }
+    return verdict;
+}
+
+void ReportReader::giveUp(const Attempt& attempt, const std::string& worker)
+{
+    OwnerJob* job = m_state.job(attempt.job);
+    if (!job || !job->state.giveUp())
         return;
-    std::vector<std::pair<std::int64_t, std::string>> lived;
-    for (const auto& [attempt, booking] : worker.bookings) {
+    ++m_counts.givenUp;
+    m_state.options.log->decision("task-given-up", { { "attempt", nameOf(attempt) }, { "worker", worker }, { "workers_lost", std::int64_t { job->state.find(attempt.task)->workersLost } } });
+    m_state.store(attempt.job);
+    noteFinished(*job);
+}
+
+/// What the worker was heard of after: its suspects of that time did not end it.
+void ReportReader::onHeard(WorkerSession& session)
+{
+    WorkerBook* worker = m_state.worker(session.life().id);
+    if (!worker)
+        return;
+    if (worker->bookings.suspects().empty())
+        return;
+    const Millis trial = m_losses.trial(livingWorkers(m_state), m_state.now());
+    std::vector<Attempt> survived;
+    for (const auto& [attempt, workersLost] : worker->bookings.suspects()) {
         const OwnerJob* job = m_state.job(attempt.job);
         const TaskState* task = job ? job->state.find(attempt.task) : nullptr;
         const bool isLive = task && task->live && task->live->number == attempt.number;
-        const std::int64_t confirmed = isLive ? task->live->confirmedOnClock : 0;
-        const std::int64_t millis = confirmed == 0 ? 0 : std::max<std::int64_t>(worker.session->heardOnClock() - confirmed, 0);
-        lived.emplace_back(millis, nameOf(attempt) + (!isLive ? " not live" : confirmed == 0 ? " unconfirmed" : ' ' + std::to_string(millis) + " ms"));
+        if (!isLive || (task->live->confirmedOnClock > 0 && Millis(session.heardOnClock() - task->live->confirmedOnClock) >= trial))
+            survived.push_back(attempt);
     }
-    std::sort(lived.begin(), lived.end());
-    std::string text;
-    for (std::size_t i = 0; i < std::min(lived.size(), mostLostLogged); ++i)
-        text += (text.empty() ? "" : ", ") + lived[i].second;
-    m_state.options.log->decision("worker-lost-with", { { "worker", worker.entry.id }, { "draining", std::int64_t { worker.entry.draining } }, { "evacuating", std::int64_t { worker.evacuating } }, { "attempts", static_cast<std::int64_t>(lived.size()) }, { "youngest", text } });
+    for (const Attempt& attempt : survived) {
+        if (OwnerJob* job = m_state.job(attempt.job))
+            clear(*worker, *job, attempt);
+        else
+            worker->bookings.noteSurvived(attempt);
+    }
+    if (!survived.empty())
+        m_state.requestPass();
 }
 
 void ReportReader::onSilence(WorkerSession& session)
@@ -289,10 +385,12 @@
         return;
     m_state.options.log->decision("worker-over",
         { { "worker", session.life().id }, { "life_over", std::int64_t { lifeOver } }, { "attempts", static_cast<std::int64_t>(worker->bookings.size()) } });
-    logLoss(*worker);
+    const LossVerdict verdict = judge(*worker);
     const Bookings::Map bookings = worker->bookings.takeAll();
     for (const auto& [attempt, booking] : bookings)
-        m_desk.release(attempt, session.life().id, m_state.now());
+        m_desk.release(attempt, session.life().id, m_state.now() + pauseAfterLoss(attempt));
+    if (verdict.givenUp)
+        giveUp(*verdict.givenUp, session.life().id);
     if (lifeOver)
         m_state.options.workers->forget(session.life());
     m_state.requestPass();
--- a/src/jobs/owner/report_reader.h
+++ b/src/jobs/owner/report_reader.h
@@ -2,6 +2,7 @@
 /// \file
 /// Takes in what workers report: what runs, what ended, who is silent or gone.
 
+#include "lanemoor/jobs/policy/worker_loss.h"
 #include "order_desk.h"
 
 namespace lanemoor::jobs {
@@ -15,6 +16,7 @@
     ReportReader(OwnerState& state, OrderDesk& desk, SchedulerCounts& counts);
 
     void onAnswer(WorkerSession& session, const RenewResult& result, MonotonicInstant sentAt) override;
+    void onHeard(WorkerSession& session) override;
     void onSilence(WorkerSession& session) override;
     void onOver(WorkerSession& session, bool lifeOver) override;
     void onFenced(WorkerSession& session) override;
@@ -30,12 +32,18 @@
     void settleMissing(WorkerBook& worker, const RenewResult& result, MonotonicInstant sentAt);
     void settleMissing(WorkerBook& worker, const Attempt& attempt, MonotonicInstant sentAt);
     void findStuck(WorkerBook& worker);
-    void logLoss(const WorkerBook& worker) const;
+    [[nodiscard]] std::vector<LostAttempt> lostAttempts(const WorkerBook& worker) const;
+    void logLoss(const WorkerBook& worker, const std::vector<LostAttempt>& lost, const LossVerdict& verdict) const;
+    [[nodiscard]] Millis pauseAfterLoss(const Attempt& attempt) const;
+    LossVerdict judge(const WorkerBook& worker);
+    void giveUp(const Attempt& attempt, const std::string& worker);
+    void clear(WorkerBook& worker, OwnerJob& job, const Attempt& attempt);
     void adjustThrottle(WorkerBook& worker, const RenewResult& result);
 
     OwnerState& m_state;
     OrderDesk& m_desk;
     SchedulerCounts& m_counts;
+    LossJudge m_losses;
 };
 
 } // namespace lanemoor::jobs
--- a/src/jobs/owner/worker_book.cpp
+++ b/src/jobs/owner/worker_book.cpp
@@ -63,6 +63,8 @@
         site.keptFor = keptFor;
     site.servingTasks = bookings.servingTasks();
     site.bestEffortTasks = bookings.bestEffortTasks();
+    for (const auto& [attempt, workersLost] : bookings.suspects())
+        site.suspects.push_back({ attempt.job, workersLost });
     return site;
 }
 
--- a/src/jobs/owner/worker_session.cpp
+++ b/src/jobs/owner/worker_session.cpp
@@ -51,9 +51,12 @@
 {
     if (workerClock <= 0)
         return;
-    m_heardOnClock = std::max(m_heardOnClock, workerClock);
     m_clockSample = workerClock;
     m_clockSampledBy = m_loop.now();
+    if (workerClock <= m_heardOnClock)
+        return;
+    m_heardOnClock = workerClock;
+    m_observer.onHeard(*this);
 }
 
 MonotonicInstant WorkerSession::leaseOverBy() const
@@ -72,6 +75,23 @@
     hurry(m_loop.now());
 }
 
+void WorkerSession::probeAfter(Millis pause)
+{
+    m_loop.callAt(m_loop.now() + pause, [self = weak_from_this()] {
+        if (const auto session = self.lock(); session && !session->m_closed && session->m_options.mayOrder())
+            session->probe();
+    });
+}
+
+/// Only its clock is read: what runs and ended comes in the order of the renewals.
+void WorkerSession::probe()
+{
+    m_control.renew(m_life, { .epoch = m_options.epoch, .endsStoredUpTo = m_storedUpTo }, [self = weak_from_this()](const RenewResult& result) {
+        if (const auto session = self.lock(); session && !session->m_closed && result.outcome == OrderOutcome::Done)
+            session->noteClock(result.workerClock);
+    });
+}
+
 void WorkerSession::hurry(MonotonicInstant when)
 {
     if (!m_renewing && (m_timer == 0 || when < m_timerAt))
--- a/src/jobs/policy/bookings.cpp
+++ b/src/jobs/policy/bookings.cpp
@@ -11,6 +11,8 @@
 {
     erase(attempt);
     count(booking, 1);
+    if (booking.workersLost > 0)
+        m_suspects[attempt] = booking.workersLost;
     m_bookings.emplace(attempt, std::move(booking));
 }
 
@@ -20,6 +22,7 @@
     if (found == m_bookings.end())
         return;
     count(found->second, -1);
+    m_suspects.erase(attempt);
     m_bookings.erase(found);
 }
 
@@ -28,6 +31,7 @@
     Map all = std::exchange(m_bookings, {});
     for (const auto& [attempt, booking] : all)
         count(booking, -1);
+    m_suspects.clear();
     return all;
 }
 
@@ -38,6 +42,15 @@
         found->second.throttledTo = percent;
 }
 
+void Bookings::noteSurvived(const Attempt& attempt)
+{
+    const auto found = m_bookings.find(attempt);
+    if (found == m_bookings.end())
+        return;
+    found->second.workersLost = 0;
+    m_suspects.erase(attempt);
+}
+
 void Bookings::count(const Booking& booking, int sign)
 {
     const StepSpec& step = *booking.step;
--- a/src/jobs/policy/placement.cpp
+++ b/src/jobs/policy/placement.cpp
@@ -1,5 +1,7 @@
 #include "lanemoor/jobs/policy/placement.h"
 
+#include "lanemoor/jobs/policy/worker_loss.h"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -26,19 +28,34 @@
     return (step.bestEffort && site.servingTasks > 0) || (step.latencyTarget.count() > 0 && site.bestEffortTasks > 0);
 }
 
+/// \returns Whether a site has a suspect of another job that has lost at least so many workers.
+bool hasSuspect(const PlacementSite& site, std::string_view job, std::uint32_t workersLost)
+{
+    return std::any_of(site.suspects.begin(), site.suspects.end(), [&](const SuspectJob& suspect) { return suspect.job != job && suspect.workersLost >= workersLost; });
+}
+
+/// \returns Whether a task must keep away from what is at the site, or what is there from it.
+bool isIsolated(const PlacementSite& site, const PlacementQuery& query)
+{
+    return !site.suspects.empty() && hasSuspect(site, query.job, query.workersLost >= lossesToIsolate ? 1 : lossesToIsolate);
+}
+
 /// What speaks against a site; smaller is better, the fields in the order in which they decide.
-using Drawbacks = std::tuple<bool, bool, bool, bool, std::uint32_t>;
+using Drawbacks = std::tuple<bool, bool, bool, bool, bool, std::uint32_t>;
 /// Then the fullest site, and of equals the first.
 using Rank = std::tuple<Drawbacks, std::int64_t, std::size_t>;
 
 Drawbacks drawbacksOf(const PlacementSite& site, const StepSpec& step, const PlacementQuery& query)
 {
     const bool avoided = !query.avoidWorker.empty() && site.worker->id == query.avoidWorker;
-    return { avoided, !site.preferred, isFar(site, step), wouldMix(site, step), step.requiredLabel.empty() ? site.wanted : 0 };
+    const bool besideSuspect = !site.suspects.empty() && hasSuspect(site, query.job, 1);
+    return { avoided, besideSuspect, !site.preferred, isFar(site, step), wouldMix(site, step), step.requiredLabel.empty() ? site.wanted : 0 };
 }
 
-std::int64_t fullnessOf(const PlacementSite& site, const StepSpec& step)
+std::int64_t fullnessOf(const PlacementSite& site, const StepSpec& step, const PlacementQuery& query)
 {
+    if (query.workersLost > 0)
+        return -site.free.milliCpu;
     // Best-effort tasks take no processor time of their own: fewest of them on a site first.
     return step.bestEffort ? std::int64_t { site.bestEffortTasks } : site.free.milliCpu;
 }
@@ -102,6 +119,7 @@
     if (isKnownFull(step, needs))
         return std::nullopt;
     std::optional<Rank> best;
+    bool isKeptApart = false; // From a site that may have room.
     for (auto place = std::lower_bound(m_byFree.begin(), m_byFree.end(), Place { needs.milliCpu, 0 }); place != m_byFree.end(); ++place) {
         ++m_inspected;
         const std::size_t index = place->second;
@@ -110,20 +128,24 @@
             continue;
         if (query.nearOnly && isFar(site, step))
             continue;
+        if (isIsolated(site, query)) {
+            isKeptApart = true;
+            continue;
+        }
         if (query.admits && !query.admits(index))
             continue;
         if (step.mostPerInstance > 0 && query.tasksOfStep && query.tasksOfStep(index) >= step.mostPerInstance)
             continue;
-        const Rank rank { drawbacksOf(site, step, query), fullnessOf(site, step), index };
+        const Rank rank { drawbacksOf(site, step, query), fullnessOf(site, step, query), index };
         if (!best || rank < *best)
             best = rank;
         // None of those that are emptier can be better.
-        if (!step.bestEffort && std::get<Drawbacks>(rank) == Drawbacks {})
+        if (!step.bestEffort && query.workersLost == 0 && std::get<Drawbacks>(rank) == Drawbacks {})
             break;
     }
     if (best)
         return std::get<std::size_t>(*best);
-    if (asksOnlyRoom(step, query))
+    if (asksOnlyRoom(step, query) && !isKeptApart)
         m_noRoom.push_back({ .label = step.requiredLabel, .needs = needs });
     return std::nullopt;
 }
@@ -153,6 +175,11 @@
     site.bestEffortTasks += step.bestEffort ? 1 : 0;
 }
 
+void Placer::noteSuspect(std::size_t index, std::string_view job, std::uint32_t workersLost)
+{
+    m_sites[index].suspects.push_back({ std::string(job), workersLost });
+}
+
 void Placer::release(std::size_t index, const StepSpec& step)
 {
     PlacementSite& site = m_sites[index];
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -94,6 +94,12 @@
         readNumber(placement, "hopelessShare", 0, mostMargin, policies.placement.hopelessShare);
         readSwitch(placement, "beyondRateLast", policies.placement.beyondRateLast);
     });
+    reader.object("losses", [&](ObjectReader& losses) {
+        constexpr std::int64_t fewestLosses = 2; // One is what any task may meet.
+        readSwitch(losses, "keepsSuspectsApart", policies.losses.keepsSuspectsApart);
+        if (const std::optional<std::int64_t> count = losses.integer("lossesToGiveUp", fewestLosses, mostLosses))
+            policies.losses.lossesToGiveUp = static_cast<std::uint32_t>(*count);
+    });
 }
 
 JobServiceSettings readSettings(ObjectReader& reader)
