--- a/include/lanemoor/jobs/model/job_state.h
+++ b/include/lanemoor/jobs/model/job_state.h
@@ -165,6 +165,10 @@
     /// \param retryAt When the task may start again.
     void drop(const Attempt& attempt, MonotonicInstant retryAt);
 
+    /// \brief Counts the loss of the live attempt's worker ahead, since it has gone silent.
+    /// \returns False if it is counted already, or there is no such attempt.
+    bool foreseeLoss(const Attempt& attempt);
+
     /// \brief Notes that a worker was lost soon after it had started the task.
     void noteWorkerLost(const TaskId& task);
 
--- a/include/lanemoor/jobs/policy/bookings.h
+++ b/include/lanemoor/jobs/policy/bookings.h
@@ -46,6 +46,10 @@
     /// \brief Notes what the worker was told last; ignored if the attempt is not booked.
     void noteThrottled(const Attempt& attempt, std::uint32_t percent);
 
+    /// \brief Notes that the worker may not survive the attempt's start; ignored if the attempt is not booked.
+    /// \param workersLost By its task, in a row, this one included.
+    void noteSuspect(const Attempt& attempt, std::uint32_t workersLost);
+
     /// \brief Notes that the worker has survived the attempt's start; ignored if the attempt is not booked.
     void noteSurvived(const Attempt& attempt);
 
--- a/include/lanemoor/jobs/policy/worker_loss.h
+++ b/include/lanemoor/jobs/policy/worker_loss.h
@@ -25,6 +25,16 @@
 /// third lost worker.
 constexpr std::uint32_t mostLosses = 5;
 
+/// \returns The same for a job. \param inherited An earlier owner had it, which may have taken the knowledge of a loss with it.
+[[nodiscard]] constexpr std::uint32_t mostLossesOf(bool inherited) noexcept
+{
+    return inherited ? mostLosses - 1 : mostLosses;
+}
+
+/// Losses count so long towards how often workers end by themselves. A task that ends its workers comes back every two
+/// seconds, so its own three losses fall into it.
+constexpr Millis lossMemory { 5'000 };
+
 /// Weights of what is done about tasks that end their workers.
 struct LossOptions {
     bool keepsSuspectsApart = true; ///< Whether suspects are placed away from others; without it they are only counted.
@@ -40,6 +50,7 @@
     /// How long, on the worker's clock, it was heard of after it had confirmed the attempt; nothing: it never confirmed it.
     std::optional<Millis> survived;
     bool adopted = false; ///< Found running by this owner: the worker had survived its start before.
+    bool inherited = false; ///< An earlier owner had its job.
     std::uint32_t lossesBefore = 0; ///< Workers lost in a row by its task, before this one.
 
     [[nodiscard]] bool operator==(const LostAttempt&) const = default;
@@ -61,8 +72,10 @@
 /// the more of them do, the sooner after a start a loss must come to count, and the more losses in a row it takes.
 class LossJudge {
 public:
-    explicit LossJudge(const LossOptions& options)
+    /// \param since When this owner's term began: of losses before that it knows nothing.
+    LossJudge(const LossOptions& options, MonotonicInstant since)
         : m_options(options)
+        , m_knowsLateLossesAt(since + lossMemory)
     {
     }
 
@@ -78,11 +91,12 @@
 private:
     [[nodiscard]] double lossesASecond(std::size_t losses, std::size_t workers) const;
     [[nodiscard]] Millis trialAt(double lossesASecond) const;
-    [[nodiscard]] std::uint32_t lossesNeeded(double lossesASecond) const;
+    [[nodiscard]] std::uint32_t lossesNeeded(double lossesASecond, MonotonicInstant now) const;
     void forgetOld(MonotonicInstant now);
 
     LossOptions m_options;
-    std::deque<MonotonicInstant> m_losses; ///< Of late.
+    MonotonicInstant m_knowsLateLossesAt;
+    std::deque<MonotonicInstant> m_unexplained; ///< Losses of late whose suspects had lost no worker before.
 };
 
 } // namespace lanemoor::jobs
--- a/src/jobs/model/job_state.cpp
+++ b/src/jobs/model/job_state.cpp
@@ -363,6 +363,15 @@
     state->notBefore = retryAt;
 }
 
+bool JobState::foreseeLoss(const Attempt& attempt)
+{
+    TaskState* state = findLive(attempt);
+    if (!state || std::exchange(state->live->lossForeseen, true))
+        return false;
+    ++state->workersLost;
+    return true;
+}
+
 void JobState::noteWorkerLost(const TaskId& task)
 {
     TaskState* state = mutableTask(task);
--- a/src/jobs/owner/order_desk.cpp
+++ b/src/jobs/owner/order_desk.cpp
@@ -189,6 +189,26 @@
     }
 }
 
+void OrderDesk::finish(OwnerJob& job)
+{
+    const JobStatus status = job.state.status();
+    m_counts.jobsSucceeded += status == JobStatus::Succeeded ? 1 : 0;
+    m_counts.jobsFailed += status == JobStatus::Failed ? 1 : 0;
+    m_state.options.log->decision("job-finished", { { "job", job.state.id() }, { "status", std::string(nameOf(status)) } });
+    stopAll(job);
+}
+
+void OrderDesk::giveUp(OwnerJob& job, const TaskId& task)
+{
+    if (!job.state.giveUp())
+        return;
+    ++m_counts.givenUp;
+    const TaskState& state = *job.state.find(task);
+    m_state.options.log->decision("task-given-up", { { "attempt", nameOf(Attempt { job.state.id(), task, state.lastAttempt }) }, { "workers_lost", std::int64_t { state.workersLost } } });
+    m_state.store(job.state.id());
+    finish(job);
+}
+
 void OrderDesk::throttle(WorkerBook& worker, std::uint32_t percent)
 {
     for (const auto& [attempt, booking] : worker.bookings) {
--- a/src/jobs/owner/order_desk.h
+++ b/src/jobs/owner/order_desk.h
@@ -24,6 +24,12 @@
     /// \brief Stops all attempts of a job.
     void stopAll(OwnerJob& job);
 
+    /// \brief Notes that a job is over, and stops what it still has running.
+    void finish(OwnerJob& job);
+
+    /// \brief Fails a job since one of its tasks ends the workers that start it.
+    void giveUp(OwnerJob& job, const TaskId& task);
+
     void throttle(WorkerBook& worker, std::uint32_t percent);
 
     /// \brief Takes an attempt out of the worker's books and drops it from its job, if it is
--- a/src/jobs/owner/placement_pass.cpp
+++ b/src/jobs/owner/placement_pass.cpp
@@ -163,8 +163,21 @@
     return sites;
 }
 
+/// An earlier owner was lost while a task was on its last trial: it is not started once more.
+bool PlacementPass::giveUpLost(const Candidate& candidate)
+{
+    const auto isLost = [&](const TaskId& task) { return candidate.job->state.find(task)->workersLost >= mostLossesOf(candidate.job->inherited); };
+    const auto lost = std::find_if(candidate.tasks.begin(), candidate.tasks.end(), isLost);
+    if (lost == candidate.tasks.end())
+        return false;
+    m_orders.giveUp(*candidate.job, *lost);
+    return true;
+}
+
 void PlacementPass::place(const Candidate& candidate, const std::string& pool)
 {
+    if (isFinal(candidate.job->state.status()) || giveUpLost(candidate))
+        return;
     PoolSites& sites = sitesOf(pool);
     const StepSpec& step = candidate.job->state.spec(candidate.step.step);
     // A gang starts whole or not at all.
--- a/src/jobs/owner/placement_pass.h
+++ b/src/jobs/owner/placement_pass.h
@@ -50,6 +50,7 @@
     [[nodiscard]] bool isHeldByQuota(const Candidate& candidate, std::uint32_t tasks) const;
     void noteHeld(const Candidate& candidate, const PoolSites& sites, std::size_t tasks);
     PoolSites& sitesOf(const std::string& pool);
+    bool giveUpLost(const Candidate& candidate);
     void place(const Candidate& candidate, const std::string& pool);
     void placeEach(const Candidate& candidate, PoolSites& sites, const std::string& pool);
     void noteWaiting(const Candidate& candidate, const std::string& pool, std::size_t tasks);
--- a/src/jobs/owner/report_reader.cpp
+++ b/src/jobs/owner/report_reader.cpp
@@ -39,7 +39,7 @@
     : m_state(state)
     , m_desk(desk)
     , m_counts(counts)
-    , m_losses(state.options.losses)
+    , m_losses(state.options.losses, state.now())
 {
 }
 
@@ -99,7 +99,7 @@
     if (effect.toBeStored)
         m_state.store(ended.attempt.job);
     if (effect.finished)
-        noteFinished(*job);
+        m_desk.finish(*job);
 }
 
 void ReportReader::noteHealth(WorkerBook& worker, const EndedAttempt& ended)
@@ -113,15 +113,6 @@
         m_state.options.log->change("worker-quarantined", { { "worker", worker.entry.id }, { "pool", worker.entry.pool } });
 }
 
-void ReportReader::noteFinished(OwnerJob& job)
-{
-    const JobStatus status = job.state.status();
-    m_counts.jobsSucceeded += status == JobStatus::Succeeded ? 1 : 0;
-    m_counts.jobsFailed += status == JobStatus::Failed ? 1 : 0;
-    m_state.options.log->decision("job-finished", { { "job", job.state.id() }, { "status", std::string(nameOf(status)) } });
-    m_desk.stopAll(job);
-}
-
 void ReportReader::readRunning(WorkerBook& worker, const RunningAttempt& report, std::int64_t workerClock)
 {
     OwnerJob* job = m_state.job(report.attempt.job);
@@ -284,7 +275,7 @@
         const TaskState* task = job && !isFinal(job->state.status()) ? job->state.find(attempt.task) : nullptr;
         if (!task || !task->live || task->live->number != attempt.number || task->live->worker != worker.entry.id)
             continue;
-        LostAttempt& entry = lost.emplace_back(LostAttempt { .attempt = attempt, .survived = std::nullopt, .adopted = task->live->adopted, .lossesBefore = task->workersLostBefore() });
+        LostAttempt& entry = lost.emplace_back(LostAttempt { .attempt = attempt, .survived = std::nullopt, .adopted = task->live->adopted, .inherited = job->inherited, .lossesBefore = task->workersLostBefore() });
         if (task->live->confirmedOnClock > 0)
             entry.survived = Millis(std::max<std::int64_t>(worker.session->heardOnClock() - task->live->confirmedOnClock, 0));
     }
@@ -333,17 +324,6 @@
     return verdict;
 }
 
-void ReportReader::giveUp(const Attempt& attempt, const std::string& worker)
-{
-    OwnerJob* job = m_state.job(attempt.job);
-    if (!job || !job->state.giveUp())
-        return;
-    ++m_counts.givenUp;
-    m_state.options.log->decision("task-given-up", { { "attempt", nameOf(attempt) }, { "worker", worker }, { "workers_lost", std::int64_t { job->state.find(attempt.task)->workersLost } } });
-    m_state.store(attempt.job);
-    noteFinished(*job);
-}
-
 /// What the worker was heard of after: its suspects of that time did not end it.
 void ReportReader::onHeard(WorkerSession& session)
 {
@@ -371,11 +351,29 @@
         m_state.requestPass();
 }
 
+/// What a silent worker may not have survived is kept at once: the proof that it is over takes a second and more, in which the
+/// owner may be lost too. An answer takes it back.
+void ReportReader::foreseeLoss(WorkerBook& worker)
+{
+    if (worker.endOrdered || worker.entry.draining || worker.bookings.empty())
+        return;
+    const Millis trial = m_losses.trial(livingWorkers(m_state), m_state.now());
+    for (const LostAttempt& lost : lostAttempts(worker)) {
+        OwnerJob& job = *m_state.job(lost.attempt.job);
+        if (lost.adopted || lost.survived.value_or(Millis(0)) >= trial || !job.state.foreseeLoss(lost.attempt))
+            continue;
+        worker.bookings.noteSuspect(lost.attempt, lost.lossesBefore + 1);
+        m_state.store(lost.attempt.job);
+    }
+}
+
 void ReportReader::onSilence(WorkerSession& session)
 {
-    const WorkerBook* worker = m_state.worker(session.life().id);
-    if (worker)
-        m_state.options.log->decision("worker-silent", { { "worker", session.life().id }, { "attempts", static_cast<std::int64_t>(worker->bookings.size()) } });
+    WorkerBook* worker = m_state.worker(session.life().id);
+    if (!worker)
+        return;
+    foreseeLoss(*worker);
+    m_state.options.log->decision("worker-silent", { { "worker", session.life().id }, { "attempts", static_cast<std::int64_t>(worker->bookings.size()) } });
 }
 
 void ReportReader::onOver(WorkerSession& session, bool lifeOver)
@@ -390,7 +388,7 @@
     for (const auto& [attempt, booking] : bookings)
         m_desk.release(attempt, session.life().id, m_state.now() + pauseAfterLoss(attempt));
     if (verdict.givenUp)
-        giveUp(*verdict.givenUp, session.life().id);
+        m_desk.giveUp(*m_state.job(verdict.givenUp->job), verdict.givenUp->task);
     if (lifeOver)
         m_state.options.workers->forget(session.life());
     m_state.requestPass();
--- a/src/jobs/owner/report_reader.h
+++ b/src/jobs/owner/report_reader.h
@@ -28,15 +28,14 @@
     [[nodiscard]] OrganisationAccount* accountOf(const Attempt& attempt, const OwnerJob* job) const;
     void stopStray(WorkerBook& worker, const Attempt& attempt, const OwnerJob* job);
     void noteHealth(WorkerBook& worker, const EndedAttempt& ended);
-    void noteFinished(OwnerJob& job);
     void settleMissing(WorkerBook& worker, const RenewResult& result, MonotonicInstant sentAt);
     void settleMissing(WorkerBook& worker, const Attempt& attempt, MonotonicInstant sentAt);
     void findStuck(WorkerBook& worker);
     [[nodiscard]] std::vector<LostAttempt> lostAttempts(const WorkerBook& worker) const;
     void logLoss(const WorkerBook& worker, const std::vector<LostAttempt>& lost, const LossVerdict& verdict) const;
     [[nodiscard]] Millis pauseAfterLoss(const Attempt& attempt) const;
+    void foreseeLoss(WorkerBook& worker);
     LossVerdict judge(const WorkerBook& worker);
-    void giveUp(const Attempt& attempt, const std::string& worker);
     void clear(WorkerBook& worker, OwnerJob& job, const Attempt& attempt);
     void adjustThrottle(WorkerBook& worker, const RenewResult& result);
 
--- a/src/jobs/policy/bookings.cpp
+++ b/src/jobs/policy/bookings.cpp
@@ -42,6 +42,15 @@
         found->second.throttledTo = percent;
 }
 
+void Bookings::noteSuspect(const Attempt& attempt, std::uint32_t workersLost)
+{
+    const auto found = m_bookings.find(attempt);
+    if (found == m_bookings.end())
+        return;
+    found->second.workersLost = workersLost;
+    m_suspects[attempt] = workersLost;
+}
+
 void Bookings::noteSurvived(const Attempt& attempt)
 {
     const auto found = m_bookings.find(attempt);
--- a/src/jobs/policy/worker_loss.cpp
+++ b/src/jobs/policy/worker_loss.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// Losses count so long towards how often workers end by themselves. A task that ends its workers comes back every two
-/// seconds, so its own three losses fall into it.
-constexpr Millis lossMemory { 5'000 };
 /// Lost workers and the starts that follow them keep time with each other, by the pace of the platform's list: a start may meet
 /// the next loss far more often than its trial is long. Reckoned with is one loss in a second of that rate.
 constexpr double chanceSeconds = 1.0;
@@ -54,8 +51,8 @@
 
 void LossJudge::forgetOld(MonotonicInstant now)
 {
-    while (!m_losses.empty() && now - m_losses.front() > lossMemory)
-        m_losses.pop_front();
+    while (!m_unexplained.empty() && now - m_unexplained.front() > lossMemory)
+        m_unexplained.pop_front();
 }
 
 double LossJudge::lossesASecond(std::size_t losses, std::size_t workers) const
@@ -73,13 +70,13 @@
 Millis LossJudge::trial(std::size_t workers, MonotonicInstant now)
 {
     forgetOld(now);
-    return trialAt(lossesASecond(m_losses.size(), workers));
+    return trialAt(lossesASecond(m_unexplained.size(), workers));
 }
 
-std::uint32_t LossJudge::lossesNeeded(double lossesASecond) const
+std::uint32_t LossJudge::lossesNeeded(double lossesASecond, MonotonicInstant now) const
 {
     const double chance = lossesASecond * chanceSeconds;
-    std::uint32_t losses = m_options.lossesToGiveUp;
+    std::uint32_t losses = now < m_knowsLateLossesAt ? std::max(m_options.lossesToGiveUp, mostLosses - 1) : m_options.lossesToGiveUp;
     while (losses < mostLosses && std::pow(chance, losses) > mostGivenUpByChance)
         ++losses;
     return losses;
@@ -88,12 +85,17 @@
 LossVerdict LossJudge::judge(const std::vector<LostAttempt>& lost, std::size_t workers, MonotonicInstant now)
 {
     LossVerdict verdict { .suspects = suspectsOf(lost, trial(workers, now)), .givenUp = std::nullopt };
-    m_losses.push_back(now);
     const auto worst = std::max_element(verdict.suspects.begin(), verdict.suspects.end(), [](const LostAttempt& a, const LostAttempt& b) { return a.lossesBefore < b.lossesBefore; });
-    const std::uint32_t losses = worst == verdict.suspects.end() ? 0 : worst->lossesBefore + 1;
-    const std::size_t others = m_losses.size() - std::min<std::size_t>(losses, m_losses.size());
-    verdict.lossesNeeded = lossesNeeded(lossesASecond(others, workers));
-    if (losses >= mostLosses || (losses >= verdict.lossesNeeded && standsOut(*worst, verdict.suspects)))
+    const bool isExplained = worst != verdict.suspects.end() && worst->lossesBefore > 0;
+    if (!isExplained)
+        m_unexplained.push_back(now);
+    // The first loss of this task is one of them.
+    const std::size_t others = m_unexplained.size() - (isExplained && !m_unexplained.empty() ? 1 : 0);
+    verdict.lossesNeeded = lossesNeeded(lossesASecond(others, workers), now);
+    if (!isExplained)
+        return verdict;
+    const std::uint32_t losses = worst->lossesBefore + 1;
+    if (losses >= mostLossesOf(worst->inherited) || (losses >= verdict.lossesNeeded && standsOut(*worst, verdict.suspects)))
         verdict.givenUp = worst->attempt;
     return verdict;
 }
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -358,6 +358,7 @@
     entry.fleetClient = std::make_unique<FleetClient>(workers, *entry.process);
     entry.port = std::make_unique<PeerPort>(peers, *entry.process, entry.name);
     JobServiceSettings settings;
+    settings.policies = m_policies;
     settings.policies.relay.workersPerCore = m_workersPerCore;
     settings.machineCores = entry.cores;
     settings.name = entry.name;
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -167,6 +167,9 @@
     /// or by as many as one machine's core carries.
     void relayAt(double workersPerCore) { m_workersPerCore = workersPerCore; }
 
+    /// \brief Sets the policies of entries that start from now on.
+    void setPolicies(const jobs::Policies& policies) { m_policies = policies; }
+
     /// \returns How other entries reach entry `index`.
     [[nodiscard]] std::string peerAddress(std::size_t index) const { return m_entries[index].name; }
 
@@ -221,6 +224,7 @@
     };
 
     EventLog m_log;
+    jobs::Policies m_policies;
     double m_workersPerCore = 0; ///< 0: owners call every worker themselves.
     std::vector<Entry> m_entries;
     std::vector<Remains> m_remains;
