Random runs and tests with tasks that end their workers and room that shrinks; give up a long-running task alone

Ruled out: leaving them to a failed job, whose cancel and takeover stop them all the same. Change: a long-running task is given up alone and its job goes on; its siblings are told apart from it.

--- a/include/lanemoor/jobs/model/job_record.h
+++ b/include/lanemoor/jobs/model/job_record.h
@@ -48,6 +48,7 @@
     std::vector<std::uint64_t> failedAttempts;
     std::string checkpoint;
     std::uint32_t workersLost = 0; ///< In a row, each soon after it had started the task.
+    bool givenUp = false; ///< It is not started again, since it ends its workers.
 
     [[nodiscard]] bool operator==(const TaskRecord&) const = default;
 };
--- a/include/lanemoor/jobs/policy/placement.h
+++ b/include/lanemoor/jobs/policy/placement.h
@@ -14,10 +14,10 @@
 
 namespace lanemoor::jobs {
 
-/// A job whose tasks may have ended the workers that started them, at a site that has not survived such a start yet.
-struct SuspectJob {
-    std::string job;
-    std::uint32_t workersLost = 0; ///< In a row, by the worst of its tasks there.
+/// A task that may have ended the workers that started it, at a site that has not survived its start yet.
+struct SiteSuspect {
+    std::string accused; ///< See `accusedOf`: those with the same name need not be told apart.
+    std::uint32_t workersLost = 0; ///< In a row.
 };
 
 /// A worker as placement sees it.
@@ -30,13 +30,13 @@
     bool preferred = true; ///< False: only taken if no preferred site has room.
     std::string keptFor; ///< A label: only tasks that require it may come; empty: all may.
     std::uint32_t wanted = 0; ///< How much tasks that require its labels ask of sites with them; see `wantedLevel`.
-    std::vector<SuspectJob> suspects;
+    std::vector<SiteSuspect> suspects;
 };
 
 /// What is asked of a site beside the step's own needs.
 struct PlacementQuery {
     std::string avoidWorker; ///< Taken only if there is no other.
-    std::string_view job; ///< Of the task; lives as long as the query.
+    std::string accused; ///< See `accusedOf`.
     std::uint32_t workersLost = 0; ///< By the task, in a row.
     std::string rack; ///< Only sites of this rack; empty: any.
     bool nearOnly = false; ///< Only sites in the rack that the step prefers, if it prefers one.
@@ -49,7 +49,7 @@
 
 /// \brief Chooses sites and books what they take.
 ///
-/// Among the sites that fit, those come first that have no suspect of another job, then those of the preferred rack, then those
+/// Among the sites that fit, those come first that have no suspect to be told apart from the task, then those of the preferred rack, then those
 /// where serving and best-effort tasks keep apart, then the fullest: whole instances stay free for
 /// maintenance and for being powered off. A suspect goes to the emptiest: what runs there is lost if it is guilty.
 ///
@@ -68,7 +68,7 @@
     void book(std::size_t index, const StepSpec& step);
 
     /// \brief Notes that a suspect was booked on site `index`.
-    void noteSuspect(std::size_t index, std::string_view job, std::uint32_t workersLost);
+    void noteSuspect(std::size_t index, const std::string& accused, std::uint32_t workersLost);
 
     /// \brief Takes a booking back.
     void release(std::size_t index, const StepSpec& step);
--- a/include/lanemoor/jobs/policy/worker_loss.h
+++ b/include/lanemoor/jobs/policy/worker_loss.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace lanemoor::jobs {
@@ -44,9 +45,14 @@
     [[nodiscard]] bool operator==(const LossOptions&) const = default;
 };
 
+/// \returns A name of what is given up together with an attempt's task: its job, or the task alone if it is long-running, since
+/// its job goes on without it.
+[[nodiscard]] std::string accusedOf(const Attempt& attempt, bool longRunning);
+
 /// An attempt that was not over when its worker was lost.
 struct LostAttempt {
     Attempt attempt;
+    bool longRunning = false;
     /// How long, on the worker's clock, it was heard of after it had confirmed the attempt; nothing: it never confirmed it.
     std::optional<Millis> survived;
     bool adopted = false; ///< Found running by this owner: the worker had survived its start before.
@@ -59,7 +65,7 @@
 /// What a loss means for the attempts that were there.
 struct LossVerdict {
     std::vector<LostAttempt> suspects; ///< The loss counts against their tasks.
-    std::optional<Attempt> givenUp; ///< One of them: its job is not tried again.
+    std::optional<Attempt> givenUp; ///< One of them.
     std::uint32_t lossesNeeded = 0; ///< Workers lost in a row with which a task would have been given up.
 
     [[nodiscard]] bool operator==(const LossVerdict&) const = default;
@@ -68,7 +74,7 @@
 /// \brief Judges one lost worker after the other.
 ///
 /// Tasks that are lost together again and again are told apart by being placed apart, not by being counted: a task is
-/// given up only if it has lost more workers in a row than any suspect of another job that was there. Workers also end by themselves:
+/// given up only if it has lost more workers in a row than any other suspect that would not be given up with it. Workers also end by themselves:
 /// the more of them do, the sooner after a start a loss must come to count, and the more losses in a row it takes.
 class LossJudge {
 public:
--- a/src/jobs/model/job_record.cpp
+++ b/src/jobs/model/job_record.cpp
@@ -198,6 +198,7 @@
             out.add_failed_attempts(attempt);
         out.set_checkpoint(task.checkpoint);
         out.set_workers_lost(task.workersLost);
+        out.set_given_up(task.givenUp);
     }
     return document.SerializeAsString();
 }
@@ -217,6 +218,7 @@
         out.failedAttempts.assign(task.failed_attempts().begin(), task.failed_attempts().end());
         out.checkpoint = task.checkpoint();
         out.workersLost = task.workers_lost();
+        out.givenUp = task.given_up();
     }
     return record;
 }
--- a/src/jobs/owner/order_desk.cpp
+++ b/src/jobs/owner/order_desk.cpp
@@ -200,13 +200,16 @@
 
 void OrderDesk::giveUp(OwnerJob& job, const TaskId& task)
 {
-    if (!job.state.giveUp())
+    const bool wasOver = isFinal(job.state.status());
+    const bool isOver = job.state.giveUp(task);
+    if (wasOver)
         return;
     ++m_counts.givenUp;
     const TaskState& state = *job.state.find(task);
-    m_state.options.log->decision("task-given-up", { { "attempt", nameOf(Attempt { job.state.id(), task, state.lastAttempt }) }, { "workers_lost", std::int64_t { state.workersLost } } });
+    m_state.options.log->decision("task-given-up", { { "attempt", nameOf(Attempt { job.state.id(), task, state.lastAttempt }) }, { "workers_lost", std::int64_t { state.workersLost } }, { "job_fails", std::int64_t { isOver } } });
     m_state.store(job.state.id());
-    finish(job);
+    if (isOver)
+        finish(job);
 }
 
 void OrderDesk::throttle(WorkerBook& worker, std::uint32_t percent)
--- a/src/jobs/owner/order_desk.h
+++ b/src/jobs/owner/order_desk.h
@@ -21,13 +21,13 @@
     /// \brief Sends a stop; it is repeated until the attempt is over.
     void stop(const Attempt& attempt, const std::string& worker);
 
-    /// \brief Stops all attempts of a job.
+    /// \brief Stops all attempts of a job that a caller cancelled, or that has ended.
     void stopAll(OwnerJob& job);
 
     /// \brief Notes that a job is over, and stops what it still has running.
     void finish(OwnerJob& job);
 
-    /// \brief Fails a job since one of its tasks ends the workers that start it.
+    /// \brief Starts a task no more since it ends the workers that start it; see JobState.
     void giveUp(OwnerJob& job, const TaskId& task);
 
     void throttle(WorkerBook& worker, std::uint32_t percent);
--- a/src/jobs/owner/placement_pass.cpp
+++ b/src/jobs/owner/placement_pass.cpp
@@ -206,7 +206,7 @@
 PlacementQuery PlacementPass::queryFor(const Candidate& candidate, const PoolSites& sites) const
 {
     PlacementQuery query;
-    query.job = candidate.job->state.id();
+    query.accused = candidate.job->state.id();
     query.tasksOfStep = [&sites, &candidate](std::size_t index) { return sites.books[index]->tasksOf(candidate.job->state.id(), candidate.step); };
     if (m_tickets)
         query.admits = [this, &sites](std::size_t index) { return m_tickets->contains(sites.books[index]->entry.id); };
@@ -252,6 +252,8 @@
         }
         query.avoidWorker = candidate.job->state.find(task)->avoidWorker;
         query.workersLost = lossesOf(candidate, task);
+        if (step.longRunning)
+            query.accused = accusedOf({ candidate.job->state.id(), task, 0 }, true);
         const std::optional<std::size_t> site = sites.placer->choose(step, query);
         if (!site) {
             noteWaiting(candidate, pool, candidate.tasks.size() - i);
@@ -274,7 +276,7 @@
 {
     sites.placer->book(site, step);
     if (query.workersLost > 0)
-        sites.placer->noteSuspect(site, query.job, query.workersLost);
+        sites.placer->noteSuspect(site, query.accused, query.workersLost);
 }
 
 /// Counts what more instances would help: a task too large for any of them waits in vain.
--- a/src/jobs/owner/report_reader.cpp
+++ b/src/jobs/owner/report_reader.cpp
@@ -275,7 +275,7 @@
         const TaskState* task = job && !isFinal(job->state.status()) ? job->state.find(attempt.task) : nullptr;
         if (!task || !task->live || task->live->number != attempt.number || task->live->worker != worker.entry.id)
             continue;
-        LostAttempt& entry = lost.emplace_back(LostAttempt { .attempt = attempt, .survived = std::nullopt, .adopted = task->live->adopted, .inherited = job->inherited, .lossesBefore = task->workersLostBefore() });
+        LostAttempt& entry = lost.emplace_back(LostAttempt { .attempt = attempt, .longRunning = booking.step->longRunning, .survived = std::nullopt, .adopted = task->live->adopted, .inherited = job->inherited, .lossesBefore = task->workersLostBefore() });
         if (task->live->confirmedOnClock > 0)
             entry.survived = Millis(std::max<std::int64_t>(worker.session->heardOnClock() - task->live->confirmedOnClock, 0));
     }
--- a/src/jobs/owner/worker_book.cpp
+++ b/src/jobs/owner/worker_book.cpp
@@ -1,5 +1,7 @@
 #include "lanemoor/jobs/owner/worker_book.h"
 
+#include "lanemoor/jobs/policy/worker_loss.h"
+
 #include <algorithm>
 
 namespace lanemoor::jobs {
@@ -64,7 +66,7 @@
     site.servingTasks = bookings.servingTasks();
     site.bestEffortTasks = bookings.bestEffortTasks();
     for (const auto& [attempt, workersLost] : bookings.suspects())
-        site.suspects.push_back({ attempt.job, workersLost });
+        site.suspects.push_back({ accusedOf(attempt, bookings.at(attempt).step->longRunning), workersLost });
     return site;
 }
 
--- a/src/jobs/policy/placement.cpp
+++ b/src/jobs/policy/placement.cpp
@@ -28,16 +28,16 @@
     return (step.bestEffort && site.servingTasks > 0) || (step.latencyTarget.count() > 0 && site.bestEffortTasks > 0);
 }
 
-/// \returns Whether a site has a suspect of another job that has lost at least so many workers.
-bool hasSuspect(const PlacementSite& site, std::string_view job, std::uint32_t workersLost)
+/// \returns Whether a site has a suspect to be told apart from the task, with at least so many lost workers.
+bool hasSuspect(const PlacementSite& site, const PlacementQuery& query, std::uint32_t workersLost)
 {
-    return std::any_of(site.suspects.begin(), site.suspects.end(), [&](const SuspectJob& suspect) { return suspect.job != job && suspect.workersLost >= workersLost; });
+    return std::any_of(site.suspects.begin(), site.suspects.end(), [&](const SiteSuspect& suspect) { return suspect.accused != query.accused && suspect.workersLost >= workersLost; });
 }
 
 /// \returns Whether a task must keep away from what is at the site, or what is there from it.
 bool isIsolated(const PlacementSite& site, const PlacementQuery& query)
 {
-    return !site.suspects.empty() && hasSuspect(site, query.job, query.workersLost >= lossesToIsolate ? 1 : lossesToIsolate);
+    return !site.suspects.empty() && hasSuspect(site, query, query.workersLost >= lossesToIsolate ? 1 : lossesToIsolate);
 }
 
 /// What speaks against a site; smaller is better, the fields in the order in which they decide.
@@ -48,7 +48,7 @@
 Drawbacks drawbacksOf(const PlacementSite& site, const StepSpec& step, const PlacementQuery& query)
 {
     const bool avoided = !query.avoidWorker.empty() && site.worker->id == query.avoidWorker;
-    const bool besideSuspect = !site.suspects.empty() && hasSuspect(site, query.job, 1);
+    const bool besideSuspect = !site.suspects.empty() && hasSuspect(site, query, 1);
     return { avoided, besideSuspect, !site.preferred, isFar(site, step), wouldMix(site, step), step.requiredLabel.empty() ? site.wanted : 0 };
 }
 
@@ -175,9 +175,9 @@
     site.bestEffortTasks += step.bestEffort ? 1 : 0;
 }
 
-void Placer::noteSuspect(std::size_t index, std::string_view job, std::uint32_t workersLost)
+void Placer::noteSuspect(std::size_t index, const std::string& accused, std::uint32_t workersLost)
 {
-    m_sites[index].suspects.push_back({ std::string(job), workersLost });
+    m_sites[index].suspects.push_back({ accused, workersLost });
 }
 
 void Placer::release(std::size_t index, const StepSpec& step)
--- a/src/jobs/policy/worker_loss.cpp
+++ b/src/jobs/policy/worker_loss.cpp
@@ -39,16 +39,25 @@
     return suspects;
 }
 
-/// \returns Whether no suspect of another job has lost as many workers.
+/// \returns Whether no suspect that would not be given up with it has lost as many workers.
 bool standsOut(const LostAttempt& suspect, const std::vector<LostAttempt>& suspects)
 {
+    const std::string accused = accusedOf(suspect.attempt, suspect.longRunning);
     return std::none_of(suspects.begin(), suspects.end(), [&](const LostAttempt& other) {
-        return other.attempt.job != suspect.attempt.job && other.lossesBefore >= suspect.lossesBefore;
+        return other.lossesBefore >= suspect.lossesBefore && accusedOf(other.attempt, other.longRunning) != accused;
     });
 }
 
 } // namespace
 
+std::string accusedOf(const Attempt& attempt, bool longRunning)
+{
+    if (!longRunning)
+        return attempt.job;
+    const TaskId& task = attempt.task;
+    return attempt.job + '/' + std::to_string(task.occurrence) + '/' + std::to_string(task.step) + '/' + std::to_string(task.index);
+}
+
 void LossJudge::forgetOld(MonotonicInstant now)
 {
     while (!m_unexplained.empty() && now - m_unexplained.front() > lossMemory)
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -57,6 +57,9 @@
 
     /// \brief Notes a quota that operators set. One that is lowered holds once instances must have heard of it.
     void noteQuota(const std::string& organisation, const jobs::Resources& quota);
+    /// \brief Notes that instances or the store are in trouble until `end` at the latest: what is bound in time only for instances
+    /// that are in touch is not judged until they are again.
+    void noteTrouble(MonotonicInstant end);
     void noteCancelSent(const std::string& id);
     void noteCancelled(const std::string& id);
     void noteWave(const jobs::WaveRequest& wave);
@@ -77,7 +80,7 @@
     [[nodiscard]] bool hasSucceeded(const std::string& id) const;
 
     /// \returns Whether a job may be shown as failed: a task of it, or a gang, has failed as often as it may, or two
-    /// workers have been ended by one of its tasks.
+    /// workers have crashed under one of its tasks: the platform's owners ask no more before a task is given up.
     [[nodiscard]] bool mayHaveFailed(const std::string& id) const;
 
     /// \returns Workers that a task has ended.
@@ -114,6 +117,8 @@
     std::map<Task, std::set<std::uint64_t>> m_storedFailures;
     std::map<Task, std::set<std::uint64_t>> m_failures; ///< Attempts; those of a gang stand with its first task.
     std::map<Task, std::uint32_t> m_workersEnded; ///< By a task.
+    std::map<Task, std::uint32_t> m_workersCrashed; ///< Under a task, whatever ended them.
+    MonotonicInstant m_inTouchFrom;
     std::map<Task, std::uint32_t> m_startsSince; ///< Of tasks that had ended as many workers as they may.
     std::map<Task, MonotonicInstant> m_takenByOrder; ///< Until at work again.
     std::map<std::string, std::pair<std::uint64_t, MonotonicInstant>> m_lastAct; ///< Epoch and time, by instance.
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -74,6 +74,7 @@
     };
 
     jobs::WorkerEntry entry;
+    jobs::Resources largestOfLate; ///< Its room, and what it was before it shrank while instances may not know.
     std::string instance;
     WorkerTrouble trouble;
     bool alive = true;
@@ -123,6 +124,9 @@
     /// \brief Ends a life with all that runs there; `returnsAfter` it the instance is up again.
     void crash(const std::string& worker, Millis returnsAfter);
 
+    /// \brief Changes the room of a living worker, which its entry shows at once.
+    void resize(const std::string& worker, const jobs::Resources& capacity);
+
     /// \brief A planned end: the worker serves on for `serving`, then ends, and its instance is
     /// up again with a new life.
     /// \param announced Its entry says that it drains; if not, the entry is removed at once.
--- a/tests/jobs/lost_worker_test.cpp
+++ b/tests/jobs/lost_worker_test.cpp
@@ -95,6 +95,30 @@
     }
 }
 
+TEST_CASE("A long-running task that ends its workers is given up alone, over a change of owner too")
+{
+    EndingCluster cluster;
+    cluster.workers.endsWorker = [](const Attempt& attempt) { return attempt.job == EndingCluster::standing && attempt.task.index == 3; };
+    const auto othersStand = [&] {
+        for (const std::uint32_t i : { 0U, 1U, 2U, 4U }) {
+            if (cluster.witness.workerOf(EndingCluster::standing, { 0, 0, i }).empty())
+                return false;
+        }
+        return true;
+    };
+    cluster.workers.crash(cluster.witness.workerOf(EndingCluster::standing, { 0, 0, 3 }), Millis(2'000));
+    cluster.clock.runFor(Millis(25'000));
+    CHECK(othersStand());
+    CHECK(cluster.shows(EndingCluster::standing, JobStatus::Running));
+    const std::uint32_t ended = cluster.witness.workersEndedBy(EndingCluster::standing, { 0, 0, 3 });
+    CHECK(ended >= 3);
+    cluster.kill(*cluster.owner());
+    cluster.clock.runFor(Millis(15'000));
+    CHECK(cluster.witness.workersEndedBy(EndingCluster::standing, { 0, 0, 3 }) == ended);
+    CHECK(othersStand());
+    CHECK(cluster.witness.breaches().empty());
+}
+
 TEST_CASE("A task that ends its workers is given up though owners change")
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
--- /dev/null
+++ b/tests/jobs/resized_worker_test.cpp
@@ -0,0 +1,128 @@
+/// Workers whose room shrinks and grows while they run.
+
+#include "support.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lanemoor;
+using namespace lanemoor::jobs;
+using namespace lanemoor::jobs::test;
+
+namespace {
+
+constexpr Resources whole { .milliCpu = 8'000, .memoryMb = 16'000 };
+constexpr Resources quarter { .milliCpu = 2'000, .memoryMb = 4'000 };
+
+/// A cluster of workers that start whatever they are told.
+struct ResizedCluster : SmallCluster {
+    explicit ResizedCluster(std::uint64_t seed = 1, std::size_t instances = 4)
+        : SmallCluster(seed, 3, instances, 0)
+    {
+        workers.guards = false;
+        workers.runTimes = [](const Attempt&) { return Millis(1'500); };
+    }
+
+    void resizeAll(const Resources& capacity)
+    {
+        for (auto& [id, worker] : workers.workers()) {
+            if (worker.alive)
+                workers.resize(id, capacity);
+        }
+    }
+
+    /// Plays on, and hands in more than there is room for.
+    void playWithJobs(Millis time)
+    {
+        const MonotonicInstant until = clock.now() + time;
+        while (clock.now() < until) {
+            submit(jobs % entries(), "work", jobId(1 + jobs), job({ step(8) }));
+            ++jobs;
+            clock.runFor(Millis(300));
+        }
+    }
+
+    std::size_t running()
+    {
+        std::size_t count = 0;
+        for (const auto& [id, worker] : workers.workers())
+            count += worker.running.size();
+        return count;
+    }
+
+    std::uint64_t jobs = 0;
+};
+
+} // namespace
+
+TEST_CASE("A worker whose room shrinks is not given more than it has")
+{
+    ResizedCluster cluster;
+    cluster.playWithJobs(Millis(4'000));
+    CHECK(cluster.running() == 32);
+    cluster.resizeAll(quarter);
+    cluster.playWithJobs(Millis(12'000));
+    CHECK(cluster.witness.breaches().empty());
+    CHECK(cluster.running() <= 8);
+}
+
+TEST_CASE("A worker whose room grows again is used at once")
+{
+    ResizedCluster cluster;
+    cluster.resizeAll(quarter);
+    cluster.playWithJobs(Millis(8'000));
+    CHECK(cluster.running() == 8);
+    cluster.resizeAll(whole);
+    cluster.playWithJobs(Millis(1'000));
+    CHECK(cluster.running() == 32);
+    CHECK(cluster.witness.breaches().empty());
+}
+
+TEST_CASE("Room that shrank is kept over a change of owner")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        CAPTURE(seed);
+        ResizedCluster cluster(seed);
+        cluster.playWithJobs(Millis(4'000));
+        cluster.resizeAll(quarter);
+        const std::size_t owner = *cluster.owner();
+        cluster.clock.runFor(Millis(200));
+        cluster.kill(owner);
+        cluster.playWithJobs(Millis(8'000));
+        cluster.start(owner);
+        cluster.playWithJobs(Millis(6'000));
+        CHECK(cluster.witness.breaches().empty());
+        CHECK(cluster.running() <= 8);
+        CHECK(cluster.running() >= 6);
+    }
+}
+
+TEST_CASE("A pool whose workers shrink gets more of them")
+{
+    SmallCluster cluster(1, 3, 2, 6);
+    cluster.workers.guards = false;
+    cluster.workers.runTimes = [](const Attempt&) { return Millis(900); };
+    std::uint64_t number = 0;
+    const auto play = [&](int rounds) {
+        for (int i = 0; i < rounds; ++i) {
+            cluster.submit(0, "work", jobId(++number), job({ step(4) }));
+            cluster.clock.runFor(Millis(400));
+        }
+    };
+    const auto inPool = [&] {
+        return std::count_if(cluster.workers.instances().begin(), cluster.workers.instances().end(), [](const auto& instance) { return instance.second.pool == "main"; });
+    };
+    play(20);
+    const auto before = inPool();
+    for (auto& [id, worker] : cluster.workers.workers()) {
+        if (worker.alive)
+            cluster.workers.resize(id, quarter);
+    }
+    play(30);
+    CHECK(inPool() > before);
+    cluster.clock.runFor(Millis(10'000));
+    for (std::uint64_t i = 1; i <= number; ++i) {
+        CAPTURE(i);
+        CHECK(cluster.shows(jobId(i), JobStatus::Succeeded));
+    }
+    CHECK(cluster.witness.breaches().empty());
+}
