Show with failing tests that event loops go by a clock which stands still while a machine is suspended

Cause: new on the platform: machines may be suspended for seconds, and the steady clock does not count that; an owner would hold its lease for the first moments after it. Ruled out: nothing yet. Measured: the three fail; the clock read is CLOCK_MONOTONIC, timers and calls end by it.

--- a/include/lanemoor/aio/asio_event_loop.h
+++ b/include/lanemoor/aio/asio_event_loop.h
@@ -4,15 +4,26 @@
 
 #include "lanemoor/jobs/model/event_loop.h"
 
+#include <ctime>
 #include <functional>
 #include <memory>
 
 namespace lanemoor::aio {
 
+/// The system's clock that event loops go by.
+extern const clockid_t loopClock;
+
+/// Tells the time of a loop's clock.
+using LoopClock = std::function<jobs::MonotonicInstant()>;
+
+/// \returns The time on `loopClock`.
+[[nodiscard]] jobs::MonotonicInstant readLoopClock();
+
 /// \brief Runs all callbacks of a process on the thread that calls `run`.
 class AsioEventLoop final : public jobs::EventLoop {
 public:
-    AsioEventLoop();
+    /// \param clock Never goes back; tests pass one of their own.
+    explicit AsioEventLoop(LoopClock clock = readLoopClock);
     ~AsioEventLoop() override;
     AsioEventLoop(const AsioEventLoop&) = delete;
     AsioEventLoop& operator=(const AsioEventLoop&) = delete;
--- a/src/aio/asio_event_loop.cpp
+++ b/src/aio/asio_event_loop.cpp
@@ -5,8 +5,18 @@
 
 namespace lanemoor::aio {
 
-AsioEventLoop::AsioEventLoop()
-    : m_impl(std::make_unique<Impl>())
+const clockid_t loopClock = CLOCK_MONOTONIC;
+
+jobs::MonotonicInstant readLoopClock()
+{
+    timespec time {};
+    clock_gettime(loopClock, &time);
+    const auto passed = std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    return jobs::MonotonicInstant(std::chrono::duration_cast<std::chrono::microseconds>(passed));
+}
+
+AsioEventLoop::AsioEventLoop(LoopClock clock)
+    : m_impl(std::make_unique<Impl>(std::move(clock)))
 {
 }
 
@@ -35,7 +45,7 @@
 
 jobs::MonotonicInstant AsioEventLoop::now() const
 {
-    return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::steady_clock::now());
+    return m_impl->clock();
 }
 
 Instant AsioEventLoop::timeOfDay() const
--- a/src/aio/asio_event_loop_impl.h
+++ b/src/aio/asio_event_loop_impl.h
@@ -14,6 +14,12 @@
 
 class AsioEventLoop::Impl {
 public:
+    explicit Impl(LoopClock loopTime)
+        : clock(std::move(loopTime))
+    {
+    }
+
+    LoopClock clock;
     boost::asio::io_context context { 1 };
     std::unordered_map<jobs::TimerId, std::unique_ptr<boost::asio::steady_timer>> timers;
     std::unordered_set<jobs::TimerId> posted; ///< Timers that were due when they were made.
--- /dev/null
+++ b/tests/jobs/suspended_machine_test.cpp
@@ -0,0 +1,75 @@
+/// A machine that is suspended for seconds: the steady clock does not count that time. An owner that goes by it believes, once it
+/// runs again, that it still holds a lease which has long lapsed and which another instance has taken since; where nobody
+/// checks fences it might then act on instances out of turn.
+
+#include "lanemoor/aio/http_client.h"
+#include "support.h"
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <netinet/in.h>
+#include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace lanemoor;
+using namespace lanemoor::aio;
+
+namespace {
+
+/// A machine that was suspended for an hour since it started: what counts that time is as far ahead of what does not.
+jobs::MonotonicInstant anHourAhead()
+{
+    return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::steady_clock::now()) + std::chrono::hours(1);
+}
+
+constexpr Millis soon { 100 };
+constexpr std::chrono::seconds patience { 10 };
+
+/// \returns Whether `happened` was set before patience ended, by the steady clock.
+bool runUntil(AsioEventLoop& loop, const bool& happened)
+{
+    const auto end = std::chrono::steady_clock::now() + patience;
+    std::function<void()> look = [&] {
+        if (happened || std::chrono::steady_clock::now() > end)
+            loop.stop();
+        else
+            loop.callAt(loop.now(), look);
+    };
+    look();
+    loop.run();
+    return happened;
+}
+
+} // namespace
+
+TEST_CASE("The clock of event loops counts the time in which the machine is suspended")
+{
+    CHECK(loopClock == CLOCK_BOOTTIME);
+}
+
+TEST_CASE("Timers are due by the clock of the loop")
+{
+    AsioEventLoop loop(anHourAhead);
+    bool called = false;
+    loop.callAt(loop.now() + soon, [&] { called = true; });
+    CHECK(runUntil(loop, called));
+}
+
+TEST_CASE("Calls are given up by the clock of the loop")
+{
+    const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    REQUIRE(::bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+    REQUIRE(::listen(listener, 1) == 0);
+    socklen_t length = sizeof address;
+    REQUIRE(::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length) == 0);
+    AsioEventLoop loop(anHourAhead);
+    HttpClient client(loop, {});
+    bool givenUp = false;
+    client.send({ "127.0.0.1", ntohs(address.sin_port) }, { .request = { .method = "GET", .target = "/", .headers = {}, .body = {} }, .deadline = loop.now() + soon }, [&](const HttpReply&) { givenUp = true; });
+    CHECK(runUntil(loop, givenUp));
+    ::close(listener);
+}
