Let event loops go by the clock that counts the time in which the machine is suspended

Cause: the steady clock stands still meanwhile, so that an owner that wakes believed its lapsed lease held. Class: a lease checked by a clock that may stop while the lease runs on. Looked for elsewhere: time-outs of calls and timers turned the loop's time into Asio's steady time as if they were one; log rates and idle times of the HTTP stacks bound nothing that must hold. Ruled out: timers on the same clock, which Asio does not offer; what became due while the machine slept fires late by what was left of it, and every decision asks the loop's clock. Change: the loop reads CLOCK_BOOTTIME; timers and deadlines of calls are turned into Asio's clock in one place.

--- a/src/aio/asio_event_loop.cpp
+++ b/src/aio/asio_event_loop.cpp
@@ -5,7 +5,9 @@
 
 namespace lanemoor::aio {
 
-const clockid_t loopClock = CLOCK_MONOTONIC;
+/// Leases run on while a machine is suspended: an owner that went by a clock which stands still meanwhile would act, once it is
+/// awake, on a lease that another instance has taken.
+const clockid_t loopClock = CLOCK_BOOTTIME;
 
 jobs::MonotonicInstant readLoopClock()
 {
@@ -65,7 +67,7 @@
         return id;
     }
     auto& timer = m_impl->timers[id];
-    timer = std::make_unique<boost::asio::steady_timer>(m_impl->context, when);
+    timer = std::make_unique<boost::asio::steady_timer>(m_impl->context, m_impl->onTimerClock(when));
     timer->async_wait([impl = m_impl.get(), id, callback = std::move(callback)](const boost::system::error_code& error) {
         if (error || impl->timers.erase(id) == 0)
             return;
--- a/src/aio/asio_event_loop_impl.h
+++ b/src/aio/asio_event_loop_impl.h
@@ -19,6 +19,10 @@
     {
     }
 
+    /// \returns A time of the loop's clock on the clock of Asio's timers. These stand still while the machine is suspended: what
+    /// became due meanwhile fires late by no more than was left of it, so that decisions ask `now`.
+    [[nodiscard]] std::chrono::steady_clock::time_point onTimerClock(jobs::MonotonicInstant when) const { return std::chrono::steady_clock::now() + (when - clock()); }
+
     LoopClock clock;
     boost::asio::io_context context { 1 };
     std::unordered_map<jobs::TimerId, std::unique_ptr<boost::asio::steady_timer>> timers;
--- a/src/aio/http_client.cpp
+++ b/src/aio/http_client.cpp
@@ -157,7 +157,7 @@
             boost::asio::post(m_context, [self = shared_from_this(), &peer, connection] { self->finish(peer, connection, { .delivery = Delivery::NotSent }, false); });
             return;
         }
-        connection->stream.expires_at(std::min(connection->pending.call.deadline, m_loop.now() + m_options.connectTime));
+        connection->stream.expires_at(m_loop.impl().onTimerClock(std::min(connection->pending.call.deadline, m_loop.now() + m_options.connectTime)));
         connection->stream.async_connect(Tcp::endpoint(ip, peer.address.port), [self = shared_from_this(), &peer, connection](const beast::error_code& error) {
             if (error) {
                 self->finish(peer, connection, { .delivery = Delivery::NotSent }, false);
@@ -174,7 +174,7 @@
         connection->request = makeRequest(peer.address, connection->pending.call.request);
         connection->parser.emplace();
         connection->parser->body_limit(m_options.mostResponseBytes);
-        connection->stream.expires_at(connection->pending.call.deadline);
+        connection->stream.expires_at(m_loop.impl().onTimerClock(connection->pending.call.deadline));
         http::async_write(connection->stream, connection->request, [self = shared_from_this(), &peer, connection](const beast::error_code& error, std::size_t) {
             if (error) {
                 self->finish(peer, connection, {}, false);
