--- a/bench/lost_workers.cpp
+++ b/bench/lost_workers.cpp
@@ -48,119 +48,120 @@
     double breaches = 0;
 };
 
-struct Run {
+class Run {
+public:
     Run(const Day& played, const Way& way, std::uint64_t seed)
-        : day(played)
-        , cluster(seed, 3, 0, 0)
+        : m_day(played)
+        , m_cluster(seed, 3, 0, 0)
     {
         Policies policies;
         policies.losses = way.options;
-        for (std::size_t i = 0; i < cluster.entries(); ++i)
-            cluster.kill(i);
-        cluster.setPolicies(policies);
+        for (std::size_t i = 0; i < m_cluster.entries(); ++i)
+            m_cluster.kill(i);
+        m_cluster.setPolicies(policies);
         for (std::size_t i = 0; i < instances + 4; ++i)
-            cluster.workers.addInstance("m-" + std::to_string(i), i < instances ? "main" : "off", "r-" + std::to_string(i / 4), { .milliCpu = 8'000, .memoryMb = 16'000 });
-        cluster.workers.runTimes = [](const Attempt&) { return Millis(600); };
-        cluster.workers.endsWorker = [](const Attempt& attempt) { return attempt.job >= jobId(firstEnding) && attempt.task == TaskId { 0, 0, 0 }; };
-        for (std::size_t i = 0; i < cluster.entries(); ++i)
-            cluster.start(i);
-        cluster.clock.runFor(Millis(2'000));
+            m_cluster.workers.addInstance("m-" + std::to_string(i), i < instances ? "main" : "off", "r-" + std::to_string(i / 4), { .milliCpu = 8'000, .memoryMb = 16'000 });
+        m_cluster.workers.runTimes = [](const Attempt&) { return Millis(600); };
+        m_cluster.workers.endsWorker = [](const Attempt& attempt) { return attempt.job >= jobId(firstEnding) && attempt.task == TaskId { 0, 0, 0 }; };
+        for (std::size_t i = 0; i < m_cluster.entries(); ++i)
+            m_cluster.start(i);
+        m_cluster.clock.runFor(Millis(2'000));
         StepSpec lasting = longStep(longTasks);
         lasting.mostPerInstance = 0;
         for (std::uint64_t i = 0; i < longJobs; ++i)
-            cluster.submit(0, "work", jobId(firstLong + i), job({ lasting }));
-        cluster.clock.runFor(Millis(2'000));
+            m_cluster.submit(0, "work", jobId(firstLong + i), job({ lasting }));
+        m_cluster.clock.runFor(Millis(2'000));
     }
 
     Outcome play()
     {
-        const MonotonicInstant begin = cluster.clock.now();
-        while (cluster.clock.now() < begin + dayLength + dayEnd) {
-            const auto passed = std::chrono::duration_cast<Millis>(cluster.clock.now() - begin);
+        const MonotonicInstant begin = m_cluster.clock.now();
+        while (m_cluster.clock.now() < begin + dayLength + dayEnd) {
+            const auto passed = std::chrono::duration_cast<Millis>(m_cluster.clock.now() - begin);
             if (passed < dayLength)
                 act(passed);
             look(passed);
-            cluster.clock.runFor(tick);
+            m_cluster.clock.runFor(tick);
         }
-        return outcome(std::chrono::duration_cast<Millis>(cluster.clock.now() - begin));
+        return outcome(std::chrono::duration_cast<Millis>(m_cluster.clock.now() - begin));
     }
 
 private:
     static bool isDue(Millis passed, Millis every) { return every.count() > 0 && passed.count() > 0 && passed.count() % every.count() < tick.count(); }
 
-    std::size_t anyEntry() { return std::uniform_int_distribution<std::size_t>(0, cluster.entries() - 1)(cluster.random); }
+    std::size_t anyEntry() { return std::uniform_int_distribution<std::size_t>(0, m_cluster.entries() - 1)(m_cluster.random); }
 
     void act(Millis passed)
     {
         if (isDue(passed, betweenJobs)) {
-            open.emplace_back(++quick, passed);
-            cluster.submit(anyEntry(), "work", jobId(quick), job({ step(4), step(4, { 0 }) }));
+            m_open.emplace_back(++m_quick, passed);
+            m_cluster.submit(anyEntry(), "work", jobId(m_quick), job({ step(4), step(4, { 0 }) }));
         }
-        if (isDue(passed, day.betweenEnding))
-            cluster.submit(anyEntry(), "work", jobId(firstEnding + ending++), job({ step(3) }));
-        if (isDue(passed, day.betweenTakeovers)) {
-            if (const std::optional<std::size_t> owner = cluster.owner()) {
-                cluster.kill(*owner);
-                cluster.clock.after(Millis(1'500), [this, index = *owner] { cluster.start(index); });
+        if (isDue(passed, m_day.betweenEnding))
+            m_cluster.submit(anyEntry(), "work", jobId(firstEnding + m_ending++), job({ step(3) }));
+        if (isDue(passed, m_day.betweenTakeovers)) {
+            if (const std::optional<std::size_t> owner = m_cluster.owner()) {
+                m_cluster.kill(*owner);
+                m_cluster.clock.after(Millis(1'500), [this, index = *owner] { m_cluster.start(index); });
             }
         }
-        if (isDue(passed, day.betweenCrashes))
+        if (isDue(passed, m_day.betweenCrashes))
             crash();
     }
 
     void crash()
     {
         std::vector<std::string> alive;
-        for (const auto& [id, worker] : cluster.workers.workers()) {
+        for (const auto& [id, worker] : m_cluster.workers.workers()) {
             if (worker.alive)
                 alive.push_back(id);
         }
         if (!alive.empty())
-            cluster.workers.crash(alive[std::uniform_int_distribution<std::size_t>(0, alive.size() - 1)(cluster.random)], Millis(2'500));
+            m_cluster.workers.crash(alive[std::uniform_int_distribution<std::size_t>(0, alive.size() - 1)(m_cluster.random)], Millis(2'500));
     }
 
     void look(Millis passed)
     {
-        std::erase_if(open, [&](const auto& job) {
-            if (!cluster.accepted().contains(jobId(job.first)) || !cluster.witness.hasSucceeded(jobId(job.first)))
+        std::erase_if(m_open, [&](const auto& job) {
+            if (!m_cluster.accepted().contains(jobId(job.first)) || !m_cluster.witness.hasSucceeded(jobId(job.first)))
                 return false;
-            latencies.push_back(static_cast<double>((passed - job.second).count()));
+            m_latencies.push_back(static_cast<double>((passed - job.second).count()));
             return true;
         });
         for (std::uint64_t i = 0; i < longJobs; ++i) {
             for (std::uint32_t task = 0; task < longTasks; ++task)
-                away += cluster.witness.workerOf(jobId(firstLong + i), { 0, 0, task }).empty() ? tick : Millis(0);
+                m_away += m_cluster.witness.workerOf(jobId(firstLong + i), { 0, 0, task }).empty() ? tick : Millis(0);
         }
     }
 
     Outcome outcome(Millis length)
     {
         Outcome result;
-        for (std::uint64_t i = 0; i < ending; ++i)
-            result.workersEnded += cluster.witness.workersEndedBy(jobId(firstEnding + i), { 0, 0, 0 }) / static_cast<double>(ending);
-        for (const std::string& id : cluster.accepted())
-            result.givenUpInnocent += id < jobId(firstEnding) && cluster.status(0, id) == JobStatus::Failed ? 1 : 0;
-        for (const auto& [number, at] : open)
-            latencies.push_back(static_cast<double>((length - at).count()));
-        std::sort(latencies.begin(), latencies.end());
-        const std::size_t worst = latencies.size() - latencies.size() / 20;
-        for (std::size_t i = 0; i < latencies.size(); ++i) {
-            result.latency += latencies[i] / static_cast<double>(latencies.size());
+        for (std::uint64_t i = 0; i < m_ending; ++i)
+            result.workersEnded += m_cluster.witness.workersEndedBy(jobId(firstEnding + i), { 0, 0, 0 }) / static_cast<double>(m_ending);
+        for (const std::string& id : m_cluster.accepted())
+            result.givenUpInnocent += id < jobId(firstEnding) && m_cluster.status(0, id) == JobStatus::Failed ? 1 : 0;
+        for (const auto& [number, at] : m_open)
+            m_latencies.push_back(static_cast<double>((length - at).count()));
+        std::sort(m_latencies.begin(), m_latencies.end());
+        const std::size_t worst = m_latencies.size() - m_latencies.size() / 20;
+        for (std::size_t i = 0; i < m_latencies.size(); ++i) {
+            result.latency += m_latencies[i] / static_cast<double>(m_latencies.size());
             if (i >= worst)
-                result.latencyWorst += latencies[i] / static_cast<double>(latencies.size() - worst);
+                result.latencyWorst += m_latencies[i] / static_cast<double>(m_latencies.size() - worst);
         }
-        result.longAway = std::chrono::duration<double>(away).count();
-        result.breaches = static_cast<double>(cluster.witness.breaches().size());
+        result.longAway = std::chrono::duration<double>(m_away).count();
+        result.breaches = static_cast<double>(m_cluster.witness.breaches().size());
         return result;
     }
 
-    const Day& day;
-    SmallCluster cluster;
-    std::vector<std::pair<std::uint64_t, Millis>> open; ///< Quick jobs that have not ended, and when they came.
-    std::vector<double> latencies;
-    std::uint64_t quick = 0;
-    std::uint64_t ending = 0;
-    Millis away { 0 };
+    const Day& m_day;
+    SmallCluster m_cluster;
+    std::vector<std::pair<std::uint64_t, Millis>> m_open; ///< Quick jobs that have not ended, and when they came.
+    std::vector<double> m_latencies;
+    std::uint64_t m_quick = 0;
+    std::uint64_t m_ending = 0;
+    Millis m_away { 0 };
 };
 
 Outcome mean(const Day& day, const Way& way, std::uint64_t first, std::uint64_t runs)
--- a/include/lanemoor/jobs/owner/job_report.h
+++ b/include/lanemoor/jobs/owner/job_report.h
@@ -38,6 +38,15 @@
     [[nodiscard]] bool operator==(const AttemptReport&) const = default;
 };
 
+/// A task under which workers were lost.
+struct SuspectReport {
+    std::uint32_t task = 0; ///< Its number within the step.
+    std::uint32_t workersLost = 0; ///< In a row, each soon after it had started the task.
+    bool givenUp = false; ///< It is not started again.
+
+    [[nodiscard]] bool operator==(const SuspectReport&) const = default;
+};
+
 /// One step of one occurrence.
 struct StepReport {
     std::uint32_t occurrence = 0;
@@ -46,6 +55,7 @@
     std::uint32_t succeeded = 0;
     bool blocked = false; ///< By steps that it depends on.
     std::vector<AttemptReport> attempts;
+    std::vector<SuspectReport> suspects;
     std::optional<StepWait> wait;
 
     [[nodiscard]] bool operator==(const StepReport&) const = default;
--- a/src/client/text_report.cpp
+++ b/src/client/text_report.cpp
@@ -93,6 +93,10 @@
         text += ", blocked by a step it depends on";
     for (const Json& attempt : step["attempts"])
         text += "\n    task " + plain(attempt["task"]) + ", attempt " + plain(attempt["attempt"]) + ": " + plain(attempt["phase"]) + " on " + plain(attempt["worker"]);
+    for (const Json& suspect : step.value("suspects", Json::array())) {
+        text += "\n    task " + plain(suspect["task"]) + ": " + plain(suspect["workersLost"]) + " workers in a row were lost soon after they had started it";
+        text += suspect["givenUp"].get<bool>() ? "; it was given up" : "";
+    }
     if (step.contains("wait"))
         text += '\n' + waitText(step["wait"]);
     return text;
--- a/src/jobs/owner/job_report.cpp
+++ b/src/jobs/owner/job_report.cpp
@@ -30,6 +30,9 @@
     json["attempts"] = Json::array();
     for (const AttemptReport& running : report.attempts)
         json["attempts"].push_back(attempt(running));
+    json["suspects"] = Json::array();
+    for (const SuspectReport& suspect : report.suspects)
+        json["suspects"].push_back({ { "task", suspect.task }, { "workersLost", suspect.workersLost }, { "givenUp", suspect.givenUp } });
     if (report.wait)
         json["wait"] = wait(*report.wait);
     return json;
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -440,8 +440,10 @@
 
     [[nodiscard]] StepReport reportOf(const JobState& job, const StepId& id, const StepState& step) const
     {
-        StepReport report { .occurrence = id.occurrence, .step = id.step, .tasks = static_cast<std::uint32_t>(step.tasks.size()), .succeeded = step.succeeded, .blocked = !job.isUnblocked(id), .attempts = {}, .wait = std::nullopt };
+        StepReport report { .occurrence = id.occurrence, .step = id.step, .tasks = static_cast<std::uint32_t>(step.tasks.size()), .succeeded = step.succeeded, .blocked = !job.isUnblocked(id), .attempts = {}, .suspects = {}, .wait = std::nullopt };
         for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+            if (step.tasks[i].workersLost > 0)
+                report.suspects.push_back({ .task = i, .workersLost = step.tasks[i].workersLost, .givenUp = step.tasks[i].givenUp });
             if (const std::optional<LiveAttempt>& live = step.tasks[i].live)
                 report.attempts.push_back({ .task = i, .attempt = live->number, .worker = live->worker, .phase = std::string(nameOf(live->phase)) });
         }
--- a/tests/jobs/operator_test.cpp
+++ b/tests/jobs/operator_test.cpp
@@ -54,6 +54,18 @@
     CHECK(jobsText(call(cluster, other, "GET", "/v1/jobs?queue=none").body).find(jobId(1)) == std::string::npos);
 }
 
+TEST_CASE("Operators see which task ends its workers")
+{
+    SmallCluster cluster(1, 3, 6, 0);
+    cluster.workers.endsWorker = [](const Attempt& attempt) { return attempt.task.index == 1; };
+    cluster.submit(0, "work", jobId(1), job({ longStep(3) }));
+    cluster.clock.runFor(Millis(20'000));
+    const std::string text = jobText(call(cluster, cluster.owner().value(), "GET", "/v1/jobs/" + jobId(1)).body);
+    CHECK(text.find("task 1: 3 workers in a row were lost soon after they had started it; it was given up") != std::string::npos);
+    CHECK(text.find("task 0: ") == std::string::npos);
+    CHECK(cluster.witness.breaches().empty());
+}
+
 TEST_CASE("Operators see who owns, cancel jobs, and get typed refusals")
 {
     SmallCluster cluster;
