--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -8,8 +8,8 @@
 #include "lanemoor/jobs/model/service_configuration.h"
 #include "lanemoor/jobs/owner/job_report.h"
 #include "lanemoor/jobs/owner/ownership_keeper.h"
-#include "lanemoor/jobs/policy/placement_options.h"
 #include "lanemoor/jobs/policy/crash_attribution.h"
+#include "lanemoor/jobs/policy/placement_options.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/lanemoor/jobs/service/policies.h
+++ b/include/lanemoor/jobs/service/policies.h
@@ -4,8 +4,8 @@
 
 #include "lanemoor/jobs/intake/job_lookup.h"
 #include "lanemoor/jobs/policy/capacity_plan.h"
-#include "lanemoor/jobs/policy/placement_options.h"
 #include "lanemoor/jobs/policy/crash_attribution.h"
+#include "lanemoor/jobs/policy/placement_options.h"
 #include "lanemoor/jobs/relay/relay_plan.h"
 
 namespace lanemoor::jobs {
