Settle calls that workers leave unanswered by probes, long before they time out

Cause: an unanswered start waited 0.8 s for its call to time out, a held renewal for a list, as long again for its stop, and up to two held renewals for the proof that nothing runs there. An unanswered renewal hid the ends at its worker for 1.8 s and then closed the worker, though it had answered other calls meanwhile. Evidence: the owner's log of one attempt, start 4.24, in doubt 5.06, stops 5.18 and 6.29, vanished 8.27. Change: a start is overdue after the observed response time (RFC 6298, 100 to 800 ms) and its worker is probed; stops are sent again when overdue, with a growing pause; a stop's answer is followed by a probe; an overdue renewal is covered by probes, which read ends, and answers wait less for an end for 3 s; a renewal that times out means silence only if nothing else was answered. Why it holds: a start is released only if a stop of it was answered and a list asked for afterwards lacks it, as before. Ends stand whatever the order of answers; the list of what runs is used only for starts and stops whose outcome is unknown.

--- a/include/lanemoor/jobs/owner/worker_session.h
+++ b/include/lanemoor/jobs/owner/worker_session.h
@@ -24,6 +24,7 @@
     Millis wait { 1'000 }; ///< An answer waits this long for an end; a renewal comes at least as often.
     Millis retryPause { 200 }; ///< After a renewal without an answer.
     std::function<bool()> mayOrder; ///< Whether the ownership is held.
+    std::function<Millis()> overdueAfter; ///< How long after its wait a call without an answer is overdue.
 };
 
 /// Hears what a session learns.
@@ -35,6 +36,10 @@
     /// \param sentAt When the renewal was sent: orders answered before that are reflected in it.
     virtual void onAnswer(WorkerSession& session, const RenewResult& result, MonotonicInstant sentAt) = 0;
 
+    /// \brief A probe was answered. It may have overtaken renewals, or been overtaken.
+    /// \param sentAt When the probe was sent: commands answered before that are reflected in it.
+    virtual void onProbe(WorkerSession& session, const RenewResult& result, MonotonicInstant sentAt) = 0;
+
     /// \brief The worker lives: an answer told a newer time of its clock.
     virtual void onHeard(WorkerSession& session) = 0;
 
@@ -82,7 +87,14 @@
     /// \returns False if the clock went back: another incarnation may have answered.
     bool noteClock(std::int64_t workerClock);
 
-    /// \brief Asks the worker after `pause` whether it lives, beside the renewal that waits for an end.
+    /// \brief Asks the worker what it holds, beside the renewal that waits for an end. No second probe is sent before the first is overdue.
+    void probe();
+
+    /// \brief Notes that a call to the worker is overdue: for a while answers wait less for an end, since a lost one hides the ends
+    /// until its call times out.
+    void noteOverdue();
+
+    /// \brief Probes the worker after `pause`.
     void probeAfter(Millis pause);
 
     /// \returns The newest time of the worker's clock that an answer brought, ms: it lived then; 0 before the first answer.
@@ -111,9 +123,9 @@
 private:
     void renew();
     void renewAt(MonotonicInstant when);
+    void watchRenewal(MonotonicInstant overdueAt, Millis pause);
     void answered(const RenewResult& result, MonotonicInstant sentAt);
     void watchLease();
-    void probe();
     void doubtLife();
     void noteThisLife();
     [[nodiscard]] bool mayBeAnotherLife() const;
@@ -131,6 +143,9 @@
     bool m_silent = false;
     bool m_lifeOver = false;
     bool m_lifeInDoubt = false; ///< Another life may answer under this id.
+    MonotonicInstant m_probeFrom; ///< No probe is sent before this.
+    MonotonicInstant m_shortWaitUntil;
+    MonotonicInstant m_renewalSentAt; ///< Of the renewal under way.
     MonotonicInstant m_heardAt; ///< When an answer last told that it is this life.
     bool m_leaseLapsed = false;
     bool m_awaitingAcknowledgement = false;
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -544,7 +544,8 @@
         WorkerSessionOptions options { .epoch = state.ownership.epoch,
             .inheritedLeaseOverBy = state.inheritedLeaseOverBy,
             .leaseTime = m_options.workerLeaseTime,
-            .mayOrder = [this] { return m_options.ownership->isHeld(); } };
+            .mayOrder = [this] { return m_options.ownership->isHeld(); },
+            .overdueAfter = [this] { return m_term ? m_term->state.responses.overdueAfter() : ResponseTime::maxOverdue; } };
         // What was sent to a former life and reached this one brought a lease on a clock that it doesn't have.
         if (!book.formerStarts.empty())
             options.inheritedLeaseOverBy = std::max(options.inheritedLeaseOverBy, state.now() + longestLateRun);
--- a/src/jobs/owner/order_desk.cpp
+++ b/src/jobs/owner/order_desk.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Millis stopRetry { 300 }; // A stop takes up to some hundred ms at the worker.
+constexpr std::uint32_t maxProbes = 4; // For one start; renewals go on.
+constexpr std::uint32_t maxBackoff = 3; // Doublings of the pause between stops.
 constexpr Millis probeMargin { 10 }; // A worker's clock may be slow by 2%, and counts whole ms.
 constexpr Millis pauseAfterNoRoom { 200 }; // Until the worker's books and ours agree again.
 constexpr Millis pauseAfterFailedOrder { 400 }; // A worker that takes no orders is left alone a while.
@@ -53,9 +55,48 @@
         if (desk && !desk->m_closed)
             desk->started(attempt, id, life.lock().get(), result);
     });
+    watchStart(attempt, worker.entry.id, m_state.responses.overdueAfter(), 0);
     return true;
 }
 
+/// \returns The attempt if it is live at the worker, or null.
+const LiveAttempt* OrderDesk::findLive(const Attempt& attempt, const std::string& worker) const
+{
+    const OwnerJob* job = m_state.job(attempt.job);
+    const TaskState* task = job ? job->state.find(attempt.task) : nullptr;
+    const bool isLive = task && task->live && task->live->number == attempt.number && task->live->worker == worker;
+    return isLive ? &*task->live : nullptr;
+}
+
+/// A start whose answer is overdue is looked up at its worker: waiting until the call times out would cost its job most of its objective.
+void OrderDesk::watchStart(const Attempt& attempt, const std::string& worker, Millis pause, std::uint32_t probes)
+{
+    const MonotonicInstant due = m_state.now() + pause;
+    m_state.options.loop->callAt(due, [self = weak_from_this(), attempt, worker, pause, probes, due] {
+        const auto desk = self.lock();
+        if (!desk || desk->m_closed)
+            return;
+        const LiveAttempt* live = desk->findLive(attempt, worker);
+        const WorkerBook* book = desk->m_state.worker(worker);
+        if (!live || !book || (live->phase != AttemptPhase::Ordered && live->phase != AttemptPhase::Doubtful))
+            return;
+        // Where the event loop itself is late the answer may wait behind this call.
+        if (desk->m_state.now() - due > ResponseTime::minOverdue / 2) {
+            desk->watchStart(attempt, worker, pause, probes);
+            return;
+        }
+        if (live->phase == AttemptPhase::Ordered) {
+            desk->m_state.options.log->decision("start-overdue", { { "attempt", nameOf(attempt) }, { "worker", worker }, { "after_ms", static_cast<std::int64_t>(pause.count()) } });
+            desk->m_state.job(attempt.job)->state.setPhase(attempt, AttemptPhase::Doubtful, desk->m_state.now());
+        }
+        book->session->noteOverdue();
+        if (desk->m_state.options.ownership->isHeld())
+            book->session->probe();
+        if (probes < maxProbes)
+            desk->watchStart(attempt, worker, desk->m_state.responses.overdueAfter(), probes + 1);
+    });
+}
+
 /// An answer does not say which life gave it: after a restart it tells nothing of the clock, and a start nothing but that it is open.
 void OrderDesk::started(const Attempt& attempt, const std::string& worker, const WorkerSession* life, const OrderResult& result)
 {
@@ -70,15 +111,18 @@
             return;
         if (job && isOfLife && job->state.noteConfirmed(attempt, result.workerClock))
             m_state.store(attempt.job);
+        if (const LiveAttempt* live = findLive(attempt, worker))
+            m_state.responses.note(std::chrono::duration_cast<Millis>(m_state.now() - live->startedAt));
         if (book->bookings.suspects().contains(attempt))
             probeSoon(*book->session);
-        if (job && job->state.find(attempt.task) && job->state.find(attempt.task)->live && job->state.find(attempt.task)->live->phase == AttemptPhase::Ordered)
+        if (const LiveAttempt* live = findLive(attempt, worker); live && (live->phase == AttemptPhase::Ordered || (live->phase == AttemptPhase::Doubtful && isOfLife)))
             job->state.setPhase(attempt, AttemptPhase::Running, m_state.now());
         return;
     case OrderOutcome::Unknown:
         ++m_counts.doubts;
         m_state.options.log->decision("start-in-doubt", { { "attempt", nameOf(attempt) }, { "worker", worker } });
-        if (job)
+        // A stop that was sent meanwhile settles it.
+        if (const LiveAttempt* live = findLive(attempt, worker); live && live->phase == AttemptPhase::Ordered)
             job->state.setPhase(attempt, AttemptPhase::Doubtful, m_state.now());
         return;
     case OrderOutcome::OtherLife:
@@ -125,16 +169,32 @@
         return;
     // While the store is away the ownership may not be used, and may yet go on.
     if (!m_state.options.ownership->isHeld()) {
-        stopLater(attempt, worker);
+        stopLater(attempt, worker, stopRetry);
         return;
     }
+    const std::uint32_t number = ++m_stopsSent[attempt];
     if (OwnerJob* job = m_state.job(attempt.job))
         job->state.setPhase(attempt, AttemptPhase::Stopping, m_state.now());
     m_state.options.log->decision("task-stop", { { "attempt", nameOf(attempt) }, { "worker", worker } });
-    m_state.options.workers->stop(book->session->life(), attempt, m_state.ownership.epoch, [self = weak_from_this(), attempt, worker, life = std::weak_ptr(book->session)](const OrderResult& result) {
+    m_state.options.workers->stop(book->session->life(), attempt, m_state.ownership.epoch, [self = weak_from_this(), attempt, worker, number, life = std::weak_ptr(book->session)](const OrderResult& result) {
         const auto desk = self.lock();
         if (desk && !desk->m_closed)
-            desk->stopped(attempt, worker, life.lock().get(), result);
+            desk->stopped(attempt, worker, number, life.lock().get(), result);
+    });
+    watchStop(attempt, worker, number);
+}
+
+/// A stop whose answer is overdue is sent again: until one is answered the task starts nowhere else.
+void OrderDesk::watchStop(const Attempt& attempt, const std::string& worker, std::uint32_t number)
+{
+    const Millis pause = m_state.responses.overdueAfter() * (1U << std::min(number - 1, maxBackoff));
+    m_state.options.loop->callAt(m_state.now() + pause, [self = weak_from_this(), attempt, worker, number] {
+        const auto desk = self.lock();
+        if (!desk || desk->m_closed)
+            return;
+        const auto sent = desk->m_stopsSent.find(attempt);
+        if (sent != desk->m_stopsSent.end() && sent->second == number)
+            desk->stopLater(attempt, worker, Millis(0));
     });
 }
 
@@ -145,20 +205,26 @@
     return book && book->session.get() == life ? book : nullptr;
 }
 
-void OrderDesk::stopped(const Attempt& attempt, const std::string& worker, const WorkerSession* life, const OrderResult& result)
+void OrderDesk::stopped(const Attempt& attempt, const std::string& worker, std::uint32_t number, const WorkerSession* life, const OrderResult& result)
 {
     WorkerBook* book = bookOfLife(worker, life);
     if (!book) {
         // A former life may have taken it, which says nothing of the new one.
-        stopLater(attempt, worker);
+        stopLater(attempt, worker, stopRetry);
         return;
     }
     switch (result.outcome) {
-    case OrderOutcome::Done:
+    case OrderOutcome::Done: {
+        m_stopsSent.erase(attempt);
         book->session->noteClock(result.workerClock);
         if (OwnerJob* job = m_state.job(attempt.job))
             job->state.noteStopAnswered(attempt, m_state.now());
+        // If it never ran there no end is reported, and the open renewal tells so only once its wait is over.
+        const LiveAttempt* live = findLive(attempt, worker);
+        if (live && !live->wasConfirmed())
+            book->session->probe();
         return;
+    }
     case OrderOutcome::OtherLife:
         book->session->noteLifeOver();
         return;
@@ -168,23 +234,27 @@
     default:
         break;
     }
-    stopLater(attempt, worker);
+    const auto sent = m_stopsSent.find(attempt);
+    if (sent != m_stopsSent.end() && sent->second == number)
+        stopLater(attempt, worker, stopRetry);
 }
 
-void OrderDesk::stopLater(const Attempt& attempt, const std::string& worker)
+void OrderDesk::stopLater(const Attempt& attempt, const std::string& worker, Millis pause)
 {
-    m_state.options.loop->callAt(m_state.now() + stopRetry, [self = weak_from_this(), attempt, worker] {
+    m_state.options.loop->callAt(m_state.now() + pause, [self = weak_from_this(), attempt, worker] {
         const auto desk = self.lock();
         if (!desk || desk->m_closed)
             return;
         const WorkerBook* again = desk->m_state.worker(worker);
-        if (!again || !again->bookings.contains(attempt))
+        if (!again || !again->bookings.contains(attempt)) {
+            desk->m_stopsSent.erase(attempt);
             return;
+        }
         // Others of its step may have been lost since the first stop, which may not have arrived.
         if (desk->mayStopNow(attempt))
             desk->stop(attempt, worker);
         else
-            desk->stopLater(attempt, worker);
+            desk->stopLater(attempt, worker, stopRetry);
     });
 }
 
--- a/src/jobs/owner/order_desk.h
+++ b/src/jobs/owner/order_desk.h
@@ -4,13 +4,15 @@
 
 #include "owner_state.h"
 
+#include <map>
+
 namespace lanemoor::jobs {
 
 /// \brief Gives orders to workers while the ownership is held.
 ///
-/// A start without a usable answer leaves its attempt in doubt: it may run, or may begin later.
-/// The next renewal that was sent afterwards tells; if the attempt is not there a stop settles
-/// it, since a worker starts no attempt that it was told to stop.
+/// A start whose answer is overdue has an unknown outcome: the attempt may run, or may begin later.
+/// A probe tells, or the next renewal; if the attempt is not there a stop settles
+/// it, since a worker starts no attempt that it was told to stop. Stops are sent again until one is answered.
 class OrderDesk : public std::enable_shared_from_this<OrderDesk> {
 public:
     OrderDesk(OwnerState& state, SchedulerCounts& counts);
@@ -42,13 +44,17 @@
 private:
     void started(const Attempt& attempt, const std::string& worker, const WorkerSession* life, const OrderResult& result);
     void refused(const Attempt& attempt, const std::string& worker, OrderOutcome outcome);
-    void stopLater(const Attempt& attempt, const std::string& worker);
+    void stopLater(const Attempt& attempt, const std::string& worker, Millis pause);
+    void watchStart(const Attempt& attempt, const std::string& worker, Millis pause, std::uint32_t probes);
+    void watchStop(const Attempt& attempt, const std::string& worker, std::uint32_t number);
+    [[nodiscard]] const LiveAttempt* findLive(const Attempt& attempt, const std::string& worker) const;
     [[nodiscard]] WorkerBook* bookOfLife(const std::string& worker, const WorkerSession* life) const;
     [[nodiscard]] bool mayStopNow(const Attempt& attempt) const;
-    void stopped(const Attempt& attempt, const std::string& worker, const WorkerSession* life, const OrderResult& result);
+    void stopped(const Attempt& attempt, const std::string& worker, std::uint32_t number, const WorkerSession* life, const OrderResult& result);
 
     OwnerState& m_state;
     SchedulerCounts& m_counts;
+    std::map<Attempt, std::uint32_t> m_stopsSent; ///< Of attempts whose stop is not answered; the newest one is sent again.
     bool m_closed = false;
 };
 
--- a/src/jobs/owner/owner_state.h
+++ b/src/jobs/owner/owner_state.h
@@ -9,6 +9,7 @@
 #include "lanemoor/jobs/owner/worker_book.h"
 #include "lanemoor/jobs/policy/load_forecast.h"
 #include "lanemoor/jobs/policy/organisation_use.h"
+#include "lanemoor/jobs/policy/response_time.h"
 #include "lanemoor/jobs/store/progress_writer.h"
 
 #include <map>
@@ -51,6 +52,7 @@
     std::map<std::string, WorkerBook> workers; ///< By id of the life.
     std::unique_ptr<ProgressWriter> writer;
     LoadForecast forecast;
+    ResponseTime responses; ///< Of starts.
     /// A step that found no room.
     struct WaitingStep {
         MonotonicInstant since; ///< When it first found none.
--- a/src/jobs/owner/report_reader.cpp
+++ b/src/jobs/owner/report_reader.cpp
@@ -46,24 +46,31 @@
         m_state.options.log->decision("worker-met",
             { { "worker", session.life().id }, { "running", static_cast<std::int64_t>(result.running.size()) }, { "ended", static_cast<std::int64_t>(result.ended.size()) } });
     }
-    std::uint64_t lastEnd = 0;
-    for (const EndedAttempt& ended : result.ended) {
-        readEnded(*worker, ended);
-        lastEnd = std::max(lastEnd, ended.sequence);
-    }
+    readEnds(*worker, session, result.ended);
     for (const RunningAttempt& running : result.running)
         readRunning(*worker, running, result.workerClock);
     settleMissing(*worker, result, sentAt);
     findStuck(*worker);
     adjustThrottle(*worker, result);
     m_state.requestPass();
-    if (lastEnd == 0) {
+    if (result.ended.empty())
         session.acknowledge(0);
-        return;
+}
+
+/// The worker may forget its ends once they are stored.
+void ReportReader::readEnds(WorkerBook& worker, WorkerSession& session, const std::vector<EndedAttempt>& ends)
+{
+    std::uint64_t last = 0;
+    for (const EndedAttempt& ended : ends) {
+        readEnded(worker, ended);
+        last = std::max(last, ended.sequence);
     }
-    m_state.writer->whenStored([weak = session.weak_from_this(), lastEnd] {
+    if (last == 0)
+        return;
+    m_state.requestPass();
+    m_state.writer->whenStored([weak = session.weak_from_this(), last] {
         if (const auto stored = weak.lock())
-            stored->acknowledge(lastEnd);
+            stored->acknowledge(last);
     });
 }
 
@@ -119,12 +126,8 @@
     OwnerJob* job = m_state.job(report.attempt.job);
     const TaskState* task = job ? job->state.find(report.attempt.task) : nullptr;
     if (liveTask(worker, report.attempt)) {
-        const AttemptPhase phase = task->live->phase;
-        if (phase == AttemptPhase::Ordered || phase == AttemptPhase::Doubtful)
-            job->state.setPhase(report.attempt, AttemptPhase::Running, m_state.now());
+        confirm(report, workerClock);
         job->state.noteReport(report, m_state.now());
-        if (job->state.noteConfirmed(report.attempt, workerClock))
-            m_state.store(report.attempt.job);
         return;
     }
     if (task && job->state.adopt(report.attempt, worker.entry.id, m_state.now())) {
@@ -140,6 +143,47 @@
     stopStray(worker, report.attempt, job);
 }
 
+/// A live attempt is at its worker.
+void ReportReader::confirm(const RunningAttempt& report, std::int64_t workerClock)
+{
+    JobState& job = m_state.job(report.attempt.job)->state;
+    const AttemptPhase phase = job.find(report.attempt.task)->live->phase;
+    if (phase == AttemptPhase::Ordered || phase == AttemptPhase::Doubtful)
+        job.setPhase(report.attempt, AttemptPhase::Running, m_state.now());
+    if (job.noteConfirmed(report.attempt, workerClock))
+        m_state.store(report.attempt.job);
+}
+
+/// Reads ends, which stand whatever the order of the answers, and settles starts and stops whose outcome is unknown. The list of what
+/// runs may be older than one that was read before.
+void ReportReader::onProbe(WorkerSession& session, const RenewResult& result, MonotonicInstant sentAt)
+{
+    WorkerBook* worker = m_state.worker(session.life().id);
+    if (!worker)
+        return;
+    readEnds(*worker, session, result.ended);
+    for (const RunningAttempt& running : result.running) {
+        const TaskState* task = liveTask(*worker, running.attempt);
+        if (task && task->live->phase == AttemptPhase::Doubtful)
+            confirm(running, result.workerClock);
+    }
+    const auto isListed = [&result](const Attempt& attempt) {
+        return std::any_of(result.running.begin(), result.running.end(), [&](const RunningAttempt& running) { return running.attempt == attempt; })
+            || std::any_of(result.ended.begin(), result.ended.end(), [&](const EndedAttempt& ended) { return ended.attempt == attempt; });
+    };
+    std::vector<Attempt> missing;
+    for (const auto& [attempt, booking] : worker->bookings) {
+        const TaskState* task = liveTask(*worker, attempt);
+        const bool isOpen = task && (task->live->phase == AttemptPhase::Doubtful || task->live->phase == AttemptPhase::Stopping);
+        if (isOpen && !isListed(attempt))
+            missing.push_back(attempt);
+    }
+    for (const Attempt& attempt : missing)
+        settleMissing(*worker, attempt, result.workerClock, sentAt);
+    if (!missing.empty())
+        m_state.requestPass();
+}
+
 /// \returns What an attempt takes at its worker until it is over, also if its job was over before this
 /// term; all of the worker, if nobody knows the job any more.
 std::shared_ptr<const StepSpec> ReportReader::specOf(const WorkerBook& worker, const Attempt& attempt, const OwnerJob* job) const
--- a/src/jobs/owner/report_reader.h
+++ b/src/jobs/owner/report_reader.h
@@ -16,6 +16,7 @@
     ReportReader(OwnerState& state, OrderDesk& desk, SchedulerCounts& counts);
 
     void onAnswer(WorkerSession& session, const RenewResult& result, MonotonicInstant sentAt) override;
+    void onProbe(WorkerSession& session, const RenewResult& result, MonotonicInstant sentAt) override;
     void onHeard(WorkerSession& session) override;
     void onSilence(WorkerSession& session) override;
     void onOver(WorkerSession& session, bool lifeOver) override;
@@ -28,6 +29,7 @@
 private:
     [[nodiscard]] const TaskState* liveTask(const WorkerBook& worker, const Attempt& attempt) const;
     void readRunning(WorkerBook& worker, const RunningAttempt& report, std::int64_t workerClock);
+    void readEnds(WorkerBook& worker, WorkerSession& session, const std::vector<EndedAttempt>& ends);
     void readEnded(WorkerBook& worker, const EndedAttempt& ended);
     [[nodiscard]] std::shared_ptr<const StepSpec> specOf(const WorkerBook& worker, const Attempt& attempt, const OwnerJob* job) const;
     [[nodiscard]] OrganisationAccount* accountOf(const Attempt& attempt, const OwnerJob* job) const;
@@ -35,6 +37,7 @@
     void noteHealth(WorkerBook& worker, const EndedAttempt& ended);
     void settleMissing(WorkerBook& worker, const RenewResult& result, MonotonicInstant sentAt);
     void settleMissing(WorkerBook& worker, const Attempt& attempt, std::int64_t workerClock, MonotonicInstant sentAt);
+    void confirm(const RunningAttempt& report, std::int64_t workerClock);
     void findStuck(WorkerBook& worker);
     void lose(WorkerBook& worker, const std::set<Attempt>& open, bool lifeOver);
     void settleExpired(WorkerBook& worker);
--- a/src/jobs/owner/worker_session.cpp
+++ b/src/jobs/owner/worker_session.cpp
@@ -17,6 +17,9 @@
 constexpr Millis unstoredRenewal { 700 };
 /// A worker that was heard of so long ago is the same life still: one that has ended is back after a second at the soonest.
 constexpr Millis freshLife { 900 };
+/// Where calls were lost lately, an answer waits this long for an end.
+constexpr Millis shortWait { 150 };
+constexpr Millis shortWaitTime { 3'000 };
 
 } // namespace
 
@@ -110,19 +113,23 @@
         probe();
 }
 
-/// Only its life and its clock are read: what runs and ended comes in the order of the renewals.
 void WorkerSession::probe()
 {
-    m_control.renew(m_life, { .epoch = m_options.epoch }, [self = weak_from_this()](const RenewResult& result) {
+    if (m_closed || m_loop.now() < m_probeFrom)
+        return;
+    m_probeFrom = m_loop.now() + m_options.overdueAfter();
+    m_control.renew(m_life, { .epoch = m_options.epoch }, [self = weak_from_this(), sentAt = m_loop.now()](const RenewResult& result) {
         const auto session = self.lock();
         if (!session || session->m_closed || result.outcome != OrderOutcome::Done)
             return;
+        session->m_probeFrom = session->m_loop.now();
         if (!session->isOfThisLife(result)) {
             session->noteRestart(result.startedAt);
             return;
         }
         session->noteThisLife();
         session->noteClock(result.workerClock);
+        session->m_observer.onProbe(*session, result, sentAt);
     });
 }
 
@@ -160,9 +167,13 @@
     const bool onlyAsks = m_silent || mayBeAnotherLife();
     RenewOrder order { .leaseUntil = onlyAsks ? 0 : leaseForOrder().value_or(0), .epoch = m_options.epoch, .endsStoredUpTo = onlyAsks ? 0 : m_storedUpTo };
     if (m_met && !onlyAsks && !m_awaitingAcknowledgement)
-        order.wait = m_options.wait;
+        order.wait = m_loop.now() < m_shortWaitUntil ? std::min(m_options.wait, shortWait) : m_options.wait;
     m_renewing = true;
     const MonotonicInstant sentAt = m_loop.now();
+    m_renewalSentAt = sentAt;
+    const Millis overdueAfter = m_options.overdueAfter();
+    if (m_met && !m_silent)
+        watchRenewal(sentAt + order.wait + overdueAfter, overdueAfter);
     m_control.renew(m_life, order, [self = weak_from_this(), sentAt](const RenewResult& result) {
         const auto session = self.lock();
         if (session && !session->m_closed)
@@ -170,6 +181,24 @@
     });
 }
 
+/// A renewal that is overdue may be lost, and with it the ends that it would have reported: probes report them until it times out.
+void WorkerSession::watchRenewal(MonotonicInstant overdueAt, Millis pause)
+{
+    m_loop.callAt(overdueAt, [self = weak_from_this(), sentAt = m_renewalSentAt, pause] {
+        const auto session = self.lock();
+        if (!session || session->m_closed || !session->m_renewing || session->m_renewalSentAt != sentAt || !session->m_options.mayOrder())
+            return;
+        session->noteOverdue();
+        session->probe();
+        session->watchRenewal(session->m_loop.now() + pause, 2 * pause);
+    });
+}
+
+void WorkerSession::noteOverdue()
+{
+    m_shortWaitUntil = m_loop.now() + shortWaitTime;
+}
+
 void WorkerSession::answered(const RenewResult& result, MonotonicInstant sentAt)
 {
     m_renewing = false;
@@ -184,6 +213,11 @@
         renewAt(m_loop.now() + m_options.retryPause);
         return;
     default:
+        // Only this call was lost: the worker has answered others since.
+        if (m_heardAt > sentAt) {
+            renewAt(m_loop.now());
+            return;
+        }
         m_silent = true;
         renewAt(m_loop.now() + m_options.retryPause);
         m_observer.onSilence(*this);
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -373,7 +373,9 @@
         const WorkerModel* model = m_workers.find(id);
         return !model || !model->alive || model->trouble.cutOff || model->trouble.dark;
     };
-    if (unreachable()) {
+    const WorkerModel* target = m_workers.find(worker.id);
+    std::uniform_real_distribution<double> share(0, 1);
+    if (unreachable() || (target->trouble.lostRenewals > 0 && share(m_workers.m_random) < target->trouble.lostRenewals)) {
         clock.after(order.wait + callTime, [answer] { answer({}); });
         return;
     }
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -26,6 +26,7 @@
     double lostAnswers = 0; ///< Share of orders carried out and not answered.
     double lostOrders = 0; ///< Share of orders neither carried out nor answered.
     double lateOrders = 0; ///< Share of orders not answered and carried out seconds later.
+    double lostRenewals = 0; ///< Share of renewals neither carried out nor answered.
     double failing = 0; ///< Share of tasks that fail.
     bool hanging = false; ///< Tasks stand still.
 };
--- a/tests/jobs/unanswered_order_test.cpp
+++ b/tests/jobs/unanswered_order_test.cpp
@@ -101,3 +101,51 @@
     CHECK(cluster.running() == LongRunningCluster::tasks);
     CHECK(cluster.witness.breaches().empty());
 }
+
+namespace {
+
+/// Plays one job after another on six workers, three of which are in `trouble`.
+struct UnansweredCluster : SmallCluster {
+    explicit UnansweredCluster(const model::WorkerTrouble& trouble)
+        : SmallCluster(1, 3, 6, 2)
+    {
+        workers.runTimes = [](const Attempt&) { return Millis(300); };
+        for (std::uint64_t number = 1; number <= jobs; ++number) {
+            for (auto& [id, worker] : workers.workers())
+                worker.trouble = worker.instance < "m-3" ? trouble : model::WorkerTrouble {};
+            submit(0, "work", jobId(number), job({ step(6) }));
+            const MonotonicInstant begin = clock.now();
+            waitFor(Millis(20'000), [&] { return witness.hasSucceeded(jobId(number)) && shows(jobId(number), JobStatus::Succeeded); });
+            m_times.push_back(std::chrono::duration_cast<Millis>(clock.now() - begin));
+        }
+        std::sort(m_times.begin(), m_times.end());
+    }
+
+    /// \returns The time that a share of the jobs was done in.
+    [[nodiscard]] Millis time(double share) const { return m_times[static_cast<std::size_t>(share * static_cast<double>(jobs - 1))]; }
+
+    static constexpr std::uint64_t jobs = 60;
+
+private:
+    std::vector<Millis> m_times;
+};
+
+} // namespace
+
+/// Guards against waiting for three calls to time out in a row before a task starts elsewhere.
+TEST_CASE("A start that is left unanswered costs its job tenths of a second")
+{
+    const UnansweredCluster cluster({ .lateOrders = 0.3 });
+    CHECK(cluster.time(0.5) <= Millis(700));
+    CHECK(cluster.time(0.9) <= Millis(1'500));
+    CHECK(cluster.witness.breaches().empty());
+}
+
+/// Guards against learning the ends at a worker only after a renewal has timed out, and against closing the worker meanwhile.
+TEST_CASE("A renewal that is left unanswered hides the ends at its worker for tenths of a second")
+{
+    const UnansweredCluster cluster({ .lostRenewals = 0.3 });
+    CHECK(cluster.time(0.5) <= Millis(600));
+    CHECK(cluster.time(0.9) <= Millis(1'500));
+    CHECK(cluster.witness.breaches().empty());
+}
