Ask at one place again whether an attempt is live at a worker

Symptom: none. Cause: the dispatcher and the crash tracker had written the status reports' check anew, a search for a probation stood twice, and looking up the open starts at a worker copied the probations of each task. Ruled out: the checks that ask for the number alone, which mean another thing. Change: OwnerState::liveTask serves all three; one search; no copy. Why it holds: the conditions are the same.

--- a/src/jobs/model/job_state.cpp
+++ b/src/jobs/model/job_state.cpp
@@ -11,9 +11,9 @@
 /// once does not take all of an entry's time. Measured starts take some milliseconds.
 constexpr Millis retryPause { 20 };
 
-std::vector<Probation>::iterator findProbation(TaskState& task, std::uint64_t attempt)
+Probation* findProbation(TaskState& task, std::uint64_t attempt)
 {
-    return std::find_if(task.probations.begin(), task.probations.end(), [&](const Probation& probation) { return probation.attempt == attempt; });
+    return const_cast<Probation*>(task.probationOf(attempt));
 }
 
 /// \returns Whether there was one.
@@ -241,8 +241,8 @@
         return false;
     if (state->live->confirmedOnClock == 0)
         state->live->confirmedOnClock = workerClock;
-    const auto probation = findProbation(*state, attempt.number);
-    return probation != state->probations.end() && !std::exchange(probation->isAcknowledged, true);
+    Probation* probation = findProbation(*state, attempt.number);
+    return probation && !std::exchange(probation->isAcknowledged, true);
 }
 
 void JobState::noteStopAnswered(const Attempt& attempt, MonotonicInstant now)
@@ -400,8 +400,8 @@
     TaskState* state = findLive(attempt);
     if (!state)
         return false;
-    const auto probation = findProbation(*state, attempt.number);
-    return probation != state->probations.end() && !std::exchange(probation->isSilent, true);
+    Probation* probation = findProbation(*state, attempt.number);
+    return probation && !std::exchange(probation->isSilent, true);
 }
 
 void JobState::keepProbation(const Attempt& attempt)
--- a/src/jobs/owner/crash_tracker.cpp
+++ b/src/jobs/owner/crash_tracker.cpp
@@ -67,8 +67,10 @@
     std::erase_if(indexed->second, [&](const auto& entry) {
         OwnerJob* job = m_state.job(entry.first);
         const TaskState* task = job ? job->state.find(entry.second) : nullptr;
+        if (!task)
+            return true;
         const std::size_t before = open.size();
-        for (const Probation& probation : task ? task->probations : std::vector<Probation> {}) {
+        for (const Probation& probation : task->probations) {
             if (probation.worker == worker)
                 open.push_back({ .job = job, .task = entry.second, .probation = probation });
         }
@@ -168,10 +170,9 @@
 {
     std::vector<LostAttempt> booked;
     for (const auto& [attempt, booking] : worker.bookings) {
+        const TaskState* task = m_state.liveTask(attempt, worker.entry.id);
         const OwnerJob* job = m_state.job(attempt.job);
-        const TaskState* task = job ? job->state.find(attempt.task) : nullptr;
-        const bool isLive = task && task->live && task->live->number == attempt.number && task->live->worker == worker.entry.id;
-        if (!isLive || isFinal(job->state.status()) || task->live->crashAttributed)
+        if (!task || isFinal(job->state.status()) || task->live->crashAttributed)
             continue;
         LostAttempt& entry = booked.emplace_back(LostAttempt { .attempt = attempt, .isLongRunning = booking.step->longRunning, .survived = std::nullopt, .isAdopted = task->live->adopted, .isInherited = job->inherited, .before = task->crashes });
         if (task->live->confirmedOnClock > 0)
--- a/src/jobs/owner/order_desk.cpp
+++ b/src/jobs/owner/order_desk.cpp
@@ -62,10 +62,8 @@
 /// \returns The attempt if it is live at the worker, or null.
 const LiveAttempt* OrderDesk::findLive(const Attempt& attempt, const std::string& worker) const
 {
-    const OwnerJob* job = m_state.job(attempt.job);
-    const TaskState* task = job ? job->state.find(attempt.task) : nullptr;
-    const bool isLive = task && task->live && task->live->number == attempt.number && task->live->worker == worker;
-    return isLive ? &*task->live : nullptr;
+    const TaskState* task = m_state.liveTask(attempt, worker);
+    return task ? &*task->live : nullptr;
 }
 
 /// A start whose answer is overdue is looked up at its worker: waiting until the call times out would cost its job most of its objective.
--- a/src/jobs/owner/owner_state.cpp
+++ b/src/jobs/owner/owner_state.cpp
@@ -23,6 +23,14 @@
     return found == workers.end() ? nullptr : &found->second;
 }
 
+const TaskState* OwnerState::liveTask(const Attempt& attempt, const std::string& worker)
+{
+    const OwnerJob* job = this->job(attempt.job);
+    const TaskState* task = job ? job->state.find(attempt.task) : nullptr;
+    const bool isLive = task && task->live && task->live->number == attempt.number && task->live->worker == worker;
+    return isLive ? task : nullptr;
+}
+
 std::string OwnerState::poolOf(const JobState& job) const
 {
     const QueueSettings* queue = configuration()->queue(job.record().queue);
--- a/src/jobs/owner/owner_state.h
+++ b/src/jobs/owner/owner_state.h
@@ -85,6 +85,9 @@
     [[nodiscard]] OwnerJob* job(const std::string& id);
     [[nodiscard]] WorkerBook* worker(const std::string& id);
 
+    /// \returns The task of an attempt that its job counts as live at the worker, or null.
+    [[nodiscard]] const TaskState* liveTask(const Attempt& attempt, const std::string& worker);
+
     /// \returns The account of the organisation that handed a job in, or null.
     [[nodiscard]] OrganisationAccount* accountOf(const JobRecord& record) { return record.organisation.empty() ? nullptr : &organisations.account(record.organisation); }
 
--- a/src/jobs/owner/report_reader.cpp
+++ b/src/jobs/owner/report_reader.cpp
@@ -112,20 +112,11 @@
         m_state.options.log->change("worker-quarantined", { { "worker", worker.entry.id }, { "pool", worker.entry.pool } });
 }
 
-/// \returns The task of an attempt that its job counts as running at the worker, or null.
-const TaskState* ReportReader::liveTask(const WorkerBook& worker, const Attempt& attempt) const
-{
-    const OwnerJob* job = m_state.job(attempt.job);
-    const TaskState* task = job ? job->state.find(attempt.task) : nullptr;
-    const bool isLive = task && task->live && task->live->number == attempt.number && task->live->worker == worker.entry.id;
-    return isLive ? task : nullptr;
-}
-
 void ReportReader::readRunning(WorkerBook& worker, const RunningAttempt& report, std::int64_t workerClock)
 {
     OwnerJob* job = m_state.job(report.attempt.job);
     const TaskState* task = job ? job->state.find(report.attempt.task) : nullptr;
-    if (liveTask(worker, report.attempt)) {
+    if (m_state.liveTask(report.attempt, worker.entry.id)) {
         confirm(report, workerClock);
         job->state.noteReport(report, m_state.now());
         return;
@@ -163,7 +154,7 @@
         return;
     readEnds(*worker, session, result.ended);
     for (const RunningAttempt& running : result.running) {
-        const TaskState* task = liveTask(*worker, running.attempt);
+        const TaskState* task = m_state.liveTask(running.attempt, worker->entry.id);
         if (task && task->live->phase == AttemptPhase::Doubtful)
             confirm(running, result.workerClock);
     }
@@ -173,7 +164,7 @@
     };
     std::vector<Attempt> missing;
     for (const auto& [attempt, booking] : worker->bookings) {
-        const TaskState* task = liveTask(*worker, attempt);
+        const TaskState* task = m_state.liveTask(attempt, worker->entry.id);
         const bool isOpen = task && (task->live->phase == AttemptPhase::Doubtful || task->live->phase == AttemptPhase::Stopping);
         if (isOpen && !isListed(attempt))
             missing.push_back(attempt);
@@ -234,7 +225,7 @@
 
 void ReportReader::settleMissing(WorkerBook& worker, const Attempt& attempt, std::int64_t workerClock, MonotonicInstant sentAt)
 {
-    const TaskState* task = liveTask(worker, attempt);
+    const TaskState* task = m_state.liveTask(attempt, worker.entry.id);
     if (!task) {
         worker.bookings.erase(attempt);
         return;
@@ -370,7 +361,7 @@
 {
     std::set<Attempt> open;
     for (const auto& [attempt, booking] : worker.bookings) {
-        const TaskState* task = liveTask(worker, attempt);
+        const TaskState* task = m_state.liveTask(attempt, worker.entry.id);
         if (task && !task->live->listed)
             open.insert(attempt);
     }
--- a/src/jobs/owner/report_reader.h
+++ b/src/jobs/owner/report_reader.h
@@ -27,7 +27,6 @@
     [[nodiscard]] CrashTracker& crashes() noexcept { return m_crashes; }
 
 private:
-    [[nodiscard]] const TaskState* liveTask(const WorkerBook& worker, const Attempt& attempt) const;
     void readRunning(WorkerBook& worker, const RunningAttempt& report, std::int64_t workerClock);
     void readEnds(WorkerBook& worker, WorkerSession& session, const std::vector<EndedAttempt>& ends);
     void readEnded(WorkerBook& worker, const EndedAttempt& ended);
