Place tasks to be isolated on workers without young attempts

Cause: a worker that crashes before it answers a start leaves that start unacknowledged. Beside acknowledged starts within their probation the crash is attributed to those, and the poison task's own crash is not counted. Isolation kept suspects away from other suspects only, not from attempts that had just begun and were no suspects yet.

Change: a task with two crashes prefers workers on which nothing started within the last probation, so that a crash there is attributed to it alone. A preference, not a condition: on a fleet without such a worker the task still starts.

Evidence: placement test (fails without the change). Not covered: a first crash that is not counted, before the task is suspect at all.

--- a/include/lanemoor/jobs/owner/worker_book.h
+++ b/include/lanemoor/jobs/owner/worker_book.h
@@ -55,6 +55,7 @@
     MonotonicInstant evacuatingSince; ///< Meaningful while evacuating.
     MonotonicInstant noWorkBefore; ///< After it refused an order.
     std::string keptFor; ///< Label of the tasks that room was made for.
+    MonotonicInstant youngUntil; ///< The latest start is on probation until then.
     MonotonicInstant keptUntil; ///< When other tasks may come again.
 
     /// \returns Capacity less what is booked.
--- a/include/lanemoor/jobs/policy/placement.h
+++ b/include/lanemoor/jobs/policy/placement.h
@@ -31,6 +31,7 @@
     std::string keptFor; ///< A label: only tasks that require it may come; empty: all may.
     std::uint32_t wanted = 0; ///< How much tasks that require its labels ask of sites with them; see `wantedLevel`.
     std::vector<SiteSuspect> suspects;
+    bool hasYoungAttempts = false; ///< Some attempt there started less than a probation ago.
 };
 
 /// What is asked of a site beside the step's own needs.
@@ -51,7 +52,8 @@
 ///
 /// Among the sites that fit, those come first that have no suspect to be told apart from the task, then those of the preferred rack, then those
 /// where serving and best-effort tasks keep apart, then the fullest: whole instances stay free for
-/// maintenance and for being powered off. A suspect goes to the emptiest: what runs there is lost if it is guilty.
+/// maintenance and for being powered off. A suspect goes to the emptiest: what runs there is lost if it is guilty. A task that is
+/// to be isolated prefers sites without young attempts, with which a crash could not be attributed to it alone.
 ///
 /// Sites are kept in the order of what they have free, so that a choice looks at the few that are nearly full and
 /// not at all of them; what found no room is remembered, so that work which waits costs a look a pass and not one a
--- a/src/jobs/owner/order_desk.cpp
+++ b/src/jobs/owner/order_desk.cpp
@@ -44,6 +44,7 @@
     const std::uint32_t suspicion = job.state.find(task)->suspicion();
     job.state.begin(task, number, worker.entry.id, m_state.now());
     worker.bookings.put(attempt, { .step = job.state.sharedSpec(task.step), .account = job.account, .endsBy = m_state.expectedEnd(job, task), .suspicion = suspicion });
+    worker.youngUntil = m_state.now() + maxProbation;
     if (suspicion > 0)
         m_state.beginProbation(job, attempt, worker);
     if (first)
--- a/src/jobs/owner/worker_book.cpp
+++ b/src/jobs/owner/worker_book.cpp
@@ -69,6 +69,7 @@
     PlacementSite site { .worker = &entry, .free = free(), .open = isOpen(now) };
     if (now < keptUntil)
         site.keptFor = keptFor;
+    site.hasYoungAttempts = now < youngUntil;
     site.servingTasks = bookings.servingTasks();
     site.bestEffortTasks = bookings.bestEffortTasks();
     for (const auto& [attempt, suspicion] : bookings.suspects())
--- a/src/jobs/policy/placement.cpp
+++ b/src/jobs/policy/placement.cpp
@@ -41,7 +41,7 @@
 }
 
 /// What speaks against a site; smaller is better, the fields in the order in which they decide.
-using Drawbacks = std::tuple<bool, bool, bool, bool, bool, std::uint32_t>;
+using Drawbacks = std::tuple<bool, bool, bool, bool, bool, bool, std::uint32_t>;
 /// Then the fullest site, and of equals the first.
 using Rank = std::tuple<Drawbacks, std::int64_t, std::size_t>;
 
@@ -49,7 +49,8 @@
 {
     const bool avoided = !query.avoidWorker.empty() && site.worker->id == query.avoidWorker;
     const bool besideSuspect = !site.suspects.empty() && hasSuspect(site, query, 1);
-    return { avoided, besideSuspect, !site.preferred, isFar(site, step), wouldMix(site, step), step.requiredLabel.empty() ? site.wanted : 0 };
+    const bool besideYoung = query.suspicion >= crashesToIsolate && site.hasYoungAttempts;
+    return { avoided, besideSuspect, besideYoung, !site.preferred, isFar(site, step), wouldMix(site, step), step.requiredLabel.empty() ? site.wanted : 0 };
 }
 
 std::int64_t fullnessOf(const PlacementSite& site, const StepSpec& step, const PlacementQuery& query)
@@ -170,6 +171,7 @@
     PlacementSite& site = m_sites[index];
     const Resources before = site.free;
     site.free -= footprint(step);
+    site.hasYoungAttempts = true;
     move(index, before);
     site.servingTasks += step.latencyTarget.count() > 0 ? 1 : 0;
     site.bestEffortTasks += step.bestEffort ? 1 : 0;
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -258,7 +258,11 @@
     model.running[order.attempt] = run;
     if (witness)
         witness->onStart(worker, order, late);
-    if (endsWorker && endsWorker(order.attempt))
+    if (!endsWorker || !endsWorker(order.attempt))
+        return done;
+    if (endsWorkerAfter == Millis(0))
+        endByTask(worker, order.attempt);
+    else
         m_clock.after(endsWorkerAfter, [this, worker, attempt = order.attempt] { endByTask(worker, attempt); });
     return done;
 }
@@ -331,7 +335,8 @@
             return;
         }
         const OrderResult result = act(false);
-        if (lost)
+        // A worker that its own task has crashed answers nothing.
+        if (lost || !m_workers.find(worker)->alive)
             later.after(callTime, [answer] { answer({}); });
         else
             later.after(halfTrip, [answer, result] { answer(result); });
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -105,7 +105,7 @@
     std::function<jobs::StepSpec(const jobs::Attempt&)> stepOf;
     /// \returns Whether an attempt ends the worker that starts it; null: none does.
     std::function<bool(const jobs::Attempt&)> endsWorker;
-    Millis endsWorkerAfter { 10 };
+    Millis endsWorkerAfter { 10 }; ///< 0: before the start is answered.
     Millis backAfterEnd { 2'500 }; ///< The instance of a worker that a task has ended is up again.
     WorkerWitness* witness = nullptr;
     std::function<void(const WorkerModel&)> onEntry; ///< A worker's entry is to be written.
--- a/tests/jobs/crash_attribution_test.cpp
+++ b/tests/jobs/crash_attribution_test.cpp
@@ -112,6 +112,24 @@
     CHECK(placer.choose(step(1), usual) == 2U);
 }
 
+// Guards against a crash before the answer to a start that is attributed to an innocent start beside it, and not counted.
+TEST_CASE("A task to be isolated prefers a fuller worker without young attempts")
+{
+    std::vector<WorkerEntry> workers(2);
+    std::vector<PlacementSite> sites;
+    for (WorkerEntry& worker : workers)
+        sites.push_back({ .worker = &worker, .free = { .milliCpu = 4'000, .memoryMb = 10'000 } });
+    sites[0].free.milliCpu = 2'000;
+    Placer placer(sites);
+    placer.book(1, step(1));
+    PlacementQuery query;
+    query.quarantineKey = jobId(1);
+    query.suspicion = crashesToIsolate;
+    CHECK(placer.choose(step(1), query) == 0U);
+    query.suspicion = crashesToIsolate - 1;
+    CHECK(placer.choose(step(1), query) == 1U);
+}
+
 TEST_CASE("A suspect of one crash is placed beside others last")
 {
     std::vector<WorkerEntry> workers(2);
--- a/tests/jobs/lost_worker_test.cpp
+++ b/tests/jobs/lost_worker_test.cpp
@@ -146,6 +146,25 @@
     }
 }
 
+// Guards against a crash before the answer to the start that nobody counts: the task then starts once too often.
+TEST_CASE("A poison task whose workers crash before they answer is not started again and again beside quick jobs")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        EndingCluster cluster(seed);
+        std::uint32_t starts = 0;
+        cluster.workers.endsWorker = [&](const Attempt& attempt) {
+            const bool isPoison = attempt.job == EndingCluster::ending && attempt.task == TaskId { 0, 1, 0 };
+            if (isPoison)
+                cluster.workers.endsWorkerAfter = Millis((starts++ + seed) % 3 == 0 ? 0 : 10);
+            return isPoison;
+        };
+        cluster.playWithQuickJobs(Millis(30'000));
+        CHECK(cluster.shows(EndingCluster::ending, JobStatus::Failed));
+        CHECK(cluster.witness.breaches().empty());
+    }
+}
+
 /// Guards against counting an expired lease as a crash: the worker lives on, cut off from the owner.
 TEST_CASE("A task whose workers are cut off again and again is not given up")
 {
