Evacuate data halls that operators ask to evacuate

Cause: nothing read the requests.

Change: the owner lists the requests each 0.7 s, well below the 5 s in which they must be in force, and starts nothing in a term before it has read them once. Workers of an evacuated data hall take no new work and are not sound for the plan, so that their pools get instances of other halls first; long-running tasks move within the disruption budgets of their steps, batch tasks end by themselves; instances in reserve there are left alone. A withdrawn request opens the hall again with the next read.

Listing rather than a watch, since a watch that receives nothing cannot be told from one whose events are lost. One call each 0.7 s by one instance.

--- a/include/lanemoor/jobs/model/platform_documents.h
+++ b/include/lanemoor/jobs/model/platform_documents.h
@@ -22,6 +22,7 @@
     [[nodiscard]] virtual std::string configurationKey() const = 0;
     [[nodiscard]] virtual std::string workerPrefix() const = 0;
     [[nodiscard]] virtual std::string wavePrefix() const = 0;
+    [[nodiscard]] virtual std::string evacuationPrefix() const = 0; ///< A key behind it names the data hall.
     [[nodiscard]] virtual std::string waveStatusKey(std::uint64_t wave) const = 0;
     ///@}
 
--- a/include/lanemoor/jobs/owner/fleet_keeper.h
+++ b/include/lanemoor/jobs/owner/fleet_keeper.h
@@ -19,6 +19,7 @@
 
 namespace lanemoor::jobs {
 
+class HallEvacuations;
 class WorkMeter;
 
 /// What a fleet keeper works with. All of it outlives the keeper.
@@ -28,6 +29,7 @@
     FleetControl* fleet = nullptr;
     JobScheduler* scheduler = nullptr;
     OwnershipKeeper* ownership = nullptr;
+    const HallEvacuations* evacuations = nullptr;
     const PlatformDocuments* documents = nullptr;
     EventLog* log = nullptr;
     WorkMeter* meter = nullptr; ///< Null: work is not measured.
--- /dev/null
+++ b/include/lanemoor/jobs/owner/hall_evacuations.h
@@ -0,0 +1,69 @@
+#pragma once
+/// \file
+/// Data halls that operators ask to evacuate.
+
+#include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/model/forward_declarations.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace lanemoor {
+class EventLog;
+} // namespace lanemoor
+
+namespace lanemoor::jobs {
+
+/// What the evacuation list works with. All of it outlives the list.
+struct HallEvacuationsOptions {
+    EventLoop* loop = nullptr;
+    KeyValueStore* store = nullptr;
+    EventLog* log = nullptr;
+    std::string prefix; ///< Of the requests; the rest of a key names the data hall.
+    Millis readEvery { 700 }; ///< Well below the time in which a request must be in force.
+    Millis retryPause { 200 }; ///< After a call that failed.
+};
+
+/// \brief Reads the requests to evacuate data halls while this instance owns the fleet.
+///
+/// The requests are listed again and again rather than watched: a watch that receives nothing cannot be told from one
+/// whose events are lost, and a start in an evacuated data hall cannot be taken back.
+///
+/// \code
+/// evacuations.start(); // Ownership gained.
+/// if (evacuations.isKnown() && !evacuations.contains(worker.dataHall))
+///     place(task, worker);
+/// \endcode
+class HallEvacuations {
+public:
+    explicit HallEvacuations(HallEvacuationsOptions options);
+    ~HallEvacuations();
+    HallEvacuations(const HallEvacuations&) = delete;
+    HallEvacuations& operator=(const HallEvacuations&) = delete;
+
+    /// \brief Sets the observer that is notified after the set of data halls changed.
+    void observe(std::function<void()> changed);
+
+    /// \brief Starts to read the requests; what was read before is discarded.
+    void start();
+
+    /// \brief Stops reading.
+    void stop();
+
+    /// \returns Whether the requests have been read since the last start.
+    [[nodiscard]] bool isKnown() const noexcept;
+
+    /// \returns Whether `dataHall` is being evacuated, as of the last answer of the store.
+    [[nodiscard]] bool contains(const std::string& dataHall) const;
+
+    /// \returns All data halls that are being evacuated.
+    [[nodiscard]] const std::set<std::string>& halls() const noexcept;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace lanemoor::jobs
--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -26,6 +26,7 @@
 
 namespace lanemoor::jobs {
 
+class HallEvacuations;
 class StoreMirror;
 class WorkerDirectory;
 class WorkMeter;
@@ -41,6 +42,7 @@
     WorkerControl* workers = nullptr;
     PlacementAdvisor* advisor = nullptr;
     OwnershipKeeper* ownership = nullptr;
+    const HallEvacuations* evacuations = nullptr;
     EventLog* log = nullptr;
     WorkMeter* meter = nullptr; ///< Null: work is not measured.
     std::function<std::shared_ptr<const ServiceConfiguration>()> configuration;
@@ -127,6 +129,7 @@
     void onJobChanged(const std::string& id);
     void onWorkerChanged(const std::string& id);
     void onConfigurationChanged();
+    void onEvacuationsChanged();
     ///@}
 
     /// \name For those who decide on instances
--- a/include/lanemoor/jobs/owner/worker_book.h
+++ b/include/lanemoor/jobs/owner/worker_book.h
@@ -53,9 +53,10 @@
     bool endSettled = false; ///< Its end was attributed.
     bool evacuating = false; ///< It is to be emptied: no new work.
     MonotonicInstant evacuatingSince; ///< Meaningful while evacuating.
+    bool hallEvacuated = false; ///< Its data hall is being evacuated: no new work.
     MonotonicInstant noWorkBefore; ///< After it refused an order.
-    std::string keptFor; ///< Label of the tasks that room was made for.
     MonotonicInstant youngUntil; ///< The latest start is on probation until then.
+    std::string keptFor; ///< Label of the tasks that room was made for.
     MonotonicInstant keptUntil; ///< When other tasks may come again.
 
     /// \returns Capacity less what is booked.
--- a/src/jobs/owner/evacuation.cpp
+++ b/src/jobs/owner/evacuation.cpp
@@ -48,7 +48,7 @@
 void Evacuation::run()
 {
     for (auto& [id, worker] : m_state.workers) {
-        if ((worker.evacuating || worker.entry.draining) && !worker.bookings.empty())
+        if ((worker.evacuating || worker.hallEvacuated || worker.entry.draining) && !worker.bookings.empty())
             empty(worker);
     }
 }
--- a/src/jobs/owner/fleet_keeper.cpp
+++ b/src/jobs/owner/fleet_keeper.cpp
@@ -6,6 +6,7 @@
 #include "lanemoor/jobs/model/key_value_store.h"
 #include "lanemoor/jobs/model/platform_documents.h"
 #include "lanemoor/jobs/model/work_meter.h"
+#include "lanemoor/jobs/owner/hall_evacuations.h"
 #include "lanemoor/jobs/owner/job_scheduler.h"
 #include "lanemoor/jobs/policy/capacity_plan.h"
 #include "lanemoor/jobs/policy/maintenance_plan.h"
@@ -505,7 +506,7 @@
             seen.drainingFrom = draining->second.from;
         seen.sound = !isUp || reserve || !use || isSound || m_moving.contains(instance.id) || draining != m_draining.end();
         seen.coming = !reserve && (!isUp || !use || m_moving.contains(instance.id) || draining != m_draining.end());
-        if (isOrdered(instance.id) || isBlocked(instance.id))
+        if (isOrdered(instance.id) || isBlocked(instance.id) || m_options.evacuations->contains(instance.dataHall))
             return seen;
         if (isUp && !reserve && isSound && use->attempts > 0 && use->pinned == 0) {
             seen.drainable = instance.worker;
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -6,6 +6,7 @@
 #include "lanemoor/jobs/intake/job_catalog.h"
 #include "lanemoor/jobs/model/fleet_control.h"
 #include "lanemoor/jobs/model/work_meter.h"
+#include "lanemoor/jobs/owner/hall_evacuations.h"
 #include "lanemoor/jobs/owner/worker_directory.h"
 #include "lanemoor/jobs/store/store_mirror.h"
 #include "order_desk.h"
@@ -259,6 +260,15 @@
         requestPass();
     }
 
+    void onEvacuationsChanged()
+    {
+        if (!m_term)
+            return;
+        for (auto& [id, book] : m_term->state.workers)
+            noteHall(book);
+        requestPass();
+    }
+
     void requestPass()
     {
         if (!m_term)
@@ -282,7 +292,7 @@
                 use.pinned += booking.step->longRunning && !booking.step->requiredLabel.empty() ? 1 : 0;
             }
             use.known = book.session->isMet() || now >= book.session->leaseOverBy();
-            use.sound = book.listed && !book.entry.draining && book.session->isMet() && !book.session->isSilent() && !book.session->isLifeOver() && !book.health.isQuarantined(now);
+            use.sound = book.listed && !book.entry.draining && !book.hallEvacuated && book.session->isMet() && !book.session->isSilent() && !book.session->isLifeOver() && !book.health.isQuarantined(now);
             uses.emplace(id, use);
         }
         return uses;
@@ -538,9 +548,12 @@
         beginSession(book, entry.worker.startedAt);
     }
 
+    void noteHall(WorkerBook& book) const { book.hallEvacuated = m_options.evacuations->contains(book.entry.dataHall); }
+
     void beginSession(WorkerBook& book, std::int64_t startedAt)
     {
         const OwnerState& state = m_term->state;
+        noteHall(book);
         WorkerSessionOptions options { .epoch = state.ownership.epoch,
             .inheritedLeaseOverBy = state.inheritedLeaseOverBy,
             .leaseTime = m_options.workerLeaseTime,
@@ -556,13 +569,14 @@
     }
 
     /// Takes in what a worker's entry tells now. The entry of a former life may arrive after the first word of the new one.
-    static void noteEntry(WorkerBook& book, const DirectoryEntry& entry)
+    void noteEntry(WorkerBook& book, const DirectoryEntry& entry) const
     {
         book.listed = entry.listed;
         const std::int64_t startedAt = entry.worker.startedAt;
         if (startedAt != 0 && book.formerStarts.contains(startedAt))
             return;
         book.entry = entry.worker;
+        noteHall(book);
         if (book.session->life().startedAt != 0 && !book.isEntryOfLife())
             book.session->noteRestart(startedAt);
     }
@@ -597,7 +611,7 @@
         m_passFrom = begin + leastPassGap;
         const bool knowsCancels = begin - m_options.mirror->freshAt() < oldestCopy;
         noteCopy(knowsCancels);
-        if (!m_options.ownership->isHeld() || !knowsCancels) {
+        if (!m_options.ownership->isHeld() || !knowsCancels || !m_options.evacuations->isKnown()) {
             schedulePass(begin + idlePass);
             return;
         }
@@ -737,6 +751,11 @@
     m_impl->onWorkerChanged(id);
 }
 
+void JobScheduler::onEvacuationsChanged()
+{
+    m_impl->onEvacuationsChanged();
+}
+
 void JobScheduler::onConfigurationChanged()
 {
     m_impl->onConfigurationChanged();
--- a/src/jobs/owner/worker_book.cpp
+++ b/src/jobs/owner/worker_book.cpp
@@ -60,7 +60,7 @@
 
 bool WorkerBook::isOpen(MonotonicInstant now) const
 {
-    return listed && !entry.draining && !evacuating && session && session->isMet() && !session->isSilent() && !session->isLifeOver() && isEntryOfLife() && now >= noWorkBefore
+    return listed && !entry.draining && !evacuating && !hallEvacuated && session && session->isMet() && !session->isSilent() && !session->isLifeOver() && isEntryOfLife() && now >= noWorkBefore
         && !health.isQuarantined(now) && (!health.isOnProbation() || bookings.empty());
 }
 
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -7,6 +7,7 @@
 #include "lanemoor/jobs/model/platform_documents.h"
 #include "lanemoor/jobs/model/work_meter.h"
 #include "lanemoor/jobs/owner/fleet_keeper.h"
+#include "lanemoor/jobs/owner/hall_evacuations.h"
 #include "lanemoor/jobs/owner/job_retirement.h"
 #include "lanemoor/jobs/owner/job_scheduler.h"
 #include "lanemoor/jobs/owner/ownership_keeper.h"
@@ -104,6 +105,7 @@
               { .gained = [this](const Ownership& ownership) { gained(ownership); }, .lost = [this] { lost(); }, .suspended = [this] { m_parts.log->change("ownership-suspended", { { "copy_age_ms", since(m_jobs.freshAt()) } }); }, .resumed = [this] { m_parts.log->change("ownership-resumed", { { "copy_age_ms", since(m_jobs.freshAt()) } }); }, .claimFailed = [this](StoreOutcome outcome) { m_parts.log->decision("ownership-claim-failed", { { "outcome", std::string(nameOf(outcome)) } }); }, .endsLost = [this](const std::string& holder) { m_parts.log->change("lost-owner-lease-ended", { { "holder", holder } }); } })
         , m_relayedWorkers({ .loop = parts.loop, .peers = parts.peers, .direct = parts.workers, .log = parts.log, .meter = &m_meter }, settings.policies.relay, settings.machineCores)
         , m_relay({ .loop = parts.loop, .peers = parts.peers, .workers = parts.workers, .store = parts.store, .log = parts.log, .ownerGone = [this](const std::string& address) { m_ownership.endLost(address); } }, settings.name, settings.machineCores)
+        , m_evacuations({ .loop = parts.loop, .store = parts.store, .log = parts.log, .prefix = parts.documents->evacuationPrefix() })
         , m_scheduler(schedulerOptions())
         , m_fleet(fleetOptions())
         , m_intake(*parts.loop, *parts.store, m_jobs, m_catalog)
@@ -115,6 +117,7 @@
             m_scheduler.onJobChanged(id);
             m_retirement.onJobChanged(id);
         });
+        m_evacuations.observe([this] { m_scheduler.onEvacuationsChanged(); });
         m_directory.observe([this](const std::string& id) { m_scheduler.onWorkerChanged(id); });
     }
 
@@ -138,6 +141,7 @@
         m_parts.log->change("stopping", { { "owner", std::int64_t { m_ownership.isHeld() } } });
         // Others run the jobs from now on; callers are served here as before.
         m_claimed.reset();
+        m_evacuations.stop();
         m_workers.pause();
         m_fleet.deactivate();
         m_scheduler.deactivate();
@@ -312,6 +316,7 @@
     OwnershipKeeper m_ownership;
     RelayedWorkers m_relayedWorkers; ///< What the owner calls.
     OrderRelay m_relay; ///< Carries calls for another owner.
+    HallEvacuations m_evacuations;
     JobScheduler m_scheduler;
     FleetKeeper m_fleet;
     JobIntake m_intake;
@@ -358,6 +363,7 @@
             .workers = &m_relayedWorkers,
             .advisor = m_parts.advisor,
             .ownership = &m_ownership,
+            .evacuations = &m_evacuations,
             .log = m_parts.log,
             .meter = &m_meter,
             .configuration = [this] { return m_configuration; },
@@ -376,6 +382,7 @@
             .fleet = m_parts.fleet,
             .scheduler = &m_scheduler,
             .ownership = &m_ownership,
+            .evacuations = &m_evacuations,
             .documents = m_parts.documents,
             .log = m_parts.log,
             .meter = &m_meter,
@@ -508,6 +515,7 @@
     {
         m_parts.log->change("ownership-claimed", { { "epoch", static_cast<std::int64_t>(ownership.epoch) }, { "term", static_cast<std::int64_t>(ownership.term) }, { "copy_age_ms", since(m_jobs.freshAt()) } });
         m_claimed = ownership;
+        m_evacuations.start();
         m_relay.follow({});
         m_relayedWorkers.activate();
         m_jobs.setPace(ownerWatchGap, ownerWatchTime);
@@ -540,6 +548,7 @@
     void lost()
     {
         m_claimed.reset();
+        m_evacuations.stop();
         m_jobs.setPace(watchGap, watchTime);
         if (isStandby())
             m_workers.setPace(standbyWatchGap, watchTime);
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -13,6 +13,7 @@
 using namespace jobs;
 
 constexpr Millis cancelBound { 3'000 }; // In which a cancelled job's starts must stop.
+constexpr Millis evacuationBound { 5'000 }; // In which starts in an evacuated data hall must stop.
 constexpr Millis atWorkAfter { 500 }; // A long-running task is at work so long after its start.
 constexpr Millis noticeTime { 4'500 }; // A task away for so long counts, whatever the cause.
 constexpr Millis holderTime { 3'000 }; // Two holders may not act on one instance within it.
@@ -71,6 +72,14 @@
     job.mostAttempts = mostAttempts;
 }
 
+void JobWitness::noteEvacuation(const std::string& dataHall, bool on)
+{
+    if (on)
+        m_evacuatedSince.emplace(dataHall, m_clock.now());
+    else
+        m_evacuatedSince.erase(dataHall);
+}
+
 void JobWitness::noteTrouble(MonotonicInstant end)
 {
     m_inTouchFrom = std::max(m_inTouchFrom, end + contactTime);
@@ -143,6 +152,9 @@
         if (std::find(labels.begin(), labels.end(), step.requiredLabel) == labels.end())
             breach("ROUTE", nameOf(attempt.job, attempt.task) + " starts on " + worker + " without its label");
     }
+    const auto evacuated = hallOf ? m_evacuatedSince.find(hallOf(worker)) : m_evacuatedSince.end();
+    if (!late && evacuated != m_evacuatedSince.end() && m_clock.now() - evacuated->second > evacuationBound && m_clock.now() >= m_inTouchFrom)
+        breach("EVAC", nameOf(attempt.job, attempt.task) + " starts on " + worker + " in a data hall that is being evacuated");
     m_running[task].insert(worker);
     checkQuota(attempt, step);
     m_awaySince.erase(task);
@@ -335,6 +347,10 @@
         const WorkerModel* model = workers.find(worker);
         return model ? model->entry.labels : std::vector<std::string> {};
     };
+    witness.hallOf = [this](const std::string& worker) {
+        const WorkerModel* model = workers.find(worker);
+        return model ? model->entry.dataHall : std::string();
+    };
     workers.runTimes = [](const Attempt&) { return Millis(500); };
     workers.stepOf = [this](const Attempt& attempt) {
         const JobSpec* job = witness.job(attempt.job);
@@ -449,6 +465,16 @@
     store.put(documents.wavePrefix() + std::to_string(wave.number), text);
 }
 
+void JobCluster::evacuate(const std::string& dataHall, bool on)
+{
+    witness.noteEvacuation(dataHall, on);
+    const std::string key = documents.evacuationPrefix() + dataHall;
+    if (on)
+        store.put(key, "{}");
+    else
+        store.remove(key);
+}
+
 void JobCluster::submit(std::size_t index, const std::string& queue, const std::string& id, const JobSpec& spec, const std::string& organisation)
 {
     const auto retry = [this, queue, id, spec, organisation] {
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -27,6 +27,7 @@
     [[nodiscard]] std::string configurationKey() const override { return "operator/configuration"; }
     [[nodiscard]] std::string workerPrefix() const override { return "worker/"; }
     [[nodiscard]] std::string wavePrefix() const override { return "operator/wave/"; }
+    [[nodiscard]] std::string evacuationPrefix() const override { return "operator/evacuation/"; }
     [[nodiscard]] std::string waveStatusKey(std::uint64_t wave) const override { return "status/wave/" + std::to_string(wave); }
     [[nodiscard]] std::optional<jobs::ServiceConfiguration> readConfiguration(std::string_view text) const override;
     [[nodiscard]] std::optional<jobs::WorkerEntry> readWorker(const std::string& id, std::string_view text, jobs::WorkerEntryFault* fault) const override;
@@ -50,6 +51,7 @@
 
     std::function<void(const Breach&)> onBreach; ///< Null: nobody is told at once.
     std::function<std::vector<std::string>(const std::string& worker)> labelsOf; ///< Null: labels are not checked.
+    std::function<std::string(const std::string& worker)> hallOf; ///< Null: evacuations are not checked.
 
     void noteSubmitted(const std::string& id, const jobs::JobSpec& spec, std::uint32_t mostAttempts);
     /// \brief Names the organisation whose quota a job counts for.
@@ -63,6 +65,8 @@
     void noteCancelSent(const std::string& id);
     void noteCancelled(const std::string& id);
     void noteWave(const jobs::WaveRequest& wave);
+    /// \brief Notes that operators ask to evacuate a data hall, or take that back.
+    void noteEvacuation(const std::string& dataHall, bool on);
     void onStart(const std::string& worker, const jobs::StartOrder& order, bool late) override;
     void onEnd(const std::string& worker, const jobs::Attempt& attempt, jobs::AttemptEnd end, const Departure& departure) override;
     void onDead(const std::string& worker, const jobs::Attempt& attempt, const Departure& departure) override;
@@ -124,6 +128,7 @@
     std::map<std::string, std::pair<std::uint64_t, MonotonicInstant>> m_lastAct; ///< Epoch and time, by instance.
     std::map<std::uint64_t, std::uint32_t> m_mostAtOnce; ///< By wave.
     std::map<std::uint64_t, std::vector<MonotonicInstant>> m_backAt; ///< Of the instances taken down, by wave.
+    std::map<std::string, MonotonicInstant> m_evacuatedSince; ///< By data hall.
     std::map<Task, MonotonicInstant> m_awaySince; ///< Long-running tasks that run nowhere.
     /// A quota, and until when it still counts beside the next one.
     struct Quota {
@@ -189,6 +194,7 @@
     ///@{
     void configure(const jobs::ServiceConfiguration& configuration);
     void askWave(const jobs::WaveRequest& wave);
+    void evacuate(const std::string& dataHall, bool on = true);
 
     /// \brief Hands a job in and sends it again until it is accepted or refused.
     /// \param organisation Whose key the caller has; empty: none.
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -27,9 +27,9 @@
 {
 }
 
-void WorkersModel::addInstance(const std::string& id, const std::string& pool, const std::string& rack, Resources capacity, const std::string& kind)
+void WorkersModel::addInstance(const std::string& id, const std::string& pool, const std::string& rack, Resources capacity, const std::string& kind, const std::string& dataHall)
 {
-    m_instances[id] = { .id = id, .pool = pool, .state = FleetState::Up, .dataHall = "hall", .kind = kind, .rack = rack, .capacity = capacity, .worker = {} };
+    m_instances[id] = { .id = id, .pool = pool, .state = FleetState::Up, .dataHall = dataHall, .kind = kind, .rack = rack, .capacity = capacity, .worker = {} };
     beginLife(id);
 }
 
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -117,7 +117,7 @@
     Millis maintenanceTime { 2'000 };
 
     /// \brief Adds an instance; a worker starts on it unless its pool is a reserve.
-    void addInstance(const std::string& id, const std::string& pool, const std::string& rack, jobs::Resources capacity, const std::string& kind = "a");
+    void addInstance(const std::string& id, const std::string& pool, const std::string& rack, jobs::Resources capacity, const std::string& kind = "a", const std::string& dataHall = "hall");
 
     void addReserve(const std::string& pool) { m_reserves.insert(pool); }
 
