Let the owner's copy of the workers keep up with their heartbeats

Cause: one watch answers with 500 changes at most, and the owner asked for the next answer 150 ms after the last, whatever it brought: 3,333 changes a second at most. 6,000 workers write 3,000 heartbeats a second, and each move of an instance some more. Beyond that the copy falls behind without bound. It holds only while the fleet is small.

Change: the owner polls again at once after a truncated batch, as the copy of the jobs does. Standbys keep their pace: they accept a lag, and 72 of them would read everything twice over. `resumesImmediately` replaces `catchesUp` and is part of the pace.

--- a/include/lanemoor/jobs/store/store_mirror.h
+++ b/include/lanemoor/jobs/store/store_mirror.h
@@ -19,7 +19,7 @@
     Millis watchTime { 2'000 }; ///< A watch that hears nothing is asked again after this.
     Millis retryPause { 200 }; ///< Between calls that failed.
     Millis leastGap { 0 }; ///< Between two watches: each call is paid for, so changes travel together.
-    bool catchesUp = false; ///< Goes on at once after an answer that may be a part; false: a lag is accepted.
+    bool resumesImmediately = false; ///< Polls again without delay after a truncated batch; false: a lag is accepted.
 };
 
 /// What a mirror has read, for logs and metrics.
@@ -59,9 +59,9 @@
     /// that the store held when this was called, unless it is paused before.
     void resume(std::function<void()> done);
 
-    /// \brief Sets the least time between two watches, and how long a watch waits for a change;
-    /// a pause under way is cut short.
-    void setPace(Millis leastGap, Millis watchTime);
+    /// \brief Sets the least time between two watches, how long a watch waits for a change, and whether the next one follows a
+    /// truncated batch without delay; a pause under way is cut short.
+    void setPace(Millis leastGap, Millis watchTime, bool resumesImmediately);
 
     /// \returns Whether a listing has been completed.
     [[nodiscard]] bool isLoaded() const noexcept;
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -96,7 +96,7 @@
         , m_meter(*parts.loop)
         , m_holder(holderOf(settings.name, parts.loop->timeOfDay()))
         , m_directory(*parts.loop)
-        , m_jobs(*parts.loop, *parts.store, { .prefix = std::string(jobServicePrefix), .watchTime = watchTime, .leastGap = watchGap, .catchesUp = true }, [this](const StoreItem& item) { onItem(item); })
+        , m_jobs(*parts.loop, *parts.store, { .prefix = std::string(jobServicePrefix), .watchTime = watchTime, .leastGap = watchGap, .resumesImmediately = true }, [this](const StoreItem& item) { onItem(item); })
         , m_owners(*parts.loop, *parts.store, { .prefix = std::string(ownershipPrefix), .watchTime = ownershipWatchTime }, [this](const StoreItem& item) { onOwnership(item); })
         , m_configurations(*parts.loop, *parts.store, { .prefix = parts.documents->configurationKey(), .watchTime = quietWatchTime }, [this](const StoreItem& item) { onConfiguration(item); })
         , m_workers(*parts.loop, *parts.store, { .prefix = parts.documents->workerPrefix(), .watchTime = watchTime, .leastGap = standbyWatchGap }, [this](const StoreItem& item) { onWorker(item); })
@@ -518,8 +518,9 @@
         m_evacuations.start();
         m_relay.follow({});
         m_relayedWorkers.activate();
-        m_jobs.setPace(ownerWatchGap, ownerWatchTime);
-        m_workers.setPace(workerWatchGap, watchTime);
+        m_jobs.setPace(ownerWatchGap, ownerWatchTime, true);
+        // Heartbeats grow with the workers: at a fixed pace an owner of many reads them late, and starts tasks on workers that drain.
+        m_workers.setPace(workerWatchGap, watchTime, true);
         m_jobs.whenAt(ownership.epoch, [this, ownership] {
             if (m_claimed != ownership)
                 return;
@@ -549,9 +550,9 @@
     {
         m_claimed.reset();
         m_evacuations.stop();
-        m_jobs.setPace(watchGap, watchTime);
+        m_jobs.setPace(watchGap, watchTime, true);
         if (isStandby())
-            m_workers.setPace(standbyWatchGap, watchTime);
+            m_workers.setPace(standbyWatchGap, watchTime, false);
         else
             m_workers.pause();
         m_fleet.deactivate();
--- a/src/jobs/store/store_mirror.cpp
+++ b/src/jobs/store/store_mirror.cpp
@@ -65,8 +65,9 @@
         list();
     }
 
-    void setPace(Millis leastGap, Millis watchTime)
+    void setPace(Millis leastGap, Millis watchTime, bool resumesImmediately)
     {
+        m_options.resumesImmediately = resumesImmediately;
         m_options.leastGap = leastGap;
         m_options.watchTime = watchTime;
         if (m_gapTimer == 0)
@@ -244,7 +245,7 @@
         advance(m_at);
         if (generation != m_generation)
             return;
-        if (part && m_options.catchesUp)
+        if (part && m_options.resumesImmediately)
             watch();
         else
             watchAfterGap();
@@ -299,9 +300,9 @@
     m_impl->resume(std::move(done));
 }
 
-void StoreMirror::setPace(Millis leastGap, Millis watchTime)
+void StoreMirror::setPace(Millis leastGap, Millis watchTime, bool resumesImmediately)
 {
-    m_impl->setPace(leastGap, watchTime);
+    m_impl->setPace(leastGap, watchTime, resumesImmediately);
 }
 
 bool StoreMirror::isLoaded() const noexcept
--- a/tests/jobs/store_mirror_test.cpp
+++ b/tests/jobs/store_mirror_test.cpp
@@ -24,12 +24,12 @@
 
 /// A copy of the keys under `a/` of a store whose answers bring a part of the changes, and all that was written there.
 struct WatchedStore {
-    WatchedStore(std::uint64_t seed, Millis leastGap, bool catchesUp = false)
+    WatchedStore(std::uint64_t seed, Millis leastGap, bool resumesImmediately = false)
         : random(seed)
         , store(clock, random)
         , process(clock)
         , client(store, process)
-        , mirror(process, client, { .prefix = "a/", .leastGap = leastGap, .catchesUp = catchesUp }, [](const StoreItem&) {})
+        , mirror(process, client, { .prefix = "a/", .leastGap = leastGap, .resumesImmediately = resumesImmediately }, [](const StoreItem&) {})
     {
         store.trouble.mostEvents = 100;
         mirror.start();
@@ -104,15 +104,15 @@
 
 TEST_CASE("A copy that may lag is not made to hurry, and one that may not reads on at once")
 {
-    for (const bool catchesUp : { false, true }) {
-        WatchedStore watched(1, Millis(500), catchesUp);
+    for (const bool resumesImmediately : { false, true }) {
+        WatchedStore watched(1, Millis(500), resumesImmediately);
         const std::uint64_t before = watched.store.calls();
         for (int i = 0; i < 2'000; ++i) {
             watched.write(1);
             watched.clock.runFor(tick);
         }
-        CAPTURE(catchesUp, watched.store.calls() - before);
-        CHECK((watched.mirror.counts().changes > 1'400) == catchesUp);
+        CAPTURE(resumesImmediately, watched.store.calls() - before);
+        CHECK((watched.mirror.counts().changes > 1'400) == resumesImmediately);
         CHECK(watched.store.calls() - before < 30);
         CHECK(watched.mirror.counts().parts > 0);
         // That the store answers is told by either.
