Back off from owners that refuse links

What was seen: the owner accepts 512 links; the other 75 instances connected again each 300 ms and were closed each time: 7,580 ended links in the 31 s before traffic begins.

Cause: the pause between tries was constant, which holds only while every instance is accepted.

Change: the pause doubles from 0.3 s to 20 s while no owner answers over the link, with a random half left out; it starts anew with another owner and after a link that worked. The first try after a break still goes at once, since it tells whether the owner's process is there.

--- a/src/jobs/relay/order_relay.cpp
+++ b/src/jobs/relay/order_relay.cpp
@@ -7,7 +7,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <optional>
+#include <random>
 #include <utility>
 
 namespace lanemoor::jobs {
@@ -15,6 +17,8 @@
 namespace {
 
 constexpr Millis reconnectPause { 300 };
+/// An owner accepts a bounded number of links. Instances beyond it come back ever more seldom.
+constexpr Millis maxReconnectPause { 20'000 };
 /// A refusal tells of the owner only soon after its link broke: later, the break may have had another cause.
 constexpr Millis refusalCounts { 1'000 };
 /// A call that came so much later than the fastest one of its link is not made: this machine was
@@ -33,6 +37,7 @@
         : m_parts(std::move(parts))
         , m_name(std::move(name))
         , m_cores(cores)
+        , m_random(static_cast<std::minstd_rand::result_type>(std::hash<std::string> {}(m_name)))
         , m_payloads(m_parts.store ? std::make_shared<PayloadReader>(*m_parts.store) : nullptr)
     {
     }
@@ -42,6 +47,7 @@
         if (!m_parts.peers || m_leaving || address == m_address)
             return;
         m_address = address;
+        m_reconnectPause = reconnectPause;
         disconnect();
         connect();
     }
@@ -104,12 +110,19 @@
         else if (refused && now < m_refusalCountsUntil)
             noteOwnerGone();
         // The first try after a break tells whether the owner's process is there.
-        m_parts.loop->callAt(now + (broke ? Millis(0) : reconnectPause), [self = weak_from_this()] {
+        m_parts.loop->callAt(now + (broke ? Millis(0) : nextPause()), [self = weak_from_this()] {
             if (const auto impl = self.lock())
                 impl->connect();
         });
     }
 
+    /// \returns A pause that doubles up to its maximum, of which a random half is left out.
+    Millis nextPause()
+    {
+        const Millis longest = std::exchange(m_reconnectPause, std::min(2 * m_reconnectPause, maxReconnectPause));
+        return Millis(std::uniform_int_distribution<Millis::rep>(longest.count() / 2, longest.count())(m_random));
+    }
+
     void noteOwnerGone()
     {
         m_refusalCountsUntil = {};
@@ -139,6 +152,7 @@
         }
         m_heardAt = m_parts.loop->now();
         m_isLinked = true;
+        m_reconnectPause = reconnectPause;
         const bool isOld = isLate(frame.sent_at_us());
         for (const wire::RelayCall& call : frame.calls()) {
             if (isOld)
@@ -269,6 +283,8 @@
     std::uint64_t m_generation = 0; ///< Of the link: what belongs to an earlier one is not heard.
     wire::RelayFrame m_frame; ///< That is being gathered.
     bool m_gathering = false;
+    Millis m_reconnectPause = reconnectPause; ///< Before the next try.
+    std::minstd_rand m_random; ///< Seeded by the name.
     bool m_isLinked = false; ///< The owner was heard over the link.
     MonotonicInstant m_refusalCountsUntil;
     bool m_leaving = false;
