Bound the plan of an ample fleet by lasting demand, peaks and call rates

Causes, from the owner's lines `pool-sized` and `fleet-use`: - The forecast of one instant asks for several times the mean: 5,796, 28,977 and 6,021 cores within 0.4 s. On a small fleet the pool has nothing idle and must believe it; here it had 30,000 idle cores. - A pool's demand is remembered for 2 s, its load comes back after 20. That holds where instances must be shared over time; where the peaks of all pools fit together, moves buy nothing and are missing for 2 s and more. - The platform's rate for acts was not known: 3,783 acts refused in a second, each after its instance had been emptied.

Changes, each a pure module: - A rise counts at once where tasks wait or the pool has little idle room, else once it has lasted 0.5 s. - `PeakReservation`: pools whose peaks fit together into half of the fleet keep them; one that had none yet keeps the share of its size that another pool's peak takes. - `CallBudget`: a token bucket by the platform's rate, from the settings. Short pools first, powering off with half of what is left, one instance of each pool in turn; an instance is drained only if its act can go out.

--- a/include/lanemoor/jobs/owner/fleet_keeper.h
+++ b/include/lanemoor/jobs/owner/fleet_keeper.h
@@ -40,6 +40,7 @@
     Millis handover { 3'000 };
     Millis maintenanceTime { 2'000 }; ///< Of one instance, as the platform says.
     Millis moveTime { 1'500 }; ///< Of one instance between pools.
+    double actsPerSecond = 0; ///< That the platform takes from all instances together; 0: no limit.
     CapacityOptions capacity;
     Millis planEvery { 100 }; ///< A pool that is short waits at most this long for the plan.
     Millis listEvery { 1'000 };
--- /dev/null
+++ b/include/lanemoor/jobs/policy/call_budget.h
@@ -0,0 +1,42 @@
+#pragma once
+/// \file
+/// Token bucket for calls to an interface with a rate limit. Pure: time is passed in.
+
+#include "lanemoor/jobs/model/event_loop.h"
+
+#include <cstddef>
+
+namespace lanemoor::jobs {
+
+/// \brief Holds at most one second's worth of calls.
+///
+/// \code
+/// CallBudget budget(590.0, 0, now);
+/// const std::size_t calls = std::min(wanted, budget.available(now));
+/// budget.take(calls);
+/// \endcode
+class CallBudget {
+public:
+    /// \brief A budget without limit.
+    CallBudget() = default;
+
+    /// \param perSecond The rate; 0: no limit.
+    /// \param initial Calls that may be made at once; a predecessor may have made others within the last second.
+    CallBudget(double perSecond, double initial, MonotonicInstant now);
+
+    /// \returns Whole calls that may be made now.
+    [[nodiscard]] std::size_t available(MonotonicInstant now);
+
+    /// \brief Counts calls that are made now.
+    void take(std::size_t calls);
+
+    /// \brief The interface refused a call over its rate: whoever else calls it has used it up.
+    void drain() noexcept { m_tokens = 0; }
+
+private:
+    double m_perSecond = 0;
+    double m_tokens = 0;
+    MonotonicInstant m_filledAt;
+};
+
+} // namespace lanemoor::jobs
--- a/include/lanemoor/jobs/policy/capacity_plan.h
+++ b/include/lanemoor/jobs/policy/capacity_plan.h
@@ -4,9 +4,10 @@
 
 #include "lanemoor/jobs/model/event_loop.h"
 #include "lanemoor/jobs/model/pool_load.h"
+#include "lanemoor/jobs/policy/peak_reservation.h"
 
 #include <cstdint>
-#include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -54,6 +55,10 @@
     /// Nothing is switched off before load was watched for so long: more than the demand's memory.
     Millis observation { 3'000 };
     Millis mostIdleStart { 60'000 }; ///< Without any load, pools keep what they began with for so long.
+    /// A rise counts as lasting after this; until then a pool with room meets it by what is idle there. The forecast of one
+    /// instant may be several times the mean.
+    Millis sustainTime { 500 };
+    double idleShareOfRoom = 0.25; ///< Of a pool's sound instances: with so many idle and no task waiting, the pool has room.
     Millis idleBeforeOff { 1'200 }; ///< A move costs what an instance costs in about this time.
     std::uint32_t leastInstances = 2; ///< Of a pool with queues, so that one may fail.
     bool sharesFairly = true; ///< Whether a pool that has more than another empties instances for it.
@@ -63,6 +68,7 @@
     double fairnessGap = 5.0;
     bool backlogApart = true; ///< Whether jobs that end late whatever is done get only what nobody else asks for.
     bool seesRises = true; ///< Whether the newest arrivals count more, and a rise is taken to go on.
+    PeakReservationOptions peaks;
     bool leastFirst = true; ///< Whether the pool that has least is relieved first, or else the one that lacks the largest share.
 
     [[nodiscard]] bool operator==(const CapacityOptions&) const = default;
@@ -87,8 +93,10 @@
 public:
     explicit CapacityPlan(CapacityOptions options = {});
 
+    /// \param maxActs Moves and drains together. Pools that are short come first; instances are powered off with half of what
+    /// is left, so that a rise of load meets a budget that is not used up.
     /// \returns What to do now.
-    [[nodiscard]] CapacityStep next(const std::vector<PoolLoad>& pools, MonotonicInstant now);
+    [[nodiscard]] CapacityStep next(const std::vector<PoolLoad>& pools, MonotonicInstant now, std::size_t maxActs = std::numeric_limits<std::size_t>::max());
 
     /// \returns Instances that `pool` needs for its demand now; unsound ones come on top.
     [[nodiscard]] std::uint32_t target(const PoolLoad& pool) const;
@@ -105,25 +113,27 @@
     void noteRefused(const std::string& kind, const std::string& pool);
 
 private:
-    struct Sample {
-        MonotonicInstant at;
-        std::int64_t milliCpu = 0;
+    /// Demand of a class within the last seconds.
+    struct DemandHistory {
+        SlidingExtreme<std::int64_t, std::less_equal<>> highest;
+        SlidingExtreme<std::int64_t, std::greater_equal<>> lowest;
     };
 
     struct ClassBalance;
     struct Balance;
     struct IdleGroup;
 
+    [[nodiscard]] bool hasIdleRoom(const PoolLoad& pool) const;
     [[nodiscard]] Balance balanceOf(const PoolLoad& pool, MonotonicInstant now);
-    [[nodiscard]] std::int64_t highestOfLate(const PoolLoad& pool, const Requirement& requirement, std::int64_t demand, MonotonicInstant now);
     [[nodiscard]] CapacityNeed needOf(const Requirement& requirement, const RequirementLoad& load, std::int64_t milliCpu, std::uint32_t present) const;
     void undrain(std::vector<Balance>& pools, std::vector<std::string>& undrains) const;
     [[nodiscard]] static std::vector<IdleGroup> groupIdle(std::vector<Balance>& pools);
     [[nodiscard]] const PoolInstance* nextDrainable(const Balance& pool, std::size_t& next, const Balance& needy, const ClassBalance& lacking) const;
-    void relieve(std::vector<Balance>& pools, std::vector<CapacityMove>& moves) const;
+    void reservePeaks(std::vector<Balance>& pools, MonotonicInstant now);
+    void relieve(std::vector<Balance>& pools, std::vector<CapacityMove>& moves, std::size_t maxMoves) const;
     void addBacklog(std::vector<Balance>& pools) const;
-    void share(std::vector<Balance>& pools, std::vector<CapacityDrain>& drains) const;
-    void powerOff(std::vector<Balance>& pools, std::vector<CapacityMove>& moves, MonotonicInstant now) const;
+    void share(std::vector<Balance>& pools, std::vector<CapacityDrain>& drains, std::size_t maxDrains) const;
+    void powerOff(std::vector<Balance>& pools, std::vector<CapacityMove>& moves, std::size_t maxMoves, MonotonicInstant now) const;
     [[nodiscard]] bool mayPowerOff(MonotonicInstant now) const;
     [[nodiscard]] bool takes(const std::string& pool, const std::string& kind) const;
 
@@ -132,8 +142,9 @@
     std::optional<MonotonicInstant> m_firstArrival;
     bool m_short = false;
     std::uint64_t m_inspected = 0;
-    std::map<std::pair<std::string, Requirement>, std::deque<Sample>> m_samples; ///< By pool and class; falling in value.
+    std::map<std::pair<std::string, Requirement>, DemandHistory> m_demands; ///< By pool and class.
     std::map<std::string, std::vector<std::string>> m_refusedKinds; ///< By pool.
+    PeakReservation m_peaks;
 };
 
 } // namespace lanemoor::jobs
--- /dev/null
+++ b/include/lanemoor/jobs/policy/sliding_extreme.h
@@ -0,0 +1,43 @@
+#pragma once
+/// \file
+/// The highest or lowest of the values noted within a window of time. Pure.
+
+#include "lanemoor/jobs/model/event_loop.h"
+
+#include <deque>
+
+namespace lanemoor::jobs {
+
+/// \brief Extreme of a series over a sliding window, at constant amortised cost.
+/// \tparam Compare `std::less_equal` for the highest value, `std::greater_equal` for the lowest one.
+///
+/// \code
+/// SlidingExtreme<double, std::less_equal<>> highest;
+/// highest.note(3.0, now, Millis(500));
+/// highest.note(2.0, now + Millis(100), Millis(500)); // 3.0
+/// \endcode
+template <typename Value, typename Compare>
+class SlidingExtreme {
+public:
+    /// \brief Notes a value. \returns The extreme of the values noted within `window` before `now`, this one included.
+    Value note(Value value, MonotonicInstant now, Millis window)
+    {
+        while (!m_samples.empty() && now - m_samples.front().at > window)
+            m_samples.pop_front();
+        // A sample that a later one surpasses cannot become the extreme.
+        while (!m_samples.empty() && Compare {}(m_samples.back().value, value))
+            m_samples.pop_back();
+        m_samples.push_back({ now, value });
+        return m_samples.front().value;
+    }
+
+private:
+    struct Sample {
+        MonotonicInstant at;
+        Value value;
+    };
+
+    std::deque<Sample> m_samples; ///< Each surpasses all later ones.
+};
+
+} // namespace lanemoor::jobs
--- a/include/lanemoor/jobs/service/job_service_settings.h
+++ b/include/lanemoor/jobs/service/job_service_settings.h
@@ -33,6 +33,7 @@
     Millis handover { 3'000 }; ///< Between acts of two owners on instances; the platform's lease time.
     Millis maintenanceTime { 2'000 }; ///< Of one instance.
     Millis moveTime { 1'500 }; ///< Of one instance between pools.
+    double fleetActsPerSecond = 0; ///< Acts on instances that the platform takes from all entry instances together; 0: no limit.
     Millis stopGrace { 6'000 }; ///< From the signal to stop until the process is killed.
     Millis statusTime { 120'000 }; ///< A finished job's status is kept this long.
     /// Callers are let in by their keys as long as the store named no newer configuration so short a time
--- a/src/jobs/owner/fleet_keeper.cpp
+++ b/src/jobs/owner/fleet_keeper.cpp
@@ -8,6 +8,7 @@
 #include "lanemoor/jobs/model/work_meter.h"
 #include "lanemoor/jobs/owner/hall_evacuations.h"
 #include "lanemoor/jobs/owner/job_scheduler.h"
+#include "lanemoor/jobs/policy/call_budget.h"
 #include "lanemoor/jobs/policy/capacity_plan.h"
 #include "lanemoor/jobs/policy/maintenance_plan.h"
 
@@ -27,6 +28,7 @@
 constexpr Millis recordLasts { 500 }; // An act is sent this soon after its record was asked for, or not at all.
 /// An act reaches the platform this soon after its record was asked for, with some time for its way.
 constexpr Millis actSpread { 700 };
+constexpr std::size_t mostActsUnderWay = 128; // Some hundred ms of answers on the few connections to the platform.
 constexpr Millis actsRefresh { 1'000 }; // Some three calls after the last act of a burst.
 constexpr Millis lateAct { 3'000 }; // An act without an answer is settled by the list after this.
 constexpr Millis retryBusy { 500 }; // An instance that was busy is looked at again after this.
@@ -62,6 +64,7 @@
         m_lives.clear();
         m_idleSince.clear();
         m_capacity = CapacityPlan(m_options.capacity);
+        m_actBudget = CallBudget(m_options.actsPerSecond, ownership.term == 1 ? m_options.actsPerSecond : 0, m_options.loop->now());
         for (const auto& [number, wave] : m_waves)
             begin(wave);
         list();
@@ -554,12 +557,20 @@
     /// \returns Whether an act on the instance is under way.
     [[nodiscard]] bool isOrdered(const std::string& instance) const { return m_moving.contains(instance) || m_acted.contains(instance); }
 
+    /// \returns Acts that the platform takes now, and that can all leave while their record is fresh.
+    [[nodiscard]] std::size_t mostActs()
+    {
+        const std::size_t left = mostActsUnderWay - std::min(m_moving.size(), mostActsUnderWay);
+        return std::min(m_actBudget.available(m_options.loop->now()), left);
+    }
+
     void planCapacity()
     {
         if (!mayAct() || m_list.empty())
             return;
         const std::vector<PoolLoad> pools = loads();
-        const CapacityStep step = m_capacity.next(pools, m_options.loop->now());
+        const CapacityStep step = m_capacity.next(pools, m_options.loop->now(), mostActs());
+        m_actBudget.take(step.moves.size() + step.drains.size());
         for (const PoolLoad& pool : pools)
             logSize(pool);
         for (const std::string& instance : step.undrains)
@@ -649,6 +660,8 @@
         m_options.log->decision("instance-move-failed", { { "instance", move.instance }, { "outcome", std::string(nameOf(outcome)) } });
         if (outcome == FleetOutcome::Refused)
             m_capacity.noteRefused(m_list[move.instance].kind, move.to);
+        if (outcome == FleetOutcome::NotDone)
+            m_actBudget.drain();
         counts.unknown += outcome == FleetOutcome::Unknown ? 1 : 0;
         // An act without an answer may yet be carried out: the instance stays empty, and
         // the list will show where it is.
@@ -697,6 +710,7 @@
     void maintain(MaintenancePlan& plan, const std::string& instance)
     {
         plan.noteOrdered(instance);
+        m_actBudget.take(1);
         const std::uint64_t number = plan.wave().number;
         const std::string worker = m_list[instance].worker;
         m_options.log->decision("maintenance-ordered", { { "instance", instance }, { "wave", static_cast<std::int64_t>(number) }, { "worker", worker } });
@@ -806,6 +820,7 @@
     std::map<std::string, ListedLife> m_lives; ///< By instance.
     std::map<std::string, MonotonicInstant> m_idleSince;
     CapacityPlan m_capacity;
+    CallBudget m_actBudget; ///< For acts on instances. A drain counts when it begins.
     MonotonicInstant m_useLoggedAt;
     std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> m_loggedSizes; ///< Instances and target, by pool.
 };
--- a/src/jobs/policy/capacity_plan.cpp
+++ b/src/jobs/policy/capacity_plan.cpp
@@ -48,6 +48,7 @@
     const RequirementLoad* load = nullptr;
     CapacityNeed now; ///< For the demand now.
     CapacityNeed ofLate; ///< For the highest demand of late.
+    CapacityNeed lasting; ///< For the demand that has lasted for a while.
     CapacityNeed least; ///< For the demand now, with nothing to spare.
     Supply supply;
     bool exhausted = false; ///< No instance that would help is to be had.
@@ -184,6 +185,7 @@
 
 CapacityPlan::CapacityPlan(CapacityOptions options)
     : m_options(options)
+    , m_peaks(options.peaks)
 {
 }
 
@@ -198,18 +200,6 @@
     return refused == m_refusedKinds.end() || std::find(refused->second.begin(), refused->second.end(), kind) == refused->second.end();
 }
 
-std::int64_t CapacityPlan::highestOfLate(const PoolLoad& pool, const Requirement& requirement, std::int64_t demand, MonotonicInstant now)
-{
-    std::deque<Sample>& samples = m_samples[{ pool.pool, requirement }];
-    while (!samples.empty() && now - samples.front().at > m_options.demandMemory)
-        samples.pop_front();
-    // Only samples above all later ones can ever be the highest.
-    while (!samples.empty() && samples.back().milliCpu <= demand)
-        samples.pop_back();
-    samples.push_back({ now, demand });
-    return samples.front().milliCpu;
-}
-
 /// \param present Instances of the class that take work now.
 CapacityNeed CapacityPlan::needOf(const Requirement& requirement, const RequirementLoad& load, std::int64_t milliCpu, std::uint32_t present) const
 {
@@ -245,19 +235,35 @@
     return std::max(byCpu, need.instances) + (all.instances - sound.instances);
 }
 
+bool CapacityPlan::hasIdleRoom(const PoolLoad& pool) const
+{
+    std::size_t sound = 0;
+    std::size_t idle = 0;
+    for (const PoolInstance& instance : pool.instances) {
+        sound += instance.sound ? 1 : 0;
+        idle += instance.sound && instance.idleSince ? 1 : 0;
+    }
+    return static_cast<double>(idle) >= m_options.idleShareOfRoom * static_cast<double>(sound);
+}
+
 CapacityPlan::Balance CapacityPlan::balanceOf(const PoolLoad& pool, MonotonicInstant now)
 {
     Balance balance { .load = &pool, .classes = {}, .idle = {}, .drainable = {}, .sound = {} };
+    const bool hasRoom = hasIdleRoom(pool);
     for (const auto& [requirement, load] : pool.requirements) {
         if (pool.reserve)
             break;
-        ClassBalance each { .requirement = requirement, .load = &load, .now = {}, .ofLate = {}, .least = {}, .supply = {} };
+        ClassBalance each { .requirement = requirement, .load = &load, .now = {}, .ofLate = {}, .lasting = {}, .least = {}, .supply = {} };
         for (const PoolInstance& instance : pool.instances) {
             if (instance.sound && instance.has(requirement.label))
                 each.supply.add(instance);
         }
-        each.now = needOf(requirement, load, load.demandMilliCpu, each.supply.present);
-        each.ofLate = needOf(requirement, load, highestOfLate(pool, requirement, load.demandMilliCpu, now), each.supply.present);
+        DemandHistory& history = m_demands[{ pool.pool, requirement }];
+        const std::int64_t lasting = history.lowest.note(load.demandMilliCpu, now, m_options.sustainTime);
+        const std::int64_t demand = hasRoom && !load.hasWaiting ? lasting : load.demandMilliCpu;
+        each.now = needOf(requirement, load, demand, each.supply.present);
+        each.ofLate = needOf(requirement, load, history.highest.note(demand, now, m_options.demandMemory), each.supply.present);
+        each.lasting = needOf(requirement, load, lasting, each.supply.present);
         if (!requirement.preferred)
             each.least = { .milliCpu = static_cast<double>(load.demandMilliCpu) / m_options.packing, .instances = load.leastInstances };
         balance.classes.push_back(std::move(each));
@@ -316,11 +322,33 @@
     return groups;
 }
 
+/// Pools with room to spare keep what their peaks take.
+void CapacityPlan::reservePeaks(std::vector<Balance>& pools, MonotonicInstant now)
+{
+    std::vector<PoolNeed> needs;
+    double fleet = 0;
+    for (const Balance& pool : pools) {
+        for (const PoolInstance* instance : pool.sound)
+            fleet += static_cast<double>(instance->capacity.milliCpu);
+        for (const ClassBalance& each : pool.classes) {
+            if (each.isAny())
+                needs.push_back({ .pool = pool.load->pool, .needed = pool.needOf(each, &ClassBalance::lasting).milliCpu, .size = each.supply.milliCpu });
+        }
+    }
+    m_peaks.update(needs, fleet, now);
+    for (Balance& pool : pools) {
+        for (ClassBalance& each : pool.classes) {
+            if (each.isAny())
+                each.ofLate.milliCpu = std::max(each.ofLate.milliCpu, m_peaks.reservedFor(pool.load->pool));
+        }
+    }
+}
+
 /// Gives instances to the class that lacks most, until none lacks any that are to be had.
-void CapacityPlan::relieve(std::vector<Balance>& pools, std::vector<CapacityMove>& moves) const
+void CapacityPlan::relieve(std::vector<Balance>& pools, std::vector<CapacityMove>& moves, std::size_t maxMoves) const
 {
     std::vector<IdleGroup> groups = groupIdle(pools);
-    for (;;) {
+    while (moves.size() < maxMoves) {
         Balance* needy = nullptr;
         ClassBalance* lacking = nullptr;
         // What tasks can't do without comes before what only makes them faster.
@@ -419,7 +447,7 @@
 }
 
 /// Empties instances of pools that have more for pools that lack some and have less.
-void CapacityPlan::share(std::vector<Balance>& pools, std::vector<CapacityDrain>& drains) const
+void CapacityPlan::share(std::vector<Balance>& pools, std::vector<CapacityDrain>& drains, std::size_t maxDrains) const
 {
     for (Balance& needy : pools) {
         for (ClassBalance& lacking : needy.classes) {
@@ -429,7 +457,7 @@
             // instance is looked at once.
             std::vector<std::size_t> next(pools.size(), 0);
             // Exhausted classes are those that found no idle instance.
-            while (!lacking.supply.covers(needy.needOf(lacking, &ClassBalance::now))) {
+            while (drains.size() < maxDrains && !lacking.supply.covers(needy.needOf(lacking, &ClassBalance::now))) {
                 Balance* giver = nullptr;
                 const PoolInstance* chosen = nullptr;
                 std::tuple<bool, double, MonotonicInstant> best;
@@ -457,25 +485,39 @@
     }
 }
 
-void CapacityPlan::powerOff(std::vector<Balance>& pools, std::vector<CapacityMove>& moves, MonotonicInstant now) const
+/// Takes one instance of each pool in turn, so that none is emptied first.
+void CapacityPlan::powerOff(std::vector<Balance>& pools, std::vector<CapacityMove>& moves, std::size_t maxMoves, MonotonicInstant now) const
 {
     const auto reserve = std::find_if(pools.begin(), pools.end(), [](const Balance& pool) { return pool.load->reserve; });
     if (reserve == pools.end() || !mayPowerOff(now))
         return;
+    const auto isSpare = [&](const Balance& pool, const PoolInstance& instance) {
+        return now - *instance.idleSince >= m_options.idleBeforeOff && takes(reserve->load->pool, instance.kind) && pool.canSpare(instance, &ClassBalance::ofLate) && pool.canSpare(instance, &ClassBalance::now);
+    };
+    std::vector<std::pair<Balance*, std::deque<const PoolInstance*>>> idle;
     for (Balance& pool : pools) {
-        if (pool.load->reserve)
-            continue;
-        for (const PoolInstance* instance : std::vector<const PoolInstance*>(pool.idle)) {
-            const bool isLong = now - *instance->idleSince >= m_options.idleBeforeOff;
-            if (!isLong || !takes(reserve->load->pool, instance->kind) || !pool.canSpare(*instance, &ClassBalance::ofLate) || !pool.canSpare(*instance, &ClassBalance::now))
+        if (!pool.load->reserve)
+            idle.emplace_back(&pool, std::deque<const PoolInstance*>(pool.idle.begin(), pool.idle.end()));
+    }
+    std::size_t moved = 0;
+    for (bool isOver = false; !isOver;) {
+        isOver = true;
+        for (auto& [pool, instances] : idle) {
+            while (!instances.empty() && !isSpare(*pool, *instances.front()))
+                instances.pop_front();
+            if (instances.empty() || moved == maxMoves)
                 continue;
-            moves.push_back({ instance->instance, pool.load->pool, reserve->load->pool });
-            pool.give(*instance);
+            const PoolInstance& instance = *instances.front();
+            instances.pop_front();
+            moves.push_back({ instance.instance, pool->load->pool, reserve->load->pool });
+            pool->give(instance);
+            ++moved;
+            isOver = false;
         }
     }
 }
 
-CapacityStep CapacityPlan::next(const std::vector<PoolLoad>& pools, MonotonicInstant now)
+CapacityStep CapacityPlan::next(const std::vector<PoolLoad>& pools, MonotonicInstant now, std::size_t maxActs)
 {
     if (!m_firstSeen)
         m_firstSeen = now;
@@ -488,19 +530,21 @@
     m_short = std::any_of(balances.begin(), balances.end(), [](const Balance& pool) {
         return std::any_of(pool.classes.begin(), pool.classes.end(), [&](const ClassBalance& each) { return !each.requirement.preferred && pool.isShort(each); });
     });
+    reservePeaks(balances, now);
     CapacityStep step;
     undrain(balances, step.undrains);
-    relieve(balances, step.moves);
+    relieve(balances, step.moves, maxActs);
     if (m_options.sharesFairly)
-        share(balances, step.drains);
+        share(balances, step.drains, maxActs - step.moves.size());
+    const std::size_t maxMoves = maxActs - step.drains.size();
     addBacklog(balances);
     // What was idle for a moment only may be wanted by its own pool in the next.
     for (Balance& pool : balances) {
         if (!pool.load->reserve)
             std::erase_if(pool.idle, [&](const PoolInstance* instance) { return now - *instance->idleSince < m_options.idleBeforeOff; });
     }
-    relieve(balances, step.moves);
-    powerOff(balances, step.moves, now);
+    relieve(balances, step.moves, maxMoves);
+    powerOff(balances, step.moves, (maxMoves - step.moves.size()) / 2, now);
     m_inspected = 0;
     for (const Balance& pool : balances)
         m_inspected += pool.inspected;
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -391,6 +391,7 @@
             .handover = m_settings.handover,
             .maintenanceTime = m_settings.maintenanceTime,
             .moveTime = m_settings.moveTime,
+            .actsPerSecond = m_settings.fleetActsPerSecond,
             .capacity = m_settings.policies.capacity };
     }
 
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -120,6 +120,8 @@
             constexpr double mostCores = 1'024;
             if (const std::optional<double> cores = service.number("machineCores", 0, mostCores))
                 settings.machineCores = *cores;
+            constexpr double mostActs = 1'000'000;
+            readNumber(service, "fleetActsPerSecond", 0, mostActs, settings.fleetActsPerSecond);
             constexpr double mostFactor = 1'000;
             readNumber(service, "farFactor", 1, mostFactor, settings.policies.placement.farFactor);
             service.object("times", [&](ObjectReader& times) { readTimes(times, settings); });
