Read the configuration as often as its time to apply asks

Cause: the pause is a constant from a deployment whose configurations must be in force within 2 s; the fleet has 5 s. The calls grow with the entries.

Change: the setting `times.configurationApplyMs`, filled from the platform's bound; the pause is 0.35 of it, so that two reads may fail, and a quota counts as known for the whole of it. At 2 s both are as before.

--- a/include/lanemoor/jobs/service/job_service_settings.h
+++ b/include/lanemoor/jobs/service/job_service_settings.h
@@ -39,6 +39,7 @@
     /// Callers are let in by their keys as long as the store named no newer configuration so short a time
     /// ago, and refused for a while beyond; 0: always, since callers of a cut-off instance lose more by it.
     Millis configurationTrust { 0 };
+    Millis configurationApplyTime { 2'000 }; ///< A new configuration must be in force within this.
     Policies policies;
     bool logAsJson = true;
 
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -46,13 +46,8 @@
 /// The store's answers are missed after a watch's time and a call's; then this instance can
 /// take nothing and says so to the balancer.
 constexpr Millis storeMissedAfter { 2'500 };
-/// A watch that hears nothing while changes are made looks like a quiet one: the
-/// configuration is read as well, well within the 2 s in which a new one must be in force.
-constexpr Millis configurationRead { 700 };
 /// While the store does not answer: starts within quotas wait for the configuration after an outage.
 constexpr Millis configurationRetry { 150 };
-/// A configuration that was not checked for so long may be an old one: two reads have failed.
-constexpr Millis configurationCurrent { 2'000 };
 /// The owner of 349 workers took 0.18 cores (tellelag-drift-grown, quiet-1): a machine with less
 /// than this leaves a free ownership to others for a while.
 constexpr double coresOfOwner = 0.2;
@@ -72,6 +67,14 @@
 constexpr Millis seenUnready { 2'600 };
 constexpr Millis stopReserve { 1'500 }; // Of the grace, kept for the last answers to leave.
 
+/// \returns The time between reads of the configuration. A watch that receives nothing cannot be told from one whose events are
+/// lost: two reads may fail before a new configuration must be in force.
+Millis configurationReadPause(const JobServiceSettings& settings)
+{
+    constexpr double shareOfApplyTime = 0.35;
+    return Millis(static_cast<Millis::rep>(shareOfApplyTime * static_cast<double>(settings.configurationApplyTime.count())));
+}
+
 Millis claimDelayOf(const JobServiceSettings& settings)
 {
     const bool isSmall = settings.machineCores > 0 && settings.machineCores < coresOfOwner;
@@ -160,7 +163,7 @@
         return !m_stopping && takesRequests() && !m_intake.isStoreSilent() && m_parts.loop->now() - m_jobs.answeredAt() < storeMissedAfter;
     }
 
-    [[nodiscard]] bool isConfigurationCurrent() const { return m_parts.loop->now() - m_configurationCheckedAt <= configurationCurrent; }
+    [[nodiscard]] bool isConfigurationCurrent() const { return m_parts.loop->now() - m_configurationCheckedAt <= m_settings.configurationApplyTime; }
 
     [[nodiscard]] bool trustsKeys() const
     {
@@ -463,7 +466,7 @@
 
     void readConfigurationLater()
     {
-        m_parts.loop->callAt(m_parts.loop->now() + (m_storeAnswers ? configurationRead : configurationRetry), [this] {
+        m_parts.loop->callAt(m_parts.loop->now() + (m_storeAnswers ? configurationReadPause(m_settings) : configurationRetry), [this] {
             m_parts.store->read(m_parts.documents->configurationKey(), [this, sentAt = m_parts.loop->now()](const ReadResult& result) {
                 if (result.outcome == StoreOutcome::Done) {
                     m_configurations.noteWritten(result.item);
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -48,6 +48,8 @@
     settings.ownershipTime = std::max(settings.ownershipTime, granted);
     readMillis(reader, "workerLeaseMs", leastLease, settings.workerLeaseTime);
     readMillis(reader, "handoverMs", 0, settings.handover);
+    constexpr std::int64_t leastApplyTime = 1'000; // Some reads must fit into it.
+    readMillis(reader, "configurationApplyMs", leastApplyTime, settings.configurationApplyTime);
     readMillis(reader, "configurationTrustMs", 0, settings.configurationTrust);
     readSeconds(reader, "maintenanceSeconds", settings.maintenanceTime);
     readSeconds(reader, "moveSeconds", settings.moveTime);
