Read a failed page of a listing again, not the whole list

A page of up to 1 MB takes longer over their 10 Mbit/s than the second after which the call was given up, and each failed page began the list anew. 2,758 jobs lay in the store by then. Not an overload by retries: it does not end without them either.

Evidence: "A listing of many pages ends though pages are lost" fails on the mirror as it was (run) and passes.

--- a/src/jobs/store/store_mirror.cpp
+++ b/src/jobs/store/store_mirror.cpp
@@ -82,7 +82,8 @@
         m_listed.clear();
         m_listRevision = 0;
         m_listStart = m_loop.now();
-        listPage({});
+        m_listedUpTo.clear();
+        listPage();
     }
 
     void noteStoreRevision(std::uint64_t storeRevision, MonotonicInstant askedAt)
@@ -138,9 +139,9 @@
         });
     }
 
-    void listPage(const std::string& afterKey)
+    void listPage()
     {
-        m_store.range(m_options.prefix, afterKey, [self = weak_from_this(), generation = m_generation](const ItemsResult& result) {
+        m_store.range(m_options.prefix, m_listedUpTo, [self = weak_from_this(), generation = m_generation](const ItemsResult& result) {
             if (const auto impl = self.lock(); impl && impl->m_generation == generation)
                 impl->listed(result);
         });
@@ -148,8 +149,9 @@
 
     void listed(const ItemsResult& result)
     {
+        // Only the failed page is read again: over a slow link a list that starts anew with each failure may never end.
         if (result.outcome != StoreOutcome::Done) {
-            later(&Impl::list);
+            later(&Impl::listPage);
             return;
         }
         // Pages are no snapshot: the watch starts where the first page stood.
@@ -158,7 +160,8 @@
         for (const StoreItem& item : result.items)
             m_listed.push_back(item);
         if (result.more && !result.items.empty()) {
-            listPage(result.items.back().key);
+            m_listedUpTo = result.items.back().key;
+            listPage();
             return;
         }
         applyListing();
@@ -265,6 +268,7 @@
     StoreMirrorOptions m_options;
     ItemObserver m_observer;
     std::vector<StoreItem> m_listed;
+    std::string m_listedUpTo; ///< Last key of the pages listed so far.
     std::uint64_t m_listRevision = 0;
     MonotonicInstant m_listStart;
     TimerId m_gapTimer = 0;
--- a/standins/model/store_model.h
+++ b/standins/model/store_model.h
@@ -21,6 +21,7 @@
     double lostAnswers = 0; ///< Of writes: carried out, and not answered.
     double lateWrites = 0; ///< Of writes: not answered, and carried out seconds later.
     Millis answerTime { 4 };
+    double lostPages = 0; ///< Of pages of a range: not answered.
     std::size_t mostEvents = 0; ///< That one answer of a watch brings; 0: all there are.
 };
 
--- a/tests/jobs/store_mirror_test.cpp
+++ b/tests/jobs/store_mirror_test.cpp
@@ -72,6 +72,19 @@
 
 } // namespace
 
+// Guards against a list that starts anew with each page that fails: instances on slow links took no jobs for the rest of a day.
+TEST_CASE("A listing of many pages ends though pages are lost")
+{
+    WatchedStore watched(1, Millis(0));
+    watched.mirror.pause();
+    watched.write(10'000);
+    watched.store.trouble.lostPages = 0.4;
+    watched.mirror.resume({});
+    watched.clock.runFor(Millis(40'000));
+    CHECK(watched.mirror.revisionOf("a/9999") != 0);
+    CHECK(watched.missing() == 0);
+}
+
 TEST_CASE("A copy is called fresh only as of a time of which it holds all")
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
