Shrink pools of an ample fleet no faster than their load is observed

Cause: the share that another pool's peak takes is a prior for pools that had none, but in the first seconds no pool has had a peak.

Change: while load has been observed for less than the memory of peaks, a pool keeps the part of its initial size that is not observed yet. A fleet that stays without load is powered off after a minute, as before.

Evidence: two tests, the first fails on the code before by its signature and by its figure (it kept 10 of 1,000).

--- a/include/lanemoor/jobs/policy/peak_reservation.h
+++ b/include/lanemoor/jobs/policy/peak_reservation.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,11 +37,12 @@
 ///
 /// On a fleet with ample room, instances that follow each turn of load are moved twice a cycle, are missing while they
 /// move, and save little; there, each pool keeps what its peak takes. A pool that has not had its peak yet keeps the share
-/// of its initial size that the peak of any other pool takes.
+/// of its initial size that the peak of any other pool takes, and while load has been observed for less than the memory, the share of
+/// its initial size that is not observed yet.
 ///
 /// \code
-/// peaks.update({ { .pool = "a", .needed = 900, .size = 10'000 } }, 20'000, now);
-/// const double kept = peaks.reservedFor("a"); // 900
+/// peaks.update({ { .pool = "a", .needed = 900, .size = 10'000 } }, 20'000, now, now - Millis(27'000));
+/// const double kept = peaks.reservedFor("a"); // 1'000: a tenth of the memory is not observed yet.
 /// \endcode
 class PeakReservation {
 public:
@@ -48,7 +50,8 @@
 
     /// \brief Notes what all pools need now.
     /// \param fleet Processor time of all instances, those of the reserve included.
-    void update(const std::vector<PoolNeed>& needs, double fleet, MonotonicInstant now);
+    /// \param loadSince When the first job arrived; nothing: none has.
+    void update(const std::vector<PoolNeed>& needs, double fleet, MonotonicInstant now, std::optional<MonotonicInstant> loadSince);
 
     /// \returns What the pool keeps, in thousandths of a core; 0 if room is scarce.
     [[nodiscard]] double reservedFor(const std::string& pool) const;
@@ -60,6 +63,8 @@
         double reserved = 0;
     };
 
+    [[nodiscard]] double unobservedShare(MonotonicInstant now, std::optional<MonotonicInstant> loadSince) const;
+
     PeakReservationOptions m_options;
     std::map<std::string, Pool> m_pools;
     bool m_isScarce = true;
--- a/src/jobs/policy/capacity_plan.cpp
+++ b/src/jobs/policy/capacity_plan.cpp
@@ -335,7 +335,9 @@
                 needs.push_back({ .pool = pool.load->pool, .needed = pool.needOf(each, &ClassBalance::lasting).milliCpu, .size = each.supply.milliCpu });
         }
     }
-    m_peaks.update(needs, fleet, now);
+    // A fleet that stays without load has shown all that it asks for.
+    const bool staysIdle = !m_firstArrival && mayPowerOff(now);
+    m_peaks.update(needs, fleet, now, staysIdle ? m_firstSeen : m_firstArrival);
     for (Balance& pool : pools) {
         for (ClassBalance& each : pool.classes) {
             if (each.isAny())
--- a/src/jobs/policy/peak_reservation.cpp
+++ b/src/jobs/policy/peak_reservation.cpp
@@ -1,6 +1,7 @@
 #include "lanemoor/jobs/policy/peak_reservation.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace lanemoor::jobs {
 
@@ -9,7 +10,15 @@
 {
 }
 
-void PeakReservation::update(const std::vector<PoolNeed>& needs, double fleet, MonotonicInstant now)
+/// \returns The part of the memory in which no load was observed yet.
+double PeakReservation::unobservedShare(MonotonicInstant now, std::optional<MonotonicInstant> loadSince) const
+{
+    if (!loadSince)
+        return 1;
+    return std::max(0.0, 1 - std::chrono::duration<double>(now - *loadSince) / m_options.memory);
+}
+
+void PeakReservation::update(const std::vector<PoolNeed>& needs, double fleet, MonotonicInstant now, std::optional<MonotonicInstant> loadSince)
 {
     double highestShare = 0;
     for (const PoolNeed& need : needs) {
@@ -21,10 +30,12 @@
         if (pool.initialSize > 0)
             highestShare = std::max(highestShare, pool.reserved / pool.initialSize);
     }
+    const double unobserved = unobservedShare(now, loadSince);
     double sum = 0;
     for (auto& [name, pool] : m_pools) {
         pool.reserved = std::max(pool.reserved, highestShare * pool.initialSize);
         sum += pool.reserved;
+        pool.reserved = std::max(pool.reserved, unobserved * pool.initialSize);
     }
     m_isScarce = sum > m_options.maxFleetShare * fleet;
 }
--- a/tests/jobs/whole_fleet_test.cpp
+++ b/tests/jobs/whole_fleet_test.cpp
@@ -68,21 +68,46 @@
 TEST_CASE("A peak is kept until it is older than a cycle of load")
 {
     PeakReservation peaks({ .memory = Millis(30'000), .maxFleetShare = 0.5 });
-    peaks.update({ { .pool = "a", .needed = 300, .size = 1'000 } }, 1'000, begin);
-    peaks.update({ { .pool = "a", .needed = 10, .size = 1'000 } }, 1'000, begin + Millis(20'000));
+    peaks.update({ { .pool = "a", .needed = 300, .size = 1'000 } }, 1'000, begin, begin - Millis(60'000));
+    peaks.update({ { .pool = "a", .needed = 10, .size = 1'000 } }, 1'000, begin + Millis(20'000), begin - Millis(60'000));
     CHECK(peaks.reservedFor("a") == Approx(300));
-    peaks.update({ { .pool = "a", .needed = 10, .size = 1'000 } }, 1'000, begin + Millis(31'000));
+    peaks.update({ { .pool = "a", .needed = 10, .size = 1'000 } }, 1'000, begin + Millis(31'000), begin - Millis(60'000));
+    CHECK(peaks.reservedFor("a") == Approx(10));
+}
+
+// Guards against a pool that is emptied before its first turn of load, which the others have had.
+TEST_CASE("A pool shrinks no faster than its load is observed")
+{
+    PeakReservation peaks({ .memory = Millis(30'000), .maxFleetShare = 0.5 });
+    peaks.update({ { .pool = "a", .needed = 10, .size = 1'000 } }, 1'000, begin, std::nullopt);
+    CHECK(peaks.reservedFor("a") == Approx(1'000));
+    peaks.update({ { .pool = "a", .needed = 10, .size = 1'000 } }, 1'000, begin + Millis(15'000), begin);
+    CHECK(peaks.reservedFor("a") == Approx(500));
+    peaks.update({ { .pool = "a", .needed = 10, .size = 500 } }, 1'000, begin + Millis(30'000), begin);
     CHECK(peaks.reservedFor("a") == Approx(10));
 }
 
 TEST_CASE("Pools whose peaks do not fit together share instances over time")
 {
     PeakReservation peaks({ .memory = Millis(30'000), .maxFleetShare = 0.5 });
-    peaks.update({ { .pool = "a", .needed = 300, .size = 500 }, { .pool = "b", .needed = 10, .size = 500 } }, 1'000, begin);
+    peaks.update({ { .pool = "a", .needed = 300, .size = 500 }, { .pool = "b", .needed = 10, .size = 500 } }, 1'000, begin, begin - Millis(60'000));
     CHECK(peaks.reservedFor("a") == 0);
     CHECK(peaks.reservedFor("b") == 0);
 }
 
+TEST_CASE("A fleet that stays without load is powered off")
+{
+    CapacityPlan plan;
+    const auto idleFleet = [] {
+        std::vector<PoolLoad> pools = ampleFleet(0, 0);
+        for (PoolLoad& pool : pools)
+            pool.hasArrivals = false;
+        return pools;
+    };
+    CHECK(plan.next(idleFleet(), begin).moves.empty());
+    CHECK(plan.next(idleFleet(), begin + Millis(59'000)).moves.empty());
+    CHECK(plan.next(idleFleet(), begin + Millis(61'000)).moves.size() > 1'900);
+}
 // Guards against calls that the platform refuses by the thousand, each after its instance was emptied.
 TEST_CASE("A plan makes no more acts than the platform takes, those for short pools first")
 {
