Ask the store less where nothing is waiting for the answer

Change: instances without a copy watch no waves; one that comes to own lists them with the jobs. A quiet watch of the configuration lasts 20 s instead of 5: it is read as well, well within its time to apply.

Evidence: a wave that was asked for before a small instance owned is carried out (new test).

--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -36,8 +36,10 @@
 constexpr Millis watchGap { 500 };
 /// The keys of the ownership change seldom, and the watch of the jobs hears of them too.
 constexpr Millis ownershipWatchTime { 3'000 };
-/// The configuration is read as well, and waves last some dozens of seconds.
-constexpr Millis quietWatchTime { 5'000 };
+/// Waves last some dozens of seconds.
+constexpr Millis waveWatchTime { 5'000 };
+/// A watch that is cut silently costs nothing here: the configuration is read as well.
+constexpr Millis configurationWatchTime { 20'000 };
 /// Workers drain with seconds of notice; sooner only saves work. Each heartbeat is a change, so
 /// that nearly every watch of the workers is answered at once. Only the owner watches them that often: 1,100
 /// workers have 730 heartbeats a second.
@@ -116,9 +118,9 @@
         , m_directory(*parts.loop)
         , m_jobs(*parts.loop, *parts.store, { .prefix = std::string(jobServicePrefix), .watchTime = watchTime, .leastGap = watchGap, .resumesImmediately = true }, [this](const StoreItem& item) { onItem(item); })
         , m_owners(*parts.loop, *parts.store, { .prefix = std::string(ownershipPrefix), .watchTime = ownershipWatchTime }, [this](const StoreItem& item) { onOwnership(item); })
-        , m_configurations(*parts.loop, *parts.store, { .prefix = parts.documents->configurationKey(), .watchTime = quietWatchTime }, [this](const StoreItem& item) { onConfiguration(item); })
+        , m_configurations(*parts.loop, *parts.store, { .prefix = parts.documents->configurationKey(), .watchTime = configurationWatchTime }, [this](const StoreItem& item) { onConfiguration(item); })
         , m_workers(*parts.loop, *parts.store, { .prefix = parts.documents->workerPrefix(), .watchTime = watchTime, .leastGap = standbyWatchGap }, [this](const StoreItem& item) { onWorker(item); })
-        , m_waves(*parts.loop, *parts.store, { .prefix = parts.documents->wavePrefix(), .watchTime = quietWatchTime }, [this](const StoreItem& item) { onWave(item); })
+        , m_waves(*parts.loop, *parts.store, { .prefix = parts.documents->wavePrefix(), .watchTime = waveWatchTime }, [this](const StoreItem& item) { onWave(item); })
         , m_ownership(*parts.loop, *parts.store, m_owners, { .shard = theShard, .holder = m_holder, .peer = parts.peerAddress, .leaseTime = settings.ownershipTime, .renewEvery = settings.ownershipTime / renewalsOfLease, .claimDelay = claimDelayOf(settings) },
               { .gained = [this](const Ownership& ownership) { gained(ownership); }, .lost = [this] { lost(); }, .suspended = [this] { m_parts.log->change("ownership-suspended", { { "copy_age_ms", copyAge() } }); }, .resumed = [this] { m_parts.log->change("ownership-resumed", { { "copy_age_ms", copyAge() } }); }, .claimFailed = [this](StoreOutcome outcome) { m_parts.log->decision("ownership-claim-failed", { { "outcome", std::string(nameOf(outcome)) } }); }, .endsLost = [this](const std::string& holder) { m_parts.log->change("lost-owner-lease-ended", { { "holder", holder } }); } })
         , m_relayedWorkers({ .loop = parts.loop, .peers = parts.peers, .direct = parts.workers, .log = parts.log, .meter = &m_meter }, settings.policies.relay, settings.machineCores)
@@ -143,13 +145,13 @@
 
     void start()
     {
-        if (isStandby())
-            m_jobs.start();
         m_owners.start();
         m_configurations.start();
-        m_waves.start();
-        if (isStandby())
+        if (isStandby()) {
+            m_jobs.start();
+            m_waves.start();
             m_workers.start();
+        }
         m_ownership.start();
         readConfigurationLater();
         checkCopyLater();
@@ -570,8 +572,10 @@
         m_relay.follow({});
         m_relayedWorkers.activate();
         m_jobs.setPace(ownerWatchGap, ownerWatchTime, true);
-        if (!isStandby())
+        if (!isStandby()) {
             m_jobs.resume({});
+            m_waves.resume({});
+        }
         // Heartbeats grow with the workers: at a fixed pace an owner of many reads them late, and starts tasks on workers that drain.
         m_workers.setPace(workerWatchGap, watchTime, true);
         m_jobs.whenAt(ownership.epoch, [this, ownership] {
@@ -613,6 +617,7 @@
         m_relayedWorkers.deactivate();
         if (!isStandby()) {
             m_jobs.pause();
+            m_waves.pause();
             forgetJobs();
         }
     }
--- a/tests/jobs/plain_entry_test.cpp
+++ b/tests/jobs/plain_entry_test.cpp
@@ -121,3 +121,15 @@
         CHECK(cluster.witness.breaches().empty());
     }
 }
+
+TEST_CASE("A wave that was asked for before a small entry instance owned is carried out")
+{
+    MixedCluster cluster;
+    cluster.askWave({ .number = 1, .instances = { "m-0", "m-1", "m-2" }, .duration = Millis(20'000), .mostAtOnce = 1 });
+    cluster.kill(0);
+    cluster.clock.runFor(Millis(25'000));
+    const StoreItem* status = cluster.store.find(cluster.documents.waveStatusKey(1));
+    REQUIRE(status);
+    CHECK(status->value == "finished");
+    CHECK(cluster.witness.breaches().empty());
+}
