Take jobs again as soon as the store answers, without a copy too

What callers would see: an instance without a copy that lost the answer to one write refused jobs until its next read of the configuration, 1.75 s later on the fleet; with a copy the watch of the jobs ended that within half a second.

Cause: whether the store is silent was judged by the watch alone.

Change: each answered write and each read that settles one count. The pause between reads of the configuration has a maximum of 2 s, below the time after which an instance calls itself unready; a longer time to apply would have made instances without a copy unready in turns.

Evidence: new test; fails on the code before (run).

--- a/src/jobs/intake/job_intake.cpp
+++ b/src/jobs/intake/job_intake.cpp
@@ -165,6 +165,8 @@
             --self->m_batches;
             if (result.outcome == StoreOutcome::Unknown)
                 self->noteUnanswered(sentAt);
+            else
+                self->noteAnswered(sentAt);
             self->committed(std::move(batch), result);
             self->send();
         });
@@ -227,7 +229,9 @@
     void readBack(WaitingJob job)
     {
         const std::string key = jobKey(job.id);
-        m_store.read(key, [self = shared_from_this(), job = std::move(job)](const ReadResult& result) {
+        m_store.read(key, [self = shared_from_this(), job = std::move(job), sentAt = m_loop.now()](const ReadResult& result) {
+            if (result.outcome == StoreOutcome::Done || result.outcome == StoreOutcome::NotFound)
+                self->noteAnswered(sentAt);
             if (result.outcome == StoreOutcome::Done)
                 self->keep(job, result.item);
             else
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -78,7 +78,8 @@
 Millis configurationReadPause(const JobServiceSettings& settings)
 {
     constexpr double shareOfApplyTime = 0.35;
-    return Millis(static_cast<Millis::rep>(shareOfApplyTime * static_cast<double>(settings.configurationApplyTime.count())));
+    constexpr Millis maxPause { 2'000 }; // Below `storeMissedAfter`: readiness goes by these reads too.
+    return std::min(Millis(static_cast<Millis::rep>(shareOfApplyTime * static_cast<double>(settings.configurationApplyTime.count()))), maxPause);
 }
 
 Millis claimDelayOf(const JobServiceSettings& settings)
--- a/tests/jobs/plain_entry_test.cpp
+++ b/tests/jobs/plain_entry_test.cpp
@@ -133,3 +133,16 @@
     CHECK(status->value == "finished");
     CHECK(cluster.witness.breaches().empty());
 }
+
+// Guards against refusals until the next read of the configuration, after a single answer was lost.
+TEST_CASE("A small entry instance takes jobs again as soon as the store has answered it")
+{
+    MixedCluster cluster;
+    cluster.store.trouble.lostAnswers = 1;
+    cluster.submit(1, "work", jobId(1), job({ step(1) }));
+    cluster.clock.runFor(Millis(100));
+    cluster.store.trouble.lostAnswers = 0;
+    REQUIRE(cluster.waitFor(Millis(3'000), [&] { return cluster.accepted().contains(jobId(1)); }));
+    cluster.submit(1, "work", jobId(2), job({ step(1) }));
+    CHECK(cluster.waitFor(Millis(50), [&] { return cluster.accepted().contains(jobId(2)); }));
+}
