Size pools for the reservation of peaks by the largest size seen

Cause: the share that a peak takes was of the pool's size at the first plan, 19 s before load came, when a few instances had started.

Change: the largest size seen. Test fails on the code before by its figures (0 reserved for pools that began empty).

--- a/include/lanemoor/jobs/policy/peak_reservation.h
+++ b/include/lanemoor/jobs/policy/peak_reservation.h
@@ -37,8 +37,8 @@
 ///
 /// On a fleet with ample room, instances that follow each turn of load are moved twice a cycle, are missing while they
 /// move, and save little; there, each pool keeps what its peak takes. A pool that has not had its peak yet keeps the share
-/// of its initial size that the peak of any other pool takes, and while load has been observed for less than the memory, the share of
-/// its initial size that is not observed yet.
+/// of its largest size that the peak of any other pool takes, and while load has been observed for less than the memory, the share of
+/// its largest size that is not observed yet.
 ///
 /// \code
 /// peaks.update({ { .pool = "a", .needed = 900, .size = 10'000 } }, 20'000, now, now - Millis(27'000));
@@ -58,7 +58,7 @@
 
 private:
     struct Pool {
-        double initialSize = 0;
+        double largestSize = 0; ///< Seen so far; instances that are still starting make a pool small at first.
         SlidingExtreme<double, std::less_equal<>> peak;
         double reserved = 0;
     };
--- a/src/jobs/policy/peak_reservation.cpp
+++ b/src/jobs/policy/peak_reservation.cpp
@@ -22,20 +22,18 @@
 {
     double highestShare = 0;
     for (const PoolNeed& need : needs) {
-        const auto [place, isNew] = m_pools.try_emplace(need.pool);
-        Pool& pool = place->second;
-        if (isNew)
-            pool.initialSize = need.size;
+        Pool& pool = m_pools[need.pool];
+        pool.largestSize = std::max(pool.largestSize, need.size);
         pool.reserved = pool.peak.note(need.needed, now, m_options.memory);
-        if (pool.initialSize > 0)
-            highestShare = std::max(highestShare, pool.reserved / pool.initialSize);
+        if (pool.largestSize > 0)
+            highestShare = std::max(highestShare, pool.reserved / pool.largestSize);
     }
     const double unobserved = unobservedShare(now, loadSince);
     double sum = 0;
     for (auto& [name, pool] : m_pools) {
-        pool.reserved = std::max(pool.reserved, highestShare * pool.initialSize);
+        pool.reserved = std::max(pool.reserved, highestShare * pool.largestSize);
         sum += pool.reserved;
-        pool.reserved = std::max(pool.reserved, unobserved * pool.initialSize);
+        pool.reserved = std::max(pool.reserved, unobserved * pool.largestSize);
     }
     m_isScarce = sum > m_options.maxFleetShare * fleet;
 }
--- a/tests/jobs/whole_fleet_test.cpp
+++ b/tests/jobs/whole_fleet_test.cpp
@@ -76,6 +76,15 @@
 }
 
 // Guards against a pool that is emptied before its first turn of load, which the others have had.
+TEST_CASE("Pools whose instances are still starting do not make room scarce")
+{
+    PeakReservation peaks({ .memory = Millis(30'000), .maxFleetShare = 0.5 });
+    peaks.update({ { .pool = "a", .needed = 10, .size = 0 }, { .pool = "b", .needed = 10, .size = 1 } }, 2'000, begin, std::nullopt);
+    peaks.update({ { .pool = "a", .needed = 300, .size = 1'000 }, { .pool = "b", .needed = 10, .size = 1'000 } }, 2'000, begin + Millis(10'000), begin - Millis(60'000));
+    CHECK(peaks.reservedFor("a") == Approx(300));
+    CHECK(peaks.reservedFor("b") == Approx(300));
+}
+
 TEST_CASE("A pool shrinks no faster than its load is observed")
 {
     PeakReservation peaks({ .memory = Millis(30'000), .maxFleetShare = 0.5 });
