Ask a rise to last only where the peaks of all pools fit together

Cause: a pool of a small fleet with a quarter of its instances idle waited 0.5 s before it believed a rise, and lost that time in each turn of load. There the forecast is all that brings instances in time.

Change: the rule holds for fleets with ample room only, which is what it was made for.

--- a/include/lanemoor/jobs/policy/capacity_plan.h
+++ b/include/lanemoor/jobs/policy/capacity_plan.h
@@ -55,8 +55,8 @@
     /// Nothing is switched off before load was watched for so long: more than the demand's memory.
     Millis observation { 3'000 };
     Millis mostIdleStart { 60'000 }; ///< Without any load, pools keep what they began with for so long.
-    /// A rise counts as lasting after this; until then a pool with room meets it by what is idle there. The forecast of one
-    /// instant may be several times the mean.
+    /// A rise counts as lasting after this; until then a pool of a fleet with ample room meets it by what is idle there. The forecast
+    /// of one instant may be several times the mean.
     Millis sustainTime { 500 };
     double idleShareOfRoom = 0.25; ///< Of a pool's sound instances: with so many idle and no task waiting, the pool has room.
     Millis idleBeforeOff { 1'200 }; ///< A move costs what an instance costs in about this time.
--- a/include/lanemoor/jobs/policy/peak_reservation.h
+++ b/include/lanemoor/jobs/policy/peak_reservation.h
@@ -53,6 +53,9 @@
     /// \param loadSince When the first job arrived; nothing: none has.
     void update(const std::vector<PoolNeed>& needs, double fleet, MonotonicInstant now, std::optional<MonotonicInstant> loadSince);
 
+    /// \returns Whether the peaks of all pools fit together, as of the last update.
+    [[nodiscard]] bool hasAmpleRoom() const noexcept { return !m_isScarce; }
+
     /// \returns What the pool keeps, in thousandths of a core; 0 if room is scarce.
     [[nodiscard]] double reservedFor(const std::string& pool) const;
 
--- a/src/jobs/policy/capacity_plan.cpp
+++ b/src/jobs/policy/capacity_plan.cpp
@@ -249,7 +249,7 @@
 CapacityPlan::Balance CapacityPlan::balanceOf(const PoolLoad& pool, MonotonicInstant now)
 {
     Balance balance { .load = &pool, .classes = {}, .idle = {}, .drainable = {}, .sound = {} };
-    const bool hasRoom = hasIdleRoom(pool);
+    const bool hasRoom = m_peaks.hasAmpleRoom() && hasIdleRoom(pool);
     for (const auto& [requirement, load] : pool.requirements) {
         if (pool.reserve)
             break;
