Correct what cost small fleets: bounded pauses, a full budget, whole instances

A takeover lasts about as long as the bucket takes to fill. - A link that was cut for 12 s was retried after up to 20 s. The pause now ends at 3 s, which still is 33 tries a second for 75 refused instances. - Every page of a listing was waited for 3 s, also a lost one. Pages wait 1 s, and longer only after one that failed. - The reservation kept a part of an instance, so that a pool of eight could not shrink, and a fleet without load counted as not observed.

--- a/include/lanemoor/jobs/model/key_value_store.h
+++ b/include/lanemoor/jobs/model/key_value_store.h
@@ -103,7 +103,8 @@
     virtual void read(const std::string& key, std::function<void(ReadResult)> done) = 0;
 
     /// \param afterKey The page starts behind this key; empty: at the beginning.
-    virtual void range(const std::string& prefix, const std::string& afterKey, std::function<void(ItemsResult)> done) = 0;
+    /// \param patience The answer, of up to a megabyte, is waited for this long.
+    virtual void range(const std::string& prefix, const std::string& afterKey, Millis patience, std::function<void(ItemsResult)> done) = 0;
 
     /// \brief Waits up to `wait` for changes under `prefix` after revision `after`.
     virtual void watch(const std::string& prefix, std::uint64_t after, Millis wait, std::function<void(ItemsResult)> done) = 0;
--- a/include/lanemoor/jobs/owner/hall_evacuations.h
+++ b/include/lanemoor/jobs/owner/hall_evacuations.h
@@ -23,6 +23,7 @@
     EventLog* log = nullptr;
     std::string prefix; ///< Of the requests; the rest of a key names the data hall.
     Millis readEvery { 700 }; ///< Well below the time in which a request must be in force.
+    Millis patience { 700 }; ///< For an answer of the store, which takes some 300 ms while it is slow.
     Millis retryPause { 200 }; ///< After a call that failed.
 };
 
--- a/include/lanemoor/jobs/policy/call_budget.h
+++ b/include/lanemoor/jobs/policy/call_budget.h
@@ -11,7 +11,7 @@
 /// \brief Holds at most one second's worth of calls.
 ///
 /// \code
-/// CallBudget budget(590.0, 0, now);
+/// CallBudget budget(590.0, now);
 /// const std::size_t calls = std::min(wanted, budget.available(now));
 /// budget.take(calls);
 /// \endcode
@@ -20,9 +20,9 @@
     /// \brief A budget without limit.
     CallBudget() = default;
 
+    /// \brief A full budget: a takeover lasts about as long as the bucket takes to fill.
     /// \param perSecond The rate; 0: no limit.
-    /// \param initial Calls that may be made at once; a predecessor may have made others within the last second.
-    CallBudget(double perSecond, double initial, MonotonicInstant now);
+    CallBudget(double perSecond, MonotonicInstant now);
 
     /// \returns Whole calls that may be made now.
     [[nodiscard]] std::size_t available(MonotonicInstant now);
--- a/src/jobs/owner/fleet_keeper.cpp
+++ b/src/jobs/owner/fleet_keeper.cpp
@@ -64,7 +64,7 @@
         m_lives.clear();
         m_idleSince.clear();
         m_capacity = CapacityPlan(m_options.capacity);
-        m_actBudget = CallBudget(m_options.actsPerSecond, ownership.term == 1 ? m_options.actsPerSecond : 0, m_options.loop->now());
+        m_actBudget = CallBudget(m_options.actsPerSecond, m_options.loop->now());
         for (const auto& [number, wave] : m_waves)
             begin(wave);
         list();
--- a/src/jobs/owner/hall_evacuations.cpp
+++ b/src/jobs/owner/hall_evacuations.cpp
@@ -37,7 +37,7 @@
 
     void readPage(const std::string& afterKey)
     {
-        m_options.store->range(m_options.prefix, afterKey, [self = weak_from_this(), generation = m_generation](const ItemsResult& result) {
+        m_options.store->range(m_options.prefix, afterKey, m_options.patience, [self = weak_from_this(), generation = m_generation](const ItemsResult& result) {
             const auto impl = self.lock();
             if (impl && impl->m_generation == generation)
                 impl->received(result);
--- a/src/jobs/policy/call_budget.cpp
+++ b/src/jobs/policy/call_budget.cpp
@@ -6,9 +6,9 @@
 
 namespace lanemoor::jobs {
 
-CallBudget::CallBudget(double perSecond, double initial, MonotonicInstant now)
+CallBudget::CallBudget(double perSecond, MonotonicInstant now)
     : m_perSecond(perSecond)
-    , m_tokens(std::min(initial, perSecond))
+    , m_tokens(perSecond)
     , m_filledAt(now)
 {
 }
--- a/src/jobs/policy/capacity_plan.cpp
+++ b/src/jobs/policy/capacity_plan.cpp
@@ -337,11 +337,15 @@
     }
     // A fleet that stays without load has shown all that it asks for.
     const bool staysIdle = !m_firstArrival && mayPowerOff(now);
-    m_peaks.update(needs, fleet, now, staysIdle ? m_firstSeen : m_firstArrival);
+    m_peaks.update(needs, fleet, now, staysIdle ? now - m_options.peaks.memory : m_firstArrival);
     for (Balance& pool : pools) {
         for (ClassBalance& each : pool.classes) {
-            if (each.isAny())
-                each.ofLate.milliCpu = std::max(each.ofLate.milliCpu, m_peaks.reservedFor(pool.load->pool));
+            if (!each.isAny() || each.supply.instances == 0)
+                continue;
+            // Whole instances are kept.
+            const double ofInstance = each.supply.milliCpu / each.supply.instances;
+            const double reserved = std::floor(m_peaks.reservedFor(pool.load->pool) / ofInstance) * ofInstance;
+            each.ofLate.milliCpu = std::max(each.ofLate.milliCpu, reserved);
         }
     }
 }
--- a/src/jobs/relay/order_relay.cpp
+++ b/src/jobs/relay/order_relay.cpp
@@ -17,8 +17,9 @@
 namespace {
 
 constexpr Millis reconnectPause { 300 };
-/// An owner accepts a bounded number of links. Instances beyond it come back ever more seldom.
-constexpr Millis maxReconnectPause { 20'000 };
+/// An owner accepts a bounded number of links: instances beyond it come back more seldom. Not much more: a path that was cut looks the
+/// same.
+constexpr Millis maxReconnectPause { 3'000 };
 /// A refusal tells of the owner only soon after its link broke: later, the break may have had another cause.
 constexpr Millis refusalCounts { 1'000 };
 /// A call that came so much later than the fastest one of its link is not made: this machine was
--- a/src/jobs/store/store_mirror.cpp
+++ b/src/jobs/store/store_mirror.cpp
@@ -27,6 +27,10 @@
     return result.items.size() >= changesOfPart || bytes >= bytesOfPart;
 }
 
+/// A page of 1 MB takes 1.1 s over a link of 10 Mbit/s; on most links an answer that takes longer than the first is lost.
+constexpr Millis minPagePatience { 1'000 };
+constexpr Millis maxPagePatience { 8'000 };
+
 /// A revision that the store had not passed at a time.
 struct RevisionBound {
     std::uint64_t revision = 0;
@@ -83,6 +87,7 @@
         m_listRevision = 0;
         m_listStart = m_loop.now();
         m_listedUpTo.clear();
+        m_pagePatience = minPagePatience;
         listPage();
     }
 
@@ -141,7 +146,7 @@
 
     void listPage()
     {
-        m_store.range(m_options.prefix, m_listedUpTo, [self = weak_from_this(), generation = m_generation](const ItemsResult& result) {
+        m_store.range(m_options.prefix, m_listedUpTo, m_pagePatience, [self = weak_from_this(), generation = m_generation](const ItemsResult& result) {
             if (const auto impl = self.lock(); impl && impl->m_generation == generation)
                 impl->listed(result);
         });
@@ -151,9 +156,11 @@
     {
         // Only the failed page is read again: over a slow link a list that starts anew with each failure may never end.
         if (result.outcome != StoreOutcome::Done) {
+            m_pagePatience = std::min(2 * m_pagePatience, maxPagePatience);
             later(&Impl::listPage);
             return;
         }
+        m_pagePatience = std::max(m_pagePatience / 2, minPagePatience);
         // Pages are no snapshot: the watch starts where the first page stood.
         if (m_listRevision == 0)
             m_listRevision = result.storeRevision;
@@ -268,6 +275,7 @@
     StoreMirrorOptions m_options;
     ItemObserver m_observer;
     std::vector<StoreItem> m_listed;
+    Millis m_pagePatience = minPagePatience; ///< Doubled with each page that failed, halved with each that came.
     std::string m_listedUpTo; ///< Last key of the pages listed so far.
     std::uint64_t m_listRevision = 0;
     MonotonicInstant m_listStart;
--- a/standins/model/store_model.cpp
+++ b/standins/model/store_model.cpp
@@ -232,11 +232,11 @@
         std::move(done));
 }
 
-void StoreClient::range(const std::string& prefix, const std::string& afterKey, std::function<void(ItemsResult)> done)
+void StoreClient::range(const std::string& prefix, const std::string& afterKey, Millis patience, std::function<void(ItemsResult)> done)
 {
     if (m_store.trouble.lostPages > 0 && std::uniform_real_distribution<double>(0, 1)(m_store.m_random) < m_store.trouble.lostPages) {
         ++m_store.m_calls;
-        m_store.m_clock.after(callTime, [answer = m_process.deliver<ItemsResult>(std::move(done))] { answer({}); });
+        m_store.m_clock.after(patience, [answer = m_process.deliver<ItemsResult>(std::move(done))] { answer({}); });
         return;
     }
     call<ItemsResult>(
--- a/standins/model/store_model.h
+++ b/standins/model/store_model.h
@@ -99,7 +99,7 @@
     bool cutOff = false; ///< This process does not reach the store.
 
     void read(const std::string& key, std::function<void(jobs::ReadResult)> done) override;
-    void range(const std::string& prefix, const std::string& afterKey, std::function<void(jobs::ItemsResult)> done) override;
+    void range(const std::string& prefix, const std::string& afterKey, Millis patience, std::function<void(jobs::ItemsResult)> done) override;
     void watch(const std::string& prefix, std::uint64_t after, Millis wait, std::function<void(jobs::ItemsResult)> done) override;
     void commit(const jobs::Transaction& transaction, std::function<void(jobs::CommitResult)> done) override;
     void grantLease(Millis timeToLive, std::function<void(jobs::LeaseResult)> done) override;
--- a/tests/jobs/whole_fleet_test.cpp
+++ b/tests/jobs/whole_fleet_test.cpp
@@ -135,7 +135,9 @@
 
 TEST_CASE("A call budget refills at its rate and holds one second of it")
 {
-    CallBudget budget(100, 0, begin);
+    CallBudget budget(100, begin);
+    CHECK(budget.available(begin) == 100);
+    budget.drain();
     CHECK(budget.available(begin) == 0);
     CHECK(budget.available(begin + Millis(500)) == 50);
     CHECK(budget.available(begin + Millis(10'000)) == 100);
