--- a/src/jobs/store/store_mirror.cpp
+++ b/src/jobs/store/store_mirror.cpp
@@ -29,7 +29,7 @@
 
 /// A page of 1 MB takes 1.1 s over a link of 10 Mbit/s; on most links an answer that takes longer than the first is lost.
 constexpr Millis minPagePatience { 1'000 };
-constexpr Millis maxPagePatience { 8'000 };
+constexpr Millis maxPagePatience { 4'000 };
 
 /// A revision that the store had not passed at a time.
 struct RevisionBound {
