--- a/tests/unit/document_test.cpp
+++ b/tests/unit/document_test.cpp
@@ -1,5 +1,6 @@
 // Settings and configuration: read whole, every fault with its place.
 
+#include "lanemoor/jobs/service/job_service_settings.h"
 #include "lanemoor/state/configuration_document.h"
 #include "lanemoor/state/settings.h"
 #include "lanemoor/state/time_text.h"
@@ -126,7 +127,9 @@
         CAPTURE(file.path().string());
         std::ifstream in(file.path());
         const std::string text((std::istreambuf_iterator<char>(in)), {});
-        if (file.path().filename() == "settings.json")
+        if (jobs::isJobServiceSettings(text))
+            CHECK(jobs::JobServiceSettingsReader().read(text));
+        else if (file.path().filename() == "settings.json")
             CHECK(SettingsReader().read(text));
         else
             CHECK(ConfigurationReader().read(text, 1));
