One value tells the state of the store to a process

Cause: mirrors, intake, the configuration's reader, fleet control and the ownership each found out by themselves that the store was out, and each waited for a timer of its own when it was back.

A state takes two failures over 100 ms, so that one lost connection changes nothing; one answer to a call that was sent since ends an outage, and calls of the outage that time out later are not heard. Nothing is wired yet.

--- /dev/null
+++ b/src/jobs/store/store_condition_tracker.cpp
@@ -0,0 +1,89 @@
+#include "lanemoor/jobs/store/store_condition_tracker.h"
+
+#include <algorithm>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+/// Failures of one instant may have one cause, such as a connection that was closed.
+constexpr std::uint32_t leastFailures = 2;
+constexpr Millis leastFailureTime { 100 };
+
+} // namespace
+
+std::string_view nameOf(StoreCallKind kind) noexcept
+{
+    return kind == StoreCallKind::Read ? "read" : "write";
+}
+
+StoreConditionTracker::StoreConditionTracker(MonotonicInstant now) noexcept
+    : m_condition { .state = StoreState::Writing, .since = now }
+{
+}
+
+bool StoreConditionTracker::note(StoreCallKind kind, StoreOutcome outcome, MonotonicInstant sentAt, MonotonicInstant now) noexcept
+{
+    if (outcome == StoreOutcome::NotDone || outcome == StoreOutcome::Unknown)
+        noteFailed(kind, outcome, sentAt);
+    else
+        noteAnswered(kind, sentAt);
+    const StoreState state = stateAt(now);
+    if (state == m_condition.state)
+        return false;
+    const std::optional<MonotonicInstant> failedSince = of(kind).failedSince;
+    m_condition = { .state = state, .since = failedSince.value_or(sentAt) };
+    return true;
+}
+
+MonotonicInstant StoreConditionTracker::answeredAt() const noexcept
+{
+    return std::max(m_evidence[0].answeredAt, m_evidence[1].answeredAt);
+}
+
+void StoreConditionTracker::noteAnswered(StoreCallKind kind, MonotonicInstant sentAt) noexcept
+{
+    Evidence& evidence = of(kind);
+    evidence.answeredAt = std::max(evidence.answeredAt, sentAt);
+    // An answer on its way when the store went out tells nothing of it now.
+    if (evidence.failedSince && sentAt <= *evidence.failedSince)
+        return;
+    evidence = { .answeredAt = evidence.answeredAt };
+    if (!isOutage(m_condition.state) || sentAt <= m_condition.since)
+        return;
+    // Calls that were sent within the outage still time out, and say nothing of the time after it.
+    for (Evidence& each : m_evidence)
+        each = { .answeredAt = std::max(each.answeredAt, sentAt) };
+}
+
+void StoreConditionTracker::noteFailed(StoreCallKind kind, StoreOutcome outcome, MonotonicInstant sentAt) noexcept
+{
+    Evidence& evidence = of(kind);
+    if (sentAt <= evidence.answeredAt)
+        return;
+    evidence.failedSince = std::min(evidence.failedSince.value_or(sentAt), sentAt);
+    ++evidence.failures;
+    m_lastFailure = outcome;
+}
+
+bool StoreConditionTracker::fails(const Evidence& evidence, MonotonicInstant now) noexcept
+{
+    return evidence.failures >= leastFailures && now - *evidence.failedSince >= leastFailureTime;
+}
+
+StoreState StoreConditionTracker::stateAt(MonotonicInstant now) noexcept
+{
+    const Evidence& reads = of(StoreCallKind::Read);
+    const Evidence& writes = of(StoreCallKind::Write);
+    const bool readsFail = fails(reads, now);
+    const bool writesFail = fails(writes, now);
+    if (!readsFail && !writesFail)
+        return StoreState::Writing;
+    if (writesFail && reads.answeredAt > *writes.failedSince)
+        return StoreState::ReadingOnly;
+    if (readsFail && !writesFail && writes.answeredAt > *reads.failedSince)
+        return StoreState::Writing;
+    return m_lastFailure == StoreOutcome::NotDone ? StoreState::Refused : StoreState::Silent;
+}
+
+} // namespace lanemoor::jobs
