Every process observes its store, and its waiting calls go at once after an outage

Cause: after a silent store was back, the owner's copy of the jobs stayed up to 2 s behind it (the watch of the outage waited out its time), and the record of actions waited for its own retry of 300 ms.

When the store answers again, the owner renews its ownership, asks its watches again with a wait of 20 ms, sends the calls of fleet control that wait for a retry, and resends reads and transactions of the outage, in this order; other entry instances do so spread over 200 ms by the hash of their names. Settings: policies.storeOutages (enabled, hedgeShare, hedgeBurst, returnSpreadMs).

--- a/include/lanemoor/jobs/owner/fleet_keeper.h
+++ b/include/lanemoor/jobs/owner/fleet_keeper.h
@@ -70,6 +70,9 @@
     /// \brief Takes in a wave that operators ask for; one that is known changes nothing.
     void onWave(const WaveRequest& wave);
 
+    /// \brief Sends the calls to the store that wait for their retry. For the moment at which the store answers again.
+    void retryStore();
+
     [[nodiscard]] const FleetCounts& counts() const noexcept;
 
 private:
--- a/include/lanemoor/jobs/owner/ownership_keeper.h
+++ b/include/lanemoor/jobs/owner/ownership_keeper.h
@@ -62,6 +62,9 @@
     /// \brief Begins to compete for the ownership.
     void start();
 
+    /// \brief Renews the lease at once if the ownership is held. For the moment at which the store answers again.
+    void renewNow();
+
     /// \brief Takes in a change of the owner's key or the term's key.
     void observe(const StoreItem& item);
 
--- a/include/lanemoor/jobs/service/policies.h
+++ b/include/lanemoor/jobs/service/policies.h
@@ -7,6 +7,7 @@
 #include "lanemoor/jobs/policy/crash_attribution.h"
 #include "lanemoor/jobs/policy/placement_options.h"
 #include "lanemoor/jobs/relay/relay_plan.h"
+#include "lanemoor/jobs/store/store_outage_options.h"
 
 namespace lanemoor::jobs {
 
@@ -17,6 +18,7 @@
     CrashOptions crashes;
     JobLookupOptions lookup;
     RelayOptions relay;
+    StoreOutageOptions storeOutages;
 
     [[nodiscard]] bool operator==(const Policies&) const = default;
 };
--- a/include/lanemoor/jobs/store/store_mirror.h
+++ b/include/lanemoor/jobs/store/store_mirror.h
@@ -63,6 +63,10 @@
     /// truncated batch without delay; a pause under way is cut short.
     void setPace(Millis leastGap, Millis watchTime, bool resumesImmediately);
 
+    /// \brief Sends the call that is under way, or that waits for its retry, again at once if it was sent before `sentBefore`. For
+    /// the moment at which the store answers again.
+    void retryNow(MonotonicInstant sentBefore);
+
     /// \returns Whether a listing has been completed.
     [[nodiscard]] bool isLoaded() const noexcept;
 
--- a/src/jobs/owner/fleet_keeper.cpp
+++ b/src/jobs/owner/fleet_keeper.cpp
@@ -11,6 +11,7 @@
 #include "lanemoor/jobs/policy/call_budget.h"
 #include "lanemoor/jobs/policy/capacity_plan.h"
 #include "lanemoor/jobs/policy/maintenance_plan.h"
+#include "lanemoor/jobs/store/store_retries.h"
 
 #include <algorithm>
 #include <map>
@@ -41,9 +42,12 @@
 public:
     explicit Impl(FleetKeeperOptions options)
         : m_options(std::move(options))
+        , m_storeRetries(*m_options.loop)
     {
     }
 
+    void retryStore() { m_storeRetries.runNow(); }
+
     void activate(const Ownership& ownership)
     {
         ++m_generation;
@@ -107,13 +111,19 @@
     [[nodiscard]] bool mayAct() const { return m_active && m_options.ownership->isHeld() && m_mayAct; }
 
     /// Calls `step` later unless the term is over by then.
-    void later(Millis pause, std::function<void()> step)
+    void later(Millis pause, std::function<void()> step) { m_options.loop->callAt(m_options.loop->now() + pause, unlessOver(std::move(step))); }
+
+    /// Calls `step`, which calls the store, later or when the store answers again.
+    void laterAtStore(std::function<void()> step) { m_storeRetries.runLater(storeRetry, unlessOver(std::move(step))); }
+
+    /// \returns `step`, which does nothing once the term is over.
+    [[nodiscard]] std::function<void()> unlessOver(std::function<void()> step)
     {
-        m_options.loop->callAt(m_options.loop->now() + pause, [self = weak_from_this(), generation = m_generation, step = std::move(step)] {
+        return [self = weak_from_this(), generation = m_generation, step = std::move(step)] {
             const auto impl = self.lock();
             if (impl && impl->m_active && impl->m_generation == generation)
                 step();
-        });
+        };
     }
 
     /// Wraps a callback so that it is heard within this term only.
@@ -133,7 +143,7 @@
     {
         m_options.store->read(std::string(actsKey), inTerm<ReadResult>([this](const ReadResult& result) {
             if (result.outcome != StoreOutcome::Done && result.outcome != StoreOutcome::NotFound) {
-                later(storeRetry, [this] { readActs(); });
+                laterAtStore([this] { readActs(); });
                 return;
             }
             for (const auto& [instance, age] : decodeActs(result.item.value).value_or(std::map<std::string, Millis> {}))
@@ -151,7 +161,7 @@
     {
         m_options.store->read(std::string(actsKey), inTerm<ReadResult>([this](const ReadResult& result) {
             if (result.outcome != StoreOutcome::Done && result.outcome != StoreOutcome::NotFound) {
-                later(storeRetry, [this] { readActsRevision(); });
+                laterAtStore([this] { readActsRevision(); });
                 return;
             }
             m_actsRevision = result.item.revision;
@@ -241,7 +251,7 @@
     {
         m_options.store->read(waveKey(wave.number), inTerm<ReadResult>([this, wave](const ReadResult& result) {
             if (result.outcome != StoreOutcome::Done && result.outcome != StoreOutcome::NotFound) {
-                later(storeRetry, [this, wave] { begin(wave); });
+                laterAtStore([this, wave] { begin(wave); });
                 return;
             }
             const std::set<std::string> done = decodeInstances(result.item.value).value_or(std::set<std::string> {});
@@ -783,7 +793,7 @@
         m_options.store->commit(transaction, inTerm<CommitResult>([this, number, finished](const CommitResult& result) {
             const bool alreadySaid = !finished && result.outcome == StoreOutcome::Conflict;
             if (result.outcome != StoreOutcome::Done && !alreadySaid && finished == m_finished.contains(number))
-                later(storeRetry, [this, number, finished] { writeStatus(number, finished); });
+                laterAtStore([this, number, finished] { writeStatus(number, finished); });
         }));
     }
 
@@ -796,6 +806,7 @@
     }
 
     FleetKeeperOptions m_options;
+    StoreRetries m_storeRetries;
     bool m_active = false;
     TimerId m_planTimer = 0;
     MonotonicInstant m_planDueAt;
@@ -847,6 +858,11 @@
     m_impl->onWave(wave);
 }
 
+void FleetKeeper::retryStore()
+{
+    m_impl->retryStore();
+}
+
 const FleetCounts& FleetKeeper::counts() const noexcept
 {
     return m_impl->counts;
--- a/src/jobs/owner/ownership_keeper.cpp
+++ b/src/jobs/owner/ownership_keeper.cpp
@@ -96,6 +96,12 @@
         compete();
     }
 
+    void renewNow()
+    {
+        if (m_held)
+            sendRenewal();
+    }
+
     void endLost(const std::string& peer)
     {
         const MonotonicInstant now = m_loop.now();
@@ -236,6 +242,12 @@
     {
         if (m_loop.now() >= m_validUntil)
             suspend();
+        sendRenewal();
+        renewLater();
+    }
+
+    void sendRenewal()
+    {
         const MonotonicInstant sentAt = m_loop.now();
         const std::uint64_t epoch = m_ownership.epoch;
         m_store.renewLease(m_lease, [self = shared_from_this(), sentAt, epoch](const LeaseResult& result) {
@@ -248,7 +260,6 @@
             if (result.outcome == StoreOutcome::Done)
                 self->renewed(sentAt + result.timeToLive - leaseMargin);
         });
-        renewLater();
     }
 
     void suspend()
@@ -308,6 +319,11 @@
     m_impl->start();
 }
 
+void OwnershipKeeper::renewNow()
+{
+    m_impl->renewNow();
+}
+
 void OwnershipKeeper::observe(const StoreItem& item)
 {
     m_impl->observe(item);
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -17,6 +17,7 @@
 #include "lanemoor/jobs/relay/order_relay.h"
 #include "lanemoor/jobs/relay/relayed_workers.h"
 #include "lanemoor/jobs/service/job_metrics.h"
+#include "lanemoor/jobs/service/store_access.h"
 #include "lanemoor/jobs/store/store_mirror.h"
 
 #include <algorithm>
@@ -99,6 +100,12 @@
     return options;
 }
 
+/// \returns A time within `spread` that differs between instances and not between an instance's processes.
+Millis spreadOf(const std::string& name, Millis spread)
+{
+    return spread.count() == 0 ? Millis(0) : Millis(static_cast<Millis::rep>(std::hash<std::string> {}(name) % static_cast<std::size_t>(spread.count())));
+}
+
 JobSummary summaryOf(const std::string& id, const CatalogEntry& entry)
 {
     JobSummary summary { .id = id, .queue = entry.record->queue, .status = entry.status(), .steps = static_cast<std::uint32_t>(entry.record->spec.steps.size()) };
@@ -111,8 +118,10 @@
 
 class JobService::Impl {
 public:
-    Impl(const JobServiceParts& parts, const JobServiceSettings& settings)
-        : m_parts(parts)
+    /// \param parts With the store that `access` gives.
+    Impl(const JobServiceParts& parts, const JobServiceSettings& settings, std::unique_ptr<StoreAccess> access)
+        : m_access(std::move(access))
+        , m_parts(parts)
         , m_settings(settings)
         , m_meter(*parts.loop)
         , m_holder(holderOf(settings.name, parts.loop->timeOfDay()))
@@ -142,6 +151,7 @@
         });
         m_evacuations.observe([this] { m_scheduler.onEvacuationsChanged(); });
         m_directory.observe([this](const std::string& id) { m_scheduler.onWorkerChanged(id); });
+        m_access->observe([this](const StoreCondition& from, const StoreCondition& to) { onStoreCondition(from, to); });
     }
 
     void start()
@@ -343,6 +353,7 @@
     }
 
     JobMetrics metrics;
+    std::unique_ptr<StoreAccess> m_access;
     JobServiceParts m_parts;
     JobServiceSettings m_settings;
     WorkMeter m_meter;
@@ -555,6 +566,27 @@
             m_parts.log->change(lags ? "copy-behind" : "copy-caught-up", { { "copy_age_ms", copyAge() }, { "answer_age_ms", since(m_jobs.answeredAt()) }, { "revision", static_cast<std::int64_t>(m_jobs.revision()) }, { "changes", static_cast<std::int64_t>(m_jobs.counts().changes) }, { "parts", static_cast<std::int64_t>(m_jobs.counts().parts) } });
     }
 
+    /// The owner's calls go at once when the store answers again. Others spread theirs: all entry instances share its rates.
+    void onStoreCondition(const StoreCondition& from, const StoreCondition& to)
+    {
+        if (from.state == StoreState::Writing || isOutage(to.state))
+            return;
+        const bool goesFirst = m_claimed || m_ownership.holder() == m_holder;
+        const Millis pause = goesFirst ? Millis(0) : spreadOf(m_settings.name, m_settings.policies.storeOutages.returnSpread);
+        m_parts.loop->callAt(m_parts.loop->now() + pause, [this] { sendWaitingCalls(); });
+    }
+
+    /// In the order of what others wait for: starts for the ownership and the copy, moves for the record of actions.
+    void sendWaitingCalls()
+    {
+        const MonotonicInstant answeredAt = m_access->answeredAt();
+        m_ownership.renewNow();
+        for (StoreMirror* copy : { &m_owners, &m_jobs, &m_workers, &m_configurations, &m_waves })
+            copy->retryNow(answeredAt);
+        m_fleet.retryStore();
+        m_access->resendWaiting(answeredAt);
+    }
+
     /// One line when the store stops to answer, one when it does again.
     void noteStore(StoreOutcome outcome)
     {
@@ -635,8 +667,11 @@
 };
 
 JobService::JobService(const JobServiceParts& parts, const JobServiceSettings& settings)
-    : m_impl(std::make_unique<Impl>(parts, settings))
 {
+    auto access = std::make_unique<StoreAccess>(*parts.loop, *parts.store, *parts.log, settings.policies.storeOutages);
+    JobServiceParts wrapped = parts;
+    wrapped.store = &access->store();
+    m_impl = std::make_unique<Impl>(wrapped, settings, std::move(access));
 }
 
 JobService::~JobService() = default;
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -96,6 +96,13 @@
         readNumber(placement, "hopelessShare", 0, mostMargin, policies.placement.hopelessShare);
         readSwitch(placement, "beyondRateLast", policies.placement.beyondRateLast);
     });
+    reader.object("storeOutages", [&](ObjectReader& outages) {
+        constexpr double mostBurst = 10'000;
+        readSwitch(outages, "enabled", policies.storeOutages.enabled);
+        readNumber(outages, "hedgeShare", 0, 1, policies.storeOutages.hedgeShare);
+        readNumber(outages, "hedgeBurst", 0, mostBurst, policies.storeOutages.hedgeBurst);
+        readMillis(outages, "returnSpreadMs", 0, policies.storeOutages.returnSpread);
+    });
     reader.object("losses", [&](ObjectReader& losses) {
         constexpr std::int64_t fewestLosses = 2; // One is what any task may meet.
         readSwitch(losses, "keepsSuspectsApart", policies.crashes.isolatesSuspects);
--- a/src/jobs/store/store_mirror.cpp
+++ b/src/jobs/store/store_mirror.cpp
@@ -31,6 +31,9 @@
 constexpr Millis minPagePatience { 1'000 };
 constexpr Millis maxPagePatience { 4'000 };
 
+/// After an outage, a watch that hears nothing should soon prove that the copy is fresh: the owner starts no task before.
+constexpr Millis quickWatchTime { 20 };
+
 /// A revision that the store had not passed at a time.
 struct RevisionBound {
     std::uint64_t revision = 0;
@@ -57,6 +60,7 @@
     void stop()
     {
         ++m_generation;
+        m_call = Call::None;
         m_loop.cancel(m_gapTimer);
         m_gapTimer = 0;
         m_whenListed = nullptr;
@@ -91,6 +95,17 @@
         listPage();
     }
 
+    void retryNow(MonotonicInstant sentBefore)
+    {
+        if (m_call == Call::None || m_gapTimer != 0 || m_callSentAt >= sentBefore)
+            return;
+        ++m_generation;
+        if (m_call == Call::List)
+            listPage();
+        else
+            watchFor(std::min(m_options.watchTime, quickWatchTime));
+    }
+
     void noteStoreRevision(std::uint64_t storeRevision, MonotonicInstant askedAt)
     {
         if (storeRevision == 0 || askedAt <= freshAt)
@@ -136,6 +151,13 @@
     }
 
 private:
+    /// What is under way, or was last.
+    enum class Call {
+        None,
+        List,
+        Watch,
+    };
+
     void later(void (Impl::*step)())
     {
         m_loop.callAt(m_loop.now() + m_options.retryPause, [self = weak_from_this(), generation = m_generation, step] {
@@ -146,6 +168,8 @@
 
     void listPage()
     {
+        m_call = Call::List;
+        m_callSentAt = m_loop.now();
         m_store.range(m_options.prefix, m_listedUpTo, m_pagePatience, [self = weak_from_this(), generation = m_generation](const ItemsResult& result) {
             if (const auto impl = self.lock(); impl && impl->m_generation == generation)
                 impl->listed(result);
@@ -205,7 +229,7 @@
 
     void watchAfterGap()
     {
-        const MonotonicInstant earliest = m_watchSentAt + m_options.leastGap;
+        const MonotonicInstant earliest = m_callSentAt + m_options.leastGap;
         if (m_loop.now() >= earliest) {
             watch();
             return;
@@ -219,11 +243,14 @@
         });
     }
 
-    void watch()
+    void watch() { watchFor(m_options.watchTime); }
+
+    void watchFor(Millis wait)
     {
         const MonotonicInstant sentAt = m_loop.now();
-        m_watchSentAt = sentAt;
-        m_store.watch(m_options.prefix, m_at, m_options.watchTime, [self = weak_from_this(), sentAt, generation = m_generation](const ItemsResult& result) {
+        m_call = Call::Watch;
+        m_callSentAt = sentAt;
+        m_store.watch(m_options.prefix, m_at, wait, [self = weak_from_this(), sentAt, generation = m_generation](const ItemsResult& result) {
             if (const auto impl = self.lock(); impl && impl->m_generation == generation)
                 impl->watched(result, sentAt);
         });
@@ -280,7 +307,8 @@
     std::uint64_t m_listRevision = 0;
     MonotonicInstant m_listStart;
     TimerId m_gapTimer = 0;
-    MonotonicInstant m_watchSentAt;
+    Call m_call = Call::None;
+    MonotonicInstant m_callSentAt;
     std::uint64_t m_at = 0; ///< Where the watch goes on.
     std::deque<RevisionBound> m_bounds; ///< Not reached yet, in the order of time.
     std::uint64_t m_generation = 0; ///< Of the calls under way.
@@ -312,6 +340,11 @@
     m_impl->resume(std::move(done));
 }
 
+void StoreMirror::retryNow(MonotonicInstant sentBefore)
+{
+    m_impl->retryNow(sentBefore);
+}
+
 void StoreMirror::setPace(Millis leastGap, Millis watchTime, bool resumesImmediately)
 {
     m_impl->setPace(leastGap, watchTime, resumesImmediately);
--- /dev/null
+++ b/tests/jobs/store_outage_test.cpp
@@ -0,0 +1,207 @@
+/// Outages of the store over each step of a job and of the fleet, seen from outside: what was accepted runs once and ends, and
+/// no promise is broken, whatever the store did with the writes under way.
+
+#include "support.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+using namespace lanemoor;
+using namespace lanemoor::jobs;
+using namespace lanemoor::jobs::test;
+using namespace lanemoor::model;
+
+namespace {
+
+struct Outage {
+    std::string name;
+    StoreTrouble trouble;
+};
+
+const std::vector<Outage>& outages()
+{
+    static const std::vector<Outage> all {
+        { "refusing", { .leasesWait = true, .refusing = true } },
+        { "silent", { .leasesWait = true, .silent = true } },
+        { "silent, leases end", { .silent = true } },
+        { "answers lost", { .leasesWait = true, .lostAnswers = 1 } },
+        { "a third of the answers lost, a third of the writes late", { .lostAnswers = 0.33, .lateWrites = 0.33 } },
+    };
+    return all;
+}
+
+constexpr Millis outageTime { 4'000 };
+constexpr Millis settleTime { 20'000 }; // Calls, leases and late writes of an outage are over by then.
+
+/// A cluster that has run a job, so that the owner knows its workers.
+struct OutageCluster : SmallCluster {
+    explicit OutageCluster(std::uint64_t seed)
+        : SmallCluster(seed)
+    {
+        submit(0, "work", jobId(1), job({ step(2) }));
+        REQUIRE(waitFor(Millis(5'000), [&] { return shows(jobId(1), JobStatus::Succeeded); }));
+    }
+
+    void beginOutage(const StoreTrouble& trouble)
+    {
+        store.trouble = trouble;
+        witness.noteTrouble(clock.now() + outageTime + settleTime);
+    }
+
+    /// Ends the outage, and checks that all that was accepted ends as it should.
+    void endOutage()
+    {
+        store.trouble = {};
+        CHECK(waitFor(settleTime, [&] {
+            return std::all_of(accepted().begin(), accepted().end(), [&](const std::string& id) { return witness.hasSucceeded(id) && shows(id, JobStatus::Succeeded, anyUp()); });
+        }));
+        clock.runFor(Millis(8'000));
+        for (const Breach& breach : witness.breaches())
+            FAIL_CHECK(breach.rule << ' ' << breach.detail);
+    }
+
+    [[nodiscard]] std::size_t anyUp() const { return isUp(0) ? 0 : 1; }
+};
+
+} // namespace
+
+TEST_CASE("An outage over an accept keeps what was accepted")
+{
+    for (const Outage& outage : outages()) {
+        DYNAMIC_SECTION(outage.name)
+        {
+            OutageCluster cluster(11);
+            cluster.submit(1, "work", jobId(2), job({ step(2) }));
+            cluster.clock.runFor(Millis(1));
+            cluster.beginOutage(outage.trouble);
+            cluster.submit(2, "work", jobId(3), job({ step(2) }));
+            cluster.clock.runFor(outageTime);
+            cluster.endOutage();
+            CHECK(cluster.waitFor(settleTime, [&] { return cluster.accepted().size() == 3; }));
+        }
+    }
+}
+
+TEST_CASE("An outage over a start or an ending runs each task once")
+{
+    for (const Outage& outage : outages()) {
+        for (const int begin : { 8, 30, 520 }) {
+            DYNAMIC_SECTION(outage.name << " after " << begin << " ms")
+            {
+                OutageCluster cluster(12);
+                cluster.submit(1, "work", jobId(2), job({ step(6), step(6, { 0 }) }));
+                cluster.clock.runFor(Millis(begin));
+                cluster.beginOutage(outage.trouble);
+                cluster.clock.runFor(outageTime);
+                cluster.endOutage();
+            }
+        }
+    }
+}
+
+TEST_CASE("An outage over a move and a hand-over breaks no promise")
+{
+    for (const Outage& outage : outages()) {
+        DYNAMIC_SECTION(outage.name)
+        {
+            OutageCluster cluster(13);
+            // More than the pool holds, so that instances come from the reserve.
+            for (std::uint64_t i = 2; i < 12; ++i)
+                cluster.submit(i % 3, "work", jobId(i), job({ step(8) }));
+            cluster.clock.runFor(Millis(150));
+            cluster.beginOutage(outage.trouble);
+            cluster.clock.runFor(outageTime / 2);
+            if (const std::optional<std::size_t> owner = cluster.owner())
+                cluster.kill(*owner);
+            cluster.clock.runFor(outageTime / 2);
+            cluster.endOutage();
+        }
+    }
+}
+
+TEST_CASE("Two outages 2 s apart break no promise")
+{
+    for (const Outage& outage : outages()) {
+        DYNAMIC_SECTION(outage.name)
+        {
+            OutageCluster cluster(14);
+            for (std::uint64_t i = 2; i < 8; ++i)
+                cluster.submit(i % 3, "work", jobId(i), job({ step(4), step(4, { 0 }) }));
+            cluster.clock.runFor(Millis(100));
+            cluster.beginOutage(outage.trouble);
+            cluster.clock.runFor(outageTime);
+            cluster.store.trouble = {};
+            cluster.submit(0, "work", jobId(8), job({ step(4) }));
+            cluster.clock.runFor(Millis(2'000));
+            cluster.beginOutage(outage.trouble);
+            cluster.clock.runFor(outageTime);
+            cluster.endOutage();
+        }
+    }
+}
+
+TEST_CASE("An outage that ends for some entry instances first breaks no promise")
+{
+    OutageCluster cluster(15);
+    const std::size_t owner = cluster.owner().value();
+    for (std::uint64_t i = 2; i < 8; ++i)
+        cluster.submit(i % 3, "work", jobId(i), job({ step(4), step(4, { 0 }) }));
+    cluster.clock.runFor(Millis(100));
+    cluster.beginOutage({ .silent = true });
+    for (std::size_t i = 0; i < cluster.entries(); ++i)
+        cluster.cutFromStore(i, true);
+    cluster.clock.runFor(outageTime / 2);
+    cluster.store.trouble = {};
+    SECTION("for the owner last")
+    {
+        for (std::size_t i = 0; i < cluster.entries(); ++i)
+            cluster.cutFromStore(i, i == owner);
+    }
+    SECTION("for the owner first")
+    {
+        cluster.cutFromStore(owner, false);
+    }
+    cluster.clock.runFor(outageTime / 2);
+    for (std::size_t i = 0; i < cluster.entries(); ++i)
+        cluster.cutFromStore(i, false);
+    cluster.endOutage();
+}
+
+// Guards against watches and renewals that wait for their own timers: a copy was up to 2 s behind a store that was back.
+TEST_CASE("When a silent store is back, the owner renews and its copy is fresh within 300 ms")
+{
+    SmallCluster cluster(3);
+    const std::size_t owner = cluster.owner().value();
+    cluster.store.trouble = { .leasesWait = true, .silent = true };
+    cluster.clock.runFor(Millis(4'300));
+    CHECK(!cluster.entry(owner).shards().front().ownedHere);
+    cluster.store.trouble = {};
+    cluster.clock.runFor(Millis(300));
+    CHECK(cluster.entry(owner).shards().front().ownedHere);
+    CHECK(cluster.entry(owner).shards().front().copyAgeMillis <= 300);
+}
+
+// Guards against repeats of calls that are answered in time: all entry instances share the store's rates.
+TEST_CASE("Without trouble the store gets as many calls as without this part")
+{
+    std::vector<std::uint64_t> calls;
+    for (const bool isEnabled : { false, true }) {
+        SmallCluster cluster(16);
+        Policies policies;
+        policies.storeOutages.enabled = isEnabled;
+        cluster.setPolicies(policies);
+        for (std::size_t i = 0; i < cluster.entries(); ++i)
+            cluster.kill(i);
+        for (std::size_t i = 0; i < cluster.entries(); ++i)
+            cluster.start(i);
+        const std::uint64_t before = cluster.store.calls();
+        for (std::uint64_t i = 1; i < 40; ++i) {
+            cluster.submit(i % 3, "work", jobId(i), job({ step(3), step(2, { 0 }) }));
+            cluster.clock.runFor(Millis(200));
+        }
+        cluster.clock.runFor(Millis(10'000));
+        CHECK(cluster.accepted().size() == 39);
+        calls.push_back(cluster.store.calls() - before);
+    }
+    CHECK(calls[0] == calls[1]);
+}
