After an outage pools keep their instances, and refused callers come back spread out

Cause: while the store refuses submissions nothing arrives at the owner. After an outage of 4 s the plan had forgotten the load and powered pools off, while all refused callers returned together after the constant Retry-After of 1 s.

Change: after an outage of more than 1 s idle times restart, and nothing is powered off before load was observed again for 3 s (CapacityPlan::observeAnew). Submissions that the store refused count as arrivals for the forecast: at the owner directly, at other entry instances by a report to the owner (field 9 of RelayFrame, at most each 250 ms, only if there were any). The repeats of a refused caller count each time: they are the load of the next seconds.

--- a/include/lanemoor/jobs/model/job_spec.h
+++ b/include/lanemoor/jobs/model/job_spec.h
@@ -112,4 +112,7 @@
 /// \returns A short name of `status`.
 [[nodiscard]] std::string_view nameOf(JobStatus status) noexcept;
 
+/// \returns The sum of estimates along the longest chain of steps.
+[[nodiscard]] Millis longestChain(const JobSpec& spec);
+
 } // namespace lanemoor::jobs
--- a/include/lanemoor/jobs/owner/fleet_keeper.h
+++ b/include/lanemoor/jobs/owner/fleet_keeper.h
@@ -73,6 +73,10 @@
     /// \brief Sends the calls to the store that wait for their retry. For the moment at which the store answers again.
     void retryStore();
 
+    /// \brief Notes that the store was out for long enough to hide the load: idle times restart, and nothing is powered off before
+    /// load was observed again.
+    void noteOutageOver();
+
     [[nodiscard]] const FleetCounts& counts() const noexcept;
 
 private:
--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -2,6 +2,7 @@
 /// \file
 /// Runs the jobs of a shard while this instance owns it.
 
+#include "lanemoor/jobs/model/entry_demand.h"
 #include "lanemoor/jobs/model/event_loop.h"
 #include "lanemoor/jobs/model/forward_declarations.h"
 #include "lanemoor/jobs/model/requirement.h"
@@ -129,6 +130,9 @@
     void onJobChanged(const std::string& id);
     void onWorkerChanged(const std::string& id);
     void onConfigurationChanged();
+
+    /// \brief Takes in what an entry instance was asked for: submissions that were refused are load to come.
+    void noteDemand(const EntryDemand& demand);
     void onEvacuationsChanged();
     ///@}
 
--- a/include/lanemoor/jobs/policy/capacity_plan.h
+++ b/include/lanemoor/jobs/policy/capacity_plan.h
@@ -109,6 +109,10 @@
     /// whatever the machine.
     [[nodiscard]] std::uint64_t inspected() const noexcept { return m_inspected; }
 
+    /// \brief Takes load as not seen yet: nothing is powered off before it was observed again. For the end of an outage in which
+    /// nothing could arrive.
+    void observeAnew(MonotonicInstant now);
+
     /// \brief Remembers that `pool` does not take instances of `kind`.
     void noteRefused(const std::string& kind, const std::string& pool);
 
--- a/include/lanemoor/jobs/policy/load_forecast.h
+++ b/include/lanemoor/jobs/policy/load_forecast.h
@@ -25,6 +25,10 @@
     /// \param share Of its work, what may run at once, from 0 to 1: the rest waits whatever room there is.
     void noteArrival(const std::string& queue, const JobSpec& job, MonotonicInstant now, double share = 1);
 
+    /// \brief Notes submissions that were refused, of which only the sum of their work is known. Their callers come back.
+    /// \param workMillis Declared work of all of them, in ms of one core.
+    void noteRefused(const std::string& queue, std::uint32_t count, std::uint64_t workMillis, MonotonicInstant now);
+
     /// \brief Notes a task that succeeded.
     void noteRunTime(const std::string& queue, Millis declared, Millis observed);
 
@@ -43,6 +47,8 @@
         std::map<Requirement, double> work; ///< Thousandths of a core times declared seconds, by class.
     };
 
+    void add(const std::string& queue, Arrival arrival);
+
     struct Queue {
         std::deque<Arrival> arrivals;
         double ratio = 1.0;
--- a/include/lanemoor/jobs/relay/order_relay.h
+++ b/include/lanemoor/jobs/relay/order_relay.h
@@ -2,6 +2,7 @@
 /// \file
 /// Carries calls to workers for an owner on another machine.
 
+#include "lanemoor/jobs/model/entry_demand.h"
 #include "lanemoor/jobs/model/event_loop.h"
 #include "lanemoor/jobs/model/key_value_store.h"
 #include "lanemoor/jobs/model/worker_control.h"
@@ -11,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace lanemoor {
 class EventLog;
@@ -27,6 +29,8 @@
     EventLog* log = nullptr;
     /// Hears that the owner's process is gone: its link broke, and a new one was refused at once. Null: nobody is told.
     std::function<void(const std::string& address)> ownerGone;
+    /// Gives what this instance was asked for since the last call, for the owner. Null: nothing is reported.
+    std::function<std::vector<EntryDemand>()> takeDemand;
 };
 
 /// \brief Offers itself to the owner, makes the calls that the owner asks for, and sends the
@@ -45,6 +49,9 @@
     /// \brief Offers itself to the owner at `address`; empty: to nobody. The same address changes nothing.
     void follow(const std::string& address);
 
+    /// \brief Reports what this instance was asked for soon, at most once in 250 ms.
+    void reportDemand();
+
     /// \brief Planned stop: takes no more calls, and answers those under way.
     void leave();
 
--- a/include/lanemoor/jobs/relay/relayed_workers.h
+++ b/include/lanemoor/jobs/relay/relayed_workers.h
@@ -2,12 +2,14 @@
 /// \file
 /// The owner's calls to workers, carried by relays where there are too many for one machine.
 
+#include "lanemoor/jobs/model/entry_demand.h"
 #include "lanemoor/jobs/model/event_loop.h"
 #include "lanemoor/jobs/model/worker_control.h"
 #include "lanemoor/jobs/relay/peer_transport.h"
 #include "lanemoor/jobs/relay/relay_plan.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 namespace lanemoor {
@@ -25,6 +27,7 @@
     WorkerControl* direct = nullptr;
     EventLog* log = nullptr;
     WorkMeter* meter = nullptr; ///< Null: work is not measured.
+    std::function<void(const EntryDemand&)> demanded; ///< Hears what other entry instances were asked for. Null: nobody is told.
 };
 
 /// Counts of one process since its start.
--- a/include/lanemoor/jobs/service/job_service.h
+++ b/include/lanemoor/jobs/service/job_service.h
@@ -80,6 +80,9 @@
     /// \returns When a caller that was refused should come back.
     [[nodiscard]] Millis retryAfter() const noexcept;
 
+    /// \returns Within whole seconds, how long the caller of a submission should wait that the store did not take or answer.
+    [[nodiscard]] Millis retryAfter(const std::string& submission);
+
     /// \name Callers
     ///@{
     /// \brief Finds the queue of a request and checks its key, by one configuration.
--- a/src/jobs/model/job_spec.cpp
+++ b/src/jobs/model/job_spec.cpp
@@ -137,4 +137,19 @@
     return "unknown";
 }
 
+Millis longestChain(const JobSpec& spec)
+{
+    std::vector<Millis> ends(spec.steps.size(), Millis(0));
+    // Dependencies may point forwards, so the longest path is found by relaxation.
+    for (std::size_t round = 0; round < spec.steps.size(); ++round) {
+        for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+            Millis begin(0);
+            for (const std::uint32_t dependency : spec.steps[i].dependsOn)
+                begin = std::max(begin, ends[dependency]);
+            ends[i] = begin + spec.steps[i].estimate;
+        }
+    }
+    return ends.empty() ? Millis(0) : *std::max_element(ends.begin(), ends.end());
+}
+
 } // namespace lanemoor::jobs
--- a/src/jobs/owner/fleet_keeper.cpp
+++ b/src/jobs/owner/fleet_keeper.cpp
@@ -48,6 +48,15 @@
 
     void retryStore() { m_storeRetries.runNow(); }
 
+    void noteOutageOver()
+    {
+        if (!m_active)
+            return;
+        m_options.log->decision("load-observed-anew", { { "idle_instances", static_cast<std::int64_t>(m_idleSince.size()) } });
+        m_capacity.observeAnew(m_options.loop->now());
+        m_idleSince.clear();
+    }
+
     void activate(const Ownership& ownership)
     {
         ++m_generation;
@@ -863,6 +872,11 @@
     m_impl->retryStore();
 }
 
+void FleetKeeper::noteOutageOver()
+{
+    m_impl->noteOutageOver();
+}
+
 const FleetCounts& FleetKeeper::counts() const noexcept
 {
     return m_impl->counts;
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -46,22 +46,6 @@
 /// A pass runs at least this often while there are jobs: for what becomes possible by time.
 constexpr Millis idlePass { 200 };
 
-/// \returns The sum of estimates along the longest chain of steps.
-Millis longestChain(const JobSpec& spec)
-{
-    std::vector<Millis> ends(spec.steps.size(), Millis(0));
-    // Dependencies may point forwards, so the longest path is found by relaxation.
-    for (std::size_t round = 0; round < spec.steps.size(); ++round) {
-        for (std::size_t i = 0; i < spec.steps.size(); ++i) {
-            Millis begin(0);
-            for (const std::uint32_t dependency : spec.steps[i].dependsOn)
-                begin = std::max(begin, ends[dependency]);
-            ends[i] = begin + spec.steps[i].estimate;
-        }
-    }
-    return ends.empty() ? Millis(0) : *std::max_element(ends.begin(), ends.end());
-}
-
 /// \returns Steps of which tasks may have started, if the job is inherited.
 std::set<StepId> openSteps(const JobState& job)
 {
@@ -274,6 +258,14 @@
         requestPass();
     }
 
+    void noteDemand(const EntryDemand& demand)
+    {
+        if (!m_term || demand.refused == 0)
+            return;
+        const std::uint64_t work = demand.workMillis * demand.refused / (std::uint64_t { demand.refused } + demand.admitted);
+        m_term->state.forecast.noteRefused(demand.queue, demand.refused, work, m_options.loop->now());
+    }
+
     void onEvacuationsChanged()
     {
         if (!m_term)
@@ -804,6 +796,11 @@
     return m_impl->demands();
 }
 
+void JobScheduler::noteDemand(const EntryDemand& demand)
+{
+    m_impl->noteDemand(demand);
+}
+
 void JobScheduler::setEvacuating(const std::string& worker, bool evacuating)
 {
     m_impl->setEvacuating(worker, evacuating);
--- a/src/jobs/policy/capacity_plan.cpp
+++ b/src/jobs/policy/capacity_plan.cpp
@@ -189,6 +189,12 @@
 {
 }
 
+void CapacityPlan::observeAnew(MonotonicInstant now)
+{
+    m_firstSeen = now;
+    m_firstArrival.reset();
+}
+
 void CapacityPlan::noteRefused(const std::string& kind, const std::string& pool)
 {
     m_refusedKinds[pool].push_back(kind);
--- a/src/jobs/policy/load_forecast.cpp
+++ b/src/jobs/policy/load_forecast.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <utility>
 
 namespace lanemoor::jobs {
 
@@ -22,6 +23,7 @@
 /// 1.3 s from a twentieth to the peak; what was asked for too much is idle for a moment.
 constexpr double surelyMore = 2.0; // Standard deviations of the difference of two counts.
 constexpr double mostGrowth = 2.5;
+constexpr std::uint32_t mostRefusedOfReport = 64; // More in one report are summed: the rate is sure with `sureArrivals`.
 constexpr double newestWeight = 0.05; // Of one task in the running mean of ratios.
 constexpr double mostRatio = 10.0; // One task on a slow worker must not spoil the mean.
 
@@ -51,12 +53,27 @@
 } // namespace
 
 void LoadForecast::noteArrival(const std::string& queue, const JobSpec& job, MonotonicInstant now, double share)
+{
+    if (job.occurrences == 0)
+        add(queue, { now, workOf(job, share) });
+}
+
+void LoadForecast::noteRefused(const std::string& queue, std::uint32_t count, std::uint64_t workMillis, MonotonicInstant now)
+{
+    if (count == 0)
+        return;
+    // A ms of one core is as much as a second of a thousandth.
+    const double work = static_cast<double>(workMillis) / count;
+    for (std::uint32_t i = 0; i < std::min(count, mostRefusedOfReport); ++i)
+        add(queue, { now, { { Requirement {}, work * count / std::min(count, mostRefusedOfReport) } } });
+}
+
+void LoadForecast::add(const std::string& queue, Arrival arrival)
 {
     std::deque<Arrival>& arrivals = m_queues[queue].arrivals;
-    while (!arrivals.empty() && now - arrivals.front().at > arrivalWindow)
+    while (!arrivals.empty() && arrival.at - arrivals.front().at > arrivalWindow)
         arrivals.pop_front();
-    if (job.occurrences == 0)
-        arrivals.push_back({ now, workOf(job, share) });
+    arrivals.push_back(std::move(arrival));
 }
 
 void LoadForecast::noteRunTime(const std::string& queue, Millis declared, Millis observed)
--- /dev/null
+++ b/src/jobs/relay/demand_codec.h
@@ -0,0 +1,18 @@
+#pragma once
+/// \file
+/// Reports of demand as they travel from an entry instance to the owner: field 9 of a frame, see proto/relay.proto.
+
+#include "generated/relay.pb.h"
+#include "lanemoor/jobs/model/entry_demand.h"
+
+#include <vector>
+
+namespace lanemoor::jobs {
+
+/// \brief Adds reports to a frame.
+void addDemand(wire::RelayFrame& frame, const std::vector<EntryDemand>& demands);
+
+/// \returns The reports in a frame; one that cannot be read is left out.
+[[nodiscard]] std::vector<EntryDemand> demandOf(const wire::RelayFrame& frame);
+
+} // namespace lanemoor::jobs
--- a/src/jobs/relay/order_relay.cpp
+++ b/src/jobs/relay/order_relay.cpp
@@ -1,5 +1,6 @@
 #include "lanemoor/jobs/relay/order_relay.h"
 
+#include "demand_codec.h"
 #include "lanemoor/adapters/event_log.h"
 #include "payload_reader.h"
 #include "relay_codec.h"
@@ -28,6 +29,7 @@
 /// A payload that the store does not give in this time is not waited for: the owner sends it along then. The store
 /// answers in 4 ms, and in some 200 ms while it is slow.
 constexpr Millis payloadPatience { 250 };
+constexpr Millis demandGap { 250 }; // Between two reports of demand: the owner plans each 100 ms, and each frame is paid for.
 constexpr Millis storePause { 2'000 }; // Before the store is asked for a payload again.
 
 } // namespace
@@ -53,6 +55,17 @@
         connect();
     }
 
+    void reportDemand()
+    {
+        if (!m_parts.takeDemand || !m_isLinked || std::exchange(m_demandWaits, true))
+            return;
+        m_parts.loop->callAt(std::max(m_parts.loop->now(), m_demandSentAt + demandGap), [self = weak_from_this(), generation = m_generation] {
+            const auto impl = self.lock();
+            if (impl && impl->m_generation == generation && impl->m_link)
+                impl->sendSoon();
+        });
+    }
+
     void leave()
     {
         m_leaving = true;
@@ -76,6 +89,7 @@
         ++m_generation;
         m_frame.Clear();
         m_gathering = false;
+        m_demandWaits = false;
     }
 
     void connect()
@@ -86,6 +100,9 @@
         m_link = m_parts.peers->connect(m_address);
         m_heardAt = m_parts.loop->now();
         m_fastest.reset();
+        // What was asked for before the link says nothing of the load now.
+        if (m_parts.takeDemand)
+            static_cast<void>(m_parts.takeDemand());
         m_link->observe({ .received = [self = weak_from_this(), generation = m_generation](const std::string& frame) {
                              if (const auto impl = self.lock(); impl && impl->m_generation == generation)
                                  impl->received(frame); },
@@ -270,11 +287,22 @@
     void send()
     {
         m_gathering = false;
+        addDemand();
         m_frame.set_sent_at_us(m_parts.loop->now().time_since_epoch().count());
         m_link->send(m_frame.SerializeAsString());
         m_frame.Clear();
     }
 
+    void addDemand()
+    {
+        const MonotonicInstant now = m_parts.loop->now();
+        if (!m_demandWaits || now < m_demandSentAt + demandGap)
+            return;
+        m_demandWaits = false;
+        m_demandSentAt = now;
+        jobs::addDemand(m_frame, m_parts.takeDemand());
+    }
+
     OrderRelayParts m_parts;
     std::string m_name;
     double m_cores;
@@ -288,6 +316,8 @@
     std::minstd_rand m_random; ///< Seeded by the name.
     bool m_isLinked = false; ///< The owner was heard over the link.
     MonotonicInstant m_refusalCountsUntil;
+    bool m_demandWaits = false; ///< A report of demand is due or on its way.
+    MonotonicInstant m_demandSentAt;
     bool m_leaving = false;
     MonotonicInstant m_storeSilentUntil; ///< It gave no payload a short time ago.
     MonotonicInstant m_heardAt;
@@ -306,6 +336,11 @@
     m_impl->follow(address);
 }
 
+void OrderRelay::reportDemand()
+{
+    m_impl->reportDemand();
+}
+
 void OrderRelay::leave()
 {
     m_impl->leave();
--- a/src/jobs/relay/relayed_workers.cpp
+++ b/src/jobs/relay/relayed_workers.cpp
@@ -1,5 +1,6 @@
 #include "lanemoor/jobs/relay/relayed_workers.h"
 
+#include "demand_codec.h"
 #include "lanemoor/adapters/event_log.h"
 #include "lanemoor/jobs/model/work_meter.h"
 #include "relay_codec.h"
@@ -209,6 +210,10 @@
             joined(number, found->second, frame.hello());
         for (const wire::RelayAnswer& answer : frame.answers())
             answered(answer);
+        for (const EntryDemand& demand : demandOf(frame)) {
+            if (m_parts.demanded)
+                m_parts.demanded(demand);
+        }
         if (frame.leaving())
             leaves(number);
     }
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -1,9 +1,11 @@
 #include "lanemoor/jobs/service/job_service.h"
 
 #include "lanemoor/adapters/event_log.h"
+#include "lanemoor/jobs/intake/demand_report.h"
 #include "lanemoor/jobs/intake/job_catalog.h"
 #include "lanemoor/jobs/intake/job_lookup.h"
 #include "lanemoor/jobs/intake/queue_counts_reader.h"
+#include "lanemoor/jobs/intake/refused_submissions.h"
 #include "lanemoor/jobs/model/key_value_store.h"
 #include "lanemoor/jobs/model/platform_documents.h"
 #include "lanemoor/jobs/model/work_meter.h"
@@ -21,6 +23,7 @@
 #include "lanemoor/jobs/store/store_mirror.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace lanemoor::jobs {
@@ -68,6 +71,8 @@
 /// Jobs that an instance without a copy remembers; beyond that it begins anew.
 constexpr std::size_t maxJobsWithoutCopy = 10'000;
 constexpr Millis defaultRetryAfter { 1'000 };
+/// A shorter outage hides no load: callers come back after a second, and the plan remembers the demand of the last two.
+constexpr Millis shortOutage { 1'000 };
 constexpr Millis stopCheck { 20 };
 /// The balancer asks for readiness each second and believes the second refusal: until then new
 /// connections come, and a closed port would turn them away.
@@ -106,6 +111,15 @@
     return spread.count() == 0 ? Millis(0) : Millis(static_cast<Millis::rep>(std::hash<std::string> {}(name) % static_cast<std::size_t>(spread.count())));
 }
 
+/// \returns How long after its submission a job is of use: three times its objective.
+Millis usefulTime(const QueueSettings* queue, const JobSpec& spec)
+{
+    constexpr double objectives = 3;
+    const double stretch = queue ? queue->stretch : 1.0;
+    const Millis objective = Millis(static_cast<Millis::rep>(stretch * static_cast<double>(longestChain(spec).count()))) + (queue ? queue->latencyTarget : Millis(0));
+    return Millis(static_cast<Millis::rep>(objectives * static_cast<double>(objective.count())));
+}
+
 JobSummary summaryOf(const std::string& id, const CatalogEntry& entry)
 {
     JobSummary summary { .id = id, .queue = entry.record->queue, .status = entry.status(), .steps = static_cast<std::uint32_t>(entry.record->spec.steps.size()) };
@@ -120,7 +134,8 @@
 public:
     /// \param parts With the store that `access` gives.
     Impl(const JobServiceParts& parts, const JobServiceSettings& settings, std::unique_ptr<StoreAccess> access)
-        : m_access(std::move(access))
+        : m_random(static_cast<std::minstd_rand::result_type>(std::hash<std::string> {}(settings.name)))
+        , m_access(std::move(access))
         , m_parts(parts)
         , m_settings(settings)
         , m_meter(*parts.loop)
@@ -133,8 +148,8 @@
         , m_waves(*parts.loop, *parts.store, { .prefix = parts.documents->wavePrefix(), .watchTime = waveWatchTime }, [this](const StoreItem& item) { onWave(item); })
         , m_ownership(*parts.loop, *parts.store, m_owners, { .shard = theShard, .holder = m_holder, .peer = parts.peerAddress, .leaseTime = settings.ownershipTime, .renewEvery = settings.ownershipTime / renewalsOfLease, .claimDelay = claimDelayOf(settings) },
               { .gained = [this](const Ownership& ownership) { gained(ownership); }, .lost = [this] { lost(); }, .suspended = [this] { m_parts.log->change("ownership-suspended", { { "copy_age_ms", copyAge() } }); }, .resumed = [this] { m_parts.log->change("ownership-resumed", { { "copy_age_ms", copyAge() } }); }, .claimFailed = [this](StoreOutcome outcome) { m_parts.log->decision("ownership-claim-failed", { { "outcome", std::string(nameOf(outcome)) } }); }, .endsLost = [this](const std::string& holder) { m_parts.log->change("lost-owner-lease-ended", { { "holder", holder } }); } })
-        , m_relayedWorkers({ .loop = parts.loop, .peers = parts.peers, .direct = parts.workers, .log = parts.log, .meter = &m_meter }, settings.policies.relay, settings.machineCores)
-        , m_relay({ .loop = parts.loop, .peers = parts.peers, .workers = parts.workers, .store = parts.store, .log = parts.log, .ownerGone = [this](const std::string& address) { m_ownership.endLost(address); } }, settings.name, settings.machineCores)
+        , m_relayedWorkers({ .loop = parts.loop, .peers = parts.peers, .direct = parts.workers, .log = parts.log, .meter = &m_meter, .demanded = [this](const EntryDemand& demand) { m_scheduler.noteDemand(demand); } }, settings.policies.relay, settings.machineCores)
+        , m_relay({ .loop = parts.loop, .peers = parts.peers, .workers = parts.workers, .store = parts.store, .log = parts.log, .ownerGone = [this](const std::string& address) { m_ownership.endLost(address); }, .takeDemand = [this] { return m_demand.take(); } }, settings.name, settings.machineCores)
         , m_evacuations({ .loop = parts.loop, .store = parts.store, .log = parts.log, .prefix = parts.documents->evacuationPrefix() })
         , m_scheduler(schedulerOptions())
         , m_fleet(fleetOptions())
@@ -223,15 +238,45 @@
     void submit(const Caller& caller, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done)
     {
         const QueueSettings* settings = m_configuration->queue(caller.queue);
+        const MonotonicInstant usefulUntil = m_parts.loop->now() + usefulTime(settings, spec);
         const JobRecord record { .queue = caller.queue, .pool = settings ? settings->pool : std::string(), .acceptedAt = m_parts.loop->timeOfDay(), .spec = std::move(spec), .organisation = caller.organisation };
-        m_intake.accept(caller, id, record, [this, id, caller, done = std::move(done), sentAt = m_parts.loop->now(), version = m_configuration->version](AcceptOutcome outcome) {
+        m_intake.accept(caller, id, record, [this, id, caller, usefulUntil, spec = record.spec, done = std::move(done), sentAt = m_parts.loop->now(), version = m_configuration->version](AcceptOutcome outcome) {
             metrics.noteHandedIn(caller.queue, outcome, secondsSince(sentAt));
+            noteSubmission(caller, id, spec, usefulUntil, outcome);
             m_parts.log->decision("job-handed-in",
                 { { "job", id }, { "queue", caller.queue }, { "organisation", caller.organisation }, { "configuration", static_cast<std::int64_t>(version) }, { "outcome", std::string(nameOf(outcome)) }, { "ms", since(sentAt) } });
             done(outcome);
         });
     }
 
+    /// Keeps account of submissions that the store did not take: they are load to come, of which the owner hears from here alone.
+    void noteSubmission(const Caller& caller, const std::string& id, const JobSpec& spec, MonotonicInstant usefulUntil, AcceptOutcome outcome)
+    {
+        if (!m_settings.policies.storeOutages.enabled)
+            return;
+        if (outcome == AcceptOutcome::Accepted || outcome == AcceptOutcome::Foreign) {
+            m_refusals.noteSettled(id);
+            return;
+        }
+        m_refusals.noteRefused(id, usefulUntil, m_parts.loop->now());
+        if (outcome != AcceptOutcome::NotTaken)
+            return;
+        m_demand.noteRefused(caller.queue, caller.organisation, spec);
+        if (!m_scheduler.isActive()) {
+            m_relay.reportDemand();
+            return;
+        }
+        for (const EntryDemand& demand : m_demand.take())
+            m_scheduler.noteDemand(demand);
+    }
+
+    [[nodiscard]] Millis retryAfter(const std::string& submission)
+    {
+        if (!m_settings.policies.storeOutages.enabled)
+            return defaultRetryAfter;
+        return adviseRetry(m_refusals.situationOf(submission, m_parts.loop->now()), m_random);
+    }
+
     AdmittedCall admit(std::string_view host, std::string_view path, std::optional<std::string_view> key)
     {
         const std::shared_ptr<const ServiceConfiguration> configuration = m_configuration;
@@ -353,6 +398,9 @@
     }
 
     JobMetrics metrics;
+    RefusedSubmissions m_refusals;
+    DemandReport m_demand;
+    std::minstd_rand m_random; ///< Seeded by the name: instances spread their callers differently.
     std::unique_ptr<StoreAccess> m_access;
     JobServiceParts m_parts;
     JobServiceSettings m_settings;
@@ -571,6 +619,8 @@
     {
         if (from.state == StoreState::Writing || isOutage(to.state))
             return;
+        if (m_parts.loop->now() - from.since > shortOutage)
+            m_fleet.noteOutageOver();
         const bool goesFirst = m_claimed || m_ownership.holder() == m_holder;
         const Millis pause = goesFirst ? Millis(0) : spreadOf(m_settings.name, m_settings.policies.storeOutages.returnSpread);
         m_parts.loop->callAt(m_parts.loop->now() + pause, [this] { sendWaitingCalls(); });
@@ -706,6 +756,11 @@
     return defaultRetryAfter;
 }
 
+Millis JobService::retryAfter(const std::string& submission)
+{
+    return m_impl->retryAfter(submission);
+}
+
 void JobService::submit(const Caller& caller, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done)
 {
     m_impl->submit(caller, id, std::move(spec), std::move(done));
--- /dev/null
+++ b/tests/jobs/load_after_outage_test.cpp
@@ -0,0 +1,206 @@
+/// After an outage of the store the plan had seen no load and powered pools off, while the callers that had been refused all came
+/// back. These tests guard what the plan goes by after an outage, and when refused callers are told to come back.
+
+#include "lanemoor/adapters/event_log.h"
+#include "lanemoor/jobs/intake/demand_report.h"
+#include "lanemoor/jobs/intake/refused_submissions.h"
+#include "lanemoor/jobs/policy/capacity_plan.h"
+#include "lanemoor/jobs/policy/load_forecast.h"
+#include "lanemoor/jobs/policy/retry_advice.h"
+#include "lanemoor/jobs/relay/order_relay.h"
+#include "lanemoor/jobs/relay/relayed_workers.h"
+#include "support.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+
+using namespace lanemoor;
+using namespace lanemoor::jobs;
+using namespace lanemoor::jobs::test;
+using namespace lanemoor::model;
+
+namespace {
+
+constexpr MonotonicInstant start { std::chrono::seconds(100) };
+constexpr Millis observation { 3'000 };
+
+/// \returns A pool whose instances are all idle, and a reserve.
+std::vector<PoolLoad> idlePools(bool hasArrivals)
+{
+    PoolLoad pool { .pool = "main", .requirements = { { Requirement {}, {} } }, .instances = {} };
+    for (int i = 0; i < 6; ++i)
+        pool.instances.push_back({ .instance = "m-" + std::to_string(i), .kind = "a", .rack = "r", .capacity = { .milliCpu = 8'000, .memoryMb = 1'000 }, .idleSince = start });
+    pool.hasArrivals = hasArrivals;
+    return { pool, { .pool = "off", .reserve = true, .requirements = { { Requirement {}, {} } }, .instances = {} } };
+}
+
+} // namespace
+
+TEST_CASE("After an outage nothing is powered off before load was observed again")
+{
+    CapacityPlan plan({ .observation = observation });
+    static_cast<void>(plan.next(idlePools(true), start));
+    REQUIRE(!plan.next(idlePools(true), start + observation).moves.empty());
+    const MonotonicInstant back = start + Millis(8'000);
+    plan.observeAnew(back);
+    CHECK(plan.next(idlePools(false), back + Millis(10'000)).moves.empty());
+    CHECK(plan.next(idlePools(true), back + Millis(11'000)).moves.empty());
+    CHECK(plan.next(idlePools(true), back + Millis(11'000) + observation - Millis(1)).moves.empty());
+    CHECK(!plan.next(idlePools(true), back + Millis(11'000) + observation).moves.empty());
+}
+
+TEST_CASE("Refused submissions count like arrivals of the same work")
+{
+    const JobSpec spec = job({ step(8), step(4, { 0 }) });
+    LoadForecast arrivals;
+    LoadForecast refusals;
+    for (int i = 0; i < 30; ++i) {
+        const MonotonicInstant now = start + Millis(20 * i);
+        arrivals.noteArrival("work", spec, now);
+        refusals.noteRefused("work", 1, declaredWorkMillis(spec), now);
+    }
+    const MonotonicInstant now = start + Millis(600);
+    REQUIRE(arrivals.milliCpu("work", now) > 0);
+    CHECK(refusals.milliCpu("work", now) == arrivals.milliCpu("work", now));
+    CHECK(refusals.milliCpu("work", now + Millis(1'000)) == 0);
+}
+
+TEST_CASE("A report of demand sums by queue and organisation, and is bounded")
+{
+    DemandReport report;
+    CHECK(report.isEmpty());
+    const JobSpec spec = job({ step(2), longStep(3) });
+    report.noteRefused("work", "north", spec);
+    report.noteAdmitted("work", "north", spec);
+    report.noteRefused("work", "south", spec);
+    const std::vector<EntryDemand> expected { { .queue = "work", .organisation = "north", .admitted = 1, .refused = 1, .workMillis = 2'000 }, { .queue = "work", .organisation = "south", .admitted = 0, .refused = 1, .workMillis = 1'000 } };
+    CHECK(report.take() == expected);
+    CHECK(report.isEmpty());
+    for (std::size_t i = 0; i < 2 * DemandReport::maxEntries; ++i)
+        report.noteRefused("work", std::to_string(i), spec);
+    const std::vector<EntryDemand> all = report.take();
+    CHECK(all.size() <= DemandReport::maxEntries + 1);
+    std::uint32_t refused = 0;
+    for (const EntryDemand& demand : all)
+        refused += demand.refused;
+    CHECK(refused == 2 * DemandReport::maxEntries);
+}
+
+// Guards against a frame for each refusal: an outage refuses hundreds a second.
+TEST_CASE("An entry instance reports refusals to the owner at most once in 250 ms, and nothing without any")
+{
+    SimClock clock;
+    std::mt19937_64 random(1);
+    SimProcess ownerProcess(clock);
+    SimProcess entryProcess(clock);
+    PeersModel peers(clock, random);
+    PeerPort ownerPort(peers, ownerProcess, "owner");
+    PeerPort entryPort(peers, entryProcess, "entry");
+    EventLog log({ .discard = true });
+    WorkersModel workers(clock, random);
+    WorkerClient ownerWorkers(workers, ownerProcess);
+    WorkerClient entryWorkers(workers, entryProcess);
+    DemandReport report;
+    std::vector<EntryDemand> heard;
+    RelayedWorkers owner({ .loop = &ownerProcess, .peers = &ownerPort, .direct = &ownerWorkers, .log = &log, .demanded = [&](const EntryDemand& demand) { heard.push_back(demand); } }, { .workersPerCore = 10 }, 1);
+    OrderRelay entry({ .loop = &entryProcess, .peers = &entryPort, .workers = &entryWorkers, .log = &log, .takeDemand = [&] { return report.take(); } }, "entry", 1);
+    owner.activate();
+    entry.follow("owner");
+    clock.runFor(Millis(1'000));
+    CHECK(heard.empty());
+    const JobSpec spec = job({ step(2) });
+    for (int i = 0; i < 100; ++i) {
+        report.noteRefused("work", "north", spec);
+        entry.reportDemand();
+        clock.runFor(Millis(10));
+    }
+    clock.runFor(Millis(500));
+    CHECK(heard.size() >= 4);
+    CHECK(heard.size() <= 6);
+    EntryDemand sum { .queue = "work", .organisation = "north" };
+    for (const EntryDemand& demand : heard) {
+        CHECK(demand.organisation == "north");
+        sum.refused += demand.refused;
+        sum.workMillis += demand.workMillis;
+    }
+    CHECK(sum.refused == 100);
+    CHECK(sum.workMillis == 100 * declaredWorkMillis(spec));
+}
+
+TEST_CASE("Retry-After spreads returns over the expected drain, within the caller's useful time")
+{
+    std::minstd_rand random(7);
+    const auto countsOf = [&](const RefusalSituation& situation) {
+        std::array<int, 4> counts {};
+        for (int i = 0; i < 900; ++i)
+            ++counts.at(static_cast<std::size_t>(adviseRetry(situation, random) / Millis(1'000)));
+        return counts;
+    };
+    // Just begun: the store may be back at once.
+    CHECK(countsOf({ .refused = 5, .waiting = 5, .lasted = Millis(200), .useful = Millis(20'000) })[1] == 900);
+    const std::array<int, 4> spread = countsOf({ .refused = 400, .waiting = 400, .lasted = Millis(4'000), .useful = Millis(20'000) });
+    CHECK(spread[0] == 0);
+    for (const std::size_t seconds : { 1U, 2U, 3U })
+        CHECK(std::abs(spread.at(seconds) - 300) < 80);
+    // Most have come back: what is left drains within a second.
+    CHECK(countsOf({ .refused = 400, .waiting = 80, .lasted = Millis(4'000), .useful = Millis(20'000) })[1] == 900);
+    CHECK(countsOf({ .refused = 400, .waiting = 400, .lasted = Millis(4'000), .useful = Millis(2'100) })[3] == 0);
+    CHECK(countsOf({ .refused = 400, .waiting = 400, .lasted = Millis(4'000), .useful = Millis(-100) })[1] == 900);
+}
+
+TEST_CASE("Refused submissions are waited for until they are settled or their callers have given up")
+{
+    RefusedSubmissions refusals;
+    const MonotonicInstant useful = start + Millis(5'000);
+    refusals.noteRefused("a", useful, start);
+    refusals.noteRefused("b", useful, start + Millis(500));
+    refusals.noteRefused("a", useful + Millis(9'000), start + Millis(1'000));
+    const RefusalSituation expected { .refused = 2, .waiting = 2, .lasted = Millis(2'000), .useful = Millis(3'000) };
+    CHECK(refusals.situationOf("a", start + Millis(2'000)) == expected);
+    refusals.noteSettled("a");
+    CHECK(refusals.situationOf("a", start + Millis(2'000)) == RefusalSituation {});
+    CHECK(refusals.situationOf("b", start + Millis(2'000)).waiting == 1);
+    // Nobody is waited for any more: refusals begin anew.
+    refusals.noteRefused("c", useful, start + Millis(20'000));
+    CHECK(refusals.waiting() == 1);
+    CHECK(refusals.situationOf("c", start + Millis(20'000)).refused == 1);
+}
+
+// Guards against pools that are powered off after an outage: the owner saw no arrivals for its length.
+TEST_CASE("An outage does not cost a pool its instances")
+{
+    const auto leastAfterOutage = [](bool isEnabled) {
+        SmallCluster cluster(21, 3, 6, 2, 1);
+        Policies policies;
+        policies.storeOutages.enabled = isEnabled;
+        cluster.setPolicies(policies);
+        for (std::size_t i = 0; i < cluster.entries(); ++i)
+            cluster.kill(i);
+        for (std::size_t i = 0; i < cluster.entries(); ++i)
+            cluster.start(i);
+        std::uint64_t number = 0;
+        const auto play = [&](Millis time, bool hasLoad) {
+            std::size_t least = cluster.workers.instances().size();
+            for (Millis played(0); played < time; played += Millis(50)) {
+                if (hasLoad)
+                    cluster.submit(++number % 3, "work", jobId(number), job({ step(3) }));
+                cluster.clock.runFor(Millis(50));
+                const auto on = std::count_if(cluster.workers.instances().begin(), cluster.workers.instances().end(), [](const auto& entry) { return entry.second.pool == "main"; });
+                least = std::min(least, static_cast<std::size_t>(on));
+            }
+            return least;
+        };
+        play(Millis(8'000), true);
+        cluster.store.trouble = { .leasesWait = true, .refusing = true };
+        play(Millis(4'000), false);
+        cluster.store.trouble = {};
+        // Callers come back within 3 s.
+        const std::size_t least = play(Millis(2'500), false);
+        CHECK(cluster.witness.breaches().empty());
+        return least;
+    };
+    const std::size_t without = leastAfterOutage(false);
+    const std::size_t with = leastAfterOutage(true);
+    INFO("least instances in 2.5 s after the outage, without this part " << without << ", with it " << with);
+    CHECK(with > without);
+}
