Starts stop while the set of evacuated data halls is too old

Cause: the owner went on by the last set of evacuated data halls that it had read, however old it was. While the store refused the ranges of the requests and answered renewals and watches, a requested evacuation was never in force.

The model's store can refuse ranges of one prefix. Without a bound nothing changes, and the number of reads is the same.

--- a/include/lanemoor/jobs/service/job_service_settings.h
+++ b/include/lanemoor/jobs/service/job_service_settings.h
@@ -40,6 +40,7 @@
     /// ago, and refused for a while beyond; 0: always, since callers of a cut-off instance lose more by it.
     Millis configurationTrust { 0 };
     Millis configurationApplyTime { 2'000 }; ///< A new configuration must be in force within this.
+    Millis evacuationTime { 0 }; ///< No task may start in a data hall so long after the request to evacuate it; 0: no bound.
     Policies policies;
     bool logAsJson = true;
 
--- a/src/jobs/owner/hall_evacuations.cpp
+++ b/src/jobs/owner/hall_evacuations.cpp
@@ -3,15 +3,30 @@
 #include "lanemoor/adapters/event_log.h"
 #include "lanemoor/jobs/model/key_value_store.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lanemoor::jobs {
 
+namespace {
+
+constexpr int readsWithinTrust = 4; // So that some may fail before the set is unconfirmed.
+
+/// \returns How long a set is confirmed; 0: for ever.
+Millis trustOf(const HallEvacuationsOptions& options)
+{
+    return std::max(options.bound - options.startMargin, options.bound / 2);
+}
+
+} // namespace
+
 class HallEvacuations::Impl : public std::enable_shared_from_this<HallEvacuations::Impl> {
 public:
     explicit Impl(HallEvacuationsOptions options)
         : m_options(std::move(options))
     {
+        if (hasBound())
+            m_options.readEvery = std::min(m_options.readEvery, trustOf(m_options) / readsWithinTrust);
     }
 
     void start()
@@ -22,16 +37,27 @@
         read();
     }
 
-    void stop() { ++m_generation; }
+    void stop()
+    {
+        ++m_generation;
+        m_options.loop->cancel(std::exchange(m_trustTimer, 0));
+        m_isUnconfirmed = false;
+    }
+
+    [[nodiscard]] bool isConfirmed() const { return known && (!hasBound() || m_options.loop->now() < m_trustedUntil); }
 
     std::function<void()> changed;
     std::set<std::string> halls;
     bool known = false;
+    MonotonicInstant confirmedAt;
 
 private:
+    [[nodiscard]] bool hasBound() const { return m_options.bound.count() > 0; }
+
     void read()
     {
         m_pending.clear();
+        m_askedAt = m_options.loop->now();
         readPage({});
     }
 
@@ -66,10 +92,41 @@
         const bool isSame = halls == m_pending;
         logChanges();
         halls = std::move(m_pending);
-        if ((isFirst || !isSame) && changed)
+        confirmedAt = m_askedAt;
+        const bool isBack = noteConfirmed();
+        if ((isFirst || !isSame || isBack) && changed)
             changed();
     }
 
+    /// \returns Whether the set was unconfirmed and is confirmed again.
+    bool noteConfirmed()
+    {
+        if (!hasBound())
+            return false;
+        m_trustedUntil = confirmedAt + trustOf(m_options);
+        m_options.loop->cancel(m_trustTimer);
+        m_trustTimer = m_options.loop->callAt(m_trustedUntil, [self = weak_from_this(), generation = m_generation] {
+            const auto impl = self.lock();
+            if (impl && impl->m_generation == generation)
+                impl->trustEnded();
+        });
+        if (!std::exchange(m_isUnconfirmed, false))
+            return false;
+        m_options.log->change("evacuations-confirmed", { { "age_ms", age() }, { "halls", static_cast<std::int64_t>(halls.size()) } });
+        return true;
+    }
+
+    void trustEnded()
+    {
+        m_trustTimer = 0;
+        m_isUnconfirmed = true;
+        m_options.log->change("evacuations-unconfirmed", { { "age_ms", age() }, { "bound_ms", static_cast<std::int64_t>(m_options.bound.count()) }, { "halls", static_cast<std::int64_t>(halls.size()) } });
+        if (changed)
+            changed();
+    }
+
+    [[nodiscard]] std::int64_t age() const { return std::chrono::duration_cast<Millis>(m_options.loop->now() - confirmedAt).count(); }
+
     void logChanges() const
     {
         for (const std::string& hall : m_pending) {
@@ -94,6 +151,10 @@
     HallEvacuationsOptions m_options;
     std::uint64_t m_generation = 0; ///< Of the calls and timers under way.
     std::set<std::string> m_pending; ///< Of the pages read so far.
+    MonotonicInstant m_askedAt; ///< For the first of these pages.
+    MonotonicInstant m_trustedUntil; ///< Meaningful with a bound.
+    TimerId m_trustTimer = 0;
+    bool m_isUnconfirmed = false; ///< It was logged that the set is too old.
 };
 
 HallEvacuations::HallEvacuations(HallEvacuationsOptions options)
@@ -126,6 +187,16 @@
     return m_impl->known;
 }
 
+bool HallEvacuations::isConfirmed() const
+{
+    return m_impl->isConfirmed();
+}
+
+MonotonicInstant HallEvacuations::confirmedAt() const noexcept
+{
+    return m_impl->confirmedAt;
+}
+
 bool HallEvacuations::contains(const std::string& dataHall) const
 {
     return m_impl->halls.contains(dataHall);
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -627,7 +627,7 @@
         m_passFrom = begin + leastPassGap;
         const bool knowsCancels = begin - m_options.mirror->freshAt() < oldestCopy;
         noteCopy(knowsCancels);
-        if (!m_options.ownership->isHeld() || !knowsCancels || !m_options.evacuations->isKnown()) {
+        if (!m_options.ownership->isHeld() || !knowsCancels || !m_options.evacuations->isConfirmed()) {
             schedulePass(begin + idlePass);
             return;
         }
--- a/src/jobs/owner/order_desk.cpp
+++ b/src/jobs/owner/order_desk.cpp
@@ -1,6 +1,7 @@
 #include "order_desk.h"
 
 #include "evacuation.h"
+#include "lanemoor/jobs/owner/hall_evacuations.h"
 
 #include <algorithm>
 
@@ -70,7 +71,7 @@
     if (!live || live->phase != AttemptPhase::Recording)
         return;
     WorkerBook* book = bookOfLife(worker, life);
-    if (!book || !book->takesRecordedStart() || !m_state.options.ownership->isHeld() || !book->session->leaseForOrder()) {
+    if (!book || !book->takesRecordedStart() || !m_state.options.evacuations->isConfirmed() || !m_state.options.ownership->isHeld() || !book->session->leaseForOrder()) {
         withdrawRecorded(attempt, worker);
         return;
     }
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -126,7 +126,7 @@
               { .gained = [this](const Ownership& ownership) { gained(ownership); }, .lost = [this] { lost(); }, .suspended = [this] { m_parts.log->change("ownership-suspended", { { "copy_age_ms", copyAge() } }); }, .resumed = [this] { m_parts.log->change("ownership-resumed", { { "copy_age_ms", copyAge() } }); }, .claimFailed = [this](StoreOutcome outcome) { m_parts.log->decision("ownership-claim-failed", { { "outcome", std::string(nameOf(outcome)) } }); }, .endsLost = [this](const std::string& holder) { m_parts.log->change("lost-owner-lease-ended", { { "holder", holder } }); } })
         , m_relayedWorkers({ .loop = parts.loop, .peers = parts.peers, .direct = parts.workers, .log = parts.log, .meter = &m_meter }, settings.policies.relay, settings.machineCores)
         , m_relay({ .loop = parts.loop, .peers = parts.peers, .workers = parts.workers, .store = parts.store, .log = parts.log, .ownerGone = [this](const std::string& address) { m_ownership.endLost(address); } }, settings.name, settings.machineCores)
-        , m_evacuations({ .loop = parts.loop, .store = parts.store, .log = parts.log, .prefix = parts.documents->evacuationPrefix() })
+        , m_evacuations({ .loop = parts.loop, .store = parts.store, .log = parts.log, .prefix = parts.documents->evacuationPrefix(), .bound = settings.evacuationTime })
         , m_scheduler(schedulerOptions())
         , m_fleet(fleetOptions())
         , m_intake(*parts.loop, *parts.store, m_jobs, m_catalog)
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -50,6 +50,7 @@
     readMillis(reader, "handoverMs", 0, settings.handover);
     constexpr std::int64_t leastApplyTime = 1'000; // Some reads must fit into it.
     readMillis(reader, "configurationApplyMs", leastApplyTime, settings.configurationApplyTime);
+    readMillis(reader, "evacuationMs", 0, settings.evacuationTime);
     readMillis(reader, "configurationTrustMs", 0, settings.configurationTrust);
     readSeconds(reader, "maintenanceSeconds", settings.maintenanceTime);
     readSeconds(reader, "moveSeconds", settings.moveTime);
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -386,6 +386,7 @@
     settings.policies.relay.workersPerCore = m_workersPerCore;
     settings.machineCores = entry.cores;
     settings.name = entry.name;
+    settings.evacuationTime = m_evacuationTime;
     entry.holder = holderOf(entry.name, entry.process->timeOfDay());
     entry.service = std::make_unique<JobService>(JobServiceParts { .loop = entry.process.get(),
                                                      .store = entry.storeClient.get(),
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -180,6 +180,9 @@
     /// \brief Sets the policies of entries that start from now on.
     void setPolicies(const jobs::Policies& policies) { m_policies = policies; }
 
+    /// \brief Sets the bound of evacuations of entries that start from now on; 0: none.
+    void setEvacuationTime(Millis time) { m_evacuationTime = time; }
+
     /// \returns How other entries reach entry `index`.
     [[nodiscard]] std::string peerAddress(std::size_t index) const { return m_entries[index].name; }
 
@@ -239,6 +242,7 @@
 
     EventLog m_log;
     jobs::Policies m_policies;
+    Millis m_evacuationTime { 0 };
     double m_workersPerCore = 0; ///< 0: owners call every worker themselves.
     std::vector<Entry> m_entries;
     std::vector<Remains> m_remains;
--- a/standins/model/store_model.cpp
+++ b/standins/model/store_model.cpp
@@ -239,6 +239,12 @@
         m_store.m_clock.after(patience, [answer = m_process.deliver<ItemsResult>(std::move(done))] { answer({}); });
         return;
     }
+    const std::string& refused = m_store.trouble.refusedRanges;
+    if (!refused.empty() && hasPrefix(prefix, refused)) {
+        ++m_store.m_calls;
+        m_store.m_clock.after(m_store.trouble.answerTime, [answer = m_process.deliver<ItemsResult>(std::move(done))] { answer({ .outcome = StoreOutcome::NotDone, .items = {} }); });
+        return;
+    }
     call<ItemsResult>(
         false,
         [this, prefix, afterKey]() -> ItemsResult {
--- a/standins/model/store_model.h
+++ b/standins/model/store_model.h
@@ -22,6 +22,7 @@
     double lateWrites = 0; ///< Of writes: not answered, and carried out seconds later.
     Millis answerTime { 4 };
     double lostPages = 0; ///< Of pages of a range: not answered.
+    std::string refusedRanges; ///< Ranges of keys with this prefix are refused; empty: none.
     std::size_t mostEvents = 0; ///< That one answer of a watch brings; 0: all there are.
 };
 
--- a/tests/jobs/hall_evacuation_test.cpp
+++ b/tests/jobs/hall_evacuation_test.cpp
@@ -16,9 +16,10 @@
 
 /// Eight instances in the pool and four beside it, of two data halls in turn, with a long-running job and quick ones.
 struct TwoHalls : model::JobCluster {
-    explicit TwoHalls(std::uint64_t seed = 1)
+    explicit TwoHalls(std::uint64_t seed = 1, Millis bound = Millis(0))
         : model::JobCluster(seed, 3)
     {
+        setEvacuationTime(bound);
         workers.addReserve("off");
         for (std::size_t i = 0; i < 12; ++i)
             workers.addInstance("m-" + std::to_string(i), i < 8 ? "main" : "off", "r-" + std::to_string(i / 4), { .milliCpu = 8'000, .memoryMb = 16'000 }, "a", i % 2 == 0 ? evacuated : "hall-b");
@@ -101,3 +102,47 @@
     for (const std::string id : { "m-8", "m-10" })
         CHECK(cluster.workers.instances().at(id).pool == "off");
 }
+
+/// Guards against starts by an old set of data halls while the store answers the owner's other calls.
+TEST_CASE("Nothing starts while the store confirms no set of evacuated data halls, and starts go on when it does")
+{
+    TwoHalls cluster(1, Millis(5'000));
+    cluster.store.trouble.refusedRanges = cluster.documents.evacuationPrefix();
+    cluster.clock.runFor(Millis(500));
+    cluster.evacuate(evacuated);
+    cluster.playWithQuickJobs(Millis(8'000));
+    CHECK(cluster.witness.breaches().empty());
+    const std::uint64_t starts = cluster.witness.starts();
+    cluster.playWithQuickJobs(Millis(1'000));
+    CHECK(cluster.witness.starts() == starts);
+    cluster.store.trouble.refusedRanges.clear();
+    cluster.playWithQuickJobs(Millis(8'000));
+    CHECK(cluster.witness.starts() > starts);
+    CHECK(cluster.runningIn(evacuated) == 0);
+    CHECK(cluster.witness.breaches().empty());
+}
+
+/// Guards against a deployment without evacuations that stands still when ranges are refused.
+TEST_CASE("Without a bound on evacuations tasks start by the last set that is known")
+{
+    TwoHalls cluster;
+    cluster.store.trouble.refusedRanges = cluster.documents.evacuationPrefix();
+    cluster.clock.runFor(Millis(8'000));
+    const std::uint64_t starts = cluster.witness.starts();
+    cluster.playWithQuickJobs(Millis(2'000));
+    CHECK(cluster.witness.starts() > starts);
+}
+
+/// Guards against a bound that refused answers of one read use up.
+TEST_CASE("Single refused reads of the evacuations delay no start")
+{
+    TwoHalls cluster(1, Millis(5'000));
+    for (int i = 0; i < 4; ++i) {
+        cluster.store.trouble.refusedRanges = cluster.documents.evacuationPrefix();
+        cluster.playWithQuickJobs(Millis(2'500));
+        cluster.store.trouble.refusedRanges.clear();
+        const std::uint64_t starts = cluster.witness.starts();
+        cluster.playWithQuickJobs(Millis(1'000));
+        CHECK(cluster.witness.starts() >= starts + 40);
+    }
+}
