Empty instances of an evacuated data hall leave their pools for the reserve

Cause: instances of an evacuated data hall stood in their pools, up and without work, until the request was withdrawn. Those on their way into such a hall counted as supply, and one that was emptied for another pool was moved there.

Change: EvacuationMoves (pure) powers empty instances off after 1.2 s, with half of the acts that the pools' own moves leave. Drains of such instances end, and an instance on its way there counts as unsound.

--- a/src/jobs/owner/fleet_keeper.cpp
+++ b/src/jobs/owner/fleet_keeper.cpp
@@ -10,6 +10,7 @@
 #include "lanemoor/jobs/owner/job_scheduler.h"
 #include "lanemoor/jobs/policy/call_budget.h"
 #include "lanemoor/jobs/policy/capacity_plan.h"
+#include "lanemoor/jobs/policy/evacuation_moves.h"
 #include "lanemoor/jobs/policy/maintenance_plan.h"
 
 #include <algorithm>
@@ -64,6 +65,7 @@
         m_lives.clear();
         m_idleSince.clear();
         m_capacity = CapacityPlan(m_options.capacity);
+        m_evacuationMoves = EvacuationMoves();
         m_actBudget = CallBudget(m_options.actsPerSecond, m_options.loop->now());
         for (const auto& [number, wave] : m_waves)
             begin(wave);
@@ -509,7 +511,10 @@
             seen.drainingFrom = draining->second.from;
         seen.sound = !isUp || reserve || !use || isSound || m_moving.contains(instance.id) || draining != m_draining.end();
         seen.coming = !reserve && (!isUp || !use || m_moving.contains(instance.id) || draining != m_draining.end());
-        if (isOrdered(instance.id) || isBlocked(instance.id) || m_options.evacuations->contains(instance.dataHall))
+        const bool isEvacuated = m_options.evacuations->contains(instance.dataHall);
+        // One on its way there will take no work either.
+        seen.sound = seen.sound && (reserve || !isEvacuated);
+        if (isOrdered(instance.id) || isBlocked(instance.id) || isEvacuated)
             return seen;
         if (isUp && !reserve && isSound && use->attempts > 0 && use->pinned == 0) {
             seen.drainable = instance.worker;
@@ -568,8 +573,10 @@
     {
         if (!mayAct() || m_list.empty())
             return;
+        undrainEvacuated();
         const std::vector<PoolLoad> pools = loads();
-        const CapacityStep step = m_capacity.next(pools, m_options.loop->now(), mostActs());
+        const std::size_t most = mostActs();
+        const CapacityStep step = m_capacity.next(pools, m_options.loop->now(), most);
         m_actBudget.take(step.moves.size() + step.drains.size());
         for (const PoolLoad& pool : pools)
             logSize(pool);
@@ -580,6 +587,50 @@
         for (const CapacityDrain& drain : step.drains)
             this->drain(drain);
         moveDrained();
+        // Half of what is left, as for other instances that go off: a rise of load must find some.
+        powerOffEvacuated((most - std::min(most, step.moves.size() + step.drains.size())) / 2);
+    }
+
+    /// An instance of an evacuated data hall is no help to the pool that it is emptied for.
+    void undrainEvacuated()
+    {
+        std::vector<std::string> evacuated;
+        for (const auto& [id, drain] : m_draining) {
+            const auto listed = m_list.find(id);
+            if (listed != m_list.end() && m_options.evacuations->contains(listed->second.dataHall))
+                evacuated.push_back(id);
+        }
+        for (const std::string& id : evacuated)
+            undrain(id);
+    }
+
+    /// \returns Instances of evacuated data halls on which nothing runs, whatever the pool.
+    [[nodiscard]] std::vector<EmptiedInstance> emptied() const
+    {
+        std::vector<EmptiedInstance> list;
+        if (m_options.evacuations->halls().empty())
+            return list;
+        const std::shared_ptr<const ServiceConfiguration> configuration = m_options.configuration();
+        for (const auto& [id, instance] : m_list) {
+            const PoolSettings* pool = configuration->pool(instance.pool);
+            const WorkerUse* use = useOf(instance);
+            const bool isEmpty = instance.state == FleetState::Up && use && use->known && use->attempts == 0;
+            if (isEmpty && pool && !pool->reserve && !isOrdered(id) && !isBlocked(id) && m_options.evacuations->contains(instance.dataHall))
+                list.push_back({ id, instance.pool });
+        }
+        return list;
+    }
+
+    void powerOffEvacuated(std::size_t mostMoves)
+    {
+        const std::shared_ptr<const ServiceConfiguration> configuration = m_options.configuration();
+        const auto reserve = std::find_if(configuration->pools.begin(), configuration->pools.end(), [](const PoolSettings& pool) { return pool.reserve; });
+        if (reserve == configuration->pools.end())
+            return;
+        const std::vector<CapacityMove> moves = m_evacuationMoves.next(emptied(), reserve->name, mostMoves, m_options.loop->now());
+        m_actBudget.take(moves.size());
+        for (const CapacityMove& move : moves)
+            this->move(move);
     }
 
     void drain(const CapacityDrain& drain)
@@ -820,6 +871,7 @@
     std::map<std::string, ListedLife> m_lives; ///< By instance.
     std::map<std::string, MonotonicInstant> m_idleSince;
     CapacityPlan m_capacity;
+    EvacuationMoves m_evacuationMoves;
     CallBudget m_actBudget; ///< For acts on instances. A drain counts when it begins.
     MonotonicInstant m_useLoggedAt;
     std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> m_loggedSizes; ///< Instances and target, by pool.
--- a/tests/jobs/hall_evacuation_test.cpp
+++ b/tests/jobs/hall_evacuation_test.cpp
@@ -146,3 +146,93 @@
         CHECK(cluster.witness.starts() >= starts + 40);
     }
 }
+
+/// Guards against instances that stand without work in the pools until a request is withdrawn.
+TEST_CASE("Empty instances of an evacuated data hall go off, others take their places, and the hall serves again afterwards")
+{
+    TwoHalls cluster;
+    cluster.evacuate(evacuated);
+    cluster.playWithQuickJobs(Millis(12'000));
+    for (const auto& [id, instance] : cluster.workers.instances()) {
+        CAPTURE(id);
+        CHECK((instance.dataHall != evacuated || instance.pool == "off"));
+    }
+    CHECK(cluster.workers.instances().at("m-9").pool == "main");
+    cluster.evacuate(evacuated, false);
+    cluster.evacuate("hall-b");
+    cluster.playWithQuickJobs(Millis(12'000));
+    CHECK(cluster.runningIn(evacuated) > 0);
+    CHECK(cluster.runningIn("hall-b") == 0);
+    CHECK(cluster.witness.breaches().empty());
+}
+
+/// Guards against moves that a request costs which is withdrawn at once, and against a hall that stays closed.
+TEST_CASE("A request that is withdrawn in the middle moves no instance, and its data hall serves again")
+{
+    TwoHalls cluster;
+    const auto poolsOf = [&] {
+        std::size_t main = 0;
+        for (const auto& [id, instance] : cluster.workers.instances())
+            main += instance.dataHall == evacuated && instance.pool == "main" ? 1 : 0;
+        return main;
+    };
+    const std::size_t before = poolsOf();
+    cluster.evacuate(evacuated);
+    cluster.playWithQuickJobs(Millis(1'200));
+    CHECK(poolsOf() == before);
+    cluster.evacuate(evacuated, false);
+    cluster.playWithQuickJobs(Millis(1'000));
+    cluster.evacuate("hall-b");
+    cluster.playWithQuickJobs(Millis(8'000));
+    CHECK(cluster.runningIn(evacuated) > 0);
+    CHECK(cluster.runningIn("hall-b") == 0);
+    CHECK(cluster.status(0, TwoHalls::longRunning) == JobStatus::Running);
+    CHECK(cluster.witness.breaches().empty());
+}
+
+TEST_CASE("Two data halls are evacuated at once: nothing starts, budgets hold, and all goes on after one is withdrawn")
+{
+    TwoHalls cluster(1, Millis(5'000));
+    cluster.evacuate(evacuated);
+    cluster.evacuate("hall-b");
+    cluster.playWithQuickJobs(Millis(8'000));
+    const std::uint64_t starts = cluster.witness.starts();
+    cluster.playWithQuickJobs(Millis(1'000));
+    CHECK(cluster.witness.starts() == starts);
+    cluster.evacuate("hall-b", false);
+    cluster.playWithQuickJobs(Millis(8'000));
+    CHECK(cluster.witness.starts() > starts);
+    CHECK(cluster.runningIn(evacuated) == 0);
+    CHECK(cluster.status(0, TwoHalls::longRunning) == JobStatus::Running);
+    CHECK(cluster.witness.breaches().empty());
+}
+
+/// Guards against an evacuation that the cut hides: its workers are told of nothing, and must get nothing once they are back.
+TEST_CASE("A data hall that is evacuated while it is cut off gets no starts when it is reached again")
+{
+    TwoHalls cluster(1, Millis(5'000));
+    const auto cut = [&](bool isCut) {
+        for (auto& [id, worker] : cluster.workers.workers())
+            worker.trouble.cutOff = isCut && worker.entry.dataHall == evacuated;
+    };
+    cut(true);
+    cluster.playWithQuickJobs(Millis(1'000));
+    cluster.evacuate(evacuated);
+    cluster.playWithQuickJobs(Millis(5'500));
+    cut(false);
+    cluster.playWithQuickJobs(Millis(8'000));
+    CHECK(cluster.runningIn(evacuated) == 0);
+    CHECK(cluster.status(0, TwoHalls::longRunning) == JobStatus::Running);
+    CHECK(cluster.witness.breaches().empty());
+}
+
+TEST_CASE("An evacuation is in force in time while the store is slow")
+{
+    TwoHalls cluster(1, Millis(5'000));
+    cluster.store.trouble.answerTime = Millis(300);
+    cluster.playWithQuickJobs(Millis(1'000));
+    cluster.evacuate(evacuated);
+    cluster.playWithQuickJobs(Millis(10'000));
+    CHECK(cluster.witness.breaches().empty());
+    CHECK(cluster.runningIn(evacuated) == 0);
+}
