Batch tasks with a checkpoint leave an evacuated data hall if that ends them sooner there

Cause: a data hall that is to be empty kept its batch tasks until they ended, however long they had to go.

Members of gangs stay. The model's workers can save checkpoints and go on from them.

--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -8,6 +8,7 @@
 #include "lanemoor/jobs/model/service_configuration.h"
 #include "lanemoor/jobs/owner/job_report.h"
 #include "lanemoor/jobs/owner/ownership_keeper.h"
+#include "lanemoor/jobs/policy/checkpoint_move.h"
 #include "lanemoor/jobs/policy/crash_attribution.h"
 #include "lanemoor/jobs/policy/placement_options.h"
 
@@ -51,6 +52,7 @@
     Millis workerLeaseTime { 5'000 }; ///< The same for all owners, since a successor reckons with it.
     PlacementOptions placement;
     CrashOptions crashes;
+    CheckpointMoveCost checkpointMove;
     bool seesRises = true; ///< See CapacityOptions.
 };
 
--- a/src/jobs/owner/evacuation.cpp
+++ b/src/jobs/owner/evacuation.cpp
@@ -1,5 +1,7 @@
 #include "evacuation.h"
 
+#include "lanemoor/jobs/policy/checkpoint_move.h"
+
 namespace lanemoor::jobs {
 
 namespace {
@@ -63,8 +65,11 @@
     for (const Attempt& attempt : stopping) {
         const Booking& booking = worker.bookings.at(attempt);
         // Checked again one by one: each stop takes a task of its step away.
-        if (mayStop(attempt, booking, worker))
-            m_orders.stop(attempt, worker.entry.id);
+        if (!mayStop(attempt, booking, worker))
+            continue;
+        if (!booking.step->longRunning)
+            m_others.promise(*booking.step);
+        m_orders.stop(attempt, worker.entry.id);
     }
 }
 
@@ -75,11 +80,25 @@
     if (!task || !task->live || task->live->number != attempt.number || task->live->phase != AttemptPhase::Running)
         return false;
     if (!booking.step->longRunning)
-        return worker.evacuating && m_state.now() - worker.evacuatingSince > batchPatience;
+        return (worker.evacuating && m_state.now() - worker.evacuatingSince > batchPatience) || isBatchToMove(job->state, attempt, booking, worker);
     if (!mayDisrupt(m_state, job->state, attempt.task))
         return false;
     const bool mustFindRoom = !worker.entry.draining && !booking.step->requiredLabel.empty();
     return !mustFindRoom || m_others.hasRoomFor(job->state, { attempt.task.occurrence, attempt.task.step }, worker);
 }
 
+/// Members of a gang are left alone: all of them would have to move at once.
+bool Evacuation::isBatchToMove(const JobState& job, const Attempt& attempt, const Booking& booking, const WorkerBook& worker)
+{
+    const TaskState& task = *job.find(attempt.task);
+    if (!worker.hallEvacuated || booking.step->gang || task.checkpoint.empty() || m_hasNoRoom)
+        return false;
+    const auto passed = [&](MonotonicInstant::duration time) { return std::chrono::duration_cast<Millis>(time); };
+    const CheckpointedAttempt progress { .elapsed = passed(m_state.now() - task.live->startedAt), .percent = task.live->percent, .declaredLeft = passed(booking.endsBy - m_state.now()) };
+    if (!isWorthMoving(progress, m_state.options.checkpointMove))
+        return false;
+    m_hasNoRoom = !m_others.hasRoomFor(job, { attempt.task.occurrence, attempt.task.step }, worker);
+    return !m_hasNoRoom;
+}
+
 } // namespace lanemoor::jobs
--- a/src/jobs/owner/evacuation.h
+++ b/src/jobs/owner/evacuation.h
@@ -9,7 +9,8 @@
 
 /// \brief Stops long-running tasks on workers that are being emptied, so that they start
 /// elsewhere; never more of a step at once than its disruption budget allows. Batch tasks are
-/// left to end by themselves for a while. On a worker that lives on, tasks stay that need a label and
+/// left to end by themselves for a while; in an evacuated data hall those with a checkpoint move that take longer there than elsewhere.
+/// On a worker that lives on, tasks stay that need a label and
 /// would find no room elsewhere: they go when another instance with it has come.
 class Evacuation {
 public:
@@ -20,10 +21,12 @@
 private:
     void empty(WorkerBook& worker);
     [[nodiscard]] bool mayStop(const Attempt& attempt, const Booking& booking, const WorkerBook& worker);
+    [[nodiscard]] bool isBatchToMove(const JobState& job, const Attempt& attempt, const Booking& booking, const WorkerBook& worker);
 
     OwnerState& m_state;
     OrderDesk& m_orders;
     OtherSites m_others;
+    bool m_hasNoRoom = false; ///< A batch task found none elsewhere: no other one is looked at in this run.
 };
 
 /// \returns Whether the budget of its step allows that a long-running task is taken away now.
--- /dev/null
+++ b/src/jobs/policy/checkpoint_move.cpp
@@ -0,0 +1,27 @@
+#include "lanemoor/jobs/policy/checkpoint_move.h"
+
+#include <algorithm>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+constexpr std::int64_t whole = 100;
+
+} // namespace
+
+Millis timeLeft(const CheckpointedAttempt& attempt) noexcept
+{
+    const std::int64_t done = std::min<std::int64_t>(attempt.percent, whole);
+    // Declared times are wrong by half and more; what the attempt has shown is not.
+    if (done > 0)
+        return attempt.elapsed * (whole - done) / done;
+    return std::max(attempt.declaredLeft, Millis(0));
+}
+
+bool isWorthMoving(const CheckpointedAttempt& attempt, const CheckpointMoveCost& cost) noexcept
+{
+    return timeLeft(attempt) > cost.restore + cost.stopAndStart;
+}
+
+} // namespace lanemoor::jobs
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -416,6 +416,7 @@
             .workerLeaseTime = m_settings.workerLeaseTime,
             .placement = m_settings.policies.placement,
             .crashes = m_settings.policies.crashes,
+            .checkpointMove = { .restore = m_settings.restoreTime },
             .seesRises = m_settings.policies.capacity.seesRises };
     }
 
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -51,6 +51,7 @@
     constexpr std::int64_t leastApplyTime = 1'000; // Some reads must fit into it.
     readMillis(reader, "configurationApplyMs", leastApplyTime, settings.configurationApplyTime);
     readMillis(reader, "evacuationMs", 0, settings.evacuationTime);
+    readMillis(reader, "restoreMs", 0, settings.restoreTime);
     readMillis(reader, "configurationTrustMs", 0, settings.configurationTrust);
     readSeconds(reader, "maintenanceSeconds", settings.maintenanceTime);
     readSeconds(reader, "moveSeconds", settings.moveTime);
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -16,6 +16,8 @@
 constexpr Millis startOfService { 500 }; // Until a long-running task is at work.
 constexpr Millis longestLease { 10'000 };
 constexpr std::uint32_t whole = 100;
+constexpr Millis saveEvery { 500 }; // Between two checkpoints of a task.
+constexpr Millis restoreTime { 600 }; // Of a checkpoint.
 constexpr Millis clockAtStart { 1'000 }; // Of a worker that starts again under its id.
 constexpr std::int64_t firstStart = 1'700'000'000'000; // Time of day, Unix ms, at the beginning of the simulated clock.
 
@@ -113,6 +115,16 @@
     worker.lapse = m_clock.at(end, [this, id = worker.entry.id] { lapse(id); });
 }
 
+/// \returns The work that the newest checkpoint holds, ms; empty: there is none.
+std::string WorkersModel::checkpointOf(const WorkerModel::Run& run) const
+{
+    if (!saves || run.longRunning)
+        return run.checkpoint;
+    const auto worked = std::chrono::duration_cast<Millis>(m_clock.now() - run.startedAt);
+    const Millis saved = worked / saveEvery * saveEvery;
+    return saved.count() > 0 ? std::to_string((run.doneBefore + saved).count()) : run.checkpoint;
+}
+
 void WorkersModel::lapse(const std::string& worker)
 {
     WorkerModel& model = m_workers[worker];
@@ -132,7 +144,7 @@
     if (run == worker.running.end())
         return;
     m_clock.cancel(run->second.end);
-    worker.ended.push_back({ .sequence = ++worker.lastEnd, .attempt = attempt, .end = end, .checkpoint = run->second.checkpoint });
+    worker.ended.push_back({ .sequence = ++worker.lastEnd, .attempt = attempt, .end = end, .checkpoint = checkpointOf(run->second) });
     const Departure departure { byOrder, isAtWork(worker, run->second) };
     worker.running.erase(run);
     std::uint64_t& settled = worker.settled[{ attempt.job, attempt.task }];
@@ -249,8 +261,11 @@
             witness->onOverload(worker, order.attempt);
     }
     const bool isFar = !step.preferredRack.empty() && step.preferredRack != model.entry.rack;
-    const Millis time = isFar ? std::chrono::duration_cast<Millis>(runTimes(order.attempt) * farFactor) : runTimes(order.attempt);
-    WorkerModel::Run run { .checkpoint = order.checkpoint, .startedAt = m_clock.now(), .endsAt = m_clock.now() + time, .needs = step.needs, .longRunning = step.longRunning };
+    const Millis work = isFar ? std::chrono::duration_cast<Millis>(runTimes(order.attempt) * farFactor) : runTimes(order.attempt);
+    const bool restores = saves && !order.checkpoint.empty();
+    const Millis doneBefore = restores ? std::min(Millis(std::stoll(order.checkpoint)), work) : Millis(0);
+    const Millis time = work - doneBefore + (restores ? restoreTime : Millis(0));
+    WorkerModel::Run run { .checkpoint = order.checkpoint, .startedAt = m_clock.now(), .endsAt = m_clock.now() + time, .needs = step.needs, .longRunning = step.longRunning, .doneBefore = doneBefore };
     std::uniform_real_distribution<double> share(0, 1);
     const AttemptEnd end = share(m_random) < model.trouble.failing ? AttemptEnd::Failed : AttemptEnd::Succeeded;
     if (!model.trouble.hanging && (!step.longRunning || end == AttemptEnd::Failed))
@@ -393,10 +408,10 @@
         const WorkerModel& model = m_workers.m_workers[id];
         RenewResult result { .outcome = OrderOutcome::Done, .workerClock = m_workers.clockOf(model), .startedAt = model.entry.startedAt, .running = {}, .ended = { model.ended.begin(), model.ended.end() } };
         for (const auto& [attempt, run] : model.running) {
-            const auto passed = std::chrono::duration<double>(later.now() - run.startedAt);
-            const auto all = std::chrono::duration<double>(run.longRunning ? MonotonicInstant::duration(startOfService) : run.endsAt - run.startedAt);
+            const auto passed = std::chrono::duration<double>(later.now() - run.startedAt + run.doneBefore);
+            const auto all = std::chrono::duration<double>(run.longRunning ? MonotonicInstant::duration(startOfService) : run.endsAt - run.startedAt + run.doneBefore);
             const double done = model.trouble.hanging ? 0 : std::min(1.0, passed / all);
-            result.running.push_back({ .attempt = attempt, .checkpoint = run.checkpoint, .percent = static_cast<std::uint32_t>(done * whole) });
+            result.running.push_back({ .attempt = attempt, .checkpoint = m_workers.checkpointOf(run), .percent = static_cast<std::uint32_t>(done * whole) });
         }
         later.after(halfTrip, [answer, result] { answer(result); });
     };
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -73,6 +73,7 @@
         jobs::Resources needs;
         bool longRunning = false;
         std::uint32_t percentAllowed = 100;
+        Millis doneBefore { 0 }; ///< Of its work, by attempts whose checkpoint it goes on from.
     };
 
     jobs::WorkerEntry entry;
@@ -99,6 +100,7 @@
     WorkersModel(SimClock& clock, std::mt19937_64& random);
 
     RunTimes runTimes;
+    bool saves = false; ///< Batch tasks save checkpoints, from which their next attempts go on.
     bool guards = true; ///< Workers refuse what does not fit.
     double farFactor = 2.0; ///< Work away from the rack of its data takes this many times as long.
     /// \returns What a task needs; the model knows it as a real worker does from the payload.
@@ -161,6 +163,7 @@
     void extendLease(WorkerModel& worker, std::int64_t until);
     void endRun(WorkerModel& worker, const jobs::Attempt& attempt, jobs::AttemptEnd end, bool byOrder);
     [[nodiscard]] bool isAtWork(const WorkerModel& worker, const WorkerModel::Run& run) const;
+    [[nodiscard]] std::string checkpointOf(const WorkerModel::Run& run) const;
     void lapse(const std::string& worker);
     [[nodiscard]] std::int64_t clockOf(const WorkerModel& worker) const;
     [[nodiscard]] static MonotonicInstant instantOf(const WorkerModel& worker, std::int64_t clock);
