Random runs with data halls that are evacuated

Three data halls, evacuations of one or two of them that are withdrawn after 0.3 to 12 s, and ranges of the requests that are refused for up to 9 s. The other sorts of run draw what they drew.

--- a/tests/jobs/random_test.cpp
+++ b/tests/jobs/random_test.cpp
@@ -16,6 +16,7 @@
 constexpr Millis runLength { 25'000 };
 constexpr Millis longestTrouble { 6'000 }; // Of the store or of entry instances.
 constexpr Millis recovery { 20'000 };
+constexpr Millis evacuationTime { 5'000 }; // In which an evacuation must be in force.
 /// What needs one of few instances waits for others to end.
 constexpr Millis recoveryOfMixed { 60'000 };
 
@@ -29,6 +30,7 @@
     Ending, ///< The faults of `All`, on instances that do not guard their room, which shrinks and grows, with tasks that end their workers.
     Restarting, ///< The faults of `All`, with workers that start again under their ids, one each 6 s.
     RestartingOften, ///< The same, one each 2 s.
+    Halls, ///< The faults of `All`, fewer of them, in three data halls that operators ask to evacuate.
     Mixed, ///< The same as `All` on two pools, with instances of two kinds that do not guard their room, labels and racks.
 };
 
@@ -36,7 +38,7 @@
 class RandomRun {
 public:
     RandomRun(std::uint64_t seed, Faults faults)
-        : m_cluster(seed, 3, 6, 2, faults == Faults::Relayed ? 1 : 0)
+        : m_cluster(seed, 3, 6, 2, faults == Faults::Relayed ? 1 : 0, faults == Faults::Halls ? evacuationTime : Millis(0))
         , m_seed(seed)
         , m_faults(faults)
         , m_laterRandom(seed)
@@ -46,6 +48,8 @@
             mix();
         if (faults == Faults::Organised)
             organise();
+        if (faults == Faults::Halls)
+            addHalls();
         if (faults == Faults::Ending) {
             m_cluster.workers.guards = false;
             m_cluster.workers.endsWorker = [this](const Attempt& attempt) { return m_ending.contains(attempt.job) && attempt.task.index == 0; };
@@ -59,7 +63,7 @@
             m_cluster.clock.runFor(Millis(pick(20, 400)));
             if (pick(0, 2) == 0)
                 handIn();
-            if (pick(0, 7) == 0 && (m_faults != Faults::Ending || pickLater(0, 7) == 0))
+            if (pick(0, 7) == 0 && (!hasFewFaults() || pickLater(0, 7) == 0))
                 fault();
             if (pick(0, 40) == 0 && m_jobs > 0)
                 cancel();
@@ -71,6 +75,8 @@
                 organise();
             if (m_faults == Faults::Ending && pickLater(0, 10) == 0)
                 resize();
+            if (m_faults == Faults::Halls && pickLater(0, 20) == 0)
+                faultOfHalls();
             if (m_faults == Faults::Restarting && pickLater(0, 25) == 0)
                 restart();
             if (m_faults == Faults::RestartingOften && pickLater(0, 8) == 0)
@@ -95,6 +101,35 @@
         m_cluster.clock.runFor(Millis(500));
     }
 
+    /// \returns Whether other faults are to leave time for those that only this kind of run has.
+    [[nodiscard]] bool hasFewFaults() const { return m_faults == Faults::Ending || m_faults == Faults::Halls; }
+
+    /// Adds two data halls to that of the other instances.
+    void addHalls()
+    {
+        const Resources capacity { .milliCpu = 8'000, .memoryMb = 16'000 };
+        m_cluster.workers.saves = true;
+        for (int i = 0; i < 10; ++i) {
+            const std::string hall = i % 2 == 0 ? "hall-b" : "hall-c";
+            m_cluster.workers.addInstance("h-" + std::to_string(i), i < 8 ? "main" : "off", "r-" + hall, capacity, "a", hall);
+        }
+        m_cluster.clock.runFor(Millis(500));
+    }
+
+    void faultOfHalls()
+    {
+        const std::string hall = std::array { "hall", "hall-b", "hall-c" }.at(pickLater(0, 2));
+        if (pickLater(0, 3) == 0) {
+            // The store serves all other calls, and the owner must keep to the bound.
+            m_cluster.store.trouble.refusedRanges = m_cluster.documents.evacuationPrefix();
+            m_cluster.clock.after(Millis(pickLater(500, 9'000)), [this] { m_cluster.store.trouble.refusedRanges.clear(); });
+            return;
+        }
+        m_cluster.evacuate(hall);
+        // Some are withdrawn in the middle.
+        m_cluster.clock.after(Millis(pickLater(300, 12'000)), [this, hall] { m_cluster.evacuate(hall, false); });
+    }
+
     /// Gives organisations other quotas; the largest gang fits the least of them.
     void organise()
     {
@@ -380,6 +415,10 @@
         m_cluster.clock.runFor(Millis(8'000));
         m_cluster.store.trouble = {};
         m_cluster.peers.trouble = {};
+        for (const char* hall : { "hall", "hall-b", "hall-c" }) {
+            if (m_faults == Faults::Halls)
+                m_cluster.evacuate(hall, false);
+        }
         for (std::size_t i = 0; i < m_cluster.entries(); ++i)
             m_cluster.start(i);
     }
@@ -512,6 +551,14 @@
         RandomRun(seed, Faults::Organised).play();
 }
 
+TEST_CASE("No promise is broken in random runs with data halls that are evacuated")
+{
+    const std::uint64_t first = numberFrom("LANEMOOR_SEED", 1);
+    const std::uint64_t runs = numberFrom("LANEMOOR_RUNS", 200);
+    for (std::uint64_t seed = first; seed < first + runs; ++seed)
+        RandomRun(seed, Faults::Halls).play();
+}
+
 TEST_CASE("No promise is broken in random runs with tasks that end their workers")
 {
     const std::uint64_t first = numberFrom("LANEMOOR_SEED", 1);
--- a/tests/jobs/support.h
+++ b/tests/jobs/support.h
@@ -69,10 +69,11 @@
 
 /// A cluster with `instances` in the pool and `reserve` beside it, four to a rack.
 struct SmallCluster : model::JobCluster {
-    explicit SmallCluster(std::uint64_t seed = 1, std::size_t entries = 3, std::size_t instances = 4, std::size_t reserve = 2, double workersPerCore = 0)
+    explicit SmallCluster(std::uint64_t seed = 1, std::size_t entries = 3, std::size_t instances = 4, std::size_t reserve = 2, double workersPerCore = 0, Millis evacuationTime = Millis(0))
         : model::JobCluster(seed, entries)
     {
         relayAt(workersPerCore);
+        setEvacuationTime(evacuationTime);
         workers.addReserve("off");
         for (std::size_t i = 0; i < instances + reserve; ++i)
             workers.addInstance("m-" + std::to_string(i), i < instances ? "main" : "off", "r-" + std::to_string(i / 4), { .milliCpu = 8'000, .memoryMb = 16'000 });
