--- a/tests/jobs/hall_evacuation_test.cpp
+++ b/tests/jobs/hall_evacuation_test.cpp
@@ -16,9 +16,10 @@
 
 /// Eight instances in the pool and four beside it, of two data halls in turn, with a long-running job and quick ones.
 struct TwoHalls : model::JobCluster {
-    explicit TwoHalls(std::uint64_t seed = 1)
+    explicit TwoHalls(std::uint64_t seed = 1, Millis bound = Millis(0))
         : model::JobCluster(seed, 3)
     {
+        setEvacuationTime(bound);
         workers.addReserve("off");
         for (std::size_t i = 0; i < 12; ++i)
             workers.addInstance("m-" + std::to_string(i), i < 8 ? "main" : "off", "r-" + std::to_string(i / 4), { .milliCpu = 8'000, .memoryMb = 16'000 }, "a", i % 2 == 0 ? evacuated : "hall-b");
@@ -101,3 +102,137 @@
     for (const std::string id : { "m-8", "m-10" })
         CHECK(cluster.workers.instances().at(id).pool == "off");
 }
+
+/// Guards against starts by an old set of data halls while the store answers the owner's other calls.
+TEST_CASE("Nothing starts while the store confirms no set of evacuated data halls, and starts go on when it does")
+{
+    TwoHalls cluster(1, Millis(5'000));
+    cluster.store.trouble.refusedRanges = cluster.documents.evacuationPrefix();
+    cluster.clock.runFor(Millis(500));
+    cluster.evacuate(evacuated);
+    cluster.playWithQuickJobs(Millis(8'000));
+    CHECK(cluster.witness.breaches().empty());
+    const std::uint64_t starts = cluster.witness.starts();
+    cluster.playWithQuickJobs(Millis(1'000));
+    CHECK(cluster.witness.starts() == starts);
+    cluster.store.trouble.refusedRanges.clear();
+    cluster.playWithQuickJobs(Millis(8'000));
+    CHECK(cluster.witness.starts() > starts);
+    CHECK(cluster.runningIn(evacuated) == 0);
+    CHECK(cluster.witness.breaches().empty());
+}
+
+/// Guards against a deployment without evacuations that stands still when ranges are refused.
+TEST_CASE("Without a bound on evacuations tasks start by the last set that is known")
+{
+    TwoHalls cluster;
+    cluster.store.trouble.refusedRanges = cluster.documents.evacuationPrefix();
+    cluster.clock.runFor(Millis(8'000));
+    const std::uint64_t starts = cluster.witness.starts();
+    cluster.playWithQuickJobs(Millis(2'000));
+    CHECK(cluster.witness.starts() > starts);
+}
+
+/// Guards against a bound that refused answers of one read use up.
+TEST_CASE("Single refused reads of the evacuations delay no start")
+{
+    TwoHalls cluster(1, Millis(5'000));
+    for (int i = 0; i < 4; ++i) {
+        cluster.store.trouble.refusedRanges = cluster.documents.evacuationPrefix();
+        cluster.playWithQuickJobs(Millis(2'500));
+        cluster.store.trouble.refusedRanges.clear();
+        const std::uint64_t starts = cluster.witness.starts();
+        cluster.playWithQuickJobs(Millis(1'000));
+        CHECK(cluster.witness.starts() >= starts + 40);
+    }
+}
+
+/// Guards against instances that stand without work in the pools until a request is withdrawn.
+TEST_CASE("Empty instances of an evacuated data hall go off, others take their places, and the hall serves again afterwards")
+{
+    TwoHalls cluster;
+    cluster.evacuate(evacuated);
+    cluster.playWithQuickJobs(Millis(12'000));
+    for (const auto& [id, instance] : cluster.workers.instances()) {
+        CAPTURE(id);
+        CHECK((instance.dataHall != evacuated || instance.pool == "off"));
+    }
+    CHECK(cluster.workers.instances().at("m-9").pool == "main");
+    cluster.evacuate(evacuated, false);
+    cluster.evacuate("hall-b");
+    cluster.playWithQuickJobs(Millis(12'000));
+    CHECK(cluster.runningIn(evacuated) > 0);
+    CHECK(cluster.runningIn("hall-b") == 0);
+    CHECK(cluster.witness.breaches().empty());
+}
+
+/// Guards against moves that a request costs which is withdrawn at once, and against a hall that stays closed.
+TEST_CASE("A request that is withdrawn in the middle moves no instance, and its data hall serves again")
+{
+    TwoHalls cluster;
+    const auto poolsOf = [&] {
+        std::size_t main = 0;
+        for (const auto& [id, instance] : cluster.workers.instances())
+            main += instance.dataHall == evacuated && instance.pool == "main" ? 1 : 0;
+        return main;
+    };
+    const std::size_t before = poolsOf();
+    cluster.evacuate(evacuated);
+    cluster.playWithQuickJobs(Millis(1'200));
+    CHECK(poolsOf() == before);
+    cluster.evacuate(evacuated, false);
+    cluster.playWithQuickJobs(Millis(1'000));
+    cluster.evacuate("hall-b");
+    cluster.playWithQuickJobs(Millis(8'000));
+    CHECK(cluster.runningIn(evacuated) > 0);
+    CHECK(cluster.runningIn("hall-b") == 0);
+    CHECK(cluster.status(0, TwoHalls::longRunning) == JobStatus::Running);
+    CHECK(cluster.witness.breaches().empty());
+}
+
+TEST_CASE("Two data halls are evacuated at once: nothing starts, budgets hold, and all goes on after one is withdrawn")
+{
+    TwoHalls cluster(1, Millis(5'000));
+    cluster.evacuate(evacuated);
+    cluster.evacuate("hall-b");
+    cluster.playWithQuickJobs(Millis(8'000));
+    const std::uint64_t starts = cluster.witness.starts();
+    cluster.playWithQuickJobs(Millis(1'000));
+    CHECK(cluster.witness.starts() == starts);
+    cluster.evacuate("hall-b", false);
+    cluster.playWithQuickJobs(Millis(8'000));
+    CHECK(cluster.witness.starts() > starts);
+    CHECK(cluster.runningIn(evacuated) == 0);
+    CHECK(cluster.status(0, TwoHalls::longRunning) == JobStatus::Running);
+    CHECK(cluster.witness.breaches().empty());
+}
+
+/// Guards against an evacuation that the cut hides: its workers are told of nothing, and must get nothing once they are back.
+TEST_CASE("A data hall that is evacuated while it is cut off gets no starts when it is reached again")
+{
+    TwoHalls cluster(1, Millis(5'000));
+    const auto cut = [&](bool isCut) {
+        for (auto& [id, worker] : cluster.workers.workers())
+            worker.trouble.cutOff = isCut && worker.entry.dataHall == evacuated;
+    };
+    cut(true);
+    cluster.playWithQuickJobs(Millis(1'000));
+    cluster.evacuate(evacuated);
+    cluster.playWithQuickJobs(Millis(5'500));
+    cut(false);
+    cluster.playWithQuickJobs(Millis(8'000));
+    CHECK(cluster.runningIn(evacuated) == 0);
+    CHECK(cluster.status(0, TwoHalls::longRunning) == JobStatus::Running);
+    CHECK(cluster.witness.breaches().empty());
+}
+
+TEST_CASE("An evacuation is in force in time while the store is slow")
+{
+    TwoHalls cluster(1, Millis(5'000));
+    cluster.store.trouble.answerTime = Millis(300);
+    cluster.playWithQuickJobs(Millis(1'000));
+    cluster.evacuate(evacuated);
+    cluster.playWithQuickJobs(Millis(10'000));
+    CHECK(cluster.witness.breaches().empty());
+    CHECK(cluster.runningIn(evacuated) == 0);
+}
