Stand-in of the platform for the job service, over HTTP

The job service ran against its platform only in models within one process, on a simulated clock. job_platform_standin serves the store (conditional transactions, ranges, watches, leases, 20 s of history), the fleet interface (list, move, maintenance) and the workers, each instance on a port of its own. A control connection sets faults: the store refuses, is silent or slow, loses answers or carries writes out late; workers are killed, start again under their id or a new one, are mute or slow. What happens at workers and instances is written to standard output, one JSON object a line.

--- /dev/null
+++ b/standins/job_platform/control_service.h
@@ -0,0 +1,36 @@
+#pragma once
+/// \file
+/// The connection over which a test sets faults and writes as the platform's operators do.
+
+#include "fleet.h"
+#include "lanemoor/aio/http_listener.h"
+#include "store_service.h"
+
+#include <cstdint>
+
+namespace lanemoor::standin {
+
+/// \brief Answers POST requests with JSON bodies:
+///
+/// | path | fields |
+/// | --- | --- |
+/// | `/begin` | `addresses`: by instance, under which its worker is entered in the store |
+/// | `/store-faults` | `refusing`, `silent`, `lost_answers`, `late_writes`, `answer_ms` |
+/// | `/put`, `/remove` | `key`, `value` |
+/// | `/kill` | `instance`, `back_ms`, `keeps_id` |
+/// | `/worker-faults` | `instance`, `mute`, `answer_ms` |
+class ControlService {
+public:
+    ControlService(aio::AsioEventLoop& loop, StoreService& store, Fleet& fleet);
+
+    [[nodiscard]] std::uint16_t port() const { return m_listener.port(); }
+
+private:
+    [[nodiscard]] HttpResponse serve(const HttpRequest& request);
+
+    StoreService& m_store;
+    Fleet& m_fleet;
+    aio::HttpListener m_listener;
+};
+
+} // namespace lanemoor::standin
--- /dev/null
+++ b/standins/job_platform/main.cpp
@@ -0,0 +1,85 @@
+/// \file
+/// A stand-in of the platform for the job service: store, fleet interface and workers over HTTP on loopback.
+/// Usage: job_platform_standin [--seed N] [--instances N] [--reserve N] [--halls N]
+///
+/// The first line of its output names its ports. Workers start with the control call `/begin`. Ends with SIGTERM.
+
+#include "control_service.h"
+#include "lanemoor/aio/asio_event_loop.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <map>
+#include <string>
+
+using namespace lanemoor;
+using namespace lanemoor::standin;
+
+namespace {
+
+constexpr unsigned racksPerHall = 2;
+const std::string reservePool = "reserve";
+
+/// Numbers on the command line, by name.
+struct Options {
+    std::uint64_t seed = 1;
+    unsigned instances = 12;
+    unsigned reserve = 4;
+    unsigned halls = 3;
+};
+
+Options readOptions(int count, char** arguments)
+{
+    std::map<std::string, std::uint64_t> values;
+    for (int i = 1; i + 1 < count; i += 2)
+        values[arguments[i]] = std::strtoull(arguments[i + 1], nullptr, 10);
+    const auto value = [&values](const char* name, std::uint64_t otherwise) { return values.contains(name) ? values[name] : otherwise; };
+    Options options;
+    options.seed = value("--seed", options.seed);
+    options.instances = static_cast<unsigned>(value("--instances", options.instances));
+    options.reserve = static_cast<unsigned>(value("--reserve", options.reserve));
+    options.halls = static_cast<unsigned>(std::max<std::uint64_t>(value("--halls", options.halls), 1));
+    return options;
+}
+
+/// Instances of the pools `alpha` and `beta` in turn, then those of the reserve, spread evenly over data halls and racks.
+void addInstances(Fleet& fleet, const Options& options)
+{
+    fleet.addReserve(reservePool);
+    for (unsigned i = 0; i < options.instances + options.reserve; ++i) {
+        const std::string hall = "hall-" + std::to_string(i / 2 % options.halls);
+        const std::string rack = hall + "-rack-" + std::to_string(i / 2 / options.halls % racksPerHall);
+        const std::string pool = i >= options.instances ? reservePool : i % 2 == 0 ? "alpha"
+                                                                                   : "beta";
+        fleet.add({ .id = "m-" + std::to_string(i), .pool = pool, .dataHall = hall, .rack = rack });
+    }
+}
+
+int serve(const Options& options)
+{
+    aio::AsioEventLoop loop;
+    EventWriter events;
+    StoreService store(loop, options.seed);
+    Fleet fleet(loop, store, events);
+    addInstances(fleet, options);
+    const ControlService control(loop, store, fleet);
+    loop.onSignals({ SIGTERM, SIGINT }, [&loop](int) { loop.stop(); });
+    events.write("ready", { { "store", store.port() }, { "fleet", fleet.port() }, { "control", control.port() }, { "workers", fleet.workerPorts() } });
+    loop.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int count, char** arguments)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        return serve(readOptions(count, arguments));
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << std::endl;
+        return 1;
+    }
+}
--- /dev/null
+++ b/standins/job_platform/worker.h
@@ -0,0 +1,99 @@
+#pragma once
+/// \file
+/// One incarnation of a worker: leases on its own clock, fencing, and the reports it keeps until they are acknowledged.
+
+#include "event_writer.h"
+#include "lanemoor/aio/http_listener.h"
+#include "lanemoor/jobs/model/event_loop.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lanemoor::standin {
+
+/// Who a worker is.
+struct WorkerIdentity {
+    std::string id;
+    std::string instance;
+    std::string dataHall;
+    std::int64_t startedAt = 0; ///< Of this incarnation, Unix ms.
+};
+
+/// \brief Carries out the calls of one incarnation. Its runs end with it.
+///
+/// A payload is a JSON object: `ms` is the run time and `fails` (optional) ends the run as a failure.
+class Worker {
+public:
+    Worker(jobs::EventLoop& loop, EventWriter& events, WorkerIdentity identity);
+    ~Worker();
+    Worker(const Worker&) = delete;
+    Worker& operator=(const Worker&) = delete;
+
+    [[nodiscard]] const WorkerIdentity& identity() const noexcept { return m_identity; }
+
+    /// \name Calls
+    /// Each takes the body of the request and answers once, now or later.
+    ///@{
+    void start(const nlohmann::json& body, const aio::HttpResponder& respond);
+    void stop(const nlohmann::json& body, const aio::HttpResponder& respond);
+    void hold(const nlohmann::json& body, const aio::HttpResponder& respond);
+    void pace(const nlohmann::json& body, const aio::HttpResponder& respond);
+    ///@}
+
+private:
+    using Run = std::pair<std::string, std::uint64_t>; ///< Task and number of the attempt.
+
+    struct Progress {
+        std::string checkpoint;
+        jobs::MonotonicInstant startedAt;
+        jobs::MonotonicInstant endsAt;
+        jobs::TimerId end = 0;
+    };
+
+    struct End {
+        std::uint64_t sequence = 0;
+        Run run;
+        const char* how = "";
+    };
+
+    struct Waiting {
+        aio::HttpResponder respond;
+        jobs::TimerId timeout = 0;
+    };
+
+    [[nodiscard]] bool isFenced(const nlohmann::json& body);
+    [[nodiscard]] HttpResponse begin(const Run& run, const nlohmann::json& body);
+    void extendLease(std::int64_t until);
+    void lapse();
+    void endRun(const Run& run, const char* how);
+    void acknowledge(std::uint64_t upTo);
+    void answerWaiting();
+    void tell(const char* event, const Run& run);
+    [[nodiscard]] nlohmann::json report() const;
+    [[nodiscard]] std::int64_t clock() const;
+    [[nodiscard]] jobs::MonotonicInstant instantOf(std::int64_t clock) const;
+
+    jobs::EventLoop& m_loop;
+    EventWriter& m_events;
+    WorkerIdentity m_identity;
+    jobs::MonotonicInstant m_clockStart; ///< When its clock showed 0.
+    std::int64_t m_fence = 0;
+    jobs::MonotonicInstant m_leaseUntil;
+    jobs::TimerId m_lapse = 0;
+    std::map<Run, Progress> m_running;
+    std::deque<End> m_ended;
+    std::uint64_t m_lastEnd = 0;
+    std::uint64_t m_lapsedUpTo = 0; ///< Acknowledging an end before a lapse does not record it.
+    std::map<std::string, std::uint64_t> m_settled; ///< Highest attempt stopped or ended, by task.
+    std::vector<jobs::TimerId> m_stops;
+    std::map<std::uint64_t, Waiting> m_waiting;
+    std::uint64_t m_lastWaiting = 0;
+};
+
+} // namespace lanemoor::standin
