Soak of real processes of the job service under random faults

What sockets, signals, kernel buffers and clocks do to the job service was shown by no test. The soak starts the stand-in of the platform and a number of lanemoor processes, submits and cancels jobs, and disturbs processes (SIGSTOP, SIGKILL, SIGTERM, restarts), the store, workers, and the paths from each process to the store and to the workers of each data hall by a plan that its seed determines. The checks are one module with a name for each promise; a breach is reported with the lines of all logs about its ids.

Not disturbed: connections of callers to the processes, and of the processes to each other, which do not pass through the proxy.

--- /dev/null
+++ b/tests/soak/callers.cpp
@@ -0,0 +1,231 @@
+#include "callers.h"
+
+#include "lanemoor/decisions/time.h"
+
+#include <array>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+namespace lanemoor::soak {
+
+namespace {
+
+using aio::Delivery;
+using nlohmann::json;
+
+constexpr unsigned ok = 200;
+constexpr unsigned gone = 410;
+constexpr unsigned unknownOutcome = 504;
+constexpr Millis callTime { 6'000 };
+constexpr Millis closeMargin { 200 }; // An unanswered call that ends earlier than its deadline by this was closed.
+constexpr Millis balancerPause { 100 };
+constexpr Millis balancerTime { 500 };
+constexpr Millis retryPause { 1'000 };
+constexpr std::int64_t meanPause = 80; // Between submissions, ms.
+constexpr unsigned mostTries = 4;
+constexpr unsigned mostSteps = 2;
+constexpr unsigned mostTasks = 4;
+constexpr unsigned probeTime = 50; // ms
+constexpr std::uint32_t attempts = 3; // As the configuration has it.
+constexpr unsigned failingOneIn = 30;
+constexpr unsigned longOneIn = 15;
+constexpr unsigned cancelledOneIn = 10;
+constexpr unsigned triedOnceOneIn = 2;
+
+std::int64_t now()
+{
+    return currentInstant().time_since_epoch().count();
+}
+
+json stepOf(unsigned tasks, unsigned number, unsigned estimate)
+{
+    json step { { "count", tasks }, { "cpu", 500 }, { "mem_mb", 256 }, { "est_ms", estimate } };
+    if (number > 0)
+        step["depends_on"] = json::array({ number - 1 });
+    return step;
+}
+
+Submission judge(const aio::HttpReply& reply)
+{
+    if (reply.delivery == Delivery::NotSent)
+        return Submission::Refused;
+    if (reply.delivery == Delivery::Unanswered || reply.response.status == unknownOutcome)
+        return Submission::Unknown;
+    return reply.response.status == ok ? Submission::Accepted : Submission::Refused;
+}
+
+} // namespace
+
+Callers::Callers(aio::AsioEventLoop& loop, SoakCluster& cluster, Promises& promises, std::function<void()> drainEvents)
+    : m_loop(loop)
+    , m_cluster(cluster)
+    , m_promises(promises)
+    , m_drainEvents(std::move(drainEvents))
+    , m_client(loop, { .mostConnections = 256 })
+    , m_balancer(loop, { .mostConnections = 2 })
+    , m_random(cluster.options().seed)
+{
+}
+
+void Callers::submitUntil(jobs::MonotonicInstant end)
+{
+    m_end = end;
+    submitNext();
+}
+
+void Callers::submitNext()
+{
+    if (m_loop.now() >= m_end)
+        return;
+    const Call call = makeCall();
+    ++m_counts.submitted;
+    submit(call, readyEntry());
+    if (happens(cancelledOneIn))
+        cancelLater(call);
+    const Millis pause(static_cast<std::int64_t>(m_random() % (2 * meanPause)));
+    m_loop.callAt(m_loop.now() + pause, [this] { submitNext(); });
+}
+
+Callers::Call Callers::makeCall()
+{
+    std::array<char, 17> id {};
+    std::snprintf(id.data(), id.size(), "%016llx", static_cast<unsigned long long>(m_random()));
+    constexpr unsigned shortest = 50;
+    constexpr unsigned spread = 500;
+    constexpr unsigned extra = 3'000;
+    const unsigned time = shortest + static_cast<unsigned>(m_random() % spread) + (happens(longOneIn) ? extra : 0);
+    json payload { { "ms", time } };
+    if (happens(failingOneIn))
+        payload["fails"] = true;
+    SubmittedJob job { .id = id.data(), .tasks = {}, .mostAttempts = attempts };
+    json steps = json::array();
+    const auto count = 1 + static_cast<unsigned>(m_random() % mostSteps);
+    for (unsigned number = 0; number < count; ++number) {
+        job.tasks.push_back(1 + static_cast<std::uint32_t>(m_random() % mostTasks));
+        steps.push_back(stepOf(job.tasks.back(), number, time));
+    }
+    m_promises.noteSubmitted(job);
+    m_queues[job.id] = happens(2) ? "alpha" : "beta";
+    const json body { { "spec", payload.dump() }, { "steps", steps } };
+    return { .id = job.id, .queue = m_queues[job.id], .body = body.dump(), .triesLeft = happens(triedOnceOneIn) ? 1 : mostTries };
+}
+
+std::string Callers::probe(unsigned entry)
+{
+    const json body { { "spec", json { { "ms", probeTime } }.dump() }, { "steps", json::array({ stepOf(1, 0, probeTime) }) } };
+    Call call = makeCall();
+    m_promises.noteSubmitted({ .id = call.id, .tasks = { 1 }, .mostAttempts = attempts });
+    call.body = body.dump();
+    call.triesLeft = 1;
+    submit(call, entry);
+    return call.id;
+}
+
+void Callers::submit(const Call& call, unsigned entry)
+{
+    HttpRequest request { .method = "POST", .target = '/' + call.queue + '/' + call.id, .headers = {}, .body = call.body };
+    request.headers.add("Content-Type", "application/json");
+    send(entry, std::move(request), call.id, [this, call](const aio::HttpReply& reply) { onAnswer(call, reply); });
+}
+
+void Callers::onAnswer(Call call, const aio::HttpReply& reply)
+{
+    const Submission answer = judge(reply);
+    m_promises.noteAnswer(call.id, answer);
+    m_counts.refusals += answer == Submission::Refused ? 1 : 0;
+    m_counts.unknown += answer == Submission::Unknown ? 1 : 0;
+    if (answer == Submission::Accepted || --call.triesLeft == 0)
+        return;
+    m_loop.callAt(m_loop.now() + retryPause, [this, call] { submit(call, readyEntry()); });
+}
+
+void Callers::cancelLater(const Call& call)
+{
+    constexpr std::uint64_t mostPause = 2'000;
+    m_loop.callAt(m_loop.now() + Millis(static_cast<std::int64_t>(m_random() % mostPause)), [this, id = call.id] { cancel(id, mostTries); });
+}
+
+void Callers::cancel(const std::string& id, unsigned triesLeft)
+{
+    m_promises.noteCancelSent(id);
+    HttpRequest request { .method = "DELETE", .target = '/' + m_queues[id] + '/' + id, .headers = {}, .body = {} };
+    send(readyEntry(), std::move(request), id, [this, id, triesLeft](const aio::HttpReply& reply) {
+        if (reply.delivery == Delivery::Answered && reply.response.status == ok) {
+            ++m_counts.cancels;
+            m_promises.noteCancelled(id, now());
+        } else if (triesLeft > 1 && !(reply.delivery == Delivery::Answered && reply.response.status == gone)) {
+            m_loop.callAt(m_loop.now() + retryPause, [this, id, triesLeft] { cancel(id, triesLeft - 1); });
+        }
+    });
+}
+
+void Callers::askForOpenJobs()
+{
+    for (const std::string& id : m_promises.openJobs()) {
+        if (m_asked.insert(id).second)
+            ask(id);
+    }
+}
+
+void Callers::ask(const std::string& id)
+{
+    const HttpRequest request { .method = "GET", .target = '/' + m_queues[id] + '/' + id, .headers = {}, .body = {} };
+    send(readyEntry(), request, id, [this, id](const aio::HttpReply& reply) {
+        m_asked.erase(id);
+        if (reply.delivery != Delivery::Answered)
+            return;
+        m_drainEvents();
+        const json body = json::parse(reply.response.body, nullptr, false);
+        if (reply.response.status == gone)
+            m_promises.noteStatus(id, {}, now());
+        else if (reply.response.status == ok && body.is_object())
+            m_promises.noteStatus(id, body.value("state", ""), now());
+    });
+}
+
+void Callers::send(unsigned entry, HttpRequest request, const std::string& id, std::function<void(const aio::HttpReply&)> done)
+{
+    request.headers.add("Host", names::host);
+    const SoakCluster::Entry& target = m_cluster.entries()[entry];
+    const jobs::MonotonicInstant deadline = m_loop.now() + callTime;
+    m_client.send(target.front(), { .request = std::move(request), .deadline = deadline }, [this, &target, id, deadline, incarnation = target.incarnation, wasReady = target.isReady, done = std::move(done)](const aio::HttpReply& reply) {
+        const bool isClosed = reply.delivery == Delivery::Unanswered && m_loop.now() + closeMargin < deadline;
+        const bool mayHaveBeenKilled = target.isKilled || target.incarnation != incarnation;
+        // A balancer sends nothing to a process that says it is not ready.
+        if (isClosed && wasReady && !mayHaveBeenKilled)
+            m_promises.noteCut(target.name, id, now());
+        done(reply);
+    });
+}
+
+void Callers::balance()
+{
+    for (SoakCluster::Entry& entry : m_cluster.entries()) {
+        if (!entry.process)
+            continue;
+        const HttpRequest request { .method = "GET", .target = "/", .headers = {}, .body = {} };
+        m_balancer.send(entry.readiness(), { .request = request, .deadline = m_loop.now() + balancerTime }, [this, &entry, incarnation = entry.incarnation](const aio::HttpReply& reply) {
+            const bool isReady = reply.delivery == Delivery::Answered && reply.response.status == ok;
+            if (incarnation != entry.incarnation)
+                return;
+            if (entry.isReady && !isReady)
+                m_client.forget(entry.front());
+            entry.isReady = isReady;
+        });
+    }
+    m_loop.callAt(m_loop.now() + balancerPause, [this] { balance(); });
+}
+
+unsigned Callers::readyEntry()
+{
+    std::vector<unsigned> ready;
+    std::vector<SoakCluster::Entry>& entries = m_cluster.entries();
+    for (unsigned index = 0; index < entries.size(); ++index) {
+        if (entries[index].isReady)
+            ready.push_back(index);
+    }
+    const std::uint64_t choice = m_random();
+    return ready.empty() ? static_cast<unsigned>(choice % entries.size()) : ready[choice % ready.size()];
+}
+
+} // namespace lanemoor::soak
--- /dev/null
+++ b/tests/soak/callers.h
@@ -0,0 +1,80 @@
+#pragma once
+/// \file
+/// Callers of the job service, and the balancer that sends them to a process.
+
+#include "lanemoor/aio/asio_event_loop.h"
+#include "lanemoor/aio/http_client.h"
+#include "promises.h"
+#include "soak_cluster.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+
+namespace lanemoor::soak {
+
+/// Counts of what callers saw.
+struct CallerCounts {
+    std::uint64_t submitted = 0;
+    std::uint64_t refusals = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t cancels = 0;
+};
+
+/// \brief Submits jobs, cancels some of them, and asks for their status.
+class Callers {
+public:
+    /// \param drainEvents Reads what workers have told so far; called before a status is judged.
+    Callers(aio::AsioEventLoop& loop, SoakCluster& cluster, Promises& promises, std::function<void()> drainEvents);
+
+    /// \brief Submits jobs at random times until `end`.
+    void submitUntil(jobs::MonotonicInstant end);
+
+    /// \brief Asks each process whether it takes requests, again and again.
+    void balance();
+
+    /// \brief Submits a job of one short task at a process. \returns Its id.
+    std::string probe(unsigned entry);
+
+    /// \brief Asks for the status of all jobs that are not known to have ended.
+    void askForOpenJobs();
+
+    [[nodiscard]] const CallerCounts& counts() const noexcept { return m_counts; }
+
+private:
+    struct Call {
+        std::string id;
+        std::string queue;
+        std::string body;
+        unsigned triesLeft = 0;
+    };
+
+    void submitNext();
+    [[nodiscard]] Call makeCall();
+    void submit(const Call& call, unsigned entry);
+    void onAnswer(Call call, const aio::HttpReply& reply);
+    void cancelLater(const Call& call);
+    void cancel(const std::string& id, unsigned triesLeft);
+    void ask(const std::string& id);
+    /// Sends a request about a job and notes a connection that is closed before the answer.
+    void send(unsigned entry, HttpRequest request, const std::string& id, std::function<void(const aio::HttpReply&)> done);
+    [[nodiscard]] unsigned readyEntry();
+    [[nodiscard]] bool happens(unsigned oneIn) { return m_random() % oneIn == 0; }
+
+    aio::AsioEventLoop& m_loop;
+    SoakCluster& m_cluster;
+    Promises& m_promises;
+    std::function<void()> m_drainEvents;
+    aio::HttpClient m_client;
+    aio::HttpClient m_balancer;
+    std::mt19937_64 m_random;
+    jobs::MonotonicInstant m_end;
+    std::map<std::string, std::string> m_queues; ///< By job.
+    std::set<std::string> m_cancelled; ///< Jobs that a cancel is on its way for.
+    std::set<std::string> m_asked; ///< Jobs whose status is being asked for.
+    CallerCounts m_counts;
+};
+
+} // namespace lanemoor::soak
--- /dev/null
+++ b/tests/soak/fault_plan.cpp
@@ -0,0 +1,135 @@
+#include "fault_plan.h"
+
+#include <algorithm>
+#include <random>
+
+namespace lanemoor::soak {
+
+namespace {
+
+constexpr Millis cycle { 30'000 };
+constexpr Millis calmFrom { 18'000 }; // In each cycle; until its end.
+constexpr Millis evacuationFrom { 15'000 };
+constexpr Millis evacuationTime { 14'000 };
+constexpr unsigned ownerOneIn = 2; // Faults of processes that meet the owner.
+
+/// Faults of a series, one at a time, with pauses between them.
+struct Series {
+    std::vector<FaultKind> kinds;
+    Millis leastPause { 0 };
+    Millis mostPause { 0 };
+    Millis leastDuration { 0 };
+    Millis mostDuration { 0 };
+    bool alsoInCalm = false;
+};
+
+const std::vector<Series>& allSeries()
+{
+    static const std::vector<Series> series {
+        { { FaultKind::PauseProcess, FaultKind::KillProcess, FaultKind::StopProcess }, Millis(500), Millis(2'500), Millis(300), Millis(4'000), false },
+        { { FaultKind::PauseProcess, FaultKind::KillProcess }, Millis(2'000), Millis(6'000), Millis(300), Millis(2'500), false },
+        { { FaultKind::RefuseStore, FaultKind::SilenceStore, FaultKind::SlowStore, FaultKind::LoseStoreAnswers, FaultKind::DelayStoreWrites }, Millis(2'000), Millis(6'000), Millis(500), Millis(3'500), false },
+        { { FaultKind::CutProcessFromStore, FaultKind::ResetProcessFromStore, FaultKind::SilenceProcessFromStore }, Millis(1'000), Millis(4'000), Millis(300), Millis(3'000), false },
+        { { FaultKind::CutHallForward, FaultKind::CutHallBackward, FaultKind::CutGroups, FaultKind::DelayHall }, Millis(1'000), Millis(4'000), Millis(500), Millis(5'000), false },
+        { { FaultKind::KillWorker, FaultKind::RestartWorker, FaultKind::MuteWorker, FaultKind::SlowWorker }, Millis(1'000), Millis(3'000), Millis(300), Millis(7'000), true },
+        { { FaultKind::ChangeConfiguration }, Millis(2'000), Millis(5'000), Millis(0), Millis(0), true },
+    };
+    return series;
+}
+
+Millis between(std::mt19937_64& random, Millis least, Millis most)
+{
+    // Not std::uniform_int_distribution: its results differ between libraries.
+    const auto span = static_cast<std::uint64_t>((most - least).count()) + 1;
+    return least + Millis(static_cast<std::int64_t>(random() % span));
+}
+
+void planSeries(const Series& series, std::mt19937_64& random, Millis end, std::vector<PlannedFault>& faults)
+{
+    Millis at { 0 };
+    while (true) {
+        at += between(random, series.leastPause, series.mostPause);
+        PlannedFault fault { .at = at, .duration = between(random, series.leastDuration, series.mostDuration) };
+        fault.kind = series.kinds[random() % series.kinds.size()];
+        fault.onOwner = random() % ownerOneIn == 0;
+        fault.target = static_cast<unsigned>(random());
+        fault.hall = static_cast<unsigned>(random());
+        const Millis inCycle = at % cycle;
+        at += fault.duration;
+        if (at > end)
+            return;
+        if (series.alsoInCalm || inCycle + fault.duration <= calmFrom)
+            faults.push_back(fault);
+    }
+}
+
+} // namespace
+
+std::string_view nameOf(FaultKind kind) noexcept
+{
+    switch (kind) {
+    case FaultKind::PauseProcess:
+        return "pause-process";
+    case FaultKind::KillProcess:
+        return "kill-process";
+    case FaultKind::StopProcess:
+        return "stop-process";
+    case FaultKind::RefuseStore:
+        return "refuse-store";
+    case FaultKind::SilenceStore:
+        return "silence-store";
+    case FaultKind::SlowStore:
+        return "slow-store";
+    case FaultKind::LoseStoreAnswers:
+        return "lose-store-answers";
+    case FaultKind::DelayStoreWrites:
+        return "delay-store-writes";
+    case FaultKind::CutProcessFromStore:
+        return "cut-process-from-store";
+    case FaultKind::ResetProcessFromStore:
+        return "reset-process-from-store";
+    case FaultKind::SilenceProcessFromStore:
+        return "silence-process-from-store";
+    case FaultKind::CutHallForward:
+        return "cut-hall-forward";
+    case FaultKind::CutHallBackward:
+        return "cut-hall-backward";
+    case FaultKind::CutGroups:
+        return "cut-groups";
+    case FaultKind::DelayHall:
+        return "delay-hall";
+    case FaultKind::KillWorker:
+        return "kill-worker";
+    case FaultKind::RestartWorker:
+        return "restart-worker";
+    case FaultKind::MuteWorker:
+        return "mute-worker";
+    case FaultKind::SlowWorker:
+        return "slow-worker";
+    case FaultKind::ChangeConfiguration:
+        return "change-configuration";
+    case FaultKind::EvacuateHall:
+        return "evacuate-hall";
+    }
+    return "";
+}
+
+std::vector<PlannedFault> planFaults(std::uint64_t seed, unsigned seconds)
+{
+    const Millis end = std::chrono::seconds(seconds);
+    std::vector<PlannedFault> faults;
+    std::uint64_t number = 0;
+    for (const Series& series : allSeries()) {
+        std::seed_seq numbers { seed, ++number };
+        std::mt19937_64 random(numbers);
+        planSeries(series, random, end, faults);
+    }
+    std::seed_seq numbers { seed, ++number };
+    std::mt19937_64 random(numbers);
+    for (Millis at = evacuationFrom; at + evacuationTime <= end; at += cycle)
+        faults.push_back({ .at = at, .duration = evacuationTime, .kind = FaultKind::EvacuateHall, .hall = static_cast<unsigned>(random()) });
+    std::stable_sort(faults.begin(), faults.end(), [](const PlannedFault& a, const PlannedFault& b) { return a.at < b.at; });
+    return faults;
+}
+
+} // namespace lanemoor::soak
--- /dev/null
+++ b/tests/soak/fault_runner.cpp
@@ -0,0 +1,266 @@
+#include "fault_runner.h"
+
+#include "lanemoor/decisions/time.h"
+
+#include <csignal>
+#include <ostream>
+#include <utility>
+
+namespace lanemoor::soak {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Millis stopCheck { 20 };
+constexpr Millis stopLimit { 12'000 }; // Twice the grace that the settings give.
+constexpr Millis slowAnswer { 240 }; // 60 times the store's usual time.
+constexpr double lostShare = 0.35;
+constexpr Millis hallDelay { 40 };
+constexpr Millis slowWorker { 400 };
+
+std::int64_t unixNow()
+{
+    return currentInstant().time_since_epoch().count();
+}
+
+} // namespace
+
+FaultRunner::FaultRunner(aio::AsioEventLoop& loop, SoakCluster& cluster, Promises& promises, std::function<unsigned()> owner, std::ostream& record)
+    : m_loop(loop)
+    , m_cluster(cluster)
+    , m_promises(promises)
+    , m_owner(std::move(owner))
+    , m_record(record)
+{
+}
+
+void FaultRunner::run(const std::vector<PlannedFault>& plan)
+{
+    for (const PlannedFault& fault : plan)
+        after(fault.at, [this, fault] { begin(fault); });
+}
+
+bool FaultRunner::isOver() const
+{
+    return m_pending == 0 && m_disturbed.empty();
+}
+
+void FaultRunner::after(Millis time, std::function<void()> callback)
+{
+    ++m_pending;
+    m_loop.callAt(m_loop.now() + time, [this, callback = std::move(callback)] {
+        --m_pending;
+        callback();
+    });
+}
+
+void FaultRunner::begin(const PlannedFault& fault)
+{
+    ++m_faults;
+    switch (fault.kind) {
+    case FaultKind::PauseProcess:
+    case FaultKind::KillProcess:
+    case FaultKind::StopProcess:
+        beginOnProcess(fault);
+        return;
+    case FaultKind::RefuseStore:
+    case FaultKind::SilenceStore:
+    case FaultKind::SlowStore:
+    case FaultKind::LoseStoreAnswers:
+    case FaultKind::DelayStoreWrites:
+        beginOnStore(fault);
+        return;
+    case FaultKind::CutProcessFromStore:
+    case FaultKind::ResetProcessFromStore:
+    case FaultKind::SilenceProcessFromStore:
+    case FaultKind::CutHallForward:
+    case FaultKind::CutHallBackward:
+    case FaultKind::CutGroups:
+    case FaultKind::DelayHall:
+        beginOnPath(fault);
+        return;
+    case FaultKind::KillWorker:
+    case FaultKind::RestartWorker:
+    case FaultKind::MuteWorker:
+    case FaultKind::SlowWorker:
+        beginOnWorker(fault);
+        return;
+    case FaultKind::ChangeConfiguration:
+        tell(nameOf(fault.kind), { { "version", m_cluster.configurationVersion() + 1 } });
+        m_cluster.configure();
+        return;
+    case FaultKind::EvacuateHall:
+        evacuate(fault);
+        return;
+    }
+}
+
+unsigned FaultRunner::processOf(const PlannedFault& fault) const
+{
+    const auto processes = static_cast<unsigned>(m_cluster.entries().size());
+    const unsigned owner = fault.onOwner ? m_owner() : processes;
+    return owner < processes ? owner : fault.target % processes;
+}
+
+void FaultRunner::beginOnProcess(const PlannedFault& fault)
+{
+    const unsigned process = processOf(fault);
+    // One process at least goes on.
+    if (m_disturbed.contains(process) || m_disturbed.size() + 1 >= m_cluster.entries().size())
+        return;
+    tell(nameOf(fault.kind), { { "process", m_cluster.entries()[process].name }, { "ms", fault.duration.count() } });
+    m_disturbed.insert(process);
+    m_promises.noteTrouble(unixNow() + fault.duration.count());
+    if (fault.kind == FaultKind::PauseProcess)
+        pause(process, fault.duration);
+    else if (fault.kind == FaultKind::KillProcess)
+        kill(process, fault.duration);
+    else
+        stop(process, fault.duration);
+}
+
+void FaultRunner::pause(unsigned process, Millis time)
+{
+    m_cluster.entries()[process].process->signal(SIGSTOP);
+    after(time, [this, process] {
+        m_cluster.entries()[process].process->signal(SIGCONT);
+        m_disturbed.erase(process);
+    });
+}
+
+void FaultRunner::kill(unsigned process, Millis time)
+{
+    SoakCluster::Entry& entry = m_cluster.entries()[process];
+    entry.isKilled = true;
+    entry.isReady = false;
+    entry.process.reset();
+    after(time, [this, process] { restart(process); });
+}
+
+void FaultRunner::stop(unsigned process, Millis time)
+{
+    SoakCluster::Entry& entry = m_cluster.entries()[process];
+    entry.isStopping = true;
+    entry.process->signal(SIGTERM);
+    awaitStop(process, m_loop.now() + time, m_loop.now() + stopLimit);
+}
+
+void FaultRunner::awaitStop(unsigned process, jobs::MonotonicInstant restartAt, jobs::MonotonicInstant limit)
+{
+    SoakCluster::Entry& entry = m_cluster.entries()[process];
+    const jobs::MonotonicInstant now = m_loop.now();
+    const bool hasEnded = entry.process->exitCode().has_value();
+    if (hasEnded && now >= restartAt) {
+        restart(process);
+        return;
+    }
+    if (!hasEnded && now >= limit) {
+        m_promises.noteStopTooLong(entry.name, unixNow());
+        kill(process, Millis(0));
+        return;
+    }
+    after(stopCheck, [this, process, restartAt, limit] { awaitStop(process, restartAt, limit); });
+}
+
+void FaultRunner::restart(unsigned process)
+{
+    m_promises.noteTrouble(unixNow());
+    m_cluster.startEntry(process);
+    m_disturbed.erase(process);
+}
+
+void FaultRunner::beginOnStore(const PlannedFault& fault)
+{
+    json faults = json::object();
+    if (fault.kind == FaultKind::RefuseStore)
+        faults["refusing"] = true;
+    else if (fault.kind == FaultKind::SilenceStore)
+        faults["silent"] = true;
+    else if (fault.kind == FaultKind::SlowStore)
+        faults["answer_ms"] = slowAnswer.count();
+    else if (fault.kind == FaultKind::LoseStoreAnswers)
+        faults["lost_answers"] = lostShare;
+    else
+        faults["late_writes"] = lostShare;
+    tell(nameOf(fault.kind), { { "ms", fault.duration.count() } });
+    m_promises.noteTrouble(unixNow() + fault.duration.count());
+    m_cluster.control("/store-faults", faults);
+    after(fault.duration, [this] { m_cluster.control("/store-faults", json::object()); });
+}
+
+void FaultRunner::beginOnPath(const PlannedFault& fault)
+{
+    const unsigned process = processOf(fault);
+    SoakCluster::Entry& entry = m_cluster.entries()[process];
+    const unsigned hall = fault.hall % m_cluster.options().halls;
+    tell(nameOf(fault.kind), { { "process", entry.name }, { "hall", hallName(hall) }, { "ms", fault.duration.count() } });
+    m_promises.noteTrouble(unixNow() + fault.duration.count());
+    const std::shared_ptr<Path>& toHall = entry.toHalls[hall];
+    switch (fault.kind) {
+    case FaultKind::CutProcessFromStore:
+        cut(entry.toStore, { .cutForward = true, .cutBackward = true }, fault.duration);
+        return;
+    case FaultKind::ResetProcessFromStore:
+        entry.toStore->reset();
+        cut(entry.toStore, { .refusing = true }, fault.duration);
+        return;
+    case FaultKind::SilenceProcessFromStore:
+        entry.toStore->silence();
+        return;
+    case FaultKind::CutHallForward:
+        cut(toHall, { .cutForward = true }, fault.duration);
+        return;
+    case FaultKind::CutHallBackward:
+        cut(toHall, { .cutBackward = true }, fault.duration);
+        return;
+    case FaultKind::DelayHall:
+        cut(toHall, { .delay = hallDelay }, fault.duration);
+        return;
+    default:
+        break;
+    }
+    // The group is every other process, beginning with this one.
+    for (std::size_t other = process % 2; other < m_cluster.entries().size(); other += 2)
+        cut(m_cluster.entries()[other].toHalls[hall], { .cutForward = true, .cutBackward = true }, fault.duration);
+}
+
+void FaultRunner::cut(const std::shared_ptr<Path>& path, const PathFaults& faults, Millis time)
+{
+    path->faults = faults;
+    after(time, [path] { path->faults = {}; });
+}
+
+void FaultRunner::beginOnWorker(const PlannedFault& fault)
+{
+    const std::string instance = m_cluster.instance(fault.target);
+    tell(nameOf(fault.kind), { { "instance", instance }, { "ms", fault.duration.count() } });
+    if (fault.kind == FaultKind::KillWorker || fault.kind == FaultKind::RestartWorker) {
+        m_cluster.control("/kill", { { "instance", instance }, { "back_ms", fault.duration.count() }, { "keeps_id", fault.kind == FaultKind::RestartWorker } });
+        return;
+    }
+    const bool isMute = fault.kind == FaultKind::MuteWorker;
+    m_cluster.control("/worker-faults", { { "instance", instance }, { "mute", isMute }, { "answer_ms", isMute ? 0 : slowWorker.count() } });
+    after(fault.duration, [this, instance] { m_cluster.control("/worker-faults", { { "instance", instance } }); });
+}
+
+void FaultRunner::evacuate(const PlannedFault& fault)
+{
+    const std::string hall = hallName(fault.hall % m_cluster.options().halls);
+    tell(nameOf(fault.kind), { { "hall", hall }, { "ms", fault.duration.count() } });
+    const std::string key = names::evacuationPrefix + hall;
+    m_cluster.control("/put", { { "key", key }, { "value", "{}" } }, [this, hall](std::int64_t at) { m_promises.noteEvacuation(hall, at); });
+    after(fault.duration, [this, hall, key] {
+        m_promises.noteEvacuationOver(hall);
+        m_cluster.control("/remove", { { "key", key } });
+    });
+}
+
+void FaultRunner::tell(std::string_view fault, const json& fields)
+{
+    json line { { "at", unixNow() }, { "event", "fault" }, { "kind", fault } };
+    line.update(fields);
+    m_record << line.dump() << std::endl;
+}
+
+} // namespace lanemoor::soak
--- /dev/null
+++ b/tests/soak/soak_cluster.h
@@ -0,0 +1,112 @@
+#pragma once
+/// \file
+/// The processes of a run and the paths between them.
+
+#include "child.h"
+#include "lanemoor/aio/asio_event_loop.h"
+#include "lanemoor/aio/http_client.h"
+#include "log_tail.h"
+#include "tcp_proxy.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace lanemoor::soak {
+
+/// How a run is made up.
+struct ClusterOptions {
+    std::string programs; ///< Folder of `lanemoor` and `job_platform_standin`.
+    std::string folder; ///< For settings and logs; exists.
+    std::uint64_t seed = 1;
+    unsigned processes = 4;
+    unsigned instances = 12;
+    unsigned reserve = 4;
+    unsigned halls = 3;
+    bool relays = false; ///< Owners have calls to workers relayed by other processes.
+};
+
+/// Names the queues, their hosts and the keys that operators write.
+namespace names {
+constexpr const char* host = "soak.test";
+constexpr const char* configurationKey = "op/config";
+constexpr const char* evacuationPrefix = "op/evacuate/";
+} // namespace names
+
+/// \returns The name of data hall number `hall`.
+[[nodiscard]] std::string hallName(unsigned hall);
+
+/// \brief The stand-in, the `lanemoor serve` processes, and a proxy in front of the store, the fleet interface and each worker.
+///
+/// Callers reach the processes, and these each other, without a proxy.
+class SoakCluster {
+public:
+    /// What a balancer and the soak know of one process.
+    struct Entry {
+        std::string name;
+        std::string ip; ///< On loopback; no other process listens there.
+        std::string settings;
+        std::string log;
+        std::unique_ptr<Child> process; ///< Null: none runs.
+        std::unique_ptr<LogTail> tail;
+        unsigned incarnation = 0;
+        bool isReady = false; ///< By its last answer to the balancer.
+        bool isKilled = false; ///< This incarnation was killed.
+        bool isStopping = false; ///< This incarnation was asked to stop.
+        std::shared_ptr<Path> toStore;
+        std::shared_ptr<Path> toFleet;
+        std::vector<std::shared_ptr<Path>> toHalls;
+        std::unique_ptr<TcpProxy> storeProxy;
+        std::unique_ptr<TcpProxy> fleetProxy;
+
+        [[nodiscard]] HttpAddress front() const;
+        [[nodiscard]] HttpAddress readiness() const;
+    };
+
+    /// \brief Starts the stand-in. \throws std::runtime_error if it does not start.
+    SoakCluster(aio::AsioEventLoop& loop, ClusterOptions options);
+
+    /// \brief Starts process number `index`.
+    void startEntry(unsigned index);
+
+    [[nodiscard]] std::vector<Entry>& entries() noexcept { return m_entries; }
+    [[nodiscard]] const ClusterOptions& options() const noexcept { return m_options; }
+
+    /// \brief Sends a call to the stand-in's control connection. \param done Called with the time at which the answer came, Unix ms.
+    void control(const std::string& path, const nlohmann::json& body, std::function<void(std::int64_t)> done = {});
+
+    /// \brief Writes the configuration with the next version.
+    void configure();
+    [[nodiscard]] std::uint64_t configurationVersion() const noexcept { return m_version; }
+
+    /// \returns The ids of the instances with workers at the beginning.
+    [[nodiscard]] std::string instance(unsigned index) const;
+
+    /// \returns New lines of the stand-in.
+    [[nodiscard]] std::vector<nlohmann::json> events() { return m_events.read(); }
+
+    /// \returns All logs.
+    [[nodiscard]] std::vector<std::string> logs() const;
+
+private:
+    void awaitStandin();
+    void addEntry(unsigned index, const nlohmann::json& ports);
+    void proxyWorkers(const nlohmann::json& ports);
+    [[nodiscard]] std::shared_ptr<Path> pathToHall(unsigned hall, std::uint16_t localPort, std::uint16_t remotePort);
+
+    aio::AsioEventLoop& m_loop;
+    ClusterOptions m_options;
+    aio::HttpClient m_client;
+    std::unique_ptr<Child> m_standin;
+    LogTail m_events;
+    HttpAddress m_control;
+    std::vector<Entry> m_entries;
+    std::vector<std::unique_ptr<TcpProxy>> m_workerProxies;
+    std::uint64_t m_version = 0;
+};
+
+} // namespace lanemoor::soak
