Ejection: the doubling pause is a module of its own

The request path's ejection and the health of workers need the same pause: 2 s, doubling with each ejection up to a limit. It moves to EjectionBackoff, which takes any clock. The rest of EjectionTracker stays as it is: it counts failures of requests in a row by endpoint and bounds a pool by the order of its members, while workers are judged by a window of calls, by run times and by racks and data halls.

--- a/include/lanemoor/decisions/ejection.h
+++ b/include/lanemoor/decisions/ejection.h
@@ -2,6 +2,7 @@
 /// \file
 /// Takes endpoints that fail their work out of the choice, and probes them back.
 
+#include "lanemoor/decisions/ejection_backoff.h"
 #include "lanemoor/decisions/time.h"
 
 #include <cstddef>
@@ -35,8 +36,7 @@
 private:
     struct Record {
         std::uint32_t failures = 0; ///< In a row.
-        std::uint32_t ejections = 0;
-        Instant until; ///< Left out before this.
+        EjectionBackoff<Instant> backoff;
     };
 
     std::map<std::string, Record> m_records;
--- a/src/decisions/ejection.cpp
+++ b/src/decisions/ejection.cpp
@@ -1,7 +1,5 @@
 #include "lanemoor/decisions/ejection.h"
 
-#include <algorithm>
-
 namespace lanemoor {
 
 namespace {
@@ -21,10 +19,9 @@
 {
     Record& record = m_records[endpoint];
     ++record.failures;
-    if (record.failures < failuresToEject || now < record.until)
+    if (record.failures < failuresToEject || now < record.backoff.until())
         return;
-    record.until = now + firstEjection * (1 << std::min(record.ejections, mostDoublings));
-    ++record.ejections;
+    record.backoff.begin(now, firstEjection, mostDoublings);
 }
 
 std::vector<std::string> EjectionTracker::ejected(const std::vector<std::string>& members, Instant now) const
@@ -33,7 +30,7 @@
     const std::size_t most = members.size() / 2;
     for (const std::string& member : members) {
         const auto record = m_records.find(member);
-        if (result.size() < most && record != m_records.end() && now < record->second.until)
+        if (result.size() < most && record != m_records.end() && now < record->second.backoff.until())
             result.push_back(member);
     }
     return result;
