Placement: sites that are distrusted come last and have a limit of starts

A worker that takes starts and answers none attracts more, as its room stays free. A site can now be marked as distrusted, which is chosen only if no other one has room, and can have a number of starts left. Distrusted sites are kept in a list of their own, so that no choice looks at them while another site has room; a pass with 100 of them looks at one site per choice, as without them. Suspect tasks prefer sites that are not being probed.

The property test now also draws distrusted sites and limits: the choice is that of a look at each site. Nothing sets the marks yet.

--- a/include/lanemoor/jobs/policy/placement.h
+++ b/include/lanemoor/jobs/policy/placement.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -31,6 +32,9 @@
     std::string keptFor; ///< A label: only tasks that require it may come; empty: all may.
     std::uint32_t wanted = 0; ///< How much tasks that require its labels ask of sites with them; see `wantedLevel`.
     std::vector<SiteSuspect> suspects;
+    bool distrusted = false; ///< It has not answered its latest starts: taken only if no other site has room.
+    bool probing = false; ///< The next task there shows whether it is sound again.
+    std::uint32_t startsLeft = std::numeric_limits<std::uint32_t>::max(); ///< How many tasks may still be started there.
     bool hasYoungAttempts = false; ///< Some attempt there started less than a probation ago.
 };
 
@@ -55,6 +59,9 @@
 /// maintenance and for being powered off. A suspect goes to the emptiest: what runs there is lost if it is guilty. A task that is
 /// to be isolated prefers sites without young attempts, with which a crash could not be attributed to it alone.
 ///
+/// Distrusted sites come after all others, whatever speaks against those. They are kept apart, so that a choice looks at none of
+/// them while another site has room.
+///
 /// Sites are kept in the order of what they have free, so that a choice looks at the few that are nearly full and
 /// not at all of them; what found no room is remembered, so that work which waits costs a look a pass and not one a
 /// site. With 275 sites and thousands of tasks a second both together were half of the owner's time.
@@ -90,11 +97,22 @@
         Resources needs;
     };
 
+    using Places = std::vector<Place>;
+
+    /// What one look through sites has found.
+    struct Search {
+        std::optional<std::size_t> best;
+        bool isKeptApart = false; ///< The task is kept from a site that may have room.
+    };
+
+    [[nodiscard]] Search search(const Places& places, const StepSpec& step, const PlacementQuery& query, const Resources& needs) const;
+    [[nodiscard]] Places& placesOf(std::size_t index) { return m_sites[index].distrusted ? m_distrusted : m_byFree; }
     void move(std::size_t index, const Resources& before);
     [[nodiscard]] bool isKnownFull(const StepSpec& step, const Resources& needs) const;
 
     std::vector<PlacementSite> m_sites;
-    std::vector<Place> m_byFree; ///< Of the sites that take work, the fullest first.
+    Places m_byFree; ///< Of the sites that take work and are trusted, the fullest first.
+    Places m_distrusted; ///< Of the others that take work.
     mutable std::vector<NoRoom> m_noRoom;
     mutable std::uint64_t m_inspected = 0;
 };
--- a/src/jobs/policy/placement.cpp
+++ b/src/jobs/policy/placement.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr std::uint32_t unlimitedStarts = std::numeric_limits<std::uint32_t>::max();
+
 bool isFar(const PlacementSite& site, const StepSpec& step)
 {
     return !step.preferredRack.empty() && !hasLabel(*site.worker, step.preferredRack);
@@ -41,7 +43,7 @@
 }
 
 /// What speaks against a site; smaller is better, the fields in the order in which they decide.
-using Drawbacks = std::tuple<bool, bool, bool, bool, bool, bool, std::uint32_t>;
+using Drawbacks = std::tuple<bool, bool, bool, bool, bool, bool, bool, std::uint32_t>;
 /// Then the fullest site, and of equals the first.
 using Rank = std::tuple<Drawbacks, std::int64_t, std::size_t>;
 
@@ -50,7 +52,9 @@
     const bool avoided = !query.avoidWorker.empty() && site.worker->id == query.avoidWorker;
     const bool besideSuspect = !site.suspects.empty() && hasSuspect(site, query, 1);
     const bool besideYoung = query.suspicion >= crashesToIsolate && site.hasYoungAttempts;
-    return { avoided, besideSuspect, besideYoung, !site.preferred, isFar(site, step), wouldMix(site, step), step.requiredLabel.empty() ? site.wanted : 0 };
+    // A suspect that crashes the worker would say nothing of its health.
+    const bool probedBySuspect = query.suspicion > 0 && site.probing;
+    return { avoided, probedBySuspect, besideSuspect, besideYoung, !site.preferred, isFar(site, step), wouldMix(site, step), step.requiredLabel.empty() ? site.wanted : 0 };
 }
 
 std::int64_t fullnessOf(const PlacementSite& site, const StepSpec& step, const PlacementQuery& query)
@@ -104,9 +108,10 @@
     m_byFree.reserve(m_sites.size());
     for (std::size_t i = 0; i < m_sites.size(); ++i) {
         if (m_sites[i].open && !m_sites[i].worker->draining)
-            m_byFree.emplace_back(m_sites[i].free.milliCpu, i);
+            placesOf(i).emplace_back(m_sites[i].free.milliCpu, i);
     }
     std::sort(m_byFree.begin(), m_byFree.end());
+    std::sort(m_distrusted.begin(), m_distrusted.end());
 }
 
 bool Placer::isKnownFull(const StepSpec& step, const Resources& needs) const
@@ -119,18 +124,30 @@
     const Resources needs = footprint(step);
     if (isKnownFull(step, needs))
         return std::nullopt;
+    Search found = search(m_byFree, step, query, needs);
+    if (!found.best && !m_distrusted.empty()) {
+        const Search last = search(m_distrusted, step, query, needs);
+        found = { .best = last.best, .isKeptApart = found.isKeptApart || last.isKeptApart };
+    }
+    if (!found.best && asksOnlyRoom(step, query) && !found.isKeptApart)
+        m_noRoom.push_back({ .label = step.requiredLabel, .needs = needs });
+    return found.best;
+}
+
+Placer::Search Placer::search(const Places& places, const StepSpec& step, const PlacementQuery& query, const Resources& needs) const
+{
     std::optional<Rank> best;
-    bool isKeptApart = false; // From a site that may have room.
-    for (auto place = std::lower_bound(m_byFree.begin(), m_byFree.end(), Place { needs.milliCpu, 0 }); place != m_byFree.end(); ++place) {
+    Search found;
+    for (auto place = std::lower_bound(places.begin(), places.end(), Place { needs.milliCpu, 0 }); place != places.end(); ++place) {
         ++m_inspected;
         const std::size_t index = place->second;
         const PlacementSite& site = m_sites[index];
-        if (!fits(site, step, needs) || (!query.rack.empty() && site.worker->rack != query.rack))
+        if (site.startsLeft == 0 || !fits(site, step, needs) || (!query.rack.empty() && site.worker->rack != query.rack))
             continue;
         if (query.nearOnly && isFar(site, step))
             continue;
         if (isIsolated(site, query)) {
-            isKeptApart = true;
+            found.isKeptApart = true;
             continue;
         }
         if (query.admits && !query.admits(index))
@@ -145,20 +162,19 @@
             break;
     }
     if (best)
-        return std::get<std::size_t>(*best);
-    if (asksOnlyRoom(step, query) && !isKeptApart)
-        m_noRoom.push_back({ .label = step.requiredLabel, .needs = needs });
-    return std::nullopt;
+        found.best = std::get<std::size_t>(*best);
+    return found;
 }
 
 /// Puts a site in its place after what it has free has changed.
 void Placer::move(std::size_t index, const Resources& before)
 {
     const std::int64_t free = m_sites[index].free.milliCpu;
-    const auto was = std::lower_bound(m_byFree.begin(), m_byFree.end(), Place { before.milliCpu, index });
-    if (was == m_byFree.end() || *was != Place { before.milliCpu, index } || free == before.milliCpu)
+    Places& places = placesOf(index);
+    const auto was = std::lower_bound(places.begin(), places.end(), Place { before.milliCpu, index });
+    if (was == places.end() || *was != Place { before.milliCpu, index } || free == before.milliCpu)
         return;
-    const auto is = std::lower_bound(m_byFree.begin(), m_byFree.end(), Place { free, index });
+    const auto is = std::lower_bound(places.begin(), places.end(), Place { free, index });
     *was = { free, index };
     if (is <= was)
         std::rotate(is, was, was + 1);
@@ -172,6 +188,7 @@
     const Resources before = site.free;
     site.free -= footprint(step);
     site.hasYoungAttempts = true;
+    site.startsLeft -= site.startsLeft == unlimitedStarts ? 0 : 1;
     move(index, before);
     site.servingTasks += step.latencyTarget.count() > 0 ? 1 : 0;
     site.bestEffortTasks += step.bestEffort ? 1 : 0;
@@ -187,6 +204,7 @@
     PlacementSite& site = m_sites[index];
     const Resources before = site.free;
     site.free += footprint(step);
+    site.startsLeft += site.startsLeft == unlimitedStarts ? 0 : 1;
     move(index, before);
     m_noRoom.clear();
     site.servingTasks -= step.latencyTarget.count() > 0 ? 1 : 0;
--- a/tests/jobs/placement_test.cpp
+++ b/tests/jobs/placement_test.cpp
@@ -40,7 +40,9 @@
         pool.workers.push_back({ .id = name("w", i), .address = {}, .pool = "main", .dataHall = {}, .capacity = {}, .labels = { name("k", anyOf(2)), rack }, .rack = rack, .draining = anyOf(8) == 0 });
     }
     for (const WorkerEntry& worker : pool.workers) {
-        pool.sites.push_back({ .worker = &worker, .free = { .milliCpu = (anyOf(12) - 1) * unit, .memoryMb = anyOf(6) * unit }, .servingTasks = anyOf(3) == 0 ? 1U : 0U, .open = anyOf(8) != 0, .preferred = anyOf(8) != 0, .keptFor = anyOf(8) == 0 ? "k0" : "", .wanted = static_cast<std::uint32_t>(anyOf(3)) });
+        pool.sites.push_back({ .worker = &worker, .free = { .milliCpu = (anyOf(12) - 1) * unit, .memoryMb = anyOf(6) * unit }, .servingTasks = anyOf(3) == 0 ? 1U : 0U, .open = anyOf(8) != 0, .preferred = anyOf(8) != 0, .keptFor = anyOf(8) == 0 ? "k0" : "", .wanted = static_cast<std::uint32_t>(anyOf(3)), .distrusted = anyOf(5) == 0 });
+        if (anyOf(6) == 0)
+            pool.sites.back().startsLeft = static_cast<std::uint32_t>(anyOf(3));
     }
     return pool;
 }
@@ -73,17 +75,17 @@
 /// \returns The site that a look at each of them finds.
 std::optional<std::size_t> bestOfAll(const std::vector<PlacementSite>& sites, const StepSpec& step, const PlacementQuery& query)
 {
-    using Rank = std::tuple<bool, bool, bool, bool, std::uint32_t, std::int64_t, std::size_t>;
+    using Rank = std::tuple<bool, bool, bool, bool, bool, std::uint32_t, std::int64_t, std::size_t>;
     std::optional<Rank> best;
     for (std::size_t i = 0; i < sites.size(); ++i) {
         const PlacementSite& site = sites[i];
         const bool isFar = !step.preferredRack.empty() && !hasLabel(*site.worker, step.preferredRack);
-        const bool fits = site.open && !site.worker->draining && site.free.covers(footprint(step)) && (step.requiredLabel.empty() || hasLabel(*site.worker, step.requiredLabel)) && (site.keptFor.empty() || site.keptFor == step.requiredLabel);
+        const bool fits = site.open && site.startsLeft > 0 && !site.worker->draining && site.free.covers(footprint(step)) && (step.requiredLabel.empty() || hasLabel(*site.worker, step.requiredLabel)) && (site.keptFor.empty() || site.keptFor == step.requiredLabel);
         const bool admitted = (query.rack.empty() || site.worker->rack == query.rack) && !(query.nearOnly && isFar) && (!query.admits || query.admits(i)) && (step.mostPerInstance == 0 || query.tasksOfStep(i) < step.mostPerInstance);
         if (!fits || !admitted)
             continue;
         const bool mixes = (step.bestEffort && site.servingTasks > 0) || (step.latencyTarget.count() > 0 && site.bestEffortTasks > 0);
-        const Rank rank { site.worker->id == query.avoidWorker, !site.preferred, isFar, mixes, step.requiredLabel.empty() ? site.wanted : 0, step.bestEffort ? std::int64_t { site.bestEffortTasks } : site.free.milliCpu, i };
+        const Rank rank { site.distrusted, site.worker->id == query.avoidWorker, !site.preferred, isFar, mixes, step.requiredLabel.empty() ? site.wanted : 0, step.bestEffort ? std::int64_t { site.bestEffortTasks } : site.free.milliCpu, i };
         if (!best || rank < *best)
             best = rank;
     }
@@ -116,6 +118,30 @@
     }));
 }
 
+/// Guards against empty sites of workers that don't answer costing a look for each task that is placed elsewhere.
+TEST_CASE("Distrusted sites come last, cost no look while others have room, and take as many tasks as they may")
+{
+    constexpr std::size_t count = 100;
+    std::vector<WorkerEntry> workers(count + 1);
+    std::vector<PlacementSite> sites;
+    for (std::size_t i = 0; i <= count; ++i)
+        sites.push_back({ .worker = &workers[i], .free = { .milliCpu = i < count ? 2'000 : 4'000, .memoryMb = 8'000 }, .distrusted = i < count, .startsLeft = i < count ? 2U : std::numeric_limits<std::uint32_t>::max() });
+    Placer placer(sites);
+    for (int i = 0; i < 4; ++i) {
+        REQUIRE(placer.choose(step(1), {}) == count);
+        placer.book(count, step(1));
+    }
+    CHECK(placer.inspected() == 4);
+    StepSpec small = step(1);
+    small.needs.milliCpu = 100;
+    for (std::size_t expected : { 0U, 0U, 1U }) {
+        REQUIRE(placer.choose(small, {}) == expected);
+        placer.book(expected, small);
+    }
+    placer.release(0, small);
+    CHECK(placer.choose(small, {}) == 0U);
+}
+
 TEST_CASE("A task that found no room costs no look at the sites again, until one has more")
 {
     const WorkerEntry worker { .id = "w", .address = {}, .pool = "main", .dataHall = {}, .capacity = {}, .labels = {}, .rack = {} };
