Workers are judged by unanswered calls and run times, and ejected within a bound

Workers were judged by failures of their tasks alone, and however many of them failed were quarantined. WorkerHealth moves to policy/ and also counts starts and stops without an answer in time and run times far beyond the peers' over 10 s; fewer than four samples count for nothing. EjectionBound leaves out at most a fifth of a pool, half of a rack and of a data hall, and keeps the instances that long-running steps need; the worst come first. A worker returns by one probing task; the backoff doubles from 2 s to 16 s and is kept for 20 s, so that a worker that fails with its period is left out longer.

The probation allowed one attempt at a time by looking whether the worker was empty: a worker with a long-running task was never probed, and one pass could send several tasks. The probing attempt is now kept by name.

StartAnswers keeps the open starts of each worker. One that has answered no start since one was overdue is distrusted and gets two at most; one with two overdue starts that answers no probe gets none until it answers.

--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -10,6 +10,7 @@
 #include "lanemoor/jobs/owner/ownership_keeper.h"
 #include "lanemoor/jobs/policy/crash_attribution.h"
 #include "lanemoor/jobs/policy/placement_options.h"
+#include "lanemoor/jobs/policy/worker_health.h"
 
 #include <cstdint>
 #include <functional>
@@ -51,6 +52,7 @@
     Millis workerLeaseTime { 5'000 }; ///< The same for all owners, since a successor reckons with it.
     PlacementOptions placement;
     CrashOptions crashes;
+    WorkerHealthOptions health;
     bool seesRises = true; ///< See CapacityOptions.
 };
 
@@ -62,7 +64,7 @@
     std::uint32_t pinned = 0; ///< Of the long-running ones, those that require a label.
     MonotonicInstant emptyBy; ///< When the other ones should have ended, by their declared times and what is observed.
     bool known = false; ///< What runs there is known: it was met in this term, or every lease there is over.
-    bool sound = false; ///< Listed, answering, not draining, not quarantined.
+    bool sound = false; ///< Listed, answering, not draining, not ejected.
     bool evacuating = false;
     MonotonicInstant evacuatingSince; ///< Meaningful while evacuating.
 };
--- a/include/lanemoor/jobs/owner/worker_book.h
+++ b/include/lanemoor/jobs/owner/worker_book.h
@@ -6,7 +6,9 @@
 #include "lanemoor/jobs/owner/worker_session.h"
 #include "lanemoor/jobs/policy/bookings.h"
 #include "lanemoor/jobs/policy/placement.h"
+#include "lanemoor/jobs/policy/start_answers.h"
 #include "lanemoor/jobs/policy/throttle.h"
+#include "lanemoor/jobs/policy/worker_health.h"
 
 #include <map>
 #include <memory>
@@ -16,27 +18,6 @@
 
 namespace lanemoor::jobs {
 
-/// \brief Judges whether a worker is sound by how attempts of different jobs end there.
-class WorkerHealth {
-public:
-    /// \brief Notes an end that says something about the worker.
-    void noteSuccess(MonotonicInstant now);
-    void noteFailure(const std::string& job, MonotonicInstant now);
-
-    /// \returns Whether the worker gets no work now.
-    [[nodiscard]] bool isQuarantined(MonotonicInstant now) const noexcept { return now < m_quarantinedUntil; }
-
-    /// \returns Whether it gets one attempt at a time, to show that it is sound again.
-    [[nodiscard]] bool isOnProbation() const noexcept { return m_onProbation; }
-
-private:
-    std::set<std::string> m_failedJobs; ///< Since the last success.
-    std::uint32_t m_failures = 0; ///< Since the last success.
-    std::uint32_t m_quarantines = 0; ///< In a row.
-    bool m_onProbation = false;
-    MonotonicInstant m_quarantinedUntil;
-};
-
 /// One life of a worker and what the owner gave it.
 struct WorkerBook {
     WorkerEntry entry;
@@ -48,6 +29,8 @@
     Bookings bookings; ///< Attempts that are not over.
     std::map<Attempt, MonotonicInstant> strayStops; ///< Unwanted attempts, and when to stop them again.
     WorkerHealth health;
+    std::optional<Attempt> probingAttempt; ///< The latest attempt that began while the worker was probing.
+    StartAnswers starts;
     Throttle throttle;
     bool met = false; ///< Its first report was taken in.
     bool endOrdered = false; ///< Its life ends by an order of this owner.
@@ -71,6 +54,9 @@
     /// \returns Whether `entry` tells of the life that the session speaks with, as far as both say.
     [[nodiscard]] bool isEntryOfLife() const;
 
+    /// \returns How many starts health lets the worker have now.
+    [[nodiscard]] std::uint32_t startsLeft(MonotonicInstant now) const;
+
     /// \returns Whether new work may go there now.
     [[nodiscard]] bool isOpen(MonotonicInstant now) const;
 
--- a/include/lanemoor/jobs/owner/worker_session.h
+++ b/include/lanemoor/jobs/owner/worker_session.h
@@ -97,6 +97,9 @@
     /// until its call times out.
     void noteOverdue();
 
+    /// \returns Whether a call to the worker was overdue lately.
+    [[nodiscard]] bool wasOverdueLately() const { return m_loop.now() < m_shortWaitUntil; }
+
     /// \brief Probes the worker after `pause`.
     void probeAfter(Millis pause);
 
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -3,6 +3,7 @@
 #include "advice_desk.h"
 #include "displacement.h"
 #include "evacuation.h"
+#include "health_monitor.h"
 #include "lanemoor/jobs/intake/job_catalog.h"
 #include "lanemoor/jobs/model/fleet_control.h"
 #include "lanemoor/jobs/model/work_meter.h"
@@ -144,9 +145,10 @@
             .ownership = ownership,
             .inheritedLeaseOverBy = options.loop->now() + options.ownershipTime + Millis(static_cast<std::int64_t>(leaseStretch * static_cast<double>(options.workerLeaseTime.count()))),
             .forecast = LoadForecast(options.seesRises) }
-        , orders(std::make_shared<OrderDesk>(state, counts))
+        , health(state)
+        , orders(std::make_shared<OrderDesk>(state, health, counts))
         , advice(std::make_shared<AdviceDesk>(state))
-        , reports(state, *orders, counts)
+        , reports(state, health, *orders, counts)
         , load(std::make_shared<OwnerLoad>(options, counts))
     {
         // Nobody owned before the first term, so nothing runs.
@@ -167,6 +169,7 @@
     }
 
     OwnerState state;
+    HealthMonitor health;
     std::shared_ptr<OrderDesk> orders;
     std::shared_ptr<AdviceDesk> advice;
     ReportReader reports;
@@ -306,7 +309,7 @@
                 use.pinned += booking.step->longRunning && !booking.step->requiredLabel.empty() ? 1 : 0;
             }
             use.known = book.session->isMet() || now >= book.session->leaseOverBy();
-            use.sound = book.listed && !book.entry.draining && !book.hallEvacuated && book.session->isMet() && !book.session->isSilent() && !book.session->isLifeOver() && !book.health.isQuarantined(now);
+            use.sound = book.listed && !book.entry.draining && !book.hallEvacuated && book.session->isMet() && !book.session->isSilent() && !book.session->isLifeOver() && !book.health.isEjected(now);
             uses.emplace(id, use);
         }
         return uses;
@@ -636,6 +639,7 @@
             Evacuation(term->state, *term->orders).run();
         }
         settleInherited();
+        term->health.run();
         PlacementPass placement(term->state, *term->orders, *term->advice, [this] { return isSettled(); });
         const std::optional<MonotonicInstant> wake = placement.run();
         m_waiting = placement.waiting();
--- a/src/jobs/owner/order_desk.cpp
+++ b/src/jobs/owner/order_desk.cpp
@@ -24,8 +24,9 @@
 
 } // namespace
 
-OrderDesk::OrderDesk(OwnerState& state, SchedulerCounts& counts)
+OrderDesk::OrderDesk(OwnerState& state, HealthMonitor& health, SchedulerCounts& counts)
     : m_state(state)
+    , m_health(health)
     , m_counts(counts)
 {
 }
@@ -42,6 +43,7 @@
     job.state.begin(task, number, worker.entry.id, m_state.now());
     worker.bookings.put(attempt, { .step = job.state.sharedSpec(task.step), .account = job.account, .endsBy = m_state.expectedEnd(job, task), .suspicion = suspicion });
     worker.youngUntil = m_state.now() + maxProbation;
+    m_health.noteStartBooked(worker, attempt);
     if (first)
         m_state.store(job.state.id());
     if (suspicion == 0)
@@ -138,6 +140,7 @@
         .checkpoint = task.checkpoint,
         .ticket = ticket };
     ++m_counts.starts;
+    m_health.noteStartSent(worker, attempt);
     m_state.options.log->decision("task-start",
         { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id }, { "epoch", static_cast<std::int64_t>(m_state.ownership.epoch) }, { "crashes", std::int64_t { task.crashes.total() } }, { "recorded", std::int64_t { task.probationOf(attempt.number) != nullptr } }, { "worker_verified", std::int64_t { task.live->sentOnClock > 0 } } });
     m_state.options.workers->start(worker.session->life(), order, [self = weak_from_this(), attempt, id = worker.entry.id, life = std::weak_ptr(worker.session)](const OrderResult& result) {
@@ -164,7 +167,7 @@
         if (!desk || desk->m_closed)
             return;
         const LiveAttempt* live = desk->findLive(attempt, worker);
-        const WorkerBook* book = desk->m_state.worker(worker);
+        WorkerBook* book = desk->m_state.worker(worker);
         if (!live || !book || (live->phase != AttemptPhase::Ordered && live->phase != AttemptPhase::Doubtful))
             return;
         // Where the event loop itself is late the answer may wait behind this call.
@@ -176,6 +179,7 @@
             desk->m_state.options.log->decision("start-overdue", { { "attempt", nameOf(attempt) }, { "worker", worker }, { "after_ms", static_cast<std::int64_t>(pause.count()) } });
             desk->m_state.job(attempt.job)->state.setPhase(attempt, AttemptPhase::Doubtful, desk->m_state.now());
         }
+        desk->m_health.noteStartOverdue(*book, attempt);
         book->session->noteOverdue();
         if (desk->m_state.options.ownership->isHeld())
             book->session->probe();
@@ -192,6 +196,8 @@
     bool isOfLife = false;
     if (book && result.outcome != OrderOutcome::OtherLife)
         isOfLife = book->session->noteClock(result.workerClock);
+    if (book && result.outcome != OrderOutcome::OtherLife && result.outcome != OrderOutcome::Unknown)
+        m_health.noteStartAnswered(*book, attempt);
     switch (result.outcome) {
     case OrderOutcome::Done:
         if (!book)
@@ -287,8 +293,11 @@
         if (!desk || desk->m_closed)
             return;
         const auto sent = desk->m_stopsSent.find(attempt);
-        if (sent != desk->m_stopsSent.end() && sent->second == number)
-            desk->stopLater(attempt, worker, Millis(0));
+        if (sent == desk->m_stopsSent.end() || sent->second != number)
+            return;
+        if (WorkerBook* book = desk->m_state.worker(worker))
+            desk->m_health.noteStopOverdue(*book);
+        desk->stopLater(attempt, worker, Millis(0));
     });
 }
 
@@ -310,6 +319,7 @@
     switch (result.outcome) {
     case OrderOutcome::Done: {
         m_stopsSent.erase(attempt);
+        m_health.noteStopAnswered(*book);
         book->session->noteClock(result.workerClock);
         if (OwnerJob* job = m_state.job(attempt.job))
             job->state.noteStopAnswered(attempt, m_state.now());
--- a/src/jobs/owner/order_desk.h
+++ b/src/jobs/owner/order_desk.h
@@ -2,6 +2,7 @@
 /// \file
 /// Sends starts, stops and throttles, and takes in their answers.
 
+#include "health_monitor.h"
 #include "owner_state.h"
 
 #include <map>
@@ -15,7 +16,7 @@
 /// it, since a worker starts no attempt that it was told to stop. Stops are sent again until one is answered.
 class OrderDesk : public std::enable_shared_from_this<OrderDesk> {
 public:
-    OrderDesk(OwnerState& state, SchedulerCounts& counts);
+    OrderDesk(OwnerState& state, HealthMonitor& health, SchedulerCounts& counts);
 
     /// \brief Books and sends a start. That of a suspect is sent once it is stored. \returns False if no order may be given now.
     /// \param isBesideSuspect Another member of its gang is a suspect: all are sent together.
@@ -70,6 +71,7 @@
     void stopped(const Attempt& attempt, const std::string& worker, std::uint32_t number, const WorkerSession* life, const OrderResult& result);
 
     OwnerState& m_state;
+    HealthMonitor& m_health;
     SchedulerCounts& m_counts;
     std::map<Attempt, std::uint32_t> m_stopsSent; ///< Of attempts whose stop is not answered; the newest one is sent again.
     std::map<std::string, std::vector<RecordedStart>> m_awaitingAnswer; ///< By worker.
--- a/src/jobs/owner/report_reader.cpp
+++ b/src/jobs/owner/report_reader.cpp
@@ -20,15 +20,11 @@
 
 constexpr Millis strayStopPause { 500 }; // Between stops of an attempt that nobody wants.
 
-bool judgesWorker(const EndedAttempt& ended)
-{
-    return ended.end == AttemptEnd::Succeeded || ended.end == AttemptEnd::Failed;
-}
-
 } // namespace
 
-ReportReader::ReportReader(OwnerState& state, OrderDesk& desk, SchedulerCounts& counts)
+ReportReader::ReportReader(OwnerState& state, HealthMonitor& health, OrderDesk& desk, SchedulerCounts& counts)
     : m_state(state)
+    , m_health(health)
     , m_desk(desk)
     , m_counts(counts)
     , m_crashes(state, counts)
@@ -84,6 +80,7 @@
     if (ended.end == AttemptEnd::Succeeded && task && task->live && task->live->number == ended.attempt.number) {
         const Millis observed = std::chrono::duration_cast<Millis>(m_state.now() - task->live->startedAt);
         m_state.forecast.noteRunTime(job->state.record().queue, job->state.spec(ended.attempt.task.step).estimate, observed);
+        m_health.noteRunTime(worker, job->state, ended.attempt, observed);
     }
     // Whatever the end, the worker has lived to tell it.
     m_crashes.noteSurvived(worker, *job, ended.attempt);
@@ -93,30 +90,22 @@
     m_counts.successes += effect.counted && ended.end == AttemptEnd::Succeeded ? 1 : 0;
     m_counts.failures += effect.counted && ended.end == AttemptEnd::Failed ? 1 : 0;
     m_counts.lapses += effect.counted && ended.end == AttemptEnd::LeaseLapsed ? 1 : 0;
-    if (effect.counted && judgesWorker(ended))
-        noteHealth(worker, ended);
+    if (effect.counted && ended.end == AttemptEnd::Succeeded)
+        m_health.noteSuccess(worker);
+    if (effect.counted && ended.end == AttemptEnd::Failed)
+        m_health.noteFailure(worker, ended.attempt.job);
     if (effect.toBeStored)
         m_state.store(ended.attempt.job);
     if (effect.finished)
         m_desk.finish(*job);
 }
 
-void ReportReader::noteHealth(WorkerBook& worker, const EndedAttempt& ended)
-{
-    const bool wasQuarantined = worker.health.isQuarantined(m_state.now());
-    if (ended.end == AttemptEnd::Succeeded)
-        worker.health.noteSuccess(m_state.now());
-    else
-        worker.health.noteFailure(ended.attempt.job, m_state.now());
-    if (!wasQuarantined && worker.health.isQuarantined(m_state.now()))
-        m_state.options.log->change("worker-quarantined", { { "worker", worker.entry.id }, { "pool", worker.entry.pool } });
-}
-
 void ReportReader::readRunning(WorkerBook& worker, const RunningAttempt& report, std::int64_t workerClock)
 {
     OwnerJob* job = m_state.job(report.attempt.job);
     const TaskState* task = job ? job->state.find(report.attempt.task) : nullptr;
     if (m_state.liveTask(report.attempt, worker.entry.id)) {
+        m_health.noteStartConfirmed(worker, report.attempt);
         confirm(report, workerClock);
         job->state.noteReport(report, m_state.now());
         return;
@@ -155,8 +144,10 @@
     readEnds(*worker, session, result.ended);
     for (const RunningAttempt& running : result.running) {
         const TaskState* task = m_state.liveTask(running.attempt, worker->entry.id);
-        if (task && task->live->phase == AttemptPhase::Doubtful)
+        if (task && task->live->phase == AttemptPhase::Doubtful) {
+            m_health.noteStartConfirmed(*worker, running.attempt);
             confirm(running, result.workerClock);
+        }
     }
     const auto isListed = [&result](const Attempt& attempt) {
         return std::any_of(result.running.begin(), result.running.end(), [&](const RunningAttempt& running) { return running.attempt == attempt; })
@@ -276,7 +267,7 @@
         if (job->state.spec(attempt.task.step).longRunning && !standsForGood && !mayDisrupt(m_state, job->state, attempt.task))
             continue;
         m_state.options.log->decision("task-stuck", { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id } });
-        worker.health.noteFailure(attempt.job, now);
+        m_health.noteFailure(worker, attempt.job);
         m_desk.stop(attempt, worker.entry.id);
     }
 }
@@ -305,14 +296,17 @@
         return;
     if (worker->noteAnswer())
         m_state.requestPass();
+    m_health.noteHeard(*worker);
     m_desk.noteAnswer(worker->entry.id);
     m_crashes.noteAnswer(*worker);
 }
 
 void ReportReader::onOverdue(WorkerSession& session)
 {
-    if (WorkerBook* worker = m_state.worker(session.life().id))
+    if (WorkerBook* worker = m_state.worker(session.life().id)) {
+        m_health.noteProbeOverdue(*worker);
         m_crashes.noteOverdue(*worker);
+    }
 }
 
 void ReportReader::onSilence(WorkerSession& session)
--- a/src/jobs/owner/report_reader.h
+++ b/src/jobs/owner/report_reader.h
@@ -13,7 +13,7 @@
 /// should show and does not is over without having ended: it never began, or was forgotten.
 class ReportReader final : public WorkerSessionObserver {
 public:
-    ReportReader(OwnerState& state, OrderDesk& desk, SchedulerCounts& counts);
+    ReportReader(OwnerState& state, HealthMonitor& health, OrderDesk& desk, SchedulerCounts& counts);
 
     void onAnswer(WorkerSession& session, const RenewResult& result, MonotonicInstant sentAt) override;
     void onProbe(WorkerSession& session, const RenewResult& result, MonotonicInstant sentAt) override;
@@ -34,7 +34,6 @@
     [[nodiscard]] std::shared_ptr<const StepSpec> specOf(const WorkerBook& worker, const Attempt& attempt, const OwnerJob* job) const;
     [[nodiscard]] OrganisationAccount* accountOf(const Attempt& attempt, const OwnerJob* job) const;
     void stopStray(WorkerBook& worker, const Attempt& attempt, const OwnerJob* job);
-    void noteHealth(WorkerBook& worker, const EndedAttempt& ended);
     void settleMissing(WorkerBook& worker, const RenewResult& result, MonotonicInstant sentAt);
     void settleMissing(WorkerBook& worker, const Attempt& attempt, std::int64_t workerClock, MonotonicInstant sentAt);
     void confirm(const RunningAttempt& report, std::int64_t workerClock);
@@ -45,6 +44,7 @@
     void adjustThrottle(WorkerBook& worker, const RenewResult& result);
 
     OwnerState& m_state;
+    HealthMonitor& m_health;
     OrderDesk& m_desk;
     SchedulerCounts& m_counts;
     CrashTracker m_crashes;
--- a/src/jobs/owner/worker_book.cpp
+++ b/src/jobs/owner/worker_book.cpp
@@ -10,13 +10,6 @@
 
 namespace {
 
-/// A sound worker fails some 0.2% of batch and 3% of long-running attempts in a row only by
-/// rare luck: three failures of two jobs, with no success between, speak against the worker.
-constexpr std::uint32_t failuresToQuarantine = 3;
-constexpr std::size_t jobsToQuarantine = 2;
-constexpr Millis firstQuarantine { 2'000 };
-constexpr std::uint32_t mostDoublings = 3;
-
 /// Between two liveness checks without an answer. A worker that is gone is known to be silent by then.
 constexpr Millis livenessCheckPause { 2'000 };
 constexpr Millis probablyUpFor { 500 }; // After an answer; renewals bring one each second.
@@ -24,26 +17,6 @@
 
 } // namespace
 
-void WorkerHealth::noteSuccess(MonotonicInstant)
-{
-    m_failedJobs.clear();
-    m_failures = 0;
-    m_quarantines = 0;
-    m_onProbation = false;
-}
-
-void WorkerHealth::noteFailure(const std::string& job, MonotonicInstant now)
-{
-    m_failedJobs.insert(job);
-    ++m_failures;
-    const bool strikes = m_onProbation || (m_failures >= failuresToQuarantine && m_failedJobs.size() >= jobsToQuarantine);
-    if (!strikes || isQuarantined(now))
-        return;
-    m_quarantinedUntil = now + firstQuarantine * (1U << std::min(m_quarantines, mostDoublings));
-    ++m_quarantines;
-    m_onProbation = true;
-}
-
 Resources WorkerBook::free() const
 {
     Resources free = entry.capacity;
@@ -68,7 +41,16 @@
 bool WorkerBook::isOpen(MonotonicInstant now) const
 {
     return listed && !entry.draining && !evacuating && !hallEvacuated && session && session->isMet() && !session->isSilent() && !session->isLifeOver() && isEntryOfLife() && now >= noWorkBefore
-        && !health.isQuarantined(now) && (!health.isOnProbation() || bookings.empty());
+        && !health.isEjected(now) && startsLeft(now) > 0;
+}
+
+std::uint32_t WorkerBook::startsLeft(MonotonicInstant now) const
+{
+    const std::uint32_t left = starts.startsLeft(now);
+    if (!health.isProbing(now))
+        return left;
+    const bool isProbed = probingAttempt && bookings.contains(*probingAttempt);
+    return std::min(left, isProbed ? 0U : 1U);
 }
 
 MonotonicInstant WorkerBook::establishedAt() const
@@ -112,6 +94,9 @@
     if (now < keptUntil)
         site.keptFor = keptFor;
     site.hasYoungAttempts = now < youngUntil;
+    site.distrusted = starts.isDistrusted(now);
+    site.probing = health.isProbing(now);
+    site.startsLeft = startsLeft(now);
     site.servingTasks = bookings.servingTasks();
     site.bestEffortTasks = bookings.bestEffortTasks();
     for (const auto& [attempt, suspicion] : bookings.suspects())
--- /dev/null
+++ b/src/jobs/policy/ejection_bound.cpp
@@ -0,0 +1,125 @@
+#include "lanemoor/jobs/policy/ejection_bound.h"
+
+#include "lanemoor/jobs/model/service_configuration.h"
+#include "lanemoor/jobs/policy/placement.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+std::uint32_t mostOut(std::uint32_t workers, double share)
+{
+    return std::max(1U, static_cast<std::uint32_t>(share * static_cast<double>(workers)));
+}
+
+/// \returns The data hall of a worker and its rack, if it tells one.
+std::vector<std::pair<std::string, std::string>> domainsOf(const WorkerEntry& worker)
+{
+    std::vector<std::pair<std::string, std::string>> domains { { worker.dataHall, {} } };
+    if (!worker.rack.empty())
+        domains.emplace_back(worker.dataHall, worker.rack);
+    return domains;
+}
+
+} // namespace
+
+EjectionBound::EjectionBound(const WorkerHealthOptions& options, const std::vector<EjectionMember>& members, LeastInstances least)
+    : m_options(options)
+    , m_least(std::move(least))
+{
+    for (const EjectionMember& member : members)
+        count(member);
+}
+
+void EjectionBound::count(const EjectionMember& member)
+{
+    const WorkerEntry& worker = *member.worker;
+    std::vector<Group*> groups { &m_pools[worker.pool] };
+    for (const Domain& domain : domainsOf(worker))
+        groups.push_back(&m_domains[domain]);
+    for (Group* group : groups) {
+        ++group->workers;
+        group->out += member.out ? 1 : 0;
+        group->answering += member.answering ? 1 : 0;
+    }
+    if (member.out)
+        return;
+    for (const auto& [need, least] : m_least) {
+        if (need.first == worker.pool && (need.second.empty() || hasLabel(worker, need.second)))
+            ++m_serving[need];
+    }
+}
+
+std::vector<EjectionCandidate> EjectionBound::choose(std::vector<EjectionCandidate> candidates)
+{
+    std::stable_sort(candidates.begin(), candidates.end(), [](const EjectionCandidate& a, const EjectionCandidate& b) { return a.score > b.score; });
+    std::vector<EjectionCandidate> chosen;
+    for (const EjectionCandidate& candidate : candidates) {
+        if (!admits(candidate))
+            continue;
+        take(candidate.member);
+        chosen.push_back(candidate);
+    }
+    return chosen;
+}
+
+bool EjectionBound::admits(const EjectionCandidate& candidate) const
+{
+    const EjectionMember& member = candidate.member;
+    const WorkerEntry& worker = *member.worker;
+    const std::vector<Domain> domains = domainsOf(worker);
+    // Where its neighbours don't answer either, the path to them is at fault.
+    if (candidate.fault == HealthFault::Unanswered && std::any_of(domains.begin(), domains.end(), [&](const Domain& domain) { return isAloneIn(domain, member); }))
+        return false;
+    // It is counted as out already.
+    if (member.out)
+        return true;
+    const Group& pool = m_pools.at(worker.pool);
+    if (pool.out >= mostOut(pool.workers, m_options.mostOfPool) || pool.out + 1 >= pool.workers)
+        return false;
+    const bool isDomainFull = std::any_of(domains.begin(), domains.end(), [&](const Domain& domain) {
+        const Group& group = m_domains.at(domain);
+        return group.out >= mostOut(group.workers, m_options.mostOfDomain);
+    });
+    return !isDomainFull && leavesEnough(member);
+}
+
+/// \returns Whether fewer than half of the others of a domain answer.
+bool EjectionBound::isAloneIn(const Domain& domain, const EjectionMember& member) const
+{
+    const Group& group = m_domains.at(domain);
+    const std::uint32_t others = group.workers - 1;
+    const std::uint32_t answering = group.answering - (member.answering ? 1 : 0);
+    return 2 * answering < others;
+}
+
+bool EjectionBound::leavesEnough(const EjectionMember& member) const
+{
+    const WorkerEntry& worker = *member.worker;
+    return std::all_of(m_least.begin(), m_least.end(), [&](const auto& need) {
+        const auto& [pool, label] = need.first;
+        if (pool != worker.pool || (!label.empty() && !hasLabel(worker, label)))
+            return true;
+        const auto serving = m_serving.find(need.first);
+        return serving != m_serving.end() && serving->second > need.second;
+    });
+}
+
+void EjectionBound::take(const EjectionMember& member)
+{
+    if (member.out)
+        return;
+    const WorkerEntry& worker = *member.worker;
+    ++m_pools.at(worker.pool).out;
+    for (const Domain& domain : domainsOf(worker))
+        ++m_domains.at(domain).out;
+    for (auto& [need, serving] : m_serving) {
+        if (need.first == worker.pool && (need.second.empty() || hasLabel(worker, need.second)))
+            --serving;
+    }
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/policy/run_time_ranks.cpp
@@ -0,0 +1,35 @@
+#include "lanemoor/jobs/policy/run_time_ranks.h"
+
+#include <algorithm>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+constexpr std::uint64_t fewestSamples = 16;
+/// The median is found anew after so many samples: finding it takes as long as some ten samples, and there are thousands a second.
+constexpr std::uint64_t refreshEach = 8;
+
+} // namespace
+
+bool RunTimeRanks::note(const std::string& pool, const std::string& queue, double ratio, double lateFactor)
+{
+    Samples& samples = m_samples[{ pool, queue }];
+    const bool late = samples.taken >= fewestSamples && ratio > lateFactor * static_cast<double>(samples.median);
+    samples.ratios.at(samples.taken % mostSamples) = static_cast<float>(ratio);
+    ++samples.taken;
+    if (samples.taken % refreshEach == 0)
+        refresh(samples);
+    return late;
+}
+
+void RunTimeRanks::refresh(Samples& samples)
+{
+    std::array<float, mostSamples> sorted = samples.ratios;
+    const auto count = static_cast<std::ptrdiff_t>(std::min<std::uint64_t>(samples.taken, mostSamples));
+    const auto middle = sorted.begin() + count / 2;
+    std::nth_element(sorted.begin(), middle, sorted.begin() + count);
+    samples.median = *middle;
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/policy/start_answers.cpp
@@ -0,0 +1,48 @@
+#include "lanemoor/jobs/policy/start_answers.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+constexpr std::uint32_t mostOpenAtDistrusted = 2;
+constexpr std::ptrdiff_t overdueToClose = 2;
+/// A worker that got no start for so long is trusted again.
+constexpr Millis distrustTime { 10'000 };
+
+} // namespace
+
+bool StartAnswers::noteOverdue(const Attempt& attempt, MonotonicInstant now)
+{
+    const auto open = m_open.find(attempt);
+    if (open == m_open.end() || std::exchange(open->second, true))
+        return false;
+    m_distrustedUntil = now + distrustTime;
+    return true;
+}
+
+bool StartAnswers::noteAnswered(const Attempt& attempt)
+{
+    m_distrustedUntil = {};
+    const auto open = m_open.find(attempt);
+    if (open == m_open.end())
+        return false;
+    const bool wasOverdue = open->second;
+    m_open.erase(open);
+    return wasOverdue;
+}
+
+std::uint32_t StartAnswers::startsLeft(MonotonicInstant now) const
+{
+    const auto overdue = std::count_if(m_open.begin(), m_open.end(), [](const auto& open) { return open.second; });
+    if (m_probeOverdue && overdue >= overdueToClose)
+        return 0;
+    if (!isDistrusted(now))
+        return unlimited;
+    const auto open = static_cast<std::uint32_t>(m_open.size());
+    return mostOpenAtDistrusted - std::min(open, mostOpenAtDistrusted);
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/policy/worker_health.cpp
@@ -0,0 +1,218 @@
+#include "lanemoor/jobs/policy/worker_health.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+/// A sound worker fails some 0.2% of batch and 3% of long-running attempts in a row only by
+/// rare luck: three failures of two jobs, with no success between, speak against the worker.
+constexpr std::uint32_t failuresToEject = 3;
+constexpr std::size_t jobsToEject = 2;
+
+/// With fewer samples there is no score; with `fullWeightAt` and more the share alone counts.
+constexpr std::int32_t fewestSamples = 4;
+constexpr std::int32_t fullWeightAt = 8;
+
+/// Three of four calls, or three of eight. Answers that the network loses are some hundredths of all.
+constexpr double unansweredToEject = 0.3;
+/// Four of four ends, or four of eight. Run times vary by themselves, so this takes more than lost answers do.
+constexpr double lateToEject = 0.5;
+
+/// After so long in service the next ejection is as short as the first one. It is longer than most backoffs, so that a worker which
+/// fails with their period is left out ever longer.
+constexpr Millis calmTime { 20'000 };
+/// A worker that got no task to probe it by then, or whose probing task runs on, is back in service: the evidence is old.
+constexpr Millis longestProbing { 10'000 };
+
+double scoreOf(std::int32_t bad, std::int32_t all)
+{
+    if (all < fewestSamples || bad <= 0)
+        return 0;
+    const double weight = std::min(1.0, static_cast<double>(all) / fullWeightAt);
+    return weight * std::min(1.0, static_cast<double>(bad) / static_cast<double>(all));
+}
+
+double unansweredScore(const WorkerEvidence& evidence)
+{
+    return scoreOf(evidence.unanswered, evidence.calls);
+}
+
+double lateScore(const WorkerEvidence& evidence)
+{
+    return scoreOf(evidence.lateEnds, evidence.ends);
+}
+
+std::int64_t secondOf(MonotonicInstant now)
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+}
+
+} // namespace
+
+std::string_view nameOf(HealthFault fault) noexcept
+{
+    switch (fault) {
+    case HealthFault::Failures:
+        return "failures";
+    case HealthFault::Unanswered:
+        return "unanswered";
+    case HealthFault::Slow:
+        return "slow";
+    default:
+        return "none";
+    }
+}
+
+WorkerEvidence& WorkerEvidence::operator+=(const WorkerEvidence& other) noexcept
+{
+    calls += other.calls;
+    unanswered += other.unanswered;
+    ends += other.ends;
+    lateEnds += other.lateEnds;
+    return *this;
+}
+
+void WorkerHealth::noteSuccess(MonotonicInstant now)
+{
+    m_failedJobs.clear();
+    m_failures = 0;
+    if (isProbing(now) && m_strike == HealthFault::None)
+        readmit();
+}
+
+void WorkerHealth::noteFailure(const std::string& job, MonotonicInstant now)
+{
+    m_failedJobs.insert(job);
+    ++m_failures;
+    strike(HealthFault::Failures, now);
+}
+
+void WorkerHealth::noteStartAnswered(MonotonicInstant now)
+{
+    add({ .calls = 1 }, now);
+    if (isProbing(now) && m_ejectedFor == HealthFault::Unanswered && m_strike == HealthFault::None)
+        readmit();
+}
+
+void WorkerHealth::noteStopAnswered(MonotonicInstant now)
+{
+    add({ .calls = 1 }, now);
+}
+
+void WorkerHealth::noteUnanswered(MonotonicInstant now)
+{
+    add({ .calls = 1, .unanswered = 1 }, now);
+    strike(HealthFault::Unanswered, now);
+}
+
+void WorkerHealth::noteLateAnswer(MonotonicInstant now)
+{
+    add({ .unanswered = -1 }, now);
+    if (m_strike == HealthFault::Unanswered)
+        m_strike = HealthFault::None;
+}
+
+void WorkerHealth::noteRunTime(bool late, MonotonicInstant now)
+{
+    add({ .ends = 1, .lateEnds = late ? 1 : 0 }, now);
+    if (late)
+        strike(HealthFault::Slow, now);
+}
+
+/// The probing task has failed: one failure is enough then.
+void WorkerHealth::strike(HealthFault fault, MonotonicInstant now)
+{
+    if (isProbing(now))
+        m_strike = fault;
+}
+
+void WorkerHealth::readmit()
+{
+    m_ejectedFor = HealthFault::None;
+    m_window = {};
+}
+
+bool WorkerHealth::isOut(MonotonicInstant now) const noexcept
+{
+    return m_ejectedFor != HealthFault::None && (m_strike != HealthFault::None || now < m_backoff.until() + longestProbing);
+}
+
+bool WorkerHealth::isFailing() const noexcept
+{
+    return m_failures >= failuresToEject && m_failedJobs.size() >= jobsToEject;
+}
+
+HealthFault WorkerHealth::fault(MonotonicInstant now) const
+{
+    if (isEjected(now))
+        return HealthFault::None;
+    if (m_strike != HealthFault::None)
+        return m_strike;
+    if (isProbing(now))
+        return HealthFault::None;
+    if (isFailing())
+        return HealthFault::Failures;
+    const WorkerEvidence seen = evidence(now);
+    if (unansweredScore(seen) >= unansweredToEject)
+        return HealthFault::Unanswered;
+    return lateScore(seen) >= lateToEject ? HealthFault::Slow : HealthFault::None;
+}
+
+double WorkerHealth::score(MonotonicInstant now) const
+{
+    if (isFailing())
+        return 1;
+    const WorkerEvidence seen = evidence(now);
+    return std::max(unansweredScore(seen), lateScore(seen));
+}
+
+void WorkerHealth::eject(HealthFault fault, const WorkerHealthOptions& options, MonotonicInstant now)
+{
+    if (now - m_backoff.until() >= calmTime)
+        m_backoff.reset();
+    const auto ratio = static_cast<std::uint64_t>(options.longestBackoff / std::max(options.firstBackoff, Millis(1)));
+    const auto doublings = static_cast<std::uint32_t>(std::bit_width(std::max<std::uint64_t>(ratio, 1)) - 1);
+    m_verdict = { .fault = fault, .score = score(now), .evidence = evidence(now), .failures = m_failures };
+    m_backoff.begin(now, options.firstBackoff, doublings);
+    m_ejectedFor = fault;
+    m_strike = HealthFault::None;
+    m_window = {};
+    m_failedJobs.clear();
+    m_failures = 0;
+}
+
+WorkerHealthScore WorkerHealth::report(MonotonicInstant now) const
+{
+    WorkerHealthScore report { .fault = fault(now), .score = score(now), .evidence = evidence(now), .failures = m_failures };
+    if (isOut(now))
+        report = m_verdict;
+    report.ejected = isEjected(now);
+    report.probing = isProbing(now);
+    report.ejectedUntil = m_backoff.until();
+    return report;
+}
+
+void WorkerHealth::add(const WorkerEvidence& evidence, MonotonicInstant now)
+{
+    const std::int64_t second = secondOf(now);
+    Slot& slot = m_window.at(static_cast<std::size_t>(second % windowSeconds));
+    if (slot.second != second)
+        slot = { .second = second, .evidence = {} };
+    slot.evidence += evidence;
+}
+
+WorkerEvidence WorkerHealth::evidence(MonotonicInstant now) const
+{
+    const std::int64_t oldest = secondOf(now) - windowSeconds;
+    WorkerEvidence sum;
+    for (const Slot& slot : m_window) {
+        if (slot.second > oldest)
+            sum += slot.evidence;
+    }
+    return sum;
+}
+
+} // namespace lanemoor::jobs
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -416,6 +416,7 @@
             .workerLeaseTime = m_settings.workerLeaseTime,
             .placement = m_settings.policies.placement,
             .crashes = m_settings.policies.crashes,
+            .health = m_settings.policies.workerHealth,
             .seesRises = m_settings.policies.capacity.seesRises };
     }
 
