Starts that can't begin any more are placed again; leases of silent workers end in time

In a pool of 20 workers of which a fifth stops answering for 6 s, time went to four things:

- A task whose start was lost waited until a stop of it was answered, without a limit while the worker answered renewals.
A start that no report has shown is now given up once its lease is over on the worker's clock and 7 s have passed since it was sent, after which no connection delivers it to another incarnation.
- The end of a silent worker's lease was looked at only when a renewal timed out, up to a second late.
It has a timer of its own.
- An idle worker that answered neither renewal nor probe still took a burst.
It is now distrusted until it answers.
- Unanswered stops of earlier attempts doubled the backoff before any task had probed the worker.
They now postpone the probe by the first backoff.

What is left are the jobs that ran on these workers when they fell silent: their tasks can't start elsewhere before the lease is over.

--- a/include/lanemoor/decisions/ejection_backoff.h
+++ b/include/lanemoor/decisions/ejection_backoff.h
@@ -28,6 +28,9 @@
         ++m_ejections;
     }
 
+    /// \brief The pause lasts until `until`; the next one doubles as it would have.
+    void postpone(TimePoint until) noexcept { m_until = until; }
+
     /// \brief The next pause is as short as the first one.
     void reset() noexcept { m_ejections = 0; }
 
--- a/include/lanemoor/jobs/owner/worker_session.h
+++ b/include/lanemoor/jobs/owner/worker_session.h
@@ -139,6 +139,7 @@
     void watchProbe(MonotonicInstant sentAt, MonotonicInstant overdueAt);
     void answered(const RenewResult& result, MonotonicInstant sentAt);
     void watchLease();
+    void endLeaseInTime();
     void doubtLife();
     void noteThisLife();
     [[nodiscard]] bool mayBeAnotherLife() const;
--- a/include/lanemoor/jobs/policy/start_answers.h
+++ b/include/lanemoor/jobs/policy/start_answers.h
@@ -14,15 +14,15 @@
 /// \brief The open starts at one incarnation of a worker.
 ///
 /// A worker that answered no start since one was overdue is distrusted: it comes after all others and has two open starts at most, since
-/// its empty room would attract what other workers would run. One with two overdue starts that does not answer a probe
-/// either gets no start until it answers anything.
+/// its empty room would attract what other workers would run. So is one that does not answer a probe, until it answers anything; with two
+/// overdue starts it gets no more meanwhile.
 class StartAnswers {
 public:
     /// No limit on further starts.
     static constexpr std::uint32_t unlimited = std::numeric_limits<std::uint32_t>::max();
 
-    /// \brief A start was sent.
-    void noteSent(const Attempt& attempt) { m_open.insert_or_assign(attempt, false); }
+    /// \brief A start was sent. \param leaseUntil That it carries, on the worker's clock in ms.
+    void noteSent(const Attempt& attempt, std::int64_t leaseUntil, MonotonicInstant now) { m_open.insert_or_assign(attempt, OpenStart { .leaseUntil = leaseUntil, .deliveredBy = now + latestDelivery }); }
 
     /// \brief The answer to a start is overdue. \returns False if it was noted before, or the start is settled.
     bool noteOverdue(const Attempt& attempt, MonotonicInstant now);
@@ -39,8 +39,13 @@
     /// \brief The worker has answered any call.
     void noteHeard() noexcept { m_probeOverdue = false; }
 
-    /// \returns Whether the worker has answered no start since one was overdue.
-    [[nodiscard]] bool isDistrusted(MonotonicInstant now) const noexcept { return now < m_distrustedUntil; }
+    /// \returns Whether the worker has answered no start since one was overdue, or no probe.
+    [[nodiscard]] bool isDistrusted(MonotonicInstant now) const noexcept { return m_probeOverdue || now < m_distrustedUntil; }
+
+    /// \returns Whether a start that no report has shown can't begin any more: a worker refuses a start whose lease is over, and
+    /// no connection delivers it any more to another incarnation, whose clock may be behind.
+    /// \param workerClock Of the incarnation that does not list the attempt, ms.
+    [[nodiscard]] bool hasExpired(const Attempt& attempt, std::int64_t workerClock, MonotonicInstant now) const;
 
     /// \returns Whether the worker answered its last probe in time, as far as one was due.
     [[nodiscard]] bool isAnswering() const noexcept { return !m_probeOverdue; }
@@ -56,7 +61,17 @@
     }
 
 private:
-    std::map<Attempt, bool> m_open; ///< Starts without an answer, and whether it is overdue.
+    /// An order without an answer may be carried out some 6 s after it was sent.
+    static constexpr Millis latestDelivery { 7'000 };
+
+    /// A start without an answer.
+    struct OpenStart {
+        std::int64_t leaseUntil = 0; ///< On the worker's clock, ms.
+        MonotonicInstant deliveredBy; ///< It does not arrive later.
+        bool overdue = false;
+    };
+
+    std::map<Attempt, OpenStart> m_open;
     MonotonicInstant m_distrustedUntil;
     bool m_probeOverdue = false;
 };
--- a/include/lanemoor/jobs/policy/worker_health.h
+++ b/include/lanemoor/jobs/policy/worker_health.h
@@ -103,6 +103,9 @@
     /// \brief Leaves the worker out for a backoff, after which one task at a time probes it.
     void eject(HealthFault fault, const WorkerHealthOptions& options, MonotonicInstant now);
 
+    /// \brief The evidence goes on before a task has probed the worker: it is left out for another first backoff, without doubling.
+    void postponeProbe(const WorkerHealthOptions& options, MonotonicInstant now);
+
     /// \returns Whether the worker gets no work now.
     [[nodiscard]] bool isEjected(MonotonicInstant now) const noexcept { return now < m_backoff.until(); }
 
--- a/src/jobs/owner/health_monitor.cpp
+++ b/src/jobs/owner/health_monitor.cpp
@@ -35,13 +35,13 @@
         worker.probingAttempt = attempt;
 }
 
-void HealthMonitor::noteStartSent(WorkerBook& worker, const Attempt& attempt)
+void HealthMonitor::noteStartSent(WorkerBook& worker, const StartOrder& order)
 {
     if (!isOn())
         return;
     if (worker.starts.isDistrusted(m_state.now()))
         worker.starts.dropSettled([&](const Attempt& open) { return !worker.bookings.contains(open); });
-    worker.starts.noteSent(attempt);
+    worker.starts.noteSent(order.attempt, order.leaseUntil, m_state.now());
 }
 
 void HealthMonitor::noteStartOverdue(WorkerBook& worker, const Attempt& attempt)
@@ -182,7 +182,11 @@
 void HealthMonitor::eject(WorkerBook& worker, HealthFault fault)
 {
     const MonotonicInstant now = m_state.now();
-    worker.health.eject(fault, m_state.options.health, now);
+    // Without an attempt since the last backoff the worker was not probed: it only left the stops of earlier attempts unanswered.
+    if (worker.health.isOut(now) && !worker.probingAttempt)
+        worker.health.postponeProbe(m_state.options.health, now);
+    else
+        worker.health.eject(fault, m_state.options.health, now);
     worker.probingAttempt.reset();
     m_failing.erase(worker.entry.id);
     m_out.insert(worker.entry.id);
--- a/src/jobs/owner/health_monitor.h
+++ b/src/jobs/owner/health_monitor.h
@@ -23,7 +23,7 @@
     /// \name Calls
     ///@{
     void noteStartBooked(WorkerBook& worker, const Attempt& attempt);
-    void noteStartSent(WorkerBook& worker, const Attempt& attempt);
+    void noteStartSent(WorkerBook& worker, const StartOrder& order);
     void noteStartOverdue(WorkerBook& worker, const Attempt& attempt);
     void noteStartAnswered(WorkerBook& worker, const Attempt& attempt);
     void noteStopOverdue(WorkerBook& worker);
--- a/src/jobs/owner/order_desk.cpp
+++ b/src/jobs/owner/order_desk.cpp
@@ -140,7 +140,7 @@
         .checkpoint = task.checkpoint,
         .ticket = ticket };
     ++m_counts.starts;
-    m_health.noteStartSent(worker, attempt);
+    m_health.noteStartSent(worker, order);
     m_state.options.log->decision("task-start",
         { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id }, { "epoch", static_cast<std::int64_t>(m_state.ownership.epoch) }, { "crashes", std::int64_t { task.crashes.total() } }, { "recorded", std::int64_t { task.probationOf(attempt.number) != nullptr } }, { "worker_verified", std::int64_t { task.live->sentOnClock > 0 } } });
     m_state.options.workers->start(worker.session->life(), order, [self = weak_from_this(), attempt, id = worker.entry.id, life = std::weak_ptr(worker.session)](const OrderResult& result) {
--- a/src/jobs/owner/report_reader.cpp
+++ b/src/jobs/owner/report_reader.cpp
@@ -222,6 +222,12 @@
         return;
     }
     const LiveAttempt& live = *task->live;
+    const bool isOpen = live.phase == AttemptPhase::Doubtful || live.phase == AttemptPhase::Stopping;
+    if (isOpen && !live.wasConfirmed() && worker.starts.hasExpired(attempt, workerClock, m_state.now())) {
+        m_state.options.log->decision("start-expired", { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id } });
+        m_desk.release(attempt, worker.entry.id, m_state.now());
+        return;
+    }
     switch (live.phase) {
     case AttemptPhase::Recording:
     case AttemptPhase::Ordered:
--- a/src/jobs/owner/worker_session.cpp
+++ b/src/jobs/owner/worker_session.cpp
@@ -235,7 +235,8 @@
             renewAt(m_loop.now());
             return;
         }
-        m_silent = true;
+        if (!std::exchange(m_silent, true))
+            endLeaseInTime();
         renewAt(m_loop.now() + m_options.retryPause);
         m_observer.onSilence(*this);
         watchLease();
@@ -266,6 +267,16 @@
     m_observer.onOver(*this, false);
 }
 
+/// The renewals of a silent worker time out one after another, and the lease may be over long before the next one does.
+void WorkerSession::endLeaseInTime()
+{
+    m_loop.callAt(leaseOverBy(), [self = weak_from_this()] {
+        const auto session = self.lock();
+        if (session && !session->m_closed && session->m_silent)
+            session->watchLease();
+    });
+}
+
 void WorkerSession::noteRestart(std::int64_t startedAt)
 {
     const bool wasOver = std::exchange(m_lifeOver, true) || m_leaseLapsed;
--- a/src/jobs/policy/start_answers.cpp
+++ b/src/jobs/policy/start_answers.cpp
@@ -17,7 +17,7 @@
 bool StartAnswers::noteOverdue(const Attempt& attempt, MonotonicInstant now)
 {
     const auto open = m_open.find(attempt);
-    if (open == m_open.end() || std::exchange(open->second, true))
+    if (open == m_open.end() || std::exchange(open->second.overdue, true))
         return false;
     m_distrustedUntil = now + distrustTime;
     return true;
@@ -29,14 +29,20 @@
     const auto open = m_open.find(attempt);
     if (open == m_open.end())
         return false;
-    const bool wasOverdue = open->second;
+    const bool wasOverdue = open->second.overdue;
     m_open.erase(open);
     return wasOverdue;
 }
 
+bool StartAnswers::hasExpired(const Attempt& attempt, std::int64_t workerClock, MonotonicInstant now) const
+{
+    const auto open = m_open.find(attempt);
+    return open != m_open.end() && open->second.leaseUntil > 0 && workerClock > open->second.leaseUntil && now >= open->second.deliveredBy;
+}
+
 std::uint32_t StartAnswers::startsLeft(MonotonicInstant now) const
 {
-    const auto overdue = std::count_if(m_open.begin(), m_open.end(), [](const auto& open) { return open.second; });
+    const auto overdue = std::count_if(m_open.begin(), m_open.end(), [](const auto& open) { return open.second.overdue; });
     if (m_probeOverdue && overdue >= overdueToClose)
         return 0;
     if (!isDistrusted(now))
--- a/src/jobs/policy/worker_health.cpp
+++ b/src/jobs/policy/worker_health.cpp
@@ -184,6 +184,12 @@
     m_failures = 0;
 }
 
+void WorkerHealth::postponeProbe(const WorkerHealthOptions& options, MonotonicInstant now)
+{
+    m_backoff.postpone(now + options.firstBackoff);
+    m_strike = HealthFault::None;
+}
+
 WorkerHealthScore WorkerHealth::report(MonotonicInstant now) const
 {
     WorkerHealthScore report { .fault = fault(now), .score = score(now), .evidence = evidence(now), .failures = m_failures };
--- a/tests/jobs/worker_health_test.cpp
+++ b/tests/jobs/worker_health_test.cpp
@@ -171,6 +171,23 @@
     CHECK_FALSE(health.isOut(start + Millis(17'000)));
 }
 
+TEST_CASE("A worker that leaves earlier stops unanswered is not left out ever longer without a probe")
+{
+    WorkerHealth health;
+    for (int i = 0; i < 4; ++i)
+        health.noteUnanswered(start);
+    REQUIRE(ejectIfIll(health, start));
+    MonotonicInstant now = start;
+    for (int i = 0; i < 3; ++i) {
+        now += Millis(2'000);
+        health.noteUnanswered(now);
+        REQUIRE(health.fault(now) == HealthFault::Unanswered);
+        health.postponeProbe(options, now);
+        CHECK(health.isEjected(now));
+        CHECK(health.isProbing(now + Millis(2'000)));
+    }
+}
+
 TEST_CASE("At most half of a rack is left out, the worst first")
 {
     const Pool pool(10, 8);
@@ -226,9 +243,10 @@
 TEST_CASE("A worker that answers no start has two open ones at most, and none once it answers no probe")
 {
     const auto attempt = [](std::uint64_t number) { return Attempt { "a", {}, number }; };
+    constexpr std::int64_t leaseUntil = 5'000;
     StartAnswers answers;
     for (std::uint64_t i = 1; i <= 5; ++i)
-        answers.noteSent(attempt(i));
+        answers.noteSent(attempt(i), leaseUntil, start);
     CHECK(answers.startsLeft(start) == StartAnswers::unlimited);
     CHECK(answers.noteOverdue(attempt(1), start));
     CHECK_FALSE(answers.noteOverdue(attempt(1), start));
@@ -237,7 +255,7 @@
         answers.noteSettled(attempt(i));
     answers.noteSettled(attempt(1));
     CHECK(answers.startsLeft(start) == 1);
-    answers.noteSent(attempt(6));
+    answers.noteSent(attempt(6), leaseUntil, start);
     answers.noteOverdue(attempt(2), start);
     answers.noteOverdue(attempt(6), start);
     answers.noteProbeOverdue();
@@ -245,10 +263,33 @@
     CHECK(answers.isDistrusted(start));
     CHECK(answers.noteAnswered(attempt(6)));
     CHECK(answers.startsLeft(start) == StartAnswers::unlimited);
-    answers.noteSent(attempt(7));
+    answers.noteSent(attempt(7), leaseUntil, start);
     answers.noteOverdue(attempt(7), start);
     answers.noteProbeOverdue();
     CHECK(answers.startsLeft(start + Millis(60'000)) == 0);
     answers.noteHeard();
     CHECK(answers.startsLeft(start + Millis(60'000)) == StartAnswers::unlimited);
 }
+
+TEST_CASE("A worker that does not answer a probe is distrusted until it answers")
+{
+    StartAnswers answers;
+    answers.noteProbeOverdue();
+    CHECK(answers.isDistrusted(start));
+    CHECK(answers.startsLeft(start) == 2);
+    answers.noteHeard();
+    CHECK(answers.startsLeft(start) == StartAnswers::unlimited);
+}
+
+/// Guards against starting a task elsewhere whose open start may still be carried out.
+TEST_CASE("A start can't begin any more once its lease is over and no connection delivers it")
+{
+    const Attempt attempt { "a", {}, 1 };
+    StartAnswers answers;
+    answers.noteSent(attempt, 5'000, start);
+    CHECK_FALSE(answers.hasExpired(attempt, 4'999, start + Millis(20'000)));
+    CHECK_FALSE(answers.hasExpired(attempt, 5'001, start + Millis(6'900)));
+    CHECK(answers.hasExpired(attempt, 5'001, start + Millis(7'000)));
+    answers.noteSettled(attempt);
+    CHECK_FALSE(answers.hasExpired(attempt, 5'001, start + Millis(7'000)));
+}
