--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -12,6 +12,7 @@
 #include "lanemoor/jobs/policy/checkpoint_move.h"
 #include "lanemoor/jobs/policy/crash_attribution.h"
 #include "lanemoor/jobs/policy/placement_options.h"
+#include "lanemoor/jobs/policy/worker_health.h"
 
 #include <cstdint>
 #include <functional>
@@ -54,6 +55,7 @@
     PlacementOptions placement;
     CrashOptions crashes;
     CheckpointMoveCost checkpointMove;
+    WorkerHealthOptions health;
     bool seesRises = true; ///< See CapacityOptions.
 };
 
@@ -65,7 +67,7 @@
     std::uint32_t pinned = 0; ///< Of the long-running ones, those that require a label.
     MonotonicInstant emptyBy; ///< When the other ones should have ended, by their declared times and what is observed.
     bool known = false; ///< What runs there is known: it was met in this term, or every lease there is over.
-    bool sound = false; ///< Listed, answering, not draining, not quarantined.
+    bool sound = false; ///< Listed, answering, not draining, not ejected.
     bool evacuating = false;
     MonotonicInstant evacuatingSince; ///< Meaningful while evacuating.
 };
--- a/include/lanemoor/jobs/owner/worker_session.h
+++ b/include/lanemoor/jobs/owner/worker_session.h
@@ -97,6 +97,9 @@
     /// until its call times out.
     void noteOverdue();
 
+    /// \returns Whether a call to the worker was overdue lately.
+    [[nodiscard]] bool wasOverdueLately() const { return m_loop.now() < m_shortWaitUntil; }
+
     /// \brief Probes the worker after `pause`.
     void probeAfter(Millis pause);
 
@@ -136,6 +139,7 @@
     void watchProbe(MonotonicInstant sentAt, MonotonicInstant overdueAt);
     void answered(const RenewResult& result, MonotonicInstant sentAt);
     void watchLease();
+    void endLeaseInTime();
     void doubtLife();
     void noteThisLife();
     [[nodiscard]] bool mayBeAnotherLife() const;
--- a/include/lanemoor/jobs/service/policies.h
+++ b/include/lanemoor/jobs/service/policies.h
@@ -6,6 +6,7 @@
 #include "lanemoor/jobs/policy/capacity_plan.h"
 #include "lanemoor/jobs/policy/crash_attribution.h"
 #include "lanemoor/jobs/policy/placement_options.h"
+#include "lanemoor/jobs/policy/worker_health.h"
 #include "lanemoor/jobs/relay/relay_plan.h"
 #include "lanemoor/jobs/store/store_outage_options.h"
 
@@ -19,6 +20,7 @@
     JobLookupOptions lookup;
     RelayOptions relay;
     StoreOutageOptions storeOutages;
+    WorkerHealthOptions workerHealth;
 
     [[nodiscard]] bool operator==(const Policies&) const = default;
 };
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -476,6 +476,7 @@
             .placement = m_settings.policies.placement,
             .crashes = m_settings.policies.crashes,
             .checkpointMove = { .restore = m_settings.restoreTime },
+            .health = m_settings.policies.workerHealth,
             .seesRises = m_settings.policies.capacity.seesRises };
     }
 
