Paths that do not reach a data hall are taken out of its calls at once

Cause: the owner had no information on data halls. While two of three data halls were cut from each other it sent calls for the far one through relays that could not reach it, one worker after another, each after a timed-out call of 1.1 s.

Change: ReachabilityTable holds paths times data halls from the outcome of calls. Two workers of a data hall without an answer over one path, with none answered since, make the path unreachable for it. Unreachable paths are retried by one extra call for each pair of data halls. An overdue call is evidence before its time-out, and the calls to its worker that follow take another path, so that its session does not become silent. RelayHello carries the relay's data hall. On fleets without cuts RelayPlan chooses as before. `policies.reachability.enabled` switches it off. The model of the platform cuts data halls from each other.

--- a/include/lanemoor/jobs/model/worker_control.h
+++ b/include/lanemoor/jobs/model/worker_control.h
@@ -21,6 +21,7 @@
     /// When it started by its own time of day, Unix ms; 0: not told. It tells the lives of one id apart and says nothing of which
     /// came first, since that clock may jump.
     std::int64_t startedAt = 0;
+    std::string dataHall; ///< Empty: not known.
 
     [[nodiscard]] bool operator==(const WorkerLife&) const = default;
 };
@@ -128,6 +129,9 @@
     /// \param percent Share of its speed that the attempt may use.
     virtual void throttle(const WorkerLife& worker, const Attempt& attempt, std::uint32_t percent, std::uint64_t epoch, std::function<void(OrderResult)> done) = 0;
 
+    /// \brief A call to the worker is overdue: calls to it that follow take another path, where there is one.
+    virtual void noteOverdue(const WorkerLife& /*worker*/) { }
+
     /// \brief Closes the connections to a life that is over.
     virtual void forget(const WorkerLife& worker) = 0;
 };
--- a/include/lanemoor/jobs/relay/order_relay.h
+++ b/include/lanemoor/jobs/relay/order_relay.h
@@ -36,8 +36,9 @@
 /// the owner has long given it up.
 class OrderRelay {
 public:
-    /// \param name Unique among the instances. \param cores Processor time of this machine.
-    OrderRelay(OrderRelayParts parts, std::string name, double cores);
+    /// \param name Unique among the instances. \param cores Processor time of this machine. \param dataHall Where it stands; empty:
+    /// not known.
+    OrderRelay(OrderRelayParts parts, std::string name, double cores, std::string dataHall = {});
     ~OrderRelay();
     OrderRelay(const OrderRelay&) = delete;
     OrderRelay& operator=(const OrderRelay&) = delete;
--- a/include/lanemoor/jobs/relay/relayed_workers.h
+++ b/include/lanemoor/jobs/relay/relayed_workers.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 
 namespace lanemoor {
 class EventLog;
@@ -33,6 +34,7 @@
     std::uint64_t relayed = 0; ///< Calls that a relay was given.
     std::uint64_t unanswered = 0; ///< Of them, those that had no answer in time, or whose relay was lost.
     std::uint64_t relays = 0; ///< In use now.
+    std::uint64_t pathChanges = 0; ///< Paths that became unreachable for a data hall, or reachable again.
 };
 
 /// \brief Hands calls to relays, in groups, and their answers back.
@@ -43,7 +45,8 @@
 /// any call without an answer, and its workers are given to others at their next call.
 class RelayedWorkers final : public WorkerControl {
 public:
-    RelayedWorkers(RelayedWorkersParts parts, RelayOptions options, double ownCores);
+    /// \param ownHall Data hall of this process; empty: not known.
+    RelayedWorkers(RelayedWorkersParts parts, RelayOptions options, double ownCores, ReachabilityOptions reachability = {}, std::string ownHall = {});
     ~RelayedWorkers() override;
     RelayedWorkers(const RelayedWorkers&) = delete;
     RelayedWorkers& operator=(const RelayedWorkers&) = delete;
@@ -58,10 +61,14 @@
     void stop(const WorkerLife& worker, const Attempt& attempt, std::uint64_t epoch, std::function<void(OrderResult)> done) override;
     void renew(const WorkerLife& worker, const RenewOrder& order, std::function<void(RenewResult)> done) override;
     void throttle(const WorkerLife& worker, const Attempt& attempt, std::uint32_t percent, std::uint64_t epoch, std::function<void(OrderResult)> done) override;
+    void noteOverdue(const WorkerLife& worker) override;
     void forget(const WorkerLife& worker) override;
 
     [[nodiscard]] RelayCounts counts() const noexcept;
 
+    /// \returns Which data halls are reached over which paths, by the outcome of calls of this term.
+    [[nodiscard]] std::shared_ptr<const Reachability> reachability() const;
+
 private:
     class Impl;
     std::shared_ptr<Impl> m_impl;
--- a/include/lanemoor/jobs/service/policies.h
+++ b/include/lanemoor/jobs/service/policies.h
@@ -6,6 +6,7 @@
 #include "lanemoor/jobs/policy/capacity_plan.h"
 #include "lanemoor/jobs/policy/crash_attribution.h"
 #include "lanemoor/jobs/policy/placement_options.h"
+#include "lanemoor/jobs/policy/reachability.h"
 #include "lanemoor/jobs/relay/relay_plan.h"
 
 namespace lanemoor::jobs {
@@ -17,6 +18,7 @@
     CrashOptions crashes;
     JobLookupOptions lookup;
     RelayOptions relay;
+    ReachabilityOptions reachability;
 
     [[nodiscard]] bool operator==(const Policies&) const = default;
 };
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -578,7 +578,7 @@
         // What was sent to a former life and reached this one brought a lease on a clock that it doesn't have.
         if (!book.formerStarts.empty())
             options.inheritedLeaseOverBy = std::max(options.inheritedLeaseOverBy, state.now() + longestLateRun);
-        book.session = std::make_shared<WorkerSession>(*m_options.loop, *m_options.workers, WorkerLife { book.entry.id, book.entry.address, startedAt }, std::move(options), m_term->reports);
+        book.session = std::make_shared<WorkerSession>(*m_options.loop, *m_options.workers, WorkerLife { book.entry.id, book.entry.address, startedAt, book.entry.dataHall }, std::move(options), m_term->reports);
         book.session->start();
         // Also one whose entry comes later: it may have been missing while its tasks ran on.
         m_term->unmet.insert(book.entry.id);
--- a/src/jobs/owner/worker_session.cpp
+++ b/src/jobs/owner/worker_session.cpp
@@ -145,8 +145,10 @@
 {
     m_loop.callAt(overdueAt, [self = weak_from_this(), sentAt] {
         const auto session = self.lock();
-        if (session && !session->m_closed && session->m_met && !session->answeredSince(sentAt))
-            session->m_observer.onOverdue(*session);
+        if (!session || session->m_closed || !session->m_met || session->answeredSince(sentAt))
+            return;
+        session->m_control.noteOverdue(session->m_life);
+        session->m_observer.onOverdue(*session);
     });
 }
 
@@ -214,6 +216,7 @@
 void WorkerSession::noteOverdue()
 {
     m_shortWaitUntil = m_loop.now() + shortWaitTime;
+    m_control.noteOverdue(m_life);
 }
 
 void WorkerSession::answered(const RenewResult& result, MonotonicInstant sentAt)
--- /dev/null
+++ b/src/jobs/policy/reachability.cpp
@@ -0,0 +1,240 @@
+#include "lanemoor/jobs/policy/reachability.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+/// A worker that did not answer over more paths than this has probably crashed. In a cut between two of three data halls the
+/// third path at the latest answers.
+constexpr std::size_t mostPathsOfEvidence = 3;
+constexpr std::uint32_t mostDoublings = 4; // Of the pause between retries.
+
+} // namespace
+
+std::string_view nameOf(PathState state) noexcept
+{
+    switch (state) {
+    case PathState::Unknown:
+        return "unknown";
+    case PathState::Reachable:
+        return "reachable";
+    case PathState::Unreachable:
+        return "unreachable";
+    }
+    return "unknown";
+}
+
+bool Reachability::isUnreachable(std::string_view dataHall) const
+{
+    bool isCut = false;
+    for (const HallPath& path : paths) {
+        if (path.dataHall != dataHall)
+            continue;
+        if (path.state == PathState::Reachable)
+            return false;
+        isCut = isCut || path.state == PathState::Unreachable;
+    }
+    return isCut;
+}
+
+ReachabilityTable::ReachabilityTable(ReachabilityOptions options)
+    : m_options(options)
+{
+}
+
+std::size_t ReachabilityTable::hallOf(const std::string& name)
+{
+    const auto [place, isNew] = m_hallNumbers.try_emplace(name, m_halls.size());
+    if (isNew)
+        m_halls.push_back({ .name = name, .cuts = {} });
+    return place->second;
+}
+
+void ReachabilityTable::setPath(const std::string& path, const std::string& dataHall)
+{
+    forgetPath(path);
+    m_paths[path].hall = hallOf(dataHall);
+}
+
+void ReachabilityTable::forgetPath(const std::string& path)
+{
+    const auto found = m_paths.find(path);
+    if (found == m_paths.end())
+        return;
+    const std::vector<Cell>& cells = found->second.cells;
+    for (std::size_t hall = 0; hall < cells.size(); ++hall) {
+        if (cells[hall].state == PathState::Unreachable)
+            removeCut(found->second.hall, hall);
+    }
+    m_paths.erase(found);
+}
+
+const std::string& ReachabilityTable::hallOfPath(const std::string& path) const
+{
+    const auto found = m_paths.find(path);
+    return m_halls[found == m_paths.end() ? 0 : found->second.hall].name;
+}
+
+ReachabilityTable::Cell* ReachabilityTable::cellOf(const std::string& path, std::size_t hall)
+{
+    const auto found = m_paths.find(path);
+    if (hall == 0 || found == m_paths.end())
+        return nullptr;
+    std::vector<Cell>& cells = found->second.cells;
+    if (cells.size() <= hall)
+        cells.resize(m_halls.size());
+    return &cells[hall];
+}
+
+std::optional<PathChange> ReachabilityTable::noteAnswered(const std::string& path, std::size_t hall, const std::string& worker, MonotonicInstant now)
+{
+    if (!m_unansweredOver.empty())
+        m_unansweredOver.erase(worker);
+    Cell* cell = cellOf(path, hall);
+    if (!cell)
+        return std::nullopt;
+    cell->answeredAt = now;
+    cell->unanswered = 0;
+    if (!cell->evidence.empty())
+        cell->evidence.clear();
+    const PathState before = cell->state;
+    if (before == PathState::Reachable)
+        return std::nullopt;
+    const MonotonicInstant since = std::exchange(cell->since, now);
+    cell->state = PathState::Reachable;
+    if (before != PathState::Unreachable)
+        return std::nullopt;
+    ++m_changes;
+    const std::size_t from = m_paths.at(path).hall;
+    removeCut(from, hall);
+    doubtSiblings(from, hall, now);
+    return PathChange { .path = path, .dataHall = m_halls[hall].name, .to = PathState::Reachable, .evidence = {}, .evidenceSince = since };
+}
+
+std::optional<PathChange> ReachabilityTable::noteUnanswered(const std::string& path, std::size_t hall, const std::string& worker, MonotonicInstant expectedAt, MonotonicInstant now)
+{
+    Cell* cell = cellOf(path, hall);
+    if (!cell || (cell->answeredAt && *cell->answeredAt >= expectedAt) || !isEvidence(worker, path))
+        return std::nullopt;
+    ++cell->unanswered;
+    if (cell->state == PathState::Unreachable)
+        return std::nullopt;
+    if (cell->evidence.empty() || now - cell->evidenceSince > m_options.evidenceLasts) {
+        cell->evidence.clear();
+        cell->evidenceSince = expectedAt;
+    }
+    cell->evidence.insert(worker);
+    if (cell->evidence.size() < m_options.workersToDoubt)
+        return std::nullopt;
+    ++m_changes;
+    cell->state = PathState::Unreachable;
+    cell->since = now;
+    PathChange change { .path = path, .dataHall = m_halls[hall].name, .to = PathState::Unreachable, .evidence = { cell->evidence.begin(), cell->evidence.end() }, .evidenceSince = cell->evidenceSince };
+    cell->evidence.clear();
+    addCut(m_paths.at(path).hall, hall, now);
+    return change;
+}
+
+bool ReachabilityTable::isEvidence(const std::string& worker, const std::string& path)
+{
+    std::set<std::string>& paths = m_unansweredOver[worker];
+    if (paths.contains(path))
+        return true;
+    if (paths.size() >= mostPathsOfEvidence)
+        return false;
+    paths.insert(path);
+    return true;
+}
+
+void ReachabilityTable::addCut(std::size_t from, std::size_t hall, MonotonicInstant now)
+{
+    ++m_halls[hall].unreachable;
+    Cut& cut = m_halls[hall].cuts[from];
+    if (cut.paths++ == 0)
+        cut.retryAt = now + m_options.firstRetry;
+}
+
+void ReachabilityTable::removeCut(std::size_t from, std::size_t hall)
+{
+    --m_halls[hall].unreachable;
+    const auto cut = m_halls[hall].cuts.find(from);
+    if (--cut->second.paths == 0)
+        m_halls[hall].cuts.erase(cut);
+}
+
+/// A path that is back shows that the data halls reach each other again: the others from there need not be retried one by one.
+void ReachabilityTable::doubtSiblings(std::size_t from, std::size_t hall, MonotonicInstant now)
+{
+    for (auto& [name, path] : m_paths) {
+        if (path.hall != from || path.cells.size() <= hall || path.cells[hall].state != PathState::Unreachable)
+            continue;
+        path.cells[hall].state = PathState::Unknown;
+        path.cells[hall].since = now;
+        removeCut(from, hall);
+    }
+}
+
+PathState ReachabilityTable::stateOf(const Cell& cell, MonotonicInstant now) const
+{
+    const bool isOld = cell.state == PathState::Reachable && now - cell.answeredAt.value_or(MonotonicInstant {}) > m_options.answerLasts;
+    return isOld ? PathState::Unknown : cell.state;
+}
+
+PathRank ReachabilityTable::rank(const std::string& path, std::size_t hall, MonotonicInstant now) const
+{
+    const auto found = m_paths.find(path);
+    if (found == m_paths.end() || hall == 0 || hall >= m_halls.size())
+        return PathRank::MayReach;
+    const std::vector<Cell>& cells = found->second.cells;
+    switch (hall < cells.size() ? stateOf(cells[hall], now) : PathState::Unknown) {
+    case PathState::Reachable:
+        return PathRank::Reaches;
+    case PathState::Unreachable:
+        return PathRank::Cut;
+    case PathState::Unknown:
+        break;
+    }
+    const bool isLikelyCut = found->second.hall != hall && found->second.hall != 0 && m_halls[hall].cuts.contains(found->second.hall);
+    return isLikelyCut ? PathRank::LikelyCut : PathRank::MayReach;
+}
+
+std::optional<std::string> ReachabilityTable::takeRetry(std::size_t hall, MonotonicInstant now)
+{
+    if (!hasCut(hall))
+        return std::nullopt;
+    for (auto& [from, cut] : m_halls[hall].cuts) {
+        if (now < cut.retryAt)
+            continue;
+        std::pair<const std::string, Path>* oldest = nullptr;
+        for (auto& path : m_paths) {
+            const bool isCut = path.second.hall == from && path.second.cells.size() > hall && path.second.cells[hall].state == PathState::Unreachable;
+            if (isCut && (!oldest || path.second.cells[hall].retriedAt < oldest->second.cells[hall].retriedAt))
+                oldest = &path;
+        }
+        cut.retryAt = now + std::min(m_options.firstRetry * (1U << std::min(cut.retries++, mostDoublings)), m_options.longestRetry);
+        if (!oldest)
+            continue;
+        oldest->second.cells[hall].retriedAt = now;
+        return oldest->first;
+    }
+    return std::nullopt;
+}
+
+Reachability ReachabilityTable::snapshot(MonotonicInstant now) const
+{
+    Reachability snapshot { .asOf = now, .paths = {} };
+    for (const auto& [name, path] : m_paths) {
+        for (std::size_t hall = 0; hall < path.cells.size(); ++hall) {
+            const Cell& cell = path.cells[hall];
+            if (cell.state == PathState::Unknown && cell.unanswered == 0 && !cell.answeredAt)
+                continue;
+            snapshot.paths.push_back({ .path = name, .pathHall = m_halls[path.hall].name, .dataHall = m_halls[hall].name, .state = stateOf(cell, now), .since = cell.since, .answeredAt = cell.answeredAt, .unanswered = cell.unanswered });
+        }
+    }
+    return snapshot;
+}
+
+} // namespace lanemoor::jobs
--- a/src/jobs/relay/order_relay.cpp
+++ b/src/jobs/relay/order_relay.cpp
@@ -34,10 +34,11 @@
 
 class OrderRelay::Impl : public std::enable_shared_from_this<OrderRelay::Impl> {
 public:
-    Impl(OrderRelayParts parts, std::string name, double cores)
+    Impl(OrderRelayParts parts, std::string name, double cores, std::string dataHall)
         : m_parts(std::move(parts))
         , m_name(std::move(name))
         , m_cores(cores)
+        , m_dataHall(std::move(dataHall))
         , m_payloads(m_parts.store ? std::make_shared<PayloadReader>(*m_parts.store) : nullptr)
         , m_random(static_cast<std::minstd_rand::result_type>(std::hash<std::string> {}(m_name)))
     {
@@ -94,6 +95,7 @@
                     impl->ended("closed"); } });
         m_frame.mutable_hello()->set_name(m_name);
         m_frame.mutable_hello()->set_milli_cores(static_cast<std::uint32_t>(std::lround(m_cores * milli)));
+        m_frame.mutable_hello()->set_data_hall(m_dataHall);
         sendSoon();
         watchLink();
     }
@@ -278,6 +280,7 @@
     OrderRelayParts m_parts;
     std::string m_name;
     double m_cores;
+    std::string m_dataHall;
     std::shared_ptr<PayloadReader> m_payloads;
     std::string m_address; ///< Of the owner.
     std::shared_ptr<PeerLink> m_link;
@@ -294,8 +297,8 @@
     std::optional<std::int64_t> m_fastest; ///< Least difference of the two clocks, in us.
 };
 
-OrderRelay::OrderRelay(OrderRelayParts parts, std::string name, double cores)
-    : m_impl(std::make_shared<Impl>(std::move(parts), std::move(name), cores))
+OrderRelay::OrderRelay(OrderRelayParts parts, std::string name, double cores, std::string dataHall)
+    : m_impl(std::make_shared<Impl>(std::move(parts), std::move(name), cores, std::move(dataHall)))
 {
 }
 
--- a/src/jobs/relay/relay_codec.cpp
+++ b/src/jobs/relay/relay_codec.cpp
@@ -107,7 +107,7 @@
 
 WorkerLife lifeOf(const wire::RelayCall& message)
 {
-    return { .id = message.worker(), .address = message.address() };
+    return { .id = message.worker(), .address = message.address(), .dataHall = {} };
 }
 
 Attempt attemptOf(const wire::RelayAttempt& message)
--- a/src/jobs/relay/relayed_workers.cpp
+++ b/src/jobs/relay/relayed_workers.cpp
@@ -2,6 +2,8 @@
 
 #include "lanemoor/adapters/event_log.h"
 #include "lanemoor/jobs/model/work_meter.h"
+#include "open_calls.h"
+#include "reach_log.h"
 #include "relay_codec.h"
 #include "relay_times.h"
 
@@ -22,16 +24,21 @@
 constexpr Millis inlineTime { 5'000 };
 /// This process was held up if its own timer is later than this: it says nothing about the relays.
 constexpr Millis heldUp { 300 };
+/// What is known of paths is published at each change, and this often for the times in it.
+constexpr Millis publishEvery { 1'000 };
 
 } // namespace
 
 class RelayedWorkers::Impl : public std::enable_shared_from_this<RelayedWorkers::Impl> {
 public:
-    Impl(RelayedWorkersParts parts, RelayOptions options, double ownCores)
+    Impl(RelayedWorkersParts parts, RelayOptions options, double ownCores, ReachabilityOptions reachability, std::string ownHall)
         : m_parts(parts)
         , m_options(options)
         , m_ownCores(ownCores)
-        , m_plan(options, ownCores)
+        , m_reachability(reachability)
+        , m_ownHall(std::move(ownHall))
+        , m_plan(options, ownCores, reachability, m_ownHall)
+        , m_reachLog(*parts.log)
     {
     }
 
@@ -58,7 +65,9 @@
             relay.link->close();
         m_relays.clear();
         m_byName.clear();
-        m_plan = RelayPlan(m_options, m_ownCores);
+        m_plan = RelayPlan(m_options, m_ownCores, m_reachability, m_ownHall);
+        m_openCalls.clear();
+        m_reachLog.forget();
         std::vector<std::uint64_t> all;
         for (const auto& [call, pending] : m_pending)
             all.push_back(call);
@@ -73,30 +82,76 @@
         wire::RelayCall* message = nullptr; ///< Null: call the worker directly.
         std::uint64_t relay = 0; ///< Number of the link.
         bool readsStore = true; ///< Whether the relay has been able to read payloads.
+        std::uint64_t call = 0;
     };
 
-    RelayedCall relayed(const WorkerLife& worker, Millis time, Done& done)
+    /// \param wait The worker may wait so long before it answers.
+    RelayedCall relayed(const WorkerLife& worker, Millis wait, Done& done)
     {
         const WorkMeter::Piece piece(m_parts.meter, WorkKind::RelayFrames);
-        const std::string name = m_active ? m_plan.relayOf(worker.id, m_parts.loop->now()) : std::string();
+        const std::string name = m_active ? pathTo(worker) : std::string();
         noteSize();
         const auto relay = m_byName.find(name);
         if (name.empty() || relay == m_byName.end()) {
             ++m_counts.direct;
+            if (m_active && m_reachability.enabled)
+                done = watched(worker, wait, std::move(done));
             return {};
         }
+        return relayedOver(relay->second, worker, wait, std::move(done));
+    }
+
+    RelayedCall relayedOver(std::uint64_t relay, const WorkerLife& worker, Millis wait, Done done)
+    {
+        const MonotonicInstant now = m_parts.loop->now();
         ++m_counts.relayed;
         const std::uint64_t call = ++m_lastCall;
-        m_pending.emplace(call, Pending { .relay = relay->second, .worker = worker.id, .deadline = m_parts.loop->now() + time, .done = std::move(done) });
-        Relay& used = m_relays.at(relay->second);
+        Relay& used = m_relays.at(relay);
+        m_openCalls.add(call, { .path = used.name, .worker = worker.id, .dataHall = hallOf(worker), .expectedAt = now + wait });
+        m_pending.emplace(call, Pending { .relay = relay, .worker = worker.id, .deadline = now + wait + callTime, .done = std::move(done) });
         // Silence counts from the first call after a pause: before it there were few heartbeats.
-        if (m_parts.loop->now() - used.usedAt >= usedLinkSilence)
-            used.heardAt = m_parts.loop->now();
-        used.usedAt = m_parts.loop->now();
+        if (now - used.usedAt >= usedLinkSilence)
+            used.heardAt = now;
+        used.usedAt = now;
         wire::RelayCall* message = used.frame.add_calls();
         message->set_call(call);
         sendSoon(used);
-        return { message, relay->second, m_parts.loop->now() >= used.inlineUntil };
+        return { message, relay, now >= used.inlineUntil, call };
+    }
+
+    /// A renewal through a relay, or directly. Beside it, an unreachable path to the worker's data hall may be retried.
+    void renew(const WorkerLife& worker, const RenewOrder& order, std::function<void(RenewResult)> done)
+    {
+        Done wrapped(std::move(done));
+        if (wire::RelayCall* message = relayed(worker, order.wait, wrapped).message)
+            fill(*message, worker, order);
+        else
+            direct().renew(worker, order, std::move(std::get<std::function<void(RenewResult)>>(wrapped)));
+        if (!m_active || !m_reachability.enabled)
+            return;
+        if (const std::optional<std::string> path = m_plan.takeRetry(worker.dataHall, m_parts.loop->now()))
+            retry(*path, worker, order.epoch);
+    }
+
+    /// A call to the worker is overdue: the path may not reach its data hall.
+    void noteOverdue(const WorkerLife& worker)
+    {
+        if (!m_active || !m_reachability.enabled)
+            return;
+        const MonotonicInstant now = m_parts.loop->now();
+        for (const OpenCall& call : m_openCalls.markOverdue(worker.id, now))
+            noteEvidence(call);
+    }
+
+    [[nodiscard]] std::shared_ptr<const Reachability> reachability()
+    {
+        const MonotonicInstant now = m_parts.loop->now();
+        const bool isCurrent = m_published && m_publishedChanges == m_plan.reachability().changes() && now - m_published->asOf < publishEvery;
+        if (!isCurrent) {
+            m_publishedChanges = m_plan.reachability().changes();
+            m_published = std::make_shared<const Reachability>(m_active ? m_plan.reachability().snapshot(now) : Reachability { .asOf = now, .paths = {} });
+        }
+        return m_published;
     }
 
     /// Starts an attempt through a relay, or directly. One that the relay did not make, since it could not read the
@@ -117,13 +172,14 @@
             };
         }
         Done wrapped(std::move(heard));
-        const RelayedCall call = relayed(worker, callTime, wrapped);
+        const RelayedCall call = relayed(worker, Millis(0), wrapped);
         if (!call.message) {
             direct().start(worker, order, std::move(std::get<std::function<void(OrderResult)>>(wrapped)));
             return;
         }
         const bool refers = isLong && call.readsStore;
         *relay = refers ? call.relay : 0;
+        m_pending.at(call.call).refersPayload = refers;
         fill(*call.message, worker, order, refers);
     }
 
@@ -145,12 +201,87 @@
     {
         RelayCounts counts = m_counts;
         counts.relays = m_plan.relaysInUse();
+        counts.pathChanges = m_reachLog.pathChanges();
         return counts;
     }
 
     [[nodiscard]] WorkerControl& direct() { return *m_parts.direct; }
 
 private:
+    /// \returns The data hall of a worker, as far as it counts.
+    [[nodiscard]] std::string hallOf(const WorkerLife& worker) const { return m_reachability.enabled ? worker.dataHall : std::string(); }
+
+    /// \returns The worker's path, or another one while calls over that are overdue.
+    [[nodiscard]] std::string pathTo(const WorkerLife& worker)
+    {
+        const MonotonicInstant now = m_parts.loop->now();
+        const std::string path = m_plan.relayOf(worker.id, now, hallOf(worker));
+        const std::set<std::string> overdue = m_openCalls.overduePaths(worker.id);
+        return overdue.contains(path) ? m_plan.otherPath(hallOf(worker), overdue, now).value_or(path) : path;
+    }
+
+    /// Notes the outcome of the owner's own call as that of a relayed one.
+    Done watched(const WorkerLife& worker, Millis wait, Done done)
+    {
+        const std::uint64_t call = ++m_lastCall;
+        m_openCalls.add(call, { .path = {}, .worker = worker.id, .dataHall = worker.dataHall, .expectedAt = m_parts.loop->now() + wait });
+        if (auto* order = std::get_if<std::function<void(OrderResult)>>(&done))
+            return watchedAs<OrderResult>(call, std::move(*order));
+        return watchedAs<RenewResult>(call, std::move(std::get<std::function<void(RenewResult)>>(done)));
+    }
+
+    template <typename Result>
+    std::function<void(Result)> watchedAs(std::uint64_t call, std::function<void(Result)> done)
+    {
+        return [self = weak_from_this(), call, done = std::move(done)](const Result& result) {
+            if (const auto impl = self.lock())
+                impl->noteOutcome(call, isAnswer(result.outcome), false);
+            done(result);
+        };
+    }
+
+    [[nodiscard]] static bool isAnswer(OrderOutcome outcome) { return outcome != OrderOutcome::Unknown && outcome != OrderOutcome::NotDone; }
+
+    /// Takes in what a call says about its path. \param saysNothing The call failed for another cause than the path.
+    void noteOutcome(std::uint64_t number, bool isAnswered, bool saysNothing)
+    {
+        const std::optional<OpenCall> call = m_openCalls.take(number);
+        if (!call || !m_active)
+            return;
+        if (isAnswered)
+            noteChange(m_plan.noteAnswered(call->path, call->worker, m_parts.loop->now(), call->dataHall));
+        else if (!saysNothing && !call->isOverdue)
+            noteEvidence(*call);
+    }
+
+    void noteEvidence(const OpenCall& call)
+    {
+        const std::size_t workers = m_plan.workersOver(call.path, call.dataHall);
+        const std::optional<PathChange> change = m_plan.noteEvidence(call.path, call.worker, call.dataHall, call.expectedAt, m_parts.loop->now());
+        noteChange(change, workers);
+    }
+
+    void noteChange(const std::optional<PathChange>& change, std::size_t workers = 0)
+    {
+        if (!change)
+            return;
+        const MonotonicInstant now = m_parts.loop->now();
+        const std::optional<std::string> next = change->to == PathState::Unreachable ? m_plan.otherPath(change->dataHall, { change->path }, now) : std::nullopt;
+        m_reachLog.note(*change, next, workers, *reachability());
+    }
+
+    /// Asks one worker over a path that did not reach its data hall what it holds: its own calls keep their path.
+    void retry(const std::string& path, const WorkerLife& worker, std::uint64_t epoch)
+    {
+        const RenewOrder order { .epoch = epoch };
+        std::function<void(RenewResult)> ignored = [](const RenewResult&) {};
+        const auto relay = m_byName.find(path);
+        if (relay != m_byName.end())
+            fill(*relayedOver(relay->second, worker, Millis(0), std::move(ignored)).message, worker, order);
+        else if (path.empty())
+            direct().renew(worker, order, std::get<std::function<void(RenewResult)>>(watched(worker, Millis(0), std::move(ignored))));
+    }
+
     void noteUnreadPayload(std::uint64_t number)
     {
         const auto relay = m_relays.find(number);
@@ -175,6 +306,7 @@
         std::string worker;
         MonotonicInstant deadline;
         Done done;
+        bool refersPayload = false; ///< The relay was to read the payload.
     };
 
     void accepted(std::shared_ptr<PeerLink> link)
@@ -222,10 +354,10 @@
         if (before != m_byName.end() && before->second != number)
             lost(before->second, "replaced");
         m_byName[relay.name] = number;
-        m_plan.addRelay(relay.name, hello.milli_cores() / milli);
+        m_plan.addRelay(relay.name, hello.milli_cores() / milli, hello.data_hall());
         // From here on it can tell the owner's end from an owner that never answered.
         send(relay);
-        m_parts.log->decision("relay-joined", { { "relay", hello.name() }, { "milli_cores", std::int64_t { hello.milli_cores() } } });
+        m_parts.log->decision("relay-joined", { { "relay", hello.name() }, { "milli_cores", std::int64_t { hello.milli_cores() } }, { "data_hall", hello.data_hall() } });
     }
 
     void answered(const wire::RelayAnswer& answer)
@@ -233,7 +365,7 @@
         const auto found = m_pending.find(answer.call());
         if (found == m_pending.end())
             return;
-        judge(found->second, answer);
+        judge(answer.call(), found->second, answer);
         const Done done = std::move(found->second.done);
         m_pending.erase(found);
         if (const auto* order = std::get_if<std::function<void(OrderResult)>>(&done))
@@ -243,15 +375,16 @@
     }
 
     /// Notes whether the worker answered through this relay; a lost relay has been dealt with.
-    void judge(const Pending& pending, const wire::RelayAnswer& answer)
+    void judge(std::uint64_t call, const Pending& pending, const wire::RelayAnswer& answer)
     {
         const auto relay = m_relays.find(pending.relay);
-        if (relay == m_relays.end() || relay->second.name.empty())
+        if (relay == m_relays.end() || relay->second.name.empty()) {
+            m_openCalls.take(call);
             return;
-        const bool isAnswered = answer.outcome() != static_cast<std::uint32_t>(OrderOutcome::Unknown) && answer.outcome() != static_cast<std::uint32_t>(OrderOutcome::NotDone);
-        if (isAnswered)
-            m_plan.noteAnswered(relay->second.name);
-        else
+        }
+        const auto outcome = orderResultOf(answer).outcome;
+        noteOutcome(call, isAnswer(outcome), outcome == OrderOutcome::NotDone && pending.refersPayload);
+        if (!isAnswer(outcome))
             m_plan.noteUnanswered(relay->second.name, pending.worker, m_parts.loop->now());
     }
 
@@ -382,7 +515,13 @@
     RelayedWorkersParts m_parts;
     RelayOptions m_options;
     double m_ownCores;
+    ReachabilityOptions m_reachability;
+    std::string m_ownHall;
     RelayPlan m_plan;
+    ReachLog m_reachLog;
+    OpenCalls m_openCalls;
+    std::shared_ptr<const Reachability> m_published;
+    std::uint64_t m_publishedChanges = 0;
     RelayCounts m_counts;
     bool m_active = false;
     std::uint64_t m_term = 0;
@@ -396,8 +535,8 @@
     std::map<std::uint64_t, Pending> m_pending; ///< By number of the call.
 };
 
-RelayedWorkers::RelayedWorkers(RelayedWorkersParts parts, RelayOptions options, double ownCores)
-    : m_impl(std::make_shared<Impl>(parts, options, ownCores))
+RelayedWorkers::RelayedWorkers(RelayedWorkersParts parts, RelayOptions options, double ownCores, ReachabilityOptions reachability, std::string ownHall)
+    : m_impl(std::make_shared<Impl>(parts, options, ownCores, reachability, std::move(ownHall)))
 {
 }
 
@@ -421,7 +560,7 @@
 void RelayedWorkers::stop(const WorkerLife& worker, const Attempt& attempt, std::uint64_t epoch, std::function<void(OrderResult)> done)
 {
     Impl::Done relayed(std::move(done));
-    if (wire::RelayCall* message = m_impl->relayed(worker, callTime, relayed).message)
+    if (wire::RelayCall* message = m_impl->relayed(worker, Millis(0), relayed).message)
         fillStop(*message, worker, attempt, epoch);
     else
         m_impl->direct().stop(worker, attempt, epoch, std::move(std::get<std::function<void(OrderResult)>>(relayed)));
@@ -429,17 +568,23 @@
 
 void RelayedWorkers::renew(const WorkerLife& worker, const RenewOrder& order, std::function<void(RenewResult)> done)
 {
-    Impl::Done relayed(std::move(done));
-    if (wire::RelayCall* message = m_impl->relayed(worker, order.wait + callTime, relayed).message)
-        fill(*message, worker, order);
-    else
-        m_impl->direct().renew(worker, order, std::move(std::get<std::function<void(RenewResult)>>(relayed)));
+    m_impl->renew(worker, order, std::move(done));
+}
+
+void RelayedWorkers::noteOverdue(const WorkerLife& worker)
+{
+    m_impl->noteOverdue(worker);
+}
+
+std::shared_ptr<const Reachability> RelayedWorkers::reachability() const
+{
+    return m_impl->reachability();
 }
 
 void RelayedWorkers::throttle(const WorkerLife& worker, const Attempt& attempt, std::uint32_t percent, std::uint64_t epoch, std::function<void(OrderResult)> done)
 {
     Impl::Done relayed(std::move(done));
-    if (wire::RelayCall* message = m_impl->relayed(worker, callTime, relayed).message)
+    if (wire::RelayCall* message = m_impl->relayed(worker, Millis(0), relayed).message)
         fillThrottle(*message, worker, attempt, percent, epoch);
     else
         m_impl->direct().throttle(worker, attempt, percent, epoch, std::move(std::get<std::function<void(OrderResult)>>(relayed)));
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -342,6 +342,7 @@
     , m_entries(entries)
 {
     workers.witness = &witness;
+    workers.cuts = &peers.cuts;
     witness.onBreach = [this](const Breach& breach) { m_log.change("breach", { { "rule", breach.rule }, { "detail", breach.detail } }); };
     witness.labelsOf = [this](const std::string& worker) {
         const WorkerModel* model = workers.find(worker);
@@ -379,12 +380,16 @@
     entry.process = std::make_unique<SimProcess>(clock);
     entry.storeClient = std::make_unique<StoreClient>(store, *entry.process);
     entry.workerClient = std::make_unique<WorkerClient>(workers, *entry.process);
+    entry.workerClient->dataHall = entry.dataHall;
+    if (!entry.dataHall.empty())
+        peers.place(entry.name, entry.dataHall);
     entry.fleetClient = std::make_unique<FleetClient>(workers, *entry.process);
     entry.port = std::make_unique<PeerPort>(peers, *entry.process, entry.name);
     JobServiceSettings settings;
     settings.policies = m_policies;
     settings.policies.relay.workersPerCore = m_workersPerCore;
     settings.machineCores = entry.cores;
+    settings.dataHall = entry.dataHall;
     settings.name = entry.name;
     entry.holder = holderOf(entry.name, entry.process->timeOfDay());
     entry.service = std::make_unique<JobService>(JobServiceParts { .loop = entry.process.get(),
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -183,6 +183,9 @@
     /// \returns How other entries reach entry `index`.
     [[nodiscard]] std::string peerAddress(std::size_t index) const { return m_entries[index].name; }
 
+    /// \brief Sets where an entry stands, for its next start. Cuts concern the links of entries and their calls to workers.
+    void setDataHall(std::size_t index, const std::string& dataHall) { m_entries[index].dataHall = dataHall; }
+
     /// \brief Sets the processor time of an entry's machine, for its next start.
     void setCores(std::size_t index, double cores) { m_entries[index].cores = cores; }
 
@@ -219,6 +222,7 @@
         std::string name;
         std::string holder; ///< The name of its present process as an owner.
         double cores = 0;
+        std::string dataHall;
         std::unique_ptr<SimProcess> process;
         std::unique_ptr<StoreClient> storeClient;
         std::unique_ptr<WorkerClient> workerClient;
--- a/standins/model/peers_model.cpp
+++ b/standins/model/peers_model.cpp
@@ -30,7 +30,7 @@
 
     void send(std::string frame) override
     {
-        if (!m_wire->open || m_wire->silent || isCut())
+        if (!m_wire->open || m_wire->silent || isCut() || !m_peers.carries(m_wire->addresses[m_side], m_wire->addresses[1 - m_side]))
             return;
         m_peers.m_clock.after(m_peers.trouble.delay, [wire = m_wire, side = 1 - m_side, frame = std::move(frame)] {
             const auto other = wire->ends[side].lock();
@@ -44,7 +44,7 @@
     void close() override
     {
         *m_observer = {};
-        if (!std::exchange(m_wire->open, false) || m_wire->silent || isCut())
+        if (!std::exchange(m_wire->open, false) || m_wire->silent || isCut() || !m_peers.carries(m_wire->addresses[m_side], m_wire->addresses[1 - m_side]))
             return;
         m_peers.endLater(m_wire, 1 - m_side);
     }
@@ -86,6 +86,13 @@
     m_wires.push_back(wire);
 }
 
+bool PeersModel::carries(const std::string& from, const std::string& to) const
+{
+    const auto fromHall = m_halls.find(from);
+    const auto toHall = m_halls.find(to);
+    return fromHall == m_halls.end() || toHall == m_halls.end() || cuts.carries(fromHall->second, toHall->second);
+}
+
 void PeersModel::endLater(const std::shared_ptr<Wire>& wire, std::size_t side)
 {
     m_clock.after(trouble.delay, [wire, side] {
@@ -141,7 +148,8 @@
     wire->ends[0] = here;
     const auto there = m_peers.m_ports.find(address);
     const std::set<std::string>& cut = m_peers.trouble.cutOff;
-    if (cut.contains(m_address) || cut.contains(address)) {
+    const bool isCut = !m_peers.carries(m_address, address) || !m_peers.carries(address, m_address);
+    if (isCut || cut.contains(m_address) || cut.contains(address)) {
         wire->silent = true;
         return here;
     }
--- a/standins/model/peers_model.h
+++ b/standins/model/peers_model.h
@@ -2,6 +2,7 @@
 /// \file
 /// Links between entry instances, on a simulated clock: they break, go silent and carry late.
 
+#include "hall_cuts.h"
 #include "lanemoor/jobs/relay/peer_transport.h"
 #include "sim_loop.h"
 
@@ -33,6 +34,10 @@
     }
 
     PeersTrouble trouble;
+    HallCuts cuts; ///< Between data halls.
+
+    /// \brief Says where a process stands; without that, no cut concerns it.
+    void place(const std::string& address, const std::string& dataHall) { m_halls[address] = dataHall; }
 
     /// \brief Breaks every open link at once; both ends are told.
     void resetAll();
@@ -46,12 +51,14 @@
     class End;
 
     void note(const std::shared_ptr<Wire>& wire);
+    [[nodiscard]] bool carries(const std::string& from, const std::string& to) const;
     void endLater(const std::shared_ptr<Wire>& wire, std::size_t side);
 
     SimClock& m_clock;
     std::mt19937_64& m_random;
     std::map<std::string, PeerPort*> m_ports; ///< By address.
     std::vector<std::weak_ptr<Wire>> m_wires;
+    std::map<std::string, std::string> m_halls; ///< By address.
 };
 
 /// \brief One process's place in the network. Gone with the process.
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -308,7 +308,7 @@
     SimClock& clock = m_workers.m_clock;
     WorkerModel* model = m_workers.find(worker);
     std::uniform_real_distribution<double> share(0, 1);
-    if (!model || model->trouble.cutOff || model->trouble.dark) {
+    if (!model || model->trouble.cutOff || model->trouble.dark || !callArrives(model->entry)) {
         clock.after(callTime, [answer] { answer({}); });
         return;
     }
@@ -336,7 +336,7 @@
         }
         const OrderResult result = act(false);
         // A worker that its own task has crashed answers nothing.
-        if (lost || !m_workers.find(worker)->alive)
+        if (lost || !m_workers.find(worker)->alive || !answerArrives(m_workers.find(worker)->entry))
             later.after(callTime, [answer] { answer({}); });
         else
             later.after(halfTrip, [answer, result] { answer(result); });
@@ -380,13 +380,13 @@
     };
     const WorkerModel* target = m_workers.find(worker.id);
     std::uniform_real_distribution<double> share(0, 1);
-    if (unreachable() || (target->trouble.lostRenewals > 0 && share(m_workers.m_random) < target->trouble.lostRenewals)) {
+    if (unreachable() || !callArrives(target->entry) || (target->trouble.lostRenewals > 0 && share(m_workers.m_random) < target->trouble.lostRenewals)) {
         clock.after(order.wait + callTime, [answer] { answer({}); });
         return;
     }
     const auto report = [this, id = worker.id, answer, unreachable](std::uint64_t life) {
         SimClock& later = m_workers.m_clock;
-        if (unreachable() || !m_workers.isLife(id, life)) {
+        if (unreachable() || !m_workers.isLife(id, life) || !answerArrives(m_workers.m_workers[id].entry)) {
             later.after(callTime, [answer] { answer({}); });
             return;
         }
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -2,6 +2,7 @@
 /// \file
 /// A model of the platform's workers and instances, with their failures.
 
+#include "hall_cuts.h"
 #include "lanemoor/jobs/model/fleet_control.h"
 #include "lanemoor/jobs/model/service_configuration.h"
 #include "lanemoor/jobs/model/worker_control.h"
@@ -111,6 +112,7 @@
     std::function<void(const WorkerModel&)> onEntry; ///< A worker's entry is to be written.
     std::function<void(const std::string& worker)> onGone; ///< A worker's entry is to be removed.
     FleetTrouble fleetTrouble;
+    const HallCuts* cuts = nullptr; ///< Between data halls; null: none.
     std::set<std::string> hidden; ///< Instances that the list leaves out.
     std::set<std::string> unlisted; ///< Lives that the list of instances leaves out.
     Millis moveTime { 1'500 };
@@ -186,6 +188,8 @@
     {
     }
 
+    std::string dataHall; ///< Of the process; empty: cuts do not concern it.
+
     void start(const jobs::WorkerLife& worker, const jobs::StartOrder& order, std::function<void(jobs::OrderResult)> done) override;
     void stop(const jobs::WorkerLife& worker, const jobs::Attempt& attempt, std::uint64_t epoch, std::function<void(jobs::OrderResult)> done) override;
     void renew(const jobs::WorkerLife& worker, const jobs::RenewOrder& order, std::function<void(jobs::RenewResult)> done) override;
@@ -195,6 +199,10 @@
 private:
     void order(const std::string& worker, const std::function<jobs::OrderResult(bool late)>& act, std::function<void(jobs::OrderResult)> done);
 
+    /// \returns Whether a call to the worker arrives, or its answer does.
+    [[nodiscard]] bool callArrives(const jobs::WorkerEntry& worker) const { return !m_workers.cuts || m_workers.cuts->carries(dataHall, worker.dataHall); }
+    [[nodiscard]] bool answerArrives(const jobs::WorkerEntry& worker) const { return !m_workers.cuts || m_workers.cuts->carries(worker.dataHall, dataHall); }
+
     WorkersModel& m_workers;
     SimProcess& m_process;
 };
--- a/tests/jobs/random_test.cpp
+++ b/tests/jobs/random_test.cpp
@@ -29,6 +29,7 @@
     Ending, ///< The faults of `All`, on instances that do not guard their room, which shrinks and grows, with tasks that end their workers.
     Restarting, ///< The faults of `All`, with workers that start again under their ids, one each 6 s.
     RestartingOften, ///< The same, one each 2 s.
+    Bridged, ///< The faults of `Relayed` on three data halls, some of which are cut from each other, in one direction or both.
     Mixed, ///< The same as `All` on two pools, with instances of two kinds that do not guard their room, labels and racks.
 };
 
@@ -36,7 +37,7 @@
 class RandomRun {
 public:
     RandomRun(std::uint64_t seed, Faults faults)
-        : m_cluster(seed, 3, 6, 2, faults == Faults::Relayed ? 1 : 0)
+        : m_cluster(seed, 3, 6, 2, faults == Faults::Relayed || faults == Faults::Bridged ? 1 : 0, faults == Faults::Bridged)
         , m_seed(seed)
         , m_faults(faults)
         , m_laterRandom(seed)
@@ -65,8 +66,10 @@
                 cancel();
             if (m_faults != Faults::First && pickLater(0, 30) == 0)
                 laterFault();
-            if (m_faults == Faults::Relayed && pickLater(0, 15) == 0)
+            if ((m_faults == Faults::Relayed || m_faults == Faults::Bridged) && pickLater(0, 15) == 0)
                 faultOfLinks();
+            if (m_faults == Faults::Bridged && pickLater(0, 12) == 0)
+                cutHalls();
             if (m_faults == Faults::Organised && pickLater(0, 25) == 0)
                 organise();
             if (m_faults == Faults::Ending && pickLater(0, 10) == 0)
@@ -337,10 +340,26 @@
         m_cluster.clock.after(Millis(pickLater(500, 4'000)), [this] { m_cluster.peers.trouble = {}; });
     }
 
+    /// Cuts two data halls from each other, or what one of them sends to the other.
+    void cutHalls()
+    {
+        const std::size_t from = pickLater(0, 2);
+        const std::size_t to = (from + pickLater(1, 2)) % 3;
+        const bool isOneWay = pickLater(0, 2) == 0;
+        const auto set = [this, a = threeHalls.at(from), b = threeHalls.at(to), isOneWay](bool cut) {
+            m_cluster.peers.cuts.setOneWay(a, b, cut);
+            if (!isOneWay)
+                m_cluster.peers.cuts.setOneWay(b, a, cut);
+        };
+        m_cluster.witness.noteTrouble(m_cluster.clock.now() + longestTrouble);
+        set(true);
+        m_cluster.clock.after(Millis(pickLater(100, 6'000)), [set] { set(false); });
+    }
+
     void laterFault()
     {
         model::WorkerModel* worker = anyWorker();
-        switch (pickLater(0, m_faults == Faults::All || m_faults == Faults::Relayed || m_faults == Faults::Organised || m_faults == Faults::Restarting || m_faults == Faults::RestartingOften ? 4 : 3)) {
+        switch (pickLater(0, m_faults == Faults::All || m_faults == Faults::Relayed || m_faults == Faults::Bridged || m_faults == Faults::Organised || m_faults == Faults::Restarting || m_faults == Faults::RestartingOften ? 4 : 3)) {
         case 0:
             m_cluster.workers.fleetTrouble.lostAnswers = 0.5;
             break;
@@ -380,6 +399,7 @@
         m_cluster.clock.runFor(Millis(8'000));
         m_cluster.store.trouble = {};
         m_cluster.peers.trouble = {};
+        m_cluster.peers.cuts.clear();
         for (std::size_t i = 0; i < m_cluster.entries(); ++i)
             m_cluster.start(i);
     }
@@ -504,6 +524,14 @@
         RandomRun(seed, Faults::Relayed).play();
 }
 
+TEST_CASE("No promise is broken in random runs with data halls that are cut from each other")
+{
+    const std::uint64_t first = numberFrom("LANEMOOR_SEED", 1);
+    const std::uint64_t runs = numberFrom("LANEMOOR_RUNS", 200);
+    for (std::uint64_t seed = first; seed < first + runs; ++seed)
+        RandomRun(seed, Faults::Bridged).play();
+}
+
 TEST_CASE("No promise is broken in random runs with organisations and quotas")
 {
     const std::uint64_t first = numberFrom("LANEMOOR_SEED", 1);
--- a/tests/jobs/support.h
+++ b/tests/jobs/support.h
@@ -4,6 +4,7 @@
 
 #include "standins/model/job_cluster.h"
 
+#include <array>
 #include <string>
 
 namespace lanemoor::jobs::test {
@@ -67,16 +68,21 @@
     return spec;
 }
 
+/// Where entries and instances stand in turn, in clusters of several data halls.
+inline const std::array<std::string, 3> threeHalls { "hall-a", "hall-b", "hall-c" };
+
 /// A cluster with `instances` in the pool and `reserve` beside it, four to a rack.
 struct SmallCluster : model::JobCluster {
-    explicit SmallCluster(std::uint64_t seed = 1, std::size_t entries = 3, std::size_t instances = 4, std::size_t reserve = 2, double workersPerCore = 0)
+    explicit SmallCluster(std::uint64_t seed = 1, std::size_t entries = 3, std::size_t instances = 4, std::size_t reserve = 2, double workersPerCore = 0, bool hasHalls = false)
         : model::JobCluster(seed, entries)
     {
         relayAt(workersPerCore);
         workers.addReserve("off");
         for (std::size_t i = 0; i < instances + reserve; ++i)
-            workers.addInstance("m-" + std::to_string(i), i < instances ? "main" : "off", "r-" + std::to_string(i / 4), { .milliCpu = 8'000, .memoryMb = 16'000 });
+            workers.addInstance("m-" + std::to_string(i), i < instances ? "main" : "off", "r-" + std::to_string(i / 4), { .milliCpu = 8'000, .memoryMb = 16'000 }, "a", hasHalls ? threeHalls.at(i % threeHalls.size()) : "hall");
         configure(smallConfiguration());
+        for (std::size_t i = 0; hasHalls && i < entries; ++i)
+            setDataHall(i, threeHalls.at(i % threeHalls.size()));
         for (std::size_t i = 0; i < entries; ++i)
             start(i);
         clock.runFor(Millis(1'000));
