--- a/include/lanemoor/jobs/service/policies.h
+++ b/include/lanemoor/jobs/service/policies.h
@@ -7,6 +7,7 @@
 #include "lanemoor/jobs/policy/crash_attribution.h"
 #include "lanemoor/jobs/policy/placement_options.h"
 #include "lanemoor/jobs/policy/worker_health.h"
+#include "lanemoor/jobs/policy/reachability.h"
 #include "lanemoor/jobs/relay/relay_plan.h"
 #include "lanemoor/jobs/store/store_outage_options.h"
 
@@ -21,6 +22,7 @@
     RelayOptions relay;
     StoreOutageOptions storeOutages;
     WorkerHealthOptions workerHealth;
+    ReachabilityOptions reachability;
 
     [[nodiscard]] bool operator==(const Policies&) const = default;
 };
