--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -11,6 +11,7 @@
 #include "lanemoor/jobs/owner/ownership_keeper.h"
 #include "lanemoor/jobs/policy/crash_attribution.h"
 #include "lanemoor/jobs/policy/placement_options.h"
+#include "lanemoor/jobs/store/progress_writer.h"
 
 #include <cstdint>
 #include <functional>
@@ -131,6 +132,9 @@
     void onWorkerChanged(const std::string& id);
     void onConfigurationChanged();
 
+    /// \returns Changes of jobs that are not in the store yet; none where nothing is owned.
+    [[nodiscard]] UnsavedChanges unsaved() const;
+
     /// \brief Takes in what an entry instance was asked for: submissions that were refused are load to come.
     void noteDemand(const EntryDemand& demand);
     void onEvacuationsChanged();
--- a/include/lanemoor/jobs/service/job_metrics.h
+++ b/include/lanemoor/jobs/service/job_metrics.h
@@ -3,9 +3,11 @@
 /// Metrics of the job service, in Prometheus' text format.
 
 #include "lanemoor/jobs/intake/job_intake.h"
+#include "lanemoor/jobs/model/store_condition.h"
 #include "lanemoor/jobs/model/work_meter.h"
 #include "lanemoor/jobs/owner/job_report.h"
 #include "lanemoor/jobs/owner/job_scheduler.h"
+#include "lanemoor/jobs/store/hedged_store.h"
 #include "lanemoor/jobs/store/store_mirror.h"
 
 #include <cstdint>
@@ -33,6 +35,10 @@
     std::uint64_t jobs = 0; ///< Known from the store.
     double storeAgeSeconds = 0; ///< Since the copy of the jobs was last known to be fresh.
     std::vector<CopyReading> copies;
+    StoreState storeState = StoreState::Writing;
+    HedgeCounts hedges;
+    std::uint64_t unsavedChanges = 0; ///< Jobs that changed and are not stored yet.
+    double unsavedOldestSeconds = 0; ///< Since the first of them changed.
     std::uint64_t unreadableItems = 0;
     std::uint64_t logLinesDropped = 0;
     std::uint64_t decisionsOmitted = 0;
--- a/include/lanemoor/jobs/store/progress_writer.h
+++ b/include/lanemoor/jobs/store/progress_writer.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,14 @@
     WorkMeter* meter = nullptr; ///< Null: work is not measured.
 };
 
+/// Changed jobs that are not in the store yet.
+struct UnsavedChanges {
+    std::size_t jobs = 0;
+    std::optional<MonotonicInstant> oldest; ///< When the first of them changed; nothing: there are none.
+
+    [[nodiscard]] bool operator==(const UnsavedChanges&) const = default;
+};
+
 /// \brief Writes the progress of changed jobs, many in one transaction and a few transactions at
 /// once, never one job in two of them. Each write carries the revision it replaces, so that one which is carried out late
 /// undoes nothing.
@@ -43,7 +52,7 @@
     void whenStored(std::function<void()> stored);
 
     /// \returns Jobs marked and not yet stored.
-    [[nodiscard]] std::size_t unstored() const noexcept;
+    [[nodiscard]] UnsavedChanges unsaved() const noexcept;
 
 private:
     class Impl;
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -258,6 +258,8 @@
         requestPass();
     }
 
+    [[nodiscard]] UnsavedChanges unsaved() const { return m_term && m_term->state.writer ? m_term->state.writer->unsaved() : UnsavedChanges {}; }
+
     void noteDemand(const EntryDemand& demand)
     {
         if (!m_term || demand.refused == 0)
@@ -796,6 +798,11 @@
     return m_impl->demands();
 }
 
+UnsavedChanges JobScheduler::unsaved() const
+{
+    return m_impl->unsaved();
+}
+
 void JobScheduler::noteDemand(const EntryDemand& demand)
 {
     m_impl->noteDemand(demand);
--- a/src/jobs/service/job_metrics.cpp
+++ b/src/jobs/service/job_metrics.cpp
@@ -87,6 +87,34 @@
     families.push_back(byCopy("lanemoor_copy_parts_total", "Answers that may have brought a part of the changes", copies, [](const CopyReading& copy) { return static_cast<double>(copy.counts.parts); }));
 }
 
+void addStore(std::vector<prometheus::MetricFamily>& families, const MetricsReading& reading)
+{
+    prometheus::MetricFamily condition { "lanemoor_store_condition", "1 for the state of the store that this process observes", prometheus::MetricType::Gauge, {} };
+    for (std::size_t i = 0; i < storeStates; ++i) {
+        const auto state = static_cast<StoreState>(i);
+        prometheus::ClientMetric metric;
+        metric.label.push_back({ "state", std::string(nameOf(state)) });
+        metric.gauge.value = state == reading.storeState ? 1 : 0;
+        condition.metric.push_back(std::move(metric));
+    }
+    families.push_back(std::move(condition));
+    prometheus::MetricFamily hedges { "lanemoor_store_hedges_total", "Calls to the store whose answers were overdue, by what became of them", prometheus::MetricType::Counter, {} };
+    const auto add = [&](const char* outcome, std::uint64_t count) {
+        prometheus::ClientMetric metric;
+        metric.label.push_back({ "outcome", outcome });
+        metric.counter.value = static_cast<double>(count);
+        hedges.metric.push_back(std::move(metric));
+    };
+    add("settled", reading.hedges.settled);
+    add("confirmed", reading.hedges.confirmed);
+    add("overtaken", reading.hedges.overtaken);
+    add("unanswered", reading.hedges.unanswered);
+    add("denied", reading.hedges.denied);
+    families.push_back(std::move(hedges));
+    families.push_back(gauge("lanemoor_unsaved_changes", "Jobs that changed and are not stored yet", static_cast<double>(reading.unsavedChanges)));
+    families.push_back(gauge("lanemoor_unsaved_oldest_seconds", "Since the first of them changed", reading.unsavedOldestSeconds));
+}
+
 void addRelay(std::vector<prometheus::MetricFamily>& families, const RelayCounts& counts, std::uint64_t carried)
 {
     families.push_back(gauge("lanemoor_relays_in_use", "Instances that carry this owner's calls to workers", static_cast<double>(counts.relays)));
@@ -202,6 +230,7 @@
     families.push_back(counter("lanemoor_log_lines_dropped_total", "Log lines lost because standard output was slow", reading.logLinesDropped));
     families.push_back(counter("lanemoor_log_decisions_omitted_total", "Log lines left out for want of budget", reading.decisionsOmitted));
     addCopies(families, reading.copies);
+    addStore(families, reading);
     addScheduler(families, scheduler);
     addFleet(families, fleet);
     addRelay(families, relay, reading.carriedCalls);
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -382,12 +382,17 @@
 
     [[nodiscard]] std::string metricsText() const
     {
+        const UnsavedChanges unsaved = m_scheduler.unsaved();
         const MetricsReading reading { .ready = isReady(),
             .owner = m_ownership.isHeld(),
             .configurationVersion = m_configuration ? m_configuration->version : 0,
             .jobs = m_catalog.all().size(),
             .storeAgeSeconds = secondsSince(hasCopy() ? m_jobs.freshAt() : m_owners.freshAt()),
             .copies = { readingOf("jobs", m_jobs), readingOf("ownership", m_owners), readingOf("configuration", m_configurations), readingOf("workers", m_workers), readingOf("waves", m_waves) },
+            .storeState = m_access->condition()->state,
+            .hedges = m_access->hedges(),
+            .unsavedChanges = unsaved.jobs,
+            .unsavedOldestSeconds = unsaved.oldest ? secondsSince(*unsaved.oldest) : 0,
             .unreadableItems = m_catalog.unreadable(),
             .logLinesDropped = m_parts.log->dropped(),
             .decisionsOmitted = m_parts.log->omitted(),
--- a/src/jobs/store/progress_writer.cpp
+++ b/src/jobs/store/progress_writer.cpp
@@ -46,6 +46,7 @@
         // A job that is on its way is written again, since it changed after that was read.
         if (!m_marked.emplace(id, ++m_sequence).second)
             return;
+        m_marks.push_back({ m_sequence, m_loop.now() });
         m_order.push_back(id);
         sendSoon();
     }
@@ -59,7 +60,12 @@
         m_waiting.push_back({ m_sequence, std::move(stored) });
     }
 
-    [[nodiscard]] std::size_t unstored() const { return m_marked.size() + m_writing.size(); }
+    [[nodiscard]] UnsavedChanges unsaved() const
+    {
+        const std::size_t jobs = m_marked.size() + m_writing.size();
+        const bool isKnown = jobs > 0 && !m_marks.empty();
+        return { .jobs = jobs, .oldest = isKnown ? std::optional(m_marks.front().at) : std::nullopt };
+    }
 
 private:
     struct Waiter {
@@ -67,6 +73,12 @@
         std::function<void()> stored;
     };
 
+    /// When a job was marked.
+    struct Mark {
+        std::uint64_t sequence = 0;
+        MonotonicInstant at;
+    };
+
     struct Sent {
         std::string id;
         std::string value;
@@ -207,6 +219,8 @@
             oldest = std::min(oldest, sequence);
         for (const auto& [id, sequence] : m_writing)
             oldest = std::min(oldest, sequence);
+        while (!m_marks.empty() && m_marks.front().sequence < oldest)
+            m_marks.pop_front();
         std::vector<Waiter> ready;
         const auto isReady = [&](const Waiter& waiter) { return waiter.sequence < oldest; };
         std::copy_if(m_waiting.begin(), m_waiting.end(), std::back_inserter(ready), isReady);
@@ -221,6 +235,7 @@
     KeyRevision m_condition;
     ProgressSource m_source;
     std::map<std::string, std::uint64_t> m_marked; ///< Changed jobs with the sequence of their first mark.
+    std::deque<Mark> m_marks; ///< From the oldest that is not stored on.
     std::deque<std::string> m_order; ///< The same jobs, oldest first.
     std::map<std::string, std::uint64_t> m_writing; ///< Jobs on their way, with the sequence of what is written.
     std::size_t m_writes = 0; ///< Under way.
@@ -252,9 +267,9 @@
     m_impl->whenStored(std::move(stored));
 }
 
-std::size_t ProgressWriter::unstored() const noexcept
+UnsavedChanges ProgressWriter::unsaved() const noexcept
 {
-    return m_impl->unstored();
+    return m_impl->unsaved();
 }
 
 } // namespace lanemoor::jobs
--- a/tests/jobs/store_outage_test.cpp
+++ b/tests/jobs/store_outage_test.cpp
@@ -205,3 +205,44 @@
     }
     CHECK(calls[0] == calls[1]);
 }
+
+// Guards the way from a refused id to the outage: the state of the store and what is not stored yet.
+TEST_CASE("Metrics tell the state of the store and the changes that wait for it")
+{
+    SmallCluster cluster(17);
+    const std::size_t owner = cluster.owner().value();
+    const auto shows = [&](const std::string& line) { return cluster.entry(owner).metrics().find(line + '\n') != std::string::npos; };
+    CHECK(shows("lanemoor_store_condition{state=\"writing\"} 1"));
+    CHECK(shows("lanemoor_unsaved_changes 0"));
+    cluster.submit(owner, "work", jobId(1), job({ step(2) }));
+    cluster.clock.runFor(Millis(300));
+    cluster.store.trouble = { .leasesWait = true, .refusing = true };
+    cluster.clock.runFor(Millis(1'500));
+    CHECK(shows("lanemoor_store_condition{state=\"refused\"} 1"));
+    CHECK(shows("lanemoor_store_condition{state=\"writing\"} 0"));
+    CHECK(shows("lanemoor_unsaved_changes 1"));
+    cluster.store.trouble = { .leasesWait = true, .lostAnswers = 1 };
+    cluster.clock.runFor(Millis(1'500));
+    CHECK(shows("lanemoor_store_condition{state=\"reading-only\"} 1"));
+    cluster.store.trouble = {};
+    cluster.clock.runFor(Millis(1'500));
+    CHECK(shows("lanemoor_store_condition{state=\"writing\"} 1"));
+    CHECK(shows("lanemoor_unsaved_changes 0"));
+}
+
+// Guards against writes that wait out their time-out of 1 s where the answers to all writes are lost.
+TEST_CASE("A job is accepted within 400 ms though the answers to all writes are lost")
+{
+    SmallCluster cluster(18);
+    cluster.store.trouble = { .leasesWait = true, .lostAnswers = 1 };
+    cluster.submit(0, "work", jobId(1), job({ step(2) }));
+    CHECK(cluster.waitFor(Millis(1'700), [&] { return cluster.accepted().contains(jobId(1)); }));
+    // By now the response times are known: the first calls may wait 800 ms.
+    cluster.store.trouble = {};
+    cluster.submit(0, "work", jobId(2), job({ step(2) }));
+    cluster.clock.runFor(Millis(1'000));
+    cluster.store.trouble = { .leasesWait = true, .lostAnswers = 1 };
+    cluster.submit(0, "work", jobId(3), job({ step(2) }));
+    CHECK(cluster.waitFor(Millis(400), [&] { return cluster.accepted().contains(jobId(3)); }));
+    CHECK(cluster.entry(0).metrics().find("lanemoor_store_hedges_total{outcome=\"confirmed\"} 0") == std::string::npos);
+}
