A transaction is confirmed only by all that it writes

Cause: the second repeat of a transaction read its first key alone, as a transaction is all or nothing. Two entry instances that get one job at one time store equal values: where the answers to writes were lost, the second one found the other's value under its first key, took its own batch for done, and told callers that the rest of it was accepted, which was not stored.

Change: all keys are read, and must stand as the transaction writes them at one revision, beside the other conditions.

--- a/include/lanemoor/jobs/store/hedged_store.h
+++ b/include/lanemoor/jobs/store/hedged_store.h
@@ -31,7 +31,7 @@
 ///   conditions still hold; if one of those does not, the outcome is unknown;
 /// - a refusal or a lease that is over leaves the outcome unknown while an earlier try may have been carried out.
 ///
-/// The second repeat of a transaction reads back what it wrote first: if the answers of all writes are lost, reads still tell.
+/// The second repeat of a transaction reads back all that it writes: if the answers of all writes are lost, reads still tell.
 /// Ranges, watches and calls on leases pass through: they are large, wait anyway, or are repeated by their callers.
 class HedgedStore final : public KeyValueStore {
 public:
--- a/src/jobs/store/hedged_store.cpp
+++ b/src/jobs/store/hedged_store.cpp
@@ -85,8 +85,6 @@
 /// A call that waits for an answer, of any kind.
 class WaitingCall {
 public:
-    using Ended = std::function<void()>;
-
     virtual ~WaitingCall() = default;
 
     /// \returns Whether a repeat may be a read of what was written instead.
@@ -349,16 +347,39 @@
 
     void confirm(CallId, const std::shared_ptr<ReadCall>&) { }
 
-    /// Reads what the transaction wrote first. All or nothing: one key tells of all.
+    /// What the reads of a transaction's keys told so far.
+    struct Readings {
+        std::vector<StoreItem> items;
+        std::size_t open = 0;
+        bool isWhole = true; ///< No read failed.
+    };
+
+    /// Reads all that the transaction writes: one key alone may have got an equal value from another transaction.
     void confirm(CallId id, const std::shared_ptr<CommitCall>& call)
     {
-        readFor(id, call, call->transaction.writes.front().key, [this, id, call](const ReadResult& result) {
-            const StoreWrite& write = call->transaction.writes.front();
-            if (result.outcome == StoreOutcome::Done && isWrittenBy(result.item, write, call->transaction))
-                confirmOthers(id, call, otherConditions(call->transaction), result.item.revision);
-            else
-                resendIfNotDone(id, call, result);
-        });
+        const auto readings = std::make_shared<Readings>();
+        readings->open = call->transaction.writes.size();
+        for (const StoreWrite& write : call->transaction.writes) {
+            readFor(id, call, write.key, [this, id, call, readings, key = write.key](const ReadResult& result) {
+                readings->isWhole = readings->isWhole && (result.outcome == StoreOutcome::Done || result.outcome == StoreOutcome::NotFound);
+                readings->items.push_back(result.outcome == StoreOutcome::Done ? result.item : StoreItem { .key = key, .value = {} });
+                if (--readings->open == 0)
+                    noteReadings(id, call, *readings);
+            });
+        }
+    }
+
+    void noteReadings(CallId id, const std::shared_ptr<CommitCall>& call, const Readings& readings)
+    {
+        const Transaction& transaction = call->transaction;
+        const auto isAsBefore = [&](const StoreItem& item) { return conditionOn(transaction.expected, item.key)->revision == item.revision; };
+        const std::uint64_t revision = readings.isWhole ? revisionOfOwn(transaction, readings.items) : 0;
+        if (revision != 0)
+            confirmOthers(id, call, otherConditions(transaction), revision);
+        else if (readings.isWhole && std::all_of(readings.items.begin(), readings.items.end(), isAsBefore))
+            send(id, call);
+        else
+            endIfOver(id, call);
     }
 
     /// A condition that holds after the key was read held before as well: nobody else wrote the key in between.
@@ -381,17 +402,6 @@
         });
     }
 
-    /// The transaction goes again if its key is still as it was before.
-    void resendIfNotDone(CallId id, const std::shared_ptr<CommitCall>& call, const ReadResult& result)
-    {
-        const bool isKnown = result.outcome == StoreOutcome::Done || result.outcome == StoreOutcome::NotFound;
-        const KeyRevision* before = conditionOn(call->transaction.expected, call->transaction.writes.front().key);
-        if (isKnown && before && before->revision == result.item.revision)
-            send(id, call);
-        else
-            endIfOver(id, call);
-    }
-
     /// Reads a key for a call that still waits.
     void readFor(CallId id, const std::shared_ptr<CommitCall>& call, const std::string& key, std::function<void(const ReadResult&)> then)
     {
--- a/tests/jobs/hedged_store_test.cpp
+++ b/tests/jobs/hedged_store_test.cpp
@@ -169,15 +169,19 @@
     hedged.commit();
     hedged.clock.runFor(2 * overdue);
     REQUIRE(hedged.scripted.commits.size() == 2);
-    REQUIRE(hedged.scripted.reads.size() == 1);
+    REQUIRE(hedged.scripted.reads.size() == 2);
     CHECK(hedged.scripted.reads[0].key == "a");
+    CHECK(hedged.scripted.reads[1].key == "b");
+    const ReadResult ownA { .outcome = StoreOutcome::Done, .item = { .key = "a", .value = "1", .revision = 9 } };
+    const ReadResult ownB { .outcome = StoreOutcome::Done, .item = { .key = "b", .value = "2", .revision = 9 } };
 
     SECTION("under the same owner")
     {
-        hedged.scripted.reads[0].done({ .outcome = StoreOutcome::Done, .item = { .key = "a", .value = "1", .revision = 9 } });
+        hedged.scripted.reads[0].done(ownA);
+        hedged.scripted.reads[1].done(ownB);
         CHECK(!hedged.outcome);
-        REQUIRE(hedged.scripted.reads.size() == 2);
-        hedged.scripted.reads[1].done({ .outcome = StoreOutcome::Done, .item = { .key = "owner", .value = "o", .revision = 5 } });
+        REQUIRE(hedged.scripted.reads.size() == 3);
+        hedged.scripted.reads[2].done({ .outcome = StoreOutcome::Done, .item = { .key = "owner", .value = "o", .revision = 5 } });
         REQUIRE(hedged.outcome);
         CHECK(hedged.outcome->outcome == StoreOutcome::Done);
         CHECK(hedged.outcome->revision == 9);
@@ -185,13 +189,23 @@
     }
     SECTION("not under another one")
     {
-        hedged.scripted.reads[0].done({ .outcome = StoreOutcome::Done, .item = { .key = "a", .value = "1", .revision = 9 } });
-        hedged.scripted.reads[1].done({ .outcome = StoreOutcome::Done, .item = { .key = "owner", .value = "o", .revision = 6 } });
+        hedged.scripted.reads[0].done(ownA);
+        hedged.scripted.reads[1].done(ownB);
+        hedged.scripted.reads[2].done({ .outcome = StoreOutcome::Done, .item = { .key = "owner", .value = "o", .revision = 6 } });
+        CHECK(!hedged.outcome);
+    }
+    // Two entry instances stored one job with equal values; the other jobs of the second batch were told as accepted, and lost.
+    SECTION("not where only the first key has the value")
+    {
+        hedged.scripted.reads[0].done(ownA);
+        hedged.scripted.reads[1].done({ .outcome = StoreOutcome::Done, .item = { .key = "b", .value = "0", .revision = 7 } });
         CHECK(!hedged.outcome);
+        CHECK(hedged.scripted.commits.size() == 2);
     }
     SECTION("it goes again if it was not carried out")
     {
         hedged.scripted.reads[0].done({ .outcome = StoreOutcome::NotFound, .item = {} });
+        hedged.scripted.reads[1].done({ .outcome = StoreOutcome::Done, .item = { .key = "b", .value = "0", .revision = 7 } });
         CHECK(!hedged.outcome);
         CHECK(hedged.scripted.commits.size() == 3);
     }
@@ -213,8 +227,10 @@
     REQUIRE(hedged.scripted.commits.size() == 2);
     hedged.scripted.commits[1].done({ .outcome = StoreOutcome::Unknown });
     CHECK(!hedged.outcome);
-    REQUIRE(hedged.scripted.reads.size() == 1);
+    REQUIRE(hedged.scripted.reads.size() == 2);
     hedged.scripted.reads[0].done({ .outcome = StoreOutcome::Unknown, .item = {} });
+    CHECK(!hedged.outcome);
+    hedged.scripted.reads[1].done({ .outcome = StoreOutcome::Unknown, .item = {} });
     REQUIRE(hedged.outcome);
     CHECK(hedged.outcome->outcome == StoreOutcome::Unknown);
 }
--- a/tests/jobs/random_test.cpp
+++ b/tests/jobs/random_test.cpp
@@ -476,6 +476,9 @@
         RandomRun(seed, Faults::Ending).play();
     // A lease that was given on the clock of a worker's previous incarnation outlasted what the next owner allowed for.
     RandomRun(21'078, Faults::Restarting).play();
+    // Two entry instances stored one job with equal values while answers were lost; others were told as accepted, and were not stored.
+    RandomRun(50'000'173, Faults::Restarting).play();
+    RandomRun(50'000'222, Faults::Restarting).play();
     // A suspect that waited for the rack of its data never had a wait on record, and waited without end.
     RandomRun(113, Faults::Mixed).play();
 }
