A lost data hall is one event, and is taken back in parts

Cause: a data hall without power was noticed worker by worker, pools asked for replacements one by one, instances of the same hall that were off counted as replacements, and on its return the empty hall got all work at once.

Change: HallLossDetector (pure) finds a hall lost when, within 1 s, at least 4 and more than half of its workers stop answering while another hall answers. Planned ends and moves do not count. None of its workers is placed on; the plan counts them as missing together and takes nothing from the hall. Workers that answer again are admitted in quarters, one each 250 ms and the first 1 s after the loss. Starts are repeated only after the proofs that held before. FailureDomainStatus is the shared value; policies.failureDomains switches this off, and with it the moves of evacuations. The model can cut the power of a hall, and random runs do.

--- a/include/lanemoor/jobs/owner/fleet_keeper.h
+++ b/include/lanemoor/jobs/owner/fleet_keeper.h
@@ -42,6 +42,7 @@
     Millis moveTime { 1'500 }; ///< Of one instance between pools.
     double actsPerSecond = 0; ///< That the platform takes from all instances together; 0: no limit.
     CapacityOptions capacity;
+    bool movesEvacuated = true; ///< Whether empty instances of evacuated data halls go to the reserve.
     Millis planEvery { 100 }; ///< A pool that is short waits at most this long for the plan.
     Millis listEvery { 1'000 };
     Millis listEveryWhileActing { 300 }; ///< Also while waves or moves are under way; the list lags by some 800 ms.
--- a/include/lanemoor/jobs/owner/hall_evacuations.h
+++ b/include/lanemoor/jobs/owner/hall_evacuations.h
@@ -6,6 +6,7 @@
 #include "lanemoor/jobs/model/forward_declarations.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -68,8 +69,8 @@
     /// \returns Whether `dataHall` is being evacuated, as of the last answer of the store.
     [[nodiscard]] bool contains(const std::string& dataHall) const;
 
-    /// \returns All data halls that are being evacuated.
-    [[nodiscard]] const std::set<std::string>& halls() const noexcept;
+    /// \returns All data halls that are being evacuated, and when each request was first read here.
+    [[nodiscard]] const std::map<std::string, MonotonicInstant>& requests() const noexcept;
 
 private:
     class Impl;
--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -10,6 +10,7 @@
 #include "lanemoor/jobs/owner/ownership_keeper.h"
 #include "lanemoor/jobs/policy/checkpoint_move.h"
 #include "lanemoor/jobs/policy/crash_attribution.h"
+#include "lanemoor/jobs/policy/failure_domains.h"
 #include "lanemoor/jobs/policy/placement_options.h"
 
 #include <cstdint>
@@ -53,6 +54,7 @@
     PlacementOptions placement;
     CrashOptions crashes;
     CheckpointMoveCost checkpointMove;
+    FailureDomainOptions failureDomains;
     bool seesRises = true; ///< See CapacityOptions.
 };
 
@@ -139,6 +141,9 @@
     /// \returns The use of each worker, by its id.
     [[nodiscard]] WorkerUses uses() const;
 
+    /// \returns What is known of each data hall, evacuations included.
+    [[nodiscard]] std::shared_ptr<const FailureDomainStatus> failureDomains() const;
+
     /// \brief Reckons anew what jobs ask for; placement goes by it too.
     /// \returns It by pool; pools that nobody asks anything of may be missing.
     std::map<std::string, PoolDemand> demands();
--- a/include/lanemoor/jobs/owner/worker_book.h
+++ b/include/lanemoor/jobs/owner/worker_book.h
@@ -55,6 +55,7 @@
     bool evacuating = false; ///< It is to be emptied: no new work.
     MonotonicInstant evacuatingSince; ///< Meaningful while evacuating.
     bool hallEvacuated = false; ///< Its data hall is being evacuated: no new work.
+    bool hallLost = false; ///< Its data hall was lost, and the worker is not taken back yet: no new work.
     MonotonicInstant noWorkBefore; ///< After it refused an order.
     MonotonicInstant youngUntil; ///< The latest start is on probation until then.
     MonotonicInstant livenessCheckDueAt; ///< When the answer to a liveness check is overdue.
@@ -68,6 +69,9 @@
     /// \returns Tasks of one step and occurrence that are booked.
     [[nodiscard]] std::uint32_t tasksOf(const std::string& job, const StepId& step) const;
 
+    /// \returns Whether its data hall lets it have new work.
+    [[nodiscard]] bool isHallOpen() const noexcept { return !hallEvacuated && !hallLost; }
+
     /// \returns Whether `entry` tells of the life that the session speaks with, as far as both say.
     [[nodiscard]] bool isEntryOfLife() const;
 
--- a/include/lanemoor/jobs/service/policies.h
+++ b/include/lanemoor/jobs/service/policies.h
@@ -5,6 +5,7 @@
 #include "lanemoor/jobs/intake/job_lookup.h"
 #include "lanemoor/jobs/policy/capacity_plan.h"
 #include "lanemoor/jobs/policy/crash_attribution.h"
+#include "lanemoor/jobs/policy/failure_domains.h"
 #include "lanemoor/jobs/policy/placement_options.h"
 #include "lanemoor/jobs/relay/relay_plan.h"
 
@@ -17,6 +18,7 @@
     CrashOptions crashes;
     JobLookupOptions lookup;
     RelayOptions relay;
+    FailureDomainOptions failureDomains;
 
     [[nodiscard]] bool operator==(const Policies&) const = default;
 };
--- a/src/jobs/owner/evacuation.cpp
+++ b/src/jobs/owner/evacuation.cpp
@@ -91,7 +91,7 @@
 bool Evacuation::isBatchToMove(const JobState& job, const Attempt& attempt, const Booking& booking, const WorkerBook& worker)
 {
     const TaskState& task = *job.find(attempt.task);
-    if (!worker.hallEvacuated || booking.step->gang || task.checkpoint.empty() || m_hasNoRoom)
+    if (!m_state.options.failureDomains.enabled || !worker.hallEvacuated || booking.step->gang || task.checkpoint.empty() || m_hasNoRoom)
         return false;
     const auto passed = [&](MonotonicInstant::duration time) { return std::chrono::duration_cast<Millis>(time); };
     const CheckpointedAttempt progress { .elapsed = passed(m_state.now() - task.live->startedAt), .percent = task.live->percent, .declaredLeft = passed(booking.endsBy - m_state.now()) };
--- a/src/jobs/owner/fleet_keeper.cpp
+++ b/src/jobs/owner/fleet_keeper.cpp
@@ -436,6 +436,7 @@
     {
         const WorkMeter::Piece piece(m_options.meter, WorkKind::FleetPlan);
         m_uses = m_options.scheduler->uses();
+        m_domains = m_options.scheduler->failureDomains();
         planWaves();
         planCapacity();
         logUse();
@@ -511,10 +512,11 @@
             seen.drainingFrom = draining->second.from;
         seen.sound = !isUp || reserve || !use || isSound || m_moving.contains(instance.id) || draining != m_draining.end();
         seen.coming = !reserve && (!isUp || !use || m_moving.contains(instance.id) || draining != m_draining.end());
-        const bool isEvacuated = m_options.evacuations->contains(instance.dataHall);
+        // Of a lost data hall, workers serve that were taken back.
+        const bool isClosed = !m_domains->serves(instance.dataHall) && !(use && use->sound);
         // One on its way there will take no work either.
-        seen.sound = seen.sound && (reserve || !isEvacuated);
-        if (isOrdered(instance.id) || isBlocked(instance.id) || isEvacuated)
+        seen.sound = seen.sound && (reserve || !isClosed);
+        if (isOrdered(instance.id) || isBlocked(instance.id) || isClosed)
             return seen;
         if (isUp && !reserve && isSound && use->attempts > 0 && use->pinned == 0) {
             seen.drainable = instance.worker;
@@ -573,7 +575,7 @@
     {
         if (!mayAct() || m_list.empty())
             return;
-        undrainEvacuated();
+        undrainClosed();
         const std::vector<PoolLoad> pools = loads();
         const std::size_t most = mostActs();
         const CapacityStep step = m_capacity.next(pools, m_options.loop->now(), most);
@@ -591,16 +593,16 @@
         powerOffEvacuated((most - std::min(most, step.moves.size() + step.drains.size())) / 2);
     }
 
-    /// An instance of an evacuated data hall is no help to the pool that it is emptied for.
-    void undrainEvacuated()
+    /// An instance of a data hall that is evacuated or lost is no help to the pool that it is emptied for.
+    void undrainClosed()
     {
-        std::vector<std::string> evacuated;
+        std::vector<std::string> closed;
         for (const auto& [id, drain] : m_draining) {
             const auto listed = m_list.find(id);
-            if (listed != m_list.end() && m_options.evacuations->contains(listed->second.dataHall))
-                evacuated.push_back(id);
+            if (listed != m_list.end() && !m_domains->serves(listed->second.dataHall))
+                closed.push_back(id);
         }
-        for (const std::string& id : evacuated)
+        for (const std::string& id : closed)
             undrain(id);
     }
 
@@ -608,7 +610,7 @@
     [[nodiscard]] std::vector<EmptiedInstance> emptied() const
     {
         std::vector<EmptiedInstance> list;
-        if (m_options.evacuations->halls().empty())
+        if (!m_options.movesEvacuated || m_options.evacuations->requests().empty())
             return list;
         const std::shared_ptr<const ServiceConfiguration> configuration = m_options.configuration();
         for (const auto& [id, instance] : m_list) {
@@ -870,6 +872,7 @@
     std::map<std::string, CapacityDrain> m_draining; ///< Instances that are emptied for another pool.
     std::map<std::string, ListedLife> m_lives; ///< By instance.
     std::map<std::string, MonotonicInstant> m_idleSince;
+    std::shared_ptr<const FailureDomainStatus> m_domains; ///< As of the plan under way.
     CapacityPlan m_capacity;
     EvacuationMoves m_evacuationMoves;
     CallBudget m_actBudget; ///< For acts on instances. A drain counts when it begins.
--- a/src/jobs/owner/hall_evacuations.cpp
+++ b/src/jobs/owner/hall_evacuations.cpp
@@ -33,7 +33,7 @@
     {
         stop();
         known = false;
-        halls.clear();
+        requests.clear();
         read();
     }
 
@@ -47,7 +47,7 @@
     [[nodiscard]] bool isConfirmed() const { return known && (!hasBound() || m_options.loop->now() < m_trustedUntil); }
 
     std::function<void()> changed;
-    std::set<std::string> halls;
+    std::map<std::string, MonotonicInstant> requests; ///< When each was first read, by data hall.
     bool known = false;
     MonotonicInstant confirmedAt;
 
@@ -89,9 +89,7 @@
     void apply()
     {
         const bool isFirst = !std::exchange(known, true);
-        const bool isSame = halls == m_pending;
-        logChanges();
-        halls = std::move(m_pending);
+        const bool isSame = noteChanges();
         confirmedAt = m_askedAt;
         const bool isBack = noteConfirmed();
         if ((isFirst || !isSame || isBack) && changed)
@@ -112,7 +110,7 @@
         });
         if (!std::exchange(m_isUnconfirmed, false))
             return false;
-        m_options.log->change("evacuations-confirmed", { { "age_ms", age() }, { "halls", static_cast<std::int64_t>(halls.size()) } });
+        m_options.log->change("evacuations-confirmed", { { "age_ms", age() }, { "halls", static_cast<std::int64_t>(requests.size()) } });
         return true;
     }
 
@@ -120,23 +118,31 @@
     {
         m_trustTimer = 0;
         m_isUnconfirmed = true;
-        m_options.log->change("evacuations-unconfirmed", { { "age_ms", age() }, { "bound_ms", static_cast<std::int64_t>(m_options.bound.count()) }, { "halls", static_cast<std::int64_t>(halls.size()) } });
+        m_options.log->change("evacuations-unconfirmed", { { "age_ms", age() }, { "bound_ms", static_cast<std::int64_t>(m_options.bound.count()) }, { "halls", static_cast<std::int64_t>(requests.size()) } });
         if (changed)
             changed();
     }
 
     [[nodiscard]] std::int64_t age() const { return std::chrono::duration_cast<Millis>(m_options.loop->now() - confirmedAt).count(); }
 
-    void logChanges() const
+    /// \returns Whether there were none.
+    bool noteChanges()
     {
+        bool isSame = true;
         for (const std::string& hall : m_pending) {
-            if (!halls.contains(hall))
-                m_options.log->change("hall-evacuation-requested", { { "data_hall", hall } });
-        }
-        for (const std::string& hall : halls) {
-            if (!m_pending.contains(hall))
-                m_options.log->change("hall-evacuation-withdrawn", { { "data_hall", hall } });
+            if (!requests.try_emplace(hall, m_options.loop->now()).second)
+                continue;
+            isSame = false;
+            m_options.log->change("hall-evacuation-requested", { { "data_hall", hall } });
         }
+        std::erase_if(requests, [&](const auto& request) {
+            if (m_pending.contains(request.first))
+                return false;
+            isSame = false;
+            m_options.log->change("hall-evacuation-withdrawn", { { "data_hall", request.first } });
+            return true;
+        });
+        return isSame;
     }
 
     void readLater(Millis pause)
@@ -199,12 +205,12 @@
 
 bool HallEvacuations::contains(const std::string& dataHall) const
 {
-    return m_impl->halls.contains(dataHall);
+    return m_impl->requests.contains(dataHall);
 }
 
-const std::set<std::string>& HallEvacuations::halls() const noexcept
+const std::map<std::string, MonotonicInstant>& HallEvacuations::requests() const noexcept
 {
-    return m_impl->halls;
+    return m_impl->requests;
 }
 
 } // namespace lanemoor::jobs
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -3,6 +3,7 @@
 #include "advice_desk.h"
 #include "displacement.h"
 #include "evacuation.h"
+#include "hall_watch.h"
 #include "lanemoor/jobs/intake/job_catalog.h"
 #include "lanemoor/jobs/model/fleet_control.h"
 #include "lanemoor/jobs/model/work_meter.h"
@@ -143,7 +144,8 @@
         : state { .options = options,
             .ownership = ownership,
             .inheritedLeaseOverBy = options.loop->now() + options.ownershipTime + Millis(static_cast<std::int64_t>(leaseStretch * static_cast<double>(options.workerLeaseTime.count()))),
-            .forecast = LoadForecast(options.seesRises) }
+            .forecast = LoadForecast(options.seesRises),
+            .hallLosses = HallLossDetector(options.failureDomains) }
         , orders(std::make_shared<OrderDesk>(state, counts))
         , advice(std::make_shared<AdviceDesk>(state))
         , reports(state, *orders, counts)
@@ -306,12 +308,19 @@
                 use.pinned += booking.step->longRunning && !booking.step->requiredLabel.empty() ? 1 : 0;
             }
             use.known = book.session->isMet() || now >= book.session->leaseOverBy();
-            use.sound = book.listed && !book.entry.draining && !book.hallEvacuated && book.session->isMet() && !book.session->isSilent() && !book.session->isLifeOver() && !book.health.isQuarantined(now);
+            use.sound = book.listed && !book.entry.draining && book.isHallOpen() && book.session->isMet() && !book.session->isSilent() && !book.session->isLifeOver() && !book.health.isQuarantined(now);
             uses.emplace(id, use);
         }
         return uses;
     }
 
+    [[nodiscard]] std::shared_ptr<const FailureDomainStatus> failureDomains() const
+    {
+        FailureDomainStatus status = m_term ? m_term->state.hallLosses.status(m_options.loop->now()) : FailureDomainStatus {};
+        noteEvacuations(status, m_options.evacuations->requests());
+        return std::make_shared<const FailureDomainStatus>(std::move(status));
+    }
+
     std::map<std::string, PoolDemand> demands()
     {
         if (!m_term)
@@ -625,6 +634,7 @@
         ++counts.passes;
         const MonotonicInstant begin = m_options.loop->now();
         m_passFrom = begin + leastPassGap;
+        HallWatch(term->state).run();
         const bool knowsCancels = begin - m_options.mirror->freshAt() < oldestCopy;
         noteCopy(knowsCancels);
         if (!m_options.ownership->isHeld() || !knowsCancels || !m_options.evacuations->isConfirmed()) {
@@ -736,7 +746,10 @@
         std::erase_if(m_term->state.workers, [&](const auto& entry) {
             const WorkerBook& book = entry.second;
             const bool over = book.session->isLifeOver() || m_options.loop->now() >= book.session->leaseOverBy();
-            return !book.listed && over && book.bookings.empty() && (book.session->isLifeOver() || book.session->isSilent());
+            const bool isDropped = !book.listed && over && book.bookings.empty() && (book.session->isLifeOver() || book.session->isSilent());
+            if (isDropped)
+                m_term->state.hallLosses.noteGone(entry.first);
+            return isDropped;
         });
         if (m_term->settledInherited)
             m_term->reports.crashes().settleAbsent(false);
@@ -799,6 +812,11 @@
     return m_impl->uses();
 }
 
+std::shared_ptr<const FailureDomainStatus> JobScheduler::failureDomains() const
+{
+    return m_impl->failureDomains();
+}
+
 std::map<std::string, PoolDemand> JobScheduler::demands()
 {
     return m_impl->demands();
--- a/src/jobs/owner/owner_state.h
+++ b/src/jobs/owner/owner_state.h
@@ -7,6 +7,7 @@
 #include "lanemoor/jobs/model/job_state.h"
 #include "lanemoor/jobs/owner/job_scheduler.h"
 #include "lanemoor/jobs/owner/worker_book.h"
+#include "lanemoor/jobs/policy/failure_domains.h"
 #include "lanemoor/jobs/policy/load_forecast.h"
 #include "lanemoor/jobs/policy/organisation_use.h"
 #include "lanemoor/jobs/policy/response_time.h"
@@ -53,6 +54,7 @@
     std::map<std::string, WorkerBook> workers; ///< By id of the life.
     std::unique_ptr<ProgressWriter> writer;
     LoadForecast forecast;
+    HallLossDetector hallLosses;
     ResponseTime responses; ///< Of starts.
     /// A step that found no room.
     struct WaitingStep {
--- a/src/jobs/owner/report_reader.cpp
+++ b/src/jobs/owner/report_reader.cpp
@@ -303,6 +303,7 @@
     WorkerBook* worker = m_state.worker(session.life().id);
     if (!worker)
         return;
+    worker->hallLost = !m_state.hallLosses.noteAnswer(worker->entry.dataHall, worker->entry.id, m_state.now());
     if (worker->noteAnswer())
         m_state.requestPass();
     m_desk.noteAnswer(worker->entry.id);
@@ -321,6 +322,7 @@
     if (!worker)
         return;
     m_crashes.noteSilence(*worker);
+    noteHallStop(*worker, false);
     m_state.options.log->decision("worker-silent", { { "worker", session.life().id }, { "attempts", static_cast<std::int64_t>(worker->bookings.size()) } });
 }
 
@@ -332,11 +334,22 @@
     m_state.options.log->decision("worker-over",
         { { "worker", session.life().id }, { "life_over", std::int64_t { lifeOver } }, { "attempts", static_cast<std::int64_t>(worker->bookings.size()) } });
     lose(*worker, {}, lifeOver);
-    if (lifeOver)
+    if (lifeOver) {
+        noteHallStop(*worker, true);
         m_state.options.workers->forget(session.life());
+    }
     m_state.requestPass();
 }
 
+/// What was planned says nothing of the data hall; of a move without an answer only the silence is heard.
+void ReportReader::noteHallStop(const WorkerBook& worker, bool hasEnded)
+{
+    if (worker.endOrdered || worker.entry.draining || worker.evacuating)
+        m_state.hallLosses.noteGone(worker.entry.id);
+    else
+        m_state.hallLosses.noteStop(worker.entry.id, hasEnded, m_state.now());
+}
+
 /// Nothing runs at the worker any more.
 /// \param open Attempts whose start may still reach a new incarnation: these stay booked, outcome unknown.
 /// \param lifeOver False: only the lease has expired.
@@ -394,6 +407,7 @@
         lose(*worker, open, true);
     WorkerBook next { .entry = worker->entry, .knownSince = m_state.now(), .formerStarts = std::move(worker->formerStarts), .listed = worker->listed, .session = nullptr, .bookings = std::move(worker->bookings) };
     next.formerStarts.insert(session.life().startedAt);
+    noteHallStop(*worker, true);
     next.evacuating = worker->evacuating;
     next.evacuatingSince = worker->evacuatingSince;
     *worker = std::move(next);
--- a/src/jobs/owner/report_reader.h
+++ b/src/jobs/owner/report_reader.h
@@ -40,6 +40,7 @@
     void confirm(const RunningAttempt& report, std::int64_t workerClock);
     void findStuck(WorkerBook& worker);
     void lose(WorkerBook& worker, const std::set<Attempt>& open, bool lifeOver);
+    void noteHallStop(const WorkerBook& worker, bool hasEnded);
     void settleExpired(WorkerBook& worker);
     [[nodiscard]] std::set<Attempt> openOrders(const WorkerBook& worker) const;
     void adjustThrottle(WorkerBook& worker, const RenewResult& result);
--- a/src/jobs/owner/worker_book.cpp
+++ b/src/jobs/owner/worker_book.cpp
@@ -67,7 +67,7 @@
 
 bool WorkerBook::isOpen(MonotonicInstant now) const
 {
-    return listed && !entry.draining && !evacuating && !hallEvacuated && session && session->isMet() && !session->isSilent() && !session->isLifeOver() && isEntryOfLife() && now >= noWorkBefore
+    return listed && !entry.draining && !evacuating && isHallOpen() && session && session->isMet() && !session->isSilent() && !session->isLifeOver() && isEntryOfLife() && now >= noWorkBefore
         && !health.isQuarantined(now) && (!health.isOnProbation() || bookings.empty());
 }
 
@@ -88,7 +88,7 @@
 
 bool WorkerBook::takesRecordedStart() const
 {
-    return listed && !entry.draining && !evacuating && !hallEvacuated && !session->isSilent() && !session->isLifeOver() && isEntryOfLife() && entry.capacity.covers(bookings.used());
+    return listed && !entry.draining && !evacuating && isHallOpen() && !session->isSilent() && !session->isLifeOver() && isEntryOfLife() && entry.capacity.covers(bookings.used());
 }
 
 void WorkerBook::checkLiveness(MonotonicInstant now, Millis overdueAfter)
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -417,6 +417,7 @@
             .placement = m_settings.policies.placement,
             .crashes = m_settings.policies.crashes,
             .checkpointMove = { .restore = m_settings.restoreTime },
+            .failureDomains = m_settings.policies.failureDomains,
             .seesRises = m_settings.policies.capacity.seesRises };
     }
 
@@ -437,7 +438,8 @@
             .maintenanceTime = m_settings.maintenanceTime,
             .moveTime = m_settings.moveTime,
             .actsPerSecond = m_settings.fleetActsPerSecond,
-            .capacity = m_settings.policies.capacity };
+            .capacity = m_settings.policies.capacity,
+            .movesEvacuated = m_settings.policies.failureDomains.enabled };
     }
 
     void onOwnership(const StoreItem& item)
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -98,6 +98,17 @@
         readNumber(placement, "hopelessShare", 0, mostMargin, policies.placement.hopelessShare);
         readSwitch(placement, "beyondRateLast", policies.placement.beyondRateLast);
     });
+    reader.object("failureDomains", [&](ObjectReader& domains) {
+        constexpr std::int64_t mostWorkers = 100'000;
+        FailureDomainOptions& options = policies.failureDomains;
+        readSwitch(domains, "enabled", options.enabled);
+        readMillis(domains, "lossWindowMs", 1, options.lossWindow);
+        if (const std::optional<std::int64_t> count = domains.integer("leastStopped", 1, mostWorkers))
+            options.leastStopped = static_cast<std::uint32_t>(*count);
+        readNumber(domains, "lostShare", 0, 1, options.lostShare);
+        readMillis(domains, "returnStepMs", 0, options.returnStep);
+        readNumber(domains, "returnShare", 0, 1, options.returnShare);
+    });
     reader.object("losses", [&](ObjectReader& losses) {
         constexpr std::int64_t fewestLosses = 2; // One is what any task may meet.
         readSwitch(losses, "keepsSuspectsApart", policies.crashes.isolatesSuspects);
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -179,6 +179,20 @@
     endAndReturn(worker, returnsAfter, [this](const std::string& instance) { beginLife(instance); });
 }
 
+void WorkersModel::losePower(const std::string& dataHall, Millis returnsAfter)
+{
+    for (auto& [id, instance] : m_instances) {
+        if (instance.dataHall != dataHall || instance.state != FleetState::Up)
+            continue;
+        if (!instance.worker.empty()) {
+            crash(std::string(instance.worker), returnsAfter);
+            continue;
+        }
+        instance.state = FleetState::Down;
+        m_clock.after(returnsAfter, [this, id = id] { beginLife(id); });
+    }
+}
+
 void WorkersModel::endAndReturn(const std::string& worker, Millis returnsAfter, std::function<void(const std::string& instance)> begin)
 {
     WorkerModel* model = find(worker);
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -130,6 +130,10 @@
     /// \brief Ends a life with all that runs there; `returnsAfter` it the instance is up again.
     void crash(const std::string& worker, Millis returnsAfter);
 
+    /// \brief Cuts the power of a data hall: all lives there end, and the instances, also those that are off, are up again after
+    /// `returnsAfter`, with new lives.
+    void losePower(const std::string& dataHall, Millis returnsAfter);
+
     /// \brief Ends a life with all that runs there; `returnsAfter` it another one begins under the same id, which knows nothing of
     /// the first and counts anew. Its entry stays for as long as that of any silent worker.
     void restart(const std::string& worker, Millis returnsAfter);
--- /dev/null
+++ b/tests/jobs/hall_loss_test.cpp
@@ -0,0 +1,275 @@
+/// Data halls that are lost and come back.
+///
+/// Seen: a data hall without power for 5 s cost a third of the day. Its workers were missed one by one, pools asked for others one by
+/// one, and on its return the empty data hall got all work at once.
+
+#include "lanemoor/jobs/policy/failure_domains.h"
+#include "support.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lanemoor;
+using namespace lanemoor::jobs;
+using namespace lanemoor::jobs::test;
+
+namespace {
+
+constexpr MonotonicInstant start { Millis(1'000'000) };
+
+/// A detector that heard of two data halls with eight workers each, `a-0` to `b-7`.
+struct HeardHalls {
+    explicit HeardHalls(const FailureDomainOptions& options = {})
+        : detector(options)
+    {
+        for (int i = 0; i < 8; ++i) {
+            detector.noteAnswer("a", name("a", i), start);
+            detector.noteAnswer("b", name("b", i), start);
+        }
+    }
+
+    static std::string name(const std::string& hall, int number) { return hall + '-' + std::to_string(number); }
+
+    void stop(const std::string& hall, int from, int to, MonotonicInstant at, bool hasEnded = false)
+    {
+        for (int i = from; i < to; ++i)
+            detector.noteStop(name(hall, i), hasEnded, at);
+    }
+
+    void answer(const std::string& hall, int from, int to, MonotonicInstant at)
+    {
+        for (int i = from; i < to; ++i)
+            detector.noteAnswer(hall, name(hall, i), at);
+    }
+
+    HallLossDetector detector;
+};
+
+} // namespace
+
+TEST_CASE("A data hall is lost once more than half of its workers stop answering within a second while another one answers")
+{
+    HeardHalls halls;
+    halls.stop("a", 0, 4, start + Millis(100));
+    halls.answer("b", 0, 1, start + Millis(150));
+    CHECK(halls.detector.update(start + Millis(200)) == HallFindings {});
+    CHECK(halls.detector.admits("a-7"));
+    halls.stop("a", 4, 5, start + Millis(300));
+    const HallFindings found = halls.detector.update(start + Millis(300));
+    REQUIRE(found.changes.size() == 1);
+    CHECK(found.changes.front() == HallChange { .dataHall = "a", .isLost = true, .workers = 8, .stopped = 5 });
+    CHECK_FALSE(halls.detector.admits("a-7"));
+    CHECK(halls.detector.admits("b-0"));
+    const FailureDomainStatus status = halls.detector.status(start + Millis(300));
+    CHECK(status.find("a")->state == FailureDomainState::Lost);
+    CHECK(status.find("a")->silent == 5);
+    CHECK(status.serves("b"));
+}
+
+TEST_CASE("Workers that stop one by one, few workers, and those whose end was planned lose no data hall")
+{
+    HeardHalls halls;
+    for (int i = 0; i < 8; ++i) {
+        const MonotonicInstant at = start + Millis(400 * i);
+        halls.stop("a", i, i + 1, at);
+        halls.answer("b", 0, 1, at + Millis(10));
+        CHECK(halls.detector.update(at + Millis(20)).changes.empty());
+    }
+    HeardHalls planned;
+    for (int i = 0; i < 8; ++i)
+        planned.detector.noteGone(HeardHalls::name("a", i));
+    planned.answer("b", 0, 1, start + Millis(10));
+    CHECK(planned.detector.update(start + Millis(20)).changes.empty());
+    HallLossDetector small;
+    for (const char* worker : { "x", "y", "z" })
+        small.noteAnswer("c", worker, start);
+    small.noteAnswer("d", "w", start);
+    for (const char* worker : { "x", "y", "z" })
+        small.noteStop(worker, true, start + Millis(10));
+    small.noteAnswer("d", "w", start + Millis(20));
+    CHECK(small.update(start + Millis(30)).changes.empty());
+}
+
+/// Guards against an owner that was frozen or cut off itself and takes all data halls for lost.
+TEST_CASE("No data hall is lost while no other one answers")
+{
+    HeardHalls halls;
+    halls.stop("a", 0, 8, start + Millis(2'000));
+    CHECK(halls.detector.update(start + Millis(2'000)).changes.empty());
+    halls.stop("b", 0, 8, start + Millis(2'000));
+    CHECK(halls.detector.update(start + Millis(2'000)).changes.empty());
+    CHECK(halls.detector.status(start + Millis(2'000)).serves("a"));
+}
+
+TEST_CASE("A lost data hall is taken back in quarters while its workers answer, and then whole")
+{
+    HeardHalls halls;
+    halls.stop("a", 0, 8, start + Millis(100), true);
+    halls.answer("b", 0, 1, start + Millis(110));
+    REQUIRE(halls.detector.update(start + Millis(120)).changes.size() == 1);
+    MonotonicInstant now = start + Millis(2'000);
+    CHECK(halls.detector.update(now) == HallFindings {});
+    for (int i = 0; i < 8; ++i)
+        CHECK_FALSE(halls.detector.noteAnswer("a", HeardHalls::name("new", i), now));
+    CHECK(halls.detector.update(now).admitted.size() == 2);
+    CHECK(halls.detector.update(now + Millis(200)).admitted.empty());
+    CHECK(halls.detector.update(now + Millis(250)).admitted.size() == 2);
+    CHECK(halls.detector.update(now + Millis(500)).admitted.size() == 2);
+    const HallFindings last = halls.detector.update(now + Millis(750));
+    CHECK(last.admitted.size() == 2);
+    REQUIRE(last.changes.size() == 1);
+    CHECK(last.changes.front() == HallChange { .dataHall = "a", .isLost = false, .workers = 8, .lasted = Millis(2'630) });
+    CHECK(halls.detector.noteAnswer("a", "one-more", now + Millis(800)));
+}
+
+/// Guards against a data hall whose instances that are off stay barred since nothing else of it returns.
+TEST_CASE("A data hall of which nothing returns is judged by its workers again after a while")
+{
+    HeardHalls halls;
+    halls.stop("a", 0, 8, start + Millis(100), true);
+    halls.answer("b", 0, 1, start + Millis(110));
+    REQUIRE(halls.detector.update(start + Millis(120)).changes.size() == 1);
+    CHECK(halls.detector.update(start + Millis(30'000)).changes.empty());
+    CHECK_FALSE(halls.detector.status(start + Millis(30'000)).serves("a"));
+    CHECK(halls.detector.update(start + Millis(30'200)).changes.size() == 1);
+    CHECK(halls.detector.noteAnswer("a", "new", start + Millis(40'000)));
+}
+
+/// Guards against workers that have not been missed yet when their data hall is found lost.
+TEST_CASE("Workers of a lost data hall that seem to answer are taken back only after all others have been missed")
+{
+    HeardHalls halls;
+    halls.stop("a", 0, 5, start + Millis(100));
+    halls.answer("b", 0, 1, start + Millis(110));
+    REQUIRE(halls.detector.update(start + Millis(120)).changes.size() == 1);
+    CHECK(halls.detector.update(start + Millis(1'000)).admitted.empty());
+    halls.stop("a", 5, 7, start + Millis(1'000));
+    CHECK(halls.detector.update(start + Millis(1'200)).admitted == std::vector<std::string> { "a-7" });
+    // Most of the data hall is still gone; it counts as back if no more come.
+    CHECK(halls.detector.update(start + Millis(1'500)).changes.empty());
+    CHECK(halls.detector.update(start + Millis(6'300)).changes.size() == 1);
+}
+
+TEST_CASE("A data hall that is lost again while it is taken back starts anew")
+{
+    HeardHalls halls;
+    halls.stop("a", 0, 8, start + Millis(100));
+    halls.answer("b", 0, 1, start + Millis(110));
+    REQUIRE(halls.detector.update(start + Millis(120)).changes.size() == 1);
+    const MonotonicInstant now = start + Millis(3'000);
+    halls.answer("a", 0, 8, now);
+    CHECK(halls.detector.update(now).admitted.size() == 2);
+    halls.stop("a", 0, 8, now + Millis(100));
+    CHECK(halls.detector.update(now + Millis(250)) == HallFindings {});
+    halls.answer("a", 0, 8, now + Millis(2'000));
+    CHECK(halls.detector.update(now + Millis(2'000)).admitted.size() == 2);
+}
+
+TEST_CASE("Without the policy no data hall is lost")
+{
+    HeardHalls halls({ .enabled = false });
+    halls.stop("a", 0, 8, start + Millis(100));
+    halls.answer("b", 0, 1, start + Millis(110));
+    CHECK(halls.detector.update(start + Millis(120)).changes.empty());
+    CHECK(halls.detector.admits("a-0"));
+}
+
+TEST_CASE("Evacuations are shown beside what the detector found")
+{
+    FailureDomainStatus status { .asOf = start, .halls = { { .dataHall = "a", .state = FailureDomainState::Lost, .since = start }, { .dataHall = "b", .workers = 3 } } };
+    noteEvacuations(status, { { "a", start + Millis(1) }, { "b", start + Millis(2) }, { "c", start + Millis(3) } });
+    CHECK(status.find("a")->state == FailureDomainState::Lost);
+    CHECK(*status.find("b") == FailureDomain { .dataHall = "b", .state = FailureDomainState::Evacuating, .since = start + Millis(2), .workers = 3 });
+    CHECK(status.find("c")->since == start + Millis(3));
+    CHECK_FALSE(status.serves("c"));
+    CHECK(status.serves("elsewhere"));
+}
+
+namespace {
+
+/// Three data halls of eight instances each, of which two are off, with a long-running job and quick ones.
+struct ThreeHalls : model::JobCluster {
+    explicit ThreeHalls(std::uint64_t seed)
+        : model::JobCluster(seed, 3)
+    {
+        workers.addReserve("off");
+        for (std::size_t i = 0; i < 24; ++i)
+            workers.addInstance("m-" + std::to_string(i), i < 18 ? "main" : "off", "r-" + std::to_string(i % 3), { .milliCpu = 8'000, .memoryMb = 16'000 }, "a", std::string("hall-") + static_cast<char>('a' + i % 3));
+        configure(smallConfiguration());
+        for (std::size_t i = 0; i < entries(); ++i)
+            start(i);
+        clock.runFor(Millis(1'000));
+        submit(0, "work", jobId(1), job({ longStep(6) }));
+        play(Millis(3'000));
+    }
+
+    /// Plays on and submits a job each 50 ms.
+    void play(Millis time)
+    {
+        const MonotonicInstant until = clock.now() + time;
+        while (clock.now() < until) {
+            submit(submitted % entries(), "work", jobId(100 + submitted), job({ step(4) }));
+            ++submitted;
+            clock.runFor(Millis(50));
+        }
+    }
+
+    std::size_t runningIn(const std::string& hall)
+    {
+        std::size_t running = 0;
+        for (const auto& [id, worker] : workers.workers())
+            running += worker.alive && worker.entry.dataHall == hall ? worker.running.size() : 0;
+        return running;
+    }
+
+    /// \returns Whether all jobs but the first have ended well.
+    bool allSucceeded()
+    {
+        for (std::uint64_t i = 0; i < submitted; ++i) {
+            if (status(0, jobId(100 + i)) != JobStatus::Succeeded)
+                return false;
+        }
+        return true;
+    }
+
+    std::uint64_t submitted = 0;
+};
+
+} // namespace
+
+TEST_CASE("The power of a data hall fails and returns: every job ends, and no promise is broken")
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        CAPTURE(seed);
+        ThreeHalls cluster(seed);
+        const std::size_t owner = *cluster.owner();
+        cluster.workers.losePower("hall-a", Millis(seed % 2 == 0 ? 5'000 : 1'500));
+        // The owner may stand in the same data hall.
+        if (seed > 2)
+            cluster.kill(owner, true);
+        cluster.play(Millis(8'000));
+        cluster.start(owner);
+        cluster.clock.runFor(Millis(15'000));
+        CHECK(cluster.allSucceeded());
+        CHECK(cluster.status(0, jobId(1)) == JobStatus::Running);
+        CHECK(cluster.witness.breaches().empty());
+    }
+}
+
+/// Guards against a data hall that, empty as it is on its return, attracts all work and loses it again.
+TEST_CASE("A data hall whose power comes and goes gets a part of the work at a time")
+{
+    ThreeHalls cluster(1);
+    cluster.workers.losePower("hall-a", Millis(5'000));
+    cluster.play(Millis(5'000));
+    REQUIRE(cluster.runningIn("hall-a") == 0);
+    cluster.play(Millis(300));
+    std::size_t busy = 0;
+    for (const auto& [id, worker] : cluster.workers.workers())
+        busy += worker.alive && worker.entry.dataHall == "hall-a" && !worker.running.empty() ? 1 : 0;
+    CHECK(busy <= 4);
+    cluster.workers.losePower("hall-a", Millis(1'500));
+    cluster.play(Millis(6'000));
+    cluster.clock.runFor(Millis(15'000));
+    CHECK(cluster.allSucceeded());
+    CHECK(cluster.witness.breaches().empty());
+}
--- a/tests/jobs/random_test.cpp
+++ b/tests/jobs/random_test.cpp
@@ -30,7 +30,7 @@
     Ending, ///< The faults of `All`, on instances that do not guard their room, which shrinks and grows, with tasks that end their workers.
     Restarting, ///< The faults of `All`, with workers that start again under their ids, one each 6 s.
     RestartingOften, ///< The same, one each 2 s.
-    Halls, ///< The faults of `All`, fewer of them, in three data halls that operators ask to evacuate.
+    Halls, ///< The faults of `All`, fewer of them, in three data halls that operators ask to evacuate and that lose their power.
     Mixed, ///< The same as `All` on two pools, with instances of two kinds that do not guard their room, labels and racks.
 };
 
@@ -125,6 +125,10 @@
             m_cluster.clock.after(Millis(pickLater(500, 9'000)), [this] { m_cluster.store.trouble.refusedRanges.clear(); });
             return;
         }
+        if (pickLater(0, 2) == 0) {
+            m_cluster.workers.losePower(hall, Millis(pickLater(0, 1) == 0 ? 1'500 : pickLater(2'000, 15'000)));
+            return;
+        }
         m_cluster.evacuate(hall);
         // Some are withdrawn in the middle.
         m_cluster.clock.after(Millis(pickLater(300, 12'000)), [this, hall] { m_cluster.evacuate(hall, false); });
@@ -551,7 +555,7 @@
         RandomRun(seed, Faults::Organised).play();
 }
 
-TEST_CASE("No promise is broken in random runs with data halls that are evacuated")
+TEST_CASE("No promise is broken in random runs with data halls that are evacuated or lose their power")
 {
     const std::uint64_t first = numberFrom("LANEMOOR_SEED", 1);
     const std::uint64_t runs = numberFrom("LANEMOOR_RUNS", 200);
