Tasks of a long-running step are spread over data halls

Cause: placement took the fullest site, so that all tasks of a long-running step could stand in one data hall, whose loss took more of them than their disruption budget allows.

Change: where the loss of a data hall must be survived (jobService.survivedDataHalls, from fault_tolerance.zones), Placer keeps sites by data hall too, and takes the hall with the fewest tasks of the step among sites without drawbacks. Nothing waits for it.

Measured: placement chooses as a look at each site would, over 100 random pools; 24 tasks cost as many looks on 900 sites as on 60; on the model six tasks stand two by two in three halls.

--- a/include/lanemoor/jobs/policy/placement.h
+++ b/include/lanemoor/jobs/policy/placement.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -44,6 +45,8 @@
     /// \returns Tasks of the same step and occurrence that site `index` has; asked only for
     /// steps with a limit.
     std::function<std::uint32_t(std::size_t index)> tasksOfStep;
+    /// Tasks of the same step and occurrence by data hall, so that they are spread over the data halls; null: they need not be.
+    const std::map<std::string, std::uint32_t>* tasksByHall = nullptr;
     /// \returns Whether the site may be taken at all; null: every site may.
     std::function<bool(std::size_t index)> admits;
 };
@@ -57,7 +60,8 @@
 ///
 /// Sites are kept in the order of what they have free, so that a choice looks at the few that are nearly full and
 /// not at all of them; what found no room is remembered, so that work which waits costs a look a pass and not one a
-/// site. With 275 sites and thousands of tasks a second both together were half of the owner's time.
+/// site. Steps that are spread over data halls look at each data hall's sites by themselves, the one with the fewest of their tasks
+/// first. With 275 sites and thousands of tasks a second both together were half of the owner's time.
 class Placer {
 public:
     /// \param sites Of one pool.
@@ -90,11 +94,21 @@
         Resources needs;
     };
 
+    /// Places in order, the fullest first.
+    using Places = std::vector<Place>;
+
+    struct Choice;
+
     void move(std::size_t index, const Resources& before);
+    static void move(Places& places, const Place& before, const Place& now);
+    [[nodiscard]] Choice chooseFrom(const Places& places, const StepSpec& step, const PlacementQuery& query) const;
+    [[nodiscard]] Choice chooseSpread(const StepSpec& step, const PlacementQuery& query) const;
+    void sortByHall() const;
     [[nodiscard]] bool isKnownFull(const StepSpec& step, const Resources& needs) const;
 
     std::vector<PlacementSite> m_sites;
-    std::vector<Place> m_byFree; ///< Of the sites that take work, the fullest first.
+    Places m_byFree; ///< Of the sites that take work, the fullest first.
+    mutable std::map<std::string, Places> m_byHall; ///< The same by data hall, once a step asked for it.
     mutable std::vector<NoRoom> m_noRoom;
     mutable std::uint64_t m_inspected = 0;
 };
--- a/include/lanemoor/jobs/policy/placement_options.h
+++ b/include/lanemoor/jobs/policy/placement_options.h
@@ -16,6 +16,9 @@
     double hopelessShare = 0.8;
     /// Whether jobs that an organisation sends beyond its rate come after all others.
     bool beyondRateLast = true;
+    /// Whether tasks of a long-running step are spread over data halls where they fit as well, since the loss of a data hall must be
+    /// survived.
+    bool spreadsOverHalls = false;
     double farFactor = 2.0; ///< Work far from its data takes this many times as long; the platform says it.
 
     [[nodiscard]] bool operator==(const PlacementOptions&) const = default;
--- a/include/lanemoor/jobs/service/job_service_settings.h
+++ b/include/lanemoor/jobs/service/job_service_settings.h
@@ -41,6 +41,7 @@
     Millis configurationTrust { 0 };
     Millis configurationApplyTime { 2'000 }; ///< A new configuration must be in force within this.
     Millis evacuationTime { 0 }; ///< No task may start in a data hall so long after the request to evacuate it; 0: no bound.
+    std::uint32_t survivedDataHalls = 0; ///< Data halls whose loss must be survived; above 0 long-running tasks are spread over them.
     Millis restoreTime { 600 }; ///< Of a checkpoint, where a task goes on.
     Policies policies;
     bool logAsJson = true;
--- a/src/jobs/owner/placement_pass.cpp
+++ b/src/jobs/owner/placement_pass.cpp
@@ -249,6 +249,11 @@
     const StepSpec& step = candidate.job->state.spec(candidate.step.step);
     PlacementQuery query = queryFor(candidate, sites);
     query.nearOnly = !mayGoFar(candidate);
+    std::map<std::string, std::uint32_t> byHall;
+    if (step.longRunning && m_state.options.placement.spreadsOverHalls) {
+        byHall = tasksByHall(candidate);
+        query.tasksByHall = &byHall;
+    }
     for (std::size_t i = 0; i < candidate.tasks.size(); ++i) {
         const TaskId& task = candidate.tasks[i];
         if (isHeldByQuota(candidate, 1)) {
@@ -274,9 +279,23 @@
             return;
         }
         WorkerBook& book = *sites.books[*site];
-        if (m_orders.start(*candidate.job, task, candidate.job->state.nextAttempt(task), book, ticketFor(book)))
+        if (m_orders.start(*candidate.job, task, candidate.job->state.nextAttempt(task), book, ticketFor(book))) {
             bookAt(sites, *site, step, query);
+            ++byHall[book.entry.dataHall];
+        }
+    }
+}
+
+/// \returns Where the tasks of the step are: as many look-ups as it has tasks, whatever the fleet.
+std::map<std::string, std::uint32_t> PlacementPass::tasksByHall(const Candidate& candidate) const
+{
+    std::map<std::string, std::uint32_t> tasks;
+    for (const TaskState& task : candidate.job->state.steps().at(candidate.step).tasks) {
+        const WorkerBook* book = task.live ? m_state.worker(task.live->worker) : nullptr;
+        if (book && book->isHallOpen())
+            ++tasks[book->entry.dataHall];
     }
+    return tasks;
 }
 
 std::optional<std::size_t> PlacementPass::choose(const StepSpec& step, const PlacementQuery& query, PoolSites& sites)
--- a/src/jobs/owner/placement_pass.h
+++ b/src/jobs/owner/placement_pass.h
@@ -61,6 +61,7 @@
     bool placeGangIn(const Candidate& candidate, PoolSites& sites, const std::string& rack);
     [[nodiscard]] bool mayGoFar(const Candidate& candidate);
     [[nodiscard]] PlacementQuery queryFor(const Candidate& candidate, const PoolSites& sites) const;
+    [[nodiscard]] std::map<std::string, std::uint32_t> tasksByHall(const Candidate& candidate) const;
     [[nodiscard]] std::string ticketFor(const WorkerBook& book) const;
     [[nodiscard]] std::uint32_t suspicionOf(const Candidate& candidate, const TaskId& task) const;
     [[nodiscard]] std::optional<std::size_t> choose(const StepSpec& step, const PlacementQuery& query, PoolSites& sites);
--- a/src/jobs/policy/placement.cpp
+++ b/src/jobs/policy/placement.cpp
@@ -114,14 +114,40 @@
     return std::any_of(m_noRoom.begin(), m_noRoom.end(), [&](const NoRoom& full) { return full.label == step.requiredLabel && needs.covers(full.needs); });
 }
 
+/// The best of some sites.
+struct Placer::Choice {
+    std::optional<Rank> best;
+    bool isKeptApart = false; ///< From a site that may have room.
+
+    [[nodiscard]] bool hasNoDrawbacks() const { return best && std::get<Drawbacks>(*best) == Drawbacks {}; }
+
+    void merge(const Choice& other)
+    {
+        isKeptApart = isKeptApart || other.isKeptApart;
+        // Of equal drawbacks the first data hall's: the fuller site of another one is no better.
+        if (other.best && (!best || std::get<Drawbacks>(*other.best) < std::get<Drawbacks>(*best)))
+            best = other.best;
+    }
+};
+
 std::optional<std::size_t> Placer::choose(const StepSpec& step, const PlacementQuery& query) const
 {
     const Resources needs = footprint(step);
     if (isKnownFull(step, needs))
         return std::nullopt;
-    std::optional<Rank> best;
-    bool isKeptApart = false; // From a site that may have room.
-    for (auto place = std::lower_bound(m_byFree.begin(), m_byFree.end(), Place { needs.milliCpu, 0 }); place != m_byFree.end(); ++place) {
+    const Choice choice = query.tasksByHall ? chooseSpread(step, query) : chooseFrom(m_byFree, step, query);
+    if (choice.best)
+        return std::get<std::size_t>(*choice.best);
+    if (asksOnlyRoom(step, query) && !choice.isKeptApart)
+        m_noRoom.push_back({ .label = step.requiredLabel, .needs = needs });
+    return std::nullopt;
+}
+
+Placer::Choice Placer::chooseFrom(const Places& places, const StepSpec& step, const PlacementQuery& query) const
+{
+    const Resources needs = footprint(step);
+    Choice choice;
+    for (auto place = std::lower_bound(places.begin(), places.end(), Place { needs.milliCpu, 0 }); place != places.end(); ++place) {
         ++m_inspected;
         const std::size_t index = place->second;
         const PlacementSite& site = m_sites[index];
@@ -130,7 +156,7 @@
         if (query.nearOnly && isFar(site, step))
             continue;
         if (isIsolated(site, query)) {
-            isKeptApart = true;
+            choice.isKeptApart = true;
             continue;
         }
         if (query.admits && !query.admits(index))
@@ -138,28 +164,63 @@
         if (step.mostPerInstance > 0 && query.tasksOfStep && query.tasksOfStep(index) >= step.mostPerInstance)
             continue;
         const Rank rank { drawbacksOf(site, step, query), fullnessOf(site, step, query), index };
-        if (!best || rank < *best)
-            best = rank;
+        if (!choice.best || rank < *choice.best)
+            choice.best = rank;
         // None of those that are emptier can be better.
-        if (!step.bestEffort && query.suspicion == 0 && std::get<Drawbacks>(rank) == Drawbacks {})
+        if (!step.bestEffort && query.suspicion == 0 && choice.hasNoDrawbacks())
             break;
     }
-    if (best)
-        return std::get<std::size_t>(*best);
-    if (asksOnlyRoom(step, query) && !isKeptApart)
-        m_noRoom.push_back({ .label = step.requiredLabel, .needs = needs });
-    return std::nullopt;
+    return choice;
+}
+
+/// A data hall whose best site has no drawbacks ends the search, so that most choices look at one data hall.
+Placer::Choice Placer::chooseSpread(const StepSpec& step, const PlacementQuery& query) const
+{
+    sortByHall();
+    const auto tasksIn = [&](const std::string& hall) {
+        const auto found = query.tasksByHall->find(hall);
+        return found == query.tasksByHall->end() ? 0U : found->second;
+    };
+    std::vector<std::pair<std::uint32_t, const Places*>> halls;
+    for (const auto& [hall, places] : m_byHall)
+        halls.emplace_back(tasksIn(hall), &places);
+    std::stable_sort(halls.begin(), halls.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    Choice choice;
+    for (const auto& [tasks, places] : halls) {
+        choice.merge(chooseFrom(*places, step, query));
+        if (choice.hasNoDrawbacks())
+            break;
+    }
+    return choice;
+}
+
+void Placer::sortByHall() const
+{
+    if (!m_byHall.empty())
+        return;
+    for (const Place& place : m_byFree)
+        m_byHall[m_sites[place.second].worker->dataHall].push_back(place);
 }
 
 /// Puts a site in its place after what it has free has changed.
 void Placer::move(std::size_t index, const Resources& before)
 {
-    const std::int64_t free = m_sites[index].free.milliCpu;
-    const auto was = std::lower_bound(m_byFree.begin(), m_byFree.end(), Place { before.milliCpu, index });
-    if (was == m_byFree.end() || *was != Place { before.milliCpu, index } || free == before.milliCpu)
+    const Place was { before.milliCpu, index };
+    const Place now { m_sites[index].free.milliCpu, index };
+    if (was == now)
+        return;
+    move(m_byFree, was, now);
+    if (const auto hall = m_byHall.find(m_sites[index].worker->dataHall); hall != m_byHall.end())
+        move(hall->second, was, now);
+}
+
+void Placer::move(Places& places, const Place& before, const Place& now)
+{
+    const auto was = std::lower_bound(places.begin(), places.end(), before);
+    if (was == places.end() || *was != before)
         return;
-    const auto is = std::lower_bound(m_byFree.begin(), m_byFree.end(), Place { free, index });
-    *was = { free, index };
+    const auto is = std::lower_bound(places.begin(), places.end(), now);
+    *was = now;
     if (is <= was)
         std::rotate(is, was, was + 1);
     else
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -139,6 +139,9 @@
             readNumber(service, "fleetActsPerSecond", 0, mostActs, settings.fleetActsPerSecond);
             constexpr double mostFactor = 1'000;
             readNumber(service, "farFactor", 1, mostFactor, settings.policies.placement.farFactor);
+            constexpr std::int64_t mostHalls = 1'000;
+            if (const std::optional<std::int64_t> halls = service.integer("survivedDataHalls", 0, mostHalls))
+                settings.survivedDataHalls = static_cast<std::uint32_t>(*halls);
             service.object("times", [&](ObjectReader& times) { readTimes(times, settings); });
             service.object("policies", [&](ObjectReader& policies) { readPolicies(policies, settings.policies); });
         },
@@ -149,6 +152,7 @@
             log.fault(DocumentFaultCode::BadValue, "format", "json or text");
         settings.logAsJson = format == "json";
     });
+    settings.policies.placement.spreadsOverHalls = settings.survivedDataHalls > 0 && settings.policies.failureDomains.enabled;
     reader.finish();
     return settings;
 }
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -67,7 +67,7 @@
 
 TEST_CASE("Job service settings are checked whole, with the place of each fault")
 {
-    const std::string good = R"({"name":"e","dataHall":"h","jobService":{"front":"10.0.0.1:1","readiness":"10.0.0.1:2","store":"10.0.0.2:3","fleet":"10.0.0.3:4","advisor":"","fleetActsPerSecond":64.5,
+    const std::string good = R"({"name":"e","dataHall":"h","jobService":{"front":"10.0.0.1:1","readiness":"10.0.0.1:2","store":"10.0.0.2:3","fleet":"10.0.0.3:4","advisor":"","fleetActsPerSecond":64.5,"survivedDataHalls":1,
         "times":{"leastLeaseMs":2500,"configurationApplyMs":3000,"evacuationMs":5000,"restoreMs":700,"configurationTrustMs":5000,"handoverMs":3000,"maintenanceSeconds":2,"moveSeconds":1.5}}})";
     JobServiceSettingsReader reader;
     const auto settings = reader.read(good);
@@ -79,6 +79,8 @@
     CHECK(settings->configurationApplyTime == Millis(3'000));
     CHECK(settings->fleetActsPerSecond == Approx(64.5));
     CHECK(settings->evacuationTime == Millis(5'000));
+    CHECK(settings->survivedDataHalls == 1);
+    CHECK(settings->policies.placement.spreadsOverHalls);
     CHECK(settings->restoreTime == Millis(700));
     CHECK_FALSE(settings->peers.has_value());
     CHECK_FALSE(settings->advisor.has_value());
--- a/tests/jobs/hall_loss_test.cpp
+++ b/tests/jobs/hall_loss_test.cpp
@@ -188,9 +188,12 @@
 
 /// Three data halls of eight instances each, of which two are off, with a long-running job and quick ones.
 struct ThreeHalls : model::JobCluster {
-    explicit ThreeHalls(std::uint64_t seed)
+    explicit ThreeHalls(std::uint64_t seed, bool spreads = false)
         : model::JobCluster(seed, 3)
     {
+        Policies policies;
+        policies.placement.spreadsOverHalls = spreads;
+        setPolicies(policies);
         workers.addReserve("off");
         for (std::size_t i = 0; i < 24; ++i)
             workers.addInstance("m-" + std::to_string(i), i < 18 ? "main" : "off", "r-" + std::to_string(i % 3), { .milliCpu = 8'000, .memoryMb = 16'000 }, "a", std::string("hall-") + static_cast<char>('a' + i % 3));
@@ -273,3 +276,13 @@
     CHECK(cluster.allSucceeded());
     CHECK(cluster.witness.breaches().empty());
 }
+
+/// Guards against a long-running step whose tasks all stand in one data hall.
+TEST_CASE("Tasks of a long-running step are spread over data halls where the loss of one must be survived")
+{
+    ThreeHalls cluster(1, true);
+    std::map<std::string, int> tasks;
+    for (std::uint32_t i = 0; i < 6; ++i)
+        ++tasks[cluster.workers.find(cluster.witness.workerOf(jobId(1), { 0, 0, i }))->entry.dataHall];
+    CHECK(tasks == std::map<std::string, int> { { "hall-a", 2 }, { "hall-b", 2 }, { "hall-c", 2 } });
+}
--- a/tests/jobs/placement_test.cpp
+++ b/tests/jobs/placement_test.cpp
@@ -37,7 +37,7 @@
     const int count = 1 + anyOf(12);
     for (int i = 0; i < count; ++i) {
         const std::string rack = name("r", anyOf(3));
-        pool.workers.push_back({ .id = name("w", i), .address = {}, .pool = "main", .dataHall = {}, .capacity = {}, .labels = { name("k", anyOf(2)), rack }, .rack = rack, .draining = anyOf(8) == 0 });
+        pool.workers.push_back({ .id = name("w", i), .address = {}, .pool = "main", .dataHall = name("h", anyOf(3)), .capacity = {}, .labels = { name("k", anyOf(2)), rack }, .rack = rack, .draining = anyOf(8) == 0 });
     }
     for (const WorkerEntry& worker : pool.workers) {
         pool.sites.push_back({ .worker = &worker, .free = { .milliCpu = (anyOf(12) - 1) * unit, .memoryMb = anyOf(6) * unit }, .servingTasks = anyOf(3) == 0 ? 1U : 0U, .open = anyOf(8) != 0, .preferred = anyOf(8) != 0, .keptFor = anyOf(8) == 0 ? "k0" : "", .wanted = static_cast<std::uint32_t>(anyOf(3)) });
@@ -73,7 +73,13 @@
 /// \returns The site that a look at each of them finds.
 std::optional<std::size_t> bestOfAll(const std::vector<PlacementSite>& sites, const StepSpec& step, const PlacementQuery& query)
 {
-    using Rank = std::tuple<bool, bool, bool, bool, std::uint32_t, std::int64_t, std::size_t>;
+    using Rank = std::tuple<bool, bool, bool, bool, std::uint32_t, std::pair<std::uint32_t, std::string>, std::int64_t, std::size_t>;
+    const auto hallRank = [&](const std::string& hall) {
+        if (!query.tasksByHall)
+            return std::pair(0U, std::string());
+        const auto tasks = query.tasksByHall->find(hall);
+        return std::pair(tasks == query.tasksByHall->end() ? 0U : tasks->second, hall);
+    };
     std::optional<Rank> best;
     for (std::size_t i = 0; i < sites.size(); ++i) {
         const PlacementSite& site = sites[i];
@@ -83,7 +89,7 @@
         if (!fits || !admitted)
             continue;
         const bool mixes = (step.bestEffort && site.servingTasks > 0) || (step.latencyTarget.count() > 0 && site.bestEffortTasks > 0);
-        const Rank rank { site.worker->id == query.avoidWorker, !site.preferred, isFar, mixes, step.requiredLabel.empty() ? site.wanted : 0, step.bestEffort ? std::int64_t { site.bestEffortTasks } : site.free.milliCpu, i };
+        const Rank rank { site.worker->id == query.avoidWorker, !site.preferred, isFar, mixes, step.requiredLabel.empty() ? site.wanted : 0, hallRank(site.worker->dataHall), step.bestEffort ? std::int64_t { site.bestEffortTasks } : site.free.milliCpu, i };
         if (!best || rank < *best)
             best = rank;
     }
@@ -101,7 +107,10 @@
         std::vector<std::pair<std::size_t, StepSpec>> booked;
         for (int i = 0; i < choices; ++i) {
             const StepSpec step = anyStep();
-            const PlacementQuery query = anyQuery(pool.sites.size());
+            PlacementQuery query = anyQuery(pool.sites.size());
+            const std::map<std::string, std::uint32_t> byHall { { "h0", static_cast<std::uint32_t>(anyOf(3)) }, { "h1", static_cast<std::uint32_t>(anyOf(3)) } };
+            if (anyOf(2) == 0)
+                query.tasksByHall = &byHall;
             const std::optional<std::size_t> expected = bestOfAll(placer.sites(), step, query);
             RC_ASSERT(placer.choose(step, query) == expected);
             if (expected) {
@@ -132,3 +141,67 @@
     placer.release(0, freed);
     CHECK(placer.choose(large, {}) == 0U);
 }
+
+namespace {
+
+/// A pool of `instances`, of three data halls in turn.
+struct HallPool {
+    explicit HallPool(std::size_t instances)
+    {
+        for (std::size_t i = 0; i < instances; ++i)
+            workers.push_back({ .id = "w" + std::to_string(i), .address = {}, .pool = "main", .dataHall = name("h", static_cast<int>(i % 3)), .capacity = {}, .labels = {}, .rack = {} });
+        for (const WorkerEntry& worker : workers)
+            sites.push_back({ .worker = &worker, .free = { .milliCpu = 8'000, .memoryMb = 16'000 } });
+    }
+
+    std::vector<WorkerEntry> workers;
+    std::vector<PlacementSite> sites;
+};
+
+} // namespace
+
+TEST_CASE("Tasks of a step are spread over data halls as far as there is room, and none waits for it")
+{
+    const HallPool pool(9);
+    Placer placer(pool.sites);
+    std::map<std::string, std::uint32_t> byHall;
+    const auto placeOne = [&] {
+        const std::optional<std::size_t> site = placer.choose(longStep(1), { .tasksByHall = &byHall });
+        if (!site)
+            return false;
+        placer.book(*site, longStep(1));
+        ++byHall[pool.workers[*site].dataHall];
+        return true;
+    };
+    for (int i = 0; i < 9; ++i)
+        REQUIRE(placeOne());
+    CHECK(byHall == std::map<std::string, std::uint32_t> { { "h0", 3 }, { "h1", 3 }, { "h2", 3 } });
+    StepSpec whole = step(1);
+    whole.needs = { .milliCpu = 4'000, .memoryMb = 100 };
+    // Where the others have no room left, one data hall takes them all.
+    for (std::size_t i = 0; i < pool.sites.size(); ++i) {
+        while (pool.workers[i].dataHall != "h1" && placer.sites()[i].free.milliCpu >= 1'000)
+            placer.book(i, step(1));
+    }
+    for (int i = 0; i < 6; ++i)
+        REQUIRE(placeOne());
+    CHECK(byHall.at("h1") == 9);
+}
+
+/// Guards against a spread that costs a look at each worker.
+TEST_CASE("The spread of a step over data halls costs as many looks on a large fleet as on a small one")
+{
+    const auto looksFor = [](std::size_t instances) {
+        const HallPool pool(instances);
+        Placer placer(pool.sites);
+        std::map<std::string, std::uint32_t> byHall;
+        for (int i = 0; i < 24; ++i) {
+            const std::size_t site = placer.choose(longStep(1), { .tasksOfStep = [](std::size_t) { return 0U; }, .tasksByHall = &byHall }).value();
+            placer.book(site, longStep(1));
+            ++byHall[pool.workers[site].dataHall];
+        }
+        return placer.inspected();
+    };
+    CHECK(looksFor(900) == looksFor(60));
+    CHECK(looksFor(900) <= 24 * 3);
+}
