Operators see data halls that are evacuated or lost

lanemoor evacuations, at the owner's metrics address: each hall, since when, the age of the requests, what remains by pool and why (budget, being stopped, unreachable), and when it should be empty. Gauges lanemoor_evacuation_remaining, lanemoor_evacuations_age_seconds and lanemoor_data_hall_lost. explain JOB names the halls that its tasks are in, and all of them where tasks wait.

--- a/include/lanemoor/client/text_report.h
+++ b/include/lanemoor/client/text_report.h
@@ -25,6 +25,7 @@
 
 /// \returns What each organisation has running against its quota.
 [[nodiscard]] std::string organisationsText(const std::string& body);
+[[nodiscard]] std::string evacuationsText(const std::string& body);
 
 /// \param patch A JSON patch (RFC 6902). \returns One line for each change.
 [[nodiscard]] std::string patchText(const std::string& patch);
--- a/include/lanemoor/jobs/operator/operator_api.h
+++ b/include/lanemoor/jobs/operator/operator_api.h
@@ -18,6 +18,7 @@
 /// | `GET /v1/jobs/ID` | one job; at the shard's owner with its steps and why they wait |
 /// | `DELETE /v1/jobs/ID` | cancels it |
 /// | `GET /v1/shards` | shards and their owners |
+/// | `GET /v1/evacuations` | data halls that are evacuated or lost; at the owner with what remains there |
 /// | `GET /metrics` | metrics in Prometheus' text format |
 ///
 /// Anything else gets 404, a wrong method 405, both as `application/problem+json`.
--- a/include/lanemoor/jobs/owner/job_report.h
+++ b/include/lanemoor/jobs/owner/job_report.h
@@ -48,6 +48,15 @@
     [[nodiscard]] bool operator==(const SuspectReport&) const = default;
 };
 
+/// A data hall that is evacuated or lost, as a step sees it.
+struct ClosedHallReport {
+    std::string dataHall;
+    std::string state;
+    std::uint32_t tasks = 0; ///< Of the step, with an attempt there that is not over.
+
+    [[nodiscard]] bool operator==(const ClosedHallReport&) const = default;
+};
+
 /// One step of one occurrence.
 struct StepReport {
     std::uint32_t occurrence = 0;
@@ -58,6 +67,7 @@
     std::vector<AttemptReport> attempts;
     std::vector<SuspectReport> suspects;
     std::optional<StepWait> wait;
+    std::vector<ClosedHallReport> closedHalls; ///< With tasks of the step; all of them, if tasks wait.
 
     [[nodiscard]] bool operator==(const StepReport&) const = default;
 };
--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -6,6 +6,7 @@
 #include "lanemoor/jobs/model/forward_declarations.h"
 #include "lanemoor/jobs/model/requirement.h"
 #include "lanemoor/jobs/model/service_configuration.h"
+#include "lanemoor/jobs/owner/evacuation_report.h"
 #include "lanemoor/jobs/owner/job_report.h"
 #include "lanemoor/jobs/owner/ownership_keeper.h"
 #include "lanemoor/jobs/policy/checkpoint_move.h"
@@ -144,6 +145,9 @@
     /// \returns What is known of each data hall, evacuations included.
     [[nodiscard]] std::shared_ptr<const FailureDomainStatus> failureDomains() const;
 
+    /// \returns Data halls that do not serve, with what remains there.
+    [[nodiscard]] std::vector<HallReport> closedHalls() const;
+
     /// \brief Reckons anew what jobs ask for; placement goes by it too.
     /// \returns It by pool; pools that nobody asks anything of may be missing.
     std::map<std::string, PoolDemand> demands();
--- a/include/lanemoor/jobs/service/job_metrics.h
+++ b/include/lanemoor/jobs/service/job_metrics.h
@@ -4,6 +4,7 @@
 
 #include "lanemoor/jobs/intake/job_intake.h"
 #include "lanemoor/jobs/model/work_meter.h"
+#include "lanemoor/jobs/owner/evacuation_report.h"
 #include "lanemoor/jobs/owner/job_report.h"
 #include "lanemoor/jobs/owner/job_scheduler.h"
 #include "lanemoor/jobs/store/store_mirror.h"
@@ -38,6 +39,7 @@
     std::uint64_t decisionsOmitted = 0;
     std::uint64_t carriedCalls = 0; ///< That this process carried for an owner elsewhere.
     std::vector<OrganisationReport> organisations; ///< As the owner knows them; none elsewhere.
+    EvacuationsReport evacuations; ///< As the owner knows them; no data halls elsewhere.
     WorkReading work; ///< What the process's thread was at work on.
 };
 
--- a/include/lanemoor/jobs/service/job_service.h
+++ b/include/lanemoor/jobs/service/job_service.h
@@ -119,6 +119,9 @@
 
     /// \returns What each organisation has running against its quota, as the owner knows it.
     [[nodiscard]] OrganisationsReport organisations() const;
+
+    /// \returns Data halls that are evacuated or lost, as far as this instance knows.
+    [[nodiscard]] EvacuationsReport evacuations() const;
     ///@}
 
     /// \returns Counts of this process as an owner, as its metrics show them.
--- a/src/client/command_line.cpp
+++ b/src/client/command_line.cpp
@@ -254,6 +254,7 @@
         { "explain", "INSTANCE|JOB", "tell why an instance is in its pool and whether it may be taken, or why a job's tasks run or wait where they do", 1, 1, explain },
         { "jobs", "[list [QUEUE] | show ID | cancel ID]", "show or cancel jobs of the job service, by its metrics address", 0, 2, listOrChangeJobs },
         { "organisations", "", "show what organisations of the job service have running against their quotas, by the owner's metrics address", 0, 0, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/organisations", organisationsText); } },
+        { "evacuations", "", "show data halls that are evacuated or lost and what remains there, by the owner's metrics address", 0, 0, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/evacuations", evacuationsText); } },
         { "shards", "", "show the job service's shards and their owners", 0, 0, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/shards", shardsText); } },
     };
     return all;
--- a/src/client/text_report.cpp
+++ b/src/client/text_report.cpp
@@ -100,6 +100,8 @@
     }
     if (step.contains("wait"))
         text += '\n' + waitText(step["wait"]);
+    for (const Json& hall : step.value("closedHalls", Json::array()))
+        text += "\n    data hall " + plain(hall["dataHall"]) + " is " + plain(hall["state"]) + ": nothing starts there; " + plain(hall["tasks"]) + " tasks of the step are there, see lanemoor evacuations";
     return text;
 }
 
@@ -202,6 +204,27 @@
     return table.text();
 }
 
+std::string evacuationsText(const std::string& body)
+{
+    const Json json = Json::parse(body);
+    if (!json["ownedHere"].get<bool>())
+        return "what remains in data halls is known to the owner only: " + (json["owner"].get<std::string>().empty() ? std::string("nobody owns now") : plain(json["owner"]));
+    std::string text = "requests read " + plain(json["ageMillis"]) + " ms ago" + (json["confirmed"].get<bool>() ? "" : ": too old, nothing starts anywhere");
+    if (json["halls"].empty())
+        return text + "\nno data hall is evacuated or lost";
+    Table table({ "DATA HALL", "STATE", "FOR MS", "POOL", "WORKERS", "BATCH", "LONG", "HELD BY BUDGET", "STOPPING", "UNREACHABLE", "EMPTY IN MS" });
+    for (const Json& hall : json["halls"]) {
+        const std::string emptyIn = plain(hall.value("emptyInMillis", Json()));
+        if (hall["pools"].empty())
+            table.add({ plain(hall["dataHall"]), plain(hall["state"]), plain(hall["forMillis"]), "-", "0", "0", "0", "0", "0", "0", emptyIn });
+        for (const Json& pool : hall["pools"]) {
+            table.add({ plain(hall["dataHall"]), plain(hall["state"]), plain(hall["forMillis"]), plain(pool["pool"]), plain(pool["workers"]), plain(pool["batchTasks"]), plain(pool["longTasks"]), plain(pool["heldByBudget"]), plain(pool["stopping"]), plain(pool["unreachable"]),
+                emptyIn });
+        }
+    }
+    return text + '\n' + table.text();
+}
+
 std::string shardsText(const std::string& body)
 {
     const Json json = Json::parse(body);
--- a/src/jobs/operator/operator_api.cpp
+++ b/src/jobs/operator/operator_api.cpp
@@ -1,5 +1,6 @@
 #include "lanemoor/jobs/operator/operator_api.h"
 
+#include "lanemoor/jobs/owner/evacuation_report.h"
 #include "lanemoor/jobs/owner/job_report.h"
 #include "lanemoor/jobs/service/job_service.h"
 
@@ -20,6 +21,7 @@
 constexpr std::size_t mostJobsListed = 1'000; // Some 100 bytes each.
 constexpr std::string_view jobsPath = "/v1/jobs";
 constexpr std::string_view organisationsPath = "/v1/organisations";
+constexpr std::string_view evacuationsPath = "/v1/evacuations";
 
 HttpResponse answer(std::string body, const char* type = "application/json")
 {
@@ -96,7 +98,7 @@
         serveJob(service, std::string(path.substr(jobPrefix.size())), request, std::move(respond));
         return;
     }
-    if (path != jobsPath && path != organisationsPath && path != "/v1/shards" && path != "/metrics")
+    if (path != jobsPath && path != organisationsPath && path != evacuationsPath && path != "/v1/shards" && path != "/metrics")
         respond(problem(notFound, "there is no such page"));
     else if (request.method != "GET")
         respond(problem(notAllowed, "this can only be read"));
@@ -104,6 +106,8 @@
         listJobs(service, target, respond);
     else if (path == organisationsPath)
         respond(answer(formatOrganisations(service.organisations())));
+    else if (path == evacuationsPath)
+        respond(answer(formatEvacuations(service.evacuations())));
     else if (path == "/metrics")
         respond(answer(service.metrics(), "text/plain; version=0.0.4"));
     else
--- a/src/jobs/owner/job_report.cpp
+++ b/src/jobs/owner/job_report.cpp
@@ -35,6 +35,9 @@
         json["suspects"].push_back({ { "task", suspect.task }, { "workersLost", suspect.workersLost }, { "confirmedCrashes", suspect.confirmedCrashes }, { "givenUp", suspect.givenUp } });
     if (report.wait)
         json["wait"] = wait(*report.wait);
+    json["closedHalls"] = Json::array();
+    for (const ClosedHallReport& hall : report.closedHalls)
+        json["closedHalls"].push_back({ { "dataHall", hall.dataHall }, { "state", hall.state }, { "tasks", hall.tasks } });
     return json;
 }
 
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -3,6 +3,7 @@
 #include "advice_desk.h"
 #include "displacement.h"
 #include "evacuation.h"
+#include "hall_inventory.h"
 #include "hall_watch.h"
 #include "lanemoor/jobs/intake/job_catalog.h"
 #include "lanemoor/jobs/model/fleet_control.h"
@@ -321,6 +322,11 @@
         return std::make_shared<const FailureDomainStatus>(std::move(status));
     }
 
+    [[nodiscard]] std::vector<HallReport> closedHalls() const
+    {
+        return m_term ? HallInventory(m_term->state, *failureDomains()).halls() : std::vector<HallReport> {};
+    }
+
     std::map<std::string, PoolDemand> demands()
     {
         if (!m_term)
@@ -408,6 +414,10 @@
         std::vector<StepReport> reports;
         for (const auto& [step, state] : job->state.steps())
             reports.push_back(reportOf(job->state, step, state));
+        const std::shared_ptr<const FailureDomainStatus> status = failureDomains();
+        const HallInventory inventory(m_term->state, *status);
+        for (StepReport& step : reports)
+            step.closedHalls = inventory.closedFor(step.attempts, step.wait.has_value());
         return reports;
     }
 
@@ -817,6 +827,11 @@
     return m_impl->failureDomains();
 }
 
+std::vector<HallReport> JobScheduler::closedHalls() const
+{
+    return m_impl->closedHalls();
+}
+
 std::map<std::string, PoolDemand> JobScheduler::demands()
 {
     return m_impl->demands();
--- a/src/jobs/service/job_metrics.cpp
+++ b/src/jobs/service/job_metrics.cpp
@@ -127,6 +127,25 @@
     families.push_back(byOrganisation("lanemoor_organisation_jobs_beyond_rate", "Jobs of this term beyond its rate", organisations, [](const OrganisationReport& each) { return static_cast<double>(each.beyondRate); }));
 }
 
+void addHalls(std::vector<prometheus::MetricFamily>& families, const EvacuationsReport& report)
+{
+    constexpr double milli = 1'000;
+    if (!report.ownedHere)
+        return;
+    families.push_back(gauge("lanemoor_evacuations_age_seconds", "Since the requests to evacuate data halls were last asked for", static_cast<double>(report.ageMillis) / milli));
+    prometheus::MetricFamily remaining { "lanemoor_evacuation_remaining", "Attempts that are not over in a data hall that operators ask to evacuate", prometheus::MetricType::Gauge, {} };
+    prometheus::MetricFamily lost { "lanemoor_data_hall_lost", "1 for each data hall that is lost and not taken back yet", prometheus::MetricType::Gauge, {} };
+    for (const HallReport& hall : report.halls) {
+        const bool isLost = hall.state == FailureDomainState::Lost;
+        prometheus::ClientMetric metric;
+        metric.label.push_back({ "data_hall", hall.dataHall });
+        metric.gauge.value = isLost ? 1 : static_cast<double>(hall.tasks());
+        (isLost ? lost : remaining).metric.push_back(std::move(metric));
+    }
+    families.push_back(std::move(remaining));
+    families.push_back(std::move(lost));
+}
+
 void addWork(std::vector<prometheus::MetricFamily>& families, const WorkReading& work)
 {
     prometheus::MetricFamily family { "lanemoor_work_seconds_total", "Time that the process's thread was at work, by kind", prometheus::MetricType::Counter, {} };
@@ -207,6 +226,7 @@
     addRelay(families, relay, reading.carriedCalls);
     addWork(families, reading.work);
     addOrganisations(families, reading.organisations);
+    addHalls(families, reading.evacuations);
     std::ostringstream out;
     prometheus::TextSerializer().Serialize(out, families);
     return out.str();
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -320,6 +320,11 @@
         return { .ownedHere = m_scheduler.isActive(), .owner = m_ownership.holder(), .organisations = m_scheduler.organisations() };
     }
 
+    [[nodiscard]] EvacuationsReport evacuations() const
+    {
+        return { .ownedHere = m_scheduler.isActive(), .owner = m_ownership.holder(), .confirmed = m_evacuations.isConfirmed(), .ageMillis = m_evacuations.isKnown() ? since(m_evacuations.confirmedAt()) : 0, .halls = m_scheduler.closedHalls() };
+    }
+
     [[nodiscard]] CopyReading readingOf(const std::string& name, const StoreMirror& copy) const
     {
         return { .name = name, .counts = copy.counts(), .ageSeconds = secondsSince(copy.freshAt()) };
@@ -338,6 +343,7 @@
             .decisionsOmitted = m_parts.log->omitted(),
             .carriedCalls = m_relay.calls(),
             .organisations = m_scheduler.organisations(),
+            .evacuations = evacuations(),
             .work = m_meter.total() };
         return metrics.text(reading, m_scheduler.counts(), m_fleet.counts(), m_relayedWorkers.counts());
     }
@@ -704,6 +710,11 @@
     return m_impl->organisations();
 }
 
+EvacuationsReport JobService::evacuations() const
+{
+    return m_impl->evacuations();
+}
+
 void JobService::noteRejected(const std::string& id, JobFault fault)
 {
     m_impl->metrics.noteRejected();
--- a/tests/jobs/operator_test.cpp
+++ b/tests/jobs/operator_test.cpp
@@ -104,3 +104,30 @@
     CHECK(organisationsText(call(cluster, other, "GET", "/v1/organisations").body).find("known to the owner only: entry-" + std::to_string(owner)) != std::string::npos);
     CHECK(call(cluster, other, "POST", "/v1/organisations").status == 405);
 }
+
+TEST_CASE("Operators see an evacuation and what remains in its data hall, and a job's explanation names it")
+{
+    SmallCluster cluster(1, 3, 2, 0);
+    const Resources capacity { .milliCpu = 8'000, .memoryMb = 16'000 };
+    cluster.workers.addInstance("h-0", "main", "r-h", capacity, "a", "hall-b");
+    cluster.clock.runFor(Millis(500));
+    cluster.workers.runTimes = [](const Attempt&) { return Millis(30'000); };
+    cluster.submit(0, "work", jobId(1), job({ step(24) }));
+    REQUIRE(cluster.waitFor(Millis(2'000), [&] { return cluster.witness.starts() == 24; }));
+    cluster.submit(0, "work", jobId(2), job({ step(1) }));
+    const std::size_t owner = cluster.owner().value();
+    CHECK(evacuationsText(call(cluster, owner, "GET", "/v1/evacuations").body).find("no data hall is evacuated or lost") != std::string::npos);
+    cluster.evacuate("hall-b");
+    cluster.clock.runFor(Millis(3'000));
+    const HttpResponse answer = call(cluster, owner, "GET", "/v1/evacuations");
+    CHECK(answer.body.find(R"("dataHall":"hall-b","state":"evacuating")") != std::string::npos);
+    CHECK(answer.body.find(R"("pool":"main","workers":1,"batchTasks":8,"longTasks":0,"heldByBudget":0,"stopping":0,"unreachable":0)") != std::string::npos);
+    CHECK(evacuationsText(answer.body).find("hall-b") != std::string::npos);
+    const std::string running = jobText(call(cluster, owner, "GET", "/v1/jobs/" + jobId(1)).body);
+    CHECK(running.find("data hall hall-b is evacuating: nothing starts there; 8 tasks of the step are there") != std::string::npos);
+    const std::string waiting = jobText(call(cluster, owner, "GET", "/v1/jobs/" + jobId(2)).body);
+    CHECK(waiting.find("data hall hall-b is evacuating: nothing starts there; 0 tasks") != std::string::npos);
+    CHECK(call(cluster, owner, "GET", "/metrics").body.find("lanemoor_evacuation_remaining{data_hall=\"hall-b\"} 8") != std::string::npos);
+    const std::size_t other = (owner + 1) % cluster.entries();
+    CHECK(evacuationsText(call(cluster, other, "GET", "/v1/evacuations").body).find("known to the owner only: entry-" + std::to_string(owner)) != std::string::npos);
+}
