Test of the settings of failure domains

Guards against constants that are not read, faults that are not told by their field, and a switch that leaves the spread on.

--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -110,6 +110,23 @@
     CHECK_FALSE(reader.read(with(R"("policies":{"relay":{"shrinkAt":0.5}})")).has_value());
 }
 
+TEST_CASE("Settings of failure domains are read and checked, and switched off as a whole")
+{
+    const auto with = [](const std::string& more) {
+        return R"({"name":"e","dataHall":"h","jobService":{"front":"10.0.0.1:1","readiness":"10.0.0.1:2","store":"10.0.0.2:3","fleet":"10.0.0.3:4","survivedDataHalls":1,)" + more + "}}";
+    };
+    JobServiceSettingsReader reader;
+    const auto settings = reader.read(with(R"("policies":{"failureDomains":{"enabled":false,"lossWindowMs":900,"leastStopped":5,"lostShare":0.6,"returnStepMs":100,"returnShare":0.5}})"));
+    REQUIRE(settings);
+    const FailureDomainOptions expected { .enabled = false, .lossWindow = Millis(900), .leastStopped = 5, .lostShare = 0.6, .returnStep = Millis(100), .returnShare = 0.5 };
+    CHECK(settings->policies.failureDomains == expected);
+    CHECK_FALSE(settings->policies.placement.spreadsOverHalls);
+    CHECK_FALSE(reader.read(with(R"("policies":{"failureDomains":{"lostShare":1.5}})")).has_value());
+    REQUIRE(reader.faults().size() == 1);
+    CHECK(reader.faults().front().field == "/jobService/policies/failureDomains/lostShare");
+    CHECK_FALSE(reader.read(with(R"("times":{"evacuationMs":-1})")).has_value());
+}
+
 TEST_CASE("The owner's record names where its calls may be relayed from")
 {
     const OwnerRecord owner { "entry-1", 7, "10.0.0.1:7060" };
