--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -7,10 +7,12 @@
 #include "lanemoor/jobs/model/forward_declarations.h"
 #include "lanemoor/jobs/model/requirement.h"
 #include "lanemoor/jobs/model/service_configuration.h"
+#include "lanemoor/jobs/owner/evacuation_report.h"
 #include "lanemoor/jobs/owner/job_report.h"
 #include "lanemoor/jobs/owner/ownership_keeper.h"
 #include "lanemoor/jobs/policy/checkpoint_move.h"
 #include "lanemoor/jobs/policy/crash_attribution.h"
+#include "lanemoor/jobs/policy/failure_domains.h"
 #include "lanemoor/jobs/policy/placement_options.h"
 #include "lanemoor/jobs/policy/worker_health.h"
 #include "lanemoor/jobs/store/progress_writer.h"
@@ -57,6 +59,7 @@
     CrashOptions crashes;
     CheckpointMoveCost checkpointMove;
     WorkerHealthOptions health;
+    FailureDomainOptions failureDomains;
     bool seesRises = true; ///< See CapacityOptions.
 };
 
@@ -149,6 +152,12 @@
     /// \returns The use of each worker, by its id.
     [[nodiscard]] WorkerUses uses() const;
 
+    /// \returns What is known of each data hall, evacuations included.
+    [[nodiscard]] std::shared_ptr<const FailureDomainStatus> failureDomains() const;
+
+    /// \returns Data halls that do not serve, with what remains there.
+    [[nodiscard]] std::vector<HallReport> closedHalls() const;
+
     /// \brief Reckons anew what jobs ask for; placement goes by it too.
     /// \returns It by pool; pools that nobody asks anything of may be missing.
     std::map<std::string, PoolDemand> demands();
--- a/include/lanemoor/jobs/service/policies.h
+++ b/include/lanemoor/jobs/service/policies.h
@@ -5,6 +5,7 @@
 #include "lanemoor/jobs/intake/job_lookup.h"
 #include "lanemoor/jobs/policy/capacity_plan.h"
 #include "lanemoor/jobs/policy/crash_attribution.h"
+#include "lanemoor/jobs/policy/failure_domains.h"
 #include "lanemoor/jobs/policy/placement_options.h"
 #include "lanemoor/jobs/policy/worker_health.h"
 #include "lanemoor/jobs/policy/reachability.h"
@@ -23,6 +24,7 @@
     StoreOutageOptions storeOutages;
     WorkerHealthOptions workerHealth;
     ReachabilityOptions reachability;
+    FailureDomainOptions failureDomains;
 
     [[nodiscard]] bool operator==(const Policies&) const = default;
 };
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -4,6 +4,8 @@
 #include "displacement.h"
 #include "evacuation.h"
 #include "health_monitor.h"
+#include "hall_inventory.h"
+#include "hall_watch.h"
 #include "lanemoor/jobs/intake/job_catalog.h"
 #include "lanemoor/jobs/model/fleet_control.h"
 #include "lanemoor/jobs/model/work_meter.h"
@@ -128,7 +130,8 @@
         : state { .options = options,
             .ownership = ownership,
             .inheritedLeaseOverBy = options.loop->now() + options.ownershipTime + Millis(static_cast<std::int64_t>(leaseStretch * static_cast<double>(options.workerLeaseTime.count()))),
-            .forecast = LoadForecast(options.seesRises) }
+            .forecast = LoadForecast(options.seesRises),
+            .hallLosses = HallLossDetector(options.failureDomains) }
         , health(state)
         , orders(std::make_shared<OrderDesk>(state, health, counts))
         , advice(std::make_shared<AdviceDesk>(state))
@@ -303,12 +306,24 @@
                 use.pinned += booking.step->longRunning && !booking.step->requiredLabel.empty() ? 1 : 0;
             }
             use.known = book.session->isMet() || now >= book.session->leaseOverBy();
-            use.sound = book.listed && !book.entry.draining && !book.hallEvacuated && book.session->isMet() && !book.session->isSilent() && !book.session->isLifeOver() && !book.health.isEjected(now);
+            use.sound = book.listed && !book.entry.draining && book.isHallOpen() && book.session->isMet() && !book.session->isSilent() && !book.session->isLifeOver() && !book.health.isEjected(now);
             uses.emplace(id, use);
         }
         return uses;
     }
 
+    [[nodiscard]] std::shared_ptr<const FailureDomainStatus> failureDomains() const
+    {
+        FailureDomainStatus status = m_term ? m_term->state.hallLosses.status(m_options.loop->now()) : FailureDomainStatus {};
+        noteEvacuations(status, m_options.evacuations->requests());
+        return std::make_shared<const FailureDomainStatus>(std::move(status));
+    }
+
+    [[nodiscard]] std::vector<HallReport> closedHalls() const
+    {
+        return m_term ? HallInventory(m_term->state, *failureDomains()).halls() : std::vector<HallReport> {};
+    }
+
     std::map<std::string, PoolDemand> demands()
     {
         if (!m_term)
@@ -396,6 +411,10 @@
         std::vector<StepReport> reports;
         for (const auto& [step, state] : job->state.steps())
             reports.push_back(reportOf(job->state, step, state));
+        const std::shared_ptr<const FailureDomainStatus> status = failureDomains();
+        const HallInventory inventory(m_term->state, *status);
+        for (StepReport& step : reports)
+            step.closedHalls = inventory.closedFor(step.attempts, step.wait.has_value());
         return reports;
     }
 
@@ -622,6 +641,7 @@
         ++counts.passes;
         const MonotonicInstant begin = m_options.loop->now();
         m_passFrom = begin + leastPassGap;
+        HallWatch(term->state).run();
         const bool knowsCancels = begin - m_options.mirror->freshAt() < oldestCopy;
         noteCopy(knowsCancels);
         if (!m_options.ownership->isHeld() || !knowsCancels || !m_options.evacuations->isConfirmed()) {
@@ -734,7 +754,10 @@
         std::erase_if(m_term->state.workers, [&](const auto& entry) {
             const WorkerBook& book = entry.second;
             const bool over = book.session->isLifeOver() || m_options.loop->now() >= book.session->leaseOverBy();
-            return !book.listed && over && book.bookings.empty() && (book.session->isLifeOver() || book.session->isSilent());
+            const bool isDropped = !book.listed && over && book.bookings.empty() && (book.session->isLifeOver() || book.session->isSilent());
+            if (isDropped)
+                m_term->state.hallLosses.noteGone(entry.first);
+            return isDropped;
         });
         if (m_term->settledInherited)
             m_term->reports.crashes().settleAbsent(false);
@@ -797,6 +820,16 @@
     return m_impl->uses();
 }
 
+std::shared_ptr<const FailureDomainStatus> JobScheduler::failureDomains() const
+{
+    return m_impl->failureDomains();
+}
+
+std::vector<HallReport> JobScheduler::closedHalls() const
+{
+    return m_impl->closedHalls();
+}
+
 std::map<std::string, PoolDemand> JobScheduler::demands()
 {
     return m_impl->demands();
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -105,6 +105,17 @@
         readNumber(outages, "hedgeBurst", 0, mostBurst, policies.storeOutages.hedgeBurst);
         readMillis(outages, "returnSpreadMs", 0, policies.storeOutages.returnSpread);
     });
+    reader.object("failureDomains", [&](ObjectReader& domains) {
+        constexpr std::int64_t mostWorkers = 100'000;
+        FailureDomainOptions& options = policies.failureDomains;
+        readSwitch(domains, "enabled", options.enabled);
+        readMillis(domains, "lossWindowMs", 1, options.lossWindow);
+        if (const std::optional<std::int64_t> count = domains.integer("leastStopped", 1, mostWorkers))
+            options.leastStopped = static_cast<std::uint32_t>(*count);
+        readNumber(domains, "lostShare", 0, 1, options.lostShare);
+        readMillis(domains, "returnStepMs", 0, options.returnStep);
+        readNumber(domains, "returnShare", 0, 1, options.returnShare);
+    });
     reader.object("losses", [&](ObjectReader& losses) {
         constexpr std::int64_t fewestLosses = 2; // One is what any task may meet.
         readSwitch(losses, "keepsSuspectsApart", policies.crashes.isolatesSuspects);
@@ -135,6 +146,9 @@
             readNumber(service, "fleetActsPerSecond", 0, mostActs, settings.fleetActsPerSecond);
             constexpr double mostFactor = 1'000;
             readNumber(service, "farFactor", 1, mostFactor, settings.policies.placement.farFactor);
+            constexpr std::int64_t mostHalls = 1'000;
+            if (const std::optional<std::int64_t> halls = service.integer("survivedDataHalls", 0, mostHalls))
+                settings.survivedDataHalls = static_cast<std::uint32_t>(*halls);
             service.object("times", [&](ObjectReader& times) { readTimes(times, settings); });
             service.object("policies", [&](ObjectReader& policies) { readPolicies(policies, settings.policies); });
         },
@@ -145,6 +159,7 @@
             log.fault(DocumentFaultCode::BadValue, "format", "json or text");
         settings.logAsJson = format == "json";
     });
+    settings.policies.placement.spreadsOverHalls = settings.survivedDataHalls > 0 && settings.policies.failureDomains.enabled;
     reader.finish();
     return settings;
 }
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -67,7 +67,7 @@
 
 TEST_CASE("Job service settings are checked whole, with the place of each fault")
 {
-    const std::string good = R"({"name":"e","dataHall":"h","jobService":{"front":"10.0.0.1:1","readiness":"10.0.0.1:2","store":"10.0.0.2:3","fleet":"10.0.0.3:4","advisor":"","fleetActsPerSecond":64.5,
+    const std::string good = R"({"name":"e","dataHall":"h","jobService":{"front":"10.0.0.1:1","readiness":"10.0.0.1:2","store":"10.0.0.2:3","fleet":"10.0.0.3:4","advisor":"","fleetActsPerSecond":64.5,"survivedDataHalls":1,
         "times":{"leastLeaseMs":2500,"configurationApplyMs":3000,"evacuationMs":5000,"restoreMs":700,"configurationTrustMs":5000,"handoverMs":3000,"maintenanceSeconds":2,"moveSeconds":1.5}}})";
     JobServiceSettingsReader reader;
     const auto settings = reader.read(good);
@@ -79,6 +79,8 @@
     CHECK(settings->configurationApplyTime == Millis(3'000));
     CHECK(settings->fleetActsPerSecond == Approx(64.5));
     CHECK(settings->evacuationTime == Millis(5'000));
+    CHECK(settings->survivedDataHalls == 1);
+    CHECK(settings->policies.placement.spreadsOverHalls);
     CHECK(settings->restoreTime == Millis(700));
     CHECK_FALSE(settings->peers.has_value());
     CHECK_FALSE(settings->advisor.has_value());
@@ -108,6 +110,23 @@
     CHECK_FALSE(reader.read(with(R"("policies":{"relay":{"shrinkAt":0.5}})")).has_value());
 }
 
+TEST_CASE("Settings of failure domains are read and checked, and switched off as a whole")
+{
+    const auto with = [](const std::string& more) {
+        return R"({"name":"e","dataHall":"h","jobService":{"front":"10.0.0.1:1","readiness":"10.0.0.1:2","store":"10.0.0.2:3","fleet":"10.0.0.3:4","survivedDataHalls":1,)" + more + "}}";
+    };
+    JobServiceSettingsReader reader;
+    const auto settings = reader.read(with(R"("policies":{"failureDomains":{"enabled":false,"lossWindowMs":900,"leastStopped":5,"lostShare":0.6,"returnStepMs":100,"returnShare":0.5}})"));
+    REQUIRE(settings);
+    const FailureDomainOptions expected { .enabled = false, .lossWindow = Millis(900), .leastStopped = 5, .lostShare = 0.6, .returnStep = Millis(100), .returnShare = 0.5 };
+    CHECK(settings->policies.failureDomains == expected);
+    CHECK_FALSE(settings->policies.placement.spreadsOverHalls);
+    CHECK_FALSE(reader.read(with(R"("policies":{"failureDomains":{"lostShare":1.5}})")).has_value());
+    REQUIRE(reader.faults().size() == 1);
+    CHECK(reader.faults().front().field == "/jobService/policies/failureDomains/lostShare");
+    CHECK_FALSE(reader.read(with(R"("times":{"evacuationMs":-1})")).has_value());
+}
+
 TEST_CASE("The owner's record names where its calls may be relayed from")
 {
     const OwnerRecord owner { "entry-1", 7, "10.0.0.1:7060" };
