Soak: tests of its checks, and a demonstration of the job service

A check that notices nothing lets every run pass: soak_tests breaks each promise on purpose. The session of a cluster with its callers and checks is a module of its own, on which tools/demo shows three entry instances, a dozen workers, a worker and the owner killed among running jobs, and a data hall evacuated.

--- a/tests/soak/fault_runner.cpp
+++ b/tests/soak/fault_runner.cpp
@@ -1,6 +1,6 @@
 #include "fault_runner.h"
 
-#include "lanemoor/decisions/time.h"
+#include "soak_session.h"
 
 #include <csignal>
 #include <ostream>
@@ -19,11 +19,6 @@
 constexpr Millis hallDelay { 40 };
 constexpr Millis slowWorker { 400 };
 
-std::int64_t unixNow()
-{
-    return currentInstant().time_since_epoch().count();
-}
-
 } // namespace
 
 FaultRunner::FaultRunner(aio::AsioEventLoop& loop, SoakCluster& cluster, Promises& promises, std::function<unsigned()> owner, std::ostream& record)
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,7 +1,8 @@
 /// \file
 /// A soak of real processes under faults.
-/// Usage: soak [--seed N] [--seconds S] [--processes P] [--keep DIR]
+/// Usage: soak [--seed N] [--seconds S] [--processes P] [--keep DIR] [--programs DIR]
 ///
+/// The programs `lanemoor` and `job_platform_standin` are those of the build, unless another folder is named.
 /// Exits with 0 if every promise was kept, with 1 after a breach and with 2 if the processes can't be started.
 
 #include "log_tail.h"
@@ -35,6 +36,8 @@
     if (values.contains("--processes"))
         options.processes = static_cast<unsigned>(std::strtoul(values["--processes"].c_str(), nullptr, 10));
     options.keep = values["--keep"];
+    if (values.contains("--programs"))
+        options.programs = values["--programs"];
     return options;
 }
 
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -109,6 +109,7 @@
         breach(promise::oneAttemptAtOnce, "task " + name + " runs on " + other + " as attempt " + std::to_string(attempt) + " and starts on " + worker, { parsed.job }, at);
     if (task.successStored)
         breach(promise::noneAfterSuccess, "task " + name + " starts on " + worker + " after its success was acknowledged", { parsed.job }, at);
+    m_lastStart[event.value("hall", "")] = at;
     task.running[worker] = event.value("run", std::uint64_t { 0 });
     const auto found = m_jobs.find(parsed.job);
     if (found == m_jobs.end()) {
@@ -209,6 +210,12 @@
     }
 }
 
+std::int64_t Promises::lastStartIn(const std::string& dataHall) const
+{
+    const auto found = m_lastStart.find(dataHall);
+    return found == m_lastStart.end() ? 0 : found->second;
+}
+
 std::size_t Promises::accepted() const
 {
     return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [](const auto& job) { return job.second.accepted; }));
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -103,6 +103,8 @@
     [[nodiscard]] const std::vector<Breach>& breaches() const noexcept { return m_breaches; }
     [[nodiscard]] std::uint64_t starts() const noexcept { return m_starts; }
     [[nodiscard]] std::size_t accepted() const;
+    /// \returns When a task last started in a data hall; 0: never.
+    [[nodiscard]] std::int64_t lastStartIn(const std::string& dataHall) const;
     /// \returns Starts that an evacuation forbade nothing of, but that were judged against one.
     [[nodiscard]] std::uint64_t judgedEvacuations() const noexcept { return m_judgedEvacuations; }
 
@@ -147,6 +149,7 @@
     std::map<std::string, std::int64_t> m_evacuatedSince;
     std::map<std::string, std::uint64_t> m_configurations;
     std::map<std::string, std::pair<std::int64_t, std::int64_t>> m_lastAct; ///< Fence and time, by instance.
+    std::map<std::string, std::int64_t> m_lastStart; ///< By data hall.
     std::int64_t m_troubleUntil = 0;
     std::uint64_t m_starts = 0;
     std::uint64_t m_judgedEvacuations = 0;
