--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -22,6 +22,7 @@
 constexpr Millis balancerTime { 500 };
 constexpr Millis retryPause { 1'000 };
 constexpr std::int64_t meanPause = 80; // Between submissions, ms.
+constexpr unsigned burstJobs = 16;
 constexpr unsigned mostTries = 4;
 constexpr unsigned mostSteps = 2;
 constexpr unsigned mostTasks = 4;
@@ -86,6 +87,14 @@
     m_loop.callAt(m_loop.now() + pause, [this] { submitNext(); });
 }
 
+void Callers::burst(unsigned entry)
+{
+    for (unsigned i = 0; i < burstJobs; ++i) {
+        ++m_counts.submitted;
+        submit(makeCall(), entry);
+    }
+}
+
 Callers::Call Callers::makeCall()
 {
     std::array<char, 17> id {};
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -32,6 +32,9 @@
     /// \brief Submits jobs at random times until `end`.
     void submitUntil(jobs::MonotonicInstant end);
 
+    /// \brief Submits some jobs at a process at once, so that requests are under way there.
+    void burst(unsigned entry);
+
     /// \brief Asks each process whether it takes requests, again and again.
     void balance();
 
--- a/tests/soak/fault_runner.cpp
+++ b/tests/soak/fault_runner.cpp
@@ -12,6 +12,7 @@
 
 using nlohmann::json;
 
+constexpr Millis requestsLeave { 2 }; // Less than the store takes for an answer.
 constexpr Millis stopCheck { 20 };
 constexpr Millis stopLimit { 12'000 }; // Twice the grace that the settings give.
 constexpr Millis slowAnswer { 240 }; // 60 times the store's usual time.
@@ -21,11 +22,12 @@
 
 } // namespace
 
-FaultRunner::FaultRunner(aio::AsioEventLoop& loop, SoakCluster& cluster, Promises& promises, std::function<unsigned()> owner, std::ostream& record)
+FaultRunner::FaultRunner(aio::AsioEventLoop& loop, SoakCluster& cluster, Promises& promises, std::function<unsigned()> owner, std::function<void(unsigned)> beforeStop, std::ostream& record)
     : m_loop(loop)
     , m_cluster(cluster)
     , m_promises(promises)
     , m_owner(std::move(owner))
+    , m_beforeStop(std::move(beforeStop))
     , m_record(record)
 {
 }
@@ -135,10 +137,13 @@
 
 void FaultRunner::stop(unsigned process, Millis time)
 {
-    SoakCluster::Entry& entry = m_cluster.entries()[process];
-    entry.isStopping = true;
-    entry.process->signal(SIGTERM);
-    awaitStop(process, m_loop.now() + time, m_loop.now() + stopLimit);
+    m_beforeStop(process);
+    after(requestsLeave, [this, process, time] {
+        SoakCluster::Entry& entry = m_cluster.entries()[process];
+        entry.isStopping = true;
+        entry.process->signal(SIGTERM);
+        awaitStop(process, m_loop.now() + time, m_loop.now() + stopLimit);
+    });
 }
 
 void FaultRunner::awaitStop(unsigned process, jobs::MonotonicInstant restartAt, jobs::MonotonicInstant limit)
--- a/tests/soak/fault_runner.h
+++ b/tests/soak/fault_runner.h
@@ -22,8 +22,9 @@
 class FaultRunner {
 public:
     /// \param owner Tells which process owns by its log; beyond the last one: none is known.
+    /// \param beforeStop Called with a process just before it is asked to stop.
     /// \param record Gets a line for each fault.
-    FaultRunner(aio::AsioEventLoop& loop, SoakCluster& cluster, Promises& promises, std::function<unsigned()> owner, std::ostream& record);
+    FaultRunner(aio::AsioEventLoop& loop, SoakCluster& cluster, Promises& promises, std::function<unsigned()> owner, std::function<void(unsigned)> beforeStop, std::ostream& record);
 
     /// \brief Carries out `plan` from now on.
     void run(const std::vector<PlannedFault>& plan);
@@ -54,6 +55,7 @@
     SoakCluster& m_cluster;
     Promises& m_promises;
     std::function<unsigned()> m_owner;
+    std::function<void(unsigned)> m_beforeStop;
     std::ostream& m_record;
     std::set<unsigned> m_disturbed; ///< Processes that are paused, or don't run.
     std::size_t m_pending = 0; ///< Beginnings and ends of faults that are still to come.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -25,7 +25,7 @@
         , m_session({ .programs = options.programs, .folder = m_folder, .seed = options.seed, .processes = options.processes, .relays = options.seed % relaysOneIn == 1 })
         , m_record(m_folder + "/faults.log", std::ios::app)
         , m_faults(
-              m_session.loop(), m_session.cluster(), m_session.promises(), [this] { return m_session.owner(); }, m_record)
+              m_session.loop(), m_session.cluster(), m_session.promises(), [this] { return m_session.owner(); }, [this](unsigned process) { m_session.callers().burst(process); }, m_record)
     {
     }
 
