--- a/include/lanemoor/jobs/operator/operator_api.h
+++ b/include/lanemoor/jobs/operator/operator_api.h
@@ -17,6 +17,7 @@
 /// | `GET /v1/jobs?queue=Q` | jobs, at most 1,000, of one queue or all |
 /// | `GET /v1/jobs/ID` | one job; at the shard's owner with its steps and why they wait |
 /// | `DELETE /v1/jobs/ID` | cancels it |
+/// | `GET /v1/instances` | at the shard's owner, its workers and their health |
 /// | `GET /v1/shards` | shards and their owners |
 /// | `GET /metrics` | metrics in Prometheus' text format |
 ///
--- a/include/lanemoor/jobs/owner/job_report.h
+++ b/include/lanemoor/jobs/owner/job_report.h
@@ -2,6 +2,7 @@
 /// \file
 /// What operators are shown of jobs: values, and their JSON.
 
+#include "lanemoor/jobs/policy/worker_health.h"
 #include "lanemoor/jobs/model/job_spec.h"
 
 #include <cstdint>
@@ -117,11 +118,37 @@
     [[nodiscard]] bool operator==(const OrganisationsReport&) const = default;
 };
 
+/// A worker as its owner judges it.
+struct WorkerReport {
+    std::string worker;
+    std::string pool;
+    std::string dataHall;
+    std::string rack;
+    std::uint32_t attempts = 0; ///< Not over.
+    bool open = false; ///< New work may go there now.
+    bool silent = false;
+    bool distrusted = false; ///< It has not answered its latest starts or a probe.
+    WorkerHealthScore health;
+    Millis ejectedFor { 0 }; ///< Until it is probed.
+
+    [[nodiscard]] bool operator==(const WorkerReport&) const = default;
+};
+
+/// All workers. Only the shard's owner judges them.
+struct WorkersReport {
+    bool ownedHere = false;
+    std::string owner; ///< Empty: nobody, as far as is known.
+    std::vector<WorkerReport> workers;
+
+    [[nodiscard]] bool operator==(const WorkersReport&) const = default;
+};
+
 /// \name JSON for operators
 ///@{
 [[nodiscard]] std::string formatJobs(const std::vector<JobSummary>& jobs, bool more);
 [[nodiscard]] std::string formatJob(const JobReport& job);
 [[nodiscard]] std::string formatOrganisations(const OrganisationsReport& report);
+[[nodiscard]] std::string formatWorkers(const WorkersReport& report);
 [[nodiscard]] std::string formatShards(const std::vector<ShardReport>& shards);
 ///@}
 
--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -107,6 +107,7 @@
     std::uint64_t suspicions = 0; ///< How many times the loss of a worker was counted against a task.
     std::uint64_t givenUp = 0; ///< Tasks that ended worker after worker.
     std::uint64_t passes = 0; ///< Over the tasks that could start.
+    std::uint64_t ejections = 0; ///< Of workers.
     std::uint64_t sitesInspected = 0; ///< By all passes: how many times a worker was looked at for a task.
 };
 
@@ -169,6 +170,12 @@
     /// \returns The configured organisations and those that have jobs; none while this instance does not own.
     [[nodiscard]] std::vector<OrganisationReport> organisations() const;
 
+    /// \returns All workers, as this owner judges them; none while this instance does not own.
+    [[nodiscard]] std::vector<WorkerReport> workers() const;
+
+    /// \returns How many workers are ejected or probing, by pool; a pool without any may be missing.
+    [[nodiscard]] std::map<std::string, std::uint32_t> ejectedByPool() const;
+
     /// \brief Calls `stored` once all that is known has been stored, or the term is over.
     void whenStored(std::function<void()> stored);
 
--- a/include/lanemoor/jobs/service/job_metrics.h
+++ b/include/lanemoor/jobs/service/job_metrics.h
@@ -9,6 +9,7 @@
 #include "lanemoor/jobs/store/store_mirror.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -38,6 +39,7 @@
     std::uint64_t decisionsOmitted = 0;
     std::uint64_t carriedCalls = 0; ///< That this process carried for an owner elsewhere.
     std::vector<OrganisationReport> organisations; ///< As the owner knows them; none elsewhere.
+    std::map<std::string, std::uint32_t> ejectedWorkers; ///< Ejected or probing, by pool; none elsewhere.
     WorkReading work; ///< What the process's thread was at work on.
 };
 
--- a/include/lanemoor/jobs/service/job_service.h
+++ b/include/lanemoor/jobs/service/job_service.h
@@ -119,6 +119,9 @@
 
     /// \returns What each organisation has running against its quota, as the owner knows it.
     [[nodiscard]] OrganisationsReport organisations() const;
+
+    /// \returns All workers and their health, as the owner judges them.
+    [[nodiscard]] WorkersReport workers() const;
     ///@}
 
     /// \returns Counts of this process as an owner, as its metrics show them.
--- a/src/client/command_line.cpp
+++ b/src/client/command_line.cpp
@@ -246,7 +246,7 @@
         { "get", "", "print the configuration in force", 0, 0, get },
         { "diff", "FILE", "print what applying FILE would change", 1, 1, diff },
         { "pools", "", "show pools, budgets and conditions", 0, 0, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/pools", poolsText); } },
-        { "instances", "", "show instances, their pools and grants", 0, 0, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/instances", instancesText); } },
+        { "instances", "", "show instances, their pools and grants; of the job service, by the owner's metrics address, their health", 0, 0, [](const Invocation& invocation) { return callAndShow(invocation, "GET", "/v1/instances", instancesText); } },
         { "waves", "[start]", "show or start a maintenance wave", 0, 1, waves },
         { "drain", "INSTANCE", "take an instance out of service when its budget permits", 1, 1, [](const Invocation& invocation) { return callAndShow(invocation, "POST", "/v1/instances/" + invocation.operands.front() + "/drain", acceptedText); } },
         { "undrain", "INSTANCE", "let an instance serve again", 1, 1, [](const Invocation& invocation) { return callAndShow(invocation, "POST", "/v1/instances/" + invocation.operands.front() + "/undrain", acceptedText); } },
--- a/src/client/text_report.cpp
+++ b/src/client/text_report.cpp
@@ -103,6 +103,33 @@
     return text;
 }
 
+/// \returns What the job service says of a worker's health.
+std::string healthText(const Json& worker)
+{
+    const std::string reason = worker["reason"].get<std::string>();
+    if (worker["ejected"].get<bool>())
+        return "ejected for " + plain(worker["ejectedForMillis"]) + " ms: " + reason;
+    if (worker["probing"].get<bool>())
+        return "probing: " + reason;
+    if (worker["silent"].get<bool>())
+        return "silent";
+    if (worker["distrusted"].get<bool>())
+        return "starts unanswered";
+    return reason == "none" ? "ok" : "beyond the bound: " + reason;
+}
+
+std::string workersText(const Json& json)
+{
+    if (!json["ownedHere"].get<bool>())
+        return "the health of workers is known to the owner only: " + (json["owner"].get<std::string>().empty() ? std::string("nobody owns now") : plain(json["owner"]));
+    Table table({ "INSTANCE", "POOL", "DATA HALL", "RACK", "ATTEMPTS", "OPEN", "HEALTH", "UNANSWERED", "LATE ENDS", "FAILURES" });
+    for (const Json& worker : json["workers"]) {
+        table.add({ plain(worker["id"]), plain(worker["pool"]), plain(worker["dataHall"]), plain(worker["rack"]), plain(worker["attempts"]), plain(worker["open"]), healthText(worker), plain(worker["unanswered"]) + " of " + plain(worker["calls"]),
+            plain(worker["lateEnds"]) + " of " + plain(worker["ends"]), plain(worker["failures"]) });
+    }
+    return table.text();
+}
+
 } // namespace
 
 std::string problemText(const std::string& body)
@@ -134,6 +161,8 @@
 {
     Table table({ "INSTANCE", "POOL", "DATA HALL", "RACK", "STATE", "SERVES", "GRANT", "MAINTAINED AT" });
     const Json json = Json::parse(body);
+    if (json.contains("workers"))
+        return workersText(json);
     for (const Json& instance : json["instances"]) {
         const std::string grant = instance.contains("grant") ? plain(instance["grant"]["reason"]) + ", " + plain(instance["grant"]["phase"]) : "-";
         table.add({ plain(instance["id"]), plain(instance["pool"]), plain(instance.value("dataHall", Json())), plain(instance.value("rack", Json())), plain(instance["state"]), plain(instance["inService"]), grant, plain(instance["maintainedAt"]) });
--- a/src/jobs/operator/operator_api.cpp
+++ b/src/jobs/operator/operator_api.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t mostJobsListed = 1'000; // Some 100 bytes each.
 constexpr std::string_view jobsPath = "/v1/jobs";
 constexpr std::string_view organisationsPath = "/v1/organisations";
+constexpr std::string_view instancesPath = "/v1/instances";
 
 HttpResponse answer(std::string body, const char* type = "application/json")
 {
@@ -96,7 +97,7 @@
         serveJob(service, std::string(path.substr(jobPrefix.size())), request, std::move(respond));
         return;
     }
-    if (path != jobsPath && path != organisationsPath && path != "/v1/shards" && path != "/metrics")
+    if (path != jobsPath && path != organisationsPath && path != instancesPath && path != "/v1/shards" && path != "/metrics")
         respond(problem(notFound, "there is no such page"));
     else if (request.method != "GET")
         respond(problem(notAllowed, "this can only be read"));
@@ -104,6 +105,8 @@
         listJobs(service, target, respond);
     else if (path == organisationsPath)
         respond(answer(formatOrganisations(service.organisations())));
+    else if (path == instancesPath)
+        respond(answer(formatWorkers(service.workers())));
     else if (path == "/metrics")
         respond(answer(service.metrics(), "text/plain; version=0.0.4"));
     else
--- a/src/jobs/owner/health_monitor.cpp
+++ b/src/jobs/owner/health_monitor.cpp
@@ -24,8 +24,9 @@
 
 } // namespace
 
-HealthMonitor::HealthMonitor(OwnerState& state)
+HealthMonitor::HealthMonitor(OwnerState& state, SchedulerCounts& counts)
     : m_state(state)
+    , m_counts(counts)
 {
 }
 
@@ -190,6 +191,7 @@
     worker.probingAttempt.reset();
     m_failing.erase(worker.entry.id);
     m_out.insert(worker.entry.id);
+    ++m_counts.ejections;
     const WorkerHealthScore report = worker.health.report(now);
     const auto backoff = std::chrono::duration_cast<Millis>(report.ejectedUntil - now);
     m_state.options.log->change("worker-ejected",
@@ -198,6 +200,35 @@
             { "failures", std::int64_t { report.failures } }, { "backoff_ms", std::int64_t { backoff.count() } }, { "attempts", static_cast<std::int64_t>(worker.bookings.size()) } });
 }
 
+std::vector<WorkerReport> HealthMonitor::reports() const
+{
+    const MonotonicInstant now = m_state.now();
+    std::vector<WorkerReport> reports;
+    reports.reserve(m_state.workers.size());
+    for (const auto& [id, book] : m_state.workers) {
+        WorkerReport report { .worker = id, .pool = book.entry.pool, .dataHall = book.entry.dataHall, .rack = book.entry.rack, .attempts = static_cast<std::uint32_t>(book.bookings.size()) };
+        report.open = book.isOpen(now);
+        report.silent = book.session && book.session->isSilent();
+        report.distrusted = book.starts.isDistrusted(now);
+        report.health = book.health.report(now);
+        if (report.health.ejected)
+            report.ejectedFor = std::chrono::duration_cast<Millis>(report.health.ejectedUntil - now);
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+std::map<std::string, std::uint32_t> HealthMonitor::ejectedByPool() const
+{
+    std::map<std::string, std::uint32_t> ejected;
+    for (const std::string& id : m_out) {
+        const WorkerBook* book = m_state.worker(id);
+        if (book && book->health.isOut(m_state.now()))
+            ++ejected[book->entry.pool];
+    }
+    return ejected;
+}
+
 void HealthMonitor::findReadmitted()
 {
     const MonotonicInstant now = m_state.now();
--- a/src/jobs/owner/health_monitor.h
+++ b/src/jobs/owner/health_monitor.h
@@ -2,10 +2,12 @@
 /// \file
 /// Collects the evidence of workers' health and leaves out those that fail.
 
+#include "lanemoor/jobs/owner/job_report.h"
 #include "lanemoor/jobs/policy/ejection_bound.h"
 #include "lanemoor/jobs/policy/run_time_ranks.h"
 #include "owner_state.h"
 
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,7 +20,7 @@
 /// accounting: a crashed worker comes back as another incarnation without a record.
 class HealthMonitor {
 public:
-    explicit HealthMonitor(OwnerState& state);
+    HealthMonitor(OwnerState& state, SchedulerCounts& counts);
 
     /// \name Calls
     ///@{
@@ -49,6 +51,12 @@
     /// \brief Ejects workers that fail as far as the bound allows, and logs those that are back. To be called before work is placed.
     void run();
 
+    /// \returns All workers with what is known of their health.
+    [[nodiscard]] std::vector<WorkerReport> reports() const;
+
+    /// \returns How many workers are ejected or probing, by pool.
+    [[nodiscard]] std::map<std::string, std::uint32_t> ejectedByPool() const;
+
 private:
     void consider(WorkerBook& worker);
     void ejectFailing();
@@ -59,6 +67,7 @@
     [[nodiscard]] bool isOn() const { return m_state.options.health.enabled; }
 
     OwnerState& m_state;
+    SchedulerCounts& m_counts;
     RunTimeRanks m_ranks;
     std::set<std::string> m_failing; ///< Workers that should be ejected, as far as they are known.
     std::set<std::string> m_out; ///< Workers that are ejected or probing.
--- a/src/jobs/owner/job_report.cpp
+++ b/src/jobs/owner/job_report.cpp
@@ -72,6 +72,18 @@
     return Json { { "ownedHere", report.ownedHere }, { "owner", report.owner }, { "organisations", std::move(list) } }.dump();
 }
 
+std::string formatWorkers(const WorkersReport& report)
+{
+    Json list = Json::array();
+    for (const WorkerReport& worker : report.workers) {
+        const WorkerHealthScore& health = worker.health;
+        list.push_back({ { "id", worker.worker }, { "pool", worker.pool }, { "dataHall", worker.dataHall }, { "rack", worker.rack }, { "attempts", worker.attempts }, { "open", worker.open }, { "silent", worker.silent },
+            { "distrusted", worker.distrusted }, { "ejected", health.ejected }, { "probing", health.probing }, { "reason", nameOf(health.fault) }, { "score", health.score }, { "calls", health.evidence.calls }, { "unanswered", health.evidence.unanswered },
+            { "ends", health.evidence.ends }, { "lateEnds", health.evidence.lateEnds }, { "failures", health.failures }, { "ejectedForMillis", worker.ejectedFor.count() } });
+    }
+    return Json { { "ownedHere", report.ownedHere }, { "owner", report.owner }, { "workers", std::move(list) } }.dump();
+}
+
 std::string formatShards(const std::vector<ShardReport>& shards)
 {
     Json list = Json::array();
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -145,7 +145,7 @@
             .ownership = ownership,
             .inheritedLeaseOverBy = options.loop->now() + options.ownershipTime + Millis(static_cast<std::int64_t>(leaseStretch * static_cast<double>(options.workerLeaseTime.count()))),
             .forecast = LoadForecast(options.seesRises) }
-        , health(state)
+        , health(state, counts)
         , orders(std::make_shared<OrderDesk>(state, health, counts))
         , advice(std::make_shared<AdviceDesk>(state))
         , reports(state, health, *orders, counts)
@@ -432,6 +432,10 @@
         return reports;
     }
 
+    [[nodiscard]] std::vector<WorkerReport> workers() const { return m_term ? m_term->health.reports() : std::vector<WorkerReport>(); }
+
+    [[nodiscard]] std::map<std::string, std::uint32_t> ejectedByPool() const { return m_term ? m_term->health.ejectedByPool() : std::map<std::string, std::uint32_t>(); }
+
     SchedulerCounts counts;
 
 private:
@@ -843,6 +847,16 @@
     return m_impl->organisations();
 }
 
+std::vector<WorkerReport> JobScheduler::workers() const
+{
+    return m_impl->workers();
+}
+
+std::map<std::string, std::uint32_t> JobScheduler::ejectedByPool() const
+{
+    return m_impl->ejectedByPool();
+}
+
 void JobScheduler::whenStored(std::function<void()> stored)
 {
     m_impl->whenStored(std::move(stored));
--- a/src/jobs/service/job_metrics.cpp
+++ b/src/jobs/service/job_metrics.cpp
@@ -54,6 +54,7 @@
     families.push_back(counter("lanemoor_jobs_succeeded_total", "Jobs that succeeded", counts.jobsSucceeded));
     families.push_back(counter("lanemoor_jobs_failed_total", "Jobs that failed", counts.jobsFailed));
     families.push_back(counter("lanemoor_jobs_cancelled_total", "Jobs that callers cancelled", counts.jobsCancelled));
+    families.push_back(counter("lanemoor_worker_ejections_total", "Times that a worker was left out", counts.ejections));
     families.push_back(counter("lanemoor_placement_passes_total", "Passes over the tasks that could start", counts.passes));
     families.push_back(counter("lanemoor_placement_sites_inspected_total", "How many times a worker was looked at for a task", counts.sitesInspected));
 }
@@ -127,6 +128,20 @@
     families.push_back(byOrganisation("lanemoor_organisation_jobs_beyond_rate", "Jobs of this term beyond its rate", organisations, [](const OrganisationReport& each) { return static_cast<double>(each.beyondRate); }));
 }
 
+void addEjected(std::vector<prometheus::MetricFamily>& families, const std::map<std::string, std::uint32_t>& ejected)
+{
+    if (ejected.empty())
+        return;
+    prometheus::MetricFamily family { "lanemoor_workers_ejected", "Workers that are left out or probed since calls to them or tasks there failed", prometheus::MetricType::Gauge, {} };
+    for (const auto& [pool, count] : ejected) {
+        prometheus::ClientMetric metric;
+        metric.label.push_back({ "pool", pool });
+        metric.gauge.value = static_cast<double>(count);
+        family.metric.push_back(std::move(metric));
+    }
+    families.push_back(std::move(family));
+}
+
 void addWork(std::vector<prometheus::MetricFamily>& families, const WorkReading& work)
 {
     prometheus::MetricFamily family { "lanemoor_work_seconds_total", "Time that the process's thread was at work, by kind", prometheus::MetricType::Counter, {} };
@@ -206,6 +221,7 @@
     addFleet(families, fleet);
     addRelay(families, relay, reading.carriedCalls);
     addWork(families, reading.work);
+    addEjected(families, reading.ejectedWorkers);
     addOrganisations(families, reading.organisations);
     std::ostringstream out;
     prometheus::TextSerializer().Serialize(out, families);
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -320,6 +320,11 @@
         return { .ownedHere = m_scheduler.isActive(), .owner = m_ownership.holder(), .organisations = m_scheduler.organisations() };
     }
 
+    [[nodiscard]] WorkersReport workers() const
+    {
+        return { .ownedHere = m_scheduler.isActive(), .owner = m_ownership.holder(), .workers = m_scheduler.workers() };
+    }
+
     [[nodiscard]] CopyReading readingOf(const std::string& name, const StoreMirror& copy) const
     {
         return { .name = name, .counts = copy.counts(), .ageSeconds = secondsSince(copy.freshAt()) };
@@ -338,6 +343,7 @@
             .decisionsOmitted = m_parts.log->omitted(),
             .carriedCalls = m_relay.calls(),
             .organisations = m_scheduler.organisations(),
+            .ejectedWorkers = m_scheduler.ejectedByPool(),
             .work = m_meter.total() };
         return metrics.text(reading, m_scheduler.counts(), m_fleet.counts(), m_relayedWorkers.counts());
     }
@@ -697,6 +703,11 @@
     return m_impl->admit(host, path, key);
 }
 
+WorkersReport JobService::workers() const
+{
+    return m_impl->workers();
+}
+
 OrganisationsReport JobService::organisations() const
 {
     return m_impl->organisations();
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -69,6 +69,21 @@
         isOn = *value;
 }
 
+void readWorkerHealth(ObjectReader& reader, WorkerHealthOptions& options)
+{
+    constexpr std::int64_t leastBackoff = 100;
+    constexpr double leastLateFactor = 1.5; // Run times vary by half.
+    constexpr double mostLateFactor = 1'000;
+    readSwitch(reader, "enabled", options.enabled);
+    readNumber(reader, "mostOfPool", 0, 1, options.mostOfPool);
+    readNumber(reader, "mostOfDomain", 0, 1, options.mostOfDomain);
+    readMillis(reader, "firstBackoffMs", leastBackoff, options.firstBackoff);
+    readMillis(reader, "longestBackoffMs", leastBackoff, options.longestBackoff);
+    readNumber(reader, "lateFactor", leastLateFactor, mostLateFactor, options.lateFactor);
+    if (options.longestBackoff < options.firstBackoff)
+        reader.fault(DocumentFaultCode::BadValue, "longestBackoffMs", "not below firstBackoffMs");
+}
+
 void readPolicies(ObjectReader& reader, Policies& policies)
 {
     constexpr double mostMargin = 10;
@@ -96,6 +111,7 @@
         readNumber(placement, "hopelessShare", 0, mostMargin, policies.placement.hopelessShare);
         readSwitch(placement, "beyondRateLast", policies.placement.beyondRateLast);
     });
+    reader.object("workerHealth", [&](ObjectReader& health) { readWorkerHealth(health, policies.workerHealth); });
     reader.object("losses", [&](ObjectReader& losses) {
         constexpr std::int64_t fewestLosses = 2; // One is what any task may meet.
         readSwitch(losses, "keepsSuspectsApart", policies.crashes.isolatesSuspects);
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -106,6 +106,21 @@
     CHECK_FALSE(reader.read(with(R"("policies":{"relay":{"shrinkAt":0.5}})")).has_value());
 }
 
+TEST_CASE("How workers are judged is read with the settings, and contradictions are faults")
+{
+    const auto with = [](const std::string& health) {
+        return R"({"name":"e","dataHall":"h","jobService":{"front":"10.0.0.1:1","readiness":"10.0.0.1:2","store":"10.0.0.2:3","fleet":"10.0.0.3:4","policies":{"workerHealth":)" + health + "}}}";
+    };
+    JobServiceSettingsReader reader;
+    const auto settings = reader.read(with(R"({"enabled":false,"mostOfPool":0.1,"mostOfDomain":0.4,"firstBackoffMs":1000,"longestBackoffMs":8000,"lateFactor":6})"));
+    REQUIRE(settings);
+    CHECK(settings->policies.workerHealth == WorkerHealthOptions { .enabled = false, .mostOfPool = 0.1, .mostOfDomain = 0.4, .firstBackoff = Millis(1'000), .longestBackoff = Millis(8'000), .lateFactor = 6 });
+    CHECK_FALSE(reader.read(with(R"({"mostOfPool":1.5})")).has_value());
+    CHECK_FALSE(reader.read(with(R"({"firstBackoffMs":3000,"longestBackoffMs":2000})")).has_value());
+    REQUIRE(reader.faults().size() == 1);
+    CHECK(reader.faults().front().position.line == 1);
+}
+
 TEST_CASE("The owner's record names where its calls may be relayed from")
 {
     const OwnerRecord owner { "entry-1", 7, "10.0.0.1:7060" };
--- a/tests/jobs/large_fleet_test.cpp
+++ b/tests/jobs/large_fleet_test.cpp
@@ -99,6 +99,7 @@
     cluster.clock.runFor(Millis(1'000));
     const SchedulerCounts after = cluster.entry(0).schedulerCounts();
     REQUIRE(after.passes > before.passes);
+    CHECK(after.ejections == 0);
     // Each worker once for the pass, and now and then for the line that tells why a step waits.
     CHECK((after.sitesInspected - before.sitesInspected) / (after.passes - before.passes) <= 2 * instances);
 }
--- a/tests/jobs/operator_test.cpp
+++ b/tests/jobs/operator_test.cpp
@@ -85,6 +85,22 @@
     CHECK(call(cluster, other, "GET", "/metrics").body.find("lanemoor_ready 1") != std::string::npos);
 }
 
+TEST_CASE("Operators see the health of workers and what speaks against one")
+{
+    SmallCluster cluster;
+    for (auto& [id, worker] : cluster.workers.workers())
+        worker.trouble.failing = id == "i-1" ? 1 : 0;
+    for (std::uint64_t number = 1; number <= 4; ++number)
+        cluster.submit(0, "work", jobId(number), job({ step(6) }));
+    const std::size_t owner = cluster.owner().value();
+    const auto table = [&] { return instancesText(call(cluster, owner, "GET", "/v1/instances").body); };
+    CHECK(cluster.waitFor(Millis(5'000), [&] { return cluster.entry(owner).schedulerCounts().ejections > 0; }));
+    CHECK(table().find("ms: failures") != std::string::npos);
+    CHECK(call(cluster, owner, "GET", "/metrics").body.find("lanemoor_workers_ejected{pool=\"main\"} 1") != std::string::npos);
+    const std::size_t other = (owner + 1) % cluster.entries();
+    CHECK(instancesText(call(cluster, other, "GET", "/v1/instances").body).find("known to the owner only: entry-" + std::to_string(owner)) != std::string::npos);
+}
+
 TEST_CASE("Operators see what organisations have running, and that a quota is what tasks wait for")
 {
     SmallCluster cluster;
