A worker that has become slow is judged by its latest ends

In a pool of 20 a worker that became slow by 8 was not ejected within 8 s: it reported 20 late ends beside the 38 in time of the seconds before, and the share over the window stayed at a third. Each end now halves the weight of earlier ones of the other kind; a worker of whose ends each tenth is late stays in service.

failing_workers_test.cpp has the faults on a busy pool of the model: workers that are cut off, take work and answer nothing, lose orders, fail all tasks (a third of the pool), are slow by 8; an owner lost meanwhile; a poison task with and without failing workers; and none of it in a calm pool. The model's workers can be slow.

--- a/src/jobs/policy/worker_health.cpp
+++ b/src/jobs/policy/worker_health.cpp
@@ -115,8 +115,16 @@
         m_strike = HealthFault::None;
 }
 
+/// A worker that has become slow reports few ends, beside the many of the seconds before, and run times vary by themselves: each end
+/// halves the weight of earlier ones of the other kind.
 void WorkerHealth::noteRunTime(bool late, MonotonicInstant now)
 {
+    for (Slot& slot : m_window) {
+        WorkerEvidence& seen = slot.evidence;
+        std::int32_t timely = seen.ends - seen.lateEnds;
+        (late ? timely : seen.lateEnds) /= 2;
+        seen.ends = timely + seen.lateEnds;
+    }
     add({ .ends = 1, .lateEnds = late ? 1 : 0 }, now);
     if (late)
         strike(HealthFault::Slow, now);
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -249,7 +249,8 @@
             witness->onOverload(worker, order.attempt);
     }
     const bool isFar = !step.preferredRack.empty() && step.preferredRack != model.entry.rack;
-    const Millis time = isFar ? std::chrono::duration_cast<Millis>(runTimes(order.attempt) * farFactor) : runTimes(order.attempt);
+    const Millis soundTime = isFar ? std::chrono::duration_cast<Millis>(runTimes(order.attempt) * farFactor) : runTimes(order.attempt);
+    const Millis time = soundTime * model.trouble.slowBy;
     WorkerModel::Run run { .checkpoint = order.checkpoint, .startedAt = m_clock.now(), .endsAt = m_clock.now() + time, .needs = step.needs, .longRunning = step.longRunning };
     std::uniform_real_distribution<double> share(0, 1);
     const AttemptEnd end = share(m_random) < model.trouble.failing ? AttemptEnd::Failed : AttemptEnd::Succeeded;
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -28,6 +28,7 @@
     double lateOrders = 0; ///< Share of orders not answered and carried out seconds later.
     double lostRenewals = 0; ///< Share of renewals neither carried out nor answered.
     double failing = 0; ///< Share of tasks that fail.
+    int slowBy = 1; ///< Tasks take so many times as long.
     bool hanging = false; ///< Tasks stand still.
 };
 
--- /dev/null
+++ b/tests/jobs/failing_workers_test.cpp
@@ -0,0 +1,239 @@
+/// Workers that fail quietly took work from the others: a worker that answers nothing looked empty, and its starts waited for the end of
+/// their lease, 5 s and more, while they attracted others.
+
+#include "standins/model/job_cluster.h"
+#include "support.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace lanemoor;
+using namespace lanemoor::jobs;
+using namespace lanemoor::jobs::test;
+
+namespace {
+
+/// Twenty instances in five racks, and a job of 24 short tasks each 100 ms: half of the pool is busy.
+struct BusyPool : model::JobCluster {
+    explicit BusyPool(bool judges = true)
+        : model::JobCluster(1, entryCount)
+    {
+        Policies policies;
+        policies.workerHealth.enabled = judges;
+        setPolicies(policies);
+        for (int i = 0; i < 20; ++i)
+            workers.addInstance("m-" + std::to_string(i), "main", "r-" + std::to_string(i / 4), { .milliCpu = 8'000, .memoryMb = 16'000 });
+        workers.runTimes = [this](const Attempt&) { return Millis(std::uniform_int_distribution<int>(200, 500)(random)); };
+        ServiceConfiguration configuration = smallConfiguration();
+        configuration.pools = { { .name = "main" } };
+        configure(configuration);
+        for (std::size_t i = 0; i < entryCount; ++i)
+            start(i);
+        clock.runFor(Millis(1'000));
+        serve(Millis(2'000));
+        m_times.clear();
+    }
+
+    /// Gives each fifth worker trouble, or none.
+    void trouble(const model::WorkerTrouble& trouble, int each = 5)
+    {
+        int number = 0;
+        for (auto& [id, worker] : workers.workers())
+            worker.trouble = number++ % each == 0 ? trouble : model::WorkerTrouble {};
+    }
+
+    void serve(Millis time)
+    {
+        const MonotonicInstant end = clock.now() + time;
+        while (clock.now() < end) {
+            const MonotonicInstant next = clock.now() + Millis(100);
+            m_open.emplace(jobId(++m_jobs), clock.now());
+            submit(1, "work", jobId(m_jobs), job({ step(tasks) }));
+            while (clock.now() < next)
+                clock.runFor(Millis(5));
+            noteDone();
+        }
+    }
+
+    /// Waits for the jobs that are still running.
+    void settle(Millis time)
+    {
+        const MonotonicInstant end = clock.now() + time;
+        while (clock.now() < end && !m_open.empty()) {
+            clock.runFor(Millis(100));
+            noteDone();
+        }
+        std::sort(m_times.begin(), m_times.end());
+    }
+
+    /// \returns The time that a share of the jobs was done in.
+    [[nodiscard]] Millis time(double share) const { return m_times.at(static_cast<std::size_t>(share * static_cast<double>(m_times.size() - 1))); }
+
+    /// \returns How many jobs took longer.
+    [[nodiscard]] std::size_t count(Millis time) const
+    {
+        return static_cast<std::size_t>(std::count_if(m_times.begin(), m_times.end(), [&](Millis each) { return each > time; }));
+    }
+
+    [[nodiscard]] std::size_t open() const { return m_open.size(); }
+
+    static constexpr std::size_t entryCount = 3;
+    std::uint32_t tasks = 24;
+
+private:
+    void noteDone()
+    {
+        std::erase_if(m_open, [&](const auto& open) {
+            if (status(1, open.first) != JobStatus::Succeeded)
+                return false;
+            m_times.push_back(std::chrono::duration_cast<Millis>(clock.now() - open.second));
+            return true;
+        });
+    }
+
+    std::uint64_t m_jobs = 0;
+    std::map<std::string, MonotonicInstant> m_open;
+    std::vector<Millis> m_times;
+};
+
+/// \returns How many workers the owner has ejected or is probing.
+std::size_t ejectedAt(model::JobCluster& cluster)
+{
+    const std::vector<WorkerReport> workers = cluster.entry(cluster.owner().value()).workers().workers;
+    return static_cast<std::size_t>(std::count_if(workers.begin(), workers.end(), [](const WorkerReport& worker) { return worker.health.ejected || worker.health.probing; }));
+}
+
+std::uint64_t ejections(model::JobCluster& cluster)
+{
+    return cluster.entry(cluster.owner().value()).schedulerCounts().ejections;
+}
+
+} // namespace
+
+TEST_CASE("No worker is ejected or distrusted while all are sound")
+{
+    BusyPool pool;
+    pool.serve(Millis(10'000));
+    pool.settle(Millis(5'000));
+    CHECK(ejections(pool) == 0);
+    CHECK(pool.time(1) <= Millis(800));
+}
+
+/// Guards against sending work to a worker until its renewal has timed out.
+TEST_CASE("Workers that answer nothing cost the jobs that ran there and hardly any other")
+{
+    for (const model::WorkerTrouble& trouble : { model::WorkerTrouble { .cutOff = true }, model::WorkerTrouble { .lostAnswers = 1, .lostRenewals = 1 }, model::WorkerTrouble { .lostOrders = 1 } }) {
+        BusyPool pool;
+        // A start is overdue after 100 ms at the soonest: two jobs are handed in by then.
+        const std::size_t affected = pool.open() + 2;
+        pool.trouble(trouble);
+        pool.serve(Millis(6'000));
+        pool.trouble({});
+        pool.serve(Millis(4'000));
+        pool.settle(Millis(20'000));
+        CHECK(pool.open() == 0);
+        CHECK(pool.count(Millis(1'500)) <= affected);
+        CHECK(pool.witness.breaches().empty());
+    }
+}
+
+/// Guards against a burst that fills idle workers which have not answered for a second.
+TEST_CASE("A burst goes past idle workers that have stopped answering")
+{
+    BusyPool pool;
+    pool.settle(Millis(3'000));
+    pool.clock.runFor(Millis(2'000));
+    pool.trouble({ .cutOff = true });
+    pool.clock.runFor(Millis(1'300));
+    pool.serve(Millis(4'000));
+    pool.settle(Millis(4'000));
+    CHECK(pool.count(Millis(1'500)) == 0);
+    CHECK(pool.open() == 0);
+}
+
+/// Guards against waiting without end for the answer to a stop.
+TEST_CASE("A start that never arrived is given up at a worker that answers renewals and never an order")
+{
+    BusyPool pool;
+    pool.trouble({ .lostOrders = 1 });
+    pool.serve(Millis(1'000));
+    pool.settle(Millis(12'000));
+    CHECK(pool.open() == 0);
+    CHECK(pool.witness.breaches().empty());
+}
+
+/// Guards against emptying a pool of which many workers look ill.
+TEST_CASE("Of a third of a pool that fails all its tasks a fifth of the pool is ejected")
+{
+    BusyPool pool;
+    pool.trouble({ .failing = 1 }, 3);
+    for (int i = 0; i < 20; ++i) {
+        pool.serve(Millis(200));
+        CHECK(ejectedAt(pool) <= 4);
+    }
+    CHECK(ejectedAt(pool) == 4);
+    pool.trouble({});
+    pool.settle(Millis(20'000));
+    pool.serve(Millis(20'000));
+    CHECK(ejectedAt(pool) == 0);
+    CHECK(pool.witness.breaches().empty());
+}
+
+TEST_CASE("A worker that is slow by 8 is ejected and its peers are not")
+{
+    BusyPool pool;
+    pool.trouble({ .slowBy = 8 }, 20);
+    pool.serve(Millis(8'000));
+    const std::vector<WorkerReport> workers = pool.entry(pool.owner().value()).workers().workers;
+    for (const WorkerReport& worker : workers) {
+        INFO(worker.worker);
+        CHECK((worker.health.ejected || worker.health.probing) == (pool.workers.find(worker.worker)->trouble.slowBy > 1));
+    }
+    CHECK(pool.witness.breaches().empty());
+}
+
+TEST_CASE("A lost owner's judgement is learned again, and no promise is broken meanwhile")
+{
+    BusyPool pool;
+    pool.trouble({ .lostOrders = 1 });
+    pool.serve(Millis(2'000));
+    REQUIRE(ejectedAt(pool) > 0);
+    const std::size_t lost = pool.owner().value();
+    pool.kill(lost);
+    pool.clock.runFor(Millis(3'000));
+    pool.start(lost);
+    pool.serve(Millis(3'000));
+    CHECK(ejections(pool) > 0);
+    pool.trouble({});
+    pool.settle(Millis(20'000));
+    CHECK(pool.open() == 0);
+    CHECK(pool.witness.breaches().empty());
+}
+
+/// Guards against ejecting the workers that a poison task crashes, and against clearing the task because its workers were ejected.
+TEST_CASE("A poison task ejects no worker, and fails after as many crashes with failing workers in the pool")
+{
+    for (const bool isTroubled : { false, true }) {
+        BusyPool pool;
+        if (isTroubled)
+            pool.trouble({ .lostOrders = 1 }, 7);
+        const std::string poison = jobId(9'999);
+        int crashes = 0;
+        pool.workers.endsWorker = [&](const Attempt& attempt) {
+            crashes += attempt.job == poison ? 1 : 0;
+            return attempt.job == poison;
+        };
+        pool.submit(1, "work", poison, job({ step(1) }));
+        pool.serve(Millis(15'000));
+        // Its first start may be lost at a failing worker, where it expires after 7 s.
+        pool.settle(Millis(20'000));
+        CHECK(pool.waitFor(Millis(10'000), [&] { return pool.status(1, poison) == JobStatus::Failed; }));
+        CHECK(crashes == 3);
+        if (!isTroubled)
+            CHECK(ejections(pool) == 0);
+        pool.trouble({});
+        pool.settle(Millis(20'000));
+        CHECK(pool.open() == 0);
+        CHECK(pool.witness.breaches().empty());
+    }
+}
--- a/tests/jobs/worker_health_test.cpp
+++ b/tests/jobs/worker_health_test.cpp
@@ -121,6 +121,29 @@
     CHECK(peer.fault(start) == HealthFault::None);
 }
 
+/// Guards against judging a worker that has become slow by the many ends of the seconds before.
+TEST_CASE("A worker that has become slow is left out after some late ends in a row")
+{
+    WorkerHealth health;
+    for (int i = 0; i < 60; ++i)
+        health.noteRunTime(false, start);
+    for (int i = 0; i < 3; ++i)
+        health.noteRunTime(true, start + Millis(3'000));
+    CHECK(health.fault(start + Millis(3'000)) == HealthFault::None);
+    for (int i = 0; i < 4; ++i)
+        health.noteRunTime(true, start + Millis(4'000));
+    CHECK(health.fault(start + Millis(4'000)) == HealthFault::Slow);
+}
+
+TEST_CASE("A worker of whose ends each tenth is late stays in service")
+{
+    WorkerHealth health;
+    for (int i = 0; i < 200; ++i) {
+        health.noteRunTime(i % 10 == 9, start + Millis(20 * i));
+        CHECK(health.fault(start + Millis(20 * i)) == HealthFault::None);
+    }
+}
+
 TEST_CASE("Answers to calls don't make up for tasks that fail, nor successes for calls without an answer")
 {
     WorkerHealth failing;
