Random runs with workers that fail quietly

A kind of its own, with the draws of the others unchanged: single workers and whole racks are cut off, answer nothing, lose orders or half of their answers, fail all tasks, or are slow by 8, beside the faults of All.

--- a/tests/jobs/random_test.cpp
+++ b/tests/jobs/random_test.cpp
@@ -29,6 +29,7 @@
     Ending, ///< The faults of `All`, on instances that do not guard their room, which shrinks and grows, with tasks that end their workers.
     Restarting, ///< The faults of `All`, with workers that start again under their ids, one each 6 s.
     RestartingOften, ///< The same, one each 2 s.
+    Quiet, ///< The faults of `All`, with workers that fail quietly: single ones and whole racks.
     Mixed, ///< The same as `All` on two pools, with instances of two kinds that do not guard their room, labels and racks.
 };
 
@@ -73,6 +74,8 @@
                 resize();
             if (m_faults == Faults::Restarting && pickLater(0, 25) == 0)
                 restart();
+            if (m_faults == Faults::Quiet && pickLater(0, 12) == 0)
+                faultOfQuietWorkers();
             if (m_faults == Faults::RestartingOften && pickLater(0, 8) == 0)
                 restart();
         }
@@ -314,6 +317,30 @@
         });
     }
 
+    /// Gives a worker or all workers of its rack one of the troubles that nobody reports.
+    void faultOfQuietWorkers()
+    {
+        const model::WorkerModel* first = anyWorker();
+        if (!first)
+            return;
+        const std::array<model::WorkerTrouble, 6> troubles { model::WorkerTrouble { .cutOff = true }, { .lostAnswers = 1, .lostRenewals = 1 }, { .lostOrders = 1 }, { .lostAnswers = 0.5 }, { .failing = 1 }, { .slowBy = 8 } };
+        const model::WorkerTrouble trouble = troubles.at(pickLater(0, troubles.size() - 1));
+        const bool isWholeRack = pickLater(0, 3) == 0;
+        const std::string rack = first->entry.rack;
+        const std::string id = first->entry.id;
+        std::vector<std::string> touched;
+        for (auto& [other, worker] : m_cluster.workers.workers()) {
+            if (worker.alive && (other == id || (isWholeRack && worker.entry.rack == rack)))
+                touched.push_back(other);
+        }
+        for (const std::string& each : touched)
+            m_cluster.workers.find(each)->trouble = trouble;
+        m_cluster.clock.after(Millis(pickLater(500, 7'000)), [this, touched] {
+            for (const std::string& each : touched)
+                m_cluster.workers.find(each)->trouble = {};
+        });
+    }
+
     void faultOfLinks()
     {
         model::PeersTrouble& trouble = m_cluster.peers.trouble;
@@ -340,7 +367,7 @@
     void laterFault()
     {
         model::WorkerModel* worker = anyWorker();
-        switch (pickLater(0, m_faults == Faults::All || m_faults == Faults::Relayed || m_faults == Faults::Organised || m_faults == Faults::Restarting || m_faults == Faults::RestartingOften ? 4 : 3)) {
+        switch (pickLater(0, m_faults == Faults::All || m_faults == Faults::Relayed || m_faults == Faults::Organised || m_faults == Faults::Quiet || m_faults == Faults::Restarting || m_faults == Faults::RestartingOften ? 4 : 3)) {
         case 0:
             m_cluster.workers.fleetTrouble.lostAnswers = 0.5;
             break;
@@ -520,6 +547,14 @@
         RandomRun(seed, Faults::Ending).play();
 }
 
+TEST_CASE("No promise is broken in random runs with workers that fail quietly")
+{
+    const std::uint64_t first = numberFrom("LANEMOOR_SEED", 1);
+    const std::uint64_t runs = numberFrom("LANEMOOR_RUNS", 200);
+    for (std::uint64_t seed = first; seed < first + runs; ++seed)
+        RandomRun(seed, Faults::Quiet).play();
+}
+
 /// Runs of this sort that failed once are kept in the next test.
 TEST_CASE("No promise is broken in random runs with workers that start again under their ids")
 {
