--- a/include/lanemoor/jobs/service/job_service.h
+++ b/include/lanemoor/jobs/service/job_service.h
@@ -125,6 +125,9 @@
 
     /// \returns Data halls that are evacuated or lost, as far as this instance knows.
     [[nodiscard]] EvacuationsReport evacuations() const;
+
+    /// \returns All workers and their health, as the owner judges them.
+    [[nodiscard]] WorkersReport workers() const;
     ///@}
 
     /// \returns Counts of this process as an owner, as its metrics show them.
--- a/src/jobs/operator/operator_api.cpp
+++ b/src/jobs/operator/operator_api.cpp
@@ -22,6 +22,7 @@
 constexpr std::string_view jobsPath = "/v1/jobs";
 constexpr std::string_view organisationsPath = "/v1/organisations";
 constexpr std::string_view evacuationsPath = "/v1/evacuations";
+constexpr std::string_view instancesPath = "/v1/instances";
 
 HttpResponse answer(std::string body, const char* type = "application/json")
 {
@@ -98,7 +99,7 @@
         serveJob(service, std::string(path.substr(jobPrefix.size())), request, std::move(respond));
         return;
     }
-    if (path != jobsPath && path != organisationsPath && path != evacuationsPath && path != "/v1/shards" && path != "/metrics")
+    if (path != jobsPath && path != organisationsPath && path != evacuationsPath && path != instancesPath && path != "/v1/shards" && path != "/metrics")
         respond(problem(notFound, "there is no such page"));
     else if (request.method != "GET")
         respond(problem(notAllowed, "this can only be read"));
@@ -108,6 +109,8 @@
         respond(answer(formatOrganisations(service.organisations())));
     else if (path == evacuationsPath)
         respond(answer(formatEvacuations(service.evacuations())));
+    else if (path == instancesPath)
+        respond(answer(formatWorkers(service.workers())));
     else if (path == "/metrics")
         respond(answer(service.metrics(), "text/plain; version=0.0.4"));
     else
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -275,7 +275,8 @@
             witness->onOverload(worker, order.attempt);
     }
     const bool isFar = !step.preferredRack.empty() && step.preferredRack != model.entry.rack;
-    const Millis work = isFar ? std::chrono::duration_cast<Millis>(runTimes(order.attempt) * farFactor) : runTimes(order.attempt);
+    const Millis soundTime = isFar ? std::chrono::duration_cast<Millis>(runTimes(order.attempt) * farFactor) : runTimes(order.attempt);
+    const Millis work = soundTime * model.trouble.slowBy;
     const bool restores = saves && !order.checkpoint.empty();
     const Millis doneBefore = restores ? std::min(Millis(std::stoll(order.checkpoint)), work) : Millis(0);
     const Millis time = work - doneBefore + (restores ? restoreTime : Millis(0));
