--- a/include/lanemoor/jobs/owner/job_report.h
+++ b/include/lanemoor/jobs/owner/job_report.h
@@ -2,8 +2,8 @@
 /// \file
 /// What operators are shown of jobs: values, and their JSON.
 
-#include "lanemoor/jobs/policy/worker_health.h"
 #include "lanemoor/jobs/model/job_spec.h"
+#include "lanemoor/jobs/policy/worker_health.h"
 
 #include <cstdint>
 #include <optional>
