Model: an answer that a cut swallows is missed when the call times out, not before

Cause: a renewal that waits for an end was given up 0.8 s after its answer was lost in a cut between data halls, before its own wait was over. A real client waits for its own time-out. Workers were reported silent before their calls could be overdue.

Change: such a renewal is given up 0.8 s after its wait.

Measured: in the model's log of "While two data halls are cut from each other" with direct calls there is no `worker-silent` line, where there was one. job_tests "[#reachability_test]" passes, 15 cases.

--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -384,9 +384,13 @@
         clock.after(order.wait + callTime, [answer] { answer({}); });
         return;
     }
-    const auto report = [this, id = worker.id, answer, unreachable](std::uint64_t life) {
+    const auto report = [this, id = worker.id, answer, unreachable, givenUpAt = clock.now() + order.wait + callTime](std::uint64_t life) {
         SimClock& later = m_workers.m_clock;
-        if (unreachable() || !m_workers.isLife(id, life) || !answerArrives(m_workers.m_workers[id].entry)) {
+        if (!answerArrives(m_workers.m_workers[id].entry)) {
+            later.at(givenUpAt, [answer] { answer({}); });
+            return;
+        }
+        if (unreachable() || !m_workers.isLife(id, life)) {
             later.after(callTime, [answer] { answer({}); });
             return;
         }
