--- a/include/lanemoor/jobs/service/job_metrics.h
+++ b/include/lanemoor/jobs/service/job_metrics.h
@@ -6,6 +6,7 @@
 #include "lanemoor/jobs/model/work_meter.h"
 #include "lanemoor/jobs/owner/job_report.h"
 #include "lanemoor/jobs/owner/job_scheduler.h"
+#include "lanemoor/jobs/policy/reachability.h"
 #include "lanemoor/jobs/store/store_mirror.h"
 
 #include <cstdint>
@@ -39,6 +40,7 @@
     std::uint64_t carriedCalls = 0; ///< That this process carried for an owner elsewhere.
     std::vector<OrganisationReport> organisations; ///< As the owner knows them; none elsewhere.
     WorkReading work; ///< What the process's thread was at work on.
+    std::shared_ptr<const Reachability> reachability; ///< As the owner knows it; null: not known.
 };
 
 /// \brief The metrics of one process of the job service. Labels take few values: outcomes, and
--- a/src/jobs/service/job_metrics.cpp
+++ b/src/jobs/service/job_metrics.cpp
@@ -4,12 +4,14 @@
 #include "lanemoor/jobs/relay/relayed_workers.h"
 
 #include <functional>
+#include <map>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 #include <sstream>
+#include <utility>
 
 namespace lanemoor::jobs {
 
@@ -93,9 +95,29 @@
     families.push_back(counter("lanemoor_relay_calls_total", "The owner's calls to workers that a relay was given", counts.relayed));
     families.push_back(counter("lanemoor_relay_calls_unanswered_total", "Of them, those without an answer in time", counts.unanswered));
     families.push_back(counter("lanemoor_direct_calls_total", "The owner's calls to workers that it made itself", counts.direct));
+    families.push_back(counter("lanemoor_path_changes_total", "Paths that became unreachable for a data hall, or reachable again", counts.pathChanges));
     families.push_back(counter("lanemoor_carried_calls_total", "Calls to workers that this process carried for an owner elsewhere", carried));
 }
 
+/// Paths by data hall and state: there are some data halls and three states, whatever the number of relays.
+void addReachability(std::vector<prometheus::MetricFamily>& families, const std::shared_ptr<const Reachability>& reachability)
+{
+    if (!reachability || reachability->paths.empty())
+        return;
+    std::map<std::pair<std::string, PathState>, std::size_t> counts;
+    for (const HallPath& path : reachability->paths)
+        ++counts[{ path.dataHall, path.state }];
+    prometheus::MetricFamily family { "lanemoor_hall_paths", "Paths that this owner called a data hall's workers over, by state", prometheus::MetricType::Gauge, {} };
+    for (const auto& [key, count] : counts) {
+        prometheus::ClientMetric metric;
+        metric.label.push_back({ "data_hall", key.first });
+        metric.label.push_back({ "state", std::string(nameOf(key.second)) });
+        metric.gauge.value = static_cast<double>(count);
+        family.metric.push_back(std::move(metric));
+    }
+    families.push_back(std::move(family));
+}
+
 /// Organisations with lines of their own: the planned size has 180 of them. The others stand together under one name.
 constexpr std::size_t mostOrganisations = 256;
 constexpr const char* otherOrganisations = "(others)";
@@ -205,6 +227,7 @@
     addScheduler(families, scheduler);
     addFleet(families, fleet);
     addRelay(families, relay, reading.carriedCalls);
+    addReachability(families, reading.reachability);
     addWork(families, reading.work);
     addOrganisations(families, reading.organisations);
     std::ostringstream out;
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -338,7 +338,8 @@
             .decisionsOmitted = m_parts.log->omitted(),
             .carriedCalls = m_relay.calls(),
             .organisations = m_scheduler.organisations(),
-            .work = m_meter.total() };
+            .work = m_meter.total(),
+            .reachability = m_relayedWorkers.reachability() };
         return metrics.text(reading, m_scheduler.counts(), m_fleet.counts(), m_relayedWorkers.counts());
     }
 
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -89,6 +89,18 @@
         readNumber(relay, "workersPerCore", 0, mostWorkers, policies.relay.workersPerCore);
         readNumber(relay, "shrinkAt", 1, mostShrink, policies.relay.shrinkAt);
     });
+    reader.object("reachability", [&](ObjectReader& reachability) {
+        constexpr std::int64_t fewestWorkers = 2; // One worker that does not answer may have crashed.
+        constexpr std::int64_t mostWorkers = 100;
+        constexpr std::int64_t leastPause = 10; // Each retry is a call.
+        readSwitch(reachability, "enabled", policies.reachability.enabled);
+        if (const std::optional<std::int64_t> count = reachability.integer("workersToDoubt", fewestWorkers, mostWorkers))
+            policies.reachability.workersToDoubt = static_cast<std::uint32_t>(*count);
+        readMillis(reachability, "evidenceLastsMs", leastPause, policies.reachability.evidenceLasts);
+        readMillis(reachability, "answerLastsMs", leastPause, policies.reachability.answerLasts);
+        readMillis(reachability, "firstRetryMs", leastPause, policies.reachability.firstRetry);
+        readMillis(reachability, "longestRetryMs", leastPause, policies.reachability.longestRetry);
+    });
     reader.object("lookup", [&](ObjectReader& lookup) { readSwitch(lookup, "readsThrough", policies.lookup.readsThrough); });
     reader.object("placement", [&](ObjectReader& placement) {
         readSwitch(placement, "waitsForRack", policies.placement.waitsForRack);
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -106,6 +106,21 @@
     CHECK_FALSE(reader.read(with(R"("policies":{"relay":{"shrinkAt":0.5}})")).has_value());
 }
 
+TEST_CASE("Settings of reachability are read and checked")
+{
+    const auto with = [](const std::string& reachability) {
+        return R"({"name":"e","dataHall":"h","jobService":{"front":"10.0.0.1:1","readiness":"10.0.0.1:2","store":"10.0.0.2:3","fleet":"10.0.0.3:4","policies":{"reachability":)" + reachability + "}}}";
+    };
+    JobServiceSettingsReader reader;
+    const auto settings = reader.read(with(R"({"enabled":false,"workersToDoubt":3,"firstRetryMs":100})"));
+    REQUIRE(settings);
+    CHECK(settings->policies.reachability == ReachabilityOptions { .enabled = false, .workersToDoubt = 3, .firstRetry = Millis(100) });
+    CHECK_FALSE(reader.read(with(R"({"workersToDoubt":1})")).has_value());
+    CHECK_FALSE(reader.read(with(R"({"enabled":"no"})")).has_value());
+    REQUIRE(reader.faults().size() == 1);
+    CHECK(reader.faults().front().position.line == 1);
+}
+
 TEST_CASE("The owner's record names where its calls may be relayed from")
 {
     const OwnerRecord owner { "entry-1", 7, "10.0.0.1:7060" };
--- a/tests/jobs/reachability_test.cpp
+++ b/tests/jobs/reachability_test.cpp
@@ -326,6 +326,8 @@
             CHECK(starts.at(far) >= starts.at(near) / 2);
         }
         CHECK(cluster.ownerShows("lanemoor_task_lapses_total 0"));
+        CHECK(cluster.entry(*cluster.owner()).metrics().find("lanemoor_hall_paths{data_hall=\"" + far + "\",state=\"unreachable\"}") != std::string::npos);
+        CHECK_FALSE(cluster.ownerShows("lanemoor_path_changes_total 0"));
         cluster.peers.cuts.clear();
         static_cast<void>(cluster.play(Millis(2'000)));
         cluster.checkEnds();
