--- a/include/lanemoor/jobs/service/job_metrics.h
+++ b/include/lanemoor/jobs/service/job_metrics.h
@@ -8,6 +8,7 @@
 #include "lanemoor/jobs/owner/evacuation_report.h"
 #include "lanemoor/jobs/owner/job_report.h"
 #include "lanemoor/jobs/owner/job_scheduler.h"
+#include "lanemoor/jobs/policy/reachability.h"
 #include "lanemoor/jobs/store/hedged_store.h"
 #include "lanemoor/jobs/store/store_mirror.h"
 
@@ -49,6 +50,7 @@
     EvacuationsReport evacuations; ///< As the owner knows them; no data halls elsewhere.
     std::map<std::string, std::uint32_t> ejectedWorkers; ///< Ejected or probing, by pool; none elsewhere.
     WorkReading work; ///< What the process's thread was at work on.
+    std::shared_ptr<const Reachability> reachability; ///< As the owner knows it; null: not known.
 };
 
 /// \brief The metrics of one process of the job service. Labels take few values: outcomes, and
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -410,7 +410,8 @@
             .organisations = m_scheduler.organisations(),
             .evacuations = evacuations(),
             .ejectedWorkers = m_scheduler.ejectedByPool(),
-            .work = m_meter.total() };
+            .work = m_meter.total(),
+            .reachability = m_relayedWorkers.reachability() };
         return metrics.text(reading, m_scheduler.counts(), m_fleet.counts(), m_relayedWorkers.counts());
     }
 
