Record first starts under a new owner only where a worker was lost

Symptom: with the crash accounting, room that became free under a new owner stood idle while the store was slow.

Cause: each task that waits in a job taken over was a suspect at its first start, since a previous owner might have lost the record of a crash. The start was stored before it was sent, behind the records of all other jobs, acknowledged and cleared in the store, probed five times, and its worker was avoided by others.

Change: a start that crashed its worker leaves a life that is over. First starts are recorded only in pools in which a life ended unannounced within 12 s before the takeover (WorkerDirectory keeps when), was lost before inherited tasks started again, or had not answered by then, and for adopted attempts whose worker is lost; everywhere if the process has observed the workers for less. A recorded start waits for its own job alone (ProgressWriter::whenJobStored). `first-starts-recorded` names the pools.

Left: ends that were announced are no evidence, so a crash right after the announcement whose owner is lost too may leave the next first start unrecorded. Ends that the previous owner ordered look like losses, and cost their pool one record for each job.

--- a/include/lanemoor/jobs/owner/worker_directory.h
+++ b/include/lanemoor/jobs/owner/worker_directory.h
@@ -7,6 +7,8 @@
 
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace lanemoor::jobs {
@@ -37,12 +39,18 @@
 
     [[nodiscard]] const std::map<std::string, DirectoryEntry>& all() const noexcept { return m_entries; }
 
+    /// \returns Pools in which a life has ended unannounced within the time that an owner may take to lose its ownership and be succeeded; nothing: this
+    /// process has not observed the workers for that long.
+    [[nodiscard]] std::optional<std::set<std::string>> poolsWithRecentEnds() const;
+
     /// \brief Sets who hears of changes.
     void observe(std::function<void(const std::string& id)> observer) { m_observer = std::move(observer); }
 
 private:
     const EventLoop& m_loop;
+    MonotonicInstant m_observesSince;
     std::map<std::string, DirectoryEntry> m_entries;
+    std::map<std::string, MonotonicInstant> m_lastEnds; ///< By pool: when a life was last found to be replaced or removed unannounced.
     std::function<void(const std::string& id)> m_observer;
 };
 
--- a/include/lanemoor/jobs/store/progress_writer.h
+++ b/include/lanemoor/jobs/store/progress_writer.h
@@ -42,6 +42,9 @@
     /// \brief Calls `stored` once all that is marked now is in the store.
     void whenStored(std::function<void()> stored);
 
+    /// \brief Calls `stored` once what is marked now of one job is in the store, whatever waits of others.
+    void whenJobStored(const std::string& id, std::function<void()> stored);
+
     /// \returns Jobs marked and not yet stored.
     [[nodiscard]] std::size_t unstored() const noexcept;
 
--- a/src/jobs/owner/crash_tracker.cpp
+++ b/src/jobs/owner/crash_tracker.cpp
@@ -178,6 +178,7 @@
 {
     if (worker.endOrdered)
         return;
+    noteInheritedLoss(worker);
     noteSilence(worker);
     for (const OpenStart& start : openStartsOf(worker)) {
         const TaskState* task = m_state.liveTask(start.attempt(), worker.entry.id);
@@ -225,6 +226,7 @@
 {
     if (std::exchange(worker.endSettled, true))
         return std::nullopt;
+    noteInheritedLoss(worker);
     const std::vector<OpenStart> open = openStartsOf(worker);
     std::vector<LostAttempt> lost = worker.endOrdered ? std::vector<LostAttempt>() : lostAttempts(worker, open);
     // A worker serves on for seconds after it has announced its end: it crashed if it fell silent right after a start.
@@ -262,6 +264,30 @@
         { { "attempt", nameOf(attempt) }, { "worker", worker }, { "acknowledged", std::int64_t { isConfirmed } }, { "workers_lost", std::int64_t { crashes.total() } }, { "confirmed", std::int64_t { crashes.confirmed } } });
 }
 
+void CrashTracker::noteUnanswering()
+{
+    m_isInheritedSettled = true;
+    for (const auto& [id, worker] : m_state.workers) {
+        if (!worker.session->isMet() || worker.session->isSilent() || worker.session->isLifeOver())
+            m_state.inheritedLosses.noteLoss(worker.entry.pool);
+    }
+    const std::string pools = m_state.inheritedLosses.text();
+    if (!pools.empty() && m_state.ownership.term > 1)
+        m_state.options.log->change("first-starts-recorded", { { "pools", pools } });
+}
+
+/// Once inherited tasks start again, only the attempts that were adopted may be of previous owners.
+void CrashTracker::noteInheritedLoss(const WorkerBook& worker)
+{
+    if (!m_isInheritedSettled)
+        m_state.inheritedLosses.noteLoss(worker.entry.pool);
+    for (const auto& [attempt, booking] : worker.bookings) {
+        const TaskState* task = m_state.liveTask(attempt, worker.entry.id);
+        if (task && task->live->adopted)
+            m_state.inheritedLosses.noteLoss(attempt.job, attempt.task);
+    }
+}
+
 void CrashTracker::settleAbsent(bool isProvedOver)
 {
     std::vector<std::string> workers;
--- a/src/jobs/owner/crash_tracker.h
+++ b/src/jobs/owner/crash_tracker.h
@@ -47,6 +47,9 @@
     /// \brief The worker has survived a start of the attempt's task, which clears the task.
     void noteSurvived(WorkerBook& worker, OwnerJob& job, const Attempt& attempt);
 
+    /// \brief Tasks of previous owners are about to start again: a worker that has not answered by now may have crashed under them.
+    void noteUnanswering();
+
     /// \brief Settles probations at incarnations that no session speaks with.
     /// \param isProvedOver Whether all that may live is known, so that an absent one is over.
     void settleAbsent(bool isProvedOver);
@@ -70,6 +73,7 @@
     [[nodiscard]] std::vector<OpenStart> openStartsOf(const WorkerBook& worker);
     [[nodiscard]] std::vector<LostAttempt> bookedAttempts(const WorkerBook& worker) const;
     [[nodiscard]] std::vector<LostAttempt> lostAttempts(const WorkerBook& worker, const std::vector<OpenStart>& open) const;
+    void noteInheritedLoss(const WorkerBook& worker);
     void withdraw(const OpenStart& start, std::string_view reason);
     void attributeCrash(const Attempt& attempt, const std::string& worker, bool isConfirmed);
     void logLoss(const WorkerBook& worker, const std::vector<LostAttempt>& lost, const CrashVerdict& verdict) const;
@@ -78,6 +82,7 @@
     OwnerState& m_state;
     SchedulerCounts& m_counts;
     CrashAttributor m_attributor;
+    bool m_isInheritedSettled = false; ///< Tasks of previous owners may start again.
     std::size_t m_livingWorkers = 0;
     MonotonicInstant m_countWorkersAt; ///< When the living workers are counted anew.
 };
--- /dev/null
+++ b/src/jobs/owner/inherited_losses.cpp
@@ -0,0 +1,22 @@
+#include "inherited_losses.h"
+
+namespace lanemoor::jobs {
+
+void InheritedLosses::begin(std::optional<std::set<std::string>> pools)
+{
+    m_isUnknown = !pools;
+    m_pools = std::move(pools).value_or(std::set<std::string>());
+    m_tasks.clear();
+}
+
+std::string InheritedLosses::text() const
+{
+    if (m_isUnknown)
+        return "any";
+    std::string text;
+    for (const std::string& pool : m_pools)
+        text += (text.empty() ? "" : ", ") + pool;
+    return text;
+}
+
+} // namespace lanemoor::jobs
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -201,6 +201,7 @@
                 .mayWrite = [this] { return m_options.ownership->isHeld(); },
                 .superseded = [this] { m_options.ownership->noteSuperseded(); },
                 .meter = m_options.meter });
+        state.inheritedLosses.begin(m_options.directory->poolsWithRecentEnds());
         for (const auto& [id, entry] : m_options.catalog->all())
             load(id, entry, ownership.term > 1);
         m_options.directory->forgetOld();
@@ -659,6 +660,7 @@
         if (m_term->settledInherited || !isSettled())
             return;
         m_term->settledInherited = true;
+        m_term->reports.crashes().noteUnanswering();
         m_term->reports.crashes().settleAbsent(m_term->unknownInstances == 0U && m_term->unmet.empty());
     }
 
--- a/src/jobs/owner/order_desk.cpp
+++ b/src/jobs/owner/order_desk.cpp
@@ -37,7 +37,7 @@
     const Attempt attempt { job.state.id(), task, number };
     const bool first = job.state.status() == JobStatus::Queued;
     // The previous owner may have been lost before it recorded a crash, and a gang starts at one time.
-    const std::uint32_t assumed = isBesideSuspect || (job.openBefore.contains({ task.occurrence, task.step }) && job.state.isUnseen(task)) ? 1 : 0;
+    const std::uint32_t assumed = isBesideSuspect || m_state.mayHaveCrashedBefore(job, task) ? 1 : 0;
     const std::uint32_t suspicion = std::max(job.state.find(task)->suspicion(), assumed);
     job.state.begin(task, number, worker.entry.id, m_state.now());
     worker.bookings.put(attempt, { .step = job.state.sharedSpec(task.step), .account = job.account, .endsBy = m_state.expectedEnd(job, task), .suspicion = suspicion });
@@ -57,7 +57,7 @@
 {
     job.state.setPhase(attempt, AttemptPhase::Recording, m_state.now());
     m_state.beginProbation(job, attempt, worker);
-    m_state.writer->whenStored([self = weak_from_this(), attempt, id = worker.entry.id, life = std::weak_ptr(worker.session), ticket] {
+    m_state.writer->whenJobStored(attempt.job, [self = weak_from_this(), attempt, id = worker.entry.id, life = std::weak_ptr(worker.session), ticket] {
         const auto desk = self.lock();
         if (desk && !desk->m_closed)
             desk->sendRecorded(attempt, id, life.lock().get(), ticket);
--- a/src/jobs/owner/owner_state.cpp
+++ b/src/jobs/owner/owner_state.cpp
@@ -80,6 +80,14 @@
     return now() + std::chrono::duration_cast<Millis>(job.state.spec(task.step).estimate * forecast.ratio(job.state.record().queue));
 }
 
+bool OwnerState::mayHaveCrashedBefore(const OwnerJob& job, const TaskId& task) const
+{
+    if (!job.openBefore.contains({ task.occurrence, task.step }) || !job.state.isUnseen(task))
+        return false;
+    // The queue may have been moved to another pool since.
+    return inheritedLosses.concernTask(job.state.id(), task) || inheritedLosses.concernPool(poolOf(job.state)) || inheritedLosses.concernPool(job.state.record().pool);
+}
+
 bool OwnerState::beginProbation(OwnerJob& job, const Attempt& attempt, const WorkerBook& worker)
 {
     if (!job.state.beginProbation(attempt, worker.session->life().startedAt))
--- a/src/jobs/owner/owner_state.h
+++ b/src/jobs/owner/owner_state.h
@@ -2,6 +2,7 @@
 /// \file
 /// What the owner of a shard knows while it owns it. Lives for one term of ownership.
 
+#include "inherited_losses.h"
 #include "lanemoor/adapters/event_log.h"
 #include "lanemoor/jobs/model/fleet_control.h"
 #include "lanemoor/jobs/model/job_state.h"
@@ -63,6 +64,7 @@
     std::map<std::pair<std::string, StepId>, WaitingStep> waits; ///< By job and step.
     /// Tasks with starts on probation, by id of the worker; a task whose probations are settled may still be listed.
     std::map<std::string, std::set<std::pair<std::string, TaskId>>> probations;
+    InheritedLosses inheritedLosses;
     std::function<void()> requestPass; ///< Asks for placement soon.
     /// Begins to speak with the life of a worker that started then (Unix ms; 0: not told).
     std::function<void(WorkerBook& worker, std::int64_t startedAt)> beginSession;
@@ -104,6 +106,9 @@
     /// \returns When an attempt of the task that starts now should have ended.
     [[nodiscard]] MonotonicInstant expectedEnd(const OwnerJob& job, const TaskId& task) const;
 
+    /// \returns Whether the task may have crashed a worker under a previous owner that did not record it.
+    [[nodiscard]] bool mayHaveCrashedBefore(const OwnerJob& job, const TaskId& task) const;
+
     /// \brief Puts a live attempt at a worker on probation, which is stored.
     /// \returns False if it is on probation already.
     bool beginProbation(OwnerJob& job, const Attempt& attempt, const WorkerBook& worker);
--- a/src/jobs/owner/worker_directory.cpp
+++ b/src/jobs/owner/worker_directory.cpp
@@ -7,10 +7,16 @@
 /// A worker's lease lasts 10 s at most by the platform's bound; clocks may be slow by 2%.
 constexpr Millis keptAfterRemoval { 12'000 };
 
+/// From the crash of a worker to the takeover by an owner that does not find it on record: a second until the worker is silent, one until
+/// an owner without the store gives up, and some until its successor has read the store. What the store did not answer meanwhile is
+/// found at the takeover.
+constexpr Millis recentEnds { 12'000 };
+
 } // namespace
 
 WorkerDirectory::WorkerDirectory(const EventLoop& loop)
     : m_loop(loop)
+    , m_observesSince(loop.now())
 {
 }
 
@@ -20,6 +26,10 @@
     if (found != m_entries.end() && found->second.listed && found->second.worker == worker)
         return false;
     const bool isSameLife = found != m_entries.end() && found->second.worker.startedAt == worker.startedAt;
+    if (found != m_entries.end() && found->second.listed && !found->second.worker.draining && !isSameLife)
+        // Starts at a worker that announces its end stop seconds before its entry goes.
+        if (!found->second.worker.draining)
+            m_lastEnds[found->second.worker.pool] = m_loop.now();
     const MonotonicInstant knownSince = isSameLife ? found->second.knownSince : m_loop.now();
     m_entries[worker.id] = { .worker = worker, .knownSince = knownSince };
     if (m_observer)
@@ -34,10 +44,24 @@
         return;
     found->second.listed = false;
     found->second.removedAt = m_loop.now();
+    m_lastEnds[found->second.worker.pool] = m_loop.now();
     if (m_observer)
         m_observer(id);
 }
 
+std::optional<std::set<std::string>> WorkerDirectory::poolsWithRecentEnds() const
+{
+    const MonotonicInstant from = m_loop.now() - recentEnds;
+    if (m_observesSince > from)
+        return std::nullopt;
+    std::set<std::string> pools;
+    for (const auto& [pool, endedAt] : m_lastEnds) {
+        if (endedAt >= from)
+            pools.insert(pool);
+    }
+    return pools;
+}
+
 void WorkerDirectory::forgetRemoved()
 {
     std::erase_if(m_entries, [](const auto& entry) { return !entry.second.listed; });
--- a/src/jobs/store/progress_writer.cpp
+++ b/src/jobs/store/progress_writer.cpp
@@ -56,14 +56,23 @@
             stored();
             return;
         }
-        m_waiting.push_back({ m_sequence, std::move(stored) });
+        m_waiting.push_back({ m_sequence, {}, std::move(stored) });
+    }
+
+    void whenJobStored(const std::string& id, std::function<void()> stored)
+    {
+        if (!m_marked.contains(id) && !m_writing.contains(id))
+            stored();
+        else
+            m_waiting.push_back({ m_sequence, id, std::move(stored) });
     }
 
     [[nodiscard]] std::size_t unstored() const { return m_marked.size() + m_writing.size(); }
 
 private:
     struct Waiter {
-        std::uint64_t sequence = 0; ///< All marks up to this must be stored.
+        std::uint64_t sequence = 0; ///< All marks up to this must be stored,
+        std::string job; ///< of this job; empty: of all.
         std::function<void()> stored;
     };
 
@@ -208,13 +217,24 @@
         for (const auto& [id, sequence] : m_writing)
             oldest = std::min(oldest, sequence);
         std::vector<Waiter> ready;
-        const auto isReady = [&](const Waiter& waiter) { return waiter.sequence < oldest; };
+        const auto isReady = [&](const Waiter& waiter) { return waiter.sequence < (waiter.job.empty() ? oldest : oldestMark(waiter.job)); };
         std::copy_if(m_waiting.begin(), m_waiting.end(), std::back_inserter(ready), isReady);
         std::erase_if(m_waiting, isReady);
         for (const Waiter& waiter : ready)
             waiter.stored();
     }
 
+    /// \returns The oldest mark of a job that is not stored.
+    [[nodiscard]] std::uint64_t oldestMark(const std::string& id) const
+    {
+        std::uint64_t oldest = m_sequence + 1;
+        for (const auto* marks : { &m_marked, &m_writing }) {
+            if (const auto mark = marks->find(id); mark != marks->end())
+                oldest = std::min(oldest, mark->second);
+        }
+        return oldest;
+    }
+
     EventLoop& m_loop;
     KeyValueStore& m_store;
     StoreMirror& m_mirror;
@@ -252,6 +272,11 @@
     m_impl->whenStored(std::move(stored));
 }
 
+void ProgressWriter::whenJobStored(const std::string& id, std::function<void()> stored)
+{
+    m_impl->whenJobStored(id, std::move(stored));
+}
+
 std::size_t ProgressWriter::unstored() const noexcept
 {
     return m_impl->unstored();
--- /dev/null
+++ b/tests/jobs/inherited_start_test.cpp
@@ -0,0 +1,126 @@
+/// What first starts cost under a new owner. Each was recorded in the store before it was sent, since a previous owner might have lost the
+/// record of a crash: with a store that answers in some hundred milliseconds, the room that became free stood idle meanwhile.
+
+#include "support.h"
+
+#include <catch2/catch.hpp>
+
+using namespace lanemoor;
+using namespace lanemoor::jobs;
+using namespace lanemoor::jobs::test;
+
+namespace {
+
+constexpr std::size_t instances = 40;
+constexpr std::uint64_t waitingJobs = 80;
+constexpr std::size_t startsBefore = instances + waitingJobs;
+constexpr std::size_t startsAfter = startsBefore + waitingJobs;
+constexpr Millis slowAnswer { 200 };
+constexpr Millis blockedTime { 6'000 };
+/// A process that has observed the workers for so long knows where one has ended.
+constexpr Millis observedLong { 13'000 };
+const std::string firstJob = jobId(1);
+
+enum class Loss { Owner,
+    OtherEntry };
+
+StepSpec ofCores(std::uint32_t count, std::int64_t milliCpu)
+{
+    StepSpec spec = step(count);
+    spec.needs = { .milliCpu = milliCpu, .memoryMb = 100 };
+    return spec;
+}
+
+/// What the waiting tasks cost from the time when there is room for them.
+struct Cost {
+    Millis untilSent { 0 };
+    std::uint64_t storeCalls = 0;
+};
+
+/// Jobs run with one task each, while their others wait for room that another job holds. An entry is lost, then the room becomes free.
+struct WaitingCluster : SmallCluster {
+    explicit WaitingCluster(Loss loss)
+        : SmallCluster(1, 3, instances, 0, 1)
+    {
+        workers.runTimes = [](const Attempt& attempt) { return attempt.job == firstJob ? blockedTime : Millis(60'000); };
+        clock.runFor(observedLong);
+        StepSpec wide = ofCores(instances, 6'000);
+        wide.mostPerInstance = 1;
+        submit(owner().value(), "work", firstJob, job({ wide }));
+        REQUIRE(waitFor(Millis(1'000), [this] { return witness.starts() == instances; }));
+        const MonotonicInstant freeFrom = clock.now() + blockedTime - Millis(200);
+        for (std::uint64_t i = 0; i < waitingJobs; ++i)
+            submit(owner().value(), "work", jobId(2 + i), job({ ofCores(1, 500), ofCores(1, 3'000) }));
+        REQUIRE(waitFor(Millis(2'000), [this] { return witness.starts() == startsBefore; }));
+        clock.runFor(Millis(500));
+        const std::size_t index = owner().value();
+        kill(loss == Loss::Owner ? index : (index + 1) % entries());
+        store.trouble.answerTime = slowAnswer;
+        if (onLoss)
+            onLoss();
+        clock.runFor(std::chrono::duration_cast<Millis>(freeFrom - clock.now()));
+        REQUIRE(witness.starts() == startsBefore);
+    }
+
+    Cost play()
+    {
+        Cost cost;
+        const MonotonicInstant from = clock.now();
+        const std::uint64_t calls = store.calls();
+        REQUIRE(waitFor(Millis(10'000), [this] { return witness.starts() == startsAfter; }));
+        cost.untilSent = std::chrono::duration_cast<Millis>(clock.now() - from);
+        clock.runFor(Millis(4'000) - cost.untilSent);
+        cost.storeCalls = store.calls() - calls;
+        CHECK(witness.breaches().empty());
+        return cost;
+    }
+
+    std::function<void()> onLoss;
+};
+
+} // namespace
+
+// Guards against store calls and waits for tasks to which no crash is attributed and that can have crashed no worker.
+TEST_CASE("First starts under a new owner cost as much as under the one before")
+{
+    const Cost needed = WaitingCluster(Loss::OtherEntry).play();
+    const Cost paid = WaitingCluster(Loss::Owner).play();
+    CAPTURE(needed.untilSent.count(), paid.untilSent.count(), needed.storeCalls, paid.storeCalls);
+    CHECK(paid.untilSent <= needed.untilSent + Millis(50));
+    CHECK(paid.storeCalls <= needed.storeCalls + 3);
+}
+
+// Guards against evidence of lost workers that a new owner misses: its first start of a poison task would be unrecorded again.
+TEST_CASE("A poison task fails in time under owners that have observed the workers for long")
+{
+    const std::set<std::uint32_t> lost = GENERATE(values<std::set<std::uint32_t>>({ { 1, 2 }, { 1, 2, 3 }, { 2, 3 }, { 1, 3 } }));
+    for (const bool restartsUnderId : { false, true }) {
+        for (Millis offset(0); offset <= Millis(1'500); offset += Millis(300)) {
+            CAPTURE(lost.size(), *lost.begin(), restartsUnderId, offset.count());
+            // An owner that begins anew has not observed anything: each loss is followed by another process.
+            SmallCluster cluster(1, 6, 8, 2, 1);
+            cluster.clock.runFor(observedLong);
+            std::uint32_t starts = 0;
+            cluster.workers.endsWorkerAfter = Millis(10);
+            cluster.workers.endsWorker = [&](const Attempt&) {
+                if (lost.contains(++starts))
+                    cluster.clock.after(Millis(10) + offset, [&cluster] {
+                        if (const std::optional<std::size_t> owner = cluster.owner())
+                            cluster.kill(*owner);
+                    });
+                if (!restartsUnderId)
+                    return true;
+                cluster.clock.after(Millis(10), [&cluster, worker = cluster.witness.workerOf(firstJob, {})] {
+                    cluster.witness.onWorkerEnded(worker, { firstJob, {}, 0 });
+                    cluster.workers.restart(worker, Millis(300));
+                });
+                return false;
+            };
+            cluster.submit(cluster.owner().value(), "work", firstJob, job({ step(1) }));
+            cluster.clock.runFor(Millis(50'000));
+            CHECK(starts >= 3);
+            CHECK(cluster.witness.breaches().empty());
+            CHECK(cluster.witness.workersEndedBy(firstJob, {}) <= 5);
+        }
+    }
+}
