Confirm recorded starts of suspects whose owners were lost with their workers

Cause: no owner lived to store the acknowledgement or the silence, so that all crashes stayed unconfirmed, and no task fails with fewer than two confirmed.

Change: with two crashes on record, a start on record counts as confirmed if its incarnation is proved over and has not said a word to this owner. The record is stored before the start is sent, so that it is missing for no start; a single one may stand for a start that was never sent, which is why two crashes must be on record before.

--- a/src/jobs/owner/crash_tracker.cpp
+++ b/src/jobs/owner/crash_tracker.cpp
@@ -10,6 +10,10 @@
 /// Times the suspicion. A task that could run and waits for three seconds counts as forgotten.
 constexpr Millis retryPauseStep { 570 };
 
+/// Crashes on record from which the next one needs neither an acknowledgement nor an owner that saw the silence: as many as the platform asks
+/// for before a task may fail.
+constexpr std::uint32_t crashesToInfer = minConfirmedCrashes;
+
 constexpr std::size_t maxAttemptsLogged = 8; // In one line on a lost worker.
 constexpr Millis workerCountAge { 100 };
 
@@ -205,6 +209,13 @@
     return booked;
 }
 
+/// \returns Whether a start on record that no owner lived to see acknowledged or silent confirms a crash all the same: its incarnation has
+/// ended without a word to this owner, and earlier crashes of the task are on record. A single one may be a start that was never sent.
+bool CrashTracker::isInferred(const OpenStart& start, const WorkerBook& worker)
+{
+    return !worker.session->isMet() && start.job->state.find(start.task)->crashes.total() >= crashesToInfer;
+}
+
 /// \returns What was at a worker that is over, the youngest first. \param open At that incarnation, those of booked attempts among them.
 std::vector<LostAttempt> CrashTracker::lostAttempts(const WorkerBook& worker, const std::vector<OpenStart>& open) const
 {
@@ -215,7 +226,7 @@
         if (worker.bookings.contains(start.attempt()) || isFinal(start.job->state.status()))
             continue;
         LostAttempt& entry = lost.emplace_back(LostAttempt { .attempt = start.attempt(), .isLongRunning = start.job->state.spec(start.task.step).longRunning, .survived = std::nullopt, .isInherited = start.job->inherited, .before = start.job->state.find(start.task)->crashes });
-        if (start.probation.confirmsCrash())
+        if (start.probation.confirmsCrash() || isInferred(start, worker))
             entry.survived = Millis(0);
     }
     std::sort(lost.begin(), lost.end(), [](const LostAttempt& a, const LostAttempt& b) { return a.survived < b.survived; });
--- a/src/jobs/owner/crash_tracker.h
+++ b/src/jobs/owner/crash_tracker.h
@@ -74,6 +74,7 @@
     [[nodiscard]] std::vector<LostAttempt> bookedAttempts(const WorkerBook& worker) const;
     [[nodiscard]] std::vector<LostAttempt> lostAttempts(const WorkerBook& worker, const std::vector<OpenStart>& open) const;
     void noteInheritedLoss(const WorkerBook& worker);
+    [[nodiscard]] static bool isInferred(const OpenStart& start, const WorkerBook& worker);
     void withdraw(const OpenStart& start, std::string_view reason);
     void attributeCrash(const Attempt& attempt, const std::string& worker, bool isConfirmed);
     void logLoss(const WorkerBook& worker, const std::vector<LostAttempt>& lost, const CrashVerdict& verdict) const;
