Count the loss of young adopted attempts as unconfirmed crashes

Cause: an attempt of a task without recorded crashes was adopted as survived, however young it may have been.

Change: if its worker is lost within the probation after the adoption, the crash counts as unconfirmed, unless its progress tells that it has run for twice the longest probation, or another suspect there has crashes on record. An unconfirmed crash fails no task alone.

--- a/include/lanemoor/jobs/policy/crash_attribution.h
+++ b/include/lanemoor/jobs/policy/crash_attribution.h
@@ -59,7 +59,7 @@
     bool isLongRunning = false;
     /// Worker clock between the acknowledgement of the start and the last answer; nothing: the start was never acknowledged.
     std::optional<Millis> survived;
-    bool isAdopted = false; ///< Found running by this owner: the worker had survived its start before.
+    bool isAdopted = false; ///< Found running by this owner: `survived` counts from then on. How long before it began is not known.
     bool isInherited = false; ///< A previous owner had its job.
     CrashCount before; ///< Consecutive crashes attributed to its task before this one.
 
@@ -72,7 +72,7 @@
 /// Attribution of one crash.
 struct CrashVerdict {
     std::vector<LostAttempt> suspects; ///< The crash counts against their tasks.
-    std::vector<LostAttempt> possibleSuspects; ///< Unacknowledged starts beside acknowledged ones: unconfirmed crashes of their tasks.
+    std::vector<LostAttempt> possibleSuspects; ///< Unacknowledged starts beside acknowledged ones, and adopted attempts: unconfirmed crashes of their tasks.
     std::optional<Attempt> failed; ///< A suspect whose task fails permanently.
     std::uint32_t crashesNeeded = 0; ///< Consecutive confirmed crashes with which a task would have failed.
 
--- a/src/jobs/owner/crash_tracker.cpp
+++ b/src/jobs/owner/crash_tracker.cpp
@@ -28,6 +28,12 @@
     return live.sentOnClock > 0 && Millis(session.heardOnClock() - live.sentOnClock) < minProbation;
 }
 
+/// \returns Whether its progress tells that an attempt has run for much longer than the longest probation.
+bool hasProgressed(const LiveAttempt& live, const StepSpec& step)
+{
+    return step.longRunning ? live.percent >= 100 : step.estimate * live.percent / 100 >= 2 * maxProbation;
+}
+
 } // namespace
 
 bool CrashTracker::OpenStart::isLive() const
@@ -114,8 +120,10 @@
 void CrashTracker::noteAdopted(WorkerBook& worker, OwnerJob& job, const Attempt& attempt, std::int64_t workerClock)
 {
     const std::uint32_t suspicion = job.state.find(attempt.task)->suspicion();
-    if (suspicion == 0)
+    if (suspicion == 0) {
+        job.state.noteConfirmed(attempt, workerClock);
         return;
+    }
     worker.bookings.noteSuspect(attempt, suspicion);
     m_state.beginProbation(job, attempt, worker);
     if (job.state.noteConfirmed(attempt, workerClock))
@@ -201,6 +209,8 @@
         if (!task || isFinal(job->state.status()) || task->live->crashAttributed || task->live->phase == AttemptPhase::Recording)
             continue;
         LostAttempt& entry = booked.emplace_back(LostAttempt { .attempt = attempt, .isLongRunning = booking.step->longRunning, .survived = std::nullopt, .isAdopted = task->live->adopted && !worker.bookings.suspects().contains(attempt), .isInherited = job->inherited, .before = task->crashes });
+        if (entry.isAdopted && hasProgressed(*task->live, *booking.step))
+            continue;
         if (task->live->confirmedOnClock > 0)
             entry.survived = Millis(std::max<std::int64_t>(worker.session->heardOnClock() - task->live->confirmedOnClock, 0));
         else if (wasProbablyDelivered(*task->live, *worker.session))
--- a/src/jobs/policy/crash_attribution.cpp
+++ b/src/jobs/policy/crash_attribution.cpp
@@ -26,6 +26,12 @@
     return !lost.isAdopted && lost.survived.has_value() == acknowledged && lost.survived.value_or(Millis(0)) < probation;
 }
 
+/// An adopted attempt may have begun just before its owner was lost.
+bool isYoungAdopted(const LostAttempt& lost, Millis probation)
+{
+    return lost.isAdopted && lost.survived && *lost.survived < probation;
+}
+
 /// An unacknowledged start mostly came when the worker was gone.
 std::vector<LostAttempt> suspectsOf(const std::vector<LostAttempt>& lost, Millis probation)
 {
@@ -108,9 +114,13 @@
 
 CrashVerdict CrashAttributor::attribute(const std::vector<LostAttempt>& lost, std::size_t workers, MonotonicInstant now)
 {
-    CrashVerdict verdict { .suspects = suspectsOf(lost, probation(workers, now)), .possibleSuspects = {}, .failed = std::nullopt };
+    const Millis shortened = probation(workers, now);
+    CrashVerdict verdict { .suspects = suspectsOf(lost, shortened), .possibleSuspects = {}, .failed = std::nullopt };
     if (!verdict.suspects.empty() && verdict.suspects.front().survived)
         std::copy_if(lost.begin(), lost.end(), std::back_inserter(verdict.possibleSuspects), [](const LostAttempt& each) { return isSuspect(each, false, maxProbation); });
+    const bool isByOthers = std::any_of(verdict.suspects.begin(), verdict.suspects.end(), [](const LostAttempt& each) { return each.before.total() > 0; });
+    if (!isByOthers)
+        std::copy_if(lost.begin(), lost.end(), std::back_inserter(verdict.possibleSuspects), [shortened](const LostAttempt& each) { return isYoungAdopted(each, shortened); });
     const auto worst = std::max_element(verdict.suspects.begin(), verdict.suspects.end(), hasFewerCrashes);
     const bool isExplained = worst != verdict.suspects.end() && worst->before.total() > 0;
     if (!isExplained)
