--- a/src/jobs/owner/crash_tracker.cpp
+++ b/src/jobs/owner/crash_tracker.cpp
@@ -10,6 +10,10 @@
 /// Times the suspicion. A task that could run and waits for three seconds counts as forgotten.
 constexpr Millis retryPauseStep { 570 };
 
+/// Crashes on record from which the next one needs neither an acknowledgement nor an owner that saw the silence: as many as the platform asks
+/// for before a task may fail.
+constexpr std::uint32_t crashesToInfer = minConfirmedCrashes;
+
 constexpr std::size_t maxAttemptsLogged = 8; // In one line on a lost worker.
 constexpr Millis workerCountAge { 100 };
 
@@ -24,6 +28,12 @@
     return live.sentOnClock > 0 && Millis(session.heardOnClock() - live.sentOnClock) < minProbation;
 }
 
+/// \returns Whether its progress tells that an attempt has run for much longer than the longest probation.
+bool hasProgressed(const LiveAttempt& live, const StepSpec& step)
+{
+    return step.longRunning ? live.percent >= 100 : step.estimate * live.percent / 100 >= 2 * maxProbation;
+}
+
 } // namespace
 
 bool CrashTracker::OpenStart::isLive() const
@@ -110,8 +120,10 @@
 void CrashTracker::noteAdopted(WorkerBook& worker, OwnerJob& job, const Attempt& attempt, std::int64_t workerClock)
 {
     const std::uint32_t suspicion = job.state.find(attempt.task)->suspicion();
-    if (suspicion == 0)
+    if (suspicion == 0) {
+        job.state.noteConfirmed(attempt, workerClock);
         return;
+    }
     worker.bookings.noteSuspect(attempt, suspicion);
     m_state.beginProbation(job, attempt, worker);
     if (job.state.noteConfirmed(attempt, workerClock))
@@ -178,6 +190,7 @@
 {
     if (worker.endOrdered)
         return;
+    noteInheritedLoss(worker);
     noteSilence(worker);
     for (const OpenStart& start : openStartsOf(worker)) {
         const TaskState* task = m_state.liveTask(start.attempt(), worker.entry.id);
@@ -196,6 +209,8 @@
         if (!task || isFinal(job->state.status()) || task->live->crashAttributed || task->live->phase == AttemptPhase::Recording)
             continue;
         LostAttempt& entry = booked.emplace_back(LostAttempt { .attempt = attempt, .isLongRunning = booking.step->longRunning, .survived = std::nullopt, .isAdopted = task->live->adopted && !worker.bookings.suspects().contains(attempt), .isInherited = job->inherited, .before = task->crashes });
+        if (entry.isAdopted && hasProgressed(*task->live, *booking.step))
+            continue;
         if (task->live->confirmedOnClock > 0)
             entry.survived = Millis(std::max<std::int64_t>(worker.session->heardOnClock() - task->live->confirmedOnClock, 0));
         else if (wasProbablyDelivered(*task->live, *worker.session))
@@ -204,6 +219,13 @@
     return booked;
 }
 
+/// \returns Whether a start on record that no owner lived to see acknowledged or silent confirms a crash all the same: its incarnation has
+/// ended without a word to this owner, and earlier crashes of the task are on record. A single one may be a start that was never sent.
+bool CrashTracker::isInferred(const OpenStart& start, const WorkerBook& worker)
+{
+    return !worker.session->isMet() && start.job->state.find(start.task)->crashes.total() >= crashesToInfer;
+}
+
 /// \returns What was at a worker that is over, the youngest first. \param open At that incarnation, those of booked attempts among them.
 std::vector<LostAttempt> CrashTracker::lostAttempts(const WorkerBook& worker, const std::vector<OpenStart>& open) const
 {
@@ -214,7 +236,7 @@
         if (worker.bookings.contains(start.attempt()) || isFinal(start.job->state.status()))
             continue;
         LostAttempt& entry = lost.emplace_back(LostAttempt { .attempt = start.attempt(), .isLongRunning = start.job->state.spec(start.task.step).longRunning, .survived = std::nullopt, .isInherited = start.job->inherited, .before = start.job->state.find(start.task)->crashes });
-        if (start.probation.confirmsCrash())
+        if (start.probation.confirmsCrash() || isInferred(start, worker))
             entry.survived = Millis(0);
     }
     std::sort(lost.begin(), lost.end(), [](const LostAttempt& a, const LostAttempt& b) { return a.survived < b.survived; });
@@ -225,6 +247,7 @@
 {
     if (std::exchange(worker.endSettled, true))
         return std::nullopt;
+    noteInheritedLoss(worker);
     const std::vector<OpenStart> open = openStartsOf(worker);
     std::vector<LostAttempt> lost = worker.endOrdered ? std::vector<LostAttempt>() : lostAttempts(worker, open);
     // A worker serves on for seconds after it has announced its end: it crashed if it fell silent right after a start.
@@ -262,6 +285,30 @@
         { { "attempt", nameOf(attempt) }, { "worker", worker }, { "acknowledged", std::int64_t { isConfirmed } }, { "workers_lost", std::int64_t { crashes.total() } }, { "confirmed", std::int64_t { crashes.confirmed } } });
 }
 
+void CrashTracker::noteUnanswering()
+{
+    m_isInheritedSettled = true;
+    for (const auto& [id, worker] : m_state.workers) {
+        if (!worker.session->isMet() || worker.session->isSilent() || worker.session->isLifeOver())
+            m_state.inheritedLosses.noteLoss(worker.entry.pool);
+    }
+    const std::string pools = m_state.inheritedLosses.text();
+    if (!pools.empty() && m_state.ownership.term > 1)
+        m_state.options.log->change("first-starts-recorded", { { "pools", pools } });
+}
+
+/// Once inherited tasks start again, only the attempts that were adopted may be of previous owners.
+void CrashTracker::noteInheritedLoss(const WorkerBook& worker)
+{
+    if (!m_isInheritedSettled)
+        m_state.inheritedLosses.noteLoss(worker.entry.pool);
+    for (const auto& [attempt, booking] : worker.bookings) {
+        const TaskState* task = m_state.liveTask(attempt, worker.entry.id);
+        if (task && task->live->adopted)
+            m_state.inheritedLosses.noteLoss(attempt.job, attempt.task);
+    }
+}
+
 void CrashTracker::settleAbsent(bool isProvedOver)
 {
     std::vector<std::string> workers;
