Admission by expected service: budgets, how they travel, and the gate that goes by them

Cause: nothing compares what is accepted with what can be served. Change: ExpectedService computes from the accepted work of an organisation and its share of the pool when a job submitted now could end, and a budget of work that ends in time. RelayFrame.admission (AdmissionGrants) carries an even part to each linked entry instance. AdmissionGate takes jobs off the budget; a budget of less than one job admits it with the probability that it covers, so that many small parts admit no more than the whole and large jobs have the same chance. After the validity the safe share holds. JobIntake::refuse asks the store for the id before it answers, since another instance may have taken it. Nothing calls these yet.

--- a/include/lanemoor/jobs/intake/job_intake.h
+++ b/include/lanemoor/jobs/intake/job_intake.h
@@ -22,6 +22,7 @@
     NotTaken, ///< It was not taken and, unless handed in again, will never run.
     Unknown, ///< It may have been kept, or may be yet.
     Foreign, ///< A job of this id belongs to another organisation.
+    Refused, ///< It could not be served in time within its organisation's share: nothing was written.
 };
 
 /// What came of asking to cancel a job, or for its status.
@@ -52,6 +53,12 @@
     /// is accepted again for callers that may use it, and foreign to others.
     void accept(const Caller& caller, const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done);
 
+    /// \returns Whether the job was handed in here before and is kept, or may be.
+    [[nodiscard]] bool isKnown(const std::string& id);
+
+    /// \brief Answers that a job is refused, unless the store holds it already: another instance may have taken it.
+    void refuse(const Caller& caller, const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done);
+
     /// \brief Answers once the store holds the wish to cancel.
     void cancel(const std::string& id, const std::function<void(LookupOutcome)>& done);
 
--- a/include/lanemoor/jobs/relay/order_relay.h
+++ b/include/lanemoor/jobs/relay/order_relay.h
@@ -18,6 +18,8 @@
 
 namespace lanemoor::jobs {
 
+struct AdmissionGrants;
+
 /// What a relay works with. All of it outlives the relay.
 struct OrderRelayParts {
     EventLoop* loop = nullptr;
@@ -27,6 +29,7 @@
     EventLog* log = nullptr;
     /// Hears that the owner's process is gone: its link broke, and a new one was refused at once. Null: nobody is told.
     std::function<void(const std::string& address)> ownerGone;
+    std::function<void(const AdmissionGrants& grants)> granted; ///< Hears what this instance may admit. Null: nobody is told.
 };
 
 /// \brief Offers itself to the owner, makes the calls that the owner asks for, and sends the
--- a/include/lanemoor/jobs/relay/relayed_workers.h
+++ b/include/lanemoor/jobs/relay/relayed_workers.h
@@ -2,6 +2,7 @@
 /// \file
 /// The owner's calls to workers, carried by relays where there are too many for one machine.
 
+#include "lanemoor/jobs/model/admission_grants.h"
 #include "lanemoor/jobs/model/event_loop.h"
 #include "lanemoor/jobs/model/worker_control.h"
 #include "lanemoor/jobs/relay/peer_transport.h"
@@ -60,6 +61,10 @@
     void throttle(const WorkerLife& worker, const Attempt& attempt, std::uint32_t percent, std::uint64_t epoch, std::function<void(OrderResult)> done) override;
     void forget(const WorkerLife& worker) override;
 
+    /// \brief Sends each linked instance its part of what all may admit; those that link later get it too.
+    /// \returns The part of one instance, this one included.
+    AdmissionGrants grant(const AdmissionGrants& grants);
+
     [[nodiscard]] RelayCounts counts() const noexcept;
 
 private:
--- /dev/null
+++ b/src/jobs/intake/admission_gate.cpp
@@ -0,0 +1,114 @@
+#include "lanemoor/jobs/intake/admission_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+constexpr Millis leastRetry { 1'000 };
+constexpr Millis mostRetry { 3'000 }; // A caller's job is worth little after some seconds.
+constexpr double milli = 1'000;
+
+/// \returns Declared work, ms of a core.
+double workOf(const JobSpec& job)
+{
+    double work = 0;
+    for (const StepSpec& step : job.steps)
+        work += static_cast<double>(step.count) * static_cast<double>(step.needs.milliCpu) / milli * static_cast<double>(step.estimate.count());
+    return work;
+}
+
+bool lasts(const JobSpec& job)
+{
+    return std::any_of(job.steps.begin(), job.steps.end(), [](const StepSpec& step) { return step.longRunning; });
+}
+
+Millis retryAfterOf(const AdmissionBudget& budget)
+{
+    return std::clamp(budget.expectedEnd - budget.limit, leastRetry, mostRetry);
+}
+
+} // namespace
+
+std::string_view nameOf(AdmissionBasis basis) noexcept
+{
+    switch (basis) {
+    case AdmissionBasis::NoPressure:
+        return "no-pressure";
+    case AdmissionBasis::Budget:
+        return "budget";
+    case AdmissionBasis::SafeShare:
+        return "safe-share";
+    }
+    return "unknown";
+}
+
+AdmissionGate::AdmissionGate(const std::string& name)
+    : m_random(static_cast<std::minstd_rand::result_type>(std::hash<std::string> {}(name)))
+{
+}
+
+void AdmissionGate::apply(AdmissionGrants grants, MonotonicInstant now)
+{
+    if (grants.term < m_term)
+        return;
+    m_term = grants.term;
+    m_entries = std::max(grants.entries, 1U);
+    m_grantedAt = now;
+    m_expiresAt = now + grants.validity;
+    std::map<Name, Budget> budgets;
+    for (AdmissionBudget& granted : grants.budgets) {
+        const Name name { granted.queue, granted.organisation };
+        const auto before = m_budgets.find(name);
+        Budget budget = before == m_budgets.end() ? Budget {} : std::move(before->second);
+        budget.left = static_cast<double>(granted.workMillis);
+        budget.countedAt = now;
+        budget.granted = std::move(granted);
+        budget.threshold = nextThreshold(budget);
+        budgets.emplace(name, std::move(budget));
+    }
+    m_budgets = std::move(budgets);
+}
+
+AdmissionVerdict AdmissionGate::judge(const std::string& queue, const std::string& organisation, const JobSpec& job, double jobsPerSecond, MonotonicInstant now)
+{
+    const auto found = m_budgets.find({ queue, organisation });
+    if (found == m_budgets.end() || now >= m_expiresAt + safeShareLasts || lasts(job))
+        return {};
+    Budget& budget = found->second;
+    AdmissionVerdict verdict { .admitted = false, .basis = AdmissionBasis::Budget, .budget = budget.granted, .grantAge = std::chrono::duration_cast<Millis>(now - m_grantedAt), .retryAfter = retryAfterOf(budget.granted) };
+    if (now >= m_expiresAt) {
+        verdict.basis = AdmissionBasis::SafeShare;
+        verdict.admitted = budget.safeShare.take(std::max(jobsPerSecond / m_entries, 1.0), now);
+        return verdict;
+    }
+    refill(budget, now);
+    verdict.budget.workMillis = static_cast<std::int64_t>(budget.left);
+    verdict.admitted = budget.left >= budget.threshold;
+    if (verdict.admitted) {
+        budget.left -= workOf(job) * budget.granted.correction;
+        budget.threshold = nextThreshold(budget);
+    }
+    return verdict;
+}
+
+void AdmissionGate::refill(Budget& budget, MonotonicInstant now) const
+{
+    const double passed = std::chrono::duration<double, std::milli>(now - std::exchange(budget.countedAt, now)).count();
+    budget.left += passed * static_cast<double>(budget.granted.milliCpu) / milli;
+}
+
+double AdmissionGate::nextThreshold(const Budget& budget)
+{
+    return std::uniform_real_distribution<double>(0, static_cast<double>(budget.granted.jobMillis))(m_random);
+}
+
+Millis AdmissionGate::retryAfter(const std::string& queue, const std::string& organisation) const
+{
+    const auto found = m_budgets.find({ queue, organisation });
+    return found == m_budgets.end() ? leastRetry : retryAfterOf(found->second.granted);
+}
+
+} // namespace lanemoor::jobs
--- a/src/jobs/intake/job_intake.cpp
+++ b/src/jobs/intake/job_intake.cpp
@@ -53,6 +53,8 @@
         return "unknown";
     case AcceptOutcome::Foreign:
         return "foreign";
+    case AcceptOutcome::Refused:
+        return "refused";
     }
     return "unknown";
 }
@@ -121,6 +123,24 @@
             m_loop.callAt(m_loop.now(), [self = shared_from_this()] { self->send(); });
     }
 
+    [[nodiscard]] bool isKnown(const std::string& id)
+    {
+        const CatalogEntry* known = m_catalog.find(id);
+        const bool waits = std::any_of(m_queue.begin(), m_queue.end(), [&](const WaitingJob& job) { return job.id == id; });
+        return (known && known->record) || waits || mayBeKept(id);
+    }
+
+    void refuse(const Caller& caller, const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done)
+    {
+        ++inFlight;
+        m_store.read(jobKey(id), [self = shared_from_this(), job = WaitingJob { id, encode(record), caller, { std::move(done) } }](const ReadResult& result) {
+            if (result.outcome == StoreOutcome::Done)
+                self->keep(job, result.item);
+            else
+                self->finish(job, result.outcome == StoreOutcome::NotFound ? AcceptOutcome::Refused : AcceptOutcome::NotTaken);
+        });
+    }
+
     void cancel(const std::string& id, const std::function<void(LookupOutcome)>& done)
     {
         const CatalogEntry* known = m_catalog.find(id);
@@ -303,6 +323,16 @@
     m_impl->accept(caller, id, record, std::move(done));
 }
 
+bool JobIntake::isKnown(const std::string& id)
+{
+    return m_impl->isKnown(id);
+}
+
+void JobIntake::refuse(const Caller& caller, const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done)
+{
+    m_impl->refuse(caller, id, record, std::move(done));
+}
+
 void JobIntake::cancel(const std::string& id, const std::function<void(LookupOutcome)>& done)
 {
     m_impl->cancel(id, done);
--- /dev/null
+++ b/src/jobs/policy/expected_service.cpp
@@ -0,0 +1,114 @@
+#include "lanemoor/jobs/policy/expected_service.h"
+
+#include "lanemoor/jobs/policy/organisation_share.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <tuple>
+
+namespace lanemoor::jobs {
+
+namespace {
+
+constexpr double milli = 1'000;
+constexpr double permille = 1'000;
+/// An organisation without weight in the pool, or a pool without instances, gets work done at this rate of cores: a bound for quotients.
+constexpr double leastCores = 0.1;
+
+/// What one organisation has in the pool.
+struct Standing {
+    double weight = 0;
+    double demandCores = 0; ///< That its accepted work needs to end in time.
+    double runningCores = 0;
+    double workMillis = 0;
+};
+
+std::map<std::string, Standing> standingsOf(const std::vector<AcceptedWork>& accepted)
+{
+    std::map<std::string, Standing> standings;
+    for (const AcceptedWork& work : accepted) {
+        Standing& standing = standings[work.organisation];
+        standing.weight = std::max(standing.weight, work.weight);
+        standing.runningCores += static_cast<double>(work.runningMilliCpu) / milli;
+        standing.workMillis += static_cast<double>(work.workMillis);
+        standing.demandCores += static_cast<double>(work.workMillis) / static_cast<double>(std::max<std::int64_t>(work.usual.allowed.count(), 1));
+    }
+    return standings;
+}
+
+Resources asResources(double cores)
+{
+    return { .milliCpu = std::llround(std::max(cores, 0.0) * milli) };
+}
+
+/// \returns The part of the pool that an organisation gets if it asks for all of it, while the others ask for what they need.
+double entitlementOf(const std::string& organisation, const std::map<std::string, Standing>& standings, double cores)
+{
+    std::vector<OrganisationDemand> demands;
+    std::size_t index = 0;
+    for (const auto& [name, standing] : standings) {
+        if (name == organisation)
+            index = demands.size();
+        const double asked = name == organisation ? cores : standing.demandCores;
+        demands.push_back({ .organisation = name, .weight = standing.weight, .used = {}, .waiting = asResources(asked) });
+    }
+    return sharesOf(demands, asResources(cores))[index].share;
+}
+
+} // namespace
+
+ExpectedService::ExpectedService(const AdmissionOptions& options, std::int64_t milliCpu)
+    : m_options(options)
+    , m_cores(packing * static_cast<double>(milliCpu) / milli)
+{
+}
+
+std::vector<AdmissionBudget> ExpectedService::budgets(const std::vector<AcceptedWork>& accepted) const
+{
+    std::vector<AdmissionBudget> budgets;
+    const std::map<std::string, Standing> standings = standingsOf(accepted);
+    double demand = 0;
+    for (const auto& [name, standing] : standings)
+        demand += standing.demandCores;
+    const bool wasPressed = std::any_of(accepted.begin(), accepted.end(), [](const AcceptedWork& work) { return work.wasPressed; });
+    if (demand <= m_cores * pressureFrom && !wasPressed)
+        return budgets;
+    std::map<std::string, double> entitlements;
+    for (const auto& [name, standing] : standings)
+        entitlements[name] = entitlementOf(name, standings, m_cores);
+    for (const AcceptedWork& work : accepted) {
+        const Standing& standing = standings.at(work.organisation);
+        double before = 0; // Work of the organisation that starts before a new job of the queue.
+        for (const AcceptedWork& other : accepted)
+            before += other.organisation == work.organisation && other.priority <= work.priority ? static_cast<double>(other.workMillis) : 0;
+        const double share = entitlements.at(work.organisation);
+        const double cores = std::max(share * m_cores, leastCores);
+        const double chain = static_cast<double>(work.usual.chain.count());
+        const auto allowed = static_cast<double>(work.usual.allowed.count());
+        const double expected = before / cores + chain;
+        if (!work.wasPressed && before < cores * allowed * namedFrom)
+            continue;
+        const bool isBelow = standing.demandCores < cores;
+        const double aim = std::max(allowed * aimAt, chain);
+        const double limit = isBelow ? std::max(m_options.lateFactor * allowed, aim) : aim;
+        // Beyond its aim an organisation below its share gets one job at a time: a budget up to the limit would make all of them late.
+        const double oneJob = isBelow && expected < limit ? static_cast<double>(work.usual.workMillis) : std::numeric_limits<double>::lowest();
+        const double part = before > 0 ? static_cast<double>(work.workMillis) / before : 1;
+        budgets.push_back({ .queue = work.queue,
+            .organisation = work.organisation,
+            .workMillis = std::llround(std::max((aim - expected) * cores, oneJob)),
+            .milliCpu = expected > aim ? 0 : std::llround(part * cores * milli), // What was accepted beyond the aim is worked off first.
+            .jobMillis = std::max<std::int64_t>(work.usual.workMillis, 1),
+            .expectedEnd = Millis(std::llround(expected)),
+            .limit = Millis(std::llround(limit)),
+            .sharePermille = static_cast<std::uint32_t>(std::lround(share * permille)),
+            .usePermille = static_cast<std::uint32_t>(std::lround(m_cores > 0 ? standing.runningCores / m_cores * permille : 0)),
+            .correction = work.correction });
+    }
+    std::sort(budgets.begin(), budgets.end(), [](const AdmissionBudget& a, const AdmissionBudget& b) { return std::tie(a.queue, a.organisation) < std::tie(b.queue, b.organisation); });
+    return budgets;
+}
+
+} // namespace lanemoor::jobs
--- /dev/null
+++ b/src/jobs/relay/admission_codec.h
@@ -0,0 +1,14 @@
+#pragma once
+/// \file
+/// Admission grants as they travel from the owner to entry instances.
+
+#include "generated/relay.pb.h"
+#include "lanemoor/jobs/model/admission_grants.h"
+
+namespace lanemoor::jobs {
+
+void fill(wire::AdmissionGrants& message, const AdmissionGrants& grants);
+
+[[nodiscard]] AdmissionGrants grantsOf(const wire::AdmissionGrants& message);
+
+} // namespace lanemoor::jobs
--- a/src/jobs/relay/order_relay.cpp
+++ b/src/jobs/relay/order_relay.cpp
@@ -1,5 +1,6 @@
 #include "lanemoor/jobs/relay/order_relay.h"
 
+#include "admission_codec.h"
 #include "lanemoor/adapters/event_log.h"
 #include "payload_reader.h"
 #include "relay_codec.h"
@@ -163,6 +164,8 @@
         }
         for (const wire::RelayLife& life : frame.forgotten())
             m_parts.workers->forget({ .id = life.worker(), .address = life.address() });
+        if (frame.has_admission() && m_parts.granted)
+            m_parts.granted(grantsOf(frame.admission()));
         // The owner hears from here whenever it says something.
         if (frame.calls().empty())
             sendSoon();
--- a/src/jobs/relay/relayed_workers.cpp
+++ b/src/jobs/relay/relayed_workers.cpp
@@ -1,5 +1,6 @@
 #include "lanemoor/jobs/relay/relayed_workers.h"
 
+#include "admission_codec.h"
 #include "lanemoor/adapters/event_log.h"
 #include "lanemoor/jobs/model/work_meter.h"
 #include "relay_codec.h"
@@ -7,6 +8,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -58,6 +60,7 @@
             relay.link->close();
         m_relays.clear();
         m_byName.clear();
+        m_granted.reset();
         m_plan = RelayPlan(m_options, m_ownCores);
         std::vector<std::uint64_t> all;
         for (const auto& [call, pending] : m_pending)
@@ -141,6 +144,15 @@
         sendSoon(used);
     }
 
+    AdmissionGrants grant(const AdmissionGrants& grants)
+    {
+        AdmissionGrants part = partOf(grants, static_cast<std::uint32_t>(m_byName.size() + 1));
+        m_granted = part;
+        for (const auto& [name, number] : m_byName)
+            sendGranted(m_relays.at(number));
+        return part;
+    }
+
     [[nodiscard]] RelayCounts counts() const
     {
         RelayCounts counts = m_counts;
@@ -151,6 +163,17 @@
     [[nodiscard]] WorkerControl& direct() { return *m_parts.direct; }
 
 private:
+    struct Relay;
+
+    void sendGranted(Relay& relay)
+    {
+        if (!m_granted)
+            return;
+        relay.frame.clear_admission();
+        jobs::fill(*relay.frame.mutable_admission(), *m_granted);
+        sendSoon(relay);
+    }
+
     void noteUnreadPayload(std::uint64_t number)
     {
         const auto relay = m_relays.find(number);
@@ -223,6 +246,7 @@
             lost(before->second, "replaced");
         m_byName[relay.name] = number;
         m_plan.addRelay(relay.name, hello.milli_cores() / milli);
+        sendGranted(relay);
         // From here on it can tell the owner's end from an owner that never answered.
         send(relay);
         m_parts.log->decision("relay-joined", { { "relay", hello.name() }, { "milli_cores", std::int64_t { hello.milli_cores() } } });
@@ -385,6 +409,7 @@
     RelayPlan m_plan;
     RelayCounts m_counts;
     bool m_active = false;
+    std::optional<AdmissionGrants> m_granted; ///< The latest part of one instance.
     std::uint64_t m_term = 0;
     std::uint64_t m_lastRelay = 0;
     std::uint64_t m_lastCall = 0;
@@ -450,6 +475,11 @@
     m_impl->forget(worker);
 }
 
+AdmissionGrants RelayedWorkers::grant(const AdmissionGrants& grants)
+{
+    return m_impl->grant(grants);
+}
+
 RelayCounts RelayedWorkers::counts() const noexcept
 {
     return m_impl->counts();
