--- a/include/lanemoor/jobs/relay/order_relay.h
+++ b/include/lanemoor/jobs/relay/order_relay.h
@@ -20,6 +20,8 @@
 
 namespace lanemoor::jobs {
 
+struct AdmissionGrants;
+
 /// What a relay works with. All of it outlives the relay.
 struct OrderRelayParts {
     EventLoop* loop = nullptr;
@@ -31,6 +33,7 @@
     std::function<void(const std::string& address)> ownerGone;
     /// Gives what this instance was asked for since the last call, for the owner. Null: nothing is reported.
     std::function<std::vector<EntryDemand>()> takeDemand;
+    std::function<void(const AdmissionGrants& grants)> granted; ///< Hears what this instance may admit. Null: nobody is told.
 };
 
 /// \brief Offers itself to the owner, makes the calls that the owner asks for, and sends the
--- a/include/lanemoor/jobs/relay/relayed_workers.h
+++ b/include/lanemoor/jobs/relay/relayed_workers.h
@@ -2,6 +2,7 @@
 /// \file
 /// The owner's calls to workers, carried by relays where there are too many for one machine.
 
+#include "lanemoor/jobs/model/admission_grants.h"
 #include "lanemoor/jobs/model/entry_demand.h"
 #include "lanemoor/jobs/model/event_loop.h"
 #include "lanemoor/jobs/model/worker_control.h"
@@ -67,6 +68,10 @@
     void noteOverdue(const WorkerLife& worker) override;
     void forget(const WorkerLife& worker) override;
 
+    /// \brief Sends each linked instance its part of what all may admit; those that link later get it too.
+    /// \returns The part of one instance, this one included.
+    AdmissionGrants grant(const AdmissionGrants& grants);
+
     [[nodiscard]] RelayCounts counts() const noexcept;
 
     /// \returns Which data halls are reached over which paths, by the outcome of calls of this term.
--- a/include/lanemoor/jobs/service/job_service.h
+++ b/include/lanemoor/jobs/service/job_service.h
@@ -83,6 +83,9 @@
     /// \returns Within whole seconds, how long the caller of a submission should wait that the store did not take or answer.
     [[nodiscard]] Millis retryAfter(const std::string& submission);
 
+    /// \returns When a caller should come back whose job was refused for its organisation's share.
+    [[nodiscard]] Millis retryAfterRefusal(const Caller& caller) const;
+
     /// \name Callers
     ///@{
     /// \brief Finds the queue of a request and checks its key, by one configuration.
--- a/include/lanemoor/jobs/service/policies.h
+++ b/include/lanemoor/jobs/service/policies.h
@@ -3,12 +3,13 @@
 /// What can be switched and weighed in the decisions, for experiments and ablations.
 
 #include "lanemoor/jobs/intake/job_lookup.h"
+#include "lanemoor/jobs/policy/admission_options.h"
 #include "lanemoor/jobs/policy/capacity_plan.h"
 #include "lanemoor/jobs/policy/crash_attribution.h"
 #include "lanemoor/jobs/policy/failure_domains.h"
 #include "lanemoor/jobs/policy/placement_options.h"
-#include "lanemoor/jobs/policy/worker_health.h"
 #include "lanemoor/jobs/policy/reachability.h"
+#include "lanemoor/jobs/policy/worker_health.h"
 #include "lanemoor/jobs/relay/relay_plan.h"
 #include "lanemoor/jobs/store/store_outage_options.h"
 
@@ -16,6 +17,7 @@
 
 /// \brief All policies of the job service. The defaults are what measured best.
 struct Policies {
+    AdmissionOptions admission;
     CapacityOptions capacity;
     PlacementOptions placement;
     CrashOptions crashes;
--- a/src/jobs/relay/demand_codec.cpp
+++ b/src/jobs/relay/demand_codec.cpp
@@ -1,76 +1,25 @@
 #include "demand_codec.h"
 
-#include <google/protobuf/unknown_field_set.h>
-#include <optional>
-
 namespace lanemoor::jobs {
 
-namespace {
-
-using google::protobuf::UnknownField;
-using google::protobuf::UnknownFieldSet;
-
-constexpr int demandField = 9; // Of RelayFrame.
-constexpr int queueField = 1;
-constexpr int organisationField = 2;
-constexpr int admittedField = 3;
-constexpr int refusedField = 4;
-constexpr int workField = 5;
-
-void write(UnknownFieldSet& message, const EntryDemand& demand)
-{
-    message.AddLengthDelimited(queueField, demand.queue);
-    message.AddLengthDelimited(organisationField, demand.organisation);
-    message.AddVarint(admittedField, demand.admitted);
-    message.AddVarint(refusedField, demand.refused);
-    message.AddVarint(workField, demand.workMillis);
-}
-
-void read(const UnknownField& field, EntryDemand& demand)
-{
-    if (field.type() == UnknownField::TYPE_LENGTH_DELIMITED && field.number() == queueField)
-        demand.queue = field.length_delimited();
-    else if (field.type() == UnknownField::TYPE_LENGTH_DELIMITED && field.number() == organisationField)
-        demand.organisation = field.length_delimited();
-    else if (field.type() == UnknownField::TYPE_VARINT && field.number() == admittedField)
-        demand.admitted = static_cast<std::uint32_t>(field.varint());
-    else if (field.type() == UnknownField::TYPE_VARINT && field.number() == refusedField)
-        demand.refused = static_cast<std::uint32_t>(field.varint());
-    else if (field.type() == UnknownField::TYPE_VARINT && field.number() == workField)
-        demand.workMillis = field.varint();
-}
-
-std::optional<EntryDemand> readDemand(const UnknownField& field)
-{
-    UnknownFieldSet message;
-    if (field.number() != demandField || field.type() != UnknownField::TYPE_LENGTH_DELIMITED || !message.ParseFromString(field.length_delimited()))
-        return std::nullopt;
-    EntryDemand demand;
-    for (int i = 0; i < message.field_count(); ++i)
-        read(message.field(i), demand);
-    return demand;
-}
-
-} // namespace
-
 void addDemand(wire::RelayFrame& frame, const std::vector<EntryDemand>& demands)
 {
-    UnknownFieldSet* fields = wire::RelayFrame::GetReflection()->MutableUnknownFields(&frame);
     for (const EntryDemand& demand : demands) {
-        UnknownFieldSet message;
-        write(message, demand);
-        static_cast<void>(message.SerializeToString(fields->AddLengthDelimited(demandField)));
+        wire::EntryDemand& message = *frame.add_demand();
+        message.set_queue(demand.queue);
+        message.set_organisation(demand.organisation);
+        message.set_admitted(demand.admitted);
+        message.set_refused(demand.refused);
+        message.set_work_ms(demand.workMillis);
     }
 }
 
 std::vector<EntryDemand> demandOf(const wire::RelayFrame& frame)
 {
     std::vector<EntryDemand> demands;
-    const UnknownFieldSet& fields = wire::RelayFrame::GetReflection()->GetUnknownFields(frame);
-    for (int i = 0; i < fields.field_count(); ++i) {
-        if (std::optional<EntryDemand> demand = readDemand(fields.field(i)))
-            demands.push_back(std::move(*demand));
-    }
+    demands.reserve(static_cast<std::size_t>(frame.demand_size()));
+    for (const wire::EntryDemand& message : frame.demand())
+        demands.push_back({ .queue = message.queue(), .organisation = message.organisation(), .admitted = message.admitted(), .refused = message.refused(), .workMillis = message.work_ms() });
     return demands;
 }
 
--- a/src/jobs/relay/relayed_workers.cpp
+++ b/src/jobs/relay/relayed_workers.cpp
@@ -1,5 +1,6 @@
 #include "lanemoor/jobs/relay/relayed_workers.h"
 
+#include "admission_codec.h"
 #include "demand_codec.h"
 #include "lanemoor/adapters/event_log.h"
 #include "lanemoor/jobs/model/work_meter.h"
@@ -10,6 +11,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -66,6 +68,7 @@
             relay.link->close();
         m_relays.clear();
         m_byName.clear();
+        m_granted.reset();
         m_plan = RelayPlan(m_options, m_ownCores, m_reachability, m_ownHall);
         m_openCalls.clear();
         m_reachLog.forget();
@@ -198,6 +201,15 @@
         sendSoon(used);
     }
 
+    AdmissionGrants grant(const AdmissionGrants& grants)
+    {
+        AdmissionGrants part = partOf(grants, static_cast<std::uint32_t>(m_byName.size() + 1));
+        m_granted = part;
+        for (const auto& [name, number] : m_byName)
+            sendGranted(m_relays.at(number));
+        return part;
+    }
+
     [[nodiscard]] RelayCounts counts() const
     {
         RelayCounts counts = m_counts;
@@ -283,6 +295,17 @@
             direct().renew(worker, order, std::get<std::function<void(RenewResult)>>(watched(worker, Millis(0), std::move(ignored))));
     }
 
+    struct Relay;
+
+    void sendGranted(Relay& relay)
+    {
+        if (!m_granted)
+            return;
+        relay.frame.clear_admission();
+        jobs::fill(*relay.frame.mutable_admission(), *m_granted);
+        sendSoon(relay);
+    }
+
     void noteUnreadPayload(std::uint64_t number)
     {
         const auto relay = m_relays.find(number);
@@ -360,6 +383,7 @@
             lost(before->second, "replaced");
         m_byName[relay.name] = number;
         m_plan.addRelay(relay.name, hello.milli_cores() / milli, hello.data_hall());
+        sendGranted(relay);
         // From here on it can tell the owner's end from an owner that never answered.
         send(relay);
         m_parts.log->decision("relay-joined", { { "relay", hello.name() }, { "milli_cores", std::int64_t { hello.milli_cores() } }, { "data_hall", hello.data_hall() } });
@@ -529,6 +553,7 @@
     std::uint64_t m_publishedChanges = 0;
     RelayCounts m_counts;
     bool m_active = false;
+    std::optional<AdmissionGrants> m_granted; ///< The latest part of one instance.
     std::uint64_t m_term = 0;
     std::uint64_t m_lastRelay = 0;
     std::uint64_t m_lastCall = 0;
@@ -600,6 +625,11 @@
     m_impl->forget(worker);
 }
 
+AdmissionGrants RelayedWorkers::grant(const AdmissionGrants& grants)
+{
+    return m_impl->grant(grants);
+}
+
 RelayCounts RelayedWorkers::counts() const noexcept
 {
     return m_impl->counts();
