--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -386,12 +386,9 @@
     }
     const auto report = [this, id = worker.id, answer, unreachable, givenUpAt = clock.now() + order.wait + callTime](std::uint64_t life) {
         SimClock& later = m_workers.m_clock;
-        if (!answerArrives(m_workers.m_workers[id].entry)) {
-            later.at(givenUpAt, [answer] { answer({}); });
-            return;
-        }
-        if (unreachable() || !m_workers.isLife(id, life)) {
-            later.after(callTime, [answer] { answer({}); });
+        const bool isCut = !answerArrives(m_workers.m_workers[id].entry);
+        if (isCut || unreachable() || !m_workers.isLife(id, life)) {
+            later.at(isCut ? givenUpAt : later.now() + callTime, [answer] { answer({}); });
             return;
         }
         const WorkerModel& model = m_workers.m_workers[id];
