Reads that confirm a transaction take a token each

Cause: since a confirmation reads all keys of a transaction, one token bought up to 16 calls: against a store that answers 300 transactions in 240 ms each there were 55 repeats where the budget allows 50.

Change: a confirmation takes as many tokens as it makes reads, and gives them back if it settles its call. The settings of store outages have a test.

--- a/include/lanemoor/jobs/store/hedge_budget.h
+++ b/include/lanemoor/jobs/store/hedge_budget.h
@@ -23,12 +23,12 @@
     /// \brief Notes a call that is sent for the first time.
     void noteCall() noexcept { add(m_share); }
 
-    /// \brief Takes a token for a repeat. \returns False if there is none.
-    [[nodiscard]] bool take() noexcept
+    /// \brief Takes a token for each call of a repeat. \returns False if there are not so many; none is taken then.
+    [[nodiscard]] bool take(unsigned calls) noexcept
     {
-        if (m_tokens < 1)
+        if (m_tokens < calls)
             return false;
-        m_tokens -= 1;
+        m_tokens -= calls;
         return true;
     }
 
--- a/src/jobs/store/hedged_store.cpp
+++ b/src/jobs/store/hedged_store.cpp
@@ -87,14 +87,15 @@
 public:
     virtual ~WaitingCall() = default;
 
-    /// \returns Whether a repeat may be a read of what was written instead.
-    [[nodiscard]] virtual bool canConfirm() const { return false; }
+    /// \returns Reads that it takes to confirm the call instead of repeating it; 0: it can't be confirmed.
+    [[nodiscard]] virtual unsigned readsToConfirm() const { return 0; }
 
     MonotonicInstant startedAt;
     MonotonicInstant sentAt; ///< Of the last try.
     unsigned tries = 0;
     unsigned open = 0; ///< Tries, and reads of what was written, without an answer or time-out.
-    unsigned hedges = 0; ///< Repeats that took a token.
+    unsigned hedges = 0; ///< Repeats within the budget.
+    unsigned tokens = 0; ///< That they took.
     bool denied = false;
     bool mayBeDone = false; ///< A try ended without an answer.
     bool resent = false; ///< When the store was back.
@@ -109,7 +110,7 @@
 
 class CommitCall final : public WaitingCall {
 public:
-    [[nodiscard]] bool canConfirm() const override { return true; }
+    [[nodiscard]] unsigned readsToConfirm() const override { return static_cast<unsigned>(transaction.writes.size() + otherConditions(transaction).size()); }
 
     Transaction transaction;
     std::function<void(CommitResult)> done;
@@ -246,13 +247,16 @@
     template <typename Call>
     void hedge(CallId id, const std::shared_ptr<Call>& call)
     {
-        if (!m_budget.take()) {
+        const bool confirms = call->hedges + 1 == maxHedges && call->readsToConfirm() > 0;
+        const unsigned tokens = confirms ? call->readsToConfirm() : 1;
+        if (!m_budget.take(tokens)) {
             call->denied = true;
             endIfOver(id, call);
             return;
         }
         ++call->hedges;
-        if (call->canConfirm() && call->hedges == maxHedges)
+        call->tokens += tokens;
+        if (confirms)
             confirm(id, call);
         else
             send(id, call);
@@ -327,7 +331,7 @@
     {
         if (call->hedges > 0 && attempt > 1) {
             ++counts.settled;
-            m_budget.giveBack(call->hedges);
+            m_budget.giveBack(call->tokens);
         } else if (call->hedges > 0) {
             ++counts.overtaken;
         }
@@ -387,7 +391,7 @@
     {
         if (others.empty()) {
             ++counts.confirmed;
-            m_budget.giveBack(call->hedges);
+            m_budget.giveBack(call->tokens);
             finish(id, call, CommitResult { .outcome = StoreOutcome::Done, .revision = revision, .current = {} });
             return;
         }
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -106,6 +106,23 @@
     CHECK_FALSE(reader.read(with(R"("policies":{"relay":{"shrinkAt":0.5}})")).has_value());
 }
 
+TEST_CASE("Settings of store outages are read and checked")
+{
+    const auto with = [](const std::string& more) {
+        return "{\"name\":\"e\",\"dataHall\":\"h\",\"jobService\":{\"front\":\"10.0.0.1:1\",\"readiness\":\"10.0.0.1:2\",\"store\":\"10.0.0.2:3\",\"fleet\":\"10.0.0.3:4\",\n\"policies\":{\"storeOutages\":{" + more + "}}}}";
+    };
+    JobServiceSettingsReader reader;
+    const auto settings = reader.read(with(R"("enabled":false,"hedgeShare":0.2,"hedgeBurst":5,"returnSpreadMs":100)"));
+    REQUIRE(settings);
+    CHECK(settings->policies.storeOutages == StoreOutageOptions { .enabled = false, .hedgeShare = 0.2, .hedgeBurst = 5, .returnSpread = Millis(100) });
+    CHECK(reader.read(with(""))->policies.storeOutages == StoreOutageOptions {});
+    for (const char* bad : { R"("hedgeShare":1.5)", R"("hedgeBurst":-1)", R"("enabled":1)", R"("returnSpreadMs":"soon")", R"("odd":1)" }) {
+        CHECK_FALSE(reader.read(with(bad)).has_value());
+        CHECK(reader.faults().front().position.line == 2);
+        CHECK(reader.faults().front().field.find("/jobService/policies/storeOutages/") == 0);
+    }
+}
+
 TEST_CASE("The owner's record names where its calls may be relayed from")
 {
     const OwnerRecord owner { "entry-1", 7, "10.0.0.1:7060" };
