--- a/tests/jobs/organisation_pressure_test.cpp
+++ b/tests/jobs/organisation_pressure_test.cpp
@@ -79,7 +79,8 @@
     void play(Millis time, const std::vector<double>& rates)
     {
         constexpr Millis step { 20 };
-        std::vector<double> owed(rates.size(), 0);
+        std::vector<double> inPhase(rates.size(), 0);
+        std::vector<double>& owed = m_staggered.empty() ? inPhase : m_staggered;
         for (Millis passed(0); passed < time; passed += step) {
             for (std::size_t i = 0; i < rates.size(); ++i) {
                 for (owed[i] += rates[i] * std::chrono::duration<double>(step).count(); owed[i] >= 1; owed[i] -= 1)
@@ -90,6 +91,13 @@
         }
     }
 
+    /// Organisations submit one after the other from now on, in place of all at once.
+    void stagger()
+    {
+        for (std::size_t i = 0; i < outcomes.size(); ++i)
+            m_staggered.push_back(static_cast<double>(i) / static_cast<double>(outcomes.size()));
+    }
+
     /// Counts the jobs that have ended since the last call.
     void settle()
     {
@@ -186,6 +194,7 @@
         });
     }
 
+    std::vector<double> m_staggered; ///< Part of a job that each organisation owes; empty: they submit in phase.
     std::uint64_t m_version = 1;
     std::uint64_t m_lastJob = 0;
     std::map<std::string, Job> m_jobs; ///< Not ended, and not given up.
@@ -247,3 +256,51 @@
     burst(cluster, rates, 1, 20);
     CHECK(cluster.outcomes[0].late <= cluster.outcomes[0].accepted / 50);
 }
+
+TEST_CASE("Bursts of a small organisation, and of two at once, leave others what they are owed")
+{
+    for (const std::size_t hot : { std::size_t { 1 }, std::size_t { 2 } }) {
+        PressureCluster cluster(2, 20, true);
+        burst(cluster, usualRates(20), hot, 100);
+        cluster.print("small, with", hot);
+        CHECK(cluster.refusals > 0);
+        CHECK(cluster.others(hot).served() > 0.95);
+        CHECK(cluster.ranThoughRefused() == 0);
+        CHECK(cluster.witness.breaches().empty());
+        REQUIRE(cluster.waitFor(Millis(30'000), [&] { return cluster.unserved() == 0; }));
+    }
+}
+
+TEST_CASE("A burst among 180 organisations leaves others what they are owed")
+{
+    PressureCluster cluster(3, 180, true);
+    cluster.stagger();
+    std::vector<double> rates = usualRates(180);
+    rates[0] = 4;
+    burst(cluster, rates, 1, 30);
+    cluster.print("180, with", 1);
+    CHECK(cluster.others(1).submitted > 50);
+    CHECK(cluster.refusals > 0);
+    CHECK(cluster.others(1).served() > 0.95);
+    CHECK(cluster.ranThoughRefused() == 0);
+    REQUIRE(cluster.waitFor(Millis(30'000), [&] { return cluster.unserved() == 0; }));
+}
+
+TEST_CASE("A burst over the loss of the owner breaks no promise, and the successor limits it again")
+{
+    PressureCluster cluster(4, 20, true);
+    std::vector<double> rates = usualRates(20);
+    rates[0] = 160;
+    cluster.play(Millis(2'000), rates);
+    cluster.kill(cluster.owner().value());
+    cluster.play(Millis(3'000), rates);
+    const std::uint64_t refusals = cluster.refusals;
+    const std::size_t accepted = cluster.outcomes[0].accepted;
+    cluster.play(Millis(2'000), rates);
+    cluster.print("lost owner, with", 1);
+    CHECK(cluster.refusals > refusals);
+    CHECK(cluster.outcomes[0].accepted - accepted < 160);
+    CHECK(cluster.ranThoughRefused() == 0);
+    CHECK(cluster.witness.breaches().empty());
+    REQUIRE(cluster.waitFor(Millis(60'000), [&] { return cluster.unserved() == 0; }));
+}
