Bound what a cut costs the owner, and take no evidence from its own pauses

Found in review: each overdue call ranked all relays and went to the same one, workers of a data hall that no path reaches asked for a new path at each call, each piece of evidence counted workers over all relays, and timers that fire first after a pause of the owner marked paths as cut. Rankings are kept for 100 ms and calls taken count before the share; a data hall without a path is not chosen for again before the plan changes; calls due before a pause ended are no evidence, nor are those of incarnations that are over. A second hello, or one without a name, ends its link.

--- a/include/lanemoor/jobs/policy/reachability.h
+++ b/include/lanemoor/jobs/policy/reachability.h
@@ -79,6 +79,7 @@
     std::string dataHall;
     PathState to = PathState::Unknown;
     std::vector<std::string> evidence; ///< Workers that did not answer.
+    std::size_t workers = 0; ///< Of the data hall whose calls took the path.
     MonotonicInstant evidenceSince; ///< When the first of their answers was expected, or since when the path was unreachable.
 
     [[nodiscard]] bool operator==(const PathChange&) const = default;
--- a/include/lanemoor/jobs/relay/relay_plan.h
+++ b/include/lanemoor/jobs/relay/relay_plan.h
@@ -115,6 +115,22 @@
         std::size_t hall = 0; ///< See `ReachabilityTable::hallOf`.
     };
 
+    /// A path as it is ranked for calls to one data hall.
+    struct Detour {
+        std::string path;
+        std::string from; ///< Data hall where it starts.
+        PathRank rank = PathRank::MayReach;
+        bool isElsewhere = false; ///< It starts in another data hall.
+        double share = 0; ///< Of its capacity that is taken.
+        std::uint32_t taken = 0; ///< Calls since the ranking.
+    };
+
+    struct Detours {
+        MonotonicInstant validUntil;
+        std::vector<Detour> paths;
+    };
+
+    [[nodiscard]] std::vector<Detour>& detoursTo(std::size_t hall, MonotonicInstant now);
     void noteSize();
     void resize();
     void useByLoad(const std::vector<std::pair<const std::string, Relay>*>& largestFirst);
@@ -142,6 +158,8 @@
     MonotonicInstant m_now; ///< Of the last call that told it.
     std::optional<MonotonicInstant> m_restEndsAt; ///< Of the relay that rests the shortest; nothing: none rests.
     bool m_awaitsProbe = false; ///< A relay on probation has no worker yet.
+    std::set<std::size_t> m_hallsWithoutPath; ///< No relay in use reaches them, by the last choice since the plan was made.
+    std::map<std::size_t, Detours> m_detours; ///< By data hall.
     double m_fairShare = 0; ///< Workers by capacity, if all relays in use carried the same share.
 };
 
--- a/src/jobs/relay/open_calls.cpp
+++ b/src/jobs/relay/open_calls.cpp
@@ -27,6 +27,16 @@
     return open;
 }
 
+void OpenCalls::forget(const std::string& worker)
+{
+    const auto of = m_byWorker.find(worker);
+    if (of == m_byWorker.end())
+        return;
+    for (const std::uint64_t call : of->second.calls)
+        m_calls.erase(call);
+    m_byWorker.erase(of);
+}
+
 std::vector<OpenCall> OpenCalls::markOverdue(const std::string& worker, MonotonicInstant now)
 {
     std::vector<OpenCall> marked;
--- a/src/jobs/relay/open_calls.h
+++ b/src/jobs/relay/open_calls.h
@@ -33,6 +33,9 @@
     /// \brief A call ended. \returns It, or nothing if it is not known.
     std::optional<OpenCall> take(std::uint64_t call);
 
+    /// \brief The worker's incarnation is over: its calls say nothing of their paths any more.
+    void forget(const std::string& worker);
+
     /// \brief Marks the worker's calls whose answer should be there by now.
     /// \returns Those that were not marked before.
     std::vector<OpenCall> markOverdue(const std::string& worker, MonotonicInstant now);
--- a/src/jobs/relay/reach_log.cpp
+++ b/src/jobs/relay/reach_log.cpp
@@ -23,12 +23,12 @@
 
 } // namespace
 
-void ReachLog::note(const PathChange& change, const std::optional<std::string>& next, std::size_t workers, const Reachability& after)
+void ReachLog::note(const PathChange& change, const std::optional<std::string>& next, const Reachability& after)
 {
     ++m_pathChanges;
     const std::int64_t age = std::chrono::duration_cast<Millis>(after.asOf - change.evidenceSince).count();
     if (change.to == PathState::Unreachable)
-        m_log->decision("path-changed", { { "data_hall", change.dataHall }, { "from", textOf(change.path) }, { "to", next ? textOf(*next) : std::string() }, { "workers", static_cast<std::int64_t>(workers) }, { "evidence", textOf(change.evidence) }, { "age_ms", age } });
+        m_log->decision("path-changed", { { "data_hall", change.dataHall }, { "from", textOf(change.path) }, { "to", next ? textOf(*next) : std::string() }, { "workers", static_cast<std::int64_t>(change.workers) }, { "evidence", textOf(change.evidence) }, { "age_ms", age } });
     else
         m_log->decision("path-restored", { { "data_hall", change.dataHall }, { "path", textOf(change.path) }, { "unreachable_ms", age } });
     noteHall(change, after, age);
--- a/src/jobs/relay/reach_log.h
+++ b/src/jobs/relay/reach_log.h
@@ -26,7 +26,7 @@
 
     /// \param next Where calls to the data hall go now; nothing: there is no other path, or none is needed.
     /// \param workers That were called over the path. \param after What is known after the change.
-    void note(const PathChange& change, const std::optional<std::string>& next, std::size_t workers, const Reachability& after);
+    void note(const PathChange& change, const std::optional<std::string>& next, const Reachability& after);
 
     /// \brief A term ended: its data halls are not known any more.
     void forget() { m_unreachable.clear(); }
--- a/src/jobs/relay/relay_plan.cpp
+++ b/src/jobs/relay/relay_plan.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
+#include <string_view>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -25,6 +27,8 @@
 constexpr std::size_t planSteps = 100;
 /// A relay that carries the workers of a data hall which others do not reach gets so many times its capacity.
 constexpr double mostOverCapacity = 2.0;
+/// The ranks of detours are kept for so long; a change of a path ends them sooner.
+constexpr Millis detoursLast { 100 };
 /// Shares of capacity that differ by less count as even.
 constexpr double leastGap = 0.1;
 
@@ -82,8 +86,10 @@
 {
     m_now = std::max(m_now, now);
     std::optional<PathChange> change = m_reachability.noteUnanswered(relay, m_reachability.hallOf(dataHall), worker, expectedAt, now);
-    if (change)
+    if (change) {
+        change->workers = workersOver(relay, dataHall);
         resize();
+    }
     return change;
 }
 
@@ -173,7 +179,7 @@
 {
     if (m_inUse == 0)
         return false;
-    const bool hasCut = m_reachability.hasCut(place.hall);
+    const bool hasCut = m_reachability.hasCut(place.hall) && !m_hallsWithoutPath.contains(place.hall);
     if (!m_isByLoad)
         return hasCut ? !mayReach(place.relay, place.hall) : !place.relay.empty();
     return place.relay.empty() || isOverloaded(place.relay) || m_awaitsProbe || (hasCut && !mayReach(place.relay, place.hall));
@@ -228,6 +234,8 @@
 void RelayPlan::resize()
 {
     m_plannedFor = m_places.size();
+    m_hallsWithoutPath.clear();
+    m_detours.clear();
     std::vector<std::pair<const std::string, Relay>*> largestFirst;
     for (auto& relay : m_relays) {
         relay.second.isWanted = false;
@@ -284,6 +292,7 @@
     m_inUse = 0;
     m_restEndsAt.reset();
     m_awaitsProbe = false;
+    std::set<std::string_view> leaving;
     for (auto& [name, relay] : m_relays) {
         if (relay.restsUntil > m_now)
             m_restEndsAt = std::min(m_restEndsAt.value_or(relay.restsUntil), relay.restsUntil);
@@ -298,8 +307,11 @@
             continue;
         relay.workers = 0;
         relay.workersByHall.clear();
+        leaving.insert(name);
+    }
+    if (!leaving.empty()) {
         for (auto& [worker, place] : m_places) {
-            if (place.relay == name)
+            if (leaving.contains(place.relay))
                 place.relay.clear();
         }
     }
@@ -349,6 +361,30 @@
     const bool isEven = hasCut && usedBy.first <= bestBy.first && usedBy.second <= unevenness * bestBy.second + leastGap;
     if (best && *best != place.relay && !isEven)
         moveTo(place, *best);
+    if (hasCut && !best)
+        m_hallsWithoutPath.insert(place.hall);
+}
+
+/// \returns All paths to a data hall. They are ranked again after a while, since a data hall that is cut off has hundreds
+/// of overdue calls.
+std::vector<RelayPlan::Detour>& RelayPlan::detoursTo(std::size_t hall, MonotonicInstant now)
+{
+    Detours& detours = m_detours[hall];
+    if (now < detours.validUntil)
+        return detours.paths;
+    detours.validUntil = now + detoursLast;
+    detours.paths.clear();
+    const std::string& dataHall = m_reachability.nameOfHall(hall);
+    const auto add = [&](const std::string& path, double share) {
+        const std::string& from = m_reachability.hallOfPath(path);
+        detours.paths.push_back({ .path = path, .from = from, .rank = m_reachability.rank(path, hall, now), .isElsewhere = from != dataHall, .share = share });
+    };
+    for (const auto& [name, relay] : m_relays) {
+        if (relay.restsUntil <= now)
+            add(name, static_cast<double>(relay.workers) / relay.capacity());
+    }
+    add({}, 1.0);
+    return detours.paths;
 }
 
 std::optional<std::string> RelayPlan::otherPath(const std::string& dataHall, const std::set<std::string>& avoided, MonotonicInstant now)
@@ -359,22 +395,17 @@
     std::set<std::string> avoidedHalls;
     for (const std::string& path : avoided)
         avoidedHalls.insert(m_reachability.hallOfPath(path));
-    std::optional<std::string> best;
-    std::tuple<PathRank, bool, bool, double> bestBy;
-    const auto consider = [&](const std::string& path, double share) {
-        const std::string& from = m_reachability.hallOfPath(path);
-        const std::tuple<PathRank, bool, bool, double> by { m_reachability.rank(path, hall, now), avoidedHalls.contains(from), from != dataHall, share };
-        if (avoided.contains(path) || (best && by >= bestBy))
-            return;
-        best = path;
-        bestBy = by;
-    };
-    for (const auto& [name, relay] : m_relays) {
-        if (relay.restsUntil <= now)
-            consider(name, static_cast<double>(relay.workers) / relay.capacity());
+    Detour* best = nullptr;
+    // The calls taken come before the share: one relay would carry the overdue calls of a whole data hall.
+    const auto order = [&](const Detour& detour) { return std::tuple { detour.rank, avoidedHalls.contains(detour.from), detour.isElsewhere, detour.taken, detour.share }; };
+    for (Detour& detour : detoursTo(hall, now)) {
+        if (!avoided.contains(detour.path) && (!best || order(detour) < order(*best)))
+            best = &detour;
     }
-    consider({}, 1.0);
-    return best;
+    if (!best)
+        return std::nullopt;
+    ++best->taken;
+    return best->path;
 }
 
 std::optional<std::string> RelayPlan::takeRetry(const std::string& dataHall, MonotonicInstant now)
--- a/src/jobs/relay/relayed_workers.cpp
+++ b/src/jobs/relay/relayed_workers.cpp
@@ -190,6 +190,7 @@
     void forget(const WorkerLife& worker)
     {
         const std::string name = m_plan.forget(worker.id);
+        m_openCalls.forget(worker.id);
         m_parts.direct->forget(worker);
         const auto relay = m_byName.find(name);
         if (relay == m_byName.end())
@@ -269,18 +270,20 @@
 
     void noteEvidence(const OpenCall& call)
     {
-        const std::size_t workers = m_plan.workersOver(call.path, call.dataHall);
-        const std::optional<PathChange> change = m_plan.noteEvidence(call.path, call.worker, call.dataHall, call.expectedAt, m_parts.loop->now());
-        noteChange(change, workers);
+        const MonotonicInstant now = m_parts.loop->now();
+        // Answers may wait behind the timers of a process that was held up.
+        if (call.expectedAt < m_evidenceFrom || now - m_checkedAt > check + heldUp)
+            return;
+        noteChange(m_plan.noteEvidence(call.path, call.worker, call.dataHall, call.expectedAt, now));
     }
 
-    void noteChange(const std::optional<PathChange>& change, std::size_t workers = 0)
+    void noteChange(const std::optional<PathChange>& change)
     {
         if (!change)
             return;
         const MonotonicInstant now = m_parts.loop->now();
         const std::optional<std::string> next = change->to == PathState::Unreachable ? m_plan.otherPath(change->dataHall, { change->path }, now) : std::nullopt;
-        m_reachLog.note(*change, next, workers, *reachability());
+        m_reachLog.note(*change, next, *reachability());
     }
 
     /// Asks one worker over a path that did not reach its data hall what it holds: its own calls keep their path.
@@ -376,6 +379,10 @@
     void joined(std::uint64_t number, Relay& relay, const wire::RelayHello& hello)
     {
         constexpr double milli = 1'000;
+        if (hello.name().empty() || !relay.name.empty()) {
+            lost(number, "unnamed");
+            return;
+        }
         relay.name = hello.name();
         // An earlier link of the same instance is no use any more.
         const auto before = m_byName.find(relay.name);
@@ -515,6 +522,8 @@
     {
         const MonotonicInstant now = m_parts.loop->now();
         const bool wasHeldUp = now - std::exchange(m_checkedAt, now) > check + heldUp;
+        if (wasHeldUp)
+            m_evidenceFrom = now;
         std::vector<std::uint64_t> silent;
         for (auto& [number, relay] : m_relays) {
             const bool isUsed = now - relay.usedAt < usedLinkSilence;
@@ -560,6 +569,7 @@
     std::size_t m_loggedRelays = 0;
     bool m_gathering = false; ///< A round of frames is on its way.
     MonotonicInstant m_checkedAt;
+    MonotonicInstant m_evidenceFrom; ///< Calls that were due before say nothing of their paths.
     std::map<std::uint64_t, Relay> m_relays; ///< By number of the link.
     std::map<std::string, std::uint64_t> m_byName; ///< Of those that take calls.
     std::map<std::uint64_t, Pending> m_pending; ///< By number of the call.
