Evacuations look for room by pool and label, and drains of returning halls are not ended at once

Found in review: one checkpointed task without room ended the search for all pools in that run, and a worker of a lost data hall that was taken back was drained by one plan and released by the next, since two rules for closed instances disagreed. Both use one rule now.

--- a/src/jobs/owner/evacuation.cpp
+++ b/src/jobs/owner/evacuation.cpp
@@ -91,14 +91,19 @@
 bool Evacuation::isBatchToMove(const JobState& job, const Attempt& attempt, const Booking& booking, const WorkerBook& worker)
 {
     const TaskState& task = *job.find(attempt.task);
-    if (!m_state.options.failureDomains.enabled || !worker.hallEvacuated || booking.step->gang || task.checkpoint.empty() || m_hasNoRoom)
+    if (!m_state.options.failureDomains.enabled || !worker.hallEvacuated || booking.step->gang || task.checkpoint.empty())
         return false;
     const auto passed = [&](MonotonicInstant::duration time) { return std::chrono::duration_cast<Millis>(time); };
     const CheckpointedAttempt progress { .elapsed = passed(m_state.now() - task.live->startedAt), .percent = task.live->percent, .declaredLeft = passed(booking.endsBy - m_state.now()) };
     if (!isWorthMoving(progress, m_state.options.checkpointMove))
         return false;
-    m_hasNoRoom = !m_others.hasRoomFor(job, { attempt.task.occurrence, attempt.task.step }, worker);
-    return !m_hasNoRoom;
+    const std::pair<std::string, std::string> kind { worker.entry.pool, booking.step->requiredLabel };
+    if (m_full.contains(kind))
+        return false;
+    if (m_others.hasRoomFor(job, { attempt.task.occurrence, attempt.task.step }, worker))
+        return true;
+    m_full.insert(kind);
+    return false;
 }
 
 } // namespace lanemoor::jobs
--- a/src/jobs/owner/evacuation.h
+++ b/src/jobs/owner/evacuation.h
@@ -5,6 +5,10 @@
 #include "order_desk.h"
 #include "other_sites.h"
 
+#include <set>
+#include <string>
+#include <utility>
+
 namespace lanemoor::jobs {
 
 /// \brief Stops long-running tasks on workers that are being emptied, so that they start
@@ -26,7 +30,8 @@
     OwnerState& m_state;
     OrderDesk& m_orders;
     OtherSites m_others;
-    bool m_hasNoRoom = false; ///< A batch task found none elsewhere: no other one is looked at in this run.
+    /// Pools and labels of which a batch task found no room elsewhere: no other one of the kind is looked at in this run.
+    std::set<std::pair<std::string, std::string>> m_full;
 };
 
 /// \returns Whether the budget of its step allows that a long-running task is taken away now.
--- a/src/jobs/owner/fleet_keeper.cpp
+++ b/src/jobs/owner/fleet_keeper.cpp
@@ -531,8 +531,7 @@
             seen.drainingFrom = draining->second.from;
         seen.sound = !isUp || reserve || !use || isSound || m_moving.contains(instance.id) || draining != m_draining.end();
         seen.coming = !reserve && (!isUp || !use || m_moving.contains(instance.id) || draining != m_draining.end());
-        // Of a lost data hall, workers serve that were taken back.
-        const bool isClosed = !m_domains->serves(instance.dataHall) && !(use && use->sound);
+        const bool isClosed = this->isClosed(instance, use);
         // One on its way there will take no work either.
         seen.sound = seen.sound && (reserve || !isClosed);
         if (isOrdered(instance.id) || isBlocked(instance.id) || isClosed)
@@ -612,13 +611,16 @@
         powerOffEvacuated((most - std::min(most, step.moves.size() + step.drains.size())) / 2);
     }
 
+    /// \returns Whether the instance's data hall is evacuated or lost. Of a lost one, workers serve that were taken back.
+    [[nodiscard]] bool isClosed(const FleetInstance& instance, const WorkerUse* use) const { return !m_domains->serves(instance.dataHall) && !(use && use->sound); }
+
     /// An instance of a data hall that is evacuated or lost is no help to the pool that it is emptied for.
     void undrainClosed()
     {
         std::vector<std::string> closed;
         for (const auto& [id, drain] : m_draining) {
             const auto listed = m_list.find(id);
-            if (listed != m_list.end() && !m_domains->serves(listed->second.dataHall))
+            if (listed != m_list.end() && isClosed(listed->second, useOf(listed->second)))
                 closed.push_back(id);
         }
         for (const std::string& id : closed)
