Announced ends of workers are no evidence of lost starts, whichever way they are found

Found in review: the check for draining stood twice where a worker is replaced, and not at all where its entry is removed, so that each planned drain had the first starts of its pool recorded under a new owner.

--- a/src/jobs/owner/worker_directory.cpp
+++ b/src/jobs/owner/worker_directory.cpp
@@ -26,10 +26,8 @@
     if (found != m_entries.end() && found->second.listed && found->second.worker == worker)
         return false;
     const bool isSameLife = found != m_entries.end() && found->second.worker.startedAt == worker.startedAt;
-    if (found != m_entries.end() && found->second.listed && !found->second.worker.draining && !isSameLife)
-        // Starts at a worker that announces its end stop seconds before its entry goes.
-        if (!found->second.worker.draining)
-            m_lastEnds[found->second.worker.pool] = m_loop.now();
+    if (found != m_entries.end() && found->second.listed && !isSameLife)
+        noteEnd(found->second.worker);
     const MonotonicInstant knownSince = isSameLife ? found->second.knownSince : m_loop.now();
     m_entries[worker.id] = { .worker = worker, .knownSince = knownSince };
     if (m_observer)
@@ -44,11 +42,18 @@
         return;
     found->second.listed = false;
     found->second.removedAt = m_loop.now();
-    m_lastEnds[found->second.worker.pool] = m_loop.now();
+    noteEnd(found->second.worker);
     if (m_observer)
         m_observer(id);
 }
 
+/// Starts at a worker that announces its end stop seconds before its entry goes.
+void WorkerDirectory::noteEnd(const WorkerEntry& worker)
+{
+    if (!worker.draining)
+        m_lastEnds[worker.pool] = m_loop.now();
+}
+
 std::optional<std::set<std::string>> WorkerDirectory::poolsWithRecentEnds() const
 {
     const MonotonicInstant from = m_loop.now() - recentEnds;
