Starts that are settled elsewhere no longer close their worker

Found in review: two starts lost in a cut kept a sound worker closed for up to 10 s after their stops were answered, as only a further start forgot them; each retry of one stop counted as another unanswered call; a recorded start was sent to a worker ejected meanwhile; and the bound on ejections counted workers of closed data halls as serving. Starts are settled wherever their booking ends, a stop counts once, ejected workers take no recorded start, and only workers that can serve count.

--- a/include/lanemoor/jobs/owner/worker_book.h
+++ b/include/lanemoor/jobs/owner/worker_book.h
@@ -71,7 +71,7 @@
     [[nodiscard]] bool isProbablyUp(MonotonicInstant now) const;
 
     /// \returns Whether a recorded start may be sent: the worker is open, and its capacity still covers all bookings.
-    [[nodiscard]] bool takesRecordedStart() const;
+    [[nodiscard]] bool takesRecordedStart(MonotonicInstant now) const;
 
     /// \returns Whether the life has been known for so long that a list of instances has shown it, which then can prove its end.
     [[nodiscard]] bool isEstablished(MonotonicInstant now) const { return now >= establishedAt(); }
--- a/src/jobs/owner/health_monitor.cpp
+++ b/src/jobs/owner/health_monitor.cpp
@@ -22,6 +22,12 @@
     return worker.session && worker.session->isMet() && !worker.session->isSilent() && worker.starts.isAnswering();
 }
 
+/// \returns Whether the worker counts for the bound on ejections: what is closed or drains serves no more, and is not judged.
+bool mayServe(const WorkerBook& worker)
+{
+    return worker.listed && worker.isHallOpen() && !worker.entry.draining;
+}
+
 } // namespace
 
 HealthMonitor::HealthMonitor(OwnerState& state, SchedulerCounts& counts)
@@ -138,7 +144,7 @@
     std::vector<EjectionMember> members;
     members.reserve(m_state.workers.size());
     for (const auto& [id, book] : m_state.workers) {
-        if (book.listed)
+        if (mayServe(book))
             members.push_back({ .worker = &book.entry, .out = book.health.isOut(m_state.now()), .answering = isAnswering(book) });
     }
     return members;
@@ -162,7 +168,7 @@
     std::vector<EjectionCandidate> candidates;
     for (auto id = m_failing.begin(); id != m_failing.end();) {
         const WorkerBook* book = m_state.worker(*id);
-        const HealthFault fault = book && book->listed ? book->health.fault(now) : HealthFault::None;
+        const HealthFault fault = book && mayServe(*book) ? book->health.fault(now) : HealthFault::None;
         if (fault == HealthFault::None) {
             id = m_failing.erase(id);
             continue;
--- a/src/jobs/owner/order_desk.cpp
+++ b/src/jobs/owner/order_desk.cpp
@@ -73,7 +73,7 @@
     if (!live || live->phase != AttemptPhase::Recording)
         return;
     WorkerBook* book = bookOfLife(worker, life);
-    if (!book || !book->takesRecordedStart() || !m_state.options.evacuations->isConfirmed() || !m_state.options.ownership->isHeld() || !book->session->leaseForOrder()) {
+    if (!book || !book->takesRecordedStart(m_state.now()) || !m_state.options.evacuations->isConfirmed() || !m_state.options.ownership->isHeld() || !book->session->leaseForOrder()) {
         withdrawRecorded(attempt, worker);
         return;
     }
@@ -248,8 +248,10 @@
 
 void OrderDesk::release(const Attempt& attempt, const std::string& worker, MonotonicInstant retryAt)
 {
-    if (WorkerBook* book = m_state.worker(worker))
+    if (WorkerBook* book = m_state.worker(worker)) {
         book->bookings.erase(attempt);
+        book->starts.noteSettled(attempt);
+    }
     OwnerJob* job = m_state.job(attempt.job);
     const TaskState* task = job ? job->state.find(attempt.task) : nullptr;
     if (!task || !task->live || task->live->worker != worker)
@@ -296,7 +298,8 @@
         const auto sent = desk->m_stopsSent.find(attempt);
         if (sent == desk->m_stopsSent.end() || sent->second != number)
             return;
-        if (WorkerBook* book = desk->m_state.worker(worker))
+        // A stop that is sent again says nothing new of the worker.
+        if (WorkerBook* book = desk->m_state.worker(worker); book && number == 1)
             desk->m_health.noteStopOverdue(*book);
         desk->stopLater(attempt, worker, Millis(0));
     });
--- a/src/jobs/owner/report_reader.cpp
+++ b/src/jobs/owner/report_reader.cpp
@@ -73,6 +73,7 @@
 void ReportReader::readEnded(WorkerBook& worker, const EndedAttempt& ended)
 {
     worker.bookings.erase(ended.attempt);
+    worker.starts.noteSettled(ended.attempt);
     OwnerJob* job = m_state.job(ended.attempt.job);
     if (!job)
         return;
@@ -221,6 +222,7 @@
     const TaskState* task = m_state.liveTask(attempt, worker.entry.id);
     if (!task) {
         worker.bookings.erase(attempt);
+        worker.starts.noteSettled(attempt);
         return;
     }
     const LiveAttempt& live = *task->live;
--- a/src/jobs/owner/worker_book.cpp
+++ b/src/jobs/owner/worker_book.cpp
@@ -68,9 +68,9 @@
     return session->answeredSince(now - probablyUpFor);
 }
 
-bool WorkerBook::takesRecordedStart() const
+bool WorkerBook::takesRecordedStart(MonotonicInstant now) const
 {
-    return listed && !entry.draining && !evacuating && isHallOpen() && !session->isSilent() && !session->isLifeOver() && isEntryOfLife() && entry.capacity.covers(bookings.used());
+    return !health.isEjected(now) && listed && !entry.draining && !evacuating && isHallOpen() && !session->isSilent() && !session->isLifeOver() && isEntryOfLife() && entry.capacity.covers(bookings.used());
 }
 
 void WorkerBook::checkLiveness(MonotonicInstant now, Millis overdueAfter)
