A write that is inferred from what the store holds proves no freshness of the copy

And only the end of an outage sends waiting calls again: each return from reading only to writing gave up watches that were fine, and calls sent after the store answered were sent twice.

--- a/include/lanemoor/jobs/model/key_value_store.h
+++ b/include/lanemoor/jobs/model/key_value_store.h
@@ -86,6 +86,7 @@
     StoreOutcome outcome = StoreOutcome::Unknown;
     std::uint64_t revision = 0; ///< Of the writes, if done.
     std::vector<StoreItem> current; ///< After a conflict: the keys of the conditions as they are.
+    bool isInferred = false; ///< Done by what the store holds: an equal write may have been carried out before this one was sent.
 };
 
 /// Answer to a call on a lease.
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -669,19 +669,19 @@
     /// The owner's calls go at once when the store answers again. Others spread theirs: all entry instances share its rates.
     void onStoreCondition(const StoreCondition& from, const StoreCondition& to)
     {
-        if (from.state == StoreState::Writing || isOutage(to.state))
+        if (!isOutage(from.state) || isOutage(to.state))
             return;
         if (m_parts.loop->now() - from.since > shortOutage)
             m_fleet.noteOutageOver();
         const bool goesFirst = m_claimed || m_ownership.holder() == m_holder;
         const Millis pause = goesFirst ? Millis(0) : spreadOf(m_settings.name, m_settings.policies.storeOutages.returnSpread);
-        m_parts.loop->callAt(m_parts.loop->now() + pause, [this] { sendWaitingCalls(); });
+        // Calls that were sent after the store answered again are not sent once more.
+        m_parts.loop->callAt(m_parts.loop->now() + pause, [this, answeredAt = m_access->answeredAt()] { sendWaitingCalls(answeredAt); });
     }
 
     /// In the order of what others wait for: starts for the ownership and the copy, moves for the record of actions.
-    void sendWaitingCalls()
+    void sendWaitingCalls(MonotonicInstant answeredAt)
     {
-        const MonotonicInstant answeredAt = m_access->answeredAt();
         m_ownership.renewNow();
         for (StoreMirror* copy : { &m_owners, &m_jobs, &m_workers, &m_configurations, &m_waves })
             copy->retryNow(answeredAt);
--- a/src/jobs/store/hedged_store.cpp
+++ b/src/jobs/store/hedged_store.cpp
@@ -293,7 +293,7 @@
         const std::uint64_t revision = revisionOfOwn(call.transaction, result.current);
         if (revision == 0)
             return result;
-        return othersHold(call.transaction, result.current) ? CommitResult { .outcome = StoreOutcome::Done, .revision = revision, .current = {} } : unknown;
+        return othersHold(call.transaction, result.current) ? CommitResult { .outcome = StoreOutcome::Done, .revision = revision, .current = {}, .isInferred = true } : unknown;
     }
 
     template <typename Call>
@@ -392,7 +392,7 @@
         if (others.empty()) {
             ++counts.confirmed;
             m_budget.giveBack(call->tokens);
-            finish(id, call, CommitResult { .outcome = StoreOutcome::Done, .revision = revision, .current = {} });
+            finish(id, call, CommitResult { .outcome = StoreOutcome::Done, .revision = revision, .current = {}, .isInferred = true });
             return;
         }
         const KeyRevision condition = std::move(others.back());
--- a/src/jobs/store/progress_writer.cpp
+++ b/src/jobs/store/progress_writer.cpp
@@ -169,7 +169,7 @@
             const auto impl = self.lock();
             if (!impl || impl->m_stopped)
                 return;
-            if (result.outcome == StoreOutcome::Done)
+            if (result.outcome == StoreOutcome::Done && !result.isInferred)
                 impl->m_mirror.noteStoreRevision(result.revision, sentAt);
             impl->written(sent, result);
         });
