Admission is off by default, its refusals stay true, and waiting groups hold plain jobs only

Found in review: a refusal that reads no key may race with another submission of the id, and erased its doubt; recurring jobs were judged by the budgets of quick ones; jobs that few sites may take kept others of their group from being looked at; refusals of admission counted as refusals of the store.

--- a/include/lanemoor/jobs/policy/admission_options.h
+++ b/include/lanemoor/jobs/policy/admission_options.h
@@ -10,7 +10,9 @@
 
 /// Weights of admission and of shares. They have an effect only where the configuration names organisations.
 struct AdmissionOptions {
-    bool enabled = true; ///< Whether organisations get shares of full pools, and jobs that can't be served in time are refused.
+    /// Whether organisations get shares of full pools, and jobs that can't be served in time are refused. Off: where load comes by turns,
+    /// jobs are refused that the next moves of instances would serve.
+    bool enabled = false;
     /// A job that could not end within so many times its objective is refused. Later completion is worth nothing to its caller.
     double lateFactor = 3.0;
     Millis grantEvery { 250 }; ///< Between two computations of what may be admitted.
--- a/src/jobs/intake/admission_gate.cpp
+++ b/src/jobs/intake/admission_gate.cpp
@@ -20,9 +20,10 @@
     return work;
 }
 
+/// \returns Whether the job has no objective of its own: it lasts, or recurs.
 bool lasts(const JobSpec& job)
 {
-    return std::any_of(job.steps.begin(), job.steps.end(), [](const StepSpec& step) { return step.longRunning; });
+    return job.occurrences > 0 || std::any_of(job.steps.begin(), job.steps.end(), [](const StepSpec& step) { return step.longRunning; });
 }
 
 Millis retryAfterOf(const AdmissionBudget& budget)
--- a/src/jobs/intake/job_intake.cpp
+++ b/src/jobs/intake/job_intake.cpp
@@ -137,7 +137,7 @@
             if (result.outcome == StoreOutcome::Done)
                 self->keep(job, result.item);
             else
-                self->finish(job, result.outcome == StoreOutcome::NotFound ? AcceptOutcome::Refused : AcceptOutcome::NotTaken);
+                self->finishRefused(job, result.outcome == StoreOutcome::NotFound);
         });
     }
 
@@ -274,6 +274,13 @@
         job.answer(outcome);
     }
 
+    /// Another submission of the id may have been sent to the store meanwhile: its doubt stays, and the refusal would not be true.
+    void finishRefused(const WaitingJob& job, bool isAbsent)
+    {
+        inFlight -= job.waiting.size();
+        job.answer(isAbsent && !isKnown(job.id) ? AcceptOutcome::Refused : AcceptOutcome::Unknown);
+    }
+
     void writeCancel(const std::string& id, const std::function<void(LookupOutcome)>& done)
     {
         const Transaction transaction { .expected = { { cancelKey(id), 0 } }, .writes = { { cancelKey(id), "1", 0 } }, .removals = {} };
--- a/src/jobs/owner/owner_state.cpp
+++ b/src/jobs/owner/owner_state.cpp
@@ -12,11 +12,12 @@
 /// For jobs whose queue is gone: what the platform's configurations usually allow.
 constexpr std::uint32_t attemptsWithoutQueue = 3;
 
-/// Jobs that are due by time, that last, or that must be spread are looked at by themselves, and so are those that need advice.
+/// Jobs that are due by time, that last, that must be spread, or that few sites may take are looked at one by one, and so are those that
+/// need advice: in a group they would keep others from being looked at.
 bool mayWaitInGroup(const OwnerJob& job, const QueueSettings* queue)
 {
     const JobRecord& record = job.state.record();
-    const bool isPlain = std::none_of(record.spec.steps.begin(), record.spec.steps.end(), [](const StepSpec& step) { return step.longRunning || step.mostPerInstance > 0; });
+    const bool isPlain = std::none_of(record.spec.steps.begin(), record.spec.steps.end(), [](const StepSpec& step) { return step.longRunning || step.gang || step.mostPerInstance > 0 || !step.requiredLabel.empty() || !step.preferredRack.empty(); });
     return job.account && job.state.status() == JobStatus::Queued && record.spec.occurrences == 0 && isPlain && queue && !queue->advice;
 }
 
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -281,6 +281,8 @@
     {
         if (!m_settings.policies.storeOutages.enabled)
             return;
+        if (outcome == AcceptOutcome::Refused)
+            return;
         if (outcome == AcceptOutcome::Accepted || outcome == AcceptOutcome::Foreign) {
             m_refusals.noteSettled(id);
             return;
