Lint of the merged code; one header for response times

clang-tidy found a parts object that is copied and settings of all policies read in one function of 75 lines; the second header for the response time estimator only forwarded to the first.

--- a/src/jobs/relay/open_calls.cpp
+++ b/src/jobs/relay/open_calls.cpp
@@ -1,6 +1,6 @@
 #include "open_calls.h"
 
-#include "lanemoor/jobs/policy/response_time.h"
+#include "lanemoor/jobs/model/response_time.h"
 
 #include <utility>
 
--- a/src/jobs/relay/relayed_workers.cpp
+++ b/src/jobs/relay/relayed_workers.cpp
@@ -35,7 +35,7 @@
 class RelayedWorkers::Impl : public std::enable_shared_from_this<RelayedWorkers::Impl> {
 public:
     Impl(RelayedWorkersParts parts, RelayOptions options, double ownCores, ReachabilityOptions reachability, std::string ownHall)
-        : m_parts(parts)
+        : m_parts(std::move(parts))
         , m_options(options)
         , m_ownCores(ownCores)
         , m_reachability(reachability)
@@ -576,7 +576,7 @@
 };
 
 RelayedWorkers::RelayedWorkers(RelayedWorkersParts parts, RelayOptions options, double ownCores, ReachabilityOptions reachability, std::string ownHall)
-    : m_impl(std::make_shared<Impl>(parts, options, ownCores, reachability, std::move(ownHall)))
+    : m_impl(std::make_shared<Impl>(std::move(parts), options, ownCores, reachability, std::move(ownHall)))
 {
 }
 
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -86,50 +86,72 @@
         reader.fault(DocumentFaultCode::BadValue, "longestBackoffMs", "not below firstBackoffMs");
 }
 
+constexpr double mostMargin = 10;
+constexpr double mostFairnessGap = 1'000;
+
+void readCapacity(ObjectReader& capacity, CapacityOptions& options)
+{
+    readNumber(capacity, "margin", 1, mostMargin, options.margin);
+    readMillis(capacity, "demandMemoryMs", 0, options.demandMemory);
+    readMillis(capacity, "idleBeforeOffMs", 0, options.idleBeforeOff);
+    readSwitch(capacity, "sharesFairly", options.sharesFairly);
+    readNumber(capacity, "fairnessGap", 0, mostFairnessGap, options.fairnessGap);
+    readSwitch(capacity, "backlogApart", options.backlogApart);
+    readSwitch(capacity, "seesRises", options.seesRises);
+    readSwitch(capacity, "leastFirst", options.leastFirst);
+}
+
+void readAdmission(ObjectReader& admission, AdmissionOptions& options)
+{
+    constexpr std::int64_t leastPause = 50; // A grant for hundreds of entry instances costs some ms.
+    constexpr std::int64_t fewestMisses = 1;
+    constexpr std::int64_t mostMisses = 1'000;
+    readSwitch(admission, "enabled", options.enabled);
+    readNumber(admission, "lateFactor", 1, mostMargin, options.lateFactor);
+    readMillis(admission, "grantEveryMs", leastPause, options.grantEvery);
+    readMillis(admission, "grantValidityMs", leastPause, options.grantValidity);
+    readMillis(admission, "deficitMemoryMs", 0, options.deficitMemory);
+    if (const std::optional<std::int64_t> misses = admission.integer("missesOfGroup", fewestMisses, mostMisses))
+        options.missesOfGroup = static_cast<std::uint32_t>(*misses);
+}
+
+void readReachability(ObjectReader& reachability, ReachabilityOptions& options)
+{
+    constexpr std::int64_t fewestWorkers = 2; // One worker that does not answer may have crashed.
+    constexpr std::int64_t mostWorkers = 100;
+    constexpr std::int64_t leastPause = 10; // Each retry is a call.
+    readSwitch(reachability, "enabled", options.enabled);
+    if (const std::optional<std::int64_t> count = reachability.integer("workersToDoubt", fewestWorkers, mostWorkers))
+        options.workersToDoubt = static_cast<std::uint32_t>(*count);
+    readMillis(reachability, "evidenceLastsMs", leastPause, options.evidenceLasts);
+    readMillis(reachability, "answerLastsMs", leastPause, options.answerLasts);
+    readMillis(reachability, "firstRetryMs", leastPause, options.firstRetry);
+    readMillis(reachability, "longestRetryMs", leastPause, options.longestRetry);
+}
+
+void readFailureDomains(ObjectReader& domains, FailureDomainOptions& options)
+{
+    constexpr std::int64_t mostWorkers = 100'000;
+    readSwitch(domains, "enabled", options.enabled);
+    readMillis(domains, "lossWindowMs", 1, options.lossWindow);
+    if (const std::optional<std::int64_t> count = domains.integer("leastStopped", 1, mostWorkers))
+        options.leastStopped = static_cast<std::uint32_t>(*count);
+    readNumber(domains, "lostShare", 0, 1, options.lostShare);
+    readMillis(domains, "returnStepMs", 0, options.returnStep);
+    readNumber(domains, "returnShare", 0, 1, options.returnShare);
+}
+
 void readPolicies(ObjectReader& reader, Policies& policies)
 {
-    constexpr double mostMargin = 10;
-    constexpr double mostGap = 1'000;
-    reader.object("capacity", [&](ObjectReader& capacity) {
-        readNumber(capacity, "margin", 1, mostMargin, policies.capacity.margin);
-        readMillis(capacity, "demandMemoryMs", 0, policies.capacity.demandMemory);
-        readMillis(capacity, "idleBeforeOffMs", 0, policies.capacity.idleBeforeOff);
-        readSwitch(capacity, "sharesFairly", policies.capacity.sharesFairly);
-        readNumber(capacity, "fairnessGap", 0, mostGap, policies.capacity.fairnessGap);
-        readSwitch(capacity, "backlogApart", policies.capacity.backlogApart);
-        readSwitch(capacity, "seesRises", policies.capacity.seesRises);
-        readSwitch(capacity, "leastFirst", policies.capacity.leastFirst);
-    });
-    reader.object("admission", [&](ObjectReader& admission) {
-        constexpr std::int64_t leastPause = 50; // A grant for hundreds of entry instances costs some ms.
-        constexpr std::int64_t fewestMisses = 1;
-        constexpr std::int64_t mostMisses = 1'000;
-        readSwitch(admission, "enabled", policies.admission.enabled);
-        readNumber(admission, "lateFactor", 1, mostMargin, policies.admission.lateFactor);
-        readMillis(admission, "grantEveryMs", leastPause, policies.admission.grantEvery);
-        readMillis(admission, "grantValidityMs", leastPause, policies.admission.grantValidity);
-        readMillis(admission, "deficitMemoryMs", 0, policies.admission.deficitMemory);
-        if (const std::optional<std::int64_t> misses = admission.integer("missesOfGroup", fewestMisses, mostMisses))
-            policies.admission.missesOfGroup = static_cast<std::uint32_t>(*misses);
-    });
+    reader.object("capacity", [&](ObjectReader& capacity) { readCapacity(capacity, policies.capacity); });
+    reader.object("admission", [&](ObjectReader& admission) { readAdmission(admission, policies.admission); });
     reader.object("relay", [&](ObjectReader& relay) {
         constexpr double mostWorkers = 100'000;
         constexpr double mostShrink = 100;
         readNumber(relay, "workersPerCore", 0, mostWorkers, policies.relay.workersPerCore);
         readNumber(relay, "shrinkAt", 1, mostShrink, policies.relay.shrinkAt);
     });
-    reader.object("reachability", [&](ObjectReader& reachability) {
-        constexpr std::int64_t fewestWorkers = 2; // One worker that does not answer may have crashed.
-        constexpr std::int64_t mostWorkers = 100;
-        constexpr std::int64_t leastPause = 10; // Each retry is a call.
-        readSwitch(reachability, "enabled", policies.reachability.enabled);
-        if (const std::optional<std::int64_t> count = reachability.integer("workersToDoubt", fewestWorkers, mostWorkers))
-            policies.reachability.workersToDoubt = static_cast<std::uint32_t>(*count);
-        readMillis(reachability, "evidenceLastsMs", leastPause, policies.reachability.evidenceLasts);
-        readMillis(reachability, "answerLastsMs", leastPause, policies.reachability.answerLasts);
-        readMillis(reachability, "firstRetryMs", leastPause, policies.reachability.firstRetry);
-        readMillis(reachability, "longestRetryMs", leastPause, policies.reachability.longestRetry);
-    });
+    reader.object("reachability", [&](ObjectReader& reachability) { readReachability(reachability, policies.reachability); });
     reader.object("lookup", [&](ObjectReader& lookup) { readSwitch(lookup, "readsThrough", policies.lookup.readsThrough); });
     reader.object("placement", [&](ObjectReader& placement) {
         readSwitch(placement, "waitsForRack", policies.placement.waitsForRack);
@@ -144,17 +166,7 @@
         readNumber(outages, "hedgeBurst", 0, mostBurst, policies.storeOutages.hedgeBurst);
         readMillis(outages, "returnSpreadMs", 0, policies.storeOutages.returnSpread);
     });
-    reader.object("failureDomains", [&](ObjectReader& domains) {
-        constexpr std::int64_t mostWorkers = 100'000;
-        FailureDomainOptions& options = policies.failureDomains;
-        readSwitch(domains, "enabled", options.enabled);
-        readMillis(domains, "lossWindowMs", 1, options.lossWindow);
-        if (const std::optional<std::int64_t> count = domains.integer("leastStopped", 1, mostWorkers))
-            options.leastStopped = static_cast<std::uint32_t>(*count);
-        readNumber(domains, "lostShare", 0, 1, options.lostShare);
-        readMillis(domains, "returnStepMs", 0, options.returnStep);
-        readNumber(domains, "returnShare", 0, 1, options.returnShare);
-    });
+    reader.object("failureDomains", [&](ObjectReader& domains) { readFailureDomains(domains, policies.failureDomains); });
     reader.object("workerHealth", [&](ObjectReader& health) { readWorkerHealth(health, policies.workerHealth); });
     reader.object("losses", [&](ObjectReader& losses) {
         constexpr std::int64_t fewestLosses = 2; // One is what any task may meet.
