--- a/include/lanemoor/jobs/model/job_spec.h
+++ b/include/lanemoor/jobs/model/job_spec.h
@@ -115,4 +115,10 @@
 /// \returns The sum of estimates along the longest chain of steps.
 [[nodiscard]] Millis longestChain(const JobSpec& spec);
 
+/// \returns Declared work of all tasks of one occurrence, thousandths of a core times ms.
+[[nodiscard]] std::int64_t declaredWork(const JobSpec& job) noexcept;
+
+/// \returns Whether the job has an objective: one that recurs or lasts has none.
+[[nodiscard]] bool hasObjective(const JobSpec& job) noexcept;
+
 } // namespace lanemoor::jobs
--- a/include/lanemoor/jobs/owner/worker_directory.h
+++ b/include/lanemoor/jobs/owner/worker_directory.h
@@ -47,11 +47,11 @@
     void observe(std::function<void(const std::string& id)> observer) { m_observer = std::move(observer); }
 
 private:
+    void noteEnd(const WorkerEntry& worker);
+
     const EventLoop& m_loop;
     MonotonicInstant m_observesSince;
     std::map<std::string, DirectoryEntry> m_entries;
-    void noteEnd(const WorkerEntry& worker);
-
     std::map<std::string, MonotonicInstant> m_lastEnds; ///< By pool: when a life was last found to be replaced or removed unannounced.
     std::function<void(const std::string& id)> m_observer;
 };
--- a/src/jobs/intake/admission_gate.cpp
+++ b/src/jobs/intake/admission_gate.cpp
@@ -11,21 +11,6 @@
 constexpr Millis mostRetry { 3'000 }; // A caller's job is worth little after some seconds.
 constexpr double milli = 1'000;
 
-/// \returns Declared work, ms of a core.
-double workOf(const JobSpec& job)
-{
-    double work = 0;
-    for (const StepSpec& step : job.steps)
-        work += static_cast<double>(step.count) * static_cast<double>(step.needs.milliCpu) / milli * static_cast<double>(step.estimate.count());
-    return work;
-}
-
-/// \returns Whether the job has no objective of its own: it lasts, or recurs.
-bool lasts(const JobSpec& job)
-{
-    return job.occurrences > 0 || std::any_of(job.steps.begin(), job.steps.end(), [](const StepSpec& step) { return step.longRunning; });
-}
-
 Millis retryAfterOf(const AdmissionBudget& budget)
 {
     return std::clamp(budget.expectedEnd - budget.limit, leastRetry, mostRetry);
@@ -76,7 +61,7 @@
 AdmissionVerdict AdmissionGate::judge(const std::string& queue, const std::string& organisation, const JobSpec& job, double jobsPerSecond, MonotonicInstant now)
 {
     const auto found = m_budgets.find({ queue, organisation });
-    if (found == m_budgets.end() || now >= m_expiresAt + safeShareLasts || lasts(job))
+    if (found == m_budgets.end() || now >= m_expiresAt + safeShareLasts || !hasObjective(job))
         return {};
     Budget& budget = found->second;
     AdmissionVerdict verdict { .admitted = false, .basis = AdmissionBasis::Budget, .budget = budget.granted, .grantAge = std::chrono::duration_cast<Millis>(now - m_grantedAt), .retryAfter = retryAfterOf(budget.granted) };
@@ -89,7 +74,7 @@
     verdict.budget.workMillis = static_cast<std::int64_t>(budget.left);
     verdict.admitted = budget.left >= budget.threshold;
     if (verdict.admitted) {
-        budget.left -= workOf(job) * budget.granted.correction;
+        budget.left -= static_cast<double>(declaredWork(job)) / milli * budget.granted.correction;
         budget.threshold = nextThreshold(budget);
     }
     return verdict;
--- a/src/jobs/model/job_spec.cpp
+++ b/src/jobs/model/job_spec.cpp
@@ -152,4 +152,17 @@
     return ends.empty() ? Millis(0) : *std::max_element(ends.begin(), ends.end());
 }
 
+std::int64_t declaredWork(const JobSpec& job) noexcept
+{
+    std::int64_t work = 0;
+    for (const StepSpec& step : job.steps)
+        work += static_cast<std::int64_t>(step.count) * step.needs.milliCpu * step.estimate.count();
+    return work;
+}
+
+bool hasObjective(const JobSpec& job) noexcept
+{
+    return job.occurrences == 0 && std::none_of(job.steps.begin(), job.steps.end(), [](const StepSpec& step) { return step.longRunning; });
+}
+
 } // namespace lanemoor::jobs
--- a/src/jobs/owner/admission_desk.cpp
+++ b/src/jobs/owner/admission_desk.cpp
@@ -34,12 +34,6 @@
     return running;
 }
 
-/// \returns Whether the job ends by itself: others have no objective.
-bool ends(const JobSpec& spec)
-{
-    return spec.occurrences == 0 && std::none_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec& step) { return step.longRunning; });
-}
-
 } // namespace
 
 void AdmissionDesk::start()
@@ -56,17 +50,14 @@
 void AdmissionDesk::noteArrival(const OwnerJob& job)
 {
     const JobRecord& record = job.state.record();
-    if (!ends(record.spec))
+    if (!hasObjective(record.spec))
         return;
     const auto [place, isFirst] = m_usual.try_emplace(record.queue);
     const double weight = isFirst ? 1 : newestCounts;
     const auto mix = [weight](double& mean, double newest) { mean += weight * (newest - mean); };
     const QueueSettings* queue = m_state.configuration()->queue(record.queue);
     const auto chain = static_cast<double>(job.chain.count());
-    std::int64_t work = 0;
-    for (const StepSpec& step : record.spec.steps)
-        work += static_cast<std::int64_t>(step.count) * step.needs.milliCpu * step.estimate.count();
-    mix(place->second.workMillis, static_cast<double>(work) / milli);
+    mix(place->second.workMillis, static_cast<double>(declaredWork(record.spec)) / milli);
     mix(place->second.chainMillis, chain);
     mix(place->second.allowedMillis, queue ? queue->stretch * chain + static_cast<double>(queue->latencyTarget.count()) : chain);
 }
@@ -129,7 +120,7 @@
     ByPool accepted;
     for (const auto& [id, job] : m_state.walked) {
         const JobRecord& record = job->state.record();
-        if (!job->account || isFinal(job->state.status()) || !ends(record.spec))
+        if (!job->account || isFinal(job->state.status()) || !hasObjective(record.spec))
             continue;
         AcceptedWork& work = entryOf(accepted, { record.queue, record.organisation }, record.pool);
         work.workMillis += static_cast<std::int64_t>(static_cast<double>(workLeft(job->state)) / milli * work.correction);
--- a/src/jobs/owner/owner_state.cpp
+++ b/src/jobs/owner/owner_state.cpp
@@ -47,8 +47,8 @@
     for (const StepSpec& step : record.spec.steps) {
         if (step.dependsOn.empty())
             addStep(*this, step, waiting);
-        waiting.work += static_cast<std::int64_t>(step.count) * step.needs.milliCpu * step.estimate.count();
     }
+    waiting.work = declaredWork(record.spec);
     waitingJobs.add(std::move(waiting), now);
     job.waitsInGroup = true;
     inheritedInGroups += job.inherited ? 1 : 0;
