--- a/src/jobs/store/observed_store.cpp
+++ b/src/jobs/store/observed_store.cpp
@@ -10,8 +10,8 @@
 
 class ObservedStore::Impl : public std::enable_shared_from_this<ObservedStore::Impl> {
 public:
-    Impl(EventLoop& loop, KeyValueStore& store, EventLog& log)
-        : store(store)
+    Impl(EventLoop& loop, KeyValueStore& decorated, EventLog& log)
+        : store(decorated)
         , tracker(loop.now())
         , current(std::make_shared<const StoreCondition>(tracker.condition()))
         , m_loop(loop)
