Logs and metrics tell which configuration decided a request, and what delayed its reads

The postmortem's three hypotheses could not be told apart: counts of queues left no line, job-handed-in named the configuration without the age of its proof, and no line said how a read of the configuration ended.

Added: configuration_age_ms on job-handed-in, queue-counted and refusals for an unknown route; configuration-read for reads that fail or are slow, with their time, how late their timer was and what they brought; bytes and parse_ms on configuration-in-force; lanemoor_configuration_age_seconds.

--- a/include/lanemoor/jobs/service/job_metrics.h
+++ b/include/lanemoor/jobs/service/job_metrics.h
@@ -35,6 +35,7 @@
     bool ready = false;
     bool owner = false;
     std::uint64_t configurationVersion = 0;
+    double configurationAgeSeconds = 0; ///< Since the store was known to hold no newer one.
     std::uint64_t jobs = 0; ///< Known from the store.
     double storeAgeSeconds = 0; ///< Since the copy of the jobs was last known to be fresh.
     std::vector<CopyReading> copies;
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -121,6 +121,13 @@
     return Millis(static_cast<Millis::rep>(objectives * static_cast<double>(objective.count())));
 }
 
+/// \returns Host and path prefix of `queue`, as callers name it.
+std::string routeOf(const ServiceConfiguration& configuration, const std::string& queue)
+{
+    const QueueSettings* settings = configuration.queue(queue);
+    return settings ? settings->host + settings->pathPrefix : std::string();
+}
+
 JobSummary summaryOf(const std::string& id, const CatalogEntry& entry)
 {
     JobSummary summary { .id = id, .queue = entry.record->queue, .status = entry.status(), .steps = static_cast<std::uint32_t>(entry.record->spec.steps.size()) };
@@ -218,10 +225,15 @@
 
     void pending(const std::string& queue, const std::function<void(std::optional<std::uint64_t>)>& done)
     {
+        const auto answer = [this, queue, done, sentAt = m_parts.loop->now(), configuration = m_configuration, configurationAge = since(m_configurationCheckedAt)](std::optional<std::uint64_t> count) {
+            m_parts.log->decision("queue-counted",
+                { { "queue", queue }, { "route", routeOf(*configuration, queue) }, { "configuration", static_cast<std::int64_t>(configuration->version) }, { "configuration_age_ms", configurationAge }, { "outcome", std::string(count ? "counted" : "unavailable") }, { "ms", since(sentAt) } });
+            done(count);
+        };
         if (!hasCopy())
-            m_countsReader.pending(queue, done);
+            m_countsReader.pending(queue, answer);
         else
-            done(m_copyLags ? std::nullopt : std::optional(m_catalog.pending(queue)));
+            answer(m_copyLags ? std::nullopt : std::optional(m_catalog.pending(queue)));
     }
 
     [[nodiscard]] bool isReady() const
@@ -243,11 +255,11 @@
         const MonotonicInstant usefulUntil = m_parts.loop->now() + usefulTime(settings, spec);
         const JobRecord record { .queue = caller.queue, .pool = settings ? settings->pool : std::string(), .acceptedAt = m_parts.loop->timeOfDay(), .spec = std::move(spec), .organisation = caller.organisation };
         const AdmissionVerdict verdict = judge(caller, id, record.spec);
-        const auto answer = [this, id, caller, verdict, usefulUntil, spec = record.spec, done = std::move(done), sentAt = m_parts.loop->now(), version = m_configuration->version](AcceptOutcome outcome) {
+        const auto answer = [this, id, caller, verdict, usefulUntil, spec = record.spec, done = std::move(done), sentAt = m_parts.loop->now(), version = m_configuration->version, configurationAge = since(m_configurationCheckedAt)](AcceptOutcome outcome) {
             metrics.noteHandedIn(caller.queue, outcome, secondsSince(sentAt));
             noteSubmission(caller, id, spec, usefulUntil, outcome);
             m_parts.log->decision("job-handed-in",
-                { { "job", id }, { "queue", caller.queue }, { "organisation", caller.organisation }, { "configuration", static_cast<std::int64_t>(version) }, { "outcome", std::string(nameOf(outcome)) }, { "ms", since(sentAt) } });
+                { { "job", id }, { "queue", caller.queue }, { "organisation", caller.organisation }, { "configuration", static_cast<std::int64_t>(version) }, { "configuration_age_ms", configurationAge }, { "outcome", std::string(nameOf(outcome)) }, { "ms", since(sentAt) } });
             if (outcome == AcceptOutcome::Refused)
                 noteRefused(caller, id, verdict);
             done(outcome);
@@ -313,8 +325,10 @@
             return { .admission = Admission::Later, .caller = {}, .job = {} };
         const auto refusal = [this](Admission admission) { return AdmittedCall { .admission = isConfigurationCurrent() ? admission : Admission::Later, .caller = {}, .job = {} }; };
         const QueueSettings* queue = configuration->queueFor(host, path);
-        if (!queue)
+        if (!queue) {
+            noteUnknownQueue(host, path);
             return refusal(Admission::NoSuchQueue);
+        }
         std::optional<Caller> caller = identify(*configuration, *queue, key);
         if (!caller) {
             noteTurnedAway(queue->name, key);
@@ -325,6 +339,14 @@
         return { .admission = Admission::LetIn, .caller = std::move(*caller), .job = std::string(path.substr(queue->pathPrefix.size())) };
     }
 
+    void noteUnknownQueue(std::string_view host, std::string_view path)
+    {
+        constexpr std::size_t mostOfPath = 80; // Of what a caller sent.
+        metrics.noteTurnedAway("no-such-queue");
+        m_parts.log->decision("caller-refused",
+            { { "reason", std::string("no-such-queue") }, { "route", std::string(host) + std::string(path.substr(0, mostOfPath)) }, { "configuration", static_cast<std::int64_t>(m_configuration->version) }, { "configuration_age_ms", since(m_configurationCheckedAt) } });
+    }
+
     void noteTurnedAway(const std::string& queue, std::optional<std::string_view> key)
     {
         metrics.noteTurnedAway(key ? "unknown-key" : "no-key");
@@ -425,6 +447,7 @@
         const MetricsReading reading { .ready = isReady(),
             .owner = m_ownership.isHeld(),
             .configurationVersion = m_configuration ? m_configuration->version : 0,
+            .configurationAgeSeconds = secondsSince(m_configurationCheckedAt),
             .jobs = m_catalog.all().size(),
             .storeAgeSeconds = secondsSince(hasCopy() ? m_jobs.freshAt() : m_owners.freshAt()),
             .copies = { readingOf("jobs", m_jobs), readingOf("ownership", m_owners), readingOf("configuration", m_configurations), readingOf("workers", m_workers), readingOf("waves", m_waves) },
@@ -570,6 +593,7 @@
     {
         if (item.key != m_parts.documents->configurationKey() || item.removed)
             return;
+        const MonotonicInstant receivedAt = m_parts.loop->now();
         std::optional<ServiceConfiguration> configuration = m_parts.documents->readConfiguration(item.value);
         if (!configuration) {
             m_parts.log->change("configuration-unreadable", { { "revision", static_cast<std::int64_t>(item.revision) } });
@@ -578,7 +602,8 @@
         if (m_configuration && configuration->version <= m_configuration->version)
             return;
         m_parts.log->change("configuration-in-force",
-            { { "version", static_cast<std::int64_t>(configuration->version) }, { "queues", static_cast<std::int64_t>(configuration->queues.size()) }, { "organisations", static_cast<std::int64_t>(configuration->organisations.all().size()) } });
+            { { "version", static_cast<std::int64_t>(configuration->version) }, { "queues", static_cast<std::int64_t>(configuration->queues.size()) }, { "organisations", static_cast<std::int64_t>(configuration->organisations.all().size()) },
+                { "revision", static_cast<std::int64_t>(item.revision) }, { "bytes", static_cast<std::int64_t>(item.value.size()) }, { "parse_ms", since(receivedAt) } });
         for (const OrganisationFault& fault : configuration->organisations.faults())
             m_parts.log->change("configuration-fault", { { "version", static_cast<std::int64_t>(configuration->version) }, { "organisation", fault.organisation }, { "fault", std::string(describe(fault.code)) } });
         m_configuration = std::make_shared<const ServiceConfiguration>(std::move(*configuration));
@@ -620,8 +645,11 @@
 
     void readConfigurationLater()
     {
-        m_parts.loop->callAt(m_parts.loop->now() + (m_storeAnswers ? configurationReadPause(m_settings) : configurationRetry), [this] {
-            m_parts.store->read(m_parts.documents->configurationKey(), [this, sentAt = m_parts.loop->now()](const ReadResult& result) {
+        const MonotonicInstant dueAt = m_parts.loop->now() + (m_storeAnswers ? configurationReadPause(m_settings) : configurationRetry);
+        m_parts.loop->callAt(dueAt, [this, dueAt] {
+            const MonotonicInstant readAt = m_parts.loop->now();
+            m_parts.store->read(m_parts.documents->configurationKey(), [this, sentAt = readAt, timerLate = since(dueAt)](const ReadResult& result) {
+                noteConfigurationRead(result, sentAt, timerLate);
                 if (result.outcome == StoreOutcome::Done) {
                     m_configurations.noteWritten(result.item);
                     m_jobs.noteStoreRevision(result.storeRevision, sentAt);
@@ -634,6 +662,17 @@
         });
     }
 
+    /// Tells apart what keeps a new configuration from being read: no answer, a slow one, or a loop that was busy.
+    void noteConfigurationRead(const ReadResult& result, MonotonicInstant sentAt, std::int64_t timerLate)
+    {
+        const bool isSlow = m_parts.loop->now() - sentAt >= configurationReadPause(m_settings) / 2;
+        if (result.outcome == StoreOutcome::Done && !isSlow)
+            return;
+        m_parts.log->decision("configuration-read",
+            { { "outcome", std::string(nameOf(result.outcome)) }, { "ms", since(sentAt) }, { "timer_late_ms", timerLate }, { "bytes", static_cast<std::int64_t>(result.item.value.size()) }, { "revision", static_cast<std::int64_t>(result.item.revision) },
+                { "configuration", static_cast<std::int64_t>(m_configuration ? m_configuration->version : 0) }, { "configuration_age_ms", since(m_configurationCheckedAt) } });
+    }
+
     /// An owner that lags behind the store, for want of processor time or of a path, is none.
     void checkCopyLater()
     {
