Failing tests: requests are answered by configurations that were replaced too long ago

Callers got answers by a configuration that was replaced up to 4.5 s before, where 3 s are allowed. These tests bring it about on the models: an instance that is cut off from the store, and one whose link of 10 Mbit/s takes 0.8 s for the document. The model of the store gets links that carry a number of bytes a ms, and a watch that was sent before a cut is no longer answered during it.

--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -445,6 +445,12 @@
         m_entries[index].storeClient->resetting = reset;
 }
 
+void JobCluster::setStoreLink(std::size_t index, std::size_t bytesPerMs)
+{
+    if (m_entries[index].storeClient)
+        m_entries[index].storeClient->linkBytesPerMs = bytesPerMs;
+}
+
 std::optional<std::size_t> JobCluster::owner() const
 {
     const StoreItem* item = store.find(std::string(ownerKeyPrefix) + "all");
@@ -456,9 +462,10 @@
     return std::nullopt;
 }
 
-void JobCluster::configure(const ServiceConfiguration& configuration)
+void JobCluster::configure(const ServiceConfiguration& configuration, std::size_t bytes)
 {
-    const std::string text = "configuration-" + std::to_string(configuration.version);
+    std::string text = "configuration-" + std::to_string(configuration.version);
+    text.resize(std::max(text.size(), bytes), ' ');
     documents.configurations[text] = configuration;
     store.put(documents.configurationKey(), text);
 }
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -173,6 +173,9 @@
     void cutWatches(std::size_t index, bool cut);
     void resetStoreCalls(std::size_t index, bool reset);
 
+    /// \brief Sets what the link of an entry's machine carries of the store's answers, until the entry starts again; 0: all at once.
+    void setStoreLink(std::size_t index, std::size_t bytesPerMs);
+
     /// \brief Lets owners that start from now on have their calls relayed, from the first worker on
     /// or by as many as one machine's core carries.
     void relayAt(double workersPerCore) { m_workersPerCore = workersPerCore; }
@@ -198,7 +201,8 @@
 
     /// \name Operators and callers
     ///@{
-    void configure(const jobs::ServiceConfiguration& configuration);
+    /// \param bytes Least size of the document.
+    void configure(const jobs::ServiceConfiguration& configuration, std::size_t bytes = 0);
     void askWave(const jobs::WaveRequest& wave);
     void evacuate(const std::string& dataHall, bool on = true);
 
--- a/standins/model/store_model.cpp
+++ b/standins/model/store_model.cpp
@@ -17,6 +17,36 @@
     return key.compare(0, prefix.size(), prefix) == 0;
 }
 
+constexpr std::size_t headBytes = 200; // Of any answer.
+
+std::size_t bytesOf(const StoreItem& item)
+{
+    return item.key.size() + item.value.size();
+}
+
+std::size_t bytesOf(const ReadResult& result)
+{
+    return headBytes + bytesOf(result.item);
+}
+
+std::size_t bytesOf(const ItemsResult& result)
+{
+    std::size_t bytes = headBytes;
+    for (const StoreItem& item : result.items)
+        bytes += bytesOf(item);
+    return bytes;
+}
+
+std::size_t bytesOf(const CommitResult&)
+{
+    return headBytes;
+}
+
+std::size_t bytesOf(const LeaseResult&)
+{
+    return headBytes;
+}
+
 } // namespace
 
 StoreModel::StoreModel(SimClock& clock, std::mt19937_64& random)
@@ -179,8 +209,24 @@
 }
 
 template <typename Result>
-void StoreClient::call(bool writes, std::function<Result()> act, std::function<void(Result)> done)
+void StoreClient::transfer(const Result& result, MonotonicInstant deadline, const std::function<void(Result)>& answer)
+{
+    SimClock& clock = m_store.m_clock;
+    if (linkBytesPerMs == 0) {
+        answer(result);
+        return;
+    }
+    const MonotonicInstant begin = std::max(clock.now(), m_linkFreeAt);
+    const MonotonicInstant end = begin + Millis(static_cast<Millis::rep>(bytesOf(result) / linkBytesPerMs));
+    const bool isInTime = end <= deadline;
+    m_linkFreeAt = isInTime ? end : std::max(begin, deadline);
+    clock.at(isInTime ? end : std::max(clock.now(), deadline), [answer, result, isInTime] { answer(isInTime ? result : Result {}); });
+}
+
+template <typename Result>
+void StoreClient::call(bool writes, std::function<Result()> act, std::function<void(Result)> done, Millis patience)
 {
+    const MonotonicInstant deadline = m_store.m_clock.now() + patience;
     ++m_store.m_calls;
     const std::function<void(Result)> answer = m_process.deliver<Result>(std::move(done));
     SimClock& clock = m_store.m_clock;
@@ -209,13 +255,13 @@
         return;
     }
     const bool lost = writes && share(m_store.m_random) < trouble.lostAnswers;
-    clock.after(trouble.answerTime / 2, [this, act, answer, lost] {
+    clock.after(trouble.answerTime / 2, [this, act, answer, lost, deadline] {
         m_store.expire();
         const Result result = act();
         if (lost)
             m_store.m_clock.after(callTime, [answer] { answer(Result {}); });
         else
-            m_store.m_clock.after(m_store.trouble.answerTime / 2, [answer, result] { answer(result); });
+            m_store.m_clock.after(m_store.trouble.answerTime / 2, [this, answer, result, deadline] { transfer(result, deadline, answer); });
     });
 }
 
@@ -229,7 +275,7 @@
                 return { .outcome = StoreOutcome::NotFound, .item = {}, .storeRevision = m_store.m_revision };
             return { .outcome = StoreOutcome::Done, .item = *item, .storeRevision = m_store.m_revision };
         },
-        std::move(done));
+        std::move(done), callTime);
 }
 
 void StoreClient::range(const std::string& prefix, const std::string& afterKey, Millis patience, std::function<void(ItemsResult)> done)
@@ -260,16 +306,22 @@
             }
             return result;
         },
-        std::move(done));
+        std::move(done), patience);
 }
 
 void StoreClient::watch(const std::string& prefix, std::uint64_t after, Millis wait, std::function<void(ItemsResult)> done)
 {
     ++m_store.m_calls;
-    const std::function<void(ItemsResult)> answer = m_process.deliver<ItemsResult>(std::move(done));
     SimClock& clock = m_store.m_clock;
+    const std::function<void(ItemsResult)> delivered = m_process.deliver<ItemsResult>(std::move(done));
+    const std::function<void(ItemsResult)> answer = [this, delivered, deadline = clock.now() + wait + callTime](const ItemsResult& result) {
+        if (cutOff)
+            m_store.m_clock.at(deadline, [delivered] { delivered({}); });
+        else
+            transfer(result, deadline, delivered);
+    };
     if (resetting || cutOff || watchesCutOff || m_store.trouble.silent || m_store.trouble.refusing) {
-        clock.after(callTime, [answer] { answer({}); });
+        clock.after(callTime, [delivered] { delivered({}); });
         return;
     }
     m_store.expire();
@@ -292,7 +344,7 @@
 void StoreClient::commit(const Transaction& transaction, std::function<void(CommitResult)> done)
 {
     call<CommitResult>(
-        true, [this, transaction] { return m_store.apply(transaction); }, std::move(done));
+        true, [this, transaction] { return m_store.apply(transaction); }, std::move(done), callTime);
 }
 
 void StoreClient::grantLease(Millis timeToLive, std::function<void(LeaseResult)> done)
@@ -305,7 +357,7 @@
             m_store.m_clock.after(timeToLive + Millis(1), [this] { m_store.expire(); });
             return { .outcome = StoreOutcome::Done, .lease = id, .timeToLive = timeToLive };
         },
-        std::move(done));
+        std::move(done), callTime);
 }
 
 void StoreClient::renewLease(std::uint64_t lease, std::function<void(LeaseResult)> done)
@@ -320,7 +372,7 @@
             m_store.m_clock.after(found->second.timeToLive + Millis(1), [this] { m_store.expire(); });
             return { .outcome = StoreOutcome::Done, .lease = lease, .timeToLive = found->second.timeToLive };
         },
-        std::move(done));
+        std::move(done), callTime);
 }
 
 void StoreClient::endLease(std::uint64_t lease, std::function<void(LeaseResult)> done)
@@ -331,7 +383,7 @@
             m_store.endLease(lease);
             return { .outcome = StoreOutcome::Done, .lease = lease };
         },
-        std::move(done));
+        std::move(done), callTime);
 }
 
 } // namespace lanemoor::model
--- a/standins/model/store_model.h
+++ b/standins/model/store_model.h
@@ -98,6 +98,8 @@
     bool resetting = false; ///< Calls are lost on their way and fail at once, without an answer.
     bool watchesCutOff = false; ///< Watches get no answer; all else does.
     bool cutOff = false; ///< This process does not reach the store.
+    /// What the machine's link carries of the store's answers, one after the other; 0: answers take no time on it.
+    std::size_t linkBytesPerMs = 0;
 
     void read(const std::string& key, std::function<void(jobs::ReadResult)> done) override;
     void range(const std::string& prefix, const std::string& afterKey, Millis patience, std::function<void(jobs::ItemsResult)> done) override;
@@ -109,10 +111,15 @@
 
 private:
     template <typename Result>
-    void call(bool writes, std::function<Result()> act, std::function<void(Result)> done);
+    void call(bool writes, std::function<Result()> act, std::function<void(Result)> done, Millis patience);
+
+    /// Brings an answer over the link. One that is not there by `deadline` is lost, as the adapters give the call up.
+    template <typename Result>
+    void transfer(const Result& result, MonotonicInstant deadline, const std::function<void(Result)>& answer);
 
     StoreModel& m_store;
     SimProcess& m_process;
+    MonotonicInstant m_linkFreeAt;
 };
 
 } // namespace lanemoor::model
