Requests are decided only by a configuration that is proven young enough, and large ones are read only when they change

What callers saw: answers by configurations that had been replaced up to 4.5 s before, where 3 s are allowed; with 2,850 routes and more, late submissions and instances that were unready by turns.

Cause: how old the proof of a configuration is was asked for refusals and quotas only; a route that was known was served however old that proof was. And the proof grew old since each check read the whole document, 1.2 MB on the wire, with 1 s for it: over 10 Mbit/s it took as long, was repeated while it arrived, and the repeats took the link from each other and from the watch that brought the change. The class: something is in force by its age, and the age is not asked where it takes effect.

Changed: admit() defers every call (503, Retry-After) once the proof is older than configurationApplyMs; readiness goes by the same. DocumentCopy follows the document: documents of 64 kB and more are checked by a conditional read, an answer that arrives is not given up or asked for a second time, and in a storm the newest version is read in place of each one. The HTTP client waits for answers of the store that have begun for as long as they keep arriving.

--- a/include/lanemoor/aio/http_client.h
+++ b/include/lanemoor/aio/http_client.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lanemoor::aio {
@@ -16,13 +17,20 @@
 enum class Delivery {
     NotSent, ///< No byte of it left: there was no connection.
     Unanswered, ///< It may have been read; no whole answer came in time.
+    Abandoned, ///< The answer began to arrive, and the caller did not want the rest.
     Answered,
 };
 
 /// A call.
 struct HttpCall {
     HttpRequest request;
-    jobs::MonotonicInstant deadline; ///< For the whole answer.
+    jobs::MonotonicInstant deadline; ///< For the answer to begin, and for all of it if no later `transferDeadline` is given.
+    /// For the whole of an answer whose body has begun by `deadline`, while no pause in it is longer than
+    /// `HttpClientOptions::stallTime`.
+    std::optional<jobs::MonotonicInstant> transferDeadline {};
+    /// Called at most once, when the answer's body begins to arrive, unless all of it has come. \returns Whether the rest is wanted;
+    /// otherwise the connection is closed. May be null.
+    std::function<bool()> begun {};
 };
 
 /// What came of a call.
@@ -36,6 +44,7 @@
     std::uint32_t mostConnections = 8; ///< To one address; further calls wait.
     Millis connectTime { 1'000 }; ///< A path that drops packets says nothing; the kernel would try for minutes.
     std::uint64_t mostResponseBytes = 8'388'608; ///< Above eight times the store's largest page.
+    Millis stallTime { 1'000 }; ///< An answer of which nothing more has come for so long is lost.
     Millis idleTime { 20'000 }; ///< A connection unused for so long is closed.
 };
 
--- a/include/lanemoor/jobs/model/key_value_store.h
+++ b/include/lanemoor/jobs/model/key_value_store.h
@@ -21,6 +21,7 @@
     HistoryGone, ///< A watch starts before what the store still remembers.
     NotDone, ///< Certainly not carried out: no connection, or the store refused the call.
     Unknown, ///< No usable answer; a write may have been carried out, or may be later.
+    Abandoned, ///< The store answered, and the caller did not want the rest of the answer.
 };
 
 /// \returns A short name of `outcome` for logs and metrics.
@@ -81,6 +82,18 @@
     std::uint64_t storeRevision = 0; ///< Where a watch goes on.
 };
 
+/// A call for one document that may be large.
+struct DocumentQuery {
+    std::string key;
+    std::uint64_t after = 0; ///< Only changes after this revision of the store; 0: the document as it is.
+    std::uint64_t unless = 0; ///< Without `after`: nothing if the document's last change was this one; 0: the document in any case.
+    Millis wait { 0 }; ///< With `after`: how long the store may wait for a change.
+    Millis patience { 1'000 }; ///< Beyond `wait`, for the answer to begin.
+    /// Called at most once, when the answer's body begins to arrive, unless all of it has come. \returns Whether the rest is wanted;
+    /// otherwise the call ends as abandoned. May be null.
+    std::function<bool()> begun;
+};
+
 /// Answer to a transaction.
 struct CommitResult {
     StoreOutcome outcome = StoreOutcome::Unknown;
@@ -96,7 +109,8 @@
     Millis timeToLive { 0 }; ///< As the store set it; counts from the arrival of the call.
 };
 
-/// \brief The store. Each callback is called exactly once, never from within the call itself.
+/// \brief The store. Each callback is called exactly once, never from within the call itself. An answer that has begun to arrive
+/// in time is waited for as long as it keeps arriving.
 class KeyValueStore {
 public:
     virtual ~KeyValueStore() = default;
@@ -110,6 +124,10 @@
     /// \brief Waits up to `wait` for changes under `prefix` after revision `after`.
     virtual void watch(const std::string& prefix, std::uint64_t after, Millis wait, std::function<void(ItemsResult)> done) = 0;
 
+    /// \brief Reads a document. \param done With its changes in the order of revisions, or with the document alone. Items under longer
+    /// keys that begin with its key may be among them. With `unless`, no revision of the store is told.
+    virtual void fetch(DocumentQuery query, std::function<void(ItemsResult)> done) = 0;
+
     virtual void commit(const Transaction& transaction, std::function<void(CommitResult)> done) = 0;
 
     virtual void grantLease(Millis timeToLive, std::function<void(LeaseResult)> done) = 0;
--- a/include/lanemoor/jobs/service/job_service.h
+++ b/include/lanemoor/jobs/service/job_service.h
@@ -90,8 +90,8 @@
     ///@{
     /// \brief Finds the queue of a request and checks its key, by one configuration.
     ///
-    /// What an old configuration does not name may be there by now: only one that the store confirmed a short time
-    /// ago says no. A call that is refused for its key is counted and logged.
+    /// A configuration that may have been replaced longer ago than `configurationApplyTime` decides nothing: the call comes again
+    /// later. Calls that are refused or deferred are counted and logged.
     /// \param host Without its port.
     /// \param key As the caller sent it, if any.
     [[nodiscard]] AdmittedCall admit(std::string_view host, std::string_view path, std::optional<std::string_view> key);
--- a/include/lanemoor/jobs/service/job_service_settings.h
+++ b/include/lanemoor/jobs/service/job_service_settings.h
@@ -36,10 +36,10 @@
     double fleetActsPerSecond = 0; ///< Acts on instances that the platform takes from all entry instances together; 0: no limit.
     Millis stopGrace { 6'000 }; ///< From the signal to stop until the process is killed.
     Millis statusTime { 120'000 }; ///< A finished job's status is kept this long.
-    /// Callers are let in by their keys as long as the store named no newer configuration so short a time
-    /// ago, and refused for a while beyond; 0: always, since callers of a cut-off instance lose more by it.
+    /// A shorter bound than `configurationApplyTime` on the age of the configuration, for callers that are let in by their keys; 0: none.
     Millis configurationTrust { 0 };
-    Millis configurationApplyTime { 2'000 }; ///< A new configuration must be in force within this.
+    /// A new configuration must be in force within this: beyond it nothing is decided by one that may have been replaced.
+    Millis configurationApplyTime { 2'000 };
     Millis evacuationTime { 0 }; ///< No task may start in a data hall so long after the request to evacuate it; 0: no bound.
     std::uint32_t survivedDataHalls = 0; ///< Data halls whose loss must be survived; above 0 long-running tasks are spread over them.
     Millis restoreTime { 600 }; ///< Of a checkpoint, where a task goes on.
--- a/include/lanemoor/jobs/store/hedged_store.h
+++ b/include/lanemoor/jobs/store/hedged_store.h
@@ -32,7 +32,7 @@
 /// - a refusal or a lease that is over leaves the outcome unknown while an earlier try may have been carried out.
 ///
 /// The second repeat of a transaction reads back all that it writes: if the answers of all writes are lost, reads still tell.
-/// Ranges, watches and calls on leases pass through: they are large, wait anyway, or are repeated by their callers.
+/// Ranges, watches, documents and calls on leases pass through: they are large, wait anyway, or are repeated by their callers.
 class HedgedStore final : public KeyValueStore {
 public:
     /// \param store Outlives this object.
@@ -44,6 +44,7 @@
     void read(const std::string& key, std::function<void(ReadResult)> done) override;
     void range(const std::string& prefix, const std::string& afterKey, Millis patience, std::function<void(ItemsResult)> done) override;
     void watch(const std::string& prefix, std::uint64_t after, Millis wait, std::function<void(ItemsResult)> done) override;
+    void fetch(DocumentQuery query, std::function<void(ItemsResult)> done) override;
     void commit(const Transaction& transaction, std::function<void(CommitResult)> done) override;
     void grantLease(Millis timeToLive, std::function<void(LeaseResult)> done) override;
     void renewLease(std::uint64_t lease, std::function<void(LeaseResult)> done) override;
--- a/include/lanemoor/jobs/store/observed_store.h
+++ b/include/lanemoor/jobs/store/observed_store.h
@@ -31,6 +31,7 @@
     void read(const std::string& key, std::function<void(ReadResult)> done) override;
     void range(const std::string& prefix, const std::string& afterKey, Millis patience, std::function<void(ItemsResult)> done) override;
     void watch(const std::string& prefix, std::uint64_t after, Millis wait, std::function<void(ItemsResult)> done) override;
+    void fetch(DocumentQuery query, std::function<void(ItemsResult)> done) override;
     void commit(const Transaction& transaction, std::function<void(CommitResult)> done) override;
     void grantLease(Millis timeToLive, std::function<void(LeaseResult)> done) override;
     void renewLease(std::uint64_t lease, std::function<void(LeaseResult)> done) override;
--- a/src/aio/http_client.cpp
+++ b/src/aio/http_client.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <sys/socket.h>
+#include <utility>
 
 namespace lanemoor::aio {
 
@@ -184,19 +185,39 @@
         });
     }
 
+    /// Reads the answer in parts: each one shows that the rest is on its way.
     void read(Peer& peer, const ConnectionPointer& connection)
     {
-        http::async_read(connection->stream, connection->buffer, *connection->parser, [self = shared_from_this(), &peer, connection](const beast::error_code& error, std::size_t) {
+        http::async_read_some(connection->stream, connection->buffer, *connection->parser, [self = shared_from_this(), &peer, connection](const beast::error_code& error, std::size_t) {
             if (error) {
                 self->finish(peer, connection, {}, false);
                 return;
             }
+            if (!connection->parser->is_done()) {
+                if (self->wantsRest(*connection))
+                    self->read(peer, connection);
+                else
+                    self->finish(peer, connection, { .delivery = Delivery::Abandoned }, false);
+                return;
+            }
             http::response<http::string_body> response = connection->parser->release();
             const bool keep = response.keep_alive() && connection->buffer.size() == 0;
             self->finish(peer, connection, { .delivery = Delivery::Answered, .response = makeResponse(response) }, keep);
         });
     }
 
+    /// Moves the deadline of an answer whose body arrives. \returns Whether the caller wants the rest of it.
+    bool wantsRest(Connection& connection)
+    {
+        if (!connection.parser->is_header_done() || connection.parser->get().body().empty())
+            return true;
+        HttpCall& call = connection.pending.call;
+        if (call.transferDeadline)
+            connection.stream.expires_at(m_loop.impl().onTimerClock(std::min(m_loop.now() + m_options.stallTime, *call.transferDeadline)));
+        const std::function<bool()> begun = std::exchange(call.begun, nullptr);
+        return !begun || begun();
+    }
+
     void finish(Peer& peer, const ConnectionPointer& connection, HttpReply reply, bool keep)
     {
         counts.notSent += reply.delivery == Delivery::NotSent ? 1 : 0;
--- a/src/jobs/model/names.cpp
+++ b/src/jobs/model/names.cpp
@@ -20,6 +20,8 @@
         return "not-done";
     case StoreOutcome::Unknown:
         return "unknown";
+    case StoreOutcome::Abandoned:
+        return "abandoned";
     }
     return "unknown";
 }
--- a/src/jobs/service/job_metrics.cpp
+++ b/src/jobs/service/job_metrics.cpp
@@ -90,6 +90,26 @@
     families.push_back(byCopy("lanemoor_copy_parts_total", "Answers that may have brought a part of the changes", copies, [](const CopyReading& copy) { return static_cast<double>(copy.counts.parts); }));
 }
 
+void addConfiguration(std::vector<prometheus::MetricFamily>& families, const MetricsReading& reading)
+{
+    families.push_back(gauge("lanemoor_configuration_version", "Version in force", static_cast<double>(reading.configurationVersion)));
+    families.push_back(gauge("lanemoor_configuration_age_seconds", "Since the store was known to hold no newer configuration", reading.configurationAgeSeconds));
+    const DocumentCopyCounts& counts = reading.configurationReads;
+    prometheus::MetricFamily calls { "lanemoor_configuration_calls_total", "Calls to the store for the configuration", prometheus::MetricType::Counter, {} };
+    const auto add = [&](DocumentCall call, std::uint64_t count) {
+        prometheus::ClientMetric metric;
+        metric.label.push_back({ "call", std::string(nameOf(call)) });
+        metric.counter.value = static_cast<double>(count);
+        calls.metric.push_back(std::move(metric));
+    };
+    add(DocumentCall::Watch, counts.watches);
+    add(DocumentCall::Read, counts.reads);
+    add(DocumentCall::Compare, counts.comparisons);
+    families.push_back(std::move(calls));
+    families.push_back(counter("lanemoor_configuration_calls_unanswered_total", "Those of them that failed", counts.unanswered));
+    families.push_back(counter("lanemoor_configuration_bytes_total", "Bytes of configurations read", counts.bytes));
+}
+
 void addStore(std::vector<prometheus::MetricFamily>& families, const MetricsReading& reading)
 {
     prometheus::MetricFamily condition { "lanemoor_store_condition", "1 for the state of the store that this process observes", prometheus::MetricType::Gauge, {} };
@@ -285,13 +305,12 @@
     std::vector<prometheus::MetricFamily> families = m_impl->registry.Collect();
     families.push_back(gauge("lanemoor_ready", "1 if the balancer should send callers here", reading.ready ? 1 : 0));
     families.push_back(gauge("lanemoor_owner", "1 while this process owns the shard", reading.owner ? 1 : 0));
-    families.push_back(gauge("lanemoor_configuration_version", "Version in force", static_cast<double>(reading.configurationVersion)));
-    families.push_back(gauge("lanemoor_configuration_age_seconds", "Since the store was known to hold no newer configuration", reading.configurationAgeSeconds));
     families.push_back(gauge("lanemoor_jobs_known", "Jobs known from the store", static_cast<double>(reading.jobs)));
     families.push_back(gauge("lanemoor_store_age_seconds", "Age of the copy of the store", reading.storeAgeSeconds));
     families.push_back(counter("lanemoor_store_items_unreadable_total", "Items in the store that could not be read", reading.unreadableItems));
     families.push_back(counter("lanemoor_log_lines_dropped_total", "Log lines lost because standard output was slow", reading.logLinesDropped));
     families.push_back(counter("lanemoor_log_decisions_omitted_total", "Log lines left out for want of budget", reading.decisionsOmitted));
+    addConfiguration(families, reading);
     addCopies(families, reading.copies);
     addStore(families, reading);
     addScheduler(families, scheduler);
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -21,6 +21,7 @@
 #include "lanemoor/jobs/relay/relayed_workers.h"
 #include "lanemoor/jobs/service/job_metrics.h"
 #include "lanemoor/jobs/service/store_access.h"
+#include "lanemoor/jobs/store/document_copy.h"
 #include "lanemoor/jobs/store/store_mirror.h"
 
 #include <algorithm>
@@ -43,8 +44,6 @@
 constexpr Millis ownershipWatchTime { 3'000 };
 /// Waves last some dozens of seconds.
 constexpr Millis waveWatchTime { 5'000 };
-/// A watch that is cut silently costs nothing here: the configuration is read as well.
-constexpr Millis configurationWatchTime { 20'000 };
 /// Workers drain with seconds of notice; sooner only saves work. Each heartbeat is a change, so
 /// that nearly every watch of the workers is answered at once. Only the owner watches them that often: 1,100
 /// workers have 730 heartbeats a second.
@@ -55,8 +54,6 @@
 /// The store's answers are missed after a watch's time and a call's; then this instance can
 /// take nothing and says so to the balancer.
 constexpr Millis storeMissedAfter { 2'500 };
-/// While the store does not answer: starts within quotas wait for the configuration after an outage.
-constexpr Millis configurationRetry { 150 };
 /// The owner of 349 workers took 0.18 cores (tellelag-drift-grown, quiet-1): a machine with less
 /// than this leaves a free ownership to others for a while.
 constexpr double coresOfOwner = 0.2;
@@ -80,13 +77,14 @@
 constexpr Millis seenUnready { 2'600 };
 constexpr Millis stopReserve { 1'500 }; // Of the grace, kept for the last answers to leave.
 
-/// \returns The time between reads of the configuration. A watch that receives nothing cannot be told from one whose events are
-/// lost: two reads may fail before a new configuration must be in force.
-Millis configurationReadPause(const JobServiceSettings& settings)
+/// \returns How the configuration is followed. Two checks may fail before requests have to be turned away.
+DocumentCopyOptions configurationOptions(const JobServiceSettings& settings, std::string key)
 {
     constexpr double shareOfApplyTime = 0.35;
-    constexpr Millis maxPause { 2'000 }; // Below `storeMissedAfter`: readiness goes by these reads too.
-    return std::min(Millis(static_cast<Millis::rep>(shareOfApplyTime * static_cast<double>(settings.configurationApplyTime.count()))), maxPause);
+    constexpr double overdueShare = 0.125;
+    constexpr Millis maxPause { 2'000 }; // Below `storeMissedAfter`: readiness goes by these checks too.
+    const auto share = [&](double part) { return Millis(static_cast<Millis::rep>(part * static_cast<double>(settings.configurationApplyTime.count()))); };
+    return { .key = std::move(key), .checkEvery = std::min(share(shareOfApplyTime), maxPause), .overdueAfter = share(overdueShare) };
 }
 
 Millis claimDelayOf(const JobServiceSettings& settings)
@@ -151,7 +149,7 @@
         , m_directory(*parts.loop)
         , m_jobs(*parts.loop, *parts.store, { .prefix = std::string(jobServicePrefix), .watchTime = watchTime, .leastGap = watchGap, .resumesImmediately = true }, [this](const StoreItem& item) { onItem(item); })
         , m_owners(*parts.loop, *parts.store, { .prefix = std::string(ownershipPrefix), .watchTime = ownershipWatchTime }, [this](const StoreItem& item) { onOwnership(item); })
-        , m_configurations(*parts.loop, *parts.store, { .prefix = parts.documents->configurationKey(), .watchTime = configurationWatchTime }, [this](const StoreItem& item) { onConfiguration(item); })
+        , m_configurations(*parts.loop, *parts.store, configurationOptions(settings, parts.documents->configurationKey()), { .changed = [this](const StoreItem& item) { onConfiguration(item); }, .ended = [this](const DocumentReading& reading) { onConfigurationReading(reading); } })
         , m_workers(*parts.loop, *parts.store, { .prefix = parts.documents->workerPrefix(), .watchTime = watchTime, .leastGap = standbyWatchGap }, [this](const StoreItem& item) { onWorker(item); })
         , m_waves(*parts.loop, *parts.store, { .prefix = parts.documents->wavePrefix(), .watchTime = waveWatchTime }, [this](const StoreItem& item) { onWave(item); })
         , m_ownership(*parts.loop, *parts.store, m_owners, { .shard = theShard, .holder = m_holder, .peer = parts.peerAddress, .leaseTime = settings.ownershipTime, .renewEvery = settings.ownershipTime / renewalsOfLease, .claimDelay = claimDelayOf(settings) },
@@ -188,7 +186,6 @@
             m_workers.start();
         }
         m_ownership.start();
-        readConfigurationLater();
         checkCopyLater();
         m_retirement.start();
         m_countsWriter.start();
@@ -218,14 +215,14 @@
     [[nodiscard]] bool hasCopy() const { return isStandby() || m_scheduler.isActive(); }
 
     /// \returns When the store last answered a call that is made again and again, counted from before the call.
-    [[nodiscard]] MonotonicInstant storeAnsweredAt() const { return isStandby() ? m_jobs.answeredAt() : std::max(m_owners.answeredAt(), m_configurationCheckedAt); }
+    [[nodiscard]] MonotonicInstant storeAnsweredAt() const { return isStandby() ? m_jobs.answeredAt() : std::max(m_owners.answeredAt(), m_configurations.answeredAt()); }
 
     /// \returns Age of what this instance knows of the jobs.
     [[nodiscard]] std::int64_t copyAge() const { return since(hasCopy() ? m_jobs.freshAt() : m_owners.freshAt()); }
 
     void pending(const std::string& queue, const std::function<void(std::optional<std::uint64_t>)>& done)
     {
-        const auto answer = [this, queue, done, sentAt = m_parts.loop->now(), configuration = m_configuration, configurationAge = since(m_configurationCheckedAt)](std::optional<std::uint64_t> count) {
+        const auto answer = [this, queue, done, sentAt = m_parts.loop->now(), configuration = m_configuration, configurationAge = configurationAge()](std::optional<std::uint64_t> count) {
             m_parts.log->decision("queue-counted",
                 { { "queue", queue }, { "route", routeOf(*configuration, queue) }, { "configuration", static_cast<std::int64_t>(configuration->version) }, { "configuration_age_ms", configurationAge }, { "outcome", std::string(count ? "counted" : "unavailable") }, { "ms", since(sentAt) } });
             done(count);
@@ -238,15 +235,16 @@
 
     [[nodiscard]] bool isReady() const
     {
-        return !m_stopping && takesRequests() && !m_intake.isStoreSilent() && m_parts.loop->now() - storeAnsweredAt() < storeMissedAfter;
+        return !m_stopping && takesRequests() && isConfigurationCurrent() && !m_intake.isStoreSilent() && m_parts.loop->now() - storeAnsweredAt() < storeMissedAfter;
     }
 
-    [[nodiscard]] bool isConfigurationCurrent() const { return m_parts.loop->now() - m_configurationCheckedAt <= m_settings.configurationApplyTime; }
+    /// \returns Whether every configuration that should be in force by now is known. What it decides is decided by no other one.
+    [[nodiscard]] bool isConfigurationCurrent() const { return m_parts.loop->now() - m_configurations.provenAt() <= m_settings.configurationApplyTime; }
 
     [[nodiscard]] bool trustsKeys() const
     {
         const Millis bound = m_settings.configurationTrust;
-        return bound.count() == 0 || m_parts.loop->now() - m_configurationCheckedAt <= bound;
+        return bound.count() == 0 || m_parts.loop->now() - m_configurations.provenAt() <= bound;
     }
 
     void submit(const Caller& caller, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done)
@@ -255,7 +253,7 @@
         const MonotonicInstant usefulUntil = m_parts.loop->now() + usefulTime(settings, spec);
         const JobRecord record { .queue = caller.queue, .pool = settings ? settings->pool : std::string(), .acceptedAt = m_parts.loop->timeOfDay(), .spec = std::move(spec), .organisation = caller.organisation };
         const AdmissionVerdict verdict = judge(caller, id, record.spec);
-        const auto answer = [this, id, caller, verdict, usefulUntil, spec = record.spec, done = std::move(done), sentAt = m_parts.loop->now(), version = m_configuration->version, configurationAge = since(m_configurationCheckedAt)](AcceptOutcome outcome) {
+        const auto answer = [this, id, caller, verdict, usefulUntil, spec = record.spec, done = std::move(done), sentAt = m_parts.loop->now(), version = m_configuration->version, configurationAge = configurationAge()](AcceptOutcome outcome) {
             metrics.noteHandedIn(caller.queue, outcome, secondsSince(sentAt));
             noteSubmission(caller, id, spec, usefulUntil, outcome);
             m_parts.log->decision("job-handed-in",
@@ -321,12 +319,17 @@
     AdmittedCall admit(std::string_view host, std::string_view path, std::optional<std::string_view> key)
     {
         const std::shared_ptr<const ServiceConfiguration> configuration = m_configuration;
+        const auto refusal = [](Admission admission) { return AdmittedCall { .admission = admission, .caller = {}, .job = {} }; };
         if (!configuration || !takesRequests())
-            return { .admission = Admission::Later, .caller = {}, .job = {} };
-        const auto refusal = [this](Admission admission) { return AdmittedCall { .admission = isConfigurationCurrent() ? admission : Admission::Later, .caller = {}, .job = {} }; };
+            return refusal(Admission::Later);
+        if (!isConfigurationCurrent()) {
+            noteProof();
+            noteTurnedAway("caller-deferred", "configuration-unproven", host, path);
+            return refusal(Admission::Later);
+        }
         const QueueSettings* queue = configuration->queueFor(host, path);
         if (!queue) {
-            noteUnknownQueue(host, path);
+            noteTurnedAway("caller-refused", "no-such-queue", host, path);
             return refusal(Admission::NoSuchQueue);
         }
         std::optional<Caller> caller = identify(*configuration, *queue, key);
@@ -335,23 +338,24 @@
             return refusal(Admission::KeyRefused);
         }
         if (!caller->isOpen && !trustsKeys())
-            return { .admission = Admission::Later, .caller = {}, .job = {} };
+            return refusal(Admission::Later);
         return { .admission = Admission::LetIn, .caller = std::move(*caller), .job = std::string(path.substr(queue->pathPrefix.size())) };
     }
 
-    void noteUnknownQueue(std::string_view host, std::string_view path)
+    /// Logs a call whose route is unknown, or that no configuration may decide now.
+    void noteTurnedAway(const char* event, const char* reason, std::string_view host, std::string_view path)
     {
         constexpr std::size_t mostOfPath = 80; // Of what a caller sent.
-        metrics.noteTurnedAway("no-such-queue");
-        m_parts.log->decision("caller-refused",
-            { { "reason", std::string("no-such-queue") }, { "route", std::string(host) + std::string(path.substr(0, mostOfPath)) }, { "configuration", static_cast<std::int64_t>(m_configuration->version) }, { "configuration_age_ms", since(m_configurationCheckedAt) } });
+        metrics.noteTurnedAway(reason);
+        m_parts.log->decision(event,
+            { { "reason", std::string(reason) }, { "route", std::string(host) + std::string(path.substr(0, mostOfPath)) }, { "configuration", static_cast<std::int64_t>(m_configuration->version) }, { "configuration_age_ms", configurationAge() } });
     }
 
     void noteTurnedAway(const std::string& queue, std::optional<std::string_view> key)
     {
         metrics.noteTurnedAway(key ? "unknown-key" : "no-key");
         m_parts.log->decision("caller-refused",
-            { { "queue", queue }, { "reason", std::string(key ? "unknown-key" : "no-key") }, { "key", key ? ApiKeyDigest::of(*key).fingerprint() : std::string() }, { "configuration", static_cast<std::int64_t>(m_configuration->version) }, { "configuration_age_ms", since(m_configurationCheckedAt) } });
+            { { "queue", queue }, { "reason", std::string(key ? "unknown-key" : "no-key") }, { "key", key ? ApiKeyDigest::of(*key).fingerprint() : std::string() }, { "configuration", static_cast<std::int64_t>(m_configuration->version) }, { "configuration_age_ms", configurationAge() } });
     }
 
     void status(const Caller& caller, const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done)
@@ -447,10 +451,11 @@
         const MetricsReading reading { .ready = isReady(),
             .owner = m_ownership.isHeld(),
             .configurationVersion = m_configuration ? m_configuration->version : 0,
-            .configurationAgeSeconds = secondsSince(m_configurationCheckedAt),
+            .configurationAgeSeconds = secondsSince(m_configurations.provenAt()),
+            .configurationReads = m_configurations.counts(),
             .jobs = m_catalog.all().size(),
             .storeAgeSeconds = secondsSince(hasCopy() ? m_jobs.freshAt() : m_owners.freshAt()),
-            .copies = { readingOf("jobs", m_jobs), readingOf("ownership", m_owners), readingOf("configuration", m_configurations), readingOf("workers", m_workers), readingOf("waves", m_waves) },
+            .copies = { readingOf("jobs", m_jobs), readingOf("ownership", m_owners), readingOf("workers", m_workers), readingOf("waves", m_waves) },
             .storeState = m_access->condition()->state,
             .hedges = m_access->hedges(),
             .unsavedChanges = unsaved.jobs,
@@ -481,7 +486,7 @@
     WorkerDirectory m_directory;
     StoreMirror m_jobs;
     StoreMirror m_owners; ///< Of the ownership's keys alone: a loss is heard of at once.
-    StoreMirror m_configurations;
+    DocumentCopy m_configurations;
     StoreMirror m_workers;
     StoreMirror m_waves;
     OwnershipKeeper m_ownership;
@@ -497,7 +502,7 @@
     QueueCountsWriter m_countsWriter;
     JobRetirement m_retirement;
     std::optional<Ownership> m_claimed; ///< A term that has not begun yet.
-    MonotonicInstant m_configurationCheckedAt; ///< The store named no newer configuration then.
+    bool m_isConfigurationProven = true; ///< As it was logged last.
     bool m_stopping = false;
     bool m_storeAnswers = true;
     bool m_copyLags = false; ///< The copy of the jobs is behind a store that answers.
@@ -522,6 +527,9 @@
         return std::chrono::duration<double>(m_parts.loop->now() - from).count();
     }
 
+    /// \returns Age of the proof that the configuration is the newest.
+    [[nodiscard]] std::int64_t configurationAge() const { return since(m_configurations.provenAt()); }
+
     [[nodiscard]] std::int64_t since(MonotonicInstant from) const
     {
         return std::chrono::duration_cast<Millis>(m_parts.loop->now() - from).count();
@@ -643,34 +651,40 @@
             m_parts.log->change("wave-unreadable", { { "key", item.key } });
     }
 
-    void readConfigurationLater()
-    {
-        const MonotonicInstant dueAt = m_parts.loop->now() + (m_storeAnswers ? configurationReadPause(m_settings) : configurationRetry);
-        m_parts.loop->callAt(dueAt, [this, dueAt] {
-            const MonotonicInstant readAt = m_parts.loop->now();
-            m_parts.store->read(m_parts.documents->configurationKey(), [this, sentAt = readAt, timerLate = since(dueAt)](const ReadResult& result) {
-                noteConfigurationRead(result, sentAt, timerLate);
-                if (result.outcome == StoreOutcome::Done) {
-                    m_configurations.noteWritten(result.item);
-                    m_jobs.noteStoreRevision(result.storeRevision, sentAt);
-                    m_configurationCheckedAt = std::max(m_configurationCheckedAt, sentAt);
-                    m_intake.noteAnswered(sentAt);
-                }
-                noteStore(result.outcome);
-                readConfigurationLater();
-            });
-        });
+    void onConfigurationReading(const DocumentReading& reading)
+    {
+        noteConfigurationReading(reading);
+        noteProof();
+        const bool isAnswered = reading.outcome != StoreOutcome::Unknown && reading.outcome != StoreOutcome::NotDone;
+        if (isAnswered) {
+            m_jobs.noteStoreRevision(reading.newRevision, reading.sentAt);
+            m_intake.noteAnswered(reading.sentAt);
+        }
+        // A watch may be cut at any time, and a call whose repeat was answered says nothing of the store.
+        if (isAnswered || (reading.call != DocumentCall::Watch && m_configurations.answeredAt() < reading.sentAt))
+            noteStore(isAnswered ? StoreOutcome::Done : reading.outcome);
     }
 
     /// Tells apart what keeps a new configuration from being read: no answer, a slow one, or a loop that was busy.
-    void noteConfigurationRead(const ReadResult& result, MonotonicInstant sentAt, std::int64_t timerLate)
+    void noteConfigurationReading(const DocumentReading& reading)
     {
-        const bool isSlow = m_parts.loop->now() - sentAt >= configurationReadPause(m_settings) / 2;
-        if (result.outcome == StoreOutcome::Done && !isSlow)
+        constexpr Millis slow { 300 };
+        const bool isSlow = reading.call != DocumentCall::Watch && reading.endedAt - reading.dueAt >= slow;
+        if (reading.outcome == StoreOutcome::Done && reading.bytes == 0 && !isSlow)
             return;
         m_parts.log->decision("configuration-read",
-            { { "outcome", std::string(nameOf(result.outcome)) }, { "ms", since(sentAt) }, { "timer_late_ms", timerLate }, { "bytes", static_cast<std::int64_t>(result.item.value.size()) }, { "revision", static_cast<std::int64_t>(result.item.revision) },
-                { "configuration", static_cast<std::int64_t>(m_configuration ? m_configuration->version : 0) }, { "configuration_age_ms", since(m_configurationCheckedAt) } });
+            { { "call", std::string(nameOf(reading.call)) }, { "outcome", std::string(nameOf(reading.outcome)) }, { "ms", since(reading.sentAt) }, { "sent_late_ms", std::chrono::duration_cast<Millis>(reading.sentAt - reading.dueAt).count() }, { "bytes", static_cast<std::int64_t>(reading.bytes) },
+                { "configuration", static_cast<std::int64_t>(m_configuration ? m_configuration->version : 0) }, { "configuration_age_ms", configurationAge() } });
+    }
+
+    /// One line when the configuration may have been replaced too long ago, one when it is known to be the newest again.
+    void noteProof()
+    {
+        const bool isProven = isConfigurationCurrent();
+        if (!m_configuration || std::exchange(m_isConfigurationProven, isProven) == isProven)
+            return;
+        m_parts.log->change(isProven ? "configuration-proven" : "configuration-unproven",
+            { { "configuration", static_cast<std::int64_t>(m_configuration->version) }, { "configuration_age_ms", configurationAge() }, { "bound_ms", static_cast<std::int64_t>(m_settings.configurationApplyTime.count()) } });
     }
 
     /// An owner that lags behind the store, for want of processor time or of a path, is none.
@@ -724,7 +738,8 @@
     void sendWaitingCalls(MonotonicInstant answeredAt)
     {
         m_ownership.renewNow();
-        for (StoreMirror* copy : { &m_owners, &m_jobs, &m_workers, &m_configurations, &m_waves })
+        m_configurations.checkNow(answeredAt);
+        for (StoreMirror* copy : { &m_owners, &m_jobs, &m_workers, &m_waves })
             copy->retryNow(answeredAt);
         m_fleet.retryStore();
         m_access->resendWaiting(answeredAt);
--- a/src/jobs/store/hedged_store.cpp
+++ b/src/jobs/store/hedged_store.cpp
@@ -450,6 +450,11 @@
     m_impl->store().watch(prefix, after, wait, std::move(done));
 }
 
+void HedgedStore::fetch(DocumentQuery query, std::function<void(ItemsResult)> done)
+{
+    m_impl->store().fetch(std::move(query), std::move(done));
+}
+
 void HedgedStore::commit(const Transaction& transaction, std::function<void(CommitResult)> done)
 {
     if (isIdempotent(transaction))
--- a/src/jobs/store/observed_store.cpp
+++ b/src/jobs/store/observed_store.cpp
@@ -76,6 +76,13 @@
     m_impl->store.watch(prefix, after, wait, m_impl->noting(StoreCallKind::Read, std::move(done)));
 }
 
+void ObservedStore::fetch(DocumentQuery query, std::function<void(ItemsResult)> done)
+{
+    // The store carries a condition out as a transaction.
+    const StoreCallKind kind = query.unless > 0 ? StoreCallKind::Write : StoreCallKind::Read;
+    m_impl->store.fetch(std::move(query), m_impl->noting(kind, std::move(done)));
+}
+
 void ObservedStore::commit(const Transaction& transaction, std::function<void(CommitResult)> done)
 {
     m_impl->store.commit(transaction, m_impl->noting(StoreCallKind::Write, std::move(done)));
--- a/src/jobs/store/store_mirror.cpp
+++ b/src/jobs/store/store_mirror.cpp
@@ -1,5 +1,7 @@
 #include "lanemoor/jobs/store/store_mirror.h"
 
+#include "answer_part.h"
+
 #include <algorithm>
 #include <deque>
 #include <set>
@@ -10,23 +12,6 @@
 
 namespace {
 
-/// The store cuts an answer at some 500 changes or one megabyte, and says neither that it did nor exactly where. An answer
-/// below these is whole.
-constexpr std::size_t changesOfPart = 100;
-constexpr std::size_t bytesOfPart = 128 * 1024;
-
-/// A whole answer names the store's newest revision, which is usually another key's. One that ends with the revision where
-/// the watch goes on may have been cut there.
-bool mayBePart(const ItemsResult& result)
-{
-    if (result.items.empty() || result.items.back().revision < result.storeRevision)
-        return false;
-    std::size_t bytes = 0;
-    for (const StoreItem& item : result.items)
-        bytes += item.key.size() + item.value.size();
-    return result.items.size() >= changesOfPart || bytes >= bytesOfPart;
-}
-
 /// A page of 1 MB takes 1.1 s over a link of 10 Mbit/s; on most links an answer that takes longer than the first is lost.
 constexpr Millis minPagePatience { 1'000 };
 constexpr Millis maxPagePatience { 4'000 };
@@ -271,7 +256,7 @@
         answeredAt = sentAt;
         if (result.storeRevision > m_at)
             m_at = result.storeRevision;
-        const bool part = mayBePart(result);
+        const bool part = mayBeAnswerPart(result);
         ++counts.answers;
         counts.changes += result.items.size();
         counts.parts += part ? 1 : 0;
--- a/standins/job_platform/store_service.cpp
+++ b/standins/job_platform/store_service.cpp
@@ -49,6 +49,7 @@
         return status::gone;
     case StoreOutcome::NotDone:
     case StoreOutcome::Unknown:
+    case StoreOutcome::Abandoned:
         break;
     }
     return status::unavailable;
--- a/standins/model/store_model.cpp
+++ b/standins/model/store_model.cpp
@@ -209,7 +209,7 @@
 }
 
 template <typename Result>
-void StoreClient::transfer(const Result& result, MonotonicInstant deadline, const std::function<void(Result)>& answer)
+void StoreClient::transfer(const Result& result, MonotonicInstant deadline, const std::function<void(Result)>& answer, const std::function<bool()>& begun)
 {
     SimClock& clock = m_store.m_clock;
     if (linkBytesPerMs == 0) {
@@ -218,13 +218,30 @@
     }
     const MonotonicInstant begin = std::max(clock.now(), m_linkFreeAt);
     const MonotonicInstant end = begin + Millis(static_cast<Millis::rep>(bytesOf(result) / linkBytesPerMs));
-    const bool isInTime = end <= deadline;
-    m_linkFreeAt = isInTime ? end : std::max(begin, deadline);
-    clock.at(isInTime ? end : std::max(clock.now(), deadline), [answer, result, isInTime] { answer(isInTime ? result : Result {}); });
+    if (begin > deadline) {
+        clock.at(std::max(clock.now(), deadline), [answer] { answer(Result {}); });
+        return;
+    }
+    m_linkFreeAt = end;
+    if (begun && end > begin) {
+        const auto arrives = [this, result, end, length = end - begin, answer, begun](int) {
+            if (begun()) {
+                m_store.m_clock.at(std::max(end, m_store.m_clock.now()), [answer, result] { answer(result); });
+                return;
+            }
+            m_linkFreeAt -= length;
+            Result abandoned;
+            abandoned.outcome = StoreOutcome::Abandoned;
+            answer(abandoned);
+        };
+        clock.at(begin, [arrive = m_process.deliver<int>(arrives)] { arrive(0); });
+        return;
+    }
+    clock.at(end, [answer, result] { answer(result); });
 }
 
 template <typename Result>
-void StoreClient::call(bool writes, std::function<Result()> act, std::function<void(Result)> done, Millis patience)
+void StoreClient::call(bool writes, std::function<Result()> act, std::function<void(Result)> done, Millis patience, const std::function<bool()>& begun)
 {
     const MonotonicInstant deadline = m_store.m_clock.now() + patience;
     ++m_store.m_calls;
@@ -255,13 +272,13 @@
         return;
     }
     const bool lost = writes && share(m_store.m_random) < trouble.lostAnswers;
-    clock.after(trouble.answerTime / 2, [this, act, answer, lost, deadline] {
+    clock.after(trouble.answerTime / 2, [this, act, answer, lost, deadline, begun] {
         m_store.expire();
         const Result result = act();
         if (lost)
             m_store.m_clock.after(callTime, [answer] { answer(Result {}); });
         else
-            m_store.m_clock.after(m_store.trouble.answerTime / 2, [this, answer, result, deadline] { transfer(result, deadline, answer); });
+            m_store.m_clock.after(m_store.trouble.answerTime / 2, [this, answer, result, deadline, begun] { transfer(result, deadline, answer, begun); });
     });
 }
 
@@ -279,6 +296,11 @@
 }
 
 void StoreClient::range(const std::string& prefix, const std::string& afterKey, Millis patience, std::function<void(ItemsResult)> done)
+{
+    list(prefix, afterKey, patience, std::move(done), nullptr);
+}
+
+void StoreClient::list(const std::string& prefix, const std::string& afterKey, Millis patience, std::function<void(ItemsResult)> done, const std::function<bool()>& begun)
 {
     if (m_store.trouble.lostPages > 0 && std::uniform_real_distribution<double>(0, 1)(m_store.m_random) < m_store.trouble.lostPages) {
         ++m_store.m_calls;
@@ -306,19 +328,41 @@
             }
             return result;
         },
-        std::move(done), patience);
+        std::move(done), patience, begun);
 }
 
 void StoreClient::watch(const std::string& prefix, std::uint64_t after, Millis wait, std::function<void(ItemsResult)> done)
+{
+    await(prefix, after, wait, std::move(done), nullptr);
+}
+
+void StoreClient::fetch(DocumentQuery query, std::function<void(ItemsResult)> done)
+{
+    if (query.after == 0 && query.unless > 0) {
+        const auto compare = [this, key = query.key, unless = query.unless]() -> ItemsResult {
+            const StoreItem* item = m_store.find(key);
+            const bool isNewer = item && item->revision != unless;
+            return { .outcome = StoreOutcome::Done, .items = isNewer ? std::vector<StoreItem> { *item } : std::vector<StoreItem> {} };
+        };
+        call<ItemsResult>(true, compare, std::move(done), query.patience, query.begun);
+        return;
+    }
+    if (query.after == 0)
+        list(query.key, {}, query.patience, std::move(done), query.begun);
+    else
+        await(query.key, query.after, query.wait, std::move(done), query.begun);
+}
+
+void StoreClient::await(const std::string& prefix, std::uint64_t after, Millis wait, std::function<void(ItemsResult)> done, const std::function<bool()>& begun)
 {
     ++m_store.m_calls;
     SimClock& clock = m_store.m_clock;
     const std::function<void(ItemsResult)> delivered = m_process.deliver<ItemsResult>(std::move(done));
-    const std::function<void(ItemsResult)> answer = [this, delivered, deadline = clock.now() + wait + callTime](const ItemsResult& result) {
+    const std::function<void(ItemsResult)> answer = [this, delivered, deadline = clock.now() + wait + callTime, begun](const ItemsResult& result) {
         if (cutOff)
             m_store.m_clock.at(deadline, [delivered] { delivered({}); });
         else
-            transfer(result, deadline, delivered);
+            transfer(result, deadline, delivered, begun);
     };
     if (resetting || cutOff || watchesCutOff || m_store.trouble.silent || m_store.trouble.refusing) {
         clock.after(callTime, [delivered] { delivered({}); });
--- a/standins/model/store_model.h
+++ b/standins/model/store_model.h
@@ -104,6 +104,7 @@
     void read(const std::string& key, std::function<void(jobs::ReadResult)> done) override;
     void range(const std::string& prefix, const std::string& afterKey, Millis patience, std::function<void(jobs::ItemsResult)> done) override;
     void watch(const std::string& prefix, std::uint64_t after, Millis wait, std::function<void(jobs::ItemsResult)> done) override;
+    void fetch(jobs::DocumentQuery query, std::function<void(jobs::ItemsResult)> done) override;
     void commit(const jobs::Transaction& transaction, std::function<void(jobs::CommitResult)> done) override;
     void grantLease(Millis timeToLive, std::function<void(jobs::LeaseResult)> done) override;
     void renewLease(std::uint64_t lease, std::function<void(jobs::LeaseResult)> done) override;
@@ -111,11 +112,14 @@
 
 private:
     template <typename Result>
-    void call(bool writes, std::function<Result()> act, std::function<void(Result)> done, Millis patience);
+    void call(bool writes, std::function<Result()> act, std::function<void(Result)> done, Millis patience, const std::function<bool()>& begun = nullptr);
 
-    /// Brings an answer over the link. One that is not there by `deadline` is lost, as the adapters give the call up.
+    void list(const std::string& prefix, const std::string& afterKey, Millis patience, std::function<void(jobs::ItemsResult)> done, const std::function<bool()>& begun);
+    void await(const std::string& prefix, std::uint64_t after, Millis wait, std::function<void(jobs::ItemsResult)> done, const std::function<bool()>& begun);
+
+    /// Brings an answer over the link. One that has not begun to arrive by `deadline` is lost, as the adapters give the call up.
     template <typename Result>
-    void transfer(const Result& result, MonotonicInstant deadline, const std::function<void(Result)>& answer);
+    void transfer(const Result& result, MonotonicInstant deadline, const std::function<void(Result)>& answer, const std::function<bool()>& begun);
 
     StoreModel& m_store;
     SimProcess& m_process;
--- a/tests/jobs/hedged_store_test.cpp
+++ b/tests/jobs/hedged_store_test.cpp
@@ -32,6 +32,7 @@
     std::vector<Read> reads;
 
     void read(const std::string& key, std::function<void(ReadResult)> done) override { reads.push_back({ key, std::move(done) }); }
+    void fetch(DocumentQuery, std::function<void(ItemsResult)>) override { }
     void commit(const Transaction& transaction, std::function<void(CommitResult)> done) override { commits.push_back({ transaction, std::move(done) }); }
     void range(const std::string&, const std::string&, Millis, std::function<void(ItemsResult)>) override { }
     void watch(const std::string&, std::uint64_t, Millis, std::function<void(ItemsResult)>) override { }
--- a/tests/jobs/http_test.cpp
+++ b/tests/jobs/http_test.cpp
@@ -184,3 +184,105 @@
     HttpClient client(exchange.loop, {});
     CHECK(exchange.call(client, { "127.0.0.1", listener.port() }, post("ok")).response.status == 200);
 }
+
+namespace {
+
+/// A server that accepts one connection and sends an answer of `parts` parts of its body, one after each pause.
+struct SlowServer {
+    SlowServer(std::size_t partsSent, Millis pause)
+    {
+        constexpr std::size_t partsOfBody = 10;
+        m_listener = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        REQUIRE(::bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+        REQUIRE(::listen(m_listener, 1) == 0);
+        socklen_t size = sizeof address;
+        REQUIRE(::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+        port = ntohs(address.sin_port);
+        m_thread = std::thread([this, partsSent, pause] {
+            const int connection = ::accept(m_listener, nullptr, nullptr);
+            char buffer[1'024];
+            static_cast<void>(::recv(connection, buffer, sizeof buffer, 0));
+            const std::string part(100, 'x');
+            const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(partsOfBody * part.size()) + "\r\n\r\n";
+            static_cast<void>(::send(connection, head.data(), head.size(), MSG_NOSIGNAL));
+            for (std::size_t sent = 0; sent < partsSent; ++sent) {
+                static_cast<void>(::send(connection, part.data(), part.size(), MSG_NOSIGNAL));
+                std::this_thread::sleep_for(pause);
+            }
+            static_cast<void>(::recv(connection, buffer, sizeof buffer, 0)); // Until the client closes.
+            ::close(connection);
+        });
+    }
+
+    ~SlowServer()
+    {
+        ::shutdown(m_listener, SHUT_RDWR);
+        ::close(m_listener);
+        m_thread.join();
+    }
+
+    std::uint16_t port = 0;
+
+private:
+    int m_listener = -1;
+    std::thread m_thread;
+};
+
+/// \returns What came of a call whose answer has to begin within 200 ms and may take 5 s; `begun` is counted up.
+HttpReply callSlow(std::uint16_t port, int& begun, bool wantsRest = true)
+{
+    Exchange exchange;
+    HttpClient client(exchange.loop, { .stallTime = Millis(300) });
+    std::optional<HttpReply> result;
+    const jobs::MonotonicInstant now = exchange.loop.now();
+    client.send({ "127.0.0.1", port }, { .request = post("x"), .deadline = now + Millis(200), .transferDeadline = now + patience, .begun = [&] {
+                                            ++begun;
+                                            return wantsRest;
+                                        } },
+        [&](HttpReply reply) {
+            result = std::move(reply);
+            exchange.loop.stop();
+        });
+    exchange.loop.run();
+    REQUIRE(result);
+    return *result;
+}
+
+} // namespace
+
+// Guards against large answers that are given up while they arrive, and asked for again over the same link.
+TEST_CASE("An answer that keeps arriving is waited for beyond the time in which it has to begin")
+{
+    const SlowServer server(10, Millis(50));
+    int begun = 0;
+    const HttpReply reply = callSlow(server.port, begun);
+    CHECK(reply.delivery == Delivery::Answered);
+    CHECK(reply.response.body.size() == 1'000);
+    CHECK(begun == 1);
+}
+
+// Guards against two answers with one document that share a narrow link.
+TEST_CASE("An answer whose rest is not wanted ends when it begins")
+{
+    const SlowServer server(10, Millis(200));
+    int begun = 0;
+    const auto before = std::chrono::steady_clock::now();
+    CHECK(callSlow(server.port, begun, false).delivery == Delivery::Abandoned);
+    CHECK(std::chrono::steady_clock::now() - before < std::chrono::milliseconds(1'000));
+    CHECK(begun == 1);
+}
+
+TEST_CASE("An answer that stops arriving is lost after the pause that is allowed, and so is one that does not begin")
+{
+    for (const std::size_t parts : { 0, 3 }) {
+        const SlowServer server(parts, Millis(0));
+        int begun = 0;
+        const auto before = std::chrono::steady_clock::now();
+        CHECK(callSlow(server.port, begun).delivery == Delivery::Unanswered);
+        CHECK(std::chrono::steady_clock::now() - before < std::chrono::milliseconds(1'500));
+        CHECK(begun == (parts > 0 ? 1 : 0));
+    }
+}
