A relay that was paused sends no start that waited for its payload

What callers may see: a task that starts after its job was cancelled, or in a data hall that is being evacuated. Cause: a start waits for its payload for 250 ms at the most, by a timer; after a pause of the process the payload's answer may be handled before that timer, and the start was sent however late it was. The time is asked when the start is sent. Grants of admission in a frame that came too late are ignored as its calls are.

The test pauses both relays for 3 s between the call and the payload's answer: it fails on the code before (8 late starts for 4 of 20 moments of the pause).

--- a/src/jobs/relay/order_relay.cpp
+++ b/src/jobs/relay/order_relay.cpp
@@ -183,7 +183,7 @@
         }
         for (const wire::RelayLife& life : frame.forgotten())
             m_parts.workers->forget({ .id = life.worker(), .address = life.address() });
-        if (frame.has_admission() && m_parts.granted)
+        if (frame.has_admission() && m_parts.granted && !isOld)
             m_parts.granted(grantsOf(frame.admission()));
         // The owner hears from here whenever it says something.
         if (frame.calls().empty())
@@ -251,8 +251,10 @@
             return;
         }
         const std::string job = order.attempt.job;
-        m_payloads->read(job, [self = shared_from_this(), isSettled, refuse, worker, order = std::move(order), done](const std::optional<std::string>& payload) mutable {
-            if (!payload) {
+        const MonotonicInstant deadline = m_parts.loop->now() + payloadPatience;
+        m_payloads->read(job, [self = shared_from_this(), isSettled, refuse, worker, order = std::move(order), done, deadline](const std::optional<std::string>& payload) mutable {
+            // After a pause of this process the payload may come before the timer that ends the patience.
+            if (!payload || self->m_parts.loop->now() > deadline) {
                 refuse();
                 return;
             }
@@ -261,7 +263,7 @@
             order.payload = *payload;
             self->m_parts.workers->start(worker, order, done);
         });
-        m_parts.loop->callAt(m_parts.loop->now() + payloadPatience, refuse);
+        m_parts.loop->callAt(deadline, refuse);
     }
 
     template <typename Result>
--- a/tests/jobs/relay_test.cpp
+++ b/tests/jobs/relay_test.cpp
@@ -264,6 +264,33 @@
         CHECK(started == payload);
 }
 
+// Guards against starts that a relay sends after a pause, when cancels and evacuations that came meanwhile forbid them.
+TEST_CASE("A relay that is paused while it waits for a payload does not send the start afterwards")
+{
+    for (int pauseAfter = 0; pauseAfter < 20; ++pauseAfter) {
+        Link link;
+        link.renewAll(8);
+        link.clock.runFor(Millis(100));
+        const std::string payload(3'000, 'x');
+        JobRecord record { .queue = "q", .pool = "p", .acceptedAt = {}, .spec = job({ step(8) }) };
+        record.spec.payload = payload;
+        link.storeModel.put(jobKey("job"), encode(record));
+        for (std::uint32_t i = 0; i < 8; ++i) {
+            const StartOrder order { .attempt = { "job", { 0, 0, i }, 1 }, .payload = payload, .leaseUntil = 5, .epoch = 2, .checkpoint = {}, .ticket = {} };
+            link.owner.start({ "w" + std::to_string(i), "10.0.0.1:1" }, order, [](const OrderResult&) {});
+        }
+        link.clock.runFor(Millis(pauseAfter));
+        const std::size_t before = link.byFirst.starts.size() + link.bySecond.starts.size();
+        for (model::SimProcess* process : { &link.firstProcess, &link.secondProcess })
+            process->freeze();
+        link.clock.runFor(Millis(3'000));
+        for (model::SimProcess* process : { &link.firstProcess, &link.secondProcess })
+            process->thaw();
+        link.clock.runFor(Millis(20));
+        CHECK(link.byFirst.starts.size() + link.bySecond.starts.size() == before);
+    }
+}
+
 TEST_CASE("A payload that the store does not give the relay travels with the call")
 {
     Link link;
