HTTP calls whose time is over before they are sent are not sent

Calls wait for a connection, or behind a busy event loop. A call that was given up meanwhile was sent all the same: a start or a move of an instance could arrive after its caller had stopped to count on it. The deadline is asked when the request is written. The test fails on the code before: the server sees the second call 200 ms after its deadline.

--- a/src/aio/http_client.cpp
+++ b/src/aio/http_client.cpp
@@ -170,8 +170,13 @@
         });
     }
 
+    /// A call whose time is over before it is sent is not sent: it may have waited for a connection, or behind a busy loop.
     void write(Peer& peer, const ConnectionPointer& connection)
     {
+        if (m_loop.now() >= connection->pending.call.deadline) {
+            boost::asio::post(m_context, [self = shared_from_this(), &peer, connection] { self->finish(peer, connection, { .delivery = Delivery::NotSent }, false); });
+            return;
+        }
         connection->request = makeRequest(peer.address, connection->pending.call.request);
         connection->parser.emplace();
         connection->parser->body_limit(m_options.mostResponseBytes);
--- a/tests/jobs/http_test.cpp
+++ b/tests/jobs/http_test.cpp
@@ -185,6 +185,28 @@
     CHECK(exchange.call(client, { "127.0.0.1", listener.port() }, post("ok")).response.status == 200);
 }
 
+// Guards against calls that wait for a connection and are sent when their callers have given them up.
+TEST_CASE("A call whose time is over before a connection is free is never sent")
+{
+    Exchange exchange;
+    HttpResponder first;
+    int seen = 0;
+    const HttpListener listener(exchange.loop, { .address = { "127.0.0.1", 0 } }, [&](const HttpRequest& request, const HttpResponder& respond) {
+        ++seen;
+        if (request.body == "first")
+            first = respond;
+        else
+            respond({ .status = 200, .headers = {}, .body = {} });
+    });
+    HttpClient client(exchange.loop, { .mostConnections = 1 });
+    const HttpAddress address { "127.0.0.1", listener.port() };
+    client.send(address, { .request = post("first"), .deadline = exchange.loop.now() + patience }, [](const HttpReply&) {});
+    exchange.loop.callAt(exchange.loop.now() + Millis(300), [&] { first({ .status = 200, .headers = {}, .body = {} }); });
+    CHECK(exchange.call(client, address, post("second"), Millis(100)).delivery == Delivery::NotSent);
+    CHECK(exchange.call(client, address, post("third")).delivery == Delivery::Answered);
+    CHECK(seen == 2);
+}
+
 namespace {
 
 /// A server that accepts one connection and sends an answer of `parts` parts of its body, one after each pause.
