Jobs are sent to the store only while what let them in holds, and counts are given by their age when they are given

A job waits for a transaction while the store or the loop is slow. The configuration that let it in was asked when the request was read; it is asked again when the job is sent, and one that is no longer let in is refused (503), truly, as nothing was sent. The count of a queue's waiting jobs went by a flag that a timer sets each 0.5 s, and was given from an old copy after a pause; its age is asked when it is given.

Tests: the first asks for a refusal without a write.

--- a/include/lanemoor/jobs/intake/job_intake.h
+++ b/include/lanemoor/jobs/intake/job_intake.h
@@ -51,7 +51,8 @@
 
     /// \brief Answers once the store holds the job, or it is known what became of it. One that is kept under this id
     /// is accepted again for callers that may use it, and foreign to others.
-    void accept(const Caller& caller, const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done);
+    /// \param isAdmitted Asked when the job is sent to the store: one that is no longer let in is not sent.
+    void accept(const Caller& caller, const std::string& id, const JobRecord& record, std::function<bool()> isAdmitted, std::function<void(AcceptOutcome)> done);
 
     /// \returns Whether the job was handed in here before and is kept, or may be.
     [[nodiscard]] bool isKnown(const std::string& id);
--- a/src/jobs/intake/job_intake.cpp
+++ b/src/jobs/intake/job_intake.cpp
@@ -31,6 +31,7 @@
     std::string value;
     Caller caller; ///< All that wait for it are alike.
     std::vector<std::function<void(AcceptOutcome)>> waiting;
+    std::function<bool()> isAdmitted; ///< Of the latest that waits; null: always.
     bool inDoubt = false; ///< An earlier write of it may yet be carried out.
 
     void answer(AcceptOutcome outcome) const
@@ -95,7 +96,7 @@
             m_unansweredSentAt.reset();
     }
 
-    void accept(const Caller& caller, const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done)
+    void accept(const Caller& caller, const std::string& id, const JobRecord& record, std::function<bool()> isAdmitted, std::function<void(AcceptOutcome)> done)
     {
         if (const CatalogEntry* known = m_catalog.find(id); known && known->record) {
             done(mayUse(caller, *known->record) ? AcceptOutcome::Accepted : AcceptOutcome::Foreign);
@@ -115,9 +116,10 @@
         ++inFlight;
         if (same != m_queue.end()) {
             same->waiting.push_back(std::move(done));
+            same->isAdmitted = std::move(isAdmitted);
             return;
         }
-        m_queue.push_back({ id, encode(record), caller, { std::move(done) }, mayBeKept(id) });
+        m_queue.push_back({ .id = id, .value = encode(record), .caller = caller, .waiting = { std::move(done) }, .isAdmitted = std::move(isAdmitted), .inDoubt = mayBeKept(id) });
         // Jobs that come in the same turn of the loop travel together.
         if (m_queue.size() == 1)
             m_loop.callAt(m_loop.now(), [self = shared_from_this()] { self->send(); });
@@ -133,7 +135,7 @@
     void refuse(const Caller& caller, const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done)
     {
         ++inFlight;
-        m_store.read(jobKey(id), [self = shared_from_this(), job = WaitingJob { id, encode(record), caller, { std::move(done) } }](const ReadResult& result) {
+        m_store.read(jobKey(id), [self = shared_from_this(), job = WaitingJob { .id = id, .value = encode(record), .caller = caller, .waiting = { std::move(done) }, .isAdmitted = nullptr }](const ReadResult& result) {
             if (result.outcome == StoreOutcome::Done)
                 self->keep(job, result.item);
             else
@@ -161,8 +163,20 @@
     }
 
 private:
+    /// Jobs wait here while the store or the event loop is slow.
+    void dropUnadmitted()
+    {
+        const auto isAdmitted = [](const WaitingJob& job) { return !job.isAdmitted || job.isAdmitted(); };
+        const auto dropped = std::stable_partition(m_queue.begin(), m_queue.end(), isAdmitted);
+        const std::vector<WaitingJob> refused(std::make_move_iterator(dropped), std::make_move_iterator(m_queue.end()));
+        m_queue.erase(dropped, m_queue.end());
+        for (const WaitingJob& job : refused)
+            finish(job, job.inDoubt ? AcceptOutcome::Unknown : AcceptOutcome::NotTaken);
+    }
+
     void send()
     {
+        dropUnadmitted();
         while (!m_queue.empty() && m_batches < mostBatches) {
             const std::size_t count = std::min(m_queue.size(), mostJobsOfBatch);
             std::vector<WaitingJob> batch(std::make_move_iterator(m_queue.begin()), std::make_move_iterator(m_queue.begin() + static_cast<std::ptrdiff_t>(count)));
@@ -325,9 +339,9 @@
 
 JobIntake::~JobIntake() = default;
 
-void JobIntake::accept(const Caller& caller, const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done)
+void JobIntake::accept(const Caller& caller, const std::string& id, const JobRecord& record, std::function<bool()> isAdmitted, std::function<void(AcceptOutcome)> done)
 {
-    m_impl->accept(caller, id, record, std::move(done));
+    m_impl->accept(caller, id, record, std::move(isAdmitted), std::move(done));
 }
 
 bool JobIntake::isKnown(const std::string& id)
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -230,7 +230,7 @@
         if (!hasCopy())
             m_countsReader.pending(queue, answer);
         else
-            answer(m_copyLags ? std::nullopt : std::optional(m_catalog.pending(queue)));
+            answer(m_parts.loop->now() - m_jobs.freshAt() > maxCountAge ? std::nullopt : std::optional(m_catalog.pending(queue)));
     }
 
     [[nodiscard]] bool isReady() const
@@ -263,11 +263,18 @@
             done(outcome);
         };
         if (verdict.admitted)
-            m_intake.accept(caller, id, record, answer);
+            m_intake.accept(caller, id, record, stillAdmitted(), answer);
         else
             m_intake.refuse(caller, id, record, answer);
     }
 
+    /// \returns Whether what was let in now is still let in, to be asked when it takes effect: the configuration may have been replaced
+    /// while a job waited to be written.
+    [[nodiscard]] std::function<bool()> stillAdmitted() const
+    {
+        return [this, version = m_configuration->version, until = m_configurations.provenAt() + m_settings.configurationApplyTime] { return m_parts.loop->now() <= until || (m_configuration->version == version && isConfigurationCurrent()); };
+    }
+
     /// A job that was handed in before is not refused: it may be kept.
     AdmissionVerdict judge(const Caller& caller, const std::string& id, const JobSpec& spec)
     {
--- a/tests/jobs/configuration_age_test.cpp
+++ b/tests/jobs/configuration_age_test.cpp
@@ -1,6 +1,8 @@
 /// Configurations are in force by the age of their proof: an instance that can't know whether its configuration is the newest
 /// turns requests away, and large documents don't keep it from knowing.
 
+#include "lanemoor/jobs/intake/job_catalog.h"
+#include "lanemoor/jobs/store/store_mirror.h"
 #include "platform/adapters.h"
 #include "support.h"
 
@@ -84,6 +86,51 @@
     CHECK(cluster.waitFor(applyTime, [&] { return cluster.askRoute(1, 3).status == ok; }));
 }
 
+// Guards against requests that wait in the backlog of a process which was paused, and are answered by what it knew before.
+TEST_CASE("An instance that was paused answers no request by a configuration that was replaced meanwhile")
+{
+    ConfiguredCluster cluster;
+    cluster.putRoute(2);
+    cluster.clock.runFor(applyTime);
+    REQUIRE(cluster.askRoute(1, 2).status == ok);
+    cluster.freeze(1);
+    cluster.putRoute(3);
+    cluster.clock.runFor(applyTime + step10);
+    std::optional<unsigned> status;
+    HttpRequest request { .method = "GET", .target = "/route-2/", .headers = {}, .body = {} };
+    request.headers.add("Host", "h:80");
+    platform::makeFront(cluster.entry(1))(request, [&](const HttpResponse& response) { status = response.status; });
+    CHECK(status == unavailable);
+    cluster.thaw(1);
+    CHECK(cluster.waitFor(Millis(1'000), [&] { return cluster.askRoute(1, 3).status == ok; }));
+}
+
+// Guards against jobs that are let in by a configuration, wait to be written, and are kept when it has been replaced.
+TEST_CASE("A job that is no longer let in when it is sent to the store is not sent")
+{
+    std::mt19937_64 random(1);
+    model::SimClock clock;
+    model::StoreModel store(clock, random);
+    model::SimProcess process(clock);
+    model::StoreClient client(store, process);
+    StoreMirror mirror(process, client, { .prefix = "a/" }, [](const StoreItem&) {});
+    JobCatalog catalog;
+    JobIntake intake(process, client, mirror, catalog);
+    bool isAdmitted = true;
+    std::map<std::uint64_t, AcceptOutcome> outcomes;
+    const auto accept = [&](std::uint64_t number, const std::function<bool()>& admitted) {
+        const JobRecord record { .queue = "work", .pool = "main", .acceptedAt = {}, .spec = job({ step(1) }) };
+        intake.accept({ .queue = "work", .organisation = {} }, jobId(number), record, admitted, [&outcomes, number](AcceptOutcome outcome) { outcomes[number] = outcome; });
+    };
+    accept(1, [&] { return isAdmitted; });
+    accept(2, nullptr);
+    isAdmitted = false;
+    clock.runFor(Millis(100));
+    CHECK(outcomes == std::map<std::uint64_t, AcceptOutcome> { { 1, AcceptOutcome::NotTaken }, { 2, AcceptOutcome::Accepted } });
+    CHECK(store.find(jobKey(jobId(1))) == nullptr);
+    CHECK(intake.inFlight() == 0);
+}
+
 // Guards against configurations that are in force late because the document does not get over the machine's link within the time
 // of a call, and because reads that bring nothing new take the link from the one that does.
 TEST_CASE("Large configurations that follow each other are in force in time over a narrow link")
