Starts ask the age of what may forbid them when they are sent

Cancels, evacuations and quotas were asked when a pass over the tasks began. A pass that is held up, on a paused or slow machine, and a start that waits for its record in the store went out by what was known then; the record's path asked the evacuations again, and neither cancels nor quotas. Now each start asks all of them (OwnerState::mayStart); members of a gang are asked for once, before the first.

No test of its own brings the delay about: time stands still within a pass of the model.

--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -35,7 +35,6 @@
 constexpr double leaseStretch = 1.03;
 /// Cancels that are not known here count after 3 s: nothing is started on an older copy of the
 /// jobs. A watch that hears nothing is answered each second.
-constexpr Millis oldestCopy { 2'000 };
 /// An order without an answer may be carried out some 6 s later, with a lease that the worker cuts at 10 s by a clock that may
 /// lose 2%.
 constexpr Millis longestLateRun { 18'000 };
@@ -656,7 +655,7 @@
         const MonotonicInstant begin = m_options.loop->now();
         m_passFrom = begin + leastPassGap;
         HallWatch(term->state).run();
-        const bool knowsCancels = begin - m_options.mirror->freshAt() < oldestCopy;
+        const bool knowsCancels = term->state.knowsCancels();
         noteCopy(knowsCancels);
         if (!m_options.ownership->isHeld() || !knowsCancels || !m_options.evacuations->isConfirmed()) {
             schedulePass(begin + idlePass);
--- a/src/jobs/owner/order_desk.cpp
+++ b/src/jobs/owner/order_desk.cpp
@@ -34,7 +34,9 @@
 
 bool OrderDesk::start(OwnerJob& job, const TaskId& task, std::uint64_t number, WorkerBook& worker, const std::string& ticket, bool isBesideSuspect)
 {
-    if (!worker.session->leaseForOrder() || !m_state.options.ownership->isHeld())
+    // Members of a gang start together or not at all: whoever starts them asks once.
+    const bool isMember = job.state.spec(task.step).gang;
+    if (!worker.session->leaseForOrder() || !(isMember ? m_state.options.ownership->isHeld() : m_state.mayStart(job)))
         return false;
     const Attempt attempt { job.state.id(), task, number };
     const bool first = job.state.status() == JobStatus::Queued;
@@ -73,7 +75,7 @@
     if (!live || live->phase != AttemptPhase::Recording)
         return;
     WorkerBook* book = bookOfLife(worker, life);
-    if (!book || !book->takesRecordedStart(m_state.now()) || !m_state.options.evacuations->isConfirmed() || !m_state.options.ownership->isHeld() || !book->session->leaseForOrder()) {
+    if (!book || !book->takesRecordedStart(m_state.now()) || !m_state.mayStart(*m_state.job(attempt.job)) || !book->session->leaseForOrder()) {
         withdrawRecorded(attempt, worker);
         return;
     }
--- a/src/jobs/owner/owner_state.cpp
+++ b/src/jobs/owner/owner_state.cpp
@@ -1,6 +1,9 @@
 #include "owner_state.h"
 
+#include "lanemoor/jobs/owner/hall_evacuations.h"
+#include "lanemoor/jobs/owner/ownership_keeper.h"
 #include "lanemoor/jobs/policy/placement.h"
+#include "lanemoor/jobs/store/store_mirror.h"
 
 #include <algorithm>
 #include <utility>
@@ -110,6 +113,18 @@
     return isLive ? task : nullptr;
 }
 
+bool OwnerState::knowsCancels() const
+{
+    return now() - options.mirror->freshAt() < oldestCopyOfStarts;
+}
+
+bool OwnerState::mayStart(const OwnerJob& job) const
+{
+    if (!options.ownership->isHeld() || !options.evacuations->isConfirmed() || !knowsCancels())
+        return false;
+    return !job.account || !options.isConfigurationCurrent || options.isConfigurationCurrent();
+}
+
 std::string OwnerState::poolOf(const JobState& job) const
 {
     const QueueSettings* queue = configuration()->queue(job.record().queue);
--- a/src/jobs/owner/owner_state.h
+++ b/src/jobs/owner/owner_state.h
@@ -48,6 +48,9 @@
     [[nodiscard]] bool operator==(const InstanceShape&) const = default;
 };
 
+/// An owner's copy of the jobs that is older does not know all cancels that must have taken effect.
+constexpr Millis oldestCopyOfStarts { 2'000 };
+
 /// \brief Jobs and workers of one term, and what the parts of the owner share.
 struct OwnerState {
     const JobSchedulerOptions& options;
@@ -140,6 +143,13 @@
     /// \returns False if it is on probation already.
     bool beginProbation(OwnerJob& job, const Attempt& attempt, const WorkerBook& worker);
 
+    /// \returns Whether the copy of the jobs is young enough to know all cancels that must have taken effect.
+    [[nodiscard]] bool knowsCancels() const;
+
+    /// \returns Whether all that may forbid a start is known young enough: the ownership, cancels, evacuations, and the quota of the
+    /// job's organisation. To be asked when a start is sent: the pass that decided it may have been held up since it began.
+    [[nodiscard]] bool mayStart(const OwnerJob& job) const;
+
     /// \brief Marks a job's progress as to be stored.
     void store(const std::string& id) { writer->markChanged(id); }
 };
--- a/src/jobs/owner/placement_pass.cpp
+++ b/src/jobs/owner/placement_pass.cpp
@@ -513,7 +513,7 @@
         ++members[*site];
         chosen.push_back(*site);
     }
-    if (chosen.size() < candidate.tasks.size() || !m_state.options.ownership->isHeld()) {
+    if (chosen.size() < candidate.tasks.size() || !m_state.mayStart(*candidate.job)) {
         for (const std::size_t site : chosen)
             sites.placer->release(site, step);
         return false;
