Names of the configuration's copy and of its log lines say what they do

Read as a newcomer: two functions of one name logged different refusals, and the members of DocumentCopy named neither what is known of the store's history nor why an answer is not wanted. No change of behaviour.

--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -331,12 +331,12 @@
             return refusal(Admission::Later);
         if (!isConfigurationCurrent()) {
             noteProof();
-            noteTurnedAway("caller-deferred", "configuration-unproven", host, path);
+            noteUnserved("caller-deferred", "configuration-unproven", host, path);
             return refusal(Admission::Later);
         }
         const QueueSettings* queue = configuration->queueFor(host, path);
         if (!queue) {
-            noteTurnedAway("caller-refused", "no-such-queue", host, path);
+            noteUnserved("caller-refused", "no-such-queue", host, path);
             return refusal(Admission::NoSuchQueue);
         }
         std::optional<Caller> caller = identify(*configuration, *queue, key);
@@ -350,7 +350,7 @@
     }
 
     /// Logs a call whose route is unknown, or that no configuration may decide now.
-    void noteTurnedAway(const char* event, const char* reason, std::string_view host, std::string_view path)
+    void noteUnserved(const char* event, const char* reason, std::string_view host, std::string_view path)
     {
         constexpr std::size_t mostOfPath = 80; // Of what a caller sent.
         metrics.noteTurnedAway(reason);
--- a/src/jobs/store/document_copy.cpp
+++ b/src/jobs/store/document_copy.cpp
@@ -75,7 +75,7 @@
         m_lastSentAt = open->reading.sentAt;
         DocumentQuery query { .key = m_options.key, .patience = beginPatience, .begun = [self = weak_from_this(), open] {
                                  const auto impl = self.lock();
-                                 return impl && impl->begin(*open);
+                                 return impl && impl->beginTransfer(*open);
                              } };
         if (call == DocumentCall::Watch) {
             query.after = m_at;
@@ -90,8 +90,9 @@
         return open;
     }
 
-    /// \returns Whether an answer that begins to arrive may bring what no other call has brought or brings.
-    bool begin(OpenCall& open)
+    /// Notes that an answer begins to arrive. \returns Whether the rest is wanted: the document arrives over one call at a time, and one that was
+    /// asked for before the copy changed may bring what is known by now.
+    bool beginTransfer(OpenCall& open)
     {
         if (m_transfers > 0 || open.heldRevision != m_revision)
             return false;
@@ -111,7 +112,7 @@
     /// Asks for the document if it is a newer one.
     void check(MonotonicInstant dueAt)
     {
-        const bool compares = m_bytes >= comparedFrom && m_knowsWhereToWatch;
+        const bool compares = m_bytes >= comparedFrom && m_knowsHistory;
         ++(compares ? counts.comparisons : counts.reads);
         ++m_openChecks;
         const OpenCallPointer open = send(compares ? DocumentCall::Compare : DocumentCall::Read, dueAt);
@@ -137,7 +138,7 @@
         if (result.outcome == StoreOutcome::Done)
             take(reading, result);
         else if (result.outcome == StoreOutcome::Abandoned)
-            goOn();
+            askNext();
         else
             fail(reading);
         if (m_observer.ended)
@@ -160,13 +161,13 @@
         else
             m_isBehind = isNew && m_isLoaded && reading.bytes >= bytesOfAnswerPart;
         m_isLoaded = true;
-        m_knowsWhereToWatch = m_knowsWhereToWatch || reading.call == DocumentCall::Read;
+        m_knowsHistory = m_knowsHistory || reading.call == DocumentCall::Read;
         m_at = std::max({ m_at, result.storeRevision, m_revision });
-        goOn();
+        askNext();
     }
 
     /// Asks what is to be asked next, unless an answer that arrives decides it.
-    void goOn()
+    void askNext()
     {
         if (m_transfers > 0)
             return;
@@ -184,7 +185,7 @@
         // A comparison does not tell where watches may begin. Its answer may be lost while those of reads arrive.
         const bool isUnsettled = reading.call == DocumentCall::Compare && answeredAt < reading.sentAt;
         if (isHistoryGone || isUnsettled)
-            m_knowsWhereToWatch = false;
+            m_knowsHistory = false;
         const MonotonicInstant dueAt = m_loop.now() + m_options.retryPause;
         after(m_options.retryPause, [this, dueAt, isWatch = reading.call == DocumentCall::Watch] {
             if (m_transfers > 0)
@@ -244,7 +245,8 @@
     std::size_t m_openChecks = 0;
     bool m_watches = false; ///< A watch is under way.
     bool m_isBehind = false; ///< Newer versions may be there: no watch asks for them until a check has found none.
-    bool m_knowsWhereToWatch = false; ///< The store's history reaches back to `m_at`, as far as is known.
+    /// The store's history reaches back to `m_at`, as far as is known. Comparisons don't tell a revision to watch from, so a read comes first.
+    bool m_knowsHistory = false;
     bool m_isLoaded = false;
     bool m_stopped = false;
 };
