Attempts are taken for vanished only by a complete status report

Cause: a worker lists at most 500 ends at once. StatusReconciler took an attempt that was neither running nor listed as ended for vanished and released it, although the list had been truncated. The same conclusion was drawn from probes, for expired starts and for the room of attempts that are no longer live. A new owner took its first report of a worker for all of its ends.

Ruled out: acknowledging earlier than the store has the ends would lose them with the owner; the store's answers of 240 ms are within the platform's bounds.

Change: the decoder of a report says whether it is complete, and Partial is the default. Relays pass the mark on; without a mark only an empty list counts as complete. Only complete reports settle attempts that they do not list, make inherited tasks known to a new owner, and let a worker be moved. The rest of a list is requested once the listed ends are stored, as before. The models of workers list 500 ends at once too, and both checkers now report a start after a success that is acknowledged only later: they had reported starts after the acknowledgement alone.

--- a/include/lanemoor/jobs/model/worker_control.h
+++ b/include/lanemoor/jobs/model/worker_control.h
@@ -109,13 +109,20 @@
     std::int64_t workerClock = 0; ///< The worker's clock, ms; 0: not reported.
 };
 
-/// Result of a renewal.
+/// Whether a status report lists every end that the worker has not discarded.
+enum class ReportCoverage {
+    Partial, ///< Later ends may be missing: an attempt that is not listed may have ended.
+    Complete, ///< An attempt that is not listed neither runs nor has ended since the last acknowledged end.
+};
+
+/// Result of a renewal: the worker's status report.
 struct RenewResult {
     CommandOutcome outcome = CommandOutcome::Unknown;
     std::int64_t workerClock = 0;
     std::int64_t startedAt = 0; ///< Start time of the answering incarnation by its own wall clock, Unix ms; 0: not reported.
-    std::vector<RunningAttempt> running;
-    std::vector<EndedAttempt> ended; ///< Ordered by sequence.
+    std::vector<RunningAttempt> running; ///< All running attempts.
+    std::vector<EndedAttempt> ended; ///< Ordered by sequence; the oldest ones if the report is partial.
+    ReportCoverage coverage = ReportCoverage::Partial; ///< Partial unless the decoder can prove otherwise.
 };
 
 /// \brief Sends commands to workers. Each callback is called exactly once, after the call has returned.
--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -110,6 +110,7 @@
     std::uint64_t successes = 0;
     std::uint64_t failures = 0;
     std::uint64_t leaseExpirations = 0; ///< Attempts that ended because their lease expired.
+    std::uint64_t partialReports = 0; ///< Status reports that left out ends.
     std::uint64_t unknownStarts = 0; ///< Starts whose outcome is unknown.
     std::uint64_t refusals = 0; ///< Starts refused by a worker.
     std::uint64_t jobsSucceeded = 0;
--- a/include/lanemoor/jobs/owner/worker_session.h
+++ b/include/lanemoor/jobs/owner/worker_session.h
@@ -118,6 +118,9 @@
     /// \returns Whether the worker has answered a renewal of this owner, which fences off all earlier owners.
     [[nodiscard]] bool hasAnswered() const noexcept { return m_hasAnswered; }
 
+    /// \returns Whether the worker has reported to this owner everything that it runs, and every end that it has not discarded.
+    [[nodiscard]] bool hasReportedAll() const noexcept { return m_hasReportedAll; }
+
     /// \returns Whether the last renewal got no response.
     [[nodiscard]] bool isUnresponsive() const noexcept { return m_unresponsive; }
 
@@ -155,6 +158,7 @@
     bool m_closed = false;
     bool m_renewing = false;
     bool m_hasAnswered = false;
+    bool m_hasReportedAll = false;
     bool m_unresponsive = false;
     bool m_incarnationEnded = false;
     bool m_restartSuspected = false; ///< Another incarnation may respond under this id.
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -309,7 +309,7 @@
                     use.expectedEmptyAt = std::max(use.expectedEmptyAt, reservation.expectedEnd);
                 use.pinned += reservation.step->longRunning && !reservation.step->requiredLabel.empty() ? 1 : 0;
             }
-            use.known = record.session->hasAnswered() || now >= record.session->leaseExpiresBy();
+            use.known = record.session->hasReportedAll() || now >= record.session->leaseExpiresBy();
             use.healthy = record.listed && !record.entry.draining && record.isHallOpen() && record.session->hasAnswered() && !record.session->isUnresponsive() && !record.session->hasIncarnationEnded() && !record.health.isEjected(now);
             uses.emplace(id, use);
         }
@@ -401,9 +401,10 @@
     bool isSettled()
     {
         OwnerState& state = m_term->state;
-        if (state.now() >= state.inheritedLeaseExpiresBy)
-            return true;
         std::erase_if(m_term->unreportedWorkers, [&](const std::string& id) { return state.workers.contains(id) && !isUnreported(id); });
+        // The expiry of inherited leases does not void ends that a partial report has left out.
+        if (state.now() >= state.inheritedLeaseExpiresBy)
+            return std::none_of(m_term->unreportedWorkers.begin(), m_term->unreportedWorkers.end(), [&](const std::string& id) { return hasUnreadEnds(id); });
         return m_term->unknownInstances == 0U && m_term->unreportedWorkers.empty();
     }
 
@@ -703,11 +704,18 @@
         m_options.log->change(isFresh ? "copy-new-again" : "copy-too-old", { { "copy_age_ms", std::int64_t { age.count() } } });
     }
 
-    /// \returns Whether a worker has not yet reported which inherited tasks it runs.
+    /// \returns Whether a worker has not yet reported which inherited tasks it runs, and which have ended.
     [[nodiscard]] bool isUnreported(const std::string& id) const
     {
         const auto found = m_term->state.workers.find(id);
-        return found != m_term->state.workers.end() && !found->second.session->hasAnswered() && !found->second.session->hasIncarnationEnded();
+        return found != m_term->state.workers.end() && !found->second.session->hasReportedAll() && !found->second.session->hasIncarnationEnded();
+    }
+
+    /// \returns Whether a worker under lease has reported only a part of the ends of inherited tasks.
+    [[nodiscard]] bool hasUnreadEnds(const std::string& id) const
+    {
+        const auto found = m_term->state.workers.find(id);
+        return found != m_term->state.workers.end() && found->second.session->hasAnswered() && isUnreported(id) && m_options.loop->now() < found->second.session->leaseExpiresBy();
     }
 
     /// An incarnation that a complete list does not name runs nowhere, if it was known for longer than lists lag.
--- a/src/jobs/owner/status_reconciler.cpp
+++ b/src/jobs/owner/status_reconciler.cpp
@@ -40,12 +40,14 @@
     if (!worker->hasReported) {
         worker->hasReported = true;
         m_state.options.log->decision("worker-met",
-            { { "worker", session.incarnation().id }, { "running", static_cast<std::int64_t>(result.running.size()) }, { "ended", static_cast<std::int64_t>(result.ended.size()) } });
+            { { "worker", session.incarnation().id }, { "running", static_cast<std::int64_t>(result.running.size()) }, { "ended", static_cast<std::int64_t>(result.ended.size()) }, { "complete", std::int64_t { result.coverage == ReportCoverage::Complete } } });
     }
+    notePartial(*worker, result);
     handleEnds(*worker, session, result.ended);
     for (const RunningAttempt& running : result.running)
         handleRunning(*worker, running, result.workerClock);
-    settleMissing(*worker, result, sentAt);
+    for (const Attempt& attempt : absentAttempts(*worker, result))
+        settleAbsent(*worker, attempt, result.workerClock, sentAt);
     stopStalled(*worker);
     adjustThrottle(*worker, result);
     m_state.requestPass();
@@ -53,6 +55,29 @@
         session.acknowledge(0);
 }
 
+/// The acknowledgement of the listed ends requests the others.
+void StatusReconciler::notePartial(const WorkerRecord& worker, const RenewResult& result)
+{
+    if (result.coverage == ReportCoverage::Complete)
+        return;
+    ++m_counts.partialReports;
+    m_state.options.log->decision("report-partial", { { "worker", worker.entry.id }, { "running", static_cast<std::int64_t>(result.running.size()) }, { "ended", static_cast<std::int64_t>(result.ended.size()) }, { "reserved", static_cast<std::int64_t>(worker.reservations.size()) } });
+}
+
+/// \returns Reserved attempts that neither run at the worker nor have an unread end. The listed ends must have been handled.
+std::vector<Attempt> StatusReconciler::absentAttempts(const WorkerRecord& worker, const RenewResult& result)
+{
+    std::vector<Attempt> absent;
+    if (result.coverage == ReportCoverage::Partial)
+        return absent;
+    for (const auto& [attempt, reservation] : worker.reservations) {
+        const auto isThis = [&wanted = attempt](const RunningAttempt& running) { return running.attempt == wanted; };
+        if (std::none_of(result.running.begin(), result.running.end(), isThis))
+            absent.push_back(attempt);
+    }
+    return absent;
+}
+
 /// Handles ended attempts, and acknowledges them to the worker once they are stored.
 void StatusReconciler::handleEnds(WorkerRecord& worker, WorkerSession& session, const std::vector<EndedAttempt>& ends)
 {
@@ -144,6 +169,7 @@
     WorkerRecord* worker = m_state.worker(session.incarnation().id);
     if (!worker)
         return;
+    notePartial(*worker, result);
     handleEnds(*worker, session, result.ended);
     for (const RunningAttempt& running : result.running) {
         const TaskState* task = m_state.liveTask(running.attempt, worker->entry.id);
@@ -152,21 +178,14 @@
             confirm(running, result.workerClock);
         }
     }
-    const auto isListed = [&result](const Attempt& attempt) {
-        return std::any_of(result.running.begin(), result.running.end(), [&](const RunningAttempt& running) { return running.attempt == attempt; })
-            || std::any_of(result.ended.begin(), result.ended.end(), [&](const EndedAttempt& ended) { return ended.attempt == attempt; });
-    };
-    std::vector<Attempt> missing;
-    for (const auto& [attempt, reservation] : worker->reservations) {
+    for (const Attempt& attempt : absentAttempts(*worker, result)) {
         const TaskState* task = m_state.liveTask(attempt, worker->entry.id);
         const bool hasUnknownOutcome = task && (task->live->phase == AttemptPhase::OutcomeUnknown || task->live->phase == AttemptPhase::Stopping);
-        if (hasUnknownOutcome && !isListed(attempt))
-            missing.push_back(attempt);
-    }
-    for (const Attempt& attempt : missing)
-        settleMissing(*worker, attempt, result.workerClock, sentAt);
-    if (!missing.empty())
+        if (!hasUnknownOutcome)
+            continue;
+        settleAbsent(*worker, attempt, result.workerClock, sentAt);
         m_state.requestPass();
+    }
 }
 
 /// \returns The step of an attempt, also if its job ended before this term. For an unknown job, a step that takes the whole
@@ -205,19 +224,8 @@
     m_dispatcher.stop(attempt, worker.entry.id);
 }
 
-void StatusReconciler::settleMissing(WorkerRecord& worker, const RenewResult& result, MonotonicInstant sentAt)
-{
-    std::vector<Attempt> missing;
-    for (const auto& [attempt, reservation] : worker.reservations) {
-        const auto isThis = [&wanted = attempt](const RunningAttempt& running) { return running.attempt == wanted; };
-        if (std::none_of(result.running.begin(), result.running.end(), isThis))
-            missing.push_back(attempt);
-    }
-    for (const Attempt& attempt : missing)
-        settleMissing(worker, attempt, result.workerClock, sentAt);
-}
-
-void StatusReconciler::settleMissing(WorkerRecord& worker, const Attempt& attempt, std::int64_t workerClock, MonotonicInstant sentAt)
+/// Settles a reserved attempt that a complete report proves absent from the worker.
+void StatusReconciler::settleAbsent(WorkerRecord& worker, const Attempt& attempt, std::int64_t workerClock, MonotonicInstant sentAt)
 {
     const TaskState* task = m_state.liveTask(attempt, worker.entry.id);
     if (!task) {
--- a/src/jobs/owner/status_reconciler.h
+++ b/src/jobs/owner/status_reconciler.h
@@ -10,7 +10,8 @@
 /// \brief Reconciles jobs and reservations with the workers' reports.
 ///
 /// An end is stored before it is acknowledged to the worker, which may then drop it. An attempt that is missing from a
-/// report that should include it is over without a reported end: it never began, or the worker lost it.
+/// complete report that should include it is over without a reported end: it never began, or the worker lost it. A partial report
+/// proves nothing about attempts that it does not list.
 class StatusReconciler final : public WorkerSessionObserver {
 public:
     StatusReconciler(OwnerState& state, HealthMonitor& health, CommandDispatcher& dispatcher, SchedulerCounts& counts);
@@ -34,8 +35,9 @@
     [[nodiscard]] std::shared_ptr<const StepSpec> specOf(const WorkerRecord& worker, const Attempt& attempt, const OwnerJob* job) const;
     [[nodiscard]] OrganisationAccount* accountOf(const Attempt& attempt, const OwnerJob* job) const;
     void stopStray(WorkerRecord& worker, const Attempt& attempt, const OwnerJob* job);
-    void settleMissing(WorkerRecord& worker, const RenewResult& result, MonotonicInstant sentAt);
-    void settleMissing(WorkerRecord& worker, const Attempt& attempt, std::int64_t workerClock, MonotonicInstant sentAt);
+    void notePartial(const WorkerRecord& worker, const RenewResult& result);
+    [[nodiscard]] static std::vector<Attempt> absentAttempts(const WorkerRecord& worker, const RenewResult& result);
+    void settleAbsent(WorkerRecord& worker, const Attempt& attempt, std::int64_t workerClock, MonotonicInstant sentAt);
     void confirm(const RunningAttempt& report, std::int64_t workerClock);
     void stopStalled(WorkerRecord& worker);
     void releaseAll(WorkerRecord& worker, const std::set<Attempt>& unacknowledged, bool hasIncarnationEnded);
--- a/src/jobs/owner/worker_session.cpp
+++ b/src/jobs/owner/worker_session.cpp
@@ -254,6 +254,7 @@
         return;
     }
     m_hasAnswered = true;
+    m_hasReportedAll = m_hasReportedAll || result.coverage == ReportCoverage::Complete;
     m_unresponsive = false;
     confirmIncarnation();
     noteClock(result.workerClock);
--- a/src/jobs/relay/relay_codec.cpp
+++ b/src/jobs/relay/relay_codec.cpp
@@ -89,6 +89,7 @@
     message.set_outcome(static_cast<std::uint32_t>(result.outcome));
     message.set_worker_clock(result.workerClock);
     message.set_started_at(result.startedAt);
+    message.set_complete(result.coverage == ReportCoverage::Complete);
     for (const RunningAttempt& running : result.running) {
         wire::RelayRunning& row = *message.add_running();
         write(*row.mutable_attempt(), running.attempt);
@@ -139,6 +140,8 @@
         result.running.push_back({ .attempt = attemptOf(row.attempt()), .checkpoint = row.checkpoint(), .percent = row.percent(), .load = row.load() });
     for (const wire::RelayEnded& row : message.ended())
         result.ended.push_back({ .sequence = row.sequence(), .attempt = attemptOf(row.attempt()), .end = endOf(row.end()), .checkpoint = row.checkpoint() });
+    // Relays of earlier versions don't set the mark, but a truncated list is never empty.
+    result.coverage = message.complete() || result.ended.empty() ? ReportCoverage::Complete : ReportCoverage::Partial;
     return result;
 }
 
--- a/src/jobs/service/job_metrics.cpp
+++ b/src/jobs/service/job_metrics.cpp
@@ -49,6 +49,7 @@
     families.push_back(counter("lanemoor_task_successes_total", "Tasks that succeeded", counts.successes));
     families.push_back(counter("lanemoor_task_failures_total", "Attempts that failed", counts.failures));
     families.push_back(counter("lanemoor_task_lapses_total", "Attempts whose lease lapsed", counts.leaseExpirations));
+    families.push_back(counter("lanemoor_partial_reports_total", "Status reports of workers that left out ends", counts.partialReports));
     families.push_back(counter("lanemoor_task_start_doubts_total", "Starts without a usable answer", counts.unknownStarts));
     families.push_back(counter("lanemoor_task_start_refusals_total", "Starts that a worker refused", counts.refusals));
     families.push_back(counter("lanemoor_task_suspicions_total", "Losses of a worker that were counted against a task", counts.suspicions));
--- a/standins/job_platform/worker.cpp
+++ b/standins/job_platform/worker.cpp
@@ -15,6 +15,7 @@
 constexpr Millis stopTime { 100 };
 constexpr Millis maxLease { 10'000 };
 constexpr Millis clockAtStart { 1'000 };
+constexpr std::size_t maxListedEnds = 500;
 constexpr double percentScale = 100;
 
 std::pair<std::string, std::uint64_t> runIn(const json& body)
@@ -199,8 +200,11 @@
         running.push_back({ run.first, run.second, progress.checkpoint, percent });
     }
     json ended = json::array();
-    for (const End& end : m_ended)
+    for (const End& end : m_ended) {
+        if (ended.size() == maxListedEnds)
+            break;
         ended.push_back({ end.sequence, end.run.first, end.run.second, end.outcome, "" });
+    }
     return { { "clock_ms", clock() }, { "born", m_identity.startedAt }, { "running", running }, { "ended", ended } };
 }
 
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -135,6 +135,8 @@
         reportBreach("TWICE", nameOf(attempt.job, attempt.task) + " runs on " + *m_running[task].begin() + " and starts on " + worker);
     if (m_storedSuccess.contains(task))
         reportBreach("TWICE", nameOf(attempt.job, attempt.task) + " starts after its success was stored");
+    else if (m_succeeded.contains(task) && !step.speculative)
+        m_startsAfterSuccess.emplace(task, attempt.number);
     for (const std::uint32_t dependency : step.dependsOn) {
         for (std::uint32_t index = 0; index < job.spec.steps[dependency].count; ++index) {
             if (!m_succeeded.contains({ attempt.job, { attempt.task.occurrence, dependency, index } }))
@@ -302,8 +304,13 @@
 void GuaranteeChecker::onStored(const std::string&, const EndedAttempt& ended)
 {
     const Task task { ended.attempt.job, ended.attempt.task };
-    if (ended.end == AttemptEnd::Succeeded)
+    if (ended.end == AttemptEnd::Succeeded) {
         m_storedSuccess.insert(task);
+        // A success counts only once it is stored: its worker may lose it before, and the task has to run again.
+        const auto again = m_startsAfterSuccess.find(task);
+        if (again != m_startsAfterSuccess.end() && ended.attempt.number < again->second)
+            reportBreach("TWICE", nameOf(ended.attempt.job, ended.attempt.task) + " started again although attempt " + std::to_string(ended.attempt.number) + " had succeeded");
+    }
     if (ended.end == AttemptEnd::Failed)
         m_storedFailures[task].insert(ended.attempt.number);
 }
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -118,6 +118,7 @@
     std::map<Task, std::set<std::string>> m_running; ///< Workers, by task.
     std::set<Task> m_succeeded;
     std::set<Task> m_storedSuccess;
+    std::map<Task, std::uint64_t> m_startsAfterSuccess; ///< Numbers of starts that followed a success which is not stored yet.
     std::map<Task, std::set<std::uint64_t>> m_storedFailures;
     std::map<Task, std::set<std::uint64_t>> m_failures; ///< Attempt numbers, by task; a gang's under its first task.
     std::map<Task, std::uint32_t> m_crashesCaused; ///< Workers crashed by the task.
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -15,6 +15,7 @@
 constexpr Millis restartDelay { 1'000 }; // From a planned end to the start of the instance's next worker.
 constexpr Millis readyDelay { 500 }; // From the start of a long-running task until the task is ready.
 constexpr Millis maxLease { 10'000 };
+constexpr std::size_t maxListedEnds = 500; // Ends in one status report.
 constexpr std::uint32_t percentScale = 100;
 constexpr Millis checkpointInterval { 500 }; // Interval between checkpoints of a task.
 constexpr Millis checkpointRestoreTime { 600 }; // Time to restore a checkpoint.
@@ -421,7 +422,8 @@
             return;
         }
         const WorkerModel& model = m_workers.m_workers[id];
-        RenewResult result { .outcome = CommandOutcome::Done, .workerClock = m_workers.clockOf(model), .startedAt = model.entry.startedAt, .running = {}, .ended = { model.ended.begin(), model.ended.end() } };
+        RenewResult result { .outcome = CommandOutcome::Done, .workerClock = m_workers.clockOf(model), .startedAt = model.entry.startedAt, .running = {}, .ended = { model.ended.begin(), model.ended.begin() + static_cast<std::ptrdiff_t>(std::min(model.ended.size(), maxListedEnds)) } };
+        result.coverage = result.ended.size() < maxListedEnds ? ReportCoverage::Complete : ReportCoverage::Partial;
         for (const auto& [attempt, run] : model.running) {
             const auto passed = std::chrono::duration<double>(later.now() - run.startedAt + run.doneBefore);
             const auto all = std::chrono::duration<double>(run.longRunning ? MonotonicInstant::duration(readyDelay) : run.endsAt - run.startedAt + run.doneBefore);
--- a/tests/jobs/relay_test.cpp
+++ b/tests/jobs/relay_test.cpp
@@ -1,5 +1,6 @@
 /// Calls to workers that other entry instances relay for the owner.
 
+#include "jobs/relay/relay_codec.h"
 #include "lanemoor/adapters/event_log.h"
 #include "lanemoor/jobs/relay/command_relay.h"
 #include "lanemoor/jobs/relay/relayed_workers.h"
@@ -27,6 +28,7 @@
     std::vector<std::string> starts; ///< Payloads.
     std::vector<std::string> renewals; ///< Worker ids.
     std::vector<std::string> forgotten;
+    ReportCoverage coverage = ReportCoverage::Complete; ///< Of the answers to renewals.
 
     void start(const WorkerIncarnation&, const StartCommand& command, std::function<void(CommandResult)> done) override
     {
@@ -42,7 +44,7 @@
     void renew(const WorkerIncarnation& worker, const RenewCommand&, std::function<void(RenewResult)> done) override
     {
         renewals.push_back(worker.id);
-        RenewResult result { .outcome = CommandOutcome::Done, .workerClock = 9, .running = {}, .ended = {} };
+        RenewResult result { .outcome = CommandOutcome::Done, .workerClock = 9, .running = {}, .ended = {}, .coverage = coverage };
         result.running.push_back({ .attempt = { "job", { 1, 2, 3 }, 4 }, .checkpoint = "half", .percent = 50, .load = 5 });
         result.ended.push_back({ .sequence = 6, .attempt = { "job", { 0, 1, 2 }, 3 }, .end = AttemptEnd::GangBroken, .checkpoint = "c" });
         m_loop.callAt(m_loop.now(), [done, result] { done(result); });
@@ -101,6 +103,32 @@
 
 } // namespace
 
+/// Guards against attempts that the owner takes for vanished since a relay's answer lost the mark of a partial report.
+TEST_CASE("Relays pass on whether a status report is complete")
+{
+    RelayFixture fixture;
+    const ReportCoverage coverage = GENERATE(ReportCoverage::Complete, ReportCoverage::Partial);
+    for (RecordingWorkers* workers : { &fixture.direct, &fixture.byFirst, &fixture.bySecond })
+        workers->coverage = coverage;
+    fixture.renewAll(10);
+    fixture.clock.runFor(Millis(200));
+    REQUIRE(!fixture.byFirst.renewals.empty());
+    for (const auto& [worker, result] : fixture.outcomes)
+        CHECK(result.coverage == coverage);
+}
+
+/// Guards against answers of relays of an earlier version, which know no partial reports: only an empty list of ends proves that
+/// there are no others.
+TEST_CASE("Answers of relays that do not mark complete reports are partial unless they list no end")
+{
+    wire::RelayAnswer answer;
+    CHECK(renewResultOf(answer).coverage == ReportCoverage::Complete);
+    answer.add_ended();
+    CHECK(renewResultOf(answer).coverage == ReportCoverage::Partial);
+    answer.set_complete(true);
+    CHECK(renewResultOf(answer).coverage == ReportCoverage::Complete);
+}
+
 TEST_CASE("As long as the owner's machine can carry all calls, there are no relays in use")
 {
     RelayPlan plan({ .workersPerCore = 10 }, 0.5);
--- a/tests/jobs/wire_test.cpp
+++ b/tests/jobs/wire_test.cpp
@@ -78,6 +78,20 @@
         CHECK(platform::readRenewalAnswer(answer(200, text)).outcome == CommandOutcome::Unknown);
 }
 
+/// Guards against attempts taken for vanished because a worker lists at most 500 ends at once.
+TEST_CASE("A status report with 500 ends may be partial")
+{
+    const auto reportOf = [](std::uint64_t ends) {
+        json report = json::parse(R"({"clock_ms":8,"running":[],"ended":[]})");
+        for (std::uint64_t sequence = 1; sequence <= ends; ++sequence)
+            report["ended"].push_back({ sequence, "00000000000000aa.0.0." + std::to_string(sequence), 1, "done", "" });
+        return platform::readRenewalAnswer(answer(200, report.dump()));
+    };
+    CHECK(reportOf(0).coverage == ReportCoverage::Complete);
+    CHECK(reportOf(499).coverage == ReportCoverage::Complete);
+    CHECK(reportOf(500).coverage == ReportCoverage::Partial);
+}
+
 TEST_CASE("Transactions and leases are encoded and their answers decoded")
 {
     const json transaction = json::parse(platform::formatTransaction({ .expected = { { "k", 3 } }, .writes = { { "k", std::string("\0\xff", 2), 9 } }, .removals = { "old" } }));
--- a/tests/soak/checks_test.cpp
+++ b/tests/soak/checks_test.cpp
@@ -58,6 +58,20 @@
     CHECK(brokenIn(guarantees) == Names { guarantee::noneAfterSuccess });
 }
 
+/// Guards against runs that pass although a task starts again before its success is acknowledged.
+TEST_CASE("The soak detects a success that is acknowledged after its task has started again")
+{
+    GuaranteeMonitor guarantees = withJob();
+    guarantees.noteEvent(event("start", 1));
+    guarantees.noteEvent(event("done", 2));
+    nlohmann::json again = event("start", 3);
+    again["run"] = 2;
+    guarantees.noteEvent(again);
+    CHECK(guarantees.breaches().empty());
+    guarantees.noteEvent(event("stored", 4));
+    CHECK(brokenIn(guarantees) == Names { guarantee::noneAfterSuccess });
+}
+
 TEST_CASE("The soak detects a step that starts before the step it depends on")
 {
     GuaranteeMonitor guarantees = withJob();
--- a/tests/soak/guarantee_monitor.cpp
+++ b/tests/soak/guarantee_monitor.cpp
@@ -90,7 +90,7 @@
         return;
     Task& task = m_tasks[event["task"].get<std::string>()];
     if (kind == "stored") {
-        task.successStored = true;
+        noteStored(task, event);
         return;
     }
     task.running.erase(event.value("worker", ""));
@@ -99,6 +99,16 @@
     task.crashes += kind == "dead" ? 1 : 0;
 }
 
+/// A success counts only once it is stored: its worker may lose it before, and the task has to run again.
+void GuaranteeMonitor::noteStored(Task& task, const nlohmann::json& event)
+{
+    task.successStored = true;
+    const std::string name = event.value("task", "");
+    const auto attempt = event.value("run", std::uint64_t { 0 });
+    if (attempt < task.startAfterSuccess)
+        reportBreach(guarantee::noneAfterSuccess, "task " + name + " started again as attempt " + std::to_string(task.startAfterSuccess) + " although attempt " + std::to_string(attempt) + " had succeeded", { parse(name).job }, timeOf(event));
+}
+
 void GuaranteeMonitor::noteStart(const nlohmann::json& event)
 {
     ++m_starts;
@@ -111,6 +121,8 @@
         reportBreach(guarantee::oneAttemptAtOnce, "task " + name + " runs on " + other + " as attempt " + std::to_string(attempt) + " and starts on " + worker, { parsed.job }, at);
     if (task.successStored)
         reportBreach(guarantee::noneAfterSuccess, "task " + name + " starts on " + worker + " after its success was acknowledged", { parsed.job }, at);
+    else if (task.succeeded)
+        task.startAfterSuccess = event.value("run", std::uint64_t { 0 });
     m_lastStart[event.value("hall", "")] = at;
     task.running[worker] = event.value("run", std::uint64_t { 0 });
     const auto found = m_jobs.find(parsed.job);
--- a/tests/soak/guarantee_monitor.h
+++ b/tests/soak/guarantee_monitor.h
@@ -124,6 +124,7 @@
         std::map<std::string, std::uint64_t> running; ///< Attempt numbers, by worker.
         bool succeeded = false;
         bool successStored = false;
+        std::uint64_t startAfterSuccess = 0; ///< Attempt that started after a success which was not stored yet; 0: none.
         std::uint32_t failures = 0;
         std::uint32_t crashes = 0;
     };
@@ -136,6 +137,7 @@
 
     [[nodiscard]] static TaskName parse(const std::string& task);
     [[nodiscard]] static std::string nameOf(const std::string& job, std::uint32_t step, std::uint32_t index);
+    void noteStored(Task& task, const nlohmann::json& event);
     void noteStart(const nlohmann::json& event);
     void checkOrder(const Job& job, const TaskName& name, std::int64_t at);
     void checkCancelled(const Job& job, const std::string& task, std::int64_t at);
