Cancellations of absent jobs are stored, and unanswered calls reset their connections

An instance that was partitioned from the store had a write of the job under way, and the cancellation came to another one.

Cause: a cancellation that did not find the job wrote nothing, so that the late write still met its condition. And the HTTP client closed the connection of a call that timed out in the orderly way, so that the partition delivered the request when it ended.

Ruled out: a condition on the cancellation in each submission would take a third entry of its transaction, ten jobs in place of 16; a tombstone under the job's key would show a job that nobody submitted.

Change: the cancellation of an absent job is stored on condition that the job is absent, with the callers who cancelled, and applies to a job that arrives later if one of them may access it. A cancellation of another organisation's caller is no longer taken for the own one. Connections are reset unless the response was complete or no call was pending. The model delays the writes of single instances, and takes NoSuchJob for an acknowledgement as callers do.

--- a/include/lanemoor/aio/http_client.h
+++ b/include/lanemoor/aio/http_client.h
@@ -57,7 +57,7 @@
 };
 
 /// \brief Sends calls over persistent connections. The client never retries a call, even if a
-/// kept connection turns out to be closed.
+/// kept connection turns out to be closed. The connection of an unanswered call is reset.
 class HttpClient {
 public:
     HttpClient(AsioEventLoop& loop, HttpClientOptions options);
--- a/include/lanemoor/jobs/intake/caller_access.h
+++ b/include/lanemoor/jobs/intake/caller_access.h
@@ -10,6 +10,8 @@
 
 namespace lanemoor::jobs {
 
+struct CancelRecord;
+struct CancelRequester;
 struct JobRecord;
 
 /// A caller, authenticated against one version of the configuration.
@@ -33,4 +35,10 @@
 /// their organisation and to jobs without one. Callers of an open queue also have access to all jobs of that queue.
 [[nodiscard]] bool mayAccess(const Caller& caller, const JobRecord& job);
 
+/// \returns Whether the cancellation applies to a job.
+[[nodiscard]] bool appliesTo(const CancelRecord& cancellation, const JobRecord& job);
+
+/// \returns The stored form of a caller that cancels a job.
+[[nodiscard]] CancelRequester requesterOf(const Caller& caller);
+
 } // namespace lanemoor::jobs
--- a/include/lanemoor/jobs/intake/job_catalog.h
+++ b/include/lanemoor/jobs/intake/job_catalog.h
@@ -19,7 +19,11 @@
 struct CatalogEntry {
     std::shared_ptr<const JobRecord> record; ///< Null until the job's own key was read.
     ProgressRecord progress;
-    bool cancelled = false; ///< Cancellation was requested; the status may be final for another reason.
+    std::optional<CancelRecord> cancellation; ///< May be stored before the job, and then not apply to it.
+    bool cancelled = false; ///< A cancellation applies to the job; the status may be final for another reason.
+
+    /// \returns Whether a cancellation is stored for a job that is not.
+    [[nodiscard]] bool isAbsentAndCancelled() const noexcept { return !record && cancellation; }
 
     /// \returns The status to show to callers.
     [[nodiscard]] JobStatus status() const noexcept;
@@ -48,6 +52,9 @@
     /// \returns All jobs, ordered by id.
     [[nodiscard]] const std::map<std::string, CatalogEntry>& all() const noexcept { return m_jobs; }
 
+    /// \returns The number of cancellations whose jobs are not stored.
+    [[nodiscard]] std::size_t absentCancels() const noexcept { return m_absentCancels.size(); }
+
     /// \returns The number of unreadable items so far.
     [[nodiscard]] std::uint64_t unreadable() const noexcept { return m_unreadable; }
 
@@ -56,6 +63,7 @@
 private:
     std::map<std::string, CatalogEntry> m_jobs;
     std::map<std::string, std::set<std::string>> m_queuedByQueue;
+    std::set<std::string> m_absentCancels; ///< Ids of cancellations whose jobs are not stored.
     std::uint64_t m_unreadable = 0;
     CatalogObserver m_observer;
 
--- a/include/lanemoor/jobs/intake/job_intake.h
+++ b/include/lanemoor/jobs/intake/job_intake.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,7 +31,7 @@
     Done,
     NoSuchJob,
     Foreign, ///< The job belongs to another organisation.
-    Unavailable, ///< The store did not answer.
+    Unavailable, ///< The store did not answer, or too many absent jobs were cancelled here.
 };
 
 /// \returns Short names for logs and metrics.
@@ -60,7 +61,12 @@
     void refuse(const Caller& caller, const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done);
 
     /// \brief Cancels a job; `done` is called once the store has the cancellation.
-    void cancel(const std::string& id, const std::function<void(LookupOutcome)>& done);
+    ///
+    /// If the store does not have the job, the outcome is NoSuchJob, and the cancellation is stored nevertheless: a write of the job may
+    /// be under way. A job that is stored later is cancelled if the caller may access it. The number of such cancellations is limited
+    /// for each instance; beyond the limit the outcome is Unavailable.
+    /// \param caller Nothing: an operator, who may cancel any job.
+    void cancel(const std::optional<Caller>& caller, const std::string& id, const std::function<void(LookupOutcome)>& done);
 
     /// \returns Whether a write got no answer and the store has answered no later call. New jobs then get NotAccepted without a write, or
     /// Unknown if an earlier write may still store them; a periodic probe is sent nevertheless.
--- a/include/lanemoor/jobs/model/job_record.h
+++ b/include/lanemoor/jobs/model/job_record.h
@@ -46,6 +46,25 @@
     [[nodiscard]] bool operator==(const JobRecord&) const = default;
 };
 
+/// A caller that cancelled an id which the store did not have.
+struct CancelRequester {
+    std::string queue;
+    std::string organisation; ///< Empty: unknown.
+    bool isOpen = false; ///< The queue required no key.
+
+    [[nodiscard]] auto operator<=>(const CancelRequester&) const = default;
+};
+
+/// A stored cancellation. Immutable, but requesters may be added while the job is absent.
+struct CancelRecord {
+    /// Set if the job was absent: its submission may still be under way, and only a job that one of the requesters may access is
+    /// cancelled. Empty: unconditional.
+    std::set<CancelRequester> requesters;
+
+    [[nodiscard]] bool isUnconditional() const noexcept { return requesters.empty(); }
+    [[nodiscard]] bool operator==(const CancelRecord&) const = default;
+};
+
 /// Consecutive worker crashes attributed to a task.
 struct CrashCount {
     std::uint32_t confirmed = 0; ///< Crashes of incarnations that had acknowledged the start and have certainly ended.
@@ -127,6 +146,7 @@
 [[nodiscard]] std::string encode(const ProgressRecord& record);
 [[nodiscard]] std::string encode(const OwnerRecord& record);
 [[nodiscard]] std::string encode(const QueueCounts& counts);
+[[nodiscard]] std::string encode(const CancelRecord& record);
 [[nodiscard]] std::string encode(const std::set<std::string>& instances);
 [[nodiscard]] std::optional<std::set<std::string>> decodeInstances(std::string_view bytes);
 
@@ -137,6 +157,7 @@
 [[nodiscard]] std::optional<ProgressRecord> decodeProgress(std::string_view bytes);
 [[nodiscard]] std::optional<OwnerRecord> decodeOwner(std::string_view bytes);
 [[nodiscard]] std::optional<QueueCounts> decodeQueueCounts(std::string_view bytes);
+[[nodiscard]] CancelRecord decodeCancel(std::string_view bytes); ///< Unconditional if unreadable, since the job must not run.
 ///@}
 
 } // namespace lanemoor::jobs
--- a/include/lanemoor/jobs/owner/job_retirement.h
+++ b/include/lanemoor/jobs/owner/job_retirement.h
@@ -1,6 +1,6 @@
 #pragma once
 /// \file
-/// Removes finished jobs from the store once their status retention time has passed.
+/// Removes finished jobs, and cancellations of absent ones, from the store once their retention time has passed.
 
 #include "lanemoor/jobs/model/event_loop.h"
 #include "lanemoor/jobs/model/forward_declarations.h"
@@ -28,7 +28,7 @@
     Millis statusTime { 120'000 }; ///< Minimum retention of a finished job's status.
 };
 
-/// \brief Removes finished jobs, which bounds the size of the store and of its replicas.
+/// \brief Removes finished jobs, and cancellations whose jobs were never stored, which bounds the size of the store and of its replicas.
 ///
 /// Every instance measures the time since it was notified of a job's end. Only the owner removes jobs, under the
 /// condition of its ownership. A new owner that was notified late removes late.
--- a/include/lanemoor/jobs/service/job_metrics.h
+++ b/include/lanemoor/jobs/service/job_metrics.h
@@ -39,6 +39,7 @@
     double configurationAgeSeconds = 0; ///< Since the store was last known to hold no newer version.
     DocumentReplicaCounts configurationReads;
     std::uint64_t jobs = 0; ///< In the catalog.
+    std::uint64_t absentCancels = 0; ///< Cancellations whose jobs are not stored.
     double storeAgeSeconds = 0; ///< Since the replica of the jobs was last known to be up to date.
     std::vector<ReplicaReading> replicas;
     StoreState storeState = StoreState::Writing;
--- a/src/aio/http_client.cpp
+++ b/src/aio/http_client.cpp
@@ -83,6 +83,28 @@
     return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Makes every close of the socket a reset, including that of `tcp_stream` when a deadline passes. After an orderly close, a partitioned
+/// network would still deliver the request seconds after its call has timed out.
+void resetOnClose(Connection& connection)
+{
+    boost::system::error_code ignored;
+    connection.stream.socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
+}
+
+void closeByReset(Connection& connection)
+{
+    boost::system::error_code ignored;
+    connection.stream.socket().close(ignored);
+}
+
+/// Closes a connection on which no request is pending.
+void closeOrderly(Connection& connection)
+{
+    boost::system::error_code ignored;
+    connection.stream.socket().set_option(boost::asio::socket_base::linger(false, 0), ignored);
+    connection.stream.socket().close(ignored);
+}
+
 } // namespace
 
 class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl> {
@@ -110,6 +132,8 @@
             return;
         Peer& peer = found->second;
         peer.connections -= static_cast<std::uint32_t>(peer.idle.size());
+        for (const ConnectionPointer& connection : peer.idle)
+            closeOrderly(*connection);
         peer.idle.clear();
     }
 
@@ -143,6 +167,7 @@
             peer.idle.pop_back();
             if (m_loop.now() - connection->idleSince < m_options.idleTimeout && isUsable(*connection))
                 return connection;
+            closeOrderly(*connection);
             --peer.connections;
         }
         return nullptr;
@@ -166,6 +191,7 @@
             }
             boost::system::error_code ignored;
             connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
+            resetOnClose(*connection);
             self->write(peer, connection);
         });
     }
@@ -233,8 +259,10 @@
             connection->idleSince = m_loop.now();
             peer.idle.push_back(connection);
         } else {
-            boost::system::error_code ignored;
-            connection->stream.socket().close(ignored);
+            if (reply.delivery == Delivery::Answered)
+                closeOrderly(*connection);
+            else
+                closeByReset(*connection);
             --peer.connections;
         }
         sendQueued(peer);
--- a/src/jobs/intake/caller_access.cpp
+++ b/src/jobs/intake/caller_access.cpp
@@ -2,6 +2,8 @@
 
 #include "lanemoor/jobs/model/job_record.h"
 
+#include <algorithm>
+
 namespace lanemoor::jobs {
 
 std::optional<Caller> identify(const ServiceConfiguration& configuration, const QueueSettings& queue, std::optional<std::string_view> key)
@@ -20,4 +22,15 @@
     return caller.isOpen && job.queue == caller.queue;
 }
 
+bool appliesTo(const CancelRecord& cancellation, const JobRecord& job)
+{
+    const auto hasAccess = [&job](const CancelRequester& requester) { return mayAccess({ .queue = requester.queue, .organisation = requester.organisation, .isOpen = requester.isOpen }, job); };
+    return cancellation.isUnconditional() || std::any_of(cancellation.requesters.begin(), cancellation.requesters.end(), hasAccess);
+}
+
+CancelRequester requesterOf(const Caller& caller)
+{
+    return { .queue = caller.queue, .organisation = caller.organisation, .isOpen = caller.isOpen };
+}
+
 } // namespace lanemoor::jobs
--- a/src/jobs/intake/job_catalog.cpp
+++ b/src/jobs/intake/job_catalog.cpp
@@ -1,5 +1,7 @@
 #include "lanemoor/jobs/intake/job_catalog.h"
 
+#include "lanemoor/jobs/intake/caller_access.h"
+
 namespace lanemoor::jobs {
 
 namespace {
@@ -56,7 +58,9 @@
     std::optional<JobRecord> record = decodeJob(item.value);
     if (!record)
         return false;
-    m_jobs[id].record = std::make_shared<const JobRecord>(std::move(*record));
+    CatalogEntry& entry = m_jobs[id];
+    entry.record = std::make_shared<const JobRecord>(std::move(*record));
+    entry.cancelled = entry.cancellation && appliesTo(*entry.cancellation, *entry.record);
     return true;
 }
 
@@ -73,13 +77,24 @@
 
 void JobCatalog::applyCancel(const std::string& id, const StoreItem& item)
 {
-    if (!item.removed)
-        m_jobs[id].cancelled = true;
+    if (item.removed) {
+        const auto found = m_jobs.find(id);
+        if (found != m_jobs.end() && found->second.isAbsentAndCancelled())
+            m_jobs.erase(found);
+        return;
+    }
+    CatalogEntry& entry = m_jobs[id];
+    entry.cancellation = decodeCancel(item.value);
+    entry.cancelled = entry.record && appliesTo(*entry.cancellation, *entry.record);
 }
 
 void JobCatalog::index(const std::string& id)
 {
     const CatalogEntry* entry = find(id);
+    if (entry && entry->isAbsentAndCancelled())
+        m_absentCancels.insert(id);
+    else
+        m_absentCancels.erase(id);
     if (!entry || !entry->record)
         return;
     std::set<std::string>& queued = m_queuedByQueue[entry->record->queue];
@@ -93,6 +108,7 @@
 {
     m_jobs.clear();
     m_queuedByQueue.clear();
+    m_absentCancels.clear();
 }
 
 const CatalogEntry* JobCatalog::find(const std::string& id) const
--- a/src/jobs/model/job_record.cpp
+++ b/src/jobs/model/job_record.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t bitsPerByte = 8;
+constexpr std::string_view unconditionalCancel = "1"; // Also written by versions without requesters; no valid document.
 
 Instant instantFrom(std::int64_t milliseconds)
 {
@@ -262,6 +263,31 @@
     return document.SerializeAsString();
 }
 
+std::string encode(const CancelRecord& record)
+{
+    if (record.isUnconditional())
+        return std::string(unconditionalCancel);
+    wire::CancelDocument document;
+    for (const CancelRequester& requester : record.requesters) {
+        wire::CancelRequester& out = *document.add_requesters();
+        out.set_queue(requester.queue);
+        out.set_organisation(requester.organisation);
+        out.set_open(requester.isOpen);
+    }
+    return document.SerializeAsString();
+}
+
+CancelRecord decodeCancel(std::string_view bytes)
+{
+    wire::CancelDocument document;
+    CancelRecord record;
+    if (bytes == unconditionalCancel || !parse(bytes, document))
+        return record;
+    for (const wire::CancelRequester& requester : document.requesters())
+        record.requesters.insert({ .queue = requester.queue(), .organisation = requester.organisation(), .isOpen = requester.open() });
+    return record;
+}
+
 std::optional<QueueCounts> decodeQueueCounts(std::string_view bytes)
 {
     wire::QueueCountsDocument document;
--- a/src/jobs/owner/job_retirement.cpp
+++ b/src/jobs/owner/job_retirement.cpp
@@ -21,6 +21,8 @@
 constexpr Millis retentionMargin { 5'000 };
 /// Each job takes three removals of a transaction, and the ownership's condition takes one entry.
 constexpr std::size_t maxJobsPerScan = (maxTransactionEntries - 1) / 3;
+/// Each takes a condition and a removal.
+constexpr std::size_t maxCancelsPerScan = (maxTransactionEntries - 1) / 2;
 
 std::array<std::string, 3> keysOf(const std::string& id)
 {
@@ -43,9 +45,17 @@
             m_finishedAt.erase(id);
         else if (isFinal(entry->progress.status))
             m_finishedAt.emplace(id, m_options.loop->now());
+        if (entry && entry->isAbsentAndCancelled())
+            m_absentCancelledAt.emplace(id, m_options.loop->now());
+        else
+            m_absentCancelledAt.erase(id);
     }
 
-    void clear() { m_finishedAt.clear(); }
+    void clear()
+    {
+        m_finishedAt.clear();
+        m_absentCancelledAt.clear();
+    }
 
     void scheduleScan()
     {
@@ -63,17 +73,52 @@
     {
         if (m_removing || !m_options.ownership->isHeld())
             return;
+        const std::vector<std::string> finished = expiredOf(m_finishedAt, maxJobsPerScan);
+        const std::vector<std::string> absent = expiredOf(m_absentCancelledAt, maxCancelsPerScan);
+        // Takes turns, so that neither kind waits for the other.
+        m_isCancelsTurn = !m_isCancelsTurn;
+        if (!absent.empty() && (m_isCancelsTurn || finished.empty()))
+            removeCancels(absent);
+        else if (!finished.empty())
+            remove(finished);
+    }
+
+    /// \returns Up to `count` ids that are tracked for longer than the retention time.
+    [[nodiscard]] std::vector<std::string> expiredOf(const std::map<std::string, MonotonicInstant>& tracked, std::size_t count) const
+    {
         const MonotonicInstant now = m_options.loop->now();
         std::vector<std::string> expired;
-        for (const auto& [id, at] : m_finishedAt) {
-            if (now - at >= m_options.statusTime + retentionMargin && expired.size() < maxJobsPerScan)
+        for (const auto& [id, at] : tracked) {
+            if (now - at >= m_options.statusTime + retentionMargin && expired.size() < count)
                 expired.push_back(id);
         }
-        if (!expired.empty())
-            remove(std::move(expired));
+        return expired;
+    }
+
+    /// Removes cancellations of jobs that are still absent. If one of the jobs was stored meanwhile nothing is removed, and the watch
+    /// brings the job before the next scan or a later one.
+    void removeCancels(const std::vector<std::string>& ids)
+    {
+        Transaction transaction { .expected = { m_options.ownership->condition() }, .writes = {}, .removals = {} };
+        for (const std::string& id : ids) {
+            transaction.expected.push_back({ jobKey(id), 0 });
+            transaction.removals.push_back(cancelKey(id));
+        }
+        m_removing = true;
+        m_options.store->commit(transaction, [self = weak_from_this(), ids](const CommitResult& result) {
+            const auto impl = self.lock();
+            if (!impl)
+                return;
+            impl->m_removing = false;
+            if (result.outcome != StoreOutcome::Done)
+                return;
+            impl->m_options.log->decision("absent-cancels-retired", { { "cancels", static_cast<std::int64_t>(ids.size()) }, { "first", ids.front() }, { "revision", static_cast<std::int64_t>(result.revision) } });
+            for (const std::string& id : ids)
+                impl->m_options.mirror->noteWritten({ .key = cancelKey(id), .value = {}, .revision = result.revision, .removed = true });
+        });
     }
 
-    void remove(std::vector<std::string> ids)
+    void remove(const std::vector<std::string>& ids)
     {
         Transaction transaction { .expected = { m_options.ownership->condition() }, .writes = {}, .removals = {} };
         for (const std::string& id : ids) {
@@ -81,7 +126,7 @@
                 transaction.removals.push_back(std::move(key));
         }
         m_removing = true;
-        m_options.store->commit(transaction, [self = weak_from_this(), ids = std::move(ids)](const CommitResult& result) {
+        m_options.store->commit(transaction, [self = weak_from_this(), ids](const CommitResult& result) {
             if (const auto impl = self.lock())
                 impl->onRemoved(ids, result);
         });
@@ -102,7 +147,9 @@
 
     JobRetirementOptions m_options;
     std::map<std::string, MonotonicInstant> m_finishedAt; ///< Time when the job's end was observed, by job.
+    std::map<std::string, MonotonicInstant> m_absentCancelledAt; ///< Time when the cancellation of a job that is not stored was observed, by job.
     bool m_removing = false;
+    bool m_isCancelsTurn = false;
 };
 
 JobRetirement::JobRetirement(JobRetirementOptions options)
--- a/src/jobs/service/job_metrics.cpp
+++ b/src/jobs/service/job_metrics.cpp
@@ -307,6 +307,7 @@
     families.push_back(gauge("lanemoor_ready", "1 if the balancer should send callers here", reading.ready ? 1 : 0));
     families.push_back(gauge("lanemoor_owner", "1 while this process owns the shard", reading.owner ? 1 : 0));
     families.push_back(gauge("lanemoor_jobs_known", "Jobs known from the store", static_cast<double>(reading.jobs)));
+    families.push_back(gauge("lanemoor_absent_job_cancels", "Cancellations in the store whose jobs it does not have", static_cast<double>(reading.absentCancels)));
     families.push_back(gauge("lanemoor_store_age_seconds", "Age of the copy of the store", reading.storeAgeSeconds));
     families.push_back(counter("lanemoor_store_items_unreadable_total", "Items in the store that could not be read", reading.unreadableItems));
     families.push_back(counter("lanemoor_log_lines_dropped_total", "Log lines lost because standard output was slow", reading.logLinesDropped));
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -369,28 +369,16 @@
         status(id, [this, caller, id, done](LookupOutcome outcome, JobStatus status) { done(outcome == LookupOutcome::Done && isForeign(caller, id) ? LookupOutcome::Foreign : outcome, status); });
     }
 
-    /// The check of the caller needs the job's record, which is read first if the catalog lacks it.
-    void cancel(const Caller& caller, const std::string& id, std::function<void(LookupOutcome)> done)
+    /// \param caller Nothing: an operator.
+    void cancel(const std::optional<Caller>& caller, const std::string& id, std::function<void(LookupOutcome)> done)
     {
-        const CatalogEntry* entry = m_catalog.find(id);
-        if (!entry || !entry->record) {
-            m_lookup.status(id, [this, caller, id, done = std::move(done)](LookupOutcome outcome, JobStatus) {
-                if (outcome == LookupOutcome::Done)
-                    cancel(caller, id, done);
-                else
-                    done(outcome);
-            });
+        if (caller && isForeign(*caller, id)) {
+            done(LookupOutcome::Foreign);
             return;
         }
-        if (isForeign(caller, id))
-            done(LookupOutcome::Foreign);
-        else
-            cancel(id, std::move(done));
-    }
-
-    void cancel(const std::string& id, std::function<void(LookupOutcome)> done)
-    {
-        m_intake.cancel(id, [this, id, done = std::move(done), sentAt = m_parts.loop->now()](LookupOutcome outcome) {
+        m_intake.cancel(caller, id, [this, caller, id, done = std::move(done), sentAt = m_parts.loop->now()](LookupOutcome outcome) {
+            if (outcome == LookupOutcome::Foreign)
+                noteForeign(*caller, id);
             metrics.noteCancel(outcome, secondsSince(sentAt));
             m_parts.log->decision("job-cancel-asked", { { "job", id }, { "outcome", std::string(nameOf(outcome)) }, { "ms", since(sentAt) } });
             done(outcome);
@@ -459,7 +447,8 @@
             .configurationVersion = m_configuration ? m_configuration->version : 0,
             .configurationAgeSeconds = secondsSince(m_configurations.provenAt()),
             .configurationReads = m_configurations.counts(),
-            .jobs = m_catalog.all().size(),
+            .jobs = m_catalog.all().size() - m_catalog.absentCancels(),
+            .absentCancels = m_catalog.absentCancels(),
             .storeAgeSeconds = secondsSince(hasReplica() ? m_jobs.freshAt() : m_owners.freshAt()),
             .replicas = { readingOf("jobs", m_jobs), readingOf("ownership", m_owners), readingOf("workers", m_workers), readingOf("waves", m_waves) },
             .storeState = m_access->condition()->state,
@@ -520,9 +509,14 @@
         const CatalogEntry* entry = m_catalog.find(id);
         if (!entry || !entry->record || mayAccess(caller, *entry->record))
             return false;
+        noteForeign(caller, id);
+        return true;
+    }
+
+    void noteForeign(const Caller& caller, const std::string& id)
+    {
         metrics.noteCallerRefused("other-organisation");
         m_parts.log->decision("caller-refused", { { "job", id }, { "queue", caller.queue }, { "reason", std::string("other-organisation") }, { "organisation", caller.organisation } });
-        return true;
     }
 
     /// \returns Whether this machine claims a free ownership without delay.
@@ -935,7 +929,7 @@
 
 void JobService::cancel(const std::string& id, std::function<void(LookupOutcome)> done)
 {
-    m_impl->cancel(id, std::move(done));
+    m_impl->cancel(std::nullopt, id, std::move(done));
 }
 
 void JobService::pending(const std::string& queue, const std::function<void(std::optional<std::uint64_t>)>& done)
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -452,6 +452,12 @@
         m_entries[index].storeClient->resetting = reset;
 }
 
+void JobCluster::delayStoreWrites(std::size_t index, Millis delay)
+{
+    if (m_entries[index].storeClient)
+        m_entries[index].storeClient->writeDelay = delay;
+}
+
 void JobCluster::setStoreLink(std::size_t index, std::size_t bytesPerMs)
 {
     if (m_entries[index].storeClient)
@@ -524,7 +530,8 @@
 {
     checker.noteCancelSent(id);
     m_entries[index].service->cancel(id, [this, id](LookupOutcome outcome) {
-        if (outcome == LookupOutcome::Done)
+        // Callers take both answers for the acknowledgement.
+        if (outcome == LookupOutcome::Done || outcome == LookupOutcome::NoSuchJob)
             checker.noteCancelled(id);
     });
 }
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -174,6 +174,9 @@
     void cutWatches(std::size_t index, bool cut);
     void resetStoreCalls(std::size_t index, bool reset);
 
+    /// \brief Delays the writes of an entry, which get no response; 0 for no delay.
+    void delayStoreWrites(std::size_t index, Millis delay);
+
     /// \brief Sets the bandwidth of the link from the store to an entry's machine until the entry restarts; 0 for unlimited.
     void setStoreLink(std::size_t index, std::size_t bytesPerMs);
 
--- a/standins/model/store_model.cpp
+++ b/standins/model/store_model.cpp
@@ -265,9 +265,11 @@
         });
         return;
     }
-    if (writes && share(m_store.m_random) < faults.lateWrites) {
+    const bool isLate = writes && (writeDelay.count() > 0 || share(m_store.m_random) < faults.lateWrites);
+    if (isLate) {
         std::uniform_int_distribution<int> pause(1'000, 6'000);
-        clock.after(Millis(pause(m_store.m_random)), [operation] { static_cast<void>(operation()); });
+        const Millis delay = writeDelay.count() > 0 ? writeDelay : Millis(pause(m_store.m_random));
+        clock.after(delay, [operation] { static_cast<void>(operation()); });
         clock.after(callTimeout, [answer] { answer(Result {}); });
         return;
     }
--- a/standins/model/store_model.h
+++ b/standins/model/store_model.h
@@ -98,6 +98,7 @@
     bool resetting = false; ///< Calls are lost in transit and fail at once with an unknown outcome.
     bool watchesBlocked = false; ///< Watches get no response; other calls do.
     bool partitioned = false; ///< The process is partitioned from the store.
+    Millis writeDelay { 0 }; ///< Writes of the process are carried out this late, without a response; 0 for no delay.
     /// Bandwidth for responses, which are transferred one after the other; 0 for unlimited.
     std::size_t linkBytesPerMs = 0;
 
--- a/tests/jobs/http_test.cpp
+++ b/tests/jobs/http_test.cpp
@@ -97,6 +97,30 @@
     CHECK(client.counts().connections == 2);
 }
 
+/// Guards against requests that a partition holds up and delivers after their call has timed out: a reset discards them.
+TEST_CASE("A call that times out resets its connection")
+{
+    Exchange exchange;
+    const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in local {};
+    local.sin_family = AF_INET;
+    inet_pton(AF_INET, "127.0.0.1", &local.sin_addr);
+    socklen_t length = sizeof local;
+    REQUIRE(::bind(listener, reinterpret_cast<const sockaddr*>(&local), sizeof local) == 0);
+    REQUIRE(::listen(listener, 1) == 0);
+    REQUIRE(::getsockname(listener, reinterpret_cast<sockaddr*>(&local), &length) == 0);
+    HttpClient client(exchange.loop, {});
+    CHECK(exchange.call(client, { "127.0.0.1", ntohs(local.sin_port) }, post("x"), Millis(100)).delivery == Delivery::Unanswered);
+    const int accepted = ::accept(listener, nullptr, nullptr);
+    char buffer[1'024];
+    ssize_t got = 0;
+    while ((got = ::recv(accepted, buffer, sizeof buffer, 0)) > 0) { }
+    CHECK(got < 0);
+    CHECK(errno == ECONNRESET);
+    ::close(accepted);
+    ::close(listener);
+}
+
 TEST_CASE("A call to a port without a listener is reported as not sent")
 {
     Exchange exchange;
