Published counts of queues do not lapse while the store is idle

What callers saw: on a machine below 0.2 cores, a count of a queue was unavailable for up to a second at a time while nothing changed.

Cause: the owner publishes counts each second if its replica is younger than 700 ms. Without changes the replica's age cycles between half a second and a second with the watch, so that a due count could be skipped twice in a row, and the last one passed its bound of 2 s.

Change: a count that is due while the replica lags is checked again after 100 ms.

--- a/src/jobs/owner/queue_counts_writer.cpp
+++ b/src/jobs/owner/queue_counts_writer.cpp
@@ -9,6 +9,12 @@
 
 namespace lanemoor::jobs {
 
+namespace {
+
+constexpr Millis currencyCheckInterval { 100 }; // While the replica lags: without changes its age depends on the phase of its watch.
+
+} // namespace
+
 class QueueCountsWriter::Impl : public std::enable_shared_from_this<QueueCountsWriter::Impl> {
 public:
     explicit Impl(QueueCountsWriterOptions options)
@@ -16,22 +22,26 @@
     {
     }
 
-    void writeLater()
+    void writeLater() { checkAfter(m_options.writeEvery); }
+
+private:
+    void checkAfter(Millis pause)
     {
-        m_options.loop->callAt(m_options.loop->now() + m_options.writeEvery, [self = weak_from_this()] {
+        m_options.loop->callAt(m_options.loop->now() + pause, [self = weak_from_this()] {
             const auto impl = self.lock();
             if (!impl)
                 return;
-            impl->write();
-            impl->writeLater();
+            const bool isLagging = impl->m_options.ownership->isHeld() && !impl->m_options.isCurrent();
+            if (!isLagging)
+                impl->write();
+            impl->checkAfter(isLagging ? currencyCheckInterval : impl->m_options.writeEvery);
         });
     }
 
-private:
     void write()
     {
         const std::shared_ptr<const ServiceConfiguration> configuration = m_options.configuration();
-        if (m_isWriting || !configuration || !m_options.ownership->isHeld() || !m_options.isCurrent())
+        if (m_isWriting || !configuration || !m_options.ownership->isHeld())
             return;
         QueueCounts counts { .countedAt = m_options.loop->timeOfDay(), .pending = {} };
         for (const QueueSettings& queue : configuration->queues)
--- a/tests/jobs/small_entry_test.cpp
+++ b/tests/jobs/small_entry_test.cpp
@@ -92,6 +92,18 @@
     CHECK_FALSE(cluster.pending(1, "work"));
 }
 
+/// Guards against counts that are missing for seconds while nothing changes: each was due at a moment when the owner's replica was
+/// slightly too old.
+TEST_CASE("A small entry instance has a count at all times while the store is idle")
+{
+    MixedCluster cluster;
+    cluster.clock.runFor(Millis(5'000));
+    for (int i = 0; i < 200; ++i) {
+        cluster.clock.runFor(Millis(130));
+        CHECK(cluster.pending(1, "work") == 0U);
+    }
+}
+
 TEST_CASE("Small entry instances take ownership when no large one is left, and return it")
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
