Long-running tasks make room for gangs whose members fit only in part

What callers saw: a gang that needs a label waited without end (in the model), although other workers had room for the long-running tasks that filled the only worker with the label.

Cause: Displacement looked for waiting steps that have room for no task at all. A gang needs room for all of its members at once.

Change: of a gang, Displacement counts the members that fit on the labelled workers, and clears one worker for those that do not, or for as many of them as it can.

--- a/src/jobs/owner/displacement.cpp
+++ b/src/jobs/owner/displacement.cpp
@@ -2,6 +2,8 @@
 
 #include "evacuation.h"
 
+#include <algorithm>
+
 namespace lanemoor::jobs {
 
 namespace {
@@ -29,25 +31,62 @@
     if (now < m_state.nextDisplacementAt)
         return;
     for (const auto& [key, waiting] : m_state.waits) {
-        const bool lacksLabelledRoom = !waiting.wait.label.empty() && waiting.wait.labelled > 0 && waiting.wait.labelledWithRoom == 0 && waiting.wait.heldByQuotaOf.empty();
-        const OwnerJob* job = lacksLabelledRoom && now - waiting.since >= minWaitTime ? m_state.job(key.first) : nullptr;
+        const bool mayLackRoom = !waiting.wait.label.empty() && waiting.wait.labelled > 0 && waiting.wait.heldByQuotaOf.empty();
+        const OwnerJob* job = mayLackRoom && now - waiting.since >= minWaitTime ? m_state.job(key.first) : nullptr;
         if (!job || isFinal(job->state.status()) || !job->state.steps().contains(key.second) || job->state.steps().at(key.second).idle() == 0)
             continue;
-        makeRoomFor(job->state, key.second, m_state.poolOf(job->state));
-        if (now < m_state.nextDisplacementAt)
-            return;
+        // If no worker can be cleared for all members of a gang, as many as possible are provided for, and others at the next run.
+        for (std::uint32_t tasks = tasksWithoutRoom(job->state, key.second, waiting.wait); tasks > 0; --tasks) {
+            if (makeRoomFor(job->state, key.second, tasks))
+                return;
+        }
     }
 }
 
-void Displacement::makeRoomFor(const JobState& job, const StepId& step, const std::string& pool)
+/// \returns Tasks of the step that lack room on labelled workers and can't start for that reason.
+std::uint32_t Displacement::tasksWithoutRoom(const JobState& job, const StepId& step, const StepWait& wait)
+{
+    const StepSpec& spec = job.spec(step.step);
+    if (!spec.gang)
+        return wait.labelledWithRoom == 0 ? 1 : 0;
+    std::uint32_t fitting = 0;
+    for (const auto& [id, worker] : m_state.workers)
+        fitting += isCandidate(worker, job, step) ? fittingOn(worker, job, step) : 0;
+    return spec.count - std::min(spec.count, fitting);
+}
+
+/// \returns How many tasks of the step the worker has room for.
+std::uint32_t Displacement::fittingOn(const WorkerRecord& worker, const JobState& job, const StepId& step)
+{
+    const StepSpec& spec = job.spec(step.step);
+    const std::uint32_t limit = spec.maxPerInstance > 0 ? spec.maxPerInstance - worker.tasksOf(job.id(), step) : spec.count;
+    Resources needed = footprint(spec);
+    std::uint32_t fitting = 0;
+    for (; fitting < limit && m_alternatives.freeOn(worker).covers(needed); ++fitting)
+        needed += footprint(spec);
+    return fitting;
+}
+
+/// \returns Whether the worker may run another task of the step, apart from its room.
+bool Displacement::isCandidate(const WorkerRecord& worker, const JobState& job, const StepId& step) const
+{
+    const StepSpec& spec = job.spec(step.step);
+    if (worker.entry.pool != m_state.poolOf(job) || !worker.isOpen(m_state.now()) || !hasLabel(worker.entry, spec.requiredLabel))
+        return false;
+    return spec.maxPerInstance == 0 || worker.tasksOf(job.id(), step) < spec.maxPerInstance;
+}
+
+/// Makes room on one worker for `tasks` more tasks of the step than it has room for. \returns Whether a worker could be cleared.
+bool Displacement::makeRoomFor(const JobState& job, const StepId& step, std::uint32_t tasks)
 {
     const StepSpec& spec = job.spec(step.step);
     for (auto& [id, worker] : m_state.workers) {
-        if (worker.entry.pool != pool || !worker.isOpen(m_state.now()) || !hasLabel(worker.entry, spec.requiredLabel))
+        if (!isCandidate(worker, job, step))
             continue;
-        if (spec.maxPerInstance > 0 && worker.tasksOf(job.id(), step) >= spec.maxPerInstance)
-            continue;
-        const std::vector<Attempt> moved = movable(worker, spec);
+        Resources needed;
+        for (std::uint32_t i = fittingOn(worker, job, step) + tasks; i > 0; --i)
+            needed += footprint(spec);
+        const std::vector<Attempt> moved = movable(worker, spec, needed);
         if (moved.empty())
             continue;
         m_state.options.log->decision("room-made", { { "worker", id }, { "job", job.id() }, { "label", spec.requiredLabel }, { "attempts", static_cast<std::int64_t>(moved.size()) } });
@@ -59,18 +98,19 @@
         worker.reservedForLabel = spec.requiredLabel;
         worker.reservedUntil = m_state.now() + reservationTime;
         m_state.nextDisplacementAt = m_state.now() + pause;
-        return;
+        return true;
     }
+    return false;
 }
 
-/// \returns The attempts to stop so that a task of `step` fits on the worker; empty: not possible.
+/// \returns The attempts to stop so that `needed` is free on the worker for tasks of `step`; empty: not possible.
 /// Budgets may allow only some of the stops now.
-std::vector<Attempt> Displacement::movable(const WorkerRecord& worker, const StepSpec& step)
+std::vector<Attempt> Displacement::movable(const WorkerRecord& worker, const StepSpec& step, const Resources& needed)
 {
     std::vector<Attempt> moved;
     Resources free = m_alternatives.freeOn(worker);
     for (const auto& [attempt, reservation] : worker.reservations) {
-        if (free.covers(footprint(step)))
+        if (free.covers(needed))
             break;
         const OwnerJob* job = m_state.job(attempt.job);
         const TaskState* task = job ? job->state.find(attempt.task) : nullptr;
@@ -84,7 +124,7 @@
         moved.push_back(attempt);
         free += footprint(*reservation.step);
     }
-    return free.covers(footprint(step)) ? moved : std::vector<Attempt> {};
+    return free.covers(needed) ? moved : std::vector<Attempt> {};
 }
 
 } // namespace lanemoor::jobs
--- a/tests/jobs/requirement_test.cpp
+++ b/tests/jobs/requirement_test.cpp
@@ -207,6 +207,24 @@
     requireNoBreach(cluster);
 }
 
+TEST_CASE("Long-running tasks make room for a gang whose members fit only in part")
+{
+    // Guards against a gang that waits without end: there was room for one of its members on the only instance with their label, so
+    // that no task without a label was moved (random run 3220 of jobs with placement requirements).
+    MixedCluster cluster("main", 1, 0, 2);
+    StepSpec lasting = longStep(3);
+    lasting.maxPerInstance = 0;
+    cluster.submit(0, "work", jobId(1), job({ lasting }));
+    REQUIRE(cluster.startsWithin(Millis(4'000), 3) == 3);
+    StepSpec gang = labelled(step(4), "b");
+    gang.gang = true;
+    gang.needs.milliCpu = 1'500;
+    cluster.clock.runFor(Millis(3'000));
+    cluster.submit(0, "work", jobId(2), job({ gang }));
+    CHECK(cluster.waitFor(Millis(12'000), [&] { return cluster.shows(jobId(2), JobStatus::Succeeded); }));
+    requireNoBreach(cluster);
+}
+
 TEST_CASE("A pool releases no instance that one of its classes needs, and takes the ones that help most classes")
 {
     PoolLoad needy { .pool = "needy", .requirements = { { Requirement {}, { .demandMilliCpu = 10'000 } }, { { .label = "b" }, { .demandMilliCpu = 10'000 } } }, .instances = {} };
