A job counts as waiting until a worker has confirmed the start of a task

Cause: the owner stored the status Running before it sent a first start, for the next owner, and callers were shown the same value. Neither a refused start nor an unanswered one that was never executed took it back.

Ruled out: to take the status back at each refusal would write each job twice for each try, and let the count alternate.

Change: the planned start is a field of its own in the stored progress, written before the first start as before; the owner's decisions that looked at Queued look at it. The status becomes Running with the worker's confirmation, a report or an end, and is stored with the next progress or after 500 ms. Two lines of job_state_test.cpp expected Running from a start that was only sent, which PROTOCOL calls not begun; they now expect Queued before the confirmation and Running after it.

--- a/include/lanemoor/jobs/model/job_record.h
+++ b/include/lanemoor/jobs/model/job_record.h
@@ -112,6 +112,7 @@
 /// Progress of a job. Grows monotonically: recorded successes and failures are final.
 struct ProgressRecord {
     JobStatus status = JobStatus::Queued;
+    bool isStartPlanned = false; ///< Some task may have been started; the status is Running only once a worker has confirmed that.
     std::uint32_t occurrencesDone = 0; ///< Number of leading occurrences that are finished; no other state of them is stored.
     std::map<StepId, std::vector<bool>> succeeded; ///< Per step, by task index; steps without a success are absent.
     std::map<TaskId, TaskRecord> tasks;
--- a/include/lanemoor/jobs/model/job_state.h
+++ b/include/lanemoor/jobs/model/job_state.h
@@ -157,9 +157,19 @@
     /// \returns Whether this owner has neither started the task nor seen an attempt of it.
     [[nodiscard]] bool isUnseen(const TaskId& task) const noexcept;
 
-    /// \brief Notes that a start was sent.
+    /// \returns Whether a start of any task was planned, by this owner or as recorded by an earlier one. It may not have begun.
+    [[nodiscard]] bool hasPlannedStart() const noexcept { return m_hasPlannedStart; }
+
+    /// \returns Whether the job waits and none of its tasks was ever tried to be started.
+    [[nodiscard]] bool isUntried() const noexcept { return m_status == JobStatus::Queued && !m_hasPlannedStart; }
+
+    /// \brief Notes that a start is planned: it is sent now, or once it is recorded.
     void begin(const TaskId& task, std::uint64_t number, const std::string& worker, MonotonicInstant now);
 
+    /// \brief Notes that a worker has begun a task of the job, as it has confirmed or reported.
+    /// \returns Whether the status changed by that and must be stored.
+    bool noteBegun() noexcept;
+
     /// \brief Notes an attempt that runs at `worker` and was started by an earlier owner. Until it ends the task starts nowhere else, even
     /// if the attempt is to be stopped.
     /// \returns False if the task or job has finished, the occurrence is not open, or the task has another live attempt.
@@ -241,7 +251,8 @@
     std::string m_id;
     std::shared_ptr<const JobRecord> m_record;
     std::uint64_t m_attemptBase;
-    JobStatus m_status;
+    JobStatus m_status; ///< Running once a worker has begun a task.
+    bool m_hasPlannedStart;
     std::uint32_t m_occurrencesDone;
     std::uint32_t m_occurrencesOpened;
     std::uint64_t m_changes = 0;
--- a/src/jobs/model/job_record.cpp
+++ b/src/jobs/model/job_record.cpp
@@ -183,6 +183,7 @@
 {
     wire::ProgressDocument document;
     document.set_status(static_cast<std::uint32_t>(record.status));
+    document.set_start_planned(record.isStartPlanned);
     document.set_occurrences_done(record.occurrencesDone);
     for (const auto& [id, bits] : record.succeeded) {
         wire::StepProgress& step = *document.add_steps();
@@ -220,6 +221,7 @@
         return std::nullopt;
     ProgressRecord record;
     record.status = static_cast<JobStatus>(document.status());
+    record.isStartPlanned = document.start_planned();
     record.occurrencesDone = document.occurrences_done();
     for (const wire::StepProgress& step : document.steps())
         record.succeeded[{ step.occurrence(), step.step() }] = unpackBits(step.succeeded());
--- a/src/jobs/model/job_state.cpp
+++ b/src/jobs/model/job_state.cpp
@@ -35,6 +35,7 @@
     , m_record(std::move(record))
     , m_attemptBase(attemptBase)
     , m_status(progress.status)
+    , m_hasPlannedStart(progress.isStartPlanned || progress.status != JobStatus::Queued)
     , m_occurrencesDone(progress.occurrencesDone)
     , m_occurrencesOpened(progress.occurrencesDone)
     , m_initial(progress)
@@ -118,6 +119,7 @@
 {
     ProgressRecord record = m_initial;
     record.status = m_status;
+    record.isStartPlanned = m_hasPlannedStart;
     record.occurrencesDone = m_occurrencesDone;
     const auto isDone = [&](const auto& entry) { return entry.first.occurrence < m_occurrencesDone; };
     std::erase_if(record.succeeded, isDone);
@@ -209,8 +211,15 @@
         .number = number, .worker = worker, .startedAt = now, .phaseSince = now, .stopAnsweredAt = std::nullopt, .percentSince = now
     };
     ++m_steps.at({ task.occurrence, task.step }).live;
-    if (m_status == JobStatus::Queued)
-        m_status = JobStatus::Running;
+    m_hasPlannedStart = true;
+}
+
+bool JobState::noteBegun() noexcept
+{
+    if (m_status != JobStatus::Queued)
+        return false;
+    m_status = JobStatus::Running;
+    return true;
 }
 
 bool JobState::adopt(const Attempt& attempt, const std::string& worker, MonotonicInstant now)
--- a/src/jobs/owner/command_dispatcher.cpp
+++ b/src/jobs/owner/command_dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "command_dispatcher.h"
 
 #include "evacuation.h"
+#include "lanemoor/jobs/intake/job_catalog.h"
 #include "lanemoor/jobs/owner/hall_evacuations.h"
 
 #include <algorithm>
@@ -14,6 +15,9 @@
 constexpr std::uint32_t maxBackoff = 3; // Doublings of the pause between stops.
 constexpr Millis probeMargin { 10 }; // A worker's clock may be slow by 2%, and has a resolution of 1 ms.
 constexpr Millis pauseAfterNoRoom { 200 }; // Time until the next reports bring the worker's free resources up to date.
+/// After the first confirmed start of a job: most writes of its progress within this time include its status, so that it needs none of
+/// its own. Counts of waiting jobs may be 2 s old.
+constexpr Millis statusWriteDelay { 500 };
 constexpr Millis pauseAfterRefusal { 400 }; // A worker that refuses commands gets none for this time.
 
 /// Renewals are answered when an attempt ends or after a second: these probes detect sooner whether the worker still runs.
@@ -39,7 +43,7 @@
     if (!worker.session->leaseForCommand() || !(isGangMember ? m_state.options.ownership->isHeld() : m_state.mayStart(job)))
         return false;
     const Attempt attempt { job.state.id(), task, number };
-    const bool isFirstStart = job.state.status() == JobStatus::Queued;
+    const bool isFirstStart = !job.state.hasPlannedStart();
     // The previous owner may have failed before it recorded a crash, and the members of a gang start at the same time.
     const std::uint32_t assumed = hasSuspectPeer || m_state.mayHaveCrashedBefore(job, task) ? 1 : 0;
     const std::uint32_t suspectedCrashes = std::max(job.state.find(task)->suspectedCrashes(), assumed);
@@ -209,6 +213,8 @@
             return;
         if (job && isOfIncarnation && job->state.noteConfirmed(attempt, result.workerClock))
             m_state.store(attempt.job);
+        if (job)
+            noteBegun(*job);
         if (const LiveAttempt* live = findLive(attempt, worker))
             m_state.responses.note(std::chrono::duration_cast<Millis>(m_state.now() - live->startedAt));
         if (record->reservations.suspects().contains(attempt))
@@ -235,6 +241,20 @@
     }
 }
 
+void CommandDispatcher::noteBegun(OwnerJob& job)
+{
+    if (!job.state.noteBegun())
+        return;
+    m_state.options.loop->callAt(m_state.now() + statusWriteDelay, [self = weak_from_this(), id = job.state.id()] {
+        const auto dispatcher = self.lock();
+        if (!dispatcher || dispatcher->m_closed || !dispatcher->m_state.job(id))
+            return;
+        const CatalogEntry* stored = dispatcher->m_state.options.catalog->find(id);
+        if (stored && stored->progress.status == JobStatus::Queued)
+            dispatcher->m_state.store(id);
+    });
+}
+
 void CommandDispatcher::onStartRefused(const Attempt& attempt, const std::string& worker, CommandOutcome outcome)
 {
     ++m_counts.refusals;
--- a/src/jobs/owner/command_dispatcher.h
+++ b/src/jobs/owner/command_dispatcher.h
@@ -23,6 +23,9 @@
     /// \returns False if no command may be sent now.
     bool start(OwnerJob& job, const TaskId& task, std::uint64_t number, WorkerRecord& worker, const std::string& ticket, bool hasSuspectPeer = false);
 
+    /// \brief Notes that a worker has begun a task of the job. The job's status is stored with its next progress, or soon after.
+    void noteBegun(OwnerJob& job);
+
     /// \brief Sends a stop, and repeats it until it is answered or the attempt is over.
     void stop(const Attempt& attempt, const std::string& worker);
 
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -52,7 +52,7 @@
 std::set<StepId> possiblyStartedSteps(const JobState& job)
 {
     std::set<StepId> startedSteps;
-    if (job.status() != JobStatus::Running)
+    if (!job.hasPlannedStart())
         return startedSteps;
     for (const auto& [id, step] : job.steps()) {
         if (step.idle() > 0 && job.isUnblocked(id))
--- a/src/jobs/owner/status_reconciler.cpp
+++ b/src/jobs/owner/status_reconciler.cpp
@@ -121,6 +121,7 @@
         m_health.noteSuccess(worker);
     if (effect.counted && ended.end == AttemptEnd::Failed)
         m_health.noteFailure(worker, ended.attempt.job);
+    m_dispatcher.noteBegun(*job);
     if (effect.toBeStored)
         m_state.store(ended.attempt.job);
     if (effect.finished)
@@ -139,6 +140,7 @@
     }
     if (task && job->state.adopt(report.attempt, worker.entry.id, m_state.now())) {
         m_state.endWait(*job);
+        m_dispatcher.noteBegun(*job);
         worker.reservations.put(report.attempt, { .step = job->state.sharedSpec(report.attempt.task.step), .account = job->account, .expectedEnd = m_state.expectedEnd(*job, report.attempt.task) });
         job->state.noteReport(report, m_state.now());
         m_state.options.log->decision("task-adopted", { { "attempt", nameOf(report.attempt) }, { "worker", worker.entry.id } });
@@ -154,12 +156,14 @@
 /// Notes that a worker reported one of its live attempts.
 void StatusReconciler::confirm(const RunningAttempt& report, std::int64_t workerClock)
 {
-    JobState& job = m_state.job(report.attempt.job)->state;
+    OwnerJob& owned = *m_state.job(report.attempt.job);
+    JobState& job = owned.state;
     const AttemptPhase phase = job.find(report.attempt.task)->live->phase;
     if (phase == AttemptPhase::Sent || phase == AttemptPhase::OutcomeUnknown)
         job.setPhase(report.attempt, AttemptPhase::Running, m_state.now());
     if (job.noteConfirmed(report.attempt, workerClock))
         m_state.store(report.attempt.job);
+    m_dispatcher.noteBegun(owned);
 }
 
 /// Handles ends, which are final in any order of answers, and settles starts and stops whose outcome is unknown. The running
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -250,6 +250,8 @@
 {
     WorkerModel& model = m_workers[worker];
     const CommandResult done { .outcome = CommandOutcome::Done, .workerClock = clockOf(model) };
+    if (model.faults.refusing)
+        return { .outcome = CommandOutcome::NotDone };
     const auto refuse = [&](CommandOutcome outcome) { return CommandResult { .outcome = outcome, .workerClock = done.workerClock }; };
     if (command.epoch < model.epoch)
         return refuse(CommandOutcome::Fenced);
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -30,6 +30,7 @@
     double lostRenewals = 0; ///< Share of renewals without effect and response.
     double failing = 0; ///< Share of tasks that fail.
     int slowdown = 1; ///< Factor on the run time of tasks.
+    bool refusing = false; ///< Starts are refused without effect.
     bool stalled = false; ///< Tasks make no progress: those started meanwhile never end by themselves, and none is ready.
 };
 
--- a/tests/jobs/job_state_test.cpp
+++ b/tests/jobs/job_state_test.cpp
@@ -35,6 +35,9 @@
     CHECK(state.startable({ 0, 1 }, start).empty());
     state.begin({ 0, 0, 0 }, 1, "w", start);
     state.begin({ 0, 0, 1 }, 1, "w", start);
+    CHECK(state.status() == JobStatus::Queued);
+    CHECK(state.noteBegun());
+    CHECK_FALSE(state.noteBegun());
     CHECK(state.status() == JobStatus::Running);
     CHECK(state.end(ended({ 0, 0, 0 }, 1, AttemptEnd::Succeeded), "w", maxAttempts, start).toBeStored);
     CHECK(state.startable({ 0, 1 }, start).empty());
@@ -46,6 +49,28 @@
     CHECK(state.status() == JobStatus::Succeeded);
 }
 
+/// Guards against a planned start, or a refused one, that is shown as begun, also by the next owner.
+TEST_CASE("A planned start is recorded, and is no beginning")
+{
+    JobState state = makeState(job({ step(1) }));
+    CHECK(state.isUntried());
+    state.begin({}, 1, "w", start);
+    CHECK(state.hasPlannedStart());
+    CHECK_FALSE(state.isUntried());
+    state.drop({ jobId(1), {}, 1 }, start);
+    CHECK(state.hasPlannedStart());
+    CHECK(state.status() == JobStatus::Queued);
+    const std::optional<ProgressRecord> stored = decodeProgress(encode(state.progress()));
+    REQUIRE(stored);
+    JobState next = makeState(job({ step(1) }), *stored, 4'096);
+    CHECK(next.hasPlannedStart());
+    CHECK(next.status() == JobStatus::Queued);
+    CHECK(next.noteBegun());
+    CHECK(decodeProgress(encode(next.progress()))->status == JobStatus::Running);
+    // Earlier versions stored one status for both.
+    CHECK(makeState(job({ step(1) }), { .status = JobStatus::Running }).hasPlannedStart());
+}
+
 TEST_CASE("Each failure counts once, and the job fails at the maximum number of failures")
 {
     JobState state = makeState(job({ step(1) }));
@@ -66,6 +91,7 @@
     JobState state = makeState(job({ longStep(1) }));
     for (std::uint64_t number = 1; number < 10; ++number) {
         state.begin({}, number, "w", start);
+        CHECK(state.noteBegun() == (number == 1));
         CHECK_FALSE(state.end(ended({}, number, number % 2 == 0 ? AttemptEnd::Failed : AttemptEnd::Succeeded), "w", 1, start).finished);
     }
     CHECK(state.status() == JobStatus::Running);
