A wave waits for an instance that joined shortly before it

What callers saw: a wave was shown as succeeded although the maintenance of an instance that had joined 0.3 s before it never began (wave-without-machine).

Cause: the owner took an instance for gone that its last list did not name, and that list was older than the wave.

Change: an instance counts as removed by complete lists alone that were requested after the wave was known, and that have not named it for longer than lists lag.

--- a/include/lanemoor/jobs/policy/maintenance_plan.h
+++ b/include/lanemoor/jobs/policy/maintenance_plan.h
@@ -64,9 +64,14 @@
     /// \brief Records that the platform refused the request; it may be retried at `retryAt`.
     void noteRefused(const std::string& instance, MonotonicInstant retryAt);
 
-    /// \brief Records that an instance of the wave does not exist any longer.
+    /// \brief Records that the platform does not maintain an instance in this wave.
     void noteRemoved(const std::string& instance);
 
+    /// \brief Applies a complete list of the fleet. An instance counts as removed once lists that were requested after the wave, and over a
+    /// longer time than lists lag, do not name it: it may have joined shortly before the wave.
+    /// \returns The instances that count as removed by this list.
+    std::vector<std::string> noteList(const std::set<std::string>& listed, MonotonicInstant requestedAt);
+
     /// \returns Whether the maintenance of every instance has started.
     [[nodiscard]] bool isFinished() const noexcept;
 
@@ -78,11 +83,13 @@
     [[nodiscard]] std::uint32_t down(MonotonicInstant now) const;
 
     WaveRequest m_wave;
+    MonotonicInstant m_requestedBy; ///< The wave was requested before this time.
     MonotonicInstant m_paceDeadline; ///< Planned end of the wave while it is paced.
     std::set<std::string> m_done;
     std::set<std::string> m_requested; ///< Requested and not answered yet.
     std::map<std::string, MonotonicInstant> m_backBy;
     std::map<std::string, MonotonicInstant> m_retryAt;
+    std::map<std::string, MonotonicInstant> m_unlistedSince; ///< When the first of the lists that do not name an instance was requested.
 };
 
 } // namespace lanemoor::jobs
--- a/src/jobs/owner/fleet_controller.cpp
+++ b/src/jobs/owner/fleet_controller.cpp
@@ -309,7 +309,7 @@
             if (std::exchange(m_isListAvailable, list.complete) != list.complete)
                 m_options.log->change(list.complete ? "fleet-list-back" : "fleet-list-lost", {});
             if (list.complete)
-                applyList(list.instances);
+                applyList(list.instances, requestedAt);
             if (list.complete)
                 m_options.scheduler->noteFleet(list.instances, requestedAt);
             planSoon();
@@ -322,8 +322,9 @@
         return !m_overrides.empty() || !m_options.scheduler->isSettled() || std::any_of(m_plans.begin(), m_plans.end(), [](const auto& plan) { return !plan.second.isFinished(); });
     }
 
-    void applyList(const std::vector<FleetInstance>& instances)
+    void applyList(const std::vector<FleetInstance>& instances, MonotonicInstant requestedAt)
     {
+        noteRemovedInstances(instances, requestedAt);
         for (const FleetInstance& instance : instances) {
             settleUnansweredCall(instance);
             noteListedIncarnation(instance);
@@ -751,8 +752,6 @@
         for (auto& [number, plan] : m_plans) {
             if (m_finished.contains(number))
                 continue;
-            if (!m_list.empty())
-                noteRemovedInstances(plan);
             if (plan.isFinished()) {
                 finish(plan);
                 continue;
@@ -771,13 +770,16 @@
         }
     }
 
-    void noteRemovedInstances(MaintenancePlan& plan)
+    void noteRemovedInstances(const std::vector<FleetInstance>& instances, MonotonicInstant requestedAt)
     {
-        for (const std::string& instance : plan.wave().instances) {
-            if (!m_list.contains(instance) && !plan.done().contains(instance)) {
-                m_options.log->decision("instance-gone", { { "instance", instance }, { "wave", static_cast<std::int64_t>(plan.wave().number) } });
-                plan.noteRemoved(instance);
-            }
+        if (m_finished.size() == m_plans.size())
+            return;
+        std::set<std::string> listed;
+        for (const FleetInstance& instance : instances)
+            listed.insert(instance.id);
+        for (auto& [number, plan] : m_plans) {
+            for (const std::string& instance : plan.noteList(listed, requestedAt))
+                m_options.log->decision("instance-gone", { { "instance", instance }, { "wave", static_cast<std::int64_t>(number) } });
         }
     }
 
--- a/src/jobs/policy/maintenance_plan.cpp
+++ b/src/jobs/policy/maintenance_plan.cpp
@@ -28,6 +28,7 @@
 
 MaintenancePlan::MaintenancePlan(WaveRequest wave, std::set<std::string> done, MonotonicInstant now)
     : m_wave(std::move(wave))
+    , m_requestedBy(now)
     , m_paceDeadline(now + std::chrono::duration_cast<Millis>(m_wave.duration * pacedShare))
     , m_done(std::move(done))
 {
@@ -131,6 +132,25 @@
     m_done.insert(instance);
 }
 
+std::vector<std::string> MaintenancePlan::noteList(const std::set<std::string>& listed, MonotonicInstant requestedAt)
+{
+    std::vector<std::string> removed;
+    if (requestedAt < m_requestedBy)
+        return removed;
+    for (const std::string& instance : m_wave.instances) {
+        if (listed.contains(instance)) {
+            m_unlistedSince.erase(instance);
+            continue;
+        }
+        const MonotonicInstant since = m_unlistedSince.emplace(instance, requestedAt).first->second;
+        if (requestedAt - since >= maxFleetListLag && !m_done.contains(instance))
+            removed.push_back(instance);
+    }
+    for (const std::string& instance : removed)
+        noteRemoved(instance);
+    return removed;
+}
+
 bool MaintenancePlan::isFinished() const noexcept
 {
     return std::all_of(m_wave.instances.begin(), m_wave.instances.end(), [&](const std::string& instance) { return m_done.contains(instance); });
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -156,6 +156,13 @@
     [[nodiscard]] const std::map<std::string, jobs::FleetInstance>& instances() const noexcept { return m_instances; }
     [[nodiscard]] std::map<std::string, WorkerModel>& workers() noexcept { return m_workers; }
 
+    /// \returns Whether the maintenance of an instance in a wave has begun.
+    [[nodiscard]] bool wasMaintained(const std::string& instance, std::uint64_t wave) const
+    {
+        const auto found = m_maintained.find(wave);
+        return found != m_maintained.end() && found->second.contains(instance);
+    }
+
 private:
     friend class WorkerClient;
     friend class FleetClient;
--- a/tests/jobs/service_test.cpp
+++ b/tests/jobs/service_test.cpp
@@ -155,6 +155,41 @@
     requireNoBreach(cluster);
 }
 
+/// Guards against a wave that ends without an instance which joined the fleet just before: the list that lacked it was older than the wave.
+TEST_CASE("A wave waits for an instance that joined shortly before it")
+{
+    SmallCluster cluster;
+    cluster.clock.runFor(Millis(3'000));
+    cluster.workers.addInstance("m-new", "off", "r-new", { .milliCpu = 8'000, .memoryMb = 16'000 });
+    cluster.workers.hidden.insert("m-new"); // The platform's list lags.
+    cluster.clock.runFor(Millis(300));
+    cluster.requestWave({ .number = 1, .instances = { "m-0", "m-new" }, .duration = Millis(20'000), .maxConcurrent = 2 });
+    cluster.clock.runFor(Millis(700));
+    cluster.workers.hidden.clear();
+    const auto isFinished = [&] {
+        const StoreItem* status = cluster.store.find(cluster.documents.waveStatusKey(1));
+        return status && status->value == "finished";
+    };
+    REQUIRE(cluster.waitFor(Millis(20'000), isFinished));
+    CHECK(cluster.workers.wasMaintained("m-new", 1));
+    CHECK(cluster.workers.wasMaintained("m-0", 1));
+    CHECK(cluster.checker.breaches().empty());
+}
+
+TEST_CASE("A wave ends without an instance that has left the fleet")
+{
+    SmallCluster cluster;
+    cluster.workers.hidden.insert("m-5");
+    cluster.clock.runFor(Millis(2'000));
+    cluster.requestWave({ .number = 1, .instances = { "m-0", "m-5", "never-there" }, .duration = Millis(20'000), .maxConcurrent = 2 });
+    CHECK(cluster.waitFor(Millis(10'000), [&] {
+        const StoreItem* status = cluster.store.find(cluster.documents.waveStatusKey(1));
+        return status && status->value == "finished";
+    }));
+    CHECK(cluster.workers.wasMaintained("m-0", 1));
+    CHECK_FALSE(cluster.workers.wasMaintained("m-5", 1));
+}
+
 TEST_CASE("A wave continues after its owner was killed in the middle")
 {
     SmallCluster cluster(1, 3, 6, 0);
