Random runs and the soak play impatient callers, counts, refused starts and jobs of many tasks

Their callers cancelled only jobs whose acceptance had been answered, the soak took 410 for no acknowledgement, neither asked for counts, and no worker had hundreds of short tasks.

Change: a kind of random run in which callers cancel any id at any time and submit it again, counts are compared with what workers have begun, jobs have hundreds of tasks, workers refuse starts, and single instances write late. The soak cancels half of its jobs while they are being submitted, takes 200 and 410 for acknowledgements, compares counts, and lets all workers refuse starts for 6.5 s in each cycle.

--- a/standins/job_platform/control_service.cpp
+++ b/standins/job_platform/control_service.cpp
@@ -48,6 +48,10 @@
         m_store.remove(textIn(body, "key"));
         return answerFound(true);
     }
+    if (path == "/refuse-starts") {
+        m_fleet.refuseStarts(body.value("on", false));
+        return answerFound(true);
+    }
     if (path == "/kill")
         return answerFound(m_fleet.kill(textIn(body, "instance"), Millis(integerIn(body, "back_ms")), body.value("keeps_id", false)));
     if (path == "/worker-faults")
--- a/standins/job_platform/fleet.cpp
+++ b/standins/job_platform/fleet.cpp
@@ -125,6 +125,10 @@
         respond(answerJson(status::misdirected, json::object()));
         return;
     }
+    if (m_isRefusingStarts && pathOf(request.target) == "/api/run-start") {
+        respond(answerJson(status::unavailable, json::object()));
+        return;
+    }
     if (instance.faults.answerTime.count() == 0) {
         callWorker(*instance.worker, request, respond);
         return;
--- a/standins/job_platform/fleet.h
+++ b/standins/job_platform/fleet.h
@@ -65,6 +65,9 @@
     /// \returns Whether the instance exists.
     bool setFaults(const std::string& instance, const WorkerFaults& faults);
 
+    /// \brief Lets all workers, and those that start later, refuse starts without effect.
+    void refuseStarts(bool isRefusing) { m_isRefusingStarts = isRefusing; }
+
 private:
     struct Instance {
         InstanceSettings settings;
@@ -95,6 +98,7 @@
     std::set<std::string> m_reserves;
     std::set<std::pair<std::int64_t, std::string>> m_maintained; ///< Wave numbers and instances.
     std::uint64_t m_lastWorker = 0;
+    bool m_isRefusingStarts = false;
     aio::HttpListener m_listener;
 };
 
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -13,6 +13,7 @@
 using namespace jobs;
 
 constexpr Millis cancelBound { 3'000 }; // From a job's cancel to the last start of its tasks.
+constexpr Millis countBound { 5'000 }; // From the acceptance of a job until counts must cover it: 3 s, and a count may be 2 s old.
 constexpr Millis evacuationBound { 5'000 }; // From an evacuation request to the last start in the data hall.
 constexpr Millis readyDelay { 500 }; // From the start of a long-running task until the task is ready.
 constexpr Millis absenceThreshold { 4'500 }; // Time without a worker after which a task counts against the disruption budget, whatever the cause.
@@ -85,6 +86,27 @@
     m_connectedFrom = std::max(m_connectedFrom, end + reconnectTime);
 }
 
+void GuaranteeChecker::noteAccepted(const std::string& id, const std::string& queue)
+{
+    Job& job = m_jobs[id];
+    job.queue = queue;
+    if (!job.acceptedAt)
+        job.acceptedAt = m_clock.now();
+}
+
+void GuaranteeChecker::noteCount(const std::string& queue, std::uint64_t pending, MonotonicInstant askedAt)
+{
+    if (askedAt < m_connectedFrom)
+        return;
+    const auto isWaiting = [&](const auto& entry) {
+        const Job& job = entry.second;
+        return job.queue == queue && job.acceptedAt && askedAt - *job.acceptedAt > countBound && !job.hasBegun && !job.cancelSent;
+    };
+    const auto waiting = static_cast<std::uint64_t>(std::count_if(m_jobs.begin(), m_jobs.end(), isWaiting));
+    if (2 * pending < waiting)
+        reportBreach("MIXED", queue + " has " + std::to_string(waiting) + " waiting jobs, the count is " + std::to_string(pending));
+}
+
 void GuaranteeChecker::noteCancelSent(const std::string& id)
 {
     m_jobs[id].cancelSent = true;
@@ -129,7 +151,8 @@
         reportBreach("UNASKED", "no caller submitted " + attempt.job);
         return;
     }
-    const Job& job = found->second;
+    Job& job = found->second;
+    job.hasBegun = true;
     const StepSpec& step = job.spec.steps[attempt.task.step];
     if (!m_running[task].empty())
         reportBreach("TWICE", nameOf(attempt.job, attempt.task) + " runs on " + *m_running[task].begin() + " and starts on " + worker);
@@ -518,11 +541,13 @@
     if (!organisation.empty())
         checker.noteOrganisation(id, organisation);
     const Caller caller { .queue = queue, .organisation = organisation, .isOpen = organisation.empty() };
-    m_entries[index].service->submit(caller, id, spec, [this, id, retry](AcceptOutcome outcome) {
-        if (outcome == AcceptOutcome::Accepted)
-            m_accepted.insert(id);
-        else
+    m_entries[index].service->submit(caller, id, spec, [this, id, queue, retry](AcceptOutcome outcome) {
+        if (outcome != AcceptOutcome::Accepted) {
             retry();
+            return;
+        }
+        m_accepted.insert(id);
+        checker.noteAccepted(id, queue);
     });
 }
 
@@ -557,6 +582,14 @@
     return answer->value_or(std::nullopt);
 }
 
+void JobCluster::checkPending(std::size_t index, const std::string& queue)
+{
+    m_entries[index].service->pending(queue, [this, queue, askedAt = clock.now()](std::optional<std::uint64_t> count) {
+        if (count)
+            checker.noteCount(queue, *count, askedAt);
+    });
+}
+
 bool JobCluster::waitFor(Millis time, const std::function<bool()>& condition)
 {
     constexpr Millis step { 10 };
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -62,6 +62,9 @@
     /// \brief Records that entries or the store have faults until `end`. Time bounds that hold only for connected entries are not
     /// checked until the entries are connected again.
     void noteFaults(MonotonicInstant end);
+    void noteAccepted(const std::string& id, const std::string& queue);
+    /// \brief Checks a count of the waiting jobs of a queue. \param askedAt When it was requested.
+    void noteCount(const std::string& queue, std::uint64_t pending, MonotonicInstant askedAt);
     void noteCancelSent(const std::string& id);
     void noteCancelled(const std::string& id);
     void noteWave(const jobs::WaveRequest& wave);
@@ -101,6 +104,9 @@
     struct Job {
         jobs::JobSpec spec;
         std::uint32_t maxAttempts = 0;
+        std::string queue;
+        std::optional<MonotonicInstant> acceptedAt; ///< When a caller first received the acceptance.
+        bool hasBegun = false;
         bool cancelSent = false;
         std::optional<MonotonicInstant> cancelledAt; ///< When the caller received the acknowledgement.
     };
@@ -225,6 +231,9 @@
     /// \returns The count of waiting jobs that an entry reports; nullopt if it has no count or does not respond within two seconds.
     [[nodiscard]] std::optional<std::uint64_t> pending(std::size_t index, const std::string& queue);
 
+    /// \brief Requests the count of waiting jobs from an entry, and checks it when it arrives.
+    void checkPending(std::size_t index, const std::string& queue);
+
     /// \brief Runs the clock until `condition` returns true or `time` has passed. \returns Whether the condition became true.
     bool waitFor(Millis time, const std::function<bool()>& condition);
 
--- a/tests/jobs/random_test.cpp
+++ b/tests/jobs/random_test.cpp
@@ -34,6 +34,7 @@
     Partitioned, ///< The faults of `Relayed` on three data halls with partitions between them, in one direction or both.
     UnreportedFaults, ///< The faults of `All`, with unreported faults of single workers and whole racks.
     Mixed, ///< The faults of `All` on two pools, with instances of two kinds that accept tasks beyond their capacity, labels and racks.
+    Callers, ///< The faults of `All`, with callers that cancel any id at any instance, counts of waiting jobs, jobs of many short tasks, and workers that refuse starts.
 };
 
 /// One run: jobs arrive, faults come and go, then all faults are cleared and every job must end.
@@ -87,6 +88,8 @@
                 injectUnreportedFault();
             if (m_faults == Faults::RestartingOften && pickSecondary(0, 8) == 0)
                 restart();
+            if (m_faults == Faults::Callers)
+                callAtRandom();
         }
         heal();
         m_cluster.clock.runFor(m_faults == Faults::Mixed || m_faults == Faults::Organised || m_faults == Faults::PoisonTasks ? recoveryWithQueueing : recovery);
@@ -231,6 +234,73 @@
             m_cluster.cancel(entry, id);
     }
 
+    /// Calls and faults of runs of kind `Callers`.
+    void callAtRandom()
+    {
+        if (pickSecondary(0, 3) == 0)
+            checkCount();
+        if (pickSecondary(0, 15) == 0)
+            submitShortTasks();
+        if (pickSecondary(0, 12) == 0)
+            cancelEarly();
+        if (pickSecondary(0, 25) == 0)
+            refuseStarts();
+        if (pickSecondary(0, 40) == 0)
+            delayWrites();
+    }
+
+    /// Submits jobs with so many tasks that one status report can't list all of their ends.
+    void submitShortTasks()
+    {
+        StepSpec wide = step(200);
+        wide.needs = { .milliCpu = 2, .memoryMb = 1 };
+        for (std::uint64_t count = pickSecondary(1, 5); count > 0; --count)
+            m_cluster.submit(pickSecondary(0, m_cluster.entries() - 1), "work", jobId(++m_jobs), job({ wide }));
+    }
+
+    /// Cancels an id, whether or not its submission was answered, or made. Some callers submit it again.
+    void cancelEarly()
+    {
+        const std::string id = jobId(++m_jobs);
+        const JobSpec spec = job({ step(2) });
+        m_cluster.checker.noteSubmitted(id, spec, 3);
+        if (pickSecondary(0, 3) > 0)
+            m_cluster.submit(pickSecondary(0, m_cluster.entries() - 1), "work", id, spec);
+        const std::size_t entry = pickSecondary(0, m_cluster.entries() - 1);
+        m_cluster.clock.after(Millis(pickSecondary(0, 1) == 0 ? pickSecondary(0, 20) : pickSecondary(0, 3'000)), [this, id, entry] {
+            if (m_cluster.isUp(entry))
+                m_cluster.cancel(entry, id);
+        });
+        if (pickSecondary(0, 2) == 0)
+            m_cluster.clock.after(Millis(pickSecondary(0, 6'000)), [this, id, spec, entry] { m_cluster.submit(entry, "work", id, spec); });
+    }
+
+    void refuseStarts()
+    {
+        const auto set = [this](bool isRefusing) {
+            for (auto& [id, worker] : m_cluster.workers.workers())
+                worker.faults.refusing = isRefusing;
+        };
+        set(true);
+        m_cluster.clock.after(Millis(pickSecondary(500, 8'000)), [set] { set(false); });
+    }
+
+    /// Delays the writes of an entry instance, as a partition does that holds them up.
+    void delayWrites()
+    {
+        const std::size_t entry = pickSecondary(0, m_cluster.entries() - 1);
+        m_cluster.checker.noteFaults(m_cluster.clock.now() + maxFaultDuration);
+        m_cluster.delayStoreWrites(entry, Millis(pickSecondary(500, maxFaultDuration.count())));
+        m_cluster.clock.after(Millis(pickSecondary(100, 1'500)), [this, entry] { m_cluster.delayStoreWrites(entry, Millis(0)); });
+    }
+
+    void checkCount()
+    {
+        const std::size_t entry = pickSecondary(0, m_cluster.entries() - 1);
+        if (m_cluster.isUp(entry) && m_cluster.entry(entry).takesRequests())
+            m_cluster.checkPending(entry, "work");
+    }
+
     model::WorkerModel* anyWorker()
     {
         std::vector<model::WorkerModel*> alive;
@@ -637,6 +707,15 @@
         RandomRun(seed, Faults::UnreportedFaults).execute();
 }
 
+/// Guards against answers to callers that do not hold: acknowledged cancellations, counts of waiting jobs, and ends left out of reports.
+TEST_CASE("No guarantee is violated in random runs with impatient callers and jobs of many tasks")
+{
+    const std::uint64_t first = numberFrom("LANEMOOR_SEED", 1);
+    const std::uint64_t runs = numberFrom("LANEMOOR_RUNS", 30);
+    for (std::uint64_t seed = first; seed < first + runs; ++seed)
+        RandomRun(seed, Faults::Callers).execute();
+}
+
 /// Seeds of this kind that failed are kept in the first test and in the next one.
 TEST_CASE("No guarantee is violated in random runs with workers that restart under their ids")
 {
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -106,7 +106,7 @@
     json payload { { "ms", time } };
     if (happens(failingOneIn))
         payload["fails"] = true;
-    SubmittedJob job { .id = id.data(), .tasks = {}, .maxAttempts = attempts };
+    SubmittedJob job { .id = id.data(), .tasks = {}, .maxAttempts = attempts, .queue = happens(2) ? "alpha" : "beta" };
     json steps = json::array();
     const auto count = 1 + static_cast<unsigned>(m_random() % maxSteps);
     for (unsigned number = 0; number < count; ++number) {
@@ -114,7 +114,7 @@
         steps.push_back(stepOf(job.tasks.back(), number, time));
     }
     m_guarantees.noteSubmitted(job);
-    m_queues[job.id] = happens(2) ? "alpha" : "beta";
+    m_queues[job.id] = job.queue;
     const json body { { "spec", payload.dump() }, { "steps", steps } };
     return { .id = job.id, .queue = m_queues[job.id], .body = body.dump(), .triesLeft = happens(triedOnceOneIn) ? 1 : maxTries };
 }
@@ -123,7 +123,7 @@
 {
     const json body { { "spec", json { { "ms", probeTime } }.dump() }, { "steps", json::array({ stepOf(1, 0, probeTime) }) } };
     Call call = makeCall();
-    m_guarantees.noteSubmitted({ .id = call.id, .tasks = { 1 }, .maxAttempts = attempts });
+    m_guarantees.noteSubmitted({ .id = call.id, .tasks = { 1 }, .maxAttempts = attempts, .queue = call.queue });
     call.body = body.dump();
     call.triesLeft = 1;
     submit(call, entry);
@@ -140,7 +140,7 @@
 void Callers::onAnswer(Call call, const aio::HttpReply& reply)
 {
     const Submission answer = classifyReply(reply);
-    m_guarantees.noteAnswer(call.id, answer);
+    m_guarantees.noteAnswer(call.id, answer, now());
     m_counts.refusals += answer == Submission::Refused ? 1 : 0;
     m_counts.unknown += answer == Submission::Unknown ? 1 : 0;
     if (answer == Submission::Accepted || --call.triesLeft == 0)
@@ -148,10 +148,13 @@
     m_loop.callAt(m_loop.now() + retryPause, [this, call] { submit(call, readyEntry()); });
 }
 
+/// Half of the cancellations are sent while the submission is likely to be under way.
 void Callers::cancelLater(const Call& call)
 {
     constexpr std::uint64_t maxPause = 2'000;
-    m_loop.callAt(m_loop.now() + Millis(static_cast<std::int64_t>(m_random() % maxPause)), [this, id = call.id] { cancel(id, maxTries); });
+    constexpr std::uint64_t maxShortPause = 30;
+    const std::uint64_t pause = m_random() % (happens(2) ? maxShortPause : maxPause);
+    m_loop.callAt(m_loop.now() + Millis(static_cast<std::int64_t>(pause)), [this, id = call.id] { cancel(id, maxTries); });
 }
 
 void Callers::cancel(const std::string& id, unsigned triesLeft)
@@ -159,10 +162,12 @@
     m_guarantees.noteCancelSent(id);
     HttpRequest request { .method = "DELETE", .target = '/' + m_queues[id] + '/' + id, .headers = {}, .body = {} };
     send(readyEntry(), std::move(request), id, [this, id, triesLeft](const aio::HttpReply& reply) {
-        if (reply.delivery == Delivery::Answered && reply.response.status == ok) {
+        // Either status acknowledges the cancellation, also of a job whose submission is still under way.
+        if (reply.delivery == Delivery::Answered && (reply.response.status == ok || reply.response.status == gone)) {
             ++m_counts.cancels;
+            m_counts.absentCancels += reply.response.status == gone ? 1 : 0;
             m_guarantees.noteCancelled(id, now());
-        } else if (triesLeft > 1 && !(reply.delivery == Delivery::Answered && reply.response.status == gone)) {
+        } else if (triesLeft > 1) {
             m_loop.callAt(m_loop.now() + retryPause, [this, id, triesLeft] { cancel(id, triesLeft - 1); });
         }
     });
@@ -192,6 +197,20 @@
     });
 }
 
+void Callers::requestCounts()
+{
+    for (const char* queue : { "alpha", "beta" }) {
+        const unsigned entry = readyEntry();
+        const HttpRequest request { .method = "GET", .target = std::string("/") + queue + '/', .headers = {}, .body = {} };
+        send(entry, request, queue, [this, entry, queue, askedAt = now()](const aio::HttpReply& reply) {
+            m_drainEvents();
+            const json body = json::parse(reply.response.body, nullptr, false);
+            if (reply.delivery == Delivery::Answered && reply.response.status == ok && body.is_object())
+                m_guarantees.noteCount(m_cluster.entries()[entry].name, queue, body.value("pending", std::uint64_t { 0 }), askedAt);
+        });
+    }
+}
+
 void Callers::send(unsigned entry, HttpRequest request, const std::string& id, std::function<void(const aio::HttpReply&)> done)
 {
     request.headers.add("Host", names::host);
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -20,7 +20,8 @@
     std::uint64_t submitted = 0;
     std::uint64_t refusals = 0;
     std::uint64_t unknown = 0;
-    std::uint64_t cancels = 0;
+    std::uint64_t cancels = 0; ///< Acknowledged.
+    std::uint64_t absentCancels = 0; ///< Of them, those of jobs that were not stored.
 };
 
 /// \brief Submits jobs, cancels some of them, and requests their status.
@@ -44,6 +45,9 @@
     /// \brief Requests the status of each accepted job without a final status.
     void requestUnfinishedStatuses();
 
+    /// \brief Requests the counts of waiting jobs of all queues.
+    void requestCounts();
+
     [[nodiscard]] const CallerCounts& counts() const noexcept { return m_counts; }
 
 private:
--- a/tests/soak/checks_test.cpp
+++ b/tests/soak/checks_test.cpp
@@ -72,6 +72,27 @@
     CHECK(brokenIn(guarantees) == Names { guarantee::noneAfterSuccess });
 }
 
+TEST_CASE("The soak detects a count of waiting jobs that is too low, while processes are connected")
+{
+    GuaranteeMonitor guarantees;
+    for (const char* id : { "a", "b", "c" }) {
+        guarantees.noteSubmitted({ .id = id, .tasks = { 1 }, .maxAttempts = 3, .queue = "alpha" });
+        guarantees.noteAnswer(id, Submission::Accepted, 1'000);
+    }
+    guarantees.noteCount("entry", "alpha", 0, 6'000); // The jobs may be missing in a count that is 2 s old.
+    guarantees.noteCount("entry", "beta", 0, 7'000);
+    guarantees.noteCount("entry", "alpha", 2, 7'000);
+    CHECK(guarantees.breaches().empty());
+    guarantees.noteFaults(7'000);
+    guarantees.noteCount("entry", "alpha", 1, 8'000);
+    CHECK(guarantees.breaches().empty());
+    guarantees.noteCount("entry", "alpha", 1, 12'000);
+    CHECK(brokenIn(guarantees) == Names { guarantee::countsAreTrue });
+    guarantees.noteEvent(event("start", 12'500, "w-1", "a.0.0.0"));
+    guarantees.noteCount("entry", "alpha", 1, 13'000);
+    CHECK(guarantees.breaches().size() == 1);
+}
+
 TEST_CASE("The soak detects a step that starts before the step it depends on")
 {
     GuaranteeMonitor guarantees = withJob();
@@ -82,7 +103,7 @@
 TEST_CASE("The soak detects accepted jobs that never end, are unknown to the service, or have a wrong status")
 {
     GuaranteeMonitor guarantees = withJob();
-    guarantees.noteAnswer(job, Submission::Accepted);
+    guarantees.noteAnswer(job, Submission::Accepted, 1);
     guarantees.noteStatus(job, "running", 1);
     CHECK(guarantees.unfinishedJobs() == Names { job });
     guarantees.noteStatus(job, "", 2);
@@ -91,7 +112,7 @@
     CHECK(brokenIn(guarantees) == Names { guarantee::acceptedJobsKnown, guarantee::acceptedJobsEnd });
     for (const char* status : { "succeeded", "failed", "cancelled" }) {
         GuaranteeMonitor others = withJob();
-        others.noteAnswer(job, Submission::Accepted);
+        others.noteAnswer(job, Submission::Accepted, 1);
         others.noteStatus(job, status, 1);
         CHECK(brokenIn(others) == Names { guarantee::statusIsTrue });
     }
@@ -100,13 +121,13 @@
 TEST_CASE("The soak detects a refused job that runs, unless an answer to its submission was lost")
 {
     GuaranteeMonitor refused = withJob();
-    refused.noteAnswer(job, Submission::Refused);
+    refused.noteAnswer(job, Submission::Refused, 1);
     refused.noteEvent(event("start", 1));
     refused.finish(2);
     CHECK(brokenIn(refused) == Names { guarantee::refusalsAreTrue });
     GuaranteeMonitor lost = withJob();
-    lost.noteAnswer(job, Submission::Refused);
-    lost.noteAnswer(job, Submission::Unknown);
+    lost.noteAnswer(job, Submission::Refused, 1);
+    lost.noteAnswer(job, Submission::Unknown, 1);
     lost.noteEvent(event("start", 1));
     lost.finish(2);
     CHECK(lost.breaches().empty());
@@ -150,6 +171,6 @@
     for (const PlannedFault& fault : planFaults(7, seconds)) {
         CHECK(fault.at + fault.duration <= std::chrono::seconds(seconds));
         const bool isAllowedInCalm = fault.kind >= FaultKind::KillWorker;
-        CHECK((isAllowedInCalm || (fault.at + fault.duration) % lanemoor::Millis(30'000) <= lanemoor::Millis(18'000)));
+        CHECK((isAllowedInCalm || (fault.at + fault.duration) % lanemoor::Millis(38'000) <= lanemoor::Millis(18'000)));
     }
 }
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -7,10 +7,12 @@
 
 namespace {
 
-constexpr Millis cycle { 30'000 };
+constexpr Millis cycle { 38'000 };
 constexpr Millis calmFrom { 18'000 }; // From this offset to the end of each cycle, only workers fail and operators act.
 constexpr Millis evacuationFrom { 15'000 };
 constexpr Millis evacuationDuration { 14'000 };
+constexpr Millis refusalFrom { 29'500 }; // After the evacuation, whose check needs starts.
+constexpr Millis refusalDuration { 6'500 };
 constexpr unsigned ownerOneIn = 2; // One in so many faults of processes targets the owner.
 
 /// A sequence of non-overlapping faults with random pauses between them.
@@ -110,6 +112,8 @@
         return "change-configuration";
     case FaultKind::EvacuateHall:
         return "evacuate-hall";
+    case FaultKind::RefuseStarts:
+        return "refuse-starts";
     }
     return "";
 }
@@ -126,6 +130,8 @@
     }
     std::seed_seq numbers { seed, ++number };
     std::mt19937_64 random(numbers);
+    for (Millis at = refusalFrom; at + refusalDuration <= end; at += cycle)
+        faults.push_back({ .at = at, .duration = refusalDuration, .kind = FaultKind::RefuseStarts });
     for (Millis at = evacuationFrom; at + evacuationDuration <= end; at += cycle)
         faults.push_back({ .at = at, .duration = evacuationDuration, .kind = FaultKind::EvacuateHall, .hall = static_cast<unsigned>(random()) });
     std::stable_sort(faults.begin(), faults.end(), [](const PlannedFault& a, const PlannedFault& b) { return a.at < b.at; });
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -33,6 +33,7 @@
     SlowWorker,
     ChangeConfiguration,
     EvacuateHall,
+    RefuseStarts, ///< All workers refuse starts.
 };
 
 /// \returns The name of `kind` in the fault log.
--- a/tests/soak/fault_runner.cpp
+++ b/tests/soak/fault_runner.cpp
@@ -90,6 +90,9 @@
     case FaultKind::EvacuateHall:
         evacuate(fault);
         return;
+    case FaultKind::RefuseStarts:
+        refuseStarts(fault);
+        return;
     }
 }
 
@@ -244,6 +247,13 @@
     after(fault.duration, [this, instance] { m_cluster.control("/worker-faults", { { "instance", instance } }); });
 }
 
+void FaultRunner::refuseStarts(const PlannedFault& fault)
+{
+    logFault(nameOf(fault.kind), { { "ms", fault.duration.count() } });
+    m_cluster.control("/refuse-starts", { { "on", true } });
+    after(fault.duration, [this] { m_cluster.control("/refuse-starts", { { "on", false } }); });
+}
+
 void FaultRunner::evacuate(const PlannedFault& fault)
 {
     const std::string hall = hallName(fault.hall % m_cluster.options().halls);
--- a/tests/soak/guarantee_monitor.cpp
+++ b/tests/soak/guarantee_monitor.cpp
@@ -14,6 +14,8 @@
 constexpr std::int64_t evacuationBound = 5'000; // ms from the acknowledgement of an evacuation to the last start.
 constexpr std::int64_t cancelBound = 4'000; // ms from the acknowledgement of a cancel to the last start.
 constexpr std::int64_t minOwnerInterval = 3'000; // ms between actions of two owners on one instance.
+constexpr std::int64_t countBound = 5'000; // ms from the acceptance of a job until counts must cover it: 3 s, and a count may be 2 s old.
+constexpr std::size_t maxWaitingShown = 3; // Jobs whose log lines are printed with a wrong count.
 constexpr std::uint32_t minCrashesToFail = 2; // Worker crashes under a task from which its job may be reported as failed.
 
 bool isFinal(const std::string& status)
@@ -28,9 +30,11 @@
     m_jobs[job.id].spec = job;
 }
 
-void GuaranteeMonitor::noteAnswer(const std::string& id, Submission answer)
+void GuaranteeMonitor::noteAnswer(const std::string& id, Submission answer, std::int64_t at)
 {
     Job& job = m_jobs[id];
+    if (answer == Submission::Accepted && !job.accepted)
+        job.acceptedAt = at;
     job.accepted |= answer == Submission::Accepted;
     job.unknown |= answer == Submission::Unknown;
 }
@@ -70,6 +74,25 @@
         reportBreach(guarantee::statusIsTrue, "job " + id + " is shown as cancelled, but nobody cancelled it", { id }, at);
 }
 
+void GuaranteeMonitor::noteCount(const std::string& entry, const std::string& queue, std::uint64_t pending, std::int64_t askedAt)
+{
+    if (!isConnected(askedAt))
+        return;
+    std::vector<std::string> waiting;
+    for (const auto& [id, job] : m_jobs) {
+        const bool isOld = job.accepted && askedAt - job.acceptedAt > countBound;
+        if (isOld && job.spec.queue == queue && !job.hasStarted && !job.cancelSent && !isFinal(job.status))
+            waiting.push_back(id);
+    }
+    m_countChecks += waiting.empty() ? 0 : 1;
+    if (2 * pending >= waiting.size())
+        return;
+    const std::string detail = entry + " counts " + std::to_string(pending) + " waiting jobs of " + queue + ", " + std::to_string(waiting.size()) + " were accepted more than " + std::to_string(countBound) + " ms before and have not begun";
+    waiting.resize(std::min(waiting.size(), maxWaitingShown));
+    waiting.push_back(entry);
+    reportBreach(guarantee::countsAreTrue, detail, waiting, askedAt);
+}
+
 void GuaranteeMonitor::noteClosedEarly(const std::string& entry, const std::string& id, std::int64_t at)
 {
     reportBreach(guarantee::plannedStopsCutNothing, entry + " closed a connection before the answer on job " + id, { id, entry }, at);
--- a/tests/soak/guarantee_monitor.h
+++ b/tests/soak/guarantee_monitor.h
@@ -30,6 +30,7 @@
 constexpr const char* configurationNeverReverts = "configuration-never-reverts"; ///< No process applies an older configuration than before.
 constexpr const char* ownersApart = "owners-apart"; ///< Actions of two owners on one instance are separated by a minimum time.
 constexpr const char* servesAgain = "serves-again"; ///< After the last fault all processes serve with the latest configuration.
+constexpr const char* countsAreTrue = "counts-are-true"; ///< A count of waiting jobs covers at least half of those accepted a while before.
 } // namespace guarantee
 ///@}
 
@@ -55,6 +56,7 @@
     std::string id;
     std::vector<std::uint32_t> tasks; ///< By step. Each step depends on the one before it.
     std::uint32_t maxAttempts = 1;
+    std::string queue;
 
     [[nodiscard]] bool operator==(const SubmittedJob&) const = default;
 };
@@ -65,11 +67,13 @@
     /// \name Callers
     ///@{
     void noteSubmitted(const SubmittedJob& job);
-    void noteAnswer(const std::string& id, Submission answer);
+    void noteAnswer(const std::string& id, Submission answer, std::int64_t at);
     void noteCancelSent(const std::string& id) { m_jobs[id].cancelSent = true; }
     void noteCancelled(const std::string& id, std::int64_t at) { m_jobs[id].cancelledAt = at; }
     /// \param status Status name reported by the service; empty if the service reports no such job.
     void noteStatus(const std::string& id, const std::string& status, std::int64_t at);
+    /// \brief Checks a count of the waiting jobs of a queue. \param askedAt When it was requested.
+    void noteCount(const std::string& entry, const std::string& queue, std::uint64_t pending, std::int64_t askedAt);
     /// \brief Records that a process which was not killed closed a connection before the response.
     void noteClosedEarly(const std::string& entry, const std::string& id, std::int64_t at);
     ///@}
@@ -107,11 +111,14 @@
     [[nodiscard]] std::int64_t lastStartIn(const std::string& dataHall) const;
     /// \returns The number of starts that were checked while an evacuation was in force.
     [[nodiscard]] std::uint64_t evacuationChecks() const noexcept { return m_evacuationChecks; }
+    /// \returns The number of counts that were checked while jobs waited.
+    [[nodiscard]] std::uint64_t countChecks() const noexcept { return m_countChecks; }
 
 private:
     struct Job {
         SubmittedJob spec;
         bool accepted = false;
+        std::int64_t acceptedAt = 0; ///< Of the first answer that accepted the job.
         bool unknown = false;
         bool cancelSent = false;
         std::optional<std::int64_t> cancelledAt;
@@ -147,6 +154,7 @@
     [[nodiscard]] bool isConnected(std::int64_t at) const noexcept;
     void reportBreach(const char* guarantee, std::string detail, std::vector<std::string> ids, std::int64_t at);
 
+    std::uint64_t m_countChecks = 0;
     std::map<std::string, Job> m_jobs;
     std::map<std::string, Task> m_tasks;
     std::map<std::string, std::int64_t> m_evacuatedSince;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -82,7 +82,7 @@
         const CallerCounts& counts = m_session.callers().counts();
         std::ostringstream summary;
         summary << "seed " << m_options.seed << ": " << m_faults.faults() << " faults, " << counts.submitted << " jobs submitted, " << guarantees.accepted() << " accepted, " << counts.refusals << " refusals, " << counts.unknown << " unknown answers, "
-                << counts.cancels << " cancels, " << guarantees.starts() << " starts, " << guarantees.evacuationChecks() << " of them judged against an evacuation, loop late by at most " << m_session.maxLateness().count() << " ms, " << guarantees.breaches().size() << " breaches";
+                << counts.cancels << " cancels, " << counts.absentCancels << " of them of absent jobs, " << guarantees.countChecks() << " counts judged while jobs waited, " << guarantees.starts() << " starts, " << guarantees.evacuationChecks() << " of them judged against an evacuation, loop late by at most " << m_session.maxLateness().count() << " ms, " << guarantees.breaches().size() << " breaches";
         std::vector<std::string> logs = m_session.cluster().logs();
         logs.push_back(m_folder + "/faults.log");
         const bool isRemoved = m_options.keep.empty() && guarantees.breaches().empty();
--- a/tests/soak/soak_session.cpp
+++ b/tests/soak/soak_session.cpp
@@ -97,6 +97,7 @@
 void SoakSession::watchJobs()
 {
     m_callers.requestUnfinishedStatuses();
+    m_callers.requestCounts();
     m_loop.callAt(m_loop.now() + statusPause, [this] { watchJobs(); });
 }
 
