--- a/include/lanemoor/jobs/intake/job_intake.h
+++ b/include/lanemoor/jobs/intake/job_intake.h
@@ -1,6 +1,6 @@
 #pragma once
 /// \file
-/// Accepts and cancels jobs at an entry instance, by conditional writes to the store.
+/// Accepts jobs at an entry instance, by conditional writes to the store.
 
 #include "lanemoor/jobs/intake/caller_access.h"
 #include "lanemoor/jobs/model/event_loop.h"
@@ -9,7 +9,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -60,14 +59,6 @@
     /// \brief Refuses a job, unless the store has it already: another instance may have accepted it.
     void refuse(const Caller& caller, const std::string& id, const JobRecord& record, std::function<void(AcceptOutcome)> done);
 
-    /// \brief Cancels a job; `done` is called once the store has the cancellation.
-    ///
-    /// If the store does not have the job, the outcome is NoSuchJob, and the cancellation is stored nevertheless: a write of the job may
-    /// be under way. A job that is stored later is cancelled if the caller may access it. The number of such cancellations is limited
-    /// for each instance; beyond the limit the outcome is Unavailable.
-    /// \param caller Nothing: an operator, who may cancel any job.
-    void cancel(const std::optional<Caller>& caller, const std::string& id, const std::function<void(LookupOutcome)>& done);
-
     /// \returns Whether a write got no answer and the store has answered no later call. New jobs then get NotAccepted without a write, or
     /// Unknown if an earlier write may still store them; a periodic probe is sent nevertheless.
     [[nodiscard]] bool isStoreUnavailable() const noexcept;
@@ -76,7 +67,7 @@
     /// \param sentAt When that call was sent.
     void noteAnswered(MonotonicInstant sentAt);
 
-    /// \returns The number of submissions and cancellations that wait for the store.
+    /// \returns The number of submissions that wait for the store.
     [[nodiscard]] std::size_t inFlight() const noexcept;
 
 private:
--- a/include/lanemoor/jobs/model/job_state.h
+++ b/include/lanemoor/jobs/model/job_state.h
@@ -123,6 +123,12 @@
     /// \returns The steps of open occurrences.
     [[nodiscard]] const std::map<StepId, StepState>& steps() const noexcept { return m_steps; }
 
+    /// \returns Whether a start of any task was planned, by this owner or as recorded by an earlier one. It may not have begun.
+    [[nodiscard]] bool hasPlannedStart() const noexcept { return m_hasPlannedStart; }
+
+    /// \returns Whether the job waits and no start of its tasks was ever planned.
+    [[nodiscard]] bool isUnattempted() const noexcept { return m_status == JobStatus::Queued && !m_hasPlannedStart; }
+
     /// \returns Whether all steps that `step` depends on have succeeded.
     [[nodiscard]] bool isUnblocked(const StepId& step) const;
 
@@ -157,12 +163,6 @@
     /// \returns Whether this owner has neither started the task nor seen an attempt of it.
     [[nodiscard]] bool isUnseen(const TaskId& task) const noexcept;
 
-    /// \returns Whether a start of any task was planned, by this owner or as recorded by an earlier one. It may not have begun.
-    [[nodiscard]] bool hasPlannedStart() const noexcept { return m_hasPlannedStart; }
-
-    /// \returns Whether the job waits and none of its tasks was ever tried to be started.
-    [[nodiscard]] bool isUntried() const noexcept { return m_status == JobStatus::Queued && !m_hasPlannedStart; }
-
     /// \brief Notes that a start is planned: it is sent now, or once it is recorded.
     void begin(const TaskId& task, std::uint64_t number, const std::string& worker, MonotonicInstant now);
 
--- a/include/lanemoor/jobs/model/key_value_store.h
+++ b/include/lanemoor/jobs/model/key_value_store.h
@@ -5,6 +5,7 @@
 #include "lanemoor/decisions/time.h"
 #include "lanemoor/jobs/model/event_loop.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -102,6 +103,13 @@
     bool isInferred = false; ///< The outcome Done was inferred from the store's content; an equal earlier write may have produced it.
 };
 
+/// \returns The item of a key that exists, or null.
+[[nodiscard]] inline const StoreItem* findExisting(const std::vector<StoreItem>& items, std::string_view key) noexcept
+{
+    const auto found = std::find_if(items.begin(), items.end(), [key](const StoreItem& item) { return item.key == key && item.revision > 0; });
+    return found == items.end() ? nullptr : &*found;
+}
+
 /// Result of a call on a lease.
 struct LeaseResult {
     StoreOutcome outcome = StoreOutcome::Unknown;
--- a/src/jobs/intake/job_intake.cpp
+++ b/src/jobs/intake/job_intake.cpp
@@ -5,7 +5,6 @@
 #include "lanemoor/jobs/store/store_mirror.h"
 
 #include <algorithm>
-#include <deque>
 #include <map>
 #include <optional>
 #include <utility>
@@ -26,13 +25,6 @@
 /// An unanswered write may be carried out seconds later; delays of 6 s occur.
 constexpr Millis unsettledWriteLifetime { 15'000 };
 
-/// Cancellations of absent jobs that one instance stores within `absentCancelPeriod`. Callers may name any id, and the owner keeps each
-/// cancellation about as long.
-constexpr std::size_t maxAbsentCancels = 1'000;
-constexpr Millis absentCancelPeriod { 120'000 };
-/// Callers of different organisations that may cancel the same absent id, and so the max attempts to add one of them.
-constexpr std::size_t maxCancelRequesters = 4;
-
 /// A job that waits to be stored.
 struct WaitingJob {
     std::string id;
@@ -150,28 +142,6 @@
         });
     }
 
-    void cancel(const std::optional<Caller>& caller, const std::string& id, const std::function<void(LookupOutcome)>& done)
-    {
-        const CatalogEntry* known = m_catalog.find(id);
-        if (known && known->record && isFinal(known->status())) {
-            done(LookupOutcome::Done);
-            return;
-        }
-        ++inFlight;
-        const auto answer = [self = shared_from_this(), done](LookupOutcome outcome) {
-            --self->inFlight;
-            done(outcome);
-        };
-        m_store.read(jobKey(id), [self = shared_from_this(), caller, id, answer](const ReadResult& result) {
-            if (result.outcome == StoreOutcome::Done)
-                self->cancelStored(caller, result.item, id, answer);
-            else if (result.outcome == StoreOutcome::NotFound)
-                self->cancelAbsent(caller, id, {}, answer);
-            else
-                answer(LookupOutcome::Unavailable);
-        });
-    }
-
 private:
     /// Drops queued jobs that are no longer admitted; jobs queue up while the store or the event loop is slow.
     void dropUnadmitted()
@@ -255,7 +225,7 @@
     {
         std::vector<WaitingJob> remaining;
         for (WaitingJob& job : batch) {
-            if (const StoreItem* stored = findItem(current, jobKey(job.id)))
+            if (const StoreItem* stored = findExisting(current, jobKey(job.id)))
                 finishStored(job, *stored);
             else
                 remaining.push_back(std::move(job));
@@ -303,125 +273,6 @@
         job.answer(isAbsent && !isKnown(job.id) ? AcceptOutcome::Refused : AcceptOutcome::Unknown);
     }
 
-    using CancelAnswer = std::function<void(LookupOutcome)>;
-
-    void cancelStored(const std::optional<Caller>& caller, const StoreItem& job, const std::string& id, const CancelAnswer& answer)
-    {
-        m_mirror.noteWritten(job);
-        const std::optional<JobRecord> record = decodeJob(job.value);
-        if (caller && record && !mayAccess(*caller, *record))
-            answer(LookupOutcome::Foreign);
-        else
-            writeCancel(id, 0, answer);
-    }
-
-    /// \param replaced Revision of a conditional cancellation that is replaced; 0: none.
-    void writeCancel(const std::string& id, std::uint64_t replaced, const CancelAnswer& answer)
-    {
-        const std::string value = encode(CancelRecord {});
-        const Transaction transaction { .expected = { { cancelKey(id), replaced } }, .writes = { { cancelKey(id), value, 0 } }, .removals = {} };
-        m_store.commit(transaction, [self = shared_from_this(), id, replaced, value, answer](const CommitResult& result) {
-            switch (result.outcome) {
-            case StoreOutcome::Done:
-                self->m_mirror.noteWritten({ .key = cancelKey(id), .value = value, .revision = result.revision });
-                answer(LookupOutcome::Done);
-                return;
-            case StoreOutcome::Conflict: {
-                const StoreItem* current = findItem(result.current, cancelKey(id));
-                if (current && decodeCancel(current->value).isUnconditional())
-                    answer(LookupOutcome::Done);
-                else if (current && replaced == 0)
-                    self->writeCancel(id, current->revision, answer);
-                else
-                    answer(LookupOutcome::Unavailable);
-                return;
-            }
-            case StoreOutcome::Unknown:
-                self->readCancel(id, {}, LookupOutcome::Done, answer);
-                return;
-            default:
-                answer(LookupOutcome::Unavailable);
-            }
-        });
-    }
-
-    /// Stores the cancellation of a job that the store does not have.
-    /// \param known The cancellation that the store has already, with its value; its revision is 0 if there is none.
-    void cancelAbsent(const std::optional<Caller>& caller, const std::string& id, const StoreItem& known, const CancelAnswer& answer)
-    {
-        CancelRecord record;
-        if (caller && known.revision > 0)
-            record = decodeCancel(known.value);
-        if (caller)
-            record.requesters.insert(requesterOf(*caller));
-        if (record.requesters.size() > maxCancelRequesters || !consumeAbsentCancel()) {
-            answer(LookupOutcome::Unavailable);
-            return;
-        }
-        const Transaction transaction { .expected = { { jobKey(id), 0 }, { cancelKey(id), known.revision } }, .writes = { { cancelKey(id), encode(record), 0 } }, .removals = {} };
-        m_store.commit(transaction, [self = shared_from_this(), caller, id, attempted = known.revision, answer](const CommitResult& result) {
-            // The replica learns of the cancellation from its watch: an instance without one would never learn of its removal.
-            if (result.outcome == StoreOutcome::Done)
-                answer(LookupOutcome::NoSuchJob);
-            else if (result.outcome == StoreOutcome::Conflict)
-                self->resolveAbsentConflict(caller, id, attempted, result.current, answer);
-            else if (result.outcome == StoreOutcome::Unknown)
-                self->readCancel(id, caller, LookupOutcome::NoSuchJob, answer);
-            else
-                answer(LookupOutcome::Unavailable);
-        });
-    }
-
-    /// \param attempted Revision of the cancellation that the failed write would have replaced.
-    void resolveAbsentConflict(const std::optional<Caller>& caller, const std::string& id, std::uint64_t attempted, const std::vector<StoreItem>& current, const CancelAnswer& answer)
-    {
-        const StoreItem* cancellation = findItem(current, cancelKey(id));
-        if (const StoreItem* job = findItem(current, jobKey(id)))
-            cancelStored(caller, *job, id, answer);
-        else if (cancellation && covers(decodeCancel(cancellation->value), caller))
-            answer(LookupOutcome::NoSuchJob);
-        else if (cancellation && cancellation->revision != attempted)
-            cancelAbsent(caller, id, *cancellation, answer);
-        else
-            answer(LookupOutcome::Unavailable);
-    }
-
-    /// Reads back a cancellation whose write got no answer.
-    void readCancel(const std::string& id, const std::optional<Caller>& caller, LookupOutcome outcome, const CancelAnswer& answer)
-    {
-        m_store.read(cancelKey(id), [self = shared_from_this(), caller, outcome, answer](const ReadResult& result) {
-            const bool isStored = result.outcome == StoreOutcome::Done && covers(decodeCancel(result.item.value), caller);
-            if (isStored && outcome == LookupOutcome::Done)
-                self->m_mirror.noteWritten(result.item);
-            answer(isStored ? outcome : LookupOutcome::Unavailable);
-        });
-    }
-
-    /// \returns Whether the stored cancellation includes that of the caller.
-    [[nodiscard]] static bool covers(const CancelRecord& stored, const std::optional<Caller>& caller)
-    {
-        return stored.isUnconditional() || (caller && stored.requesters.contains(requesterOf(*caller)));
-    }
-
-    /// \returns The item of a key that exists, or null.
-    [[nodiscard]] static const StoreItem* findItem(const std::vector<StoreItem>& items, const std::string& key)
-    {
-        const auto found = std::find_if(items.begin(), items.end(), [&](const StoreItem& item) { return item.key == key && item.revision > 0; });
-        return found == items.end() ? nullptr : &*found;
-    }
-
-    /// \returns Whether another cancellation of an absent job may be stored.
-    [[nodiscard]] bool consumeAbsentCancel()
-    {
-        const MonotonicInstant now = m_loop.now();
-        while (!m_absentCancels.empty() && m_absentCancels.front() <= now)
-            m_absentCancels.pop_front();
-        if (m_absentCancels.size() >= maxAbsentCancels)
-            return false;
-        m_absentCancels.push_back(now + absentCancelPeriod);
-        return true;
-    }
-
     EventLoop& m_loop;
     KeyValueStore& m_store;
     StoreMirror& m_mirror;
@@ -429,7 +280,6 @@
     std::optional<MonotonicInstant> m_unansweredSentAt; ///< When the last write without an answer was sent.
     MonotonicInstant m_nextProbeAt;
     std::map<std::string, MonotonicInstant> m_unsettledWrites; ///< Jobs with an unsettled write, and the time until which it may be carried out.
-    std::deque<MonotonicInstant> m_absentCancels; ///< When each stored cancellation of an absent job ceases to count.
     std::vector<WaitingJob> m_queue;
     std::size_t m_activeBatches = 0;
 };
@@ -456,11 +306,6 @@
     m_impl->refuse(caller, id, record, std::move(done));
 }
 
-void JobIntake::cancel(const std::optional<Caller>& caller, const std::string& id, const std::function<void(LookupOutcome)>& done)
-{
-    m_impl->cancel(caller, id, done);
-}
-
 void JobIntake::noteAnswered(MonotonicInstant sentAt)
 {
     m_impl->noteAnswered(sentAt);
--- a/src/jobs/owner/displacement.cpp
+++ b/src/jobs/owner/displacement.cpp
@@ -12,6 +12,7 @@
 constexpr Millis minWaitTime { 1'000 };
 /// Between two displacements: by the platform's bound, a stop and a start on another worker take up to 0.9 s.
 constexpr Millis pause { 1'000 };
+constexpr Millis searchPause { 200 }; // After a search that found nothing to move: it inspects all workers for each waiting step.
 
 /// How long freed capacity is reserved: covers the stop and the start of the waiting tasks.
 constexpr Millis reservationTime { 2'000 };
@@ -39,6 +40,7 @@
         for (std::uint32_t tasks = tasksWithoutRoom(job->state, key.second, waiting.wait); tasks > 0; --tasks) {
             if (makeRoomFor(job->state, key.second, tasks))
                 return;
+            m_state.nextDisplacementAt = now + searchPause;
         }
     }
 }
--- a/src/jobs/owner/fair_placement.cpp
+++ b/src/jobs/owner/fair_placement.cpp
@@ -154,7 +154,7 @@
         m_actions.place(candidate);
     if (!source.group)
         return;
-    if (job.state.isUntried())
+    if (job.state.isUnattempted())
         ++source.misses;
     else
         m_startedJobs.push_back(&job);
--- a/src/jobs/owner/fleet_controller.cpp
+++ b/src/jobs/owner/fleet_controller.cpp
@@ -772,7 +772,7 @@
 
     void noteRemovedInstances(const std::vector<FleetInstance>& instances, MonotonicInstant requestedAt)
     {
-        if (m_finished.size() == m_plans.size())
+        if (std::all_of(m_plans.begin(), m_plans.end(), [](const auto& plan) { return plan.second.isFinished(); }))
             return;
         std::set<std::string> listed;
         for (const FleetInstance& instance : instances)
--- a/src/jobs/owner/owner_state.cpp
+++ b/src/jobs/owner/owner_state.cpp
@@ -21,7 +21,7 @@
 {
     const JobRecord& record = job.state.record();
     const bool isPlain = std::none_of(record.spec.steps.begin(), record.spec.steps.end(), [](const StepSpec& step) { return step.longRunning || step.gang || step.maxPerInstance > 0 || !step.requiredLabel.empty() || !step.preferredRack.empty(); });
-    return job.account && job.state.isUntried() && record.spec.occurrences == 0 && isPlain && queue && !queue->advice;
+    return job.account && job.state.isUnattempted() && record.spec.occurrences == 0 && isPlain && queue && !queue->advice;
 }
 
 /// Adds the demand of a step whose tasks could start.
@@ -170,7 +170,7 @@
     const PlacementOptions& weights = options.placement;
     const JobSpec& spec = job.state.record().spec;
     const bool hasLongRunningStep = std::any_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec& step) { return step.longRunning; });
-    if (!weights.infeasibleLast || !job.state.isUntried() || spec.occurrences > 0 || hasLongRunningStep)
+    if (!weights.infeasibleLast || !job.state.isUnattempted() || spec.occurrences > 0 || hasLongRunningStep)
         return MonotonicInstant::max();
     constexpr MonotonicInstant::duration minLateness { 1 };
     const double share = weights.infeasibleShare * forecast.ratio(job.state.record().queue);
--- a/src/jobs/owner/placement_candidate.h
+++ b/src/jobs/owner/placement_candidate.h
@@ -22,7 +22,7 @@
     bool fromGroup = false; ///< Taken from its organisation's group of waiting jobs, whose sums include the job.
 
     /// \returns Whether the job still waits in its group.
-    [[nodiscard]] bool isCountedByGroup() const noexcept { return fromGroup && job->state.isUntried(); }
+    [[nodiscard]] bool isCountedByGroup() const noexcept { return fromGroup && job->state.isUnattempted(); }
 
     /// \returns The sort key of placement. In pools with organisation shares, candidates beyond their organisation's share come last within
     /// one priority and feasibility.
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -3,6 +3,7 @@
 #include "lanemoor/adapters/event_log.h"
 #include "lanemoor/jobs/intake/admission_gate.h"
 #include "lanemoor/jobs/intake/demand_report.h"
+#include "lanemoor/jobs/intake/job_canceller.h"
 #include "lanemoor/jobs/intake/job_catalog.h"
 #include "lanemoor/jobs/intake/job_lookup.h"
 #include "lanemoor/jobs/intake/queue_counts_reader.h"
@@ -159,6 +160,7 @@
         , m_scheduler(schedulerOptions())
         , m_fleet(fleetOptions())
         , m_intake(*parts.loop, *parts.store, m_jobs, m_catalog)
+        , m_canceller(*parts.loop, *parts.store, m_jobs, m_catalog)
         , m_lookup(
               *parts.loop, *parts.store, m_jobs, m_catalog, [this] { return (m_ownership.isHeld() && hasReplica()) || m_intake.isStoreUnavailable(); }, lookupOptions(settings))
         , m_countsReader(*parts.loop, *parts.store)
@@ -376,7 +378,7 @@
             done(LookupOutcome::Foreign);
             return;
         }
-        m_intake.cancel(caller, id, [this, caller, id, done = std::move(done), sentAt = m_parts.loop->now()](LookupOutcome outcome) {
+        m_canceller.cancel(caller, id, [this, caller, id, done = std::move(done), sentAt = m_parts.loop->now()](LookupOutcome outcome) {
             if (outcome == LookupOutcome::Foreign)
                 noteForeign(*caller, id);
             metrics.noteCancel(outcome, secondsSince(sentAt));
@@ -492,6 +494,7 @@
     JobScheduler m_scheduler;
     FleetController m_fleet;
     JobIntake m_intake;
+    JobCanceller m_canceller;
     JobLookup m_lookup;
     QueueCountsReader m_countsReader;
     QueueCountsWriter m_countsWriter;
@@ -819,7 +822,7 @@
     void serveUntil(MonotonicInstant earliest, MonotonicInstant limit, const std::function<void()>& done)
     {
         const MonotonicInstant now = m_parts.loop->now();
-        if (now < earliest || (m_intake.inFlight() + m_lookup.inFlight() + m_relay.inFlight() > 0 && now < limit))
+        if (now < earliest || (m_intake.inFlight() + m_canceller.inFlight() + m_lookup.inFlight() + m_relay.inFlight() > 0 && now < limit))
             m_parts.loop->callAt(now + stopCheckInterval, [this, earliest, limit, done] { serveUntil(earliest, limit, done); });
         else
             done();
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -125,6 +125,21 @@
     return saved.count() > 0 ? std::to_string((run.doneBefore + saved).count()) : run.checkpoint;
 }
 
+/// \returns The worker's status report, which lists the oldest ends if there are too many.
+RenewResult WorkersModel::reportOf(const WorkerModel& worker) const
+{
+    const auto listed = static_cast<std::ptrdiff_t>(std::min(worker.ended.size(), maxListedEnds));
+    RenewResult report { .outcome = CommandOutcome::Done, .workerClock = clockOf(worker), .startedAt = worker.entry.startedAt, .running = {}, .ended = { worker.ended.begin(), worker.ended.begin() + listed } };
+    report.coverage = report.ended.size() < maxListedEnds ? ReportCoverage::Complete : ReportCoverage::Partial;
+    for (const auto& [attempt, run] : worker.running) {
+        const auto passed = std::chrono::duration<double>(m_clock.now() - run.startedAt + run.doneBefore);
+        const auto all = std::chrono::duration<double>(run.longRunning ? MonotonicInstant::duration(readyDelay) : run.endsAt - run.startedAt + run.doneBefore);
+        const double share = worker.faults.stalled ? 0 : std::min(1.0, passed / all);
+        report.running.push_back({ .attempt = attempt, .checkpoint = checkpointOf(run), .percent = static_cast<std::uint32_t>(share * percentScale) });
+    }
+    return report;
+}
+
 void WorkersModel::expireLease(const std::string& worker)
 {
     WorkerModel& model = m_workers[worker];
@@ -423,16 +438,7 @@
             later.at(isCut ? timesOutAt : later.now() + callTimeout, [answer] { answer({}); });
             return;
         }
-        const WorkerModel& model = m_workers.m_workers[id];
-        RenewResult result { .outcome = CommandOutcome::Done, .workerClock = m_workers.clockOf(model), .startedAt = model.entry.startedAt, .running = {}, .ended = { model.ended.begin(), model.ended.begin() + static_cast<std::ptrdiff_t>(std::min(model.ended.size(), maxListedEnds)) } };
-        result.coverage = result.ended.size() < maxListedEnds ? ReportCoverage::Complete : ReportCoverage::Partial;
-        for (const auto& [attempt, run] : model.running) {
-            const auto passed = std::chrono::duration<double>(later.now() - run.startedAt + run.doneBefore);
-            const auto all = std::chrono::duration<double>(run.longRunning ? MonotonicInstant::duration(readyDelay) : run.endsAt - run.startedAt + run.doneBefore);
-            const double done = model.faults.stalled ? 0 : std::min(1.0, passed / all);
-            result.running.push_back({ .attempt = attempt, .checkpoint = m_workers.checkpointOf(run), .percent = static_cast<std::uint32_t>(done * percentScale) });
-        }
-        later.after(oneWayLatency, [answer, result] { answer(result); });
+        later.after(oneWayLatency, [answer, result = m_workers.reportOf(m_workers.m_workers[id])] { answer(result); });
     };
     clock.after(oneWayLatency, [this, id = worker.id, command, answer, report] {
         SimClock& later = m_workers.m_clock;
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -179,6 +179,7 @@
     void endRun(WorkerModel& worker, const jobs::Attempt& attempt, jobs::AttemptEnd end, bool byCommand);
     [[nodiscard]] bool isReady(const WorkerModel& worker, const WorkerModel::Run& run) const;
     [[nodiscard]] std::string checkpointOf(const WorkerModel::Run& run) const;
+    [[nodiscard]] jobs::RenewResult reportOf(const WorkerModel& worker) const;
     void expireLease(const std::string& worker);
     [[nodiscard]] std::int64_t clockOf(const WorkerModel& worker) const;
     [[nodiscard]] static MonotonicInstant instantOf(const WorkerModel& worker, std::int64_t clock);
--- a/tests/jobs/absent_job_cancel_test.cpp
+++ b/tests/jobs/absent_job_cancel_test.cpp
@@ -28,7 +28,7 @@
     {
         const JobSpec spec = job({ step(2) });
         checker.noteSubmitted(id, spec, 3);
-        const auto outcome = std::make_shared<std::optional<AcceptOutcome>>();
+        auto outcome = std::make_shared<std::optional<AcceptOutcome>>();
         entry(index).submit({ .queue = "work", .organisation = organisation, .isOpen = organisation.empty() }, id, spec, [outcome](AcceptOutcome result) { *outcome = result; });
         return outcome;
     }
--- a/tests/jobs/job_state_test.cpp
+++ b/tests/jobs/job_state_test.cpp
@@ -53,10 +53,10 @@
 TEST_CASE("A planned start is recorded, and is no beginning")
 {
     JobState state = makeState(job({ step(1) }));
-    CHECK(state.isUntried());
+    CHECK(state.isUnattempted());
     state.begin({}, 1, "w", start);
     CHECK(state.hasPlannedStart());
-    CHECK_FALSE(state.isUntried());
+    CHECK_FALSE(state.isUnattempted());
     state.drop({ jobId(1), {}, 1 }, start);
     CHECK(state.hasPlannedStart());
     CHECK(state.status() == JobStatus::Queued);
