Random runs with impatient callers notice each of the three faults

Change: the model refuses starts at all workers, also later ones; late writes disturb only while they are made late; seeds with an even number have few other faults.

--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -265,7 +265,7 @@
 {
     WorkerModel& model = m_workers[worker];
     const CommandResult done { .outcome = CommandOutcome::Done, .workerClock = clockOf(model) };
-    if (model.faults.refusing)
+    if (refusesStarts || model.faults.refusing)
         return { .outcome = CommandOutcome::NotDone };
     const auto refuse = [&](CommandOutcome outcome) { return CommandResult { .outcome = outcome, .workerClock = done.workerClock }; };
     if (command.epoch < model.epoch)
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -106,6 +106,7 @@
     RunTimes runTimes;
     bool savesCheckpoints = false; ///< Batch tasks save checkpoints from which their next attempts resume.
     bool enforcesCapacity = true; ///< Workers refuse starts beyond their capacity.
+    bool refusesStarts = false; ///< All workers refuse starts without effect.
     double farFactor = 2.0; ///< Factor on the run time of tasks outside their preferred rack.
     /// \returns The specification of an attempt's step, which a real worker has from the payload.
     std::function<jobs::StepSpec(const jobs::Attempt&)> stepOf;
--- a/tests/jobs/random_test.cpp
+++ b/tests/jobs/random_test.cpp
@@ -111,7 +111,7 @@
     }
 
     /// \returns Whether the common faults are less frequent, to leave time for those specific to this kind of run.
-    [[nodiscard]] bool hasFewFaults() const { return m_faults == Faults::PoisonTasks || m_faults == Faults::Halls; }
+    [[nodiscard]] bool hasFewFaults() const { return m_faults == Faults::PoisonTasks || m_faults == Faults::Halls || (m_faults == Faults::Callers && m_seed % 2 == 0); }
 
     /// Adds two data halls to the one of the other instances.
     void addHalls()
@@ -277,21 +277,18 @@
 
     void refuseStarts()
     {
-        const auto set = [this](bool isRefusing) {
-            for (auto& [id, worker] : m_cluster.workers.workers())
-                worker.faults.refusing = isRefusing;
-        };
-        set(true);
-        m_cluster.clock.after(Millis(pickSecondary(500, 8'000)), [set] { set(false); });
+        m_cluster.workers.refusesStarts = true;
+        m_cluster.clock.after(Millis(pickSecondary(500, 9'000)), [this] { m_cluster.workers.refusesStarts = false; });
     }
 
     /// Delays the writes of an entry instance, as a partition does that holds them up.
     void delayWrites()
     {
         const std::size_t entry = pickSecondary(0, m_cluster.entries() - 1);
-        m_cluster.checker.noteFaults(m_cluster.clock.now() + maxFaultDuration);
+        const Millis duration(pickSecondary(100, 1'500));
+        m_cluster.checker.noteFaults(m_cluster.clock.now() + duration);
         m_cluster.delayStoreWrites(entry, Millis(pickSecondary(500, maxFaultDuration.count())));
-        m_cluster.clock.after(Millis(pickSecondary(100, 1'500)), [this, entry] { m_cluster.delayStoreWrites(entry, Millis(0)); });
+        m_cluster.clock.after(duration, [this, entry] { m_cluster.delayStoreWrites(entry, Millis(0)); });
     }
 
     void checkCount()
@@ -535,6 +532,7 @@
         m_cluster.clock.runFor(Millis(8'000));
         m_cluster.store.faults = {};
         m_cluster.peers.faults = {};
+        m_cluster.workers.refusesStarts = false;
         for (const char* hall : { "hall", "hall-b", "hall-c" }) {
             if (m_faults == Faults::Halls)
                 m_cluster.evacuate(hall, false);
