--- /dev/null
+++ b/review/second/cases.cpp
@@ -0,0 +1,198 @@
+#include "cases.h"
+
+#include <cstdio>
+#include <sstream>
+
+namespace review {
+
+namespace {
+
+constexpr int ok = 200;
+constexpr Millis startTimeout { 20'000 };
+const std::string serviceName = "counter-api";
+const std::string queueName = "elig-check";
+
+/// Adds machines in racks of four, as on the sheet of prc-montevideo. Their names begin with `prefix`.
+void addMachines(Platform& platform, unsigned count, const std::string& pool = serviceName, const std::string& prefix = "m-")
+{
+    constexpr unsigned perRack = 4;
+    for (unsigned i = 0; i < count; ++i) {
+        char number[16];
+        std::snprintf(number, sizeof number, "%02u", i + 1);
+        platform.addMachine({ .machine = prefix + number, .pool = pool, .zone = "sala-a", .rack = prefix + "r" + std::to_string(i / perRack) });
+    }
+}
+
+/// The services of the sheet beside `serviceName`, without the spare pool, and their workers.
+const std::map<std::string, unsigned> otherServices { { "ordenes", 9 }, { "cotiza", 11 }, { "liquida", 12 }, { "varios", 8 } };
+
+/// Sets the platform up and starts the entry processes. \returns Whether they are ready.
+bool begin(Platform& platform, const Entries& entries, const json& firstConfiguration)
+{
+    platform.configure(firstConfiguration);
+    platform.begin();
+    const bool isReady = entries.awaitReady(startTimeout);
+    std::this_thread::sleep_for(Millis(3'000)); // An owner, and sessions with all workers.
+    return isReady;
+}
+
+std::string pathOf(const std::string& id)
+{
+    return '/' + queueName + '/' + id;
+}
+
+json oneStep(unsigned count, unsigned estimate)
+{
+    return { { "count", count }, { "cpu", 1'800 }, { "mem_mb", 5'100 }, { "est_ms", estimate } };
+}
+
+std::string jobText(const json& step)
+{
+    return json { { "spec", "(text)" }, { "steps", json::array({ step }) } }.dump();
+}
+
+std::string taskOf(const std::string& id)
+{
+    return id + ".0.0.0";
+}
+
+std::string stateOf(Entries& entries, const std::string& queue, const std::string& id)
+{
+    const Reply reply = entries.call("GET", '/' + queue + '/' + id, {});
+    const json body = json::parse(reply.body, nullptr, false);
+    return reply.status == ok && body.is_object() ? body.value("state", "") : std::to_string(reply.status);
+}
+
+/// Two queues' routes are removed while a job of each runs, and come back. Tasks of the first queue always fail, and a task of the second
+/// fails three times and is done at the fourth.
+Outcome runAttempts(const Environment& environment, Record& record)
+{
+    const std::string alwaysFails = "5c0e7a21d94b36f8";
+    const std::string failsThrice = "5c0e7a21d94b36f9";
+    const std::string sheetService = "skjema";
+    constexpr unsigned few = 2;
+    constexpr unsigned many = 4;
+    Platform platform(record, {}, [&](const std::string& task, std::uint64_t run) {
+        const bool fails = task.rfind(alwaysFails, 0) == 0 || run < many;
+        return RunPlan { .time = Millis(1'500), .end = fails ? "failed" : "done" };
+    });
+    addMachines(platform, 9, sheetService);
+    Entries entries(environment, platform, record, tellelag);
+    const json services = json::array({ service(sheetService) });
+    const json remaining = route("addr-check", sheetService, few);
+    const json all = json::array({ route("form-check", sheetService, few), route("house-reconcile", sheetService, many), remaining });
+    if (!begin(platform, entries, configuration(7, all, services)))
+        return Outcome::NotRun;
+    if (entries.call("POST", "/form-check/" + alwaysFails, jobText(oneStep(1, 1'500))).status != ok || entries.call("POST", "/house-reconcile/" + failsThrice, jobText(oneStep(1, 1'500))).status != ok)
+        return Outcome::NotRun;
+    if (!waitUntil(Millis(5'000), [&] { return countOf(platform, taskOf(alwaysFails), "start") == 1 && countOf(platform, taskOf(failsThrice), "start") == 1; }))
+        return Outcome::NotRun;
+    if (environment.isTroubled)
+        platform.configure(configuration(9, json::array({ remaining }), services));
+    std::this_thread::sleep_for(Millis(9'000));
+    if (environment.isTroubled)
+        platform.configure(configuration(12, all, services));
+    std::this_thread::sleep_for(Millis(6'000));
+    const std::string shown = stateOf(entries, "house-reconcile", failsThrice);
+    const std::size_t failures = countOf(platform, taskOf(failsThrice), "failed");
+    const bool isOverBudget = countOf(platform, taskOf(alwaysFails), "failed") >= few && countOf(platform, taskOf(alwaysFails), "start") > few;
+    const bool isLost = shown == "failed" && failures < many;
+    record.write("state", { { "job", failsThrice }, { "state", shown }, { "failed_runs", failures }, { "max_attempts", many }, { "starts_of_other", countOf(platform, taskOf(alwaysFails), "start") }, { "max_attempts_of_other", few } });
+    if (shown != "failed" && shown != "succeeded")
+        return Outcome::NotRun;
+    return isLost || isOverBudget ? Outcome::Broken : Outcome::Held;
+}
+
+/// Only some workers may run the steps of a queue with advice; the first of them is lost for good.
+Outcome runAdvice(const Environment& environment, Record& record)
+{
+    const std::string id = "7a21d94b36f85c0e";
+    const std::string task = taskOf(id);
+    Platform platform(record, {}, [](const std::string&, std::uint64_t) { return RunPlan { .time = Millis(1'000) }; });
+    addMachines(platform, 40);
+    platform.setAdvised({ "m-03", "m-39", "m-40" });
+    Entries entries(environment, platform, record, montevideoGrown);
+    json queue = route(queueName, serviceName, 3);
+    queue["advice"] = { { "decide_ms", 20 }, { "each_ms", 5 }, { "valid_ms", 3'000 } };
+    if (!begin(platform, entries, configuration(7, json::array({ queue }), json::array({ service(serviceName) }))))
+        return Outcome::NotRun;
+    if (environment.isTroubled)
+        platform.crash(platform.workerOn("m-03"), Millis(0));
+    std::this_thread::sleep_for(Millis(10'000)); // Calm again.
+    if (entries.call("POST", pathOf(id), jobText(oneStep(1, 1'000))).status != ok)
+        return Outcome::NotRun;
+    const bool hasStarted = waitUntil(Millis(30'000), [&] { return countOf(platform, task, "start") > 0; });
+    record.write("state", { { "job", id }, { "state", stateOf(entries, queueName, id) }, { "started", hasStarted } });
+    return hasStarted ? Outcome::Held : Outcome::Broken;
+}
+
+/// Workers crash, one at a time, soon after they began a task that lasts.
+Outcome runCrashes(const Environment& environment, Record& record)
+{
+    const std::string id = "d94b36f85c0e7a21";
+    constexpr unsigned tasks = 5;
+    constexpr unsigned crashes = 4;
+    Platform platform(record, {}, [](const std::string&, std::uint64_t) { return RunPlan { .lasts = true }; });
+    addMachines(platform, 8);
+    json services = json::array({ service(serviceName) });
+    for (const auto& [name, workers] : otherServices) {
+        addMachines(platform, workers, name, name + "-");
+        services.push_back(service(name));
+    }
+    Entries entries(environment, platform, record, montevideo);
+    if (!begin(platform, entries, configuration(7, json::array({ route(queueName, serviceName, 3) }), services)))
+        return Outcome::NotRun;
+    json step = oneStep(tasks, 500);
+    step["long_running"] = true;
+    step["anti_affinity"] = 1;
+    const std::string task = taskOf(id);
+    if (entries.call("POST", pathOf(id), jobText(step)).status != ok || !waitUntil(Millis(5'000), [&] { return !platform.workerOf(task).empty(); }))
+        return Outcome::NotRun;
+    std::this_thread::sleep_for(Millis(5'000));
+    for (unsigned i = 0; environment.isTroubled && i < crashes; ++i) {
+        if (!waitUntil(Millis(12'000), [&] { return !platform.workerOf(task).empty(); }))
+            break;
+        std::this_thread::sleep_for(Millis(400));
+        platform.crash(platform.workerOf(task), Millis(2'500));
+    }
+    std::this_thread::sleep_for(Millis(15'000)); // The last worker is back, and 10 s are calm.
+    const bool runs = waitUntil(Millis(12'000), [&] { return !platform.workerOf(task).empty(); });
+    record.write("state", { { "task", task }, { "runs", runs }, { "starts", countOf(platform, task, "start") } });
+    return runs ? Outcome::Held : Outcome::Broken;
+}
+
+/// A member of a gang that saves its progress fails once.
+Outcome runGang(const Environment& environment, Record& record)
+{
+    const std::string id = "36f85c0e7a21d94b";
+    constexpr unsigned members = 3;
+    const bool isTroubled = environment.isTroubled;
+    Platform platform(record, {}, [isTroubled, id](const std::string& task, std::uint64_t run) {
+        const bool fails = isTroubled && run == 1 && task == id + ".0.0.1";
+        return RunPlan { .time = Millis(fails ? 2'300 : 5'000), .end = fails ? "failed" : "done", .saves = true, .gang = id, .gangSize = members, .breaksGang = fails };
+    });
+    addMachines(platform, 8);
+    Entries entries(environment, platform, record, montevideo);
+    if (!begin(platform, entries, configuration(7, json::array({ route(queueName, serviceName, 3) }), json::array({ service(serviceName) }))))
+        return Outcome::NotRun;
+    json step = oneStep(members, 5'000);
+    step["gang"] = true;
+    step["checkpointing"] = true;
+    step["anti_affinity"] = 1;
+    if (entries.call("POST", pathOf(id), jobText(step)).status != ok)
+        return Outcome::NotRun;
+    const auto isAlone = [&] { return countOf(platform, id + ".0.0.0", "alone") + countOf(platform, id + ".0.0.1", "alone") + countOf(platform, id + ".0.0.2", "alone") > 0; };
+    const bool hasSucceeded = waitUntil(Millis(40'000), [&] { return stateOf(entries, queueName, id) == "succeeded"; });
+    record.write("state", { { "job", id }, { "succeeded", hasSucceeded }, { "alone", isAlone() } });
+    return isAlone() || !hasSucceeded ? Outcome::Broken : Outcome::Held;
+}
+
+} // namespace
+
+const std::map<std::string, Case>& cases()
+{
+    static const std::map<std::string, Case> all { { "attempts", runAttempts }, { "advice", runAdvice }, { "crashes", runCrashes }, { "gang", runGang } };
+    return all;
+}
+
+} // namespace review
