--- a/review/second/cases.cpp
+++ b/review/second/cases.cpp
@@ -1,7 +1,6 @@
 #include "cases.h"
 
 #include <cstdio>
-#include <sstream>
 
 namespace review {
 
@@ -12,20 +11,17 @@
 const std::string serviceName = "counter-api";
 const std::string queueName = "elig-check";
 
-/// Adds machines in racks of four, as on the sheet of prc-montevideo. Their names begin with `prefix`.
-void addMachines(Platform& platform, unsigned count, const std::string& pool = serviceName, const std::string& prefix = "m-")
+/// Adds machines in racks of four, named m-01 and so on.
+void addMachines(Platform& platform, unsigned count, const std::string& pool = serviceName)
 {
     constexpr unsigned perRack = 4;
     for (unsigned i = 0; i < count; ++i) {
-        char number[16];
-        std::snprintf(number, sizeof number, "%02u", i + 1);
-        platform.addMachine({ .machine = prefix + number, .pool = pool, .zone = "sala-a", .rack = prefix + "r" + std::to_string(i / perRack) });
+        char name[16];
+        std::snprintf(name, sizeof name, "m-%02u", i + 1);
+        platform.addMachine({ .machine = name, .pool = pool, .zone = "sala-a", .rack = "r1-" + std::to_string(i / perRack) });
     }
 }
 
-/// The services of the sheet beside `serviceName`, without the spare pool, and their workers.
-const std::map<std::string, unsigned> otherServices { { "ordenes", 9 }, { "cotiza", 11 }, { "liquida", 12 }, { "varios", 8 } };
-
 /// Sets the platform up and starts the entry processes. \returns Whether they are ready.
 bool begin(Platform& platform, const Entries& entries, const json& firstConfiguration)
 {
@@ -103,6 +99,13 @@
     return isLost || isOverBudget ? Outcome::Broken : Outcome::Held;
 }
 
+json routeWithAdvice(const AdvicePolicy& policy)
+{
+    json queue = route(queueName, serviceName, 3);
+    queue["advice"] = { { "decide_ms", policy.decide.count() }, { "each_ms", policy.each.count() }, { "valid_ms", policy.valid.count() } };
+    return queue;
+}
+
 /// Only some workers may run the steps of a queue with advice; the first of them is lost for good.
 Outcome runAdvice(const Environment& environment, Record& record)
 {
@@ -110,11 +113,10 @@
     const std::string task = taskOf(id);
     Platform platform(record, {}, [](const std::string&, std::uint64_t) { return RunPlan { .time = Millis(1'000) }; });
     addMachines(platform, 40);
-    platform.setAdvised({ "m-03", "m-39", "m-40" });
+    const AdvicePolicy policy;
+    platform.setAdvised(policy, { "m-03", "m-39", "m-40" });
     Entries entries(environment, platform, record, montevideoGrown);
-    json queue = route(queueName, serviceName, 3);
-    queue["advice"] = { { "decide_ms", 20 }, { "each_ms", 5 }, { "valid_ms", 3'000 } };
-    if (!begin(platform, entries, configuration(7, json::array({ queue }), json::array({ service(serviceName) }))))
+    if (!begin(platform, entries, configuration(7, json::array({ routeWithAdvice(policy) }), json::array({ service(serviceName) }))))
         return Outcome::NotRun;
     if (environment.isTroubled)
         platform.crash(platform.workerOn("m-03"), Millis(0));
@@ -126,39 +128,22 @@
     return hasStarted ? Outcome::Held : Outcome::Broken;
 }
 
-/// Workers crash, one at a time, soon after they began a task that lasts.
-Outcome runCrashes(const Environment& environment, Record& record)
+/// All workers may run the steps of a queue with advice, whose tickets hold for less than half a second.
+Outcome runTickets(const Environment& environment, Record& record)
 {
-    const std::string id = "d94b36f85c0e7a21";
-    constexpr unsigned tasks = 5;
-    constexpr unsigned crashes = 4;
-    Platform platform(record, {}, [](const std::string&, std::uint64_t) { return RunPlan { .lasts = true }; });
+    const std::string id = "94b36f85c0e7a21d";
+    Platform platform(record, {}, [](const std::string&, std::uint64_t) { return RunPlan { .time = Millis(1'000) }; });
     addMachines(platform, 8);
-    json services = json::array({ service(serviceName) });
-    for (const auto& [name, workers] : otherServices) {
-        addMachines(platform, workers, name, name + "-");
-        services.push_back(service(name));
-    }
+    const AdvicePolicy policy { .decide = Millis(200), .each = Millis(10), .valid = Millis(environment.isTroubled ? 400 : 3'000) };
+    platform.setAdvised(policy, { "m-01", "m-02", "m-03", "m-04", "m-05", "m-06", "m-07", "m-08" });
     Entries entries(environment, platform, record, montevideo);
-    if (!begin(platform, entries, configuration(7, json::array({ route(queueName, serviceName, 3) }), services)))
+    if (!begin(platform, entries, configuration(7, json::array({ routeWithAdvice(policy) }), json::array({ service(serviceName) }))))
         return Outcome::NotRun;
-    json step = oneStep(tasks, 500);
-    step["long_running"] = true;
-    step["anti_affinity"] = 1;
-    const std::string task = taskOf(id);
-    if (entries.call("POST", pathOf(id), jobText(step)).status != ok || !waitUntil(Millis(5'000), [&] { return !platform.workerOf(task).empty(); }))
+    if (entries.call("POST", pathOf(id), jobText(oneStep(1, 1'000))).status != ok)
         return Outcome::NotRun;
-    std::this_thread::sleep_for(Millis(5'000));
-    for (unsigned i = 0; environment.isTroubled && i < crashes; ++i) {
-        if (!waitUntil(Millis(12'000), [&] { return !platform.workerOf(task).empty(); }))
-            break;
-        std::this_thread::sleep_for(Millis(400));
-        platform.crash(platform.workerOf(task), Millis(2'500));
-    }
-    std::this_thread::sleep_for(Millis(15'000)); // The last worker is back, and 10 s are calm.
-    const bool runs = waitUntil(Millis(12'000), [&] { return !platform.workerOf(task).empty(); });
-    record.write("state", { { "task", task }, { "runs", runs }, { "starts", countOf(platform, task, "start") } });
-    return runs ? Outcome::Held : Outcome::Broken;
+    const bool hasStarted = waitUntil(Millis(25'000), [&] { return countOf(platform, taskOf(id), "start") > 0; });
+    record.write("state", { { "job", id }, { "state", stateOf(entries, queueName, id) }, { "started", hasStarted } });
+    return hasStarted ? Outcome::Held : Outcome::Broken;
 }
 
 /// A member of a gang that saves its progress fails once.
@@ -191,7 +176,7 @@
 
 const std::map<std::string, Case>& cases()
 {
-    static const std::map<std::string, Case> all { { "attempts", runAttempts }, { "advice", runAdvice }, { "crashes", runCrashes }, { "gang", runGang } };
+    static const std::map<std::string, Case> all { { "attempts", runAttempts }, { "advice", runAdvice }, { "gang", runGang }, { "tickets", runTickets } };
     return all;
 }
 
--- a/review/second/platform.cpp
+++ b/review/second/platform.cpp
@@ -19,9 +19,6 @@
 constexpr Millis moveTime { 1'500 };
 constexpr std::size_t maxListedEnds = 500;
 constexpr std::int64_t clockAtBirth = 1'000;
-constexpr int adviceBase = 20;
-constexpr int adviceEach = 5;
-constexpr int adviceValid = 3'000;
 constexpr int maxWait = 2'000;
 const std::string loopback = "127.0.0.1";
 
@@ -95,10 +92,10 @@
     m_changed.notify_all();
 }
 
-void Platform::setAdvised(const std::set<std::string>& machines)
+void Platform::setAdvised(const AdvicePolicy& policy, const std::set<std::string>& machines)
 {
     const std::lock_guard lock(m_mutex);
-    m_hasAdvice = true;
+    m_advice = policy;
     m_advised = machines;
 }
 
@@ -241,17 +238,35 @@
 {
     const json body = json::parse(call.body, nullptr, false);
     const json workers = body.is_object() ? body.value("workers", json::array()) : json::array();
-    std::this_thread::sleep_for(Millis(adviceBase + adviceEach * static_cast<int>(workers.size())));
-    const std::lock_guard lock(m_mutex);
+    std::unique_lock lock(m_mutex);
+    const AdvicePolicy policy = m_advice.value_or(AdvicePolicy {});
+    lock.unlock();
+    std::this_thread::sleep_for(policy.decide + policy.each * static_cast<int>(workers.size()));
+    lock.lock();
     json good = json::array();
     for (const json& worker : workers) {
         for (const auto& [name, machine] : m_machines) {
-            if (machine->id == worker && m_advised.contains(name))
-                good.push_back({ worker, textOf(body, "step") + '@' + machine->id });
+            if (machine->id != worker || !m_advised.contains(name))
+                continue;
+            const std::string ticket = textOf(body, "step") + '@' + machine->id + '#' + std::to_string(m_tickets.size());
+            m_tickets[ticket] = Clock::now();
+            good.push_back({ worker, ticket });
         }
     }
     m_record.write("advised", { { "step", textOf(body, "step") }, { "asked", workers.size() }, { "first", workers.empty() ? json() : workers.front() }, { "last", workers.empty() ? json() : workers.back() }, { "good", good.size() } });
-    return Reply { ok, json { { "good", good }, { "valid_ms", adviceValid } }.dump() };
+    return Reply { ok, json { { "good", good }, { "valid_ms", policy.valid.count() } }.dump() };
+}
+
+/// \returns Whether the start brings a ticket for its step at this life that is still valid.
+bool Platform::isAdmitted(const Machine& machine, const json& body) const
+{
+    if (!m_advice)
+        return true;
+    const std::string task = textOf(body, "task");
+    const std::string ticket = textOf(body, "ticket");
+    const auto found = m_tickets.find(ticket);
+    const std::string wanted = task.substr(0, task.rfind('.')) + '@' + machine.id + '#';
+    return found != m_tickets.end() && ticket.rfind(wanted, 0) == 0 && since(found->second) <= m_advice->valid;
 }
 
 std::optional<Reply> Platform::serveWorker(Machine& machine, const Call& call)
@@ -313,8 +328,7 @@
         return answer(conflict, "old");
     if (numberOf(body, "deadline_ms") <= clockOf(machine))
         return answer(conflict, "late");
-    const std::string step = run.task.substr(0, run.task.rfind('.'));
-    if (m_hasAdvice && textOf(body, "ticket") != step + '@' + machine.id)
+    if (!isAdmitted(machine, body))
         return answer(conflict, "ticket");
     run.plan = m_plan(run.task, run.run);
     run.saved = run.checkpoint;
--- a/review/second/platform.h
+++ b/review/second/platform.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -128,6 +129,13 @@
     std::int64_t memoryMb = 131'072;
 };
 
+/// The policy of a queue with advice.
+struct AdvicePolicy {
+    Millis decide { 20 };
+    Millis each { 5 };
+    Millis valid { 3'000 };
+};
+
 /// A machine and the life of its worker.
 struct Machine {
     MachineSettings settings;
@@ -181,8 +189,8 @@
     /// \brief Kills the worker with this id. \param backAfter Time until the next life of its machine; 0: the machine is lost for good.
     void crash(const std::string& worker, Millis backAfter);
 
-    /// \brief Sets which workers may run a step of the queue with advice; the others get no ticket.
-    void setAdvised(const std::set<std::string>& machines);
+    /// \brief Sets the machines whose workers may run a step; the others get no ticket.
+    void setAdvised(const AdvicePolicy& policy, const std::set<std::string>& machines);
 
     /// \returns The worker that runs the task; empty: none.
     [[nodiscard]] std::string workerOf(const std::string& task);
@@ -196,6 +204,7 @@
     std::optional<Reply> serveWorker(Machine& machine, const Call& call);
     Reply start(Machine& machine, const json& body);
     Reply stop(Machine& machine, const json& body);
+    [[nodiscard]] bool isAdmitted(const Machine& machine, const json& body) const;
     Reply act(const std::string& path, const json& body, const Call& call);
     [[nodiscard]] Reply report(const Machine& machine) const;
     void hold(Machine& machine, const json& body);
@@ -217,8 +226,9 @@
     std::condition_variable m_changed;
     Store m_store;
     std::map<std::string, std::unique_ptr<Machine>> m_machines;
+    std::optional<AdvicePolicy> m_advice;
     std::set<std::string> m_advised;
-    bool m_hasAdvice = false;
+    std::map<std::string, Clock::time_point> m_tickets; ///< When each was given.
     std::vector<RunEvent> m_events;
     std::deque<std::pair<Clock::time_point, std::string>> m_goneEntries; ///< Of crashed workers, and when they go.
     std::uint64_t m_lastLife = 0;
