--- a/review/second/cases.cpp
+++ b/review/second/cases.cpp
@@ -128,6 +128,33 @@
     return hasStarted ? Outcome::Held : Outcome::Broken;
 }
 
+/// One machine's worker may run a lasting task of a queue with advice. It crashes, and a new life comes up there.
+Outcome runLives(const Environment& environment, Record& record)
+{
+    const std::string id = "0c5e7a21d94b36f8";
+    const std::string task = taskOf(id);
+    Platform platform(record, {}, [](const std::string&, std::uint64_t) { return RunPlan { .lasts = true }; });
+    addMachines(platform, 8);
+    const AdvicePolicy policy { .valid = Millis(30'000) };
+    platform.setAdvised(policy, { "m-03" });
+    Entries entries(environment, platform, record, montevideo);
+    if (!begin(platform, entries, configuration(7, json::array({ routeWithAdvice(policy) }), json::array({ service(serviceName) }))))
+        return Outcome::NotRun;
+    json step = oneStep(1, 500);
+    step["long_running"] = true;
+    if (entries.call("POST", pathOf(id), jobText(step)).status != ok || !waitUntil(Millis(5'000), [&] { return !platform.workerOf(task).empty(); }))
+        return Outcome::NotRun;
+    std::this_thread::sleep_for(Millis(1'500));
+    if (environment.isTroubled)
+        platform.crash(platform.workerOn("m-03"), Millis(4'500));
+    std::this_thread::sleep_for(Millis(12'500)); // The worker is back for 8 s.
+    const bool runs = waitUntil(Millis(6'000), [&] { return !platform.workerOf(task).empty(); });
+    record.write("state", { { "task", task }, { "runs", runs }, { "starts", countOf(platform, task, "start") } });
+    // For the record only: when it starts again.
+    static_cast<void>(waitUntil(Millis(20'000), [&] { return !platform.workerOf(task).empty(); }));
+    return runs ? Outcome::Held : Outcome::Broken;
+}
+
 /// All workers may run the steps of a queue with advice, whose tickets hold for less than half a second.
 Outcome runTickets(const Environment& environment, Record& record)
 {
@@ -176,7 +203,7 @@
 
 const std::map<std::string, Case>& cases()
 {
-    static const std::map<std::string, Case> all { { "attempts", runAttempts }, { "advice", runAdvice }, { "gang", runGang }, { "tickets", runTickets } };
+    static const std::map<std::string, Case> all { { "attempts", runAttempts }, { "advice", runAdvice }, { "gang", runGang }, { "tickets", runTickets }, { "lives", runLives } };
     return all;
 }
 
