--- a/review/second/cases.cpp
+++ b/review/second/cases.cpp
@@ -68,7 +68,10 @@
     const std::string sheetService = "skjema";
     constexpr unsigned few = 2;
     constexpr unsigned many = 4;
+    constexpr unsigned usualJobs = 40;
     Platform platform(record, {}, [&](const std::string& task, std::uint64_t run) {
+        if (task.rfind("00", 0) == 0)
+            return RunPlan { .time = Millis(300) };
         const bool fails = task.rfind(alwaysFails, 0) == 0 || run < many;
         return RunPlan { .time = Millis(1'500), .end = fails ? "failed" : "done" };
     });
@@ -79,6 +82,13 @@
     const json all = json::array({ route("form-check", sheetService, few), route("house-reconcile", sheetService, many), remaining });
     if (!begin(platform, entries, configuration(7, all, services)))
         return Outcome::NotRun;
+    // Usual jobs, so that those whose runs fail are under a twentieth of each queue.
+    for (unsigned i = 0; i < usualJobs; ++i) {
+        char usual[32];
+        std::snprintf(usual, sizeof usual, "%016x", i);
+        if (entries.call("POST", (i % 2 == 0 ? "/form-check/" : "/house-reconcile/") + std::string(usual), jobText(oneStep(1, 300))).status != ok)
+            return Outcome::NotRun;
+    }
     if (entries.call("POST", "/form-check/" + alwaysFails, jobText(oneStep(1, 1'500))).status != ok || entries.call("POST", "/house-reconcile/" + failsThrice, jobText(oneStep(1, 1'500))).status != ok)
         return Outcome::NotRun;
     if (!waitUntil(Millis(5'000), [&] { return countOf(platform, taskOf(alwaysFails), "start") == 1 && countOf(platform, taskOf(failsThrice), "start") == 1; }))
@@ -91,7 +101,7 @@
     std::this_thread::sleep_for(Millis(6'000));
     const std::string shown = stateOf(entries, "house-reconcile", failsThrice);
     const std::size_t failures = countOf(platform, taskOf(failsThrice), "failed");
-    const bool isOverBudget = countOf(platform, taskOf(alwaysFails), "failed") >= few && countOf(platform, taskOf(alwaysFails), "start") > few;
+    const bool isOverBudget = countOf(platform, taskOf(alwaysFails), "noted-failed") >= few && countOf(platform, taskOf(alwaysFails), "start") > few;
     const bool isLost = shown == "failed" && failures < many;
     record.write("state", { { "job", failsThrice }, { "state", shown }, { "failed_runs", failures }, { "max_attempts", many }, { "starts_of_other", countOf(platform, taskOf(alwaysFails), "start") }, { "max_attempts_of_other", few } });
     if (shown != "failed" && shown != "succeeded")
@@ -155,55 +165,47 @@
     return runs ? Outcome::Held : Outcome::Broken;
 }
 
-/// All workers may run the steps of a queue with advice, whose tickets hold for less than half a second.
-Outcome runTickets(const Environment& environment, Record& record)
-{
-    const std::string id = "94b36f85c0e7a21d";
-    Platform platform(record, {}, [](const std::string&, std::uint64_t) { return RunPlan { .time = Millis(1'000) }; });
-    addMachines(platform, 8);
-    const AdvicePolicy policy { .decide = Millis(200), .each = Millis(10), .valid = Millis(environment.isTroubled ? 400 : 3'000) };
-    platform.setAdvised(policy, { "m-01", "m-02", "m-03", "m-04", "m-05", "m-06", "m-07", "m-08" });
-    Entries entries(environment, platform, record, montevideo);
-    if (!begin(platform, entries, configuration(7, json::array({ routeWithAdvice(policy) }), json::array({ service(serviceName) }))))
-        return Outcome::NotRun;
-    if (entries.call("POST", pathOf(id), jobText(oneStep(1, 1'000))).status != ok)
-        return Outcome::NotRun;
-    const bool hasStarted = waitUntil(Millis(25'000), [&] { return countOf(platform, taskOf(id), "start") > 0; });
-    record.write("state", { { "job", id }, { "state", stateOf(entries, queueName, id) }, { "started", hasStarted } });
-    return hasStarted ? Outcome::Held : Outcome::Broken;
-}
-
-/// A member of a gang that saves its progress fails once.
+/// One worker of twelve fails the run that it has, a member of a gang that saves its progress.
 Outcome runGang(const Environment& environment, Record& record)
 {
     const std::string id = "36f85c0e7a21d94b";
+    const std::string sheetService = "liquida";
     constexpr unsigned members = 3;
+    constexpr std::int64_t calmAfterMs = 10'000; // More than three times `contact_ms`.
     const bool isTroubled = environment.isTroubled;
     Platform platform(record, {}, [isTroubled, id](const std::string& task, std::uint64_t run) {
         const bool fails = isTroubled && run == 1 && task == id + ".0.0.1";
         return RunPlan { .time = Millis(fails ? 2'300 : 5'000), .end = fails ? "failed" : "done", .saves = true, .gang = id, .gangSize = members, .breaksGang = fails };
     });
-    addMachines(platform, 8);
+    addMachines(platform, 12, sheetService);
     Entries entries(environment, platform, record, montevideo);
-    if (!begin(platform, entries, configuration(7, json::array({ route(queueName, serviceName, 3) }), json::array({ service(serviceName) }))))
+    if (!begin(platform, entries, configuration(7, json::array({ route(queueName, sheetService, 3) }), json::array({ service(sheetService) }))))
         return Outcome::NotRun;
     json step = oneStep(members, 5'000);
     step["gang"] = true;
     step["checkpointing"] = true;
     step["anti_affinity"] = 1;
-    if (entries.call("POST", pathOf(id), jobText(step)).status != ok)
+    if (entries.call("POST", pathOf(id), jobText(step)).status != ok || !waitUntil(Millis(5'000), [&] { return countOf(platform, taskOf(id), "start") > 0; }))
+        return Outcome::NotRun;
+    std::this_thread::sleep_for(Millis(23'000));
+    std::int64_t disturbedAt = 0;
+    std::size_t calmAlone = 0;
+    for (const RunEvent& event : platform.events()) {
+        if (event.what == "failed")
+            disturbedAt = event.at;
+        calmAlone += event.what == "alone" && event.at > disturbedAt + calmAfterMs ? 1 : 0;
+    }
+    record.write("state", { { "job", id }, { "state", stateOf(entries, queueName, id) }, { "failed_at", disturbedAt }, { "alone_in_calm", calmAlone } });
+    if (isTroubled && disturbedAt == 0)
         return Outcome::NotRun;
-    const auto isAlone = [&] { return countOf(platform, id + ".0.0.0", "alone") + countOf(platform, id + ".0.0.1", "alone") + countOf(platform, id + ".0.0.2", "alone") > 0; };
-    const bool hasSucceeded = waitUntil(Millis(40'000), [&] { return stateOf(entries, queueName, id) == "succeeded"; });
-    record.write("state", { { "job", id }, { "succeeded", hasSucceeded }, { "alone", isAlone() } });
-    return isAlone() || !hasSucceeded ? Outcome::Broken : Outcome::Held;
+    return calmAlone > 0 ? Outcome::Broken : Outcome::Held;
 }
 
 } // namespace
 
 const std::map<std::string, Case>& cases()
 {
-    static const std::map<std::string, Case> all { { "attempts", runAttempts }, { "advice", runAdvice }, { "gang", runGang }, { "tickets", runTickets }, { "lives", runLives } };
+    static const std::map<std::string, Case> all { { "attempts", runAttempts }, { "advice", runAdvice }, { "gang", runGang }, { "lives", runLives } };
     return all;
 }
 
--- a/review/second/platform.cpp
+++ b/review/second/platform.cpp
@@ -304,6 +304,8 @@
     const auto acknowledged = static_cast<std::uint64_t>(numberOf(body, "acked_upto"));
     while (!machine.ended.empty() && machine.ended.front()[0].get<std::uint64_t>() <= acknowledged) {
         m_record.write("taken-note", { { "worker", machine.id }, { "end", machine.ended.front() } });
+        const json& row = machine.ended.front();
+        m_events.push_back({ m_record.now(), "noted-" + row[3].get<std::string>(), row[1].get<std::string>(), row[2].get<std::uint64_t>(), machine.id, {} });
         machine.ended.pop_front();
     }
     if (const std::int64_t until = numberOf(body, "deadline_ms"); until > 0)
