--- a/include/lanemoor/jobs/model/job_record.h
+++ b/include/lanemoor/jobs/model/job_record.h
@@ -2,6 +2,7 @@
 /// \file
 /// Stored records of jobs, their progress and their owner, with their keys and codecs.
 
+#include "lanemoor/jobs/model/job_policy.h"
 #include "lanemoor/jobs/model/job_spec.h"
 
 #include <cstdint>
@@ -42,6 +43,7 @@
     Instant acceptedAt; ///< By the clock of the entry instance that accepted it.
     JobSpec spec;
     std::string organisation; ///< The submitter's; empty: unknown, as no key was required. Unaffected when the organisation's keys are removed.
+    std::optional<JobPolicy> policy; ///< The queue's policy at submission; used if the queue is deleted. Nothing: written by an earlier version.
 
     [[nodiscard]] bool operator==(const JobRecord&) const = default;
 };
@@ -116,6 +118,7 @@
     std::uint32_t occurrencesDone = 0; ///< Number of leading occurrences that are finished; no other state of them is stored.
     std::map<StepId, std::vector<bool>> succeeded; ///< Per step, by task index; steps without a success are absent.
     std::map<TaskId, TaskRecord> tasks;
+    std::optional<JobPolicy> policy; ///< The queue's newest policy; used if the queue is deleted. Nothing: JobRecord::policy is the newest.
 
     [[nodiscard]] bool operator==(const ProgressRecord&) const = default;
 };
--- a/include/lanemoor/jobs/model/job_state.h
+++ b/include/lanemoor/jobs/model/job_state.h
@@ -144,6 +144,13 @@
     /// \returns Whether a failure of this attempt, or of its gang, is recorded.
     [[nodiscard]] bool hasFailed(const Attempt& attempt) const;
 
+    /// \returns The number of failures that count against the task's limit; the members of a gang share it. 0 for a long-running task, which
+    /// has no limit.
+    [[nodiscard]] std::uint32_t failuresOf(const TaskId& task) const;
+
+    /// \returns The stored policy; nothing: the job was stored by an earlier version.
+    [[nodiscard]] const std::optional<JobPolicy>& storedPolicy() const noexcept { return m_initial.policy ? m_initial.policy : m_record->policy; }
+
     /// \returns When the next occurrence is due, or nothing.
     [[nodiscard]] std::optional<Instant> nextDue() const;
 
@@ -193,8 +200,16 @@
     void noteReport(const RunningAttempt& report, MonotonicInstant now);
 
     /// \brief Notes that an attempt ended at `worker`.
-    /// \param maxAttempts Number of failures of one task at which the job fails.
-    EndEffect end(const EndedAttempt& ended, const std::string& worker, std::uint32_t maxAttempts, MonotonicInstant now);
+    /// \param maxAttempts Number of failures of one task at which the job fails; nothing: unknown, so that it does not fail now.
+    EndEffect end(const EndedAttempt& ended, const std::string& worker, std::optional<std::uint32_t> maxAttempts, MonotonicInstant now);
+
+    /// \brief Fails the job if the task has reached the limit, which may have been lowered since its last failure.
+    /// \returns Whether the job's status became final.
+    bool failAtLimit(const TaskId& task, std::uint32_t maxAttempts);
+
+    /// \brief Makes a newer policy a part of the progress. \returns Whether the progress must be stored, since the limits differ; other changes
+    /// are stored with the next progress.
+    bool retainPolicy(const JobPolicy& policy);
 
     /// \brief Drops a live attempt that never ran, vanished or ended with its worker.
     /// \param retryAt When the task may start again.
@@ -243,7 +258,8 @@
     void clearLive(const TaskId& task, TaskState& state);
     void succeed(const TaskId& task);
     void succeedOne(const TaskId& task);
-    EndEffect fail(const Attempt& attempt, const std::string& worker, std::uint32_t maxAttempts, MonotonicInstant now);
+    [[nodiscard]] TaskId countedTask(const TaskId& task) const;
+    EndEffect fail(const Attempt& attempt, const std::string& worker, std::optional<std::uint32_t> maxAttempts, MonotonicInstant now);
     void closeFinishedOccurrences();
     [[nodiscard]] bool hasSucceeded(std::uint32_t occurrence) const;
     [[nodiscard]] std::uint32_t occurrences() const noexcept;
--- a/include/lanemoor/jobs/model/service_configuration.h
+++ b/include/lanemoor/jobs/model/service_configuration.h
@@ -3,6 +3,7 @@
 /// The operators' configuration of queues, pools and organisations; worker entries; maintenance waves.
 
 #include "lanemoor/decisions/time.h"
+#include "lanemoor/jobs/model/job_policy.h"
 #include "lanemoor/jobs/model/job_spec.h"
 #include "lanemoor/jobs/model/organisation.h"
 
@@ -15,27 +16,22 @@
 
 namespace lanemoor::jobs {
 
-/// Policy of a queue whose tasks need a ticket of the placement advisor.
-struct AdvicePolicy {
-    Millis decisionTime { 0 }; ///< Fixed duration of one call.
-    Millis timePerWorker { 0 }; ///< Additional duration for each worker in the call.
-    Millis validity { 0 }; ///< Validity of a ticket.
-
-    [[nodiscard]] bool operator==(const AdvicePolicy&) const = default;
-};
-
 struct QueueSettings {
     std::string name;
     std::string host; ///< Callers address the queue by host and path prefix.
     std::string pathPrefix;
     std::string pool; ///< The pool whose instances run the queue's tasks.
     std::uint32_t priority = 0; ///< Lower values are served first.
-    std::uint32_t maxAttempts = 1; ///< Number of failures of one task at which its job fails.
-    double stretch = 1.0; ///< The objective is `stretch` times the job's critical path plus `latencyTarget`.
+    std::uint32_t maxAttempts = 1; ///< See JobPolicy.
+    double stretch = 1.0; ///< See JobPolicy.
     Millis latencyTarget { 0 };
     std::optional<AdvicePolicy> advice;
     bool isPublic = false; ///< Callers need no key.
 
+    /// \returns The policy of the queue's jobs, with values that are out of range replaced by the nearest valid ones.
+    /// \param version Version of the configuration.
+    [[nodiscard]] JobPolicy policy(std::uint64_t version) const;
+
     [[nodiscard]] bool operator==(const QueueSettings&) const = default;
 };
 
@@ -48,17 +44,36 @@
     [[nodiscard]] bool operator==(const PoolSettings&) const = default;
 };
 
+/// A queue that newer versions of the configuration lack.
+struct RemovedQueue {
+    QueueSettings settings;
+    std::uint64_t version = 0; ///< The last known version with the queue.
+
+    [[nodiscard]] bool operator==(const RemovedQueue&) const = default;
+};
+
 /// One version of the configuration. Immutable once published.
 struct ServiceConfiguration {
     std::uint64_t version = 0;
     std::vector<QueueSettings> queues;
+    std::vector<RemovedQueue> removedQueues; ///< Queues of earlier versions, the latest removal last. Unfinished jobs of these queues keep running.
     std::vector<PoolSettings> pools;
     OrganisationTable organisations; ///< If empty, callers need no key and there are no quotas.
     std::uint64_t maxBodyBytes = 262'144; ///< Maximum size of a request body; 262'144 is the default.
 
-    /// \returns The queue with `name`, or null.
+    /// \returns The queue with `name`, or null. Null means that callers can't address it; its jobs may be unfinished.
     [[nodiscard]] const QueueSettings* queue(std::string_view name) const noexcept;
 
+    /// \returns The queue with `name` of this version or, if it was removed, of the last known version with it; null: unknown.
+    [[nodiscard]] const QueueSettings* lastKnownQueue(std::string_view name) const noexcept;
+
+    /// \returns The policy of the last known queue with `name`, or nothing.
+    [[nodiscard]] std::optional<JobPolicy> lastKnownPolicy(std::string_view name) const;
+
+    /// \brief Retains the settings of queues that `previous` has or retains and this version lacks. Bounded: the earliest removals are
+    /// dropped first.
+    void retainRemovedQueues(const ServiceConfiguration& previous);
+
     /// \returns The pool with `name`, or null.
     [[nodiscard]] const PoolSettings* pool(std::string_view name) const noexcept;
 
@@ -66,6 +81,9 @@
     [[nodiscard]] const QueueSettings* queueFor(std::string_view host, std::string_view path) const noexcept;
 
     [[nodiscard]] bool operator==(const ServiceConfiguration&) const = default;
+
+private:
+    [[nodiscard]] const RemovedQueue* removedQueue(std::string_view name) const noexcept;
 };
 
 /// A worker's self-description in the store.
--- a/src/jobs/model/job_record.cpp
+++ b/src/jobs/model/job_record.cpp
@@ -59,6 +59,29 @@
     return step;
 }
 
+void writePolicy(const JobPolicy& policy, wire::JobPolicy& out)
+{
+    out.set_version(policy.version);
+    out.set_priority(policy.priority);
+    out.set_max_attempts(policy.maxAttempts);
+    out.set_stretch(policy.stretch);
+    out.set_latency_target_ms(policy.latencyTarget.count());
+    if (!policy.advice)
+        return;
+    wire::AdvicePolicy& advice = *out.mutable_advice();
+    advice.set_decision_ms(policy.advice->decisionTime.count());
+    advice.set_per_worker_ms(policy.advice->timePerWorker.count());
+    advice.set_validity_ms(policy.advice->validity.count());
+}
+
+JobPolicy readPolicy(const wire::JobPolicy& in)
+{
+    JobPolicy policy { .version = in.version(), .priority = in.priority(), .maxAttempts = in.max_attempts(), .stretch = in.stretch(), .latencyTarget = Millis(in.latency_target_ms()), .advice = std::nullopt };
+    if (in.has_advice())
+        policy.advice = AdvicePolicy { .decisionTime = Millis(in.advice().decision_ms()), .timePerWorker = Millis(in.advice().per_worker_ms()), .validity = Millis(in.advice().validity_ms()) };
+    return policy;
+}
+
 std::string packBits(const std::vector<bool>& bits)
 {
     std::string bytes((bits.size() + bitsPerByte - 1) / bitsPerByte, '\0');
@@ -155,6 +178,8 @@
     document.set_first_start_ms(record.spec.firstStart.time_since_epoch().count());
     document.set_interval_ms(record.spec.interval.count());
     document.set_organisation(record.organisation);
+    if (record.policy)
+        writePolicy(*record.policy, *document.mutable_policy());
     return document.SerializeAsString();
 }
 
@@ -174,7 +199,9 @@
     record.spec.firstStart = instantFrom(document.first_start_ms());
     record.spec.interval = Millis(document.interval_ms());
     record.organisation = document.organisation();
-    if (faultOf(record.spec))
+    if (document.has_policy())
+        record.policy = readPolicy(document.policy());
+    if (faultOf(record.spec) || (record.policy && !record.policy->isValid()))
         return std::nullopt;
     return record;
 }
@@ -185,6 +212,8 @@
     document.set_status(static_cast<std::uint32_t>(record.status));
     document.set_start_planned(record.isStartPlanned);
     document.set_occurrences_done(record.occurrencesDone);
+    if (record.policy)
+        writePolicy(*record.policy, *document.mutable_policy());
     for (const auto& [id, bits] : record.succeeded) {
         wire::StepProgress& step = *document.add_steps();
         step.set_occurrence(id.occurrence);
@@ -223,6 +252,8 @@
     record.status = static_cast<JobStatus>(document.status());
     record.isStartPlanned = document.start_planned();
     record.occurrencesDone = document.occurrences_done();
+    if (document.has_policy())
+        record.policy = readPolicy(document.policy());
     for (const wire::StepProgress& step : document.steps())
         record.succeeded[{ step.occurrence(), step.step() }] = unpackBits(step.succeeded());
     for (const wire::TaskProgress& task : document.tasks()) {
@@ -234,6 +265,8 @@
             out.probations.push_back({ .attempt = probation.attempt(), .worker = probation.worker(), .workerStartedAt = probation.worker_started_at(), .isAcknowledged = probation.acknowledged(), .isUnresponsive = probation.silent() });
         out.failedPermanently = task.given_up();
     }
+    if (record.policy && !record.policy->isValid())
+        return std::nullopt;
     return record;
 }
 
--- a/src/jobs/model/job_state.cpp
+++ b/src/jobs/model/job_state.cpp
@@ -236,13 +236,42 @@
 
 bool JobState::hasFailed(const Attempt& attempt) const
 {
-    const TaskState* counted = find(isGang(attempt.task) ? TaskId { attempt.task.occurrence, attempt.task.step, 0 } : attempt.task);
+    const TaskState* counted = find(countedTask(attempt.task));
     if (!counted)
         return false;
     const std::vector<std::uint64_t>& failed = counted->failedAttempts;
     return std::find(failed.begin(), failed.end(), attempt.number) != failed.end();
 }
 
+/// \returns The task that records the failures; a gang fails as a whole, and its failures are recorded with its first task.
+TaskId JobState::countedTask(const TaskId& task) const
+{
+    return isGang(task) ? TaskId { task.occurrence, task.step, 0 } : task;
+}
+
+std::uint32_t JobState::failuresOf(const TaskId& task) const
+{
+    const TaskState* counted = find(countedTask(task));
+    return counted && !spec(task.step).longRunning ? static_cast<std::uint32_t>(counted->failedAttempts.size()) : 0;
+}
+
+bool JobState::failAtLimit(const TaskId& task, std::uint32_t maxAttempts)
+{
+    if (isFinal(m_status) || failuresOf(task) < maxAttempts)
+        return false;
+    m_status = JobStatus::Failed;
+    return true;
+}
+
+bool JobState::retainPolicy(const JobPolicy& policy)
+{
+    const std::optional<JobPolicy> stored = storedPolicy();
+    if (stored && stored->version >= policy.version)
+        return false;
+    m_initial.policy = policy;
+    return !stored || !stored->hasSameLimits(policy);
+}
+
 void JobState::setPhase(const Attempt& attempt, AttemptPhase phase, MonotonicInstant now)
 {
     TaskState* state = findLive(attempt);
@@ -342,11 +371,10 @@
         m_status = JobStatus::Succeeded;
 }
 
-EndEffect JobState::fail(const Attempt& attempt, const std::string& worker, std::uint32_t maxAttempts, MonotonicInstant now)
+EndEffect JobState::fail(const Attempt& attempt, const std::string& worker, std::optional<std::uint32_t> maxAttempts, MonotonicInstant now)
 {
     EndEffect effect;
-    // A gang fails as a whole; its failures are recorded with its first task.
-    TaskState& counted = isGang(attempt.task) ? *mutableTask({ attempt.task.occurrence, attempt.task.step, 0 }) : *mutableTask(attempt.task);
+    TaskState& counted = *mutableTask(countedTask(attempt.task));
     TaskState& own = *mutableTask(attempt.task);
     own.avoidWorker = worker;
     if (spec(attempt.task.step).longRunning)
@@ -358,14 +386,11 @@
     effect.toBeStored = true;
     own.notBefore = now + retryDelay;
     ++m_changes;
-    if (failed.size() >= maxAttempts && !isFinal(m_status)) {
-        m_status = JobStatus::Failed;
-        effect.finished = true;
-    }
+    effect.finished = maxAttempts && failAtLimit(attempt.task, *maxAttempts);
     return effect;
 }
 
-EndEffect JobState::end(const EndedAttempt& ended, const std::string& worker, std::uint32_t maxAttempts, MonotonicInstant now)
+EndEffect JobState::end(const EndedAttempt& ended, const std::string& worker, std::optional<std::uint32_t> maxAttempts, MonotonicInstant now)
 {
     TaskState* state = mutableTask(ended.attempt.task);
     if (!state)
--- a/src/jobs/model/service_configuration.cpp
+++ b/src/jobs/model/service_configuration.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::size_t maxRemovedQueues = 1'000; // About 250 bytes each.
+
 template <typename Item>
 const Item* findNamed(const std::vector<Item>& items, std::string_view name) noexcept
 {
@@ -17,11 +19,51 @@
 
 } // namespace
 
+JobPolicy QueueSettings::policy(std::uint64_t version) const
+{
+    return { .version = version, .priority = priority, .maxAttempts = std::max(maxAttempts, 1U), .stretch = std::clamp(stretch, 0.0, JobPolicy::maxStretch), .latencyTarget = latencyTarget, .advice = advice };
+}
+
 const QueueSettings* ServiceConfiguration::queue(std::string_view name) const noexcept
 {
     return findNamed(queues, name);
 }
 
+const RemovedQueue* ServiceConfiguration::removedQueue(std::string_view name) const noexcept
+{
+    const auto removed = std::find_if(removedQueues.begin(), removedQueues.end(), [&](const RemovedQueue& known) { return known.settings.name == name; });
+    return removed == removedQueues.end() ? nullptr : &*removed;
+}
+
+const QueueSettings* ServiceConfiguration::lastKnownQueue(std::string_view name) const noexcept
+{
+    const QueueSettings* current = queue(name);
+    const RemovedQueue* removed = current ? nullptr : removedQueue(name);
+    return removed ? &removed->settings : current;
+}
+
+std::optional<JobPolicy> ServiceConfiguration::lastKnownPolicy(std::string_view name) const
+{
+    if (const QueueSettings* current = queue(name))
+        return current->policy(version);
+    const RemovedQueue* removed = removedQueue(name);
+    return removed ? std::optional(removed->settings.policy(removed->version)) : std::nullopt;
+}
+
+void ServiceConfiguration::retainRemovedQueues(const ServiceConfiguration& previous)
+{
+    for (const RemovedQueue& removed : previous.removedQueues) {
+        if (!queue(removed.settings.name))
+            removedQueues.push_back(removed);
+    }
+    for (const QueueSettings& settings : previous.queues) {
+        if (!queue(settings.name))
+            removedQueues.push_back({ settings, previous.version });
+    }
+    if (removedQueues.size() > maxRemovedQueues)
+        removedQueues.erase(removedQueues.begin(), removedQueues.end() - static_cast<std::ptrdiff_t>(maxRemovedQueues));
+}
+
 const PoolSettings* ServiceConfiguration::pool(std::string_view name) const noexcept
 {
     return findNamed(pools, name);
--- a/src/jobs/owner/admission_controller.cpp
+++ b/src/jobs/owner/admission_controller.cpp
@@ -55,11 +55,9 @@
     const auto [place, isFirst] = m_typicalValues.try_emplace(record.queue);
     const double weight = isFirst ? 1 : newestJobWeight;
     const auto average = [weight](double& mean, double newest) { mean += weight * (newest - mean); };
-    const QueueSettings* queue = m_state.configuration()->queue(record.queue);
-    const auto criticalPath = static_cast<double>(job.criticalPath.count());
     average(place->second.workMillis, static_cast<double>(declaredWork(record.spec)) / milli);
-    average(place->second.criticalPathMillis, criticalPath);
-    average(place->second.allowedMillis, queue ? queue->stretch * criticalPath + static_cast<double>(queue->latencyTarget.count()) : criticalPath);
+    average(place->second.criticalPathMillis, static_cast<double>(job.criticalPath.count()));
+    average(place->second.allowedMillis, static_cast<double>(m_state.policyOf(job.state).value_or(unknownPolicy).objective(job.criticalPath).count()));
 }
 
 void AdmissionController::tickLater()
@@ -138,13 +136,13 @@
 AcceptedWork& AdmissionController::entryOf(ByPool& accepted, const QueueAndOrganisation& name, const std::string& fallbackPool) const
 {
     const std::shared_ptr<const ServiceConfiguration> configuration = m_state.configuration();
-    const QueueSettings* queue = configuration->queue(name.first);
+    const QueueSettings* queue = configuration->lastKnownQueue(name.first);
     const auto [place, isNew] = accepted[queue ? queue->pool : fallbackPool].try_emplace(name);
     AcceptedWork& work = place->second;
     if (!isNew)
         return work;
     const OrganisationSettings* organisation = configuration->organisations.find(name.second);
-    work = { .queue = name.first, .organisation = name.second, .weight = organisation ? organisation->weight : 0, .priority = queue ? queue->priority : 0, .typical = typicalJobOf(name.first), .correction = m_state.forecast.ratio(name.first) };
+    work = { .queue = name.first, .organisation = name.second, .weight = organisation ? organisation->weight : 0, .priority = queue ? queue->priority : unknownPolicy.priority, .typical = typicalJobOf(name.first), .correction = m_state.forecast.ratio(name.first) };
     return work;
 }
 
--- a/src/jobs/owner/command_dispatcher.cpp
+++ b/src/jobs/owner/command_dispatcher.cpp
@@ -421,6 +421,16 @@
     stopAll(job);
 }
 
+bool CommandDispatcher::failAtLimit(OwnerJob& job, const TaskId& task, std::uint32_t maxAttempts)
+{
+    if (!job.state.failAtLimit(task, maxAttempts))
+        return false;
+    m_state.options.log->decision("task-out-of-attempts", { { "attempt", nameOf(Attempt { job.state.id(), task, job.state.find(task)->lastAttempt }) }, { "failures", std::int64_t { job.state.failuresOf(task) } }, { "max_attempts", std::int64_t { maxAttempts } } });
+    m_state.store(job.state.id());
+    finish(job);
+    return true;
+}
+
 void CommandDispatcher::failPermanently(OwnerJob& job, const TaskId& task)
 {
     const bool wasFinished = isFinal(job.state.status());
--- a/src/jobs/owner/command_dispatcher.h
+++ b/src/jobs/owner/command_dispatcher.h
@@ -35,6 +35,9 @@
     /// \brief Logs and counts the end of a job, and stops its remaining attempts.
     void finish(OwnerJob& job);
 
+    /// \brief Fails the job if the task has reached its limit of failures. \returns Whether the job failed by that.
+    bool failAtLimit(OwnerJob& job, const TaskId& task, std::uint32_t maxAttempts);
+
     /// \brief Fails a poison task permanently; see JobState.
     void failPermanently(OwnerJob& job, const TaskId& task);
 
--- a/src/jobs/owner/fair_placement.cpp
+++ b/src/jobs/owner/fair_placement.cpp
@@ -34,10 +34,9 @@
 void FairPlacement::findGroups()
 {
     for (const auto& [name, group] : m_state.waitingJobs.groups()) {
-        const QueueSettings* queue = m_configuration->queue(name.first);
-        const std::string& pool = queue ? queue->pool : group.jobs().begin()->second.job->state.record().pool;
-        if (pool == m_pool)
-            m_groups.push_back({ .group = &group, .queue = queue, .organisation = name.second });
+        const JobState& first = group.jobs().begin()->second.job->state;
+        if (m_state.poolOf(first) == m_pool)
+            m_groups.push_back({ .group = &group, .policy = m_state.policyOf(first).value_or(unknownPolicy), .organisation = name.second });
     }
 }
 
@@ -47,7 +46,7 @@
     std::map<std::pair<std::uint32_t, bool>, std::vector<PlacementCandidate>> levels;
     for (const PoolGroup& group : m_groups) {
         for (const bool infeasible : { false, true })
-            levels[{ group.queue ? group.queue->priority : 0, infeasible }];
+            levels[{ group.policy.priority, infeasible }];
     }
     for (PlacementCandidate& candidate : candidates)
         levels[{ candidate.priority, candidate.infeasible }].push_back(std::move(candidate));
@@ -106,7 +105,7 @@
     for (PlacementCandidate& candidate : candidates)
         sources.push_back({ .head = { std::move(candidate) }, .group = nullptr, .next = {}, .end = {} });
     for (const PoolGroup& group : m_groups) {
-        if ((group.queue ? group.queue->priority : 0) != priority)
+        if (group.policy.priority != priority)
             continue;
         Source source { .head = {}, .group = group.group, .next = group.group->begin(infeasible), .end = group.group->end(infeasible) };
         if (advance(source))
@@ -165,7 +164,7 @@
 {
     source.head.clear();
     while (source.group && source.next != source.end && source.misses < m_state.options.admission.missesOfGroup) {
-        source.head = candidatesOf(*source.next, queueOf(source.group));
+        source.head = candidatesOf(*source.next);
         ++source.next;
         if (!source.head.empty())
             return true;
@@ -174,25 +173,20 @@
     return false;
 }
 
-std::vector<PlacementCandidate> FairPlacement::candidatesOf(const WaitingGroup::Jobs::value_type& waiting, const QueueSettings* queue) const
+std::vector<PlacementCandidate> FairPlacement::candidatesOf(const WaitingGroup::Jobs::value_type& waiting) const
 {
     std::vector<PlacementCandidate> candidates;
     OwnerJob& job = *waiting.second.job;
+    const std::optional<JobPolicy> policy = m_state.policyOf(job.state);
     for (const auto& [id, step] : job.state.steps()) {
         std::vector<TaskId> tasks = job.state.startable(id, m_now);
         if (tasks.empty())
             continue;
-        candidates.push_back({ .priority = queue ? queue->priority : 0, .infeasible = std::get<0>(waiting.first), .beyondRate = std::get<1>(waiting.first) && m_state.options.placement.beyondRateLast, .objective = job.objective, .job = &job, .step = id, .queue = queue, .tasks = std::move(tasks), .fromGroup = true });
+        candidates.push_back({ .priority = policy.value_or(unknownPolicy).priority, .infeasible = std::get<0>(waiting.first), .beyondRate = std::get<1>(waiting.first) && m_state.options.placement.beyondRateLast, .objective = job.objective, .job = &job, .step = id, .policy = policy, .tasks = std::move(tasks), .fromGroup = true });
     }
     return candidates;
 }
 
-const QueueSettings* FairPlacement::queueOf(const WaitingGroup* group) const
-{
-    const auto found = std::find_if(m_groups.begin(), m_groups.end(), [&](const PoolGroup& known) { return known.group == group; });
-    return found == m_groups.end() ? nullptr : found->queue;
-}
-
 bool FairPlacement::mayStartMore(const PlacementCandidate& candidate) const
 {
     const std::string& organisation = organisationOf(candidate);
--- a/src/jobs/owner/fair_placement.h
+++ b/src/jobs/owner/fair_placement.h
@@ -73,7 +73,7 @@
 
     struct PoolGroup {
         const WaitingGroup* group = nullptr;
-        const QueueSettings* queue = nullptr;
+        JobPolicy policy; ///< Of its jobs, which are of one queue.
         std::string organisation;
     };
 
@@ -83,8 +83,7 @@
     void placeAll(std::vector<Source> sources);
     void placeHead(Source& source);
     [[nodiscard]] bool advance(Source& source) const;
-    [[nodiscard]] std::vector<PlacementCandidate> candidatesOf(const WaitingGroup::Jobs::value_type& waiting, const QueueSettings* queue) const;
-    [[nodiscard]] const QueueSettings* queueOf(const WaitingGroup* group) const;
+    [[nodiscard]] std::vector<PlacementCandidate> candidatesOf(const WaitingGroup::Jobs::value_type& waiting) const;
     void noteDeficits();
     void countHeld();
     [[nodiscard]] double weightOf(const std::string& organisation) const;
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -196,6 +196,7 @@
         state.inheritedFailures.reset(m_options.directory->poolsWithRecentEnds());
         for (const auto& [id, entry] : m_options.catalog->all())
             load(id, entry, ownership.term > 1);
+        state.retainPolicies();
         m_options.directory->dropExpired();
         for (const auto& [id, entry] : m_options.directory->all()) {
             if (isPoolConfigured(entry))
@@ -265,6 +266,7 @@
             if (entry.listed && !m_term->state.worker(id) && isPoolConfigured(entry))
                 addWorker(entry);
         }
+        m_term->state.retainPolicies();
         requestPass();
     }
 
@@ -526,11 +528,11 @@
         state.individualJobs.emplace(id, &job);
         job.account = state.accountOf(*entry.record);
         const Millis age = m_options.loop->timeOfDay() - entry.record->acceptedAt;
-        const QueueSettings* queue = state.configuration()->queue(entry.record->queue);
-        const double stretch = queue ? queue->stretch : 1.0;
+        const std::optional<JobPolicy> policy = state.policyOf(job.state);
+        if (!policy)
+            m_options.log->decision("job-policy-unknown", { { "job", id }, { "queue", entry.record->queue } });
         job.criticalPath = criticalPathDuration(entry.record->spec);
-        const Millis allowed(static_cast<std::int64_t>(stretch * static_cast<double>(job.criticalPath.count())));
-        job.objective = state.now() - age + allowed + (queue ? queue->latencyTarget : Millis(0));
+        job.objective = state.now() - age + policy.value_or(unknownPolicy).objective(job.criticalPath);
         m_term->admission->noteArrival(job);
         if (inherited) {
             job.state.openOccurrences(m_options.loop->timeOfDay());
--- a/src/jobs/owner/owner_state.cpp
+++ b/src/jobs/owner/owner_state.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// Default for jobs of a removed queue: the usual value in the platform's configurations.
-constexpr std::uint32_t attemptsWithoutQueue = 3;
-
 /// Jobs with occurrences, long-running, gang or spread steps, or few suitable workers are evaluated one by one, and so are
 /// jobs that need advice: in a group they would delay the evaluation of others.
 bool mayWaitInGroup(const OwnerJob& job, const QueueSettings* queue)
@@ -44,7 +41,7 @@
 bool OwnerState::beginWait(OwnerJob& job, MonotonicInstant now)
 {
     const JobRecord& record = job.state.record();
-    if (!options.admission.enabled || !mayWaitInGroup(job, configuration()->queue(record.queue)))
+    if (!options.admission.enabled || !mayWaitInGroup(job, configuration()->lastKnownQueue(record.queue)))
         return false;
     WaitingJob waiting { .job = &job, .milliCpu = {}, .needs = {}, .largest = {}, .infeasibleFrom = infeasibleFrom(job) };
     for (const StepSpec& step : record.spec.steps) {
@@ -127,7 +124,8 @@
 
 std::string OwnerState::poolOf(const JobState& job) const
 {
-    const QueueSettings* queue = configuration()->queue(job.record().queue);
+    const std::shared_ptr<const ServiceConfiguration> current = configuration();
+    const QueueSettings* queue = current->lastKnownQueue(job.record().queue);
     return queue ? queue->pool : job.record().pool;
 }
 
@@ -199,10 +197,33 @@
     return true;
 }
 
-std::uint32_t OwnerState::maxAttemptsOf(const JobState& job) const
+std::optional<JobPolicy> OwnerState::policyOf(const JobState& job) const
 {
-    const QueueSettings* queue = configuration()->queue(job.record().queue);
-    return queue ? std::max(queue->maxAttempts, 1U) : attemptsWithoutQueue;
+    std::optional<JobPolicy> known = configuration()->lastKnownPolicy(job.record().queue);
+    // The job may have been accepted, or its progress stored, under a configuration that this process has not received.
+    const std::optional<JobPolicy>& stored = job.storedPolicy();
+    return stored && (!known || stored->version > known->version) ? stored : known;
+}
+
+std::optional<std::uint32_t> OwnerState::maxAttemptsOf(const JobState& job) const
+{
+    const std::optional<JobPolicy> policy = policyOf(job);
+    return policy ? std::optional(policy->maxAttempts) : std::nullopt;
+}
+
+void OwnerState::retainPolicies()
+{
+    const std::shared_ptr<const ServiceConfiguration> current = configuration();
+    std::map<std::string_view, JobPolicy> policies;
+    for (const QueueSettings& queue : current->queues)
+        policies.emplace(queue.name, queue.policy(current->version));
+    for (const RemovedQueue& removed : current->removedQueues)
+        policies.emplace(removed.settings.name, removed.settings.policy(removed.version));
+    for (auto& [id, job] : jobs) {
+        const auto policy = policies.find(job.state.record().queue);
+        if (policy != policies.end() && !isFinal(job.state.status()) && job.state.retainPolicy(policy->second))
+            store(id);
+    }
 }
 
 std::string nameOf(const Attempt& attempt)
--- a/src/jobs/owner/owner_state.h
+++ b/src/jobs/owner/owner_state.h
@@ -16,6 +16,7 @@
 #include "lanemoor/jobs/store/progress_writer.h"
 #include "waiting_jobs.h"
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -48,6 +49,9 @@
     [[nodiscard]] bool operator==(const InstanceShape&) const = default;
 };
 
+/// Policy of jobs whose policy is unknown: they are placed last.
+constexpr JobPolicy unknownPolicy { .priority = std::numeric_limits<std::uint32_t>::max() };
+
 /// Max age of the owner's replica of the jobs for starts: an older replica may lack cancels that must have taken effect.
 constexpr Millis maxReplicaAgeForStarts { 2'000 };
 
@@ -121,11 +125,18 @@
     /// \returns The account of the organisation that submitted a job, or null.
     [[nodiscard]] OrganisationAccount* accountOf(const JobRecord& record) { return record.organisation.empty() ? nullptr : &organisations.account(record.organisation); }
 
-    /// \returns The current pool of the job's queue.
+    /// \returns The pool of the job's queue by the newest known configuration with the queue, otherwise the pool at the job's submission.
     [[nodiscard]] std::string poolOf(const JobState& job) const;
 
-    /// \returns The number of failures of one task after which the job fails.
-    [[nodiscard]] std::uint32_t maxAttemptsOf(const JobState& job) const;
+    /// \returns The newest policy of the job's queue that this process knows or that is stored; nothing: the queue was removed before this
+    /// process started, and an earlier version of the program stored the job. Then nothing irreversible may depend on the policy.
+    [[nodiscard]] std::optional<JobPolicy> policyOf(const JobState& job) const;
+
+    /// \returns The number of failures of one task at which the job fails; nothing: unknown.
+    [[nodiscard]] std::optional<std::uint32_t> maxAttemptsOf(const JobState& job) const;
+
+    /// \brief Stores changed policies with the unfinished jobs: a later owner may not have known their queues.
+    void retainPolicies();
 
     /// \returns Whether the job can't meet its objective any more, so that it is placed after the others.
     [[nodiscard]] bool isInfeasible(const OwnerJob& job, MonotonicInstant now) const;
--- a/src/jobs/owner/placement_pass.cpp
+++ b/src/jobs/owner/placement_pass.cpp
@@ -31,11 +31,10 @@
     m_waiting.clear();
     m_nextPassAt.reset();
     m_waitsExplained = 0;
-    const std::shared_ptr<const ServiceConfiguration> configuration = m_state.configuration();
     const bool settled = m_isSettled();
     m_now = m_state.now();
     m_timeOfDay = m_state.options.loop->timeOfDay();
-    m_configuration = configuration;
+    m_configuration = m_state.configuration();
     m_areQuotasCurrent = !m_state.options.isConfigurationCurrent || m_state.options.isConfigurationCurrent();
     m_state.organisations.startPass();
     if (!settled)
@@ -55,7 +54,7 @@
         openDueOccurrences(job);
         if (m_state.beginWait(job, m_now))
             continue;
-        collect(job, *configuration);
+        collect(job);
     }
     for (const auto& [name, group] : m_state.waitingJobs.groups())
         m_candidates[m_state.poolOf(group.jobs().begin()->second.job->state)];
@@ -134,9 +133,10 @@
         requestPassAt(m_now + std::max(Millis(1), *due - m_timeOfDay));
 }
 
-void PlacementPass::collect(OwnerJob& job, const ServiceConfiguration& configuration)
+void PlacementPass::collect(OwnerJob& job)
 {
-    const QueueSettings* queue = nullptr;
+    std::optional<JobPolicy> policy;
+    std::string pool;
     std::optional<bool> infeasible; // Determined when the first step of the job can start.
     const MonotonicInstant now = m_now;
     bool startsByTime = job.state.nextDue().has_value();
@@ -155,11 +155,17 @@
         if (tasks.empty())
             continue;
         if (!infeasible) {
-            queue = configuration.queue(job.state.record().queue);
+            policy = m_state.policyOf(job.state);
+            pool = m_state.poolOf(job.state);
             infeasible = m_state.isInfeasible(job, now);
         }
-        m_candidates[queue ? queue->pool : job.state.record().pool].push_back(
-            { .priority = queue ? queue->priority : 0, .infeasible = *infeasible, .beyondRate = job.beyondRate && m_state.options.placement.beyondRateLast, .objective = job.objective, .job = &job, .step = id, .queue = queue, .tasks = std::move(tasks) });
+        // The next failure may be beyond the unknown limit.
+        if (!policy)
+            std::erase_if(tasks, [&](const TaskId& task) { return job.state.failuresOf(task) > 0; });
+        if (tasks.empty())
+            continue;
+        m_candidates[pool].push_back(
+            { .priority = policy.value_or(unknownPolicy).priority, .infeasible = *infeasible, .beyondRate = job.beyondRate && m_state.options.placement.beyondRateLast, .objective = job.objective, .job = &job, .step = id, .policy = policy, .tasks = std::move(tasks) });
     }
     if (!infeasible && !startsByTime)
         job.blockedAtChange = job.state.changes();
@@ -220,10 +226,13 @@
     return sites;
 }
 
-/// Fails a task permanently if its crashes and unsettled probations reach the limit, as after a previous owner failed during the
-/// task's last probation.
+/// Fails the job of a task that must not start again. Its failures reach the limit if that was lowered or unknown when they were
+/// reported; its crashes and unsettled probations reach theirs if a previous owner failed during the task's last probation.
 bool PlacementPass::failExhausted(const Candidate& candidate)
 {
+    const bool hasFailed = candidate.policy && std::any_of(candidate.tasks.begin(), candidate.tasks.end(), [&](const TaskId& task) { return m_dispatcher.failAtLimit(*candidate.job, task, candidate.policy->maxAttempts); });
+    if (hasFailed)
+        return true;
     const auto exhausted = std::find_if(candidate.tasks.begin(), candidate.tasks.end(), [&](const TaskId& id) {
         const TaskState& task = *candidate.job->state.find(id);
         return isExhausted(task.crashes, static_cast<std::uint32_t>(task.probations.size()), candidate.job->inherited);
@@ -247,7 +256,7 @@
     }
     m_tickets = nullptr;
     static const std::map<std::string, std::string> none;
-    if (candidate.queue && candidate.queue->advice) {
+    if (candidate.policy && candidate.policy->advice) {
         std::vector<std::string> workers;
         for (const WorkerRecord* record : sites.records) {
             if (record->isOpen(m_now))
--- a/src/jobs/owner/placement_pass.h
+++ b/src/jobs/owner/placement_pass.h
@@ -40,7 +40,7 @@
     };
 
     void openDueOccurrences(OwnerJob& job);
-    void collect(OwnerJob& job, const ServiceConfiguration& configuration);
+    void collect(OwnerJob& job);
     static void noteUnseen(const OwnerJob& job);
     [[nodiscard]] bool isHeldByQuota(const Candidate& candidate, std::uint32_t tasks) const;
     void noteHeld(const Candidate& candidate, const PoolSites& sites, std::size_t tasks);
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -110,12 +110,10 @@
 }
 
 /// \returns Time after submission within which the result of a job is useful: three times its latency objective.
-Millis usefulTime(const QueueSettings* queue, const JobSpec& spec)
+Millis usefulTime(const JobPolicy& policy, const JobSpec& spec)
 {
-    constexpr double objectives = 3;
-    const double stretch = queue ? queue->stretch : 1.0;
-    const Millis objective = Millis(static_cast<Millis::rep>(stretch * static_cast<double>(criticalPathDuration(spec).count()))) + (queue ? queue->latencyTarget : Millis(0));
-    return Millis(static_cast<Millis::rep>(objectives * static_cast<double>(objective.count())));
+    constexpr int objectives = 3;
+    return objectives * policy.objective(criticalPathDuration(spec));
 }
 
 /// \returns Host and path prefix of `queue`.
@@ -249,9 +247,10 @@
 
     void submit(const Caller& caller, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done)
     {
-        const QueueSettings* settings = m_configuration->queue(caller.queue);
-        const MonotonicInstant usefulUntil = m_parts.loop->now() + usefulTime(settings, spec);
-        const JobRecord record { .queue = caller.queue, .pool = settings ? settings->pool : std::string(), .acceptedAt = m_parts.loop->timeOfDay(), .spec = std::move(spec), .organisation = caller.organisation };
+        const QueueSettings* settings = m_configuration->lastKnownQueue(caller.queue);
+        const std::optional<JobPolicy> policy = m_configuration->lastKnownPolicy(caller.queue);
+        const MonotonicInstant usefulUntil = m_parts.loop->now() + usefulTime(policy.value_or(JobPolicy {}), spec);
+        const JobRecord record { .queue = caller.queue, .pool = settings ? settings->pool : std::string(), .acceptedAt = m_parts.loop->timeOfDay(), .spec = std::move(spec), .organisation = caller.organisation, .policy = policy };
         const AdmissionDecision gateResult = decide(caller, id, record.spec);
         const auto answer = [this, id, caller, gateResult, usefulUntil, spec = record.spec, done = std::move(done), sentAt = m_parts.loop->now(), version = m_configuration->version, configurationAge = configurationAge()](AcceptOutcome outcome) {
             metrics.noteSubmitted(caller.queue, outcome, secondsSince(sentAt));
@@ -617,6 +616,8 @@
                 { "revision", static_cast<std::int64_t>(item.revision) }, { "bytes", static_cast<std::int64_t>(item.value.size()) }, { "parse_ms", since(receivedAt) } });
         for (const OrganisationFault& fault : configuration->organisations.faults())
             m_parts.log->change("configuration-fault", { { "version", static_cast<std::int64_t>(configuration->version) }, { "organisation", fault.organisation }, { "fault", std::string(describe(fault.code)) } });
+        if (m_configuration)
+            configuration->retainRemovedQueues(*m_configuration);
         m_configuration = std::make_shared<const ServiceConfiguration>(std::move(*configuration));
         m_scheduler.onConfigurationChanged();
     }
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 #include <fstream>
+#include <limits>
 #include <rapidcheck.h>
 
 using namespace lanemoor;
@@ -37,8 +38,34 @@
     return step;
 }
 
+std::optional<JobPolicy> anyPolicy()
+{
+    if (*rc::gen::inRange(0, 4) == 0)
+        return std::nullopt;
+    JobPolicy policy { .version = *rc::gen::arbitrary<std::uint64_t>(), .priority = *rc::gen::inRange(0U, 9U), .maxAttempts = *rc::gen::inRange(1U, 9U), .stretch = *rc::gen::inRange(1, 40) / 8.0, .latencyTarget = Millis(*rc::gen::inRange(0, 9'000)), .advice = std::nullopt };
+    if (*rc::gen::arbitrary<bool>())
+        policy.advice = AdvicePolicy { .decisionTime = Millis(*rc::gen::inRange(0, 50)), .timePerWorker = Millis(*rc::gen::inRange(0, 9)), .validity = Millis(*rc::gen::inRange(0, 9'000)) };
+    return policy;
+}
+
 } // namespace
 
+TEST_CASE("The policy in a progress record is unchanged by encoding and decoding")
+{
+    REQUIRE(rc::check([] {
+        const ProgressRecord record { .status = JobStatus::Running, .succeeded = {}, .tasks = {}, .policy = anyPolicy() };
+        RC_ASSERT(decodeProgress(encode(record)) == record);
+    }));
+}
+
+TEST_CASE("A record whose policy is out of range is unreadable")
+{
+    JobRecord record { .queue = "q", .pool = "p", .acceptedAt = {}, .spec = job({ step(1) }) };
+    record.policy = JobPolicy { .stretch = GENERATE(-1.0, 1e300, std::numeric_limits<double>::quiet_NaN()) };
+    CHECK_FALSE(decodeJob(encode(record)).has_value());
+    CHECK_FALSE(decodeProgress(encode(ProgressRecord { .succeeded = {}, .tasks = {}, .policy = record.policy })).has_value());
+}
+
 TEST_CASE("Job records are unchanged by encoding and decoding")
 {
     REQUIRE(rc::check([] {
@@ -50,6 +77,7 @@
             record.spec.steps.push_back(anyStep(i));
         record.spec.occurrences = *rc::gen::inRange(0U, 5U);
         record.spec.interval = Millis(*rc::gen::inRange(0, 5'000));
+        record.policy = anyPolicy();
         RC_ASSERT(decodeJob(encode(record)) == record);
     }));
 }
