--- a/include/lanemoor/jobs/owner/job_report.h
+++ b/include/lanemoor/jobs/owner/job_report.h
@@ -25,6 +25,9 @@
     std::string rack; ///< Rack that holds the tasks' data; empty: no preference.
     std::uint32_t near = 0; ///< Workers in the preferred rack.
     std::string heldByQuotaOf; ///< Organisation whose quota is exhausted; empty: no quota holds the tasks back.
+    bool needsAdvice = false; ///< The tasks need tickets of the placement advisor.
+    std::uint32_t asked = 0; ///< Workers on which the advisor has answered.
+    std::uint32_t allowed = 0; ///< Workers that may run the step, by these answers.
 
     [[nodiscard]] bool operator==(const StepWait&) const = default;
 };
--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -55,6 +55,7 @@
     WorkMeter* meter = nullptr; ///< Null: work is not measured.
     std::function<std::shared_ptr<const ServiceConfiguration>()> configuration;
     std::function<void(const AdmissionGrants& grants)> publishGrants; ///< Receives the grants for all entry instances together; null: every job is admitted.
+    std::function<void(bool isAnswered, MonotonicInstant::duration time)> adviceEnded; ///< Receives the duration of each call to the advisor; may be null.
     std::function<bool()> isConfigurationCurrent; ///< Whether the quotas are up to date; null: always.
     Millis ownershipTime { 1'000 }; ///< Lease time of the ownership.
     Millis workerLeaseTime { 5'000 }; ///< Must be equal for all owners: a successor waits for leases of this length.
@@ -113,6 +114,7 @@
     std::uint64_t partialReports = 0; ///< Status reports that left out ends.
     std::uint64_t unknownStarts = 0; ///< Starts whose outcome is unknown.
     std::uint64_t refusals = 0; ///< Starts refused by a worker.
+    std::uint64_t ticketRefusals = 0; ///< The part refused for the advisor's ticket.
     std::uint64_t jobsSucceeded = 0;
     std::uint64_t jobsFailed = 0;
     std::uint64_t jobsCancelled = 0;
--- a/include/lanemoor/jobs/owner/worker_record.h
+++ b/include/lanemoor/jobs/owner/worker_record.h
@@ -10,6 +10,7 @@
 #include "lanemoor/jobs/policy/unacknowledged_starts.h"
 #include "lanemoor/jobs/policy/worker_health.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -26,6 +27,7 @@
     bool listed = true; ///< False: the entry was removed from the store, though the worker may still be up.
     std::optional<MonotonicInstant> unlistedSince; ///< Request time of the first complete list of instances without this incarnation.
     std::shared_ptr<WorkerSession> session;
+    std::uint64_t incarnation = 0; ///< Number of the incarnation, unique within the term.
     Reservations reservations; ///< Attempts that have not ended.
     std::map<Attempt, MonotonicInstant> strayStops; ///< Unwanted attempts, with the time of the next stop command.
     WorkerHealth health;
--- a/include/lanemoor/jobs/service/job_metrics.h
+++ b/include/lanemoor/jobs/service/job_metrics.h
@@ -76,6 +76,9 @@
     /// \brief Counts a request to cancel a job.
     void noteCancel(LookupOutcome outcome, double seconds);
 
+    /// \brief Counts a call to the placement advisor.
+    void noteAdvice(bool isAnswered, double seconds);
+
     /// \brief Counts a status request.
     void noteLookup(LookupOutcome outcome);
 
--- a/src/client/text_report.cpp
+++ b/src/client/text_report.cpp
@@ -81,6 +81,8 @@
         text += "; needs label " + toText(wait["label"]) + ": " + toText(wait["labelled"]) + " of them have it, " + toText(wait["labelledWithRoom"]) + " with room";
     if (!wait.value("rack", std::string()).empty())
         text += "; its data is in rack " + toText(wait["rack"]) + ", where " + toText(wait["near"]) + " of them are";
+    if (wait.value("needsAdvice", false))
+        text += "; needs a ticket of the placement advisor: " + toText(wait["asked"]) + " of them asked, " + toText(wait["allowed"]) + " may run it";
     if (wait["belowSpread"] != wait["workers"])
         text += ", " + toText(wait["belowSpread"]) + " run fewer tasks of the step than may share one";
     return text;
--- a/src/jobs/owner/advice_client.cpp
+++ b/src/jobs/owner/advice_client.cpp
@@ -2,14 +2,19 @@
 
 #include "lanemoor/jobs/model/fleet_control.h"
 
+#include <algorithm>
+
 namespace lanemoor::jobs {
 
 namespace {
 
-constexpr std::size_t maxWorkersPerQuery = 30; // The advisor's response time grows with each worker.
-constexpr std::size_t maxCachedAnswers = 2'000; // About 100 bytes each, not counting the tickets.
-constexpr Millis retryDelay { 100 };
+constexpr std::size_t maxAnswers = 100'000; // About 100 bytes each.
+constexpr std::size_t answersAfterEviction = maxAnswers * 3 / 4;
+constexpr Millis minFailurePause { 100 };
+constexpr std::uint32_t maxDoublings = 4; // Of the pause after consecutive failures.
 constexpr Millis ticketMargin { 150 }; // Time for the start to reach the worker before the ticket expires.
+/// Time for the next placement pass to use a ticket that is shorter than the margin and the call. The worker rejects it if it has expired.
+constexpr Millis minTicketUse { 100 };
 
 } // namespace
 
@@ -18,66 +23,143 @@
 {
 }
 
-const std::map<std::string, std::string>* AdviceClient::ticketsFor(const std::string& job, const StepId& step, const std::vector<std::string>& workers)
+const StepAdvice& AdviceClient::adviceOn(const std::string& job, const StepId& step)
+{
+    static const StepAdvice none;
+    const auto found = m_steps.find({ job, step });
+    if (found == m_steps.end())
+        return none;
+    found->second.lastUsedAt = m_state.now();
+    return found->second.advice;
+}
+
+void AdviceClient::query(const std::string& job, const StepId& step, const AdvicePolicy& policy, const std::vector<const WorkerRecord*>& workers)
 {
     const Key key { job, step };
-    const auto found = m_answers.find(key);
-    if (found != m_answers.end() && m_state.now() < found->second.validUntil)
-        return &found->second.tickets;
     if (workers.empty() || !m_pending.insert(key).second)
-        return nullptr;
-    Query query { key, workers };
-    if (query.workers.size() > maxWorkersPerQuery)
-        query.workers.resize(maxWorkersPerQuery);
+        return;
+    Query query { .key = key, .policy = policy, .workers = {}, .queuedAt = m_state.now() };
+    for (const WorkerRecord* worker : workers)
+        query.workers.push_back({ worker->entry.id, worker->incarnation });
     m_queries.push_back(std::move(query));
     sendNext();
-    return nullptr;
 }
 
-void AdviceClient::dropAnswer(const std::string& job, const StepId& step)
+void AdviceClient::dropTicket(const std::string& job, const StepId& step, const WorkerRecord& worker)
 {
-    m_answers.erase({ job, step });
+    if (const auto found = m_steps.find({ job, step }); found != m_steps.end())
+        found->second.advice.dropTicket(worker.incarnation);
+}
+
+/// \returns Whether no task of the step will start any more.
+bool AdviceClient::isObsolete(const Key& key) const
+{
+    const OwnerJob* job = m_state.job(key.first);
+    return !job || isFinal(job->state.status()) || !job->state.steps().contains(key.second);
 }
 
 void AdviceClient::sendNext()
 {
-    if (m_isInFlight || m_closed || m_queries.empty())
-        return;
-    const Query query = std::move(m_queries.front());
-    m_queries.pop_front();
-    const auto& [job, step] = query.key;
-    if (!m_state.job(job) || isFinal(m_state.job(job)->state.status())) {
-        m_pending.erase(query.key);
-        sendNext();
+    while (!m_isInFlight && !m_isPaused && !m_closed && !m_queries.empty()) {
+        Query query = std::move(m_queries.front());
+        m_queries.pop_front();
+        if (isObsolete(query.key)) {
+            m_pending.erase(query.key);
+            eraseStep(query.key);
+            continue;
+        }
+        m_isInFlight = true;
+        std::vector<std::string> ids;
+        for (const QueriedWorker& worker : query.workers)
+            ids.push_back(worker.id);
+        const auto& [job, step] = query.key;
+        m_state.options.advisor->advise(job, step.occurrence, step.step, ids, [self = weak_from_this(), query, sentAt = m_state.now()](const Advice& advice) {
+            const auto client = self.lock();
+            if (client && !client->m_closed)
+                client->handleAnswer(query, advice, sentAt);
+        });
+    }
+}
+
+/// An answer is about the incarnations of the time of the query: a later one under the same id is unasked.
+void AdviceClient::handleAnswer(const Query& query, const Advice& advice, MonotonicInstant sentAt)
+{
+    m_isInFlight = false;
+    m_pending.erase(query.key);
+    logAnswer(query, advice, sentAt);
+    if (m_state.options.adviceEnded)
+        m_state.options.adviceEnded(advice.answered, m_state.now() - sentAt);
+    if (!advice.answered) {
+        pauseAfterFailure();
         return;
     }
-    m_isInFlight = true;
-    const MonotonicInstant sentAt = m_state.now();
-    m_state.options.advisor->advise(job, step.occurrence, step.step, query.workers, [self = weak_from_this(), key = query.key, sentAt](const Advice& advice) {
+    m_failures = 0;
+    // The advisor may issue a ticket at any time between the call and its answer.
+    const Millis validity = advice.validity.count() > 0 ? advice.validity : query.policy.validity;
+    const MonotonicInstant validUntil = std::max(sentAt + validity - ticketMargin, m_state.now() + minTicketUse);
+    Step& step = m_steps[query.key];
+    step.lastUsedAt = m_state.now();
+    StepAdvice& known = step.advice;
+    const std::size_t answersBefore = known.answers();
+    for (const QueriedWorker& worker : query.workers) {
+        const auto allowed = std::find_if(advice.workers.begin(), advice.workers.end(), [&](const AdvisedWorker& advised) { return advised.worker == worker.id; });
+        if (allowed == advice.workers.end())
+            known.refuse(worker.incarnation);
+        else
+            known.allow(worker.incarnation, allowed->ticket, validUntil);
+    }
+    m_answers += known.answers() - answersBefore;
+    evict();
+    m_state.requestPass();
+    sendNext();
+}
+
+void AdviceClient::pauseAfterFailure()
+{
+    m_isPaused = true;
+    const Millis pause = minFailurePause * (1 << std::min(m_failures, maxDoublings));
+    ++m_failures;
+    m_state.options.loop->callAt(m_state.now() + pause, [self = weak_from_this()] {
         const auto client = self.lock();
         if (!client || client->m_closed)
             return;
-        client->m_isInFlight = false;
-        client->m_pending.erase(key);
-        if (!advice.answered) {
-            client->m_state.options.loop->callAt(client->m_state.now() + retryDelay, [self] {
-                if (const auto waiting = self.lock(); waiting && !waiting->m_closed) {
-                    waiting->m_state.requestPass();
-                    waiting->sendNext();
-                }
-            });
-            return;
-        }
-        if (client->m_answers.size() >= maxCachedAnswers)
-            std::erase_if(client->m_answers, [&](const auto& entry) { return entry.second.validUntil < client->m_state.now(); });
-        Answer& answer = client->m_answers[key];
-        answer.tickets.clear();
-        for (const AdvisedWorker& worker : advice.workers)
-            answer.tickets[worker.worker] = worker.ticket;
-        answer.validUntil = sentAt + advice.validity - ticketMargin;
+        client->m_isPaused = false;
         client->m_state.requestPass();
         client->sendNext();
     });
 }
 
+/// Bounds the memory: drops the answers on obsolete steps, then those that were used least recently.
+void AdviceClient::evict()
+{
+    if (m_answers <= maxAnswers)
+        return;
+    std::vector<std::pair<MonotonicInstant, Key>> byUse;
+    for (const auto& [key, step] : m_steps)
+        byUse.emplace_back(isObsolete(key) ? MonotonicInstant::min() : step.lastUsedAt, key);
+    std::sort(byUse.begin(), byUse.end());
+    for (const auto& [usedAt, key] : byUse) {
+        if (m_answers <= answersAfterEviction && usedAt != MonotonicInstant::min())
+            break;
+        eraseStep(key);
+    }
+}
+
+void AdviceClient::eraseStep(const Key& key)
+{
+    const auto found = m_steps.find(key);
+    if (found == m_steps.end())
+        return;
+    m_answers -= found->second.advice.answers();
+    m_steps.erase(found);
+}
+
+void AdviceClient::logAnswer(const Query& query, const Advice& advice, MonotonicInstant sentAt) const
+{
+    const auto millis = [](MonotonicInstant::duration time) { return std::chrono::duration_cast<Millis>(time).count(); };
+    m_state.options.log->decision("advice-answered",
+        { { "job", query.key.first }, { "step", std::int64_t { query.key.second.step } }, { "outcome", std::string(advice.answered ? "answered" : "failed") }, { "asked", static_cast<std::int64_t>(query.workers.size()) },
+            { "allowed", static_cast<std::int64_t>(advice.workers.size()) }, { "ms", millis(m_state.now() - sentAt) }, { "queued_ms", millis(sentAt - query.queuedAt) }, { "valid_ms", static_cast<std::int64_t>(advice.validity.count()) } });
+}
+
 } // namespace lanemoor::jobs
--- a/src/jobs/owner/advice_client.h
+++ b/src/jobs/owner/advice_client.h
@@ -2,6 +2,7 @@
 /// \file
 /// Queries the placement advisor, one call at a time, and caches its answers.
 
+#include "lanemoor/jobs/policy/step_advice.h"
 #include "owner_state.h"
 
 #include <deque>
@@ -9,40 +10,68 @@
 
 namespace lanemoor::jobs {
 
-/// \brief Provides the tickets for steps of queues that require advice.
+/// \brief Obtains the tickets for steps of queues that require advice.
+///
+/// Steps take turns: a call is about one step, and its next call is queued behind those of the others. After a failed call, no call is sent for a
+/// growing pause.
 class AdviceClient : public std::enable_shared_from_this<AdviceClient> {
 public:
     explicit AdviceClient(OwnerState& state);
 
-    /// \brief Looks up the tickets of a step, and queries the advisor if there are no valid ones.
-    /// \returns Tickets by worker, or null if there is no valid answer yet.
-    const std::map<std::string, std::string>* ticketsFor(const std::string& job, const StepId& step, const std::vector<std::string>& workers);
+    /// \returns The answers on a step so far; none for a step without a call. Valid until control returns to the event loop.
+    [[nodiscard]] const StepAdvice& adviceOn(const std::string& job, const StepId& step);
 
-    /// \brief Drops the cached answer for a step, after a worker refused one of its tickets.
-    void dropAnswer(const std::string& job, const StepId& step);
+    /// \returns Whether a call about the step is queued or in flight.
+    [[nodiscard]] bool isPending(const std::string& job, const StepId& step) const { return m_pending.contains({ job, step }); }
+
+    /// \returns Whether the latest call failed.
+    [[nodiscard]] bool isFailing() const noexcept { return m_failures > 0; }
+
+    /// \brief Queues a call about a step. Ignored while one is pending, or if there are no workers.
+    /// \param workers At most `maxWorkersPerAdviceCall`.
+    void query(const std::string& job, const StepId& step, const AdvicePolicy& policy, const std::vector<const WorkerRecord*>& workers);
+
+    /// \brief Drops a ticket that the worker did not accept.
+    void dropTicket(const std::string& job, const StepId& step, const WorkerRecord& worker);
 
     void close() { m_closed = true; }
 
 private:
     using Key = std::pair<std::string, StepId>;
 
-    struct Answer {
-        std::map<std::string, std::string> tickets;
-        MonotonicInstant validUntil;
+    struct Step {
+        StepAdvice advice;
+        MonotonicInstant lastUsedAt;
+    };
+
+    struct QueriedWorker {
+        std::string id;
+        StepAdvice::Incarnation incarnation = 0;
     };
 
     struct Query {
         Key key;
-        std::vector<std::string> workers;
+        AdvicePolicy policy;
+        std::vector<QueriedWorker> workers;
+        MonotonicInstant queuedAt;
     };
 
+    [[nodiscard]] bool isObsolete(const Key& key) const;
     void sendNext();
+    void handleAnswer(const Query& query, const Advice& advice, MonotonicInstant sentAt);
+    void pauseAfterFailure();
+    void eraseStep(const Key& key);
+    void evict();
+    void logAnswer(const Query& query, const Advice& advice, MonotonicInstant sentAt) const;
 
     OwnerState& m_state;
-    std::map<Key, Answer> m_answers;
+    std::map<Key, Step> m_steps;
+    std::size_t m_answers = 0; ///< On all steps.
     std::deque<Query> m_queries;
-    std::set<Key> m_pending; ///< Queued or in flight.
+    std::set<Key> m_pending; ///< Steps with a call that is queued or in flight.
+    std::uint32_t m_failures = 0; ///< Consecutive failed calls.
     bool m_isInFlight = false;
+    bool m_isPaused = false;
     bool m_closed = false;
 };
 
--- a/src/jobs/owner/command_dispatcher.cpp
+++ b/src/jobs/owner/command_dispatcher.cpp
@@ -29,9 +29,10 @@
 
 } // namespace
 
-CommandDispatcher::CommandDispatcher(OwnerState& state, HealthMonitor& health, SchedulerCounts& counts)
+CommandDispatcher::CommandDispatcher(OwnerState& state, HealthMonitor& health, AdviceClient& advice, SchedulerCounts& counts)
     : m_state(state)
     , m_health(health)
+    , m_advice(advice)
     , m_counts(counts)
 {
 }
@@ -266,10 +267,22 @@
         if (!stale)
             record->closedUntil = now + (full ? pauseAfterNoRoom : pauseAfterRefusal);
     }
-    release(attempt, worker, now);
+    release(attempt, worker, outcome == CommandOutcome::BadTicket ? retryAfterBadTicket(attempt, worker) : now);
     m_state.requestPass();
 }
 
+/// \returns When the task may start again. Another ticket takes a call to the advisor; without a known policy of advice, only time helps.
+MonotonicInstant CommandDispatcher::retryAfterBadTicket(const Attempt& attempt, const std::string& worker)
+{
+    ++m_counts.ticketRefusals;
+    const OwnerJob* job = m_state.job(attempt.job);
+    const WorkerRecord* record = m_state.worker(worker);
+    if (record)
+        m_advice.dropTicket(attempt.job, { attempt.task.occurrence, attempt.task.step }, *record);
+    const std::optional<JobPolicy> policy = job ? m_state.policyOf(job->state) : std::nullopt;
+    return policy && policy->advice ? m_state.now() : m_state.now() + pauseAfterRefusal;
+}
+
 void CommandDispatcher::release(const Attempt& attempt, const std::string& worker, MonotonicInstant retryAt)
 {
     if (WorkerRecord* record = m_state.worker(worker)) {
--- a/src/jobs/owner/command_dispatcher.h
+++ b/src/jobs/owner/command_dispatcher.h
@@ -2,6 +2,7 @@
 /// \file
 /// Sends starts, stops and throttles, and handles their answers.
 
+#include "advice_client.h"
 #include "health_monitor.h"
 #include "owner_state.h"
 
@@ -16,7 +17,7 @@
 /// never starts an attempt after a stop for it. Stops are sent again until one is answered.
 class CommandDispatcher : public std::enable_shared_from_this<CommandDispatcher> {
 public:
-    CommandDispatcher(OwnerState& state, HealthMonitor& health, SchedulerCounts& counts);
+    CommandDispatcher(OwnerState& state, HealthMonitor& health, AdviceClient& advice, SchedulerCounts& counts);
 
     /// \brief Reserves resources and sends a start. The start of a suspect is sent once it is stored.
     /// \param hasSuspectPeer Whether another member of its gang is a suspect: the whole gang is sent together.
@@ -68,6 +69,7 @@
     void withdrawRecorded(const Attempt& attempt, const std::string& worker);
     void send(const Attempt& attempt, WorkerRecord& worker, const std::string& ticket);
     void onStartAnswered(const Attempt& attempt, const std::string& worker, const WorkerSession* session, const CommandResult& result);
+    [[nodiscard]] MonotonicInstant retryAfterBadTicket(const Attempt& attempt, const std::string& worker);
     void onStartRefused(const Attempt& attempt, const std::string& worker, CommandOutcome outcome);
     void stopLater(const Attempt& attempt, const std::string& worker, Millis pause);
     void watchStart(const Attempt& attempt, const std::string& worker, Millis pause, std::uint32_t probes);
@@ -79,6 +81,7 @@
 
     OwnerState& m_state;
     HealthMonitor& m_health;
+    AdviceClient& m_advice;
     SchedulerCounts& m_counts;
     std::map<Attempt, std::uint32_t> m_stopsSent; ///< Number of stops sent, for attempts with an unanswered stop; only the latest stop is sent again.
     std::map<std::string, std::vector<RecordedStart>> m_awaitingAnswer; ///< By worker.
--- a/src/jobs/owner/job_report.cpp
+++ b/src/jobs/owner/job_report.cpp
@@ -21,7 +21,8 @@
 Json wait(const StepWait& wait)
 {
     return { { "tasks", wait.tasks }, { "workers", wait.workers }, { "open", wait.open }, { "withRoom", wait.withRoom }, { "belowSpread", wait.belowSpread }, { "label", wait.label }, { "labelled", wait.labelled },
-        { "labelledWithRoom", wait.labelledWithRoom }, { "rack", wait.rack }, { "near", wait.near }, { "heldByQuotaOf", wait.heldByQuotaOf } };
+        { "labelledWithRoom", wait.labelledWithRoom }, { "rack", wait.rack }, { "near", wait.near }, { "heldByQuotaOf", wait.heldByQuotaOf },
+        { "needsAdvice", wait.needsAdvice }, { "asked", wait.asked }, { "allowed", wait.allowed } };
 }
 
 Json step(const StepReport& report)
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -132,8 +132,8 @@
             .forecast = LoadForecast(options.extrapolatesRises),
             .hallLosses = HallLossDetector(options.failureDomains) }
         , health(state, counts)
-        , dispatcher(std::make_shared<CommandDispatcher>(state, health, counts))
         , adviceClient(std::make_shared<AdviceClient>(state))
+        , dispatcher(std::make_shared<CommandDispatcher>(state, health, *adviceClient, counts))
         , reconciler(state, health, *dispatcher, counts)
         , load(std::make_shared<OwnerLoad>(options, counts))
         , admission(std::make_shared<AdmissionController>(state))
@@ -158,8 +158,8 @@
 
     OwnerState state;
     HealthMonitor health;
-    std::shared_ptr<CommandDispatcher> dispatcher;
     std::shared_ptr<AdviceClient> adviceClient;
+    std::shared_ptr<CommandDispatcher> dispatcher;
     StatusReconciler reconciler;
     std::shared_ptr<OwnerLoad> load;
     std::shared_ptr<AdmissionController> admission;
@@ -598,8 +598,9 @@
 
     void beginSession(WorkerRecord& record, std::int64_t startedAt)
     {
-        const OwnerState& state = m_term->state;
+        OwnerState& state = m_term->state;
         updateHallEvacuated(record);
+        record.incarnation = ++state.lastIncarnation;
         WorkerSessionOptions options { .epoch = state.ownership.epoch,
             .inheritedLeaseExpiresBy = state.inheritedLeaseExpiresBy,
             .leaseTime = m_options.workerLeaseTime,
--- a/src/jobs/owner/owner_state.h
+++ b/src/jobs/owner/owner_state.h
@@ -83,6 +83,7 @@
     std::function<void()> requestPass; ///< Requests a placement pass.
     /// Opens a session with a worker's incarnation by its start time (Unix ms; 0: unknown).
     std::function<void(WorkerRecord& worker, std::int64_t startedAt)> beginSession;
+    std::uint64_t lastIncarnation = 0; ///< Highest number of a worker incarnation.
     std::size_t inheritedInGroups = 0; ///< Jobs of earlier terms that wait in groups.
     std::set<std::string> racks; ///< Of all listed instances, regardless of their pool.
     std::vector<InstanceShape> shapes; ///< Distinct shapes of the same instances.
--- a/src/jobs/owner/placement_pass.cpp
+++ b/src/jobs/owner/placement_pass.cpp
@@ -201,6 +201,8 @@
 {
     if (!candidate.isCountedByGroup())
         candidate.job->account->heldTasks += static_cast<std::uint32_t>(tasks);
+    if (m_fair)
+        m_fair->noteUnplaced(candidate, true);
     noteWait(candidate, sites, queryFor(candidate, sites), tasks, candidate.job->state.record().organisation);
 }
 
@@ -254,18 +256,8 @@
         noteHeld(candidate, sites, candidate.tasks.size());
         return;
     }
-    m_tickets = nullptr;
-    static const std::map<std::string, std::string> none;
-    if (candidate.policy && candidate.policy->advice) {
-        std::vector<std::string> workers;
-        for (const WorkerRecord* record : sites.records) {
-            if (record->isOpen(m_now))
-                workers.push_back(record->entry.id);
-        }
-        m_tickets = m_advice.ticketsFor(candidate.job->state.id(), candidate.step, workers);
-        if (!m_tickets)
-            return;
-    }
+    const bool needsTickets = candidate.policy && candidate.policy->advice;
+    m_stepAdvice = needsTickets ? &m_advice.adviceOn(candidate.job->state.id(), candidate.step) : nullptr;
     if (step.gang)
         placeGang(candidate, sites, pool);
     else
@@ -277,17 +269,15 @@
     PlacementQuery query;
     query.quarantineKey = candidate.job->state.id();
     query.tasksOfStep = [&sites, &candidate](std::size_t index) { return sites.records[index]->tasksOf(candidate.job->state.id(), candidate.step); };
-    if (m_tickets)
-        query.admits = [this, &sites](std::size_t index) { return m_tickets->contains(sites.records[index]->entry.id); };
+    if (m_stepAdvice)
+        query.admits = [this, &sites](std::size_t index) { return m_stepAdvice->ticketOf(sites.records[index]->incarnation, m_now) != nullptr; };
     return query;
 }
 
 std::string PlacementPass::ticketFor(const WorkerRecord& record) const
 {
-    if (!m_tickets)
-        return {};
-    const auto ticket = m_tickets->find(record.entry.id);
-    return ticket == m_tickets->end() ? std::string() : ticket->second;
+    const std::string* ticket = m_stepAdvice ? m_stepAdvice->ticketOf(record.incarnation, m_now) : nullptr;
+    return ticket ? *ticket : std::string();
 }
 
 /// A task waits for room near its data for as long as a run far from its data would take in addition. It then ends at most
@@ -335,15 +325,12 @@
         const std::optional<std::size_t> site = choose(step, query, sites);
         // Other tasks of the step need no verified worker, and may share workers that are closed to the suspect.
         if (!site && query.suspectedCrashes > 0) {
-            if (!sites.placer->choose(step, query)) {
-                noteWaiting(candidate, pool, 1);
-                noteWait(candidate, sites, query, 1);
-            }
+            if (!sites.placer->choose(step, query))
+                noteUnplaced(candidate, sites, pool, query, 1);
             continue;
         }
         if (!site) {
-            noteWaiting(candidate, pool, candidate.tasks.size() - i);
-            noteWait(candidate, sites, query, candidate.tasks.size() - i);
+            noteUnplaced(candidate, sites, pool, query, candidate.tasks.size() - i);
             return;
         }
         WorkerRecord& record = *sites.records[*site];
@@ -425,6 +412,71 @@
         sites.placer->noteSuspect(site, query.quarantineKey, query.suspectedCrashes);
 }
 
+/// Handles tasks without a place. While the advisor is asked about more workers, the tasks are no demand: they may not need more instances.
+void PlacementPass::noteUnplaced(const Candidate& candidate, PoolSites& sites, const std::string& pool, const PlacementQuery& query, std::size_t tasks)
+{
+    requestAdvice(candidate, sites, query, tasks);
+    const bool awaitsAdvice = m_stepAdvice && m_advice.isPending(candidate.job->state.id(), candidate.step);
+    if (!awaitsAdvice && m_fair)
+        m_fair->noteUnplaced(candidate, false);
+    if (!awaitsAdvice)
+        noteWaiting(candidate, pool, tasks);
+    if (!awaitsAdvice || m_advice.isFailing())
+        noteWait(candidate, sites, query, tasks);
+}
+
+/// Asks the advisor for tickets, and about workers without an answer as long as tasks have no place on the allowed ones.
+void PlacementPass::requestAdvice(const Candidate& candidate, PoolSites& sites, const PlacementQuery& query, std::size_t tasks)
+{
+    const std::string& job = candidate.job->state.id();
+    if (!m_stepAdvice || m_advice.isPending(job, candidate.step))
+        return;
+    const StepSpec& step = candidate.job->state.spec(candidate.step.step);
+    std::vector<AdviceCandidate> candidates;
+    std::vector<const WorkerRecord*> workers;
+    std::vector<std::size_t> candidateOfSite(sites.records.size());
+    for (std::size_t i = 0; i < sites.records.size(); ++i) {
+        const WorkerRecord& record = *sites.records[i];
+        const PlacementSite& site = sites.placer->sites()[i];
+        if (!site.open || record.entry.draining || !record.entry.capacity.covers(footprint(step)) || (!step.requiredLabel.empty() && !hasLabel(record.entry, step.requiredLabel)))
+            continue;
+        candidateOfSite[i] = candidates.size();
+        candidates.push_back({ .state = m_stepAdvice->stateOf(record.incarnation), .hasTicket = m_stepAdvice->ticketOf(record.incarnation, m_now) != nullptr, .hasRoom = site.free.covers(footprint(step)), .isNear = step.preferredRack.empty() || hasLabel(record.entry, step.preferredRack) });
+        workers.push_back(&record);
+    }
+    AdviceNeed need { .isGang = step.gang, .tasks = tasks, .allowedPlaces = {} };
+    for (const std::size_t site : placesOnAllowed(candidate, sites, query, tasks))
+        need.allowedPlaces.push_back(candidateOfSite[site]);
+    std::vector<const WorkerRecord*> asked;
+    for (const std::size_t index : selectForAdvice(candidates, need, m_stepAdvice->answers()))
+        asked.push_back(workers[index]);
+    m_advice.query(job, candidate.step, *candidate.policy->advice, asked);
+}
+
+/// \returns The sites that up to `tasks` tasks would be placed on if each allowed worker had a valid ticket, once for each task.
+std::vector<std::size_t> PlacementPass::placesOnAllowed(const Candidate& candidate, PoolSites& sites, PlacementQuery query, std::size_t tasks) const
+{
+    const StepSpec& step = candidate.job->state.spec(candidate.step.step);
+    std::map<std::size_t, std::uint32_t> placed;
+    std::vector<std::size_t> chosen;
+    query.admits = [this, &sites](std::size_t index) { return m_stepAdvice->stateOf(sites.records[index]->incarnation) == AdviceState::Allowed; };
+    query.tasksOfStep = [&placed, tasksOfStep = query.tasksOfStep](std::size_t index) {
+        const auto found = placed.find(index);
+        return tasksOfStep(index) + (found == placed.end() ? 0 : found->second);
+    };
+    while (chosen.size() < tasks) {
+        const std::optional<std::size_t> site = sites.placer->choose(step, query);
+        if (!site)
+            break;
+        sites.placer->reserve(*site, step);
+        ++placed[*site];
+        chosen.push_back(*site);
+    }
+    for (const std::size_t site : chosen)
+        sites.placer->release(site, step);
+    return chosen;
+}
+
 /// Adds waiting tasks to the demand, unless they are too large for any instance.
 void PlacementPass::noteWaiting(const Candidate& candidate, const std::string& pool, std::size_t tasks)
 {
@@ -448,8 +500,6 @@
 /// Records and logs why a step waits, at a limited rate.
 void PlacementPass::noteWait(const Candidate& candidate, const PoolSites& sites, const PlacementQuery& query, std::size_t tasks, const std::string& heldByQuotaOf)
 {
-    if (m_fair)
-        m_fair->noteUnplaced(candidate, !heldByQuotaOf.empty());
     const MonotonicInstant now = m_now;
     OwnerState::WaitingStep& waiting = m_state.waits.try_emplace({ candidate.job->state.id(), candidate.step }, OwnerState::WaitingStep { .since = now, .explainedAt = std::nullopt, .wait = {} }).first->second;
     if ((waiting.explainedAt && now - *waiting.explainedAt < waitLogPause) || m_waitsExplained == maxWaitsExplained)
@@ -457,7 +507,7 @@
     ++m_waitsExplained;
     const StepSpec& step = candidate.job->state.spec(candidate.step.step);
     const std::vector<PlacementSite>& list = sites.placer->sites();
-    StepWait wait { .tasks = static_cast<std::uint32_t>(tasks), .workers = static_cast<std::uint32_t>(list.size()), .label = step.requiredLabel, .rack = step.preferredRack, .heldByQuotaOf = heldByQuotaOf };
+    StepWait wait { .tasks = static_cast<std::uint32_t>(tasks), .workers = static_cast<std::uint32_t>(list.size()), .label = step.requiredLabel, .rack = step.preferredRack, .heldByQuotaOf = heldByQuotaOf, .needsAdvice = m_stepAdvice != nullptr };
     for (std::size_t i = 0; i < list.size(); ++i) {
         const bool hasRoom = list[i].open && list[i].free.covers(footprint(step));
         const bool isLabelled = step.requiredLabel.empty() || hasLabel(*list[i].worker, step.requiredLabel);
@@ -466,13 +516,18 @@
         wait.labelled += isLabelled ? 1 : 0;
         wait.labelledWithRoom += isLabelled && hasRoom ? 1 : 0;
         wait.near += !step.preferredRack.empty() && list[i].worker->rack == step.preferredRack ? 1 : 0;
+        if (m_stepAdvice) {
+            const AdviceState advice = m_stepAdvice->stateOf(sites.records[i]->incarnation);
+            wait.asked += advice != AdviceState::Unasked ? 1 : 0;
+            wait.allowed += advice == AdviceState::Allowed ? 1 : 0;
+        }
         wait.belowSpread += step.maxPerInstance == 0 || query.tasksOfStep(i) < step.maxPerInstance ? 1 : 0;
     }
     waiting.explainedAt = now;
     waiting.wait = wait;
     m_state.options.log->decision("step-waits",
         { { "job", candidate.job->state.id() }, { "step", std::int64_t { candidate.step.step } }, { "tasks", std::int64_t { wait.tasks } }, { "sites", std::int64_t { wait.workers } }, { "open", std::int64_t { wait.open } },
-            { "with_room", std::int64_t { wait.withRoom } }, { "label", wait.label }, { "labelled", std::int64_t { wait.labelled } }, { "labelled_with_room", std::int64_t { wait.labelledWithRoom } }, { "rack", wait.rack }, { "held_by_quota_of", wait.heldByQuotaOf }, { "near", std::int64_t { wait.near } }, { "below_spread_limit", std::int64_t { wait.belowSpread } }, { "memory_mb", step.needs.memoryMb }, { "milli_cpu", footprint(step).milliCpu } });
+            { "with_room", std::int64_t { wait.withRoom } }, { "label", wait.label }, { "labelled", std::int64_t { wait.labelled } }, { "labelled_with_room", std::int64_t { wait.labelledWithRoom } }, { "rack", wait.rack }, { "held_by_quota_of", wait.heldByQuotaOf }, { "needs_advice", std::int64_t { wait.needsAdvice } }, { "asked", std::int64_t { wait.asked } }, { "allowed", std::int64_t { wait.allowed } }, { "near", std::int64_t { wait.near } }, { "below_spread_limit", std::int64_t { wait.belowSpread } }, { "memory_mb", step.needs.memoryMb }, { "milli_cpu", footprint(step).milliCpu } });
 }
 
 void PlacementPass::placeGang(const Candidate& candidate, PoolSites& sites, const std::string& pool)
@@ -494,8 +549,7 @@
     }
     if (placeGangIn(candidate, sites, {}))
         return;
-    noteWaiting(candidate, pool, step.count);
-    noteWait(candidate, sites, queryFor(candidate, sites), step.count);
+    noteUnplaced(candidate, sites, pool, queryFor(candidate, sites), step.count);
 }
 
 bool PlacementPass::placeGangIn(const Candidate& candidate, PoolSites& sites, const std::string& rack)
--- a/src/jobs/owner/placement_pass.h
+++ b/src/jobs/owner/placement_pass.h
@@ -52,6 +52,9 @@
     [[nodiscard]] PoolRoom roomOf(const PoolSites& sites) const;
     void place(const Candidate& candidate, const std::string& pool);
     void placeEach(const Candidate& candidate, PoolSites& sites, const std::string& pool);
+    void noteUnplaced(const Candidate& candidate, PoolSites& sites, const std::string& pool, const PlacementQuery& query, std::size_t tasks);
+    void requestAdvice(const Candidate& candidate, PoolSites& sites, const PlacementQuery& query, std::size_t tasks);
+    [[nodiscard]] std::vector<std::size_t> placesOnAllowed(const Candidate& candidate, PoolSites& sites, PlacementQuery query, std::size_t tasks) const;
     void noteWaiting(const Candidate& candidate, const std::string& pool, std::size_t tasks);
     void noteWait(const Candidate& candidate, const PoolSites& sites, const PlacementQuery& query, std::size_t tasks, const std::string& heldByQuotaOf = {});
     void placeGang(const Candidate& candidate, PoolSites& sites, const std::string& pool);
@@ -82,7 +85,7 @@
     std::optional<MonotonicInstant> m_nextPassAt;
     std::uint32_t m_waitsExplained = 0; ///< Number of explained waits in this pass.
     FairPlacement* m_fair = nullptr; ///< Fair placement of the current pool; null: the pool has no organisation shares.
-    const std::map<std::string, std::string>* m_tickets = nullptr; ///< Tickets of the step being placed; null: no tickets required.
+    const StepAdvice* m_stepAdvice = nullptr; ///< Advice on the step being placed; null: no tickets required.
 };
 
 } // namespace lanemoor::jobs
--- a/src/jobs/service/job_metrics.cpp
+++ b/src/jobs/service/job_metrics.cpp
@@ -52,6 +52,7 @@
     families.push_back(counter("lanemoor_partial_reports_total", "Status reports of workers that left out ends", counts.partialReports));
     families.push_back(counter("lanemoor_task_start_doubts_total", "Starts without a usable answer", counts.unknownStarts));
     families.push_back(counter("lanemoor_task_start_refusals_total", "Starts that a worker refused", counts.refusals));
+    families.push_back(counter("lanemoor_task_ticket_refusals_total", "Starts that a worker refused for the placement advisor's ticket", counts.ticketRefusals));
     families.push_back(counter("lanemoor_task_suspicions_total", "Losses of a worker that were counted against a task", counts.suspicions));
     families.push_back(counter("lanemoor_tasks_given_up_total", "Tasks that ended worker after worker", counts.permanentFailures));
     families.push_back(counter("lanemoor_jobs_succeeded_total", "Jobs that succeeded", counts.jobsSucceeded));
@@ -256,6 +257,7 @@
     prometheus::Family<prometheus::Counter>& cancels = prometheus::BuildCounter().Name("lanemoor_job_cancels_total").Help("Requests to cancel, by answer").Register(registry);
     prometheus::Family<prometheus::Histogram>& cancelTimes = prometheus::BuildHistogram().Name("lanemoor_job_cancel_seconds").Help("From a request to cancel to its answer").Register(registry);
     prometheus::Histogram& cancelTime = cancelTimes.Add({}, latencyBounds);
+    prometheus::Family<prometheus::Histogram>& adviceTime = prometheus::BuildHistogram().Name("lanemoor_advice_seconds").Help("Duration of calls to the placement advisor, by outcome").Register(registry);
     prometheus::Family<prometheus::Counter>& lookups = prometheus::BuildCounter().Name("lanemoor_job_lookups_total").Help("Statuses asked for, by answer").Register(registry);
     prometheus::Family<prometheus::Counter>& rejections = prometheus::BuildCounter().Name("lanemoor_jobs_rejected_total").Help("Descriptions that could not be read").Register(registry);
     prometheus::Counter& rejected = rejections.Add({});
@@ -286,6 +288,11 @@
     m_impl->cancelTime.Observe(seconds);
 }
 
+void JobMetrics::noteAdvice(bool isAnswered, double seconds)
+{
+    m_impl->adviceTime.Add({ { "outcome", isAnswered ? "answered" : "failed" } }, latencyBounds).Observe(seconds);
+}
+
 void JobMetrics::noteLookup(LookupOutcome outcome)
 {
     m_impl->lookups.Add({ { "outcome", std::string(nameOf(outcome)) } }).Increment();
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -552,6 +552,7 @@
             .meter = &m_meter,
             .configuration = [this] { return m_configuration; },
             .publishGrants = [this](const AdmissionGrants& grants) { m_gate.apply(m_relayedWorkers.grant(grants), m_parts.loop->now()); },
+            .adviceEnded = [this](bool isAnswered, MonotonicInstant::duration time) { metrics.noteAdvice(isAnswered, std::chrono::duration<double>(time).count()); },
             .isConfigurationCurrent = [this] { return isConfigurationCurrent(); },
             .ownershipTime = m_settings.ownershipTime,
             .workerLeaseTime = m_settings.workerLeaseTime,
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -357,6 +357,11 @@
         || std::any_of(m_crashesUnder.begin(), m_crashesUnder.end(), [&](const auto& entry) { return isOfJob(entry) && entry.second >= minCrashesToFail; });
 }
 
+void GuaranteeChecker::noteMisuse(const std::string& detail)
+{
+    reportBreach("PROTOCOL", detail);
+}
+
 void GuaranteeChecker::onOverload(const std::string& worker, const Attempt& attempt)
 {
     reportBreach("LIMIT", nameOf(attempt.job, attempt.task) + " starts on " + worker + " beyond its capacity");
@@ -372,6 +377,7 @@
     , m_entries(entries)
 {
     workers.checker = &checker;
+    workers.advisor.onMisuse = [this](const std::string& detail) { checker.noteMisuse(detail); };
     workers.cuts = &peers.cuts;
     checker.onBreach = [this](const Breach& breach) { m_log.change("breach", { { "rule", breach.rule }, { "detail", breach.detail } }); };
     checker.labelsOf = [this](const std::string& worker) {
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -67,6 +67,8 @@
     void noteCount(const std::string& queue, std::uint64_t pending, MonotonicInstant askedAt);
     void noteCancelSent(const std::string& id);
     void noteCancelled(const std::string& id);
+    /// \brief Records a call that the platform does not permit as a breach.
+    void noteMisuse(const std::string& detail);
     void noteWave(const jobs::WaveRequest& wave);
     /// \brief Records an evacuation request for a data hall, or its withdrawal.
     void noteEvacuation(const std::string& dataHall, bool isRequested);
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -25,9 +25,11 @@
 } // namespace
 
 WorkersModel::WorkersModel(SimClock& clock, std::mt19937_64& random)
-    : m_clock(clock)
+    : advisor(clock)
+    , m_clock(clock)
     , m_random(random)
 {
+    advisor.find = [this](const std::string& worker) { return find(worker); };
 }
 
 void WorkersModel::addInstance(const std::string& id, const std::string& pool, const std::string& rack, Resources capacity, const std::string& kind, const std::string& dataHall)
@@ -279,6 +281,8 @@
         return refuse(CommandOutcome::Superseded);
     if (instantOf(model, command.leaseUntil) <= m_clock.now())
         return refuse(CommandOutcome::LeaseExpired);
+    if (!advisor.accepts(model, command))
+        return refuse(CommandOutcome::BadTicket);
     const StepSpec step = stepOf(command.attempt);
     Resources used;
     for (const auto& [attempt, run] : model.running)
@@ -533,13 +537,9 @@
     send(operation, std::move(done));
 }
 
-void FleetClient::advise(const std::string&, std::uint32_t, std::uint32_t, const std::vector<std::string>& workers, std::function<void(Advice)> done)
+void FleetClient::advise(const std::string& job, std::uint32_t occurrence, std::uint32_t step, const std::vector<std::string>& workers, std::function<void(Advice)> done)
 {
-    const std::function<void(Advice)> answer = m_process.deliver<Advice>(std::move(done));
-    Advice advice { .answered = true, .workers = {}, .validity = Millis(3'000) };
-    for (const std::string& worker : workers)
-        advice.workers.push_back({ worker, "ticket" });
-    m_workers.m_clock.after(Millis(10), [answer, advice] { answer(advice); });
+    m_workers.advisor.advise(this, stepName(job, occurrence, step), workers, m_process.deliver<Advice>(std::move(done)));
 }
 
 } // namespace lanemoor::model
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -2,6 +2,7 @@
 /// \file
 /// A simulation of the platform's workers and instances and their faults.
 
+#include "advisor_model.h"
 #include "hall_cuts.h"
 #include "lanemoor/jobs/model/fleet_control.h"
 #include "lanemoor/jobs/model/service_configuration.h"
@@ -103,6 +104,7 @@
 public:
     WorkersModel(SimClock& clock, std::mt19937_64& random);
 
+    AdvisorModel advisor;
     RunTimes runTimes;
     bool savesCheckpoints = false; ///< Batch tasks save checkpoints from which their next attempts resume.
     bool enforcesCapacity = true; ///< Workers refuse starts beyond their capacity.
