--- a/tests/jobs/advice_test.cpp
+++ b/tests/jobs/advice_test.cpp
@@ -113,6 +113,43 @@
     CHECK(cluster.checker.breaches().empty());
 }
 
+/// Guards against an answer on an incarnation that is taken for one on its successor.
+TEST_CASE("A new incarnation on the only allowed instance is asked about at once")
+{
+    const bool keepsId = GENERATE(false, true);
+    AdvisedCluster cluster(8);
+    cluster.workers.advisor.validity = Millis(60'000);
+    cluster.configureAdvised(3);
+    cluster.allowed = { "m-3" };
+    cluster.submitAdvised(1, lasting());
+    REQUIRE(cluster.starts(1));
+    cluster.clock.runFor(Millis(1'500));
+    const std::string worker = cluster.workerOn("m-3");
+    if (keepsId)
+        cluster.workers.restart(worker, Millis(4'500));
+    else
+        cluster.workers.crash(worker, Millis(4'500));
+    cluster.clock.runFor(Millis(4'500));
+    CHECK(cluster.starts(2, Millis(4'000)));
+    CHECK(cluster.checker.breaches().empty());
+}
+
+/// Guards against a refusal that is kept for a later incarnation, which the advisor may allow.
+TEST_CASE("A refusal ends with the incarnation")
+{
+    AdvisedCluster cluster(8);
+    std::set<std::uint64_t> allowedIncarnations;
+    cluster.workers.advisor.admits = [&](const model::WorkerModel& worker, const std::string&) { return allowedIncarnations.contains(worker.incarnation); };
+    cluster.submitAdvised(1, job({ step(1) }));
+    cluster.clock.runFor(Millis(3'000));
+    REQUIRE(cluster.checker.starts() == 0);
+    const std::string worker = cluster.workerOn("m-3");
+    allowedIncarnations.insert(9);
+    cluster.workers.restart(worker, Millis(1'000));
+    CHECK(cluster.starts(1, Millis(8'000)));
+    CHECK(cluster.checker.breaches().empty());
+}
+
 /// Guards against calls that never end: a refusal does not change during an incarnation.
 TEST_CASE("A step that no worker may run is asked about once for each worker, and again for workers that join")
 {
