--- a/include/lanemoor/jobs/model/job_state.h
+++ b/include/lanemoor/jobs/model/job_state.h
@@ -31,6 +31,7 @@
 struct LiveAttempt {
     std::uint64_t number = 0;
     std::string worker; ///< Id of the worker incarnation that the start was sent to.
+    std::string checkpoint; ///< Brought by the start; the members of a gang bring the same.
     AttemptPhase phase = AttemptPhase::Sent;
     MonotonicInstant startedAt; ///< When the start was sent, or the attempt was found running at the worker.
     MonotonicInstant phaseSince;
@@ -58,7 +59,8 @@
 struct TaskState {
     bool succeeded = false;
     std::vector<std::uint64_t> failedAttempts;
-    std::string checkpoint;
+    std::string checkpoint; ///< The newest; that of a gang is recorded with its first task.
+    std::uint64_t checkpointAttempt = 0; ///< The attempt that saved it; 0: unknown, as it was stored.
     std::uint64_t lastAttempt = 0; ///< The highest number ever used or seen.
     std::optional<LiveAttempt> live;
     std::string avoidWorker; ///< The worker where it failed last; other workers are preferred.
@@ -255,6 +257,7 @@
     [[nodiscard]] TaskState* findLive(const Attempt& attempt) noexcept;
     [[nodiscard]] bool isGang(const TaskId& task) const { return spec(task.step).gang; }
     void openOccurrence(std::uint32_t occurrence, const ProgressRecord& progress);
+    bool noteCheckpoint(const Attempt& attempt, const std::string& checkpoint);
     void clearLive(const TaskId& task, TaskState& state);
     void succeed(const TaskId& task);
     void succeedOne(const TaskId& task);
--- a/src/jobs/model/job_state.cpp
+++ b/src/jobs/model/job_state.cpp
@@ -181,6 +181,9 @@
             task.probations = stored->second.probations;
             task.failedPermanently = stored->second.failedPermanently;
         }
+        // Earlier versions stored a checkpoint with each member of a gang: that of any member is valid for all.
+        for (std::uint32_t i = 1; specs[s].gang && i < step.tasks.size() && step.tasks[0].checkpoint.empty(); ++i)
+            step.tasks[0].checkpoint = step.tasks[i].checkpoint;
     }
 }
 
@@ -208,7 +211,7 @@
         return;
     state->lastAttempt = std::max(state->lastAttempt, number);
     state->live = LiveAttempt {
-        .number = number, .worker = worker, .startedAt = now, .phaseSince = now, .stopAnsweredAt = std::nullopt, .percentSince = now
+        .number = number, .worker = worker, .checkpoint = find(countedTask(task))->checkpoint, .startedAt = now, .phaseSince = now, .stopAnsweredAt = std::nullopt, .percentSince = now
     };
     ++m_steps.at({ task.occurrence, task.step }).live;
     m_hasPlannedStart = true;
@@ -243,7 +246,7 @@
     return std::find(failed.begin(), failed.end(), attempt.number) != failed.end();
 }
 
-/// \returns The task that records the failures; a gang fails as a whole, and its failures are recorded with its first task.
+/// \returns The task that records the failures and the checkpoint; those of a gang are recorded with its first task.
 TaskId JobState::countedTask(const TaskId& task) const
 {
     return isGang(task) ? TaskId { task.occurrence, task.step, 0 } : task;
@@ -314,13 +317,24 @@
     if (!state)
         return;
     state->live->reported = true;
-    if (!report.checkpoint.empty())
-        state->checkpoint = report.checkpoint;
+    noteCheckpoint(report.attempt, report.checkpoint);
     if (state->live->percent != report.percent)
         state->live->percentSince = now;
     state->live->percent = report.percent;
 }
 
+/// Notes a checkpoint of a task or of its gang. A checkpoint of an earlier attempt does not replace a newer one.
+/// \returns Whether it is the newest one now.
+bool JobState::noteCheckpoint(const Attempt& attempt, const std::string& checkpoint)
+{
+    TaskState& counted = *mutableTask(countedTask(attempt.task));
+    if (checkpoint.empty() || attempt.number < counted.checkpointAttempt)
+        return false;
+    counted.checkpoint = checkpoint;
+    counted.checkpointAttempt = attempt.number;
+    return true;
+}
+
 void JobState::clearLive(const TaskId& task, TaskState& state)
 {
     ++m_changes;
@@ -412,10 +426,8 @@
     const bool longRunning = spec(ended.attempt.task.step).longRunning;
     EndEffect effect;
     effect.counted = true;
-    if (!ended.checkpoint.empty() && ended.end != AttemptEnd::Succeeded) {
-        state->checkpoint = ended.checkpoint;
-        effect.toBeStored = true;
-    }
+    if (ended.end != AttemptEnd::Succeeded)
+        effect.toBeStored = noteCheckpoint(ended.attempt, ended.checkpoint);
     if (ended.end == AttemptEnd::Succeeded && !longRunning) {
         const bool wasFinal = isFinal(m_status);
         succeed(ended.attempt.task);
--- a/standins/model/job_cluster.cpp
+++ b/standins/model/job_cluster.cpp
@@ -180,6 +180,8 @@
     const auto evacuation = hallOf ? m_evacuatedSince.find(hallOf(worker)) : m_evacuatedSince.end();
     if (!late && evacuation != m_evacuatedSince.end() && m_clock.now() - evacuation->second > evacuationBound && m_clock.now() >= m_connectedFrom)
         reportBreach("EVAC", nameOf(attempt.job, attempt.task) + " starts on " + worker + " in a data hall that is being evacuated");
+    if (step.gang)
+        checkGangCheckpoint(command);
     m_running[task].insert(worker);
     checkQuota(attempt, step);
     m_absentSince.erase(task);
@@ -187,6 +189,16 @@
         m_takenDownUntil[task] = m_clock.now() + readyDelay;
 }
 
+/// The members of one run of a gang must bring the same checkpoint.
+void GuaranteeChecker::checkGangCheckpoint(const StartCommand& command)
+{
+    Attempt first = command.attempt;
+    first.task.index = 0;
+    const auto [known, isFirst] = m_gangCheckpoints.emplace(first, command.checkpoint);
+    if (!isFirst && known->second != command.checkpoint)
+        reportBreach("GANG", nameOf(command.attempt.job, command.attempt.task) + " brings checkpoint '" + command.checkpoint + "', another member '" + known->second + "'");
+}
+
 void GuaranteeChecker::noteQuota(const std::string& organisation, const Resources& quota)
 {
     std::vector<Quota>& quotas = m_quotas[organisation];
--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -118,6 +118,7 @@
     void noteFailure(const jobs::Attempt& attempt);
     void removeRunning(const std::string& worker, const jobs::Attempt& attempt);
     void noteDeparture(const jobs::Attempt& attempt, const Departure& departure);
+    void checkGangCheckpoint(const jobs::StartCommand& command);
     void checkBudget(const jobs::Attempt& attempt);
     void checkQuota(const jobs::Attempt& attempt, const jobs::StepSpec& step);
 
@@ -129,6 +130,7 @@
     std::map<Task, std::uint64_t> m_startsAfterSuccess; ///< Numbers of starts that followed a success which is not stored yet.
     std::map<Task, std::set<std::uint64_t>> m_storedFailures;
     std::map<Task, std::set<std::uint64_t>> m_failures; ///< Attempt numbers, by task; a gang's under its first task.
+    std::map<jobs::Attempt, std::string> m_gangCheckpoints; ///< By the first member's attempt.
     std::map<Task, std::uint32_t> m_crashesCaused; ///< Workers crashed by the task.
     std::map<Task, std::uint32_t> m_crashesUnder; ///< Workers that crashed under the task for any reason.
     MonotonicInstant m_connectedFrom;
