--- a/standins/model/job_cluster.h
+++ b/standins/model/job_cluster.h
@@ -53,12 +53,18 @@
     std::function<std::vector<std::string>(const std::string& worker)> labelsOf; ///< Null: labels are not checked.
     std::function<std::string(const std::string& worker)> hallOf; ///< Null: evacuations are not checked.
 
-    void noteSubmitted(const std::string& id, const jobs::JobSpec& spec, std::uint32_t maxAttempts);
+    /// \param queue Empty: unknown until the job is accepted.
+    void noteSubmitted(const std::string& id, const jobs::JobSpec& spec, std::uint32_t maxAttempts, const std::string& queue = {});
     /// \brief Sets the organisation whose quota a job counts against.
     void noteOrganisation(const std::string& id, const std::string& organisation) { m_organisations[id] = organisation; }
 
     /// \brief Records a quota set by operators. A lowered quota is enforced once all entries must have received it.
     void noteQuota(const std::string& organisation, const jobs::Resources& quota);
+    /// \brief Records a limit of attempts set by operators. It replaces the queue's previous one once all entries must have received it.
+    void noteLimit(const std::string& queue, std::uint32_t maxAttempts);
+    /// \brief Records that operators removed a queue. Its last limit stays in force, and also an earlier one that still applied: no entry needs
+    /// to have received a version that was replaced within the bound.
+    void noteQueueRemoved(const std::string& queue);
     /// \brief Records that entries or the store have faults until `end`. Time bounds that hold only for connected entries are not
     /// checked until the entries are connected again.
     void noteFaults(MonotonicInstant end);
@@ -106,6 +112,7 @@
     struct Job {
         jobs::JobSpec spec;
         std::uint32_t maxAttempts = 0;
+        MonotonicInstant submittedAt;
         std::string queue;
         std::optional<MonotonicInstant> acceptedAt; ///< When a caller first received the acceptance.
         bool hasBegun = false;
@@ -147,6 +154,16 @@
         std::optional<MonotonicInstant> until;
     };
 
+    /// A limit of attempts and, once replaced, the time until which it still applies.
+    struct Limit {
+        std::uint32_t maxAttempts = 0;
+        std::optional<MonotonicInstant> until;
+    };
+
+    /// Limits of a job that were in force at `since` or later, in increasing order.
+    [[nodiscard]] std::vector<std::uint32_t> limitsSince(const Job& job, MonotonicInstant since) const;
+
+    std::map<std::string, std::vector<Limit>> m_limits; ///< By queue, oldest first. Jobs of other queues keep the limit at their submission.
     std::map<std::string, std::string> m_organisations; ///< By job.
     std::map<std::string, std::vector<Quota>> m_quotas; ///< By organisation, oldest first.
     std::uint64_t m_starts = 0;
