--- a/tests/jobs/advice_test.cpp
+++ b/tests/jobs/advice_test.cpp
@@ -15,7 +15,7 @@
 const std::string id = jobId(1);
 constexpr MonotonicInstant start { std::chrono::seconds(100) };
 
-/// Queue `advised` needs tickets, queue `work` does not. Instances that may run advised steps are chosen by name.
+/// Queue `advised` needs tickets, queue `work` does not. Only instances in `allowed` may run the steps of `advised`.
 struct AdvisedCluster : SmallCluster {
     explicit AdvisedCluster(std::size_t instances = 40, std::size_t entries = 3)
         : SmallCluster(1, entries, instances, 0)
--- a/tests/jobs/gang_checkpoint_test.cpp
+++ b/tests/jobs/gang_checkpoint_test.cpp
@@ -1,5 +1,5 @@
-/// Guards against gangs that never work again after a failed run: each member started with its own checkpoint, and members with different
-/// checkpoints wait for each other in vain.
+/// Guards against gangs that never run again after a failed run: each member started with its own checkpoint, and members with different
+/// checkpoints do not run together.
 
 #include "lanemoor/jobs/model/job_state.h"
 #include "support.h"
