--- a/include/lanemoor/jobs/model/job_state.h
+++ b/include/lanemoor/jobs/model/job_state.h
@@ -150,8 +150,9 @@
     /// has no limit.
     [[nodiscard]] std::uint32_t failuresOf(const TaskId& task) const;
 
-    /// \returns The stored policy; nothing: the job was stored by an earlier version.
-    [[nodiscard]] const std::optional<JobPolicy>& storedPolicy() const noexcept { return m_initial.policy ? m_initial.policy : m_record->policy; }
+    /// \returns The policy with the newest version of those at submission and since; nothing: unknown, as an earlier version of the program
+    /// stored the job.
+    [[nodiscard]] const std::optional<JobPolicy>& newestPolicy() const noexcept { return m_initial.policy ? m_initial.policy : m_record->policy; }
 
     /// \returns When the next occurrence is due, or nothing.
     [[nodiscard]] std::optional<Instant> nextDue() const;
@@ -209,7 +210,7 @@
     /// \returns Whether the job's status became final.
     bool failAtLimit(const TaskId& task, std::uint32_t maxAttempts);
 
-    /// \brief Makes a newer policy a part of the progress. \returns Whether the progress must be stored, since the limits differ; other changes
+    /// \brief Makes `policy`, if newer, a part of the progress. \returns Whether the progress must be stored, since the limits differ; other changes
     /// are stored with the next progress.
     bool retainPolicy(const JobPolicy& policy);
 
--- a/src/jobs/model/job_state.cpp
+++ b/src/jobs/model/job_state.cpp
@@ -268,7 +268,7 @@
 
 bool JobState::retainPolicy(const JobPolicy& policy)
 {
-    const std::optional<JobPolicy> stored = storedPolicy();
+    const std::optional<JobPolicy> stored = newestPolicy();
     if (stored && stored->version >= policy.version)
         return false;
     m_initial.policy = policy;
--- a/src/jobs/owner/admission_controller.cpp
+++ b/src/jobs/owner/admission_controller.cpp
@@ -1,6 +1,7 @@
 #include "admission_controller.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace lanemoor::jobs {
@@ -57,7 +58,7 @@
     const auto average = [weight](double& mean, double newest) { mean += weight * (newest - mean); };
     average(place->second.workMillis, static_cast<double>(declaredWork(record.spec)) / milli);
     average(place->second.criticalPathMillis, static_cast<double>(job.criticalPath.count()));
-    average(place->second.allowedMillis, static_cast<double>(m_state.policyOf(job.state).value_or(unknownPolicy).objective(job.criticalPath).count()));
+    average(place->second.allowedMillis, static_cast<double>(job.policy.value_or(JobPolicy {}).objective(job.criticalPath).count()));
 }
 
 void AdmissionController::tickLater()
@@ -142,7 +143,7 @@
     if (!isNew)
         return work;
     const OrganisationSettings* organisation = configuration->organisations.find(name.second);
-    work = { .queue = name.first, .organisation = name.second, .weight = organisation ? organisation->weight : 0, .priority = queue ? queue->priority : unknownPolicy.priority, .typical = typicalJobOf(name.first), .correction = m_state.forecast.ratio(name.first) };
+    work = { .queue = name.first, .organisation = name.second, .weight = organisation ? organisation->weight : 0, .priority = queue ? queue->priority : std::numeric_limits<std::uint32_t>::max(), .typical = typicalJobOf(name.first), .correction = m_state.forecast.ratio(name.first) };
     return work;
 }
 
--- a/src/jobs/owner/command_dispatcher.cpp
+++ b/src/jobs/owner/command_dispatcher.cpp
@@ -279,8 +279,7 @@
     const WorkerRecord* record = m_state.worker(worker);
     if (record)
         m_advice.dropTicket(attempt.job, { attempt.task.occurrence, attempt.task.step }, *record);
-    const std::optional<JobPolicy> policy = job ? m_state.policyOf(job->state) : std::nullopt;
-    return policy && policy->advice ? m_state.now() : m_state.now() + pauseAfterRefusal;
+    return job && job->policy && job->policy->advice ? m_state.now() : m_state.now() + pauseAfterRefusal;
 }
 
 void CommandDispatcher::release(const Attempt& attempt, const std::string& worker, MonotonicInstant retryAt)
--- a/src/jobs/owner/displacement.cpp
+++ b/src/jobs/owner/displacement.cpp
@@ -73,7 +73,7 @@
 bool Displacement::isCandidate(const WorkerRecord& worker, const JobState& job, const StepId& step) const
 {
     const StepSpec& spec = job.spec(step.step);
-    if (worker.entry.pool != m_state.poolOf(job) || !worker.isOpen(m_state.now()) || !hasLabel(worker.entry, spec.requiredLabel))
+    if (worker.entry.pool != m_state.job(job.id())->pool || !worker.isOpen(m_state.now()) || !hasLabel(worker.entry, spec.requiredLabel))
         return false;
     return spec.maxPerInstance == 0 || worker.tasksOf(job.id(), step) < spec.maxPerInstance;
 }
--- a/src/jobs/owner/fair_placement.cpp
+++ b/src/jobs/owner/fair_placement.cpp
@@ -34,9 +34,9 @@
 void FairPlacement::findGroups()
 {
     for (const auto& [name, group] : m_state.waitingJobs.groups()) {
-        const JobState& first = group.jobs().begin()->second.job->state;
-        if (m_state.poolOf(first) == m_pool)
-            m_groups.push_back({ .group = &group, .policy = m_state.policyOf(first).value_or(unknownPolicy), .organisation = name.second });
+        const OwnerJob& first = *group.jobs().begin()->second.job;
+        if (first.pool == m_pool)
+            m_groups.push_back({ .group = &group, .priority = first.priority(), .organisation = name.second });
     }
 }
 
@@ -46,7 +46,7 @@
     std::map<std::pair<std::uint32_t, bool>, std::vector<PlacementCandidate>> levels;
     for (const PoolGroup& group : m_groups) {
         for (const bool infeasible : { false, true })
-            levels[{ group.policy.priority, infeasible }];
+            levels[{ group.priority, infeasible }];
     }
     for (PlacementCandidate& candidate : candidates)
         levels[{ candidate.priority, candidate.infeasible }].push_back(std::move(candidate));
@@ -105,7 +105,7 @@
     for (PlacementCandidate& candidate : candidates)
         sources.push_back({ .head = { std::move(candidate) }, .group = nullptr, .next = {}, .end = {} });
     for (const PoolGroup& group : m_groups) {
-        if (group.policy.priority != priority)
+        if (group.priority != priority)
             continue;
         Source source { .head = {}, .group = group.group, .next = group.group->begin(infeasible), .end = group.group->end(infeasible) };
         if (advance(source))
@@ -177,12 +177,11 @@
 {
     std::vector<PlacementCandidate> candidates;
     OwnerJob& job = *waiting.second.job;
-    const std::optional<JobPolicy> policy = m_state.policyOf(job.state);
     for (const auto& [id, step] : job.state.steps()) {
         std::vector<TaskId> tasks = job.state.startable(id, m_now);
         if (tasks.empty())
             continue;
-        candidates.push_back({ .priority = policy.value_or(unknownPolicy).priority, .infeasible = std::get<0>(waiting.first), .beyondRate = std::get<1>(waiting.first) && m_state.options.placement.beyondRateLast, .objective = job.objective, .job = &job, .step = id, .policy = policy, .tasks = std::move(tasks), .fromGroup = true });
+        candidates.push_back({ .priority = job.priority(), .infeasible = std::get<0>(waiting.first), .beyondRate = std::get<1>(waiting.first) && m_state.options.placement.beyondRateLast, .objective = job.objective, .job = &job, .step = id, .tasks = std::move(tasks), .fromGroup = true });
     }
     return candidates;
 }
--- a/src/jobs/owner/fair_placement.h
+++ b/src/jobs/owner/fair_placement.h
@@ -73,7 +73,7 @@
 
     struct PoolGroup {
         const WaitingGroup* group = nullptr;
-        JobPolicy policy; ///< Of its jobs, which are of one queue.
+        std::uint32_t priority = 0; ///< Of its jobs, which are of one queue.
         std::string organisation;
     };
 
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -196,7 +196,6 @@
         state.inheritedFailures.reset(m_options.directory->poolsWithRecentEnds());
         for (const auto& [id, entry] : m_options.catalog->all())
             load(id, entry, ownership.term > 1);
-        state.retainPolicies();
         m_options.directory->dropExpired();
         for (const auto& [id, entry] : m_options.directory->all()) {
             if (isPoolConfigured(entry))
@@ -266,7 +265,10 @@
             if (entry.listed && !m_term->state.worker(id) && isPoolConfigured(entry))
                 addWorker(entry);
         }
-        m_term->state.retainPolicies();
+        for (auto& [id, job] : m_term->state.jobs) {
+            if (!isFinal(job.state.status()))
+                m_term->state.applyConfiguration(job);
+        }
         requestPass();
     }
 
@@ -477,7 +479,7 @@
             noteRunning(record, infeasibleJobs, demands[record.entry.pool]);
         for (const auto& [id, job] : state.individualJobs) {
             if (!isFinal(job->state.status()))
-                noteSpread(job->state, demands[state.poolOf(job->state)]);
+                noteSpread(job->state, demands[job->pool]);
         }
         for (const QueueSettings& queue : state.configuration()->queues) {
             for (const auto& [requirement, milliCpu] : state.forecast.milliCpuByClass(queue.name, now))
@@ -528,11 +530,11 @@
         state.individualJobs.emplace(id, &job);
         job.account = state.accountOf(*entry.record);
         const Millis age = m_options.loop->timeOfDay() - entry.record->acceptedAt;
-        const std::optional<JobPolicy> policy = state.policyOf(job.state);
-        if (!policy)
+        state.applyConfiguration(job);
+        if (!job.policy)
             m_options.log->decision("job-policy-unknown", { { "job", id }, { "queue", entry.record->queue } });
         job.criticalPath = criticalPathDuration(entry.record->spec);
-        job.objective = state.now() - age + policy.value_or(unknownPolicy).objective(job.criticalPath);
+        job.objective = state.now() - age + job.policy.value_or(JobPolicy {}).objective(job.criticalPath);
         m_term->admission->noteArrival(job);
         if (inherited) {
             job.state.openOccurrences(m_options.loop->timeOfDay());
--- a/src/jobs/owner/owner_state.cpp
+++ b/src/jobs/owner/owner_state.cpp
@@ -14,11 +14,11 @@
 
 /// Jobs with occurrences, long-running, gang or spread steps, or few suitable workers are evaluated one by one, and so are
 /// jobs that need advice: in a group they would delay the evaluation of others.
-bool mayWaitInGroup(const OwnerJob& job, const QueueSettings* queue)
+bool mayWaitInGroup(const OwnerJob& job)
 {
     const JobRecord& record = job.state.record();
     const bool isPlain = std::none_of(record.spec.steps.begin(), record.spec.steps.end(), [](const StepSpec& step) { return step.longRunning || step.gang || step.maxPerInstance > 0 || !step.requiredLabel.empty() || !step.preferredRack.empty(); });
-    return job.account && job.state.isUnattempted() && record.spec.occurrences == 0 && isPlain && queue && !queue->advice;
+    return job.account && job.state.isUnattempted() && record.spec.occurrences == 0 && isPlain && job.policy && !job.policy->advice;
 }
 
 /// Adds the demand of a step whose tasks could start.
@@ -41,7 +41,7 @@
 bool OwnerState::beginWait(OwnerJob& job, MonotonicInstant now)
 {
     const JobRecord& record = job.state.record();
-    if (!options.admission.enabled || !mayWaitInGroup(job, configuration()->lastKnownQueue(record.queue)))
+    if (!options.admission.enabled || !mayWaitInGroup(job))
         return false;
     WaitingJob waiting { .job = &job, .milliCpu = {}, .needs = {}, .largest = {}, .infeasibleFrom = infeasibleFrom(job) };
     for (const StepSpec& step : record.spec.steps) {
@@ -122,13 +122,6 @@
     return !job.account || !options.isConfigurationCurrent || options.isConfigurationCurrent();
 }
 
-std::string OwnerState::poolOf(const JobState& job) const
-{
-    const std::shared_ptr<const ServiceConfiguration> current = configuration();
-    const QueueSettings* queue = current->lastKnownQueue(job.record().queue);
-    return queue ? queue->pool : job.record().pool;
-}
-
 std::uint32_t OwnerState::labelDemandOf(const WorkerEntry& worker) const
 {
     std::uint32_t level = 0;
@@ -185,7 +178,7 @@
     if (!job.possiblyStartedBefore.contains({ task.occurrence, task.step }) || !job.state.isUnseen(task))
         return false;
     // The queue may have changed its pool since.
-    return inheritedFailures.includesTask(job.state.id(), task) || inheritedFailures.includesPool(poolOf(job.state)) || inheritedFailures.includesPool(job.state.record().pool);
+    return inheritedFailures.includesTask(job.state.id(), task) || inheritedFailures.includesPool(job.pool) || inheritedFailures.includesPool(job.state.record().pool);
 }
 
 bool OwnerState::beginProbation(OwnerJob& job, const Attempt& attempt, const WorkerRecord& worker)
@@ -197,33 +190,17 @@
     return true;
 }
 
-std::optional<JobPolicy> OwnerState::policyOf(const JobState& job) const
-{
-    std::optional<JobPolicy> known = configuration()->lastKnownPolicy(job.record().queue);
-    // The job may have been accepted, or its progress stored, under a configuration that this process has not received.
-    const std::optional<JobPolicy>& stored = job.storedPolicy();
-    return stored && (!known || stored->version > known->version) ? stored : known;
-}
-
-std::optional<std::uint32_t> OwnerState::maxAttemptsOf(const JobState& job) const
-{
-    const std::optional<JobPolicy> policy = policyOf(job);
-    return policy ? std::optional(policy->maxAttempts) : std::nullopt;
-}
-
-void OwnerState::retainPolicies()
+void OwnerState::applyConfiguration(OwnerJob& job)
 {
+    const JobRecord& record = job.state.record();
     const std::shared_ptr<const ServiceConfiguration> current = configuration();
-    std::map<std::string_view, JobPolicy> policies;
-    for (const QueueSettings& queue : current->queues)
-        policies.emplace(queue.name, queue.policy(current->version));
-    for (const RemovedQueue& removed : current->removedQueues)
-        policies.emplace(removed.settings.name, removed.settings.policy(removed.version));
-    for (auto& [id, job] : jobs) {
-        const auto policy = policies.find(job.state.record().queue);
-        if (policy != policies.end() && !isFinal(job.state.status()) && job.state.retainPolicy(policy->second))
-            store(id);
-    }
+    const QueueSettings* queue = current->lastKnownQueue(record.queue);
+    job.pool = queue ? queue->pool : record.pool;
+    const std::optional<JobPolicy> known = current->lastKnownPolicy(record.queue);
+    if (known && job.state.retainPolicy(*known))
+        store(job.state.id());
+    // The job may have been accepted, or its progress stored, under a configuration that this process has not received.
+    job.policy = job.state.newestPolicy();
 }
 
 std::string nameOf(const Attempt& attempt)
--- a/src/jobs/owner/owner_state.h
+++ b/src/jobs/owner/owner_state.h
@@ -30,6 +30,8 @@
 /// An unfinished job and its input to placement.
 struct OwnerJob {
     JobState state;
+    std::optional<JobPolicy> policy; ///< The newest known or stored policy of its queue; nothing: unknown, so that nothing irreversible may depend on it.
+    std::string pool; ///< The pool of its queue by the newest known configuration with the queue, otherwise the pool at its submission.
     bool inherited = false; ///< Submitted before this term: its tasks may run on workers that have not been asked yet.
     std::set<StepId> possiblyStartedBefore; ///< Steps with tasks that a previous owner may have started without a record.
     MonotonicInstant objective; ///< When the job should have ended.
@@ -39,6 +41,12 @@
     std::optional<std::uint64_t> blockedAtChange;
     bool beyondRate = false; ///< Submitted beyond the rate of its organisation.
     bool waitsInGroup = false; ///< See OwnerState::beginWait.
+
+    /// \returns The priority; jobs whose policy is unknown are placed last.
+    [[nodiscard]] std::uint32_t priority() const noexcept { return policy ? policy->priority : std::numeric_limits<std::uint32_t>::max(); }
+
+    /// \returns The number of failures of one task at which the job fails; nothing: unknown.
+    [[nodiscard]] std::optional<std::uint32_t> maxAttempts() const noexcept { return policy ? std::optional(policy->maxAttempts) : std::nullopt; }
 };
 
 /// Kind and capacity of instances, regardless of their pool.
@@ -49,9 +57,6 @@
     [[nodiscard]] bool operator==(const InstanceShape&) const = default;
 };
 
-/// Policy of jobs whose policy is unknown: they are placed last.
-constexpr JobPolicy unknownPolicy { .priority = std::numeric_limits<std::uint32_t>::max() };
-
 /// Max age of the owner's replica of the jobs for starts: an older replica may lack cancels that must have taken effect.
 constexpr Millis maxReplicaAgeForStarts { 2'000 };
 
@@ -126,18 +131,9 @@
     /// \returns The account of the organisation that submitted a job, or null.
     [[nodiscard]] OrganisationAccount* accountOf(const JobRecord& record) { return record.organisation.empty() ? nullptr : &organisations.account(record.organisation); }
 
-    /// \returns The pool of the job's queue by the newest known configuration with the queue, otherwise the pool at the job's submission.
-    [[nodiscard]] std::string poolOf(const JobState& job) const;
-
-    /// \returns The newest policy of the job's queue that this process knows or that is stored; nothing: the queue was removed before this
-    /// process started, and an earlier version of the program stored the job. Then nothing irreversible may depend on the policy.
-    [[nodiscard]] std::optional<JobPolicy> policyOf(const JobState& job) const;
-
-    /// \returns The number of failures of one task at which the job fails; nothing: unknown.
-    [[nodiscard]] std::optional<std::uint32_t> maxAttemptsOf(const JobState& job) const;
-
-    /// \brief Stores changed policies with the unfinished jobs: a later owner may not have known their queues.
-    void retainPolicies();
+    /// \brief Applies the current configuration to a job: its pool and its policy. A changed limit is stored, since a later owner may not have
+    /// known the queue.
+    void applyConfiguration(OwnerJob& job);
 
     /// \returns Whether the job can't meet its objective any more, so that it is placed after the others.
     [[nodiscard]] bool isInfeasible(const OwnerJob& job, MonotonicInstant now) const;
--- a/src/jobs/owner/placement_candidate.h
+++ b/src/jobs/owner/placement_candidate.h
@@ -4,7 +4,6 @@
 
 #include "owner_state.h"
 
-#include <optional>
 #include <tuple>
 #include <vector>
 
@@ -12,13 +11,12 @@
 
 /// Tasks of one step that could start now, with their sort keys for the placement order.
 struct PlacementCandidate {
-    std::uint32_t priority = 0; ///< Of the policy.
+    std::uint32_t priority = 0;
     bool infeasible = false; ///< The job has not started and can no longer meet its objective.
     bool beyondRate = false; ///< The job exceeded its organisation's rate.
     MonotonicInstant objective;
     OwnerJob* job = nullptr;
     StepId step;
-    std::optional<JobPolicy> policy; ///< Nothing: unknown.
     std::vector<TaskId> tasks;
     bool fromGroup = false; ///< Taken from its organisation's group of waiting jobs, whose sums include the job.
 
--- a/src/jobs/owner/placement_pass.cpp
+++ b/src/jobs/owner/placement_pass.cpp
@@ -57,7 +57,7 @@
         collect(job);
     }
     for (const auto& [name, group] : m_state.waitingJobs.groups())
-        m_candidates[m_state.poolOf(group.jobs().begin()->second.job->state)];
+        m_candidates[group.jobs().begin()->second.job->pool];
     for (auto& [pool, candidates] : m_candidates)
         placePool(pool, candidates);
     return m_nextPassAt;
@@ -135,8 +135,6 @@
 
 void PlacementPass::collect(OwnerJob& job)
 {
-    std::optional<JobPolicy> policy;
-    std::string pool;
     std::optional<bool> infeasible; // Determined when the first step of the job can start.
     const MonotonicInstant now = m_now;
     bool startsByTime = job.state.nextDue().has_value();
@@ -155,17 +153,15 @@
         if (tasks.empty())
             continue;
         if (!infeasible) {
-            policy = m_state.policyOf(job.state);
-            pool = m_state.poolOf(job.state);
             infeasible = m_state.isInfeasible(job, now);
         }
         // The next failure may be beyond the unknown limit.
-        if (!policy)
+        if (!job.policy)
             std::erase_if(tasks, [&](const TaskId& task) { return job.state.failuresOf(task) > 0; });
         if (tasks.empty())
             continue;
-        m_candidates[pool].push_back(
-            { .priority = policy.value_or(unknownPolicy).priority, .infeasible = *infeasible, .beyondRate = job.beyondRate && m_state.options.placement.beyondRateLast, .objective = job.objective, .job = &job, .step = id, .policy = policy, .tasks = std::move(tasks) });
+        m_candidates[job.pool].push_back(
+            { .priority = job.priority(), .infeasible = *infeasible, .beyondRate = job.beyondRate && m_state.options.placement.beyondRateLast, .objective = job.objective, .job = &job, .step = id, .tasks = std::move(tasks) });
     }
     if (!infeasible && !startsByTime)
         job.blockedAtChange = job.state.changes();
@@ -232,7 +228,8 @@
 /// reported; its crashes and unsettled probations reach theirs if a previous owner failed during the task's last probation.
 bool PlacementPass::failExhausted(const Candidate& candidate)
 {
-    const bool hasFailed = candidate.policy && std::any_of(candidate.tasks.begin(), candidate.tasks.end(), [&](const TaskId& task) { return m_dispatcher.failAtLimit(*candidate.job, task, candidate.policy->maxAttempts); });
+    const std::optional<JobPolicy>& policy = candidate.job->policy;
+    const bool hasFailed = policy && std::any_of(candidate.tasks.begin(), candidate.tasks.end(), [&](const TaskId& task) { return m_dispatcher.failAtLimit(*candidate.job, task, policy->maxAttempts); });
     if (hasFailed)
         return true;
     const auto exhausted = std::find_if(candidate.tasks.begin(), candidate.tasks.end(), [&](const TaskId& id) {
@@ -256,7 +253,7 @@
         noteHeld(candidate, sites, candidate.tasks.size());
         return;
     }
-    const bool needsTickets = candidate.policy && candidate.policy->advice;
+    const bool needsTickets = candidate.job->policy && candidate.job->policy->advice;
     m_stepAdvice = needsTickets ? &m_advice.adviceOn(candidate.job->state.id(), candidate.step) : nullptr;
     if (step.gang)
         placeGang(candidate, sites, pool);
@@ -450,7 +447,7 @@
     std::vector<const WorkerRecord*> asked;
     for (const std::size_t index : selectForAdvice(candidates, need, m_stepAdvice->answers()))
         asked.push_back(workers[index]);
-    m_advice.query(job, candidate.step, *candidate.policy->advice, asked);
+    m_advice.query(job, candidate.step, *candidate.job->policy->advice, asked);
 }
 
 /// \returns The sites that up to `tasks` tasks would be placed on if each allowed worker had a valid ticket, once for each task.
