--- a/include/lanemoor/jobs/model/job_state.h
+++ b/include/lanemoor/jobs/model/job_state.h
@@ -31,7 +31,6 @@
 struct LiveAttempt {
     std::uint64_t number = 0;
     std::string worker; ///< Id of the worker incarnation that the start was sent to.
-    std::string checkpoint; ///< Brought by the start; the members of a gang bring the same.
     AttemptPhase phase = AttemptPhase::Sent;
     MonotonicInstant startedAt; ///< When the start was sent, or the attempt was found running at the worker.
     MonotonicInstant phaseSince;
@@ -82,6 +81,8 @@
     std::vector<TaskState> tasks;
     std::uint32_t succeeded = 0; ///< Number of tasks that have succeeded.
     std::uint32_t live = 0; ///< Number of tasks with a live attempt.
+    std::uint64_t gangAttempt = 0; ///< The latest attempt of a gang.
+    std::string gangCheckpoint; ///< Brought by each start of that attempt.
 
     /// \returns The number of tasks that have neither succeeded nor a live attempt.
     [[nodiscard]] std::uint32_t idle() const noexcept { return static_cast<std::uint32_t>(tasks.size()) - succeeded - live; }
@@ -150,6 +151,12 @@
     /// has no limit.
     [[nodiscard]] std::uint32_t failuresOf(const TaskId& task) const;
 
+    /// \returns Whether a failure of any task is recorded.
+    [[nodiscard]] bool hasFailures() const noexcept { return m_hasFailures; }
+
+    /// \returns The checkpoint that the start of a live attempt brings; the members of a gang bring the same.
+    [[nodiscard]] const std::string& checkpointOf(const TaskId& task) const;
+
     /// \returns The policy with the newest version of those at submission and since; nothing: unknown, as an earlier version of the program
     /// stored the job.
     [[nodiscard]] const std::optional<JobPolicy>& newestPolicy() const noexcept { return m_initial.policy ? m_initial.policy : m_record->policy; }
@@ -276,6 +283,7 @@
     std::uint32_t m_occurrencesDone;
     std::uint32_t m_occurrencesOpened;
     std::uint64_t m_changes = 0;
+    bool m_hasFailures = false;
     ProgressRecord m_initial; ///< Stored progress, for occurrences that are not open yet.
     std::map<StepId, StepState> m_steps;
 };
--- a/include/lanemoor/jobs/model/service_configuration.h
+++ b/include/lanemoor/jobs/model/service_configuration.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -52,6 +53,14 @@
     [[nodiscard]] bool operator==(const RemovedQueue&) const = default;
 };
 
+/// The settings of a queue by the newest known version of the configuration that has the queue.
+struct KnownQueue {
+    const QueueSettings* settings = nullptr; ///< Not null. Owned by the configuration that was asked.
+    std::uint64_t version = 0; ///< The version that the settings are from.
+
+    [[nodiscard]] JobPolicy policy() const { return settings->policy(version); }
+};
+
 /// One version of the configuration. Immutable once published.
 struct ServiceConfiguration {
     std::uint64_t version = 0;
@@ -64,11 +73,11 @@
     /// \returns The queue with `name`, or null. Null means that callers can't address it; its jobs may be unfinished.
     [[nodiscard]] const QueueSettings* queue(std::string_view name) const noexcept;
 
-    /// \returns The queue with `name` of this version or, if it was removed, of the last known version with it; null: unknown.
-    [[nodiscard]] const QueueSettings* lastKnownQueue(std::string_view name) const noexcept;
+    /// \returns The queue with `name` of this version or, if it was removed, of the last known version with it; nothing: unknown.
+    [[nodiscard]] std::optional<KnownQueue> lastKnownQueue(std::string_view name) const noexcept;
 
-    /// \returns The policy of the last known queue with `name`, or nothing.
-    [[nodiscard]] std::optional<JobPolicy> lastKnownPolicy(std::string_view name) const;
+    /// \returns All queues of this version and the retained ones, by name. For looking up many queues.
+    [[nodiscard]] std::map<std::string_view, KnownQueue> lastKnownQueues() const;
 
     /// \brief Retains the settings of queues that `previous` has or retains and this version lacks. Bounded: the earliest removals are
     /// dropped first.
@@ -81,9 +90,6 @@
     [[nodiscard]] const QueueSettings* queueFor(std::string_view host, std::string_view path) const noexcept;
 
     [[nodiscard]] bool operator==(const ServiceConfiguration&) const = default;
-
-private:
-    [[nodiscard]] const RemovedQueue* removedQueue(std::string_view name) const noexcept;
 };
 
 /// A worker's self-description in the store.
--- a/src/jobs/model/job_state.cpp
+++ b/src/jobs/model/job_state.cpp
@@ -174,6 +174,7 @@
             if (stored == progress.tasks.end())
                 continue;
             task.failedAttempts = stored->second.failedAttempts;
+            m_hasFailures |= !task.failedAttempts.empty();
             task.checkpoint = stored->second.checkpoint;
             task.crashes = stored->second.crashes;
             // The stored record does not identify the attempts that crashed their workers.
@@ -211,9 +212,15 @@
         return;
     state->lastAttempt = std::max(state->lastAttempt, number);
     state->live = LiveAttempt {
-        .number = number, .worker = worker, .checkpoint = find(countedTask(task))->checkpoint, .startedAt = now, .phaseSince = now, .stopAnsweredAt = std::nullopt, .percentSince = now
+        .number = number, .worker = worker, .startedAt = now, .phaseSince = now, .stopAnsweredAt = std::nullopt, .percentSince = now
     };
-    ++m_steps.at({ task.occurrence, task.step }).live;
+    StepState& step = m_steps.at({ task.occurrence, task.step });
+    ++step.live;
+    // A report between the starts of two members changes only the checkpoint of the next attempt.
+    if (isGang(task) && number > step.gangAttempt) {
+        step.gangAttempt = number;
+        step.gangCheckpoint = find(countedTask(task))->checkpoint;
+    }
     m_hasPlannedStart = true;
 }
 
@@ -258,6 +265,12 @@
     return counted && !spec(task.step).longRunning ? static_cast<std::uint32_t>(counted->failedAttempts.size()) : 0;
 }
 
+const std::string& JobState::checkpointOf(const TaskId& task) const
+{
+    const StepState& step = m_steps.at({ task.occurrence, task.step });
+    return isGang(task) ? step.gangCheckpoint : step.tasks[task.index].checkpoint;
+}
+
 bool JobState::failAtLimit(const TaskId& task, std::uint32_t maxAttempts)
 {
     if (isFinal(m_status) || failuresOf(task) < maxAttempts)
@@ -397,6 +410,7 @@
     if (std::find(failed.begin(), failed.end(), attempt.number) != failed.end())
         return effect;
     failed.push_back(attempt.number);
+    m_hasFailures = true;
     effect.toBeStored = true;
     own.notBefore = now + retryDelay;
     ++m_changes;
--- a/src/jobs/model/service_configuration.cpp
+++ b/src/jobs/model/service_configuration.cpp
@@ -3,6 +3,7 @@
 #include "lanemoor/net/http_message.h"
 
 #include <algorithm>
+#include <set>
 
 namespace lanemoor::jobs {
 
@@ -29,35 +30,35 @@
     return findNamed(queues, name);
 }
 
-const RemovedQueue* ServiceConfiguration::removedQueue(std::string_view name) const noexcept
+std::optional<KnownQueue> ServiceConfiguration::lastKnownQueue(std::string_view name) const noexcept
 {
+    if (const QueueSettings* current = queue(name))
+        return KnownQueue { .settings = current, .version = version };
     const auto removed = std::find_if(removedQueues.begin(), removedQueues.end(), [&](const RemovedQueue& known) { return known.settings.name == name; });
-    return removed == removedQueues.end() ? nullptr : &*removed;
+    return removed == removedQueues.end() ? std::nullopt : std::optional(KnownQueue { .settings = &removed->settings, .version = removed->version });
 }
 
-const QueueSettings* ServiceConfiguration::lastKnownQueue(std::string_view name) const noexcept
+std::map<std::string_view, KnownQueue> ServiceConfiguration::lastKnownQueues() const
 {
-    const QueueSettings* current = queue(name);
-    const RemovedQueue* removed = current ? nullptr : removedQueue(name);
-    return removed ? &removed->settings : current;
-}
-
-std::optional<JobPolicy> ServiceConfiguration::lastKnownPolicy(std::string_view name) const
-{
-    if (const QueueSettings* current = queue(name))
-        return current->policy(version);
-    const RemovedQueue* removed = removedQueue(name);
-    return removed ? std::optional(removed->settings.policy(removed->version)) : std::nullopt;
+    std::map<std::string_view, KnownQueue> known;
+    for (const QueueSettings& settings : queues)
+        known.try_emplace(settings.name, KnownQueue { .settings = &settings, .version = version });
+    for (const RemovedQueue& removed : removedQueues)
+        known.try_emplace(removed.settings.name, KnownQueue { .settings = &removed.settings, .version = removed.version });
+    return known;
 }
 
 void ServiceConfiguration::retainRemovedQueues(const ServiceConfiguration& previous)
 {
+    std::set<std::string_view> names;
+    for (const QueueSettings& settings : queues)
+        names.insert(settings.name);
     for (const RemovedQueue& removed : previous.removedQueues) {
-        if (!queue(removed.settings.name))
+        if (!names.contains(removed.settings.name))
             removedQueues.push_back(removed);
     }
     for (const QueueSettings& settings : previous.queues) {
-        if (!queue(settings.name))
+        if (!names.contains(settings.name))
             removedQueues.push_back({ settings, previous.version });
     }
     if (removedQueues.size() > maxRemovedQueues)
--- a/src/jobs/owner/admission_controller.cpp
+++ b/src/jobs/owner/admission_controller.cpp
@@ -137,13 +137,13 @@
 AcceptedWork& AdmissionController::entryOf(ByPool& accepted, const QueueAndOrganisation& name, const std::string& fallbackPool) const
 {
     const std::shared_ptr<const ServiceConfiguration> configuration = m_state.configuration();
-    const QueueSettings* queue = configuration->lastKnownQueue(name.first);
-    const auto [place, isNew] = accepted[queue ? queue->pool : fallbackPool].try_emplace(name);
+    const std::optional<KnownQueue> queue = configuration->lastKnownQueue(name.first);
+    const auto [place, isNew] = accepted[queue ? queue->settings->pool : fallbackPool].try_emplace(name);
     AcceptedWork& work = place->second;
     if (!isNew)
         return work;
     const OrganisationSettings* organisation = configuration->organisations.find(name.second);
-    work = { .queue = name.first, .organisation = name.second, .weight = organisation ? organisation->weight : 0, .priority = queue ? queue->priority : std::numeric_limits<std::uint32_t>::max(), .typical = typicalJobOf(name.first), .correction = m_state.forecast.ratio(name.first) };
+    work = { .queue = name.first, .organisation = name.second, .weight = organisation ? organisation->weight : 0, .priority = queue ? queue->settings->priority : std::numeric_limits<std::uint32_t>::max(), .typical = typicalJobOf(name.first), .correction = m_state.forecast.ratio(name.first) };
     return work;
 }
 
--- a/src/jobs/owner/command_dispatcher.cpp
+++ b/src/jobs/owner/command_dispatcher.cpp
@@ -145,7 +145,7 @@
         .payload = job.record().spec.payload,
         .leaseUntil = worker.session->leaseForCommand().value_or(0),
         .epoch = m_state.ownership.epoch,
-        .checkpoint = task.live->checkpoint,
+        .checkpoint = job.checkpointOf(attempt.task),
         .ticket = ticket };
     ++m_counts.starts;
     m_health.noteStartSent(worker, command);
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -265,10 +265,7 @@
             if (entry.listed && !m_term->state.worker(id) && isPoolConfigured(entry))
                 addWorker(entry);
         }
-        for (auto& [id, job] : m_term->state.jobs) {
-            if (!isFinal(job.state.status()))
-                m_term->state.applyConfiguration(job);
-        }
+        m_term->state.applyConfiguration();
         requestPass();
     }
 
--- a/src/jobs/owner/owner_state.cpp
+++ b/src/jobs/owner/owner_state.cpp
@@ -190,14 +190,28 @@
     return true;
 }
 
+void OwnerState::applyConfiguration()
+{
+    const std::shared_ptr<const ServiceConfiguration> current = configuration();
+    const std::map<std::string_view, KnownQueue> queues = current->lastKnownQueues();
+    for (auto& [id, job] : jobs) {
+        if (isFinal(job.state.status()))
+            continue;
+        const auto found = queues.find(job.state.record().queue);
+        applyQueue(job, found == queues.end() ? std::nullopt : std::optional(found->second));
+    }
+}
+
 void OwnerState::applyConfiguration(OwnerJob& job)
 {
-    const JobRecord& record = job.state.record();
     const std::shared_ptr<const ServiceConfiguration> current = configuration();
-    const QueueSettings* queue = current->lastKnownQueue(record.queue);
-    job.pool = queue ? queue->pool : record.pool;
-    const std::optional<JobPolicy> known = current->lastKnownPolicy(record.queue);
-    if (known && job.state.retainPolicy(*known))
+    applyQueue(job, current->lastKnownQueue(job.state.record().queue));
+}
+
+void OwnerState::applyQueue(OwnerJob& job, const std::optional<KnownQueue>& queue)
+{
+    job.pool = queue ? queue->settings->pool : job.state.record().pool;
+    if (queue && job.state.retainPolicy(queue->policy()))
         store(job.state.id());
     // The job may have been accepted, or its progress stored, under a configuration that this process has not received.
     job.policy = job.state.newestPolicy();
--- a/src/jobs/owner/owner_state.h
+++ b/src/jobs/owner/owner_state.h
@@ -135,6 +135,9 @@
     /// known the queue.
     void applyConfiguration(OwnerJob& job);
 
+    /// \brief Applies the current configuration to all unfinished jobs.
+    void applyConfiguration();
+
     /// \returns Whether the job can't meet its objective any more, so that it is placed after the others.
     [[nodiscard]] bool isInfeasible(const OwnerJob& job, MonotonicInstant now) const;
 
@@ -160,6 +163,10 @@
 
     /// \brief Schedules the job's progress for storing.
     void store(const std::string& id) { writer->markChanged(id); }
+
+private:
+    /// \param queue The job's queue; nothing: unknown.
+    void applyQueue(OwnerJob& job, const std::optional<KnownQueue>& queue);
 };
 
 /// \returns The name of `attempt` in logs, for example `5c0e7a21d94b36f8/0/1/17#2`.
--- a/src/jobs/owner/placement_pass.cpp
+++ b/src/jobs/owner/placement_pass.cpp
@@ -156,7 +156,7 @@
             infeasible = m_state.isInfeasible(job, now);
         }
         // The next failure may be beyond the unknown limit.
-        if (!job.policy)
+        if (!job.policy && job.state.hasFailures())
             std::erase_if(tasks, [&](const TaskId& task) { return job.state.failuresOf(task) > 0; });
         if (tasks.empty())
             continue;
@@ -229,11 +229,12 @@
 bool PlacementPass::failExhausted(const Candidate& candidate)
 {
     const std::optional<JobPolicy>& policy = candidate.job->policy;
-    const bool hasFailed = policy && std::any_of(candidate.tasks.begin(), candidate.tasks.end(), [&](const TaskId& task) { return m_dispatcher.failAtLimit(*candidate.job, task, policy->maxAttempts); });
+    const bool hasFailed = policy && candidate.job->state.hasFailures() && std::any_of(candidate.tasks.begin(), candidate.tasks.end(), [&](const TaskId& task) { return m_dispatcher.failAtLimit(*candidate.job, task, policy->maxAttempts); });
     if (hasFailed)
         return true;
+    const std::vector<TaskState>& states = candidate.job->state.steps().at(candidate.step).tasks;
     const auto exhausted = std::find_if(candidate.tasks.begin(), candidate.tasks.end(), [&](const TaskId& id) {
-        const TaskState& task = *candidate.job->state.find(id);
+        const TaskState& task = states[id.index];
         return isExhausted(task.crashes, static_cast<std::uint32_t>(task.probations.size()), candidate.job->inherited);
     });
     if (exhausted == candidate.tasks.end())
--- a/src/jobs/owner/status_reconciler.cpp
+++ b/src/jobs/owner/status_reconciler.cpp
@@ -46,7 +46,7 @@
     handleEnds(*worker, session, result.ended);
     for (const RunningAttempt& running : result.running)
         handleRunning(*worker, running, result.workerClock);
-    for (const Attempt& attempt : absentAttempts(*worker, result))
+    for (const Attempt& attempt : absentAttempts(*worker, result, [](const Attempt&) { return true; }))
         settleAbsent(*worker, attempt, result.workerClock, sentAt);
     stopStalled(*worker);
     adjustThrottle(*worker, result);
@@ -64,15 +64,15 @@
     m_state.options.log->decision("report-partial", { { "worker", worker.entry.id }, { "running", static_cast<std::int64_t>(result.running.size()) }, { "ended", static_cast<std::int64_t>(result.ended.size()) }, { "reserved", static_cast<std::int64_t>(worker.reservations.size()) } });
 }
 
-/// \returns Reserved attempts that neither run at the worker nor have an unread end. The listed ends must have been handled.
-std::vector<Attempt> StatusReconciler::absentAttempts(const WorkerRecord& worker, const RenewResult& result)
+/// \returns Reserved attempts that pass the filter and neither run at the worker nor have an unread end. The listed ends must have been handled.
+std::vector<Attempt> StatusReconciler::absentAttempts(const WorkerRecord& worker, const RenewResult& result, const std::function<bool(const Attempt&)>& filter)
 {
     std::vector<Attempt> absent;
     if (result.coverage == ReportCoverage::Partial)
         return absent;
     for (const auto& [attempt, reservation] : worker.reservations) {
         const auto isThis = [&wanted = attempt](const RunningAttempt& running) { return running.attempt == wanted; };
-        if (std::none_of(result.running.begin(), result.running.end(), isThis))
+        if (filter(attempt) && std::none_of(result.running.begin(), result.running.end(), isThis))
             absent.push_back(attempt);
     }
     return absent;
@@ -182,10 +182,13 @@
             confirm(running, result.workerClock);
         }
     }
-    for (const Attempt& attempt : absentAttempts(*worker, result)) {
+    const auto hasUnknownOutcome = [&](const Attempt& attempt) {
         const TaskState* task = m_state.liveTask(attempt, worker->entry.id);
-        const bool hasUnknownOutcome = task && (task->live->phase == AttemptPhase::OutcomeUnknown || task->live->phase == AttemptPhase::Stopping);
-        if (!hasUnknownOutcome)
+        return task && (task->live->phase == AttemptPhase::OutcomeUnknown || task->live->phase == AttemptPhase::Stopping);
+    };
+    for (const Attempt& attempt : absentAttempts(*worker, result, hasUnknownOutcome)) {
+        // Settling an attempt may release others of its job.
+        if (!hasUnknownOutcome(attempt))
             continue;
         settleAbsent(*worker, attempt, result.workerClock, sentAt);
         m_state.requestPass();
--- a/src/jobs/owner/status_reconciler.h
+++ b/src/jobs/owner/status_reconciler.h
@@ -5,6 +5,8 @@
 #include "command_dispatcher.h"
 #include "crash_tracker.h"
 
+#include <functional>
+
 namespace lanemoor::jobs {
 
 /// \brief Reconciles jobs and reservations with the workers' reports.
@@ -36,7 +38,7 @@
     [[nodiscard]] OrganisationAccount* accountOf(const Attempt& attempt, const OwnerJob* job) const;
     void stopStray(WorkerRecord& worker, const Attempt& attempt, const OwnerJob* job);
     void notePartial(const WorkerRecord& worker, const RenewResult& result);
-    [[nodiscard]] static std::vector<Attempt> absentAttempts(const WorkerRecord& worker, const RenewResult& result);
+    [[nodiscard]] static std::vector<Attempt> absentAttempts(const WorkerRecord& worker, const RenewResult& result, const std::function<bool(const Attempt&)>& filter);
     void settleAbsent(WorkerRecord& worker, const Attempt& attempt, std::int64_t workerClock, MonotonicInstant sentAt);
     void confirm(const RunningAttempt& report, std::int64_t workerClock);
     void stopStalled(WorkerRecord& worker);
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -247,10 +247,10 @@
 
     void submit(const Caller& caller, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done)
     {
-        const QueueSettings* settings = m_configuration->lastKnownQueue(caller.queue);
-        const std::optional<JobPolicy> policy = m_configuration->lastKnownPolicy(caller.queue);
+        const std::optional<KnownQueue> queue = m_configuration->lastKnownQueue(caller.queue);
+        const std::optional<JobPolicy> policy = queue ? std::optional(queue->policy()) : std::nullopt;
         const MonotonicInstant usefulUntil = m_parts.loop->now() + usefulTime(policy.value_or(JobPolicy {}), spec);
-        const JobRecord record { .queue = caller.queue, .pool = settings ? settings->pool : std::string(), .acceptedAt = m_parts.loop->timeOfDay(), .spec = std::move(spec), .organisation = caller.organisation, .policy = policy };
+        const JobRecord record { .queue = caller.queue, .pool = queue ? queue->settings->pool : std::string(), .acceptedAt = m_parts.loop->timeOfDay(), .spec = std::move(spec), .organisation = caller.organisation, .policy = policy };
         const AdmissionDecision gateResult = decide(caller, id, record.spec);
         const auto answer = [this, id, caller, gateResult, usefulUntil, spec = record.spec, done = std::move(done), sentAt = m_parts.loop->now(), version = m_configuration->version, configurationAge = configurationAge()](AcceptOutcome outcome) {
             metrics.noteSubmitted(caller.queue, outcome, secondsSince(sentAt));
--- a/tests/jobs/gang_checkpoint_test.cpp
+++ b/tests/jobs/gang_checkpoint_test.cpp
@@ -50,7 +50,7 @@
 
 const std::string& checkpointOf(const JobState& state, std::uint32_t index)
 {
-    return state.find({ 0, 0, index })->live->checkpoint;
+    return state.checkpointOf({ 0, 0, index });
 }
 
 } // namespace
--- a/tests/jobs/removed_queue_test.cpp
+++ b/tests/jobs/removed_queue_test.cpp
@@ -212,15 +212,37 @@
     second.retainRemovedQueues(first);
     CHECK(second.queue("work") == nullptr);
     REQUIRE(second.lastKnownQueue("work"));
-    CHECK(second.lastKnownQueue("work")->maxAttempts == 7);
+    CHECK(second.lastKnownQueue("work")->settings->maxAttempts == 7);
     ServiceConfiguration third;
     third.version = 3;
     third.retainRemovedQueues(second);
-    CHECK(third.lastKnownPolicy("work") == first.queues.front().policy(1));
+    REQUIRE(third.lastKnownQueue("work"));
+    CHECK(third.lastKnownQueue("work")->policy() == first.queues.front().policy(1));
     ServiceConfiguration fourth = smallConfiguration(4);
     fourth.retainRemovedQueues(third);
     CHECK(fourth.removedQueues.empty());
-    CHECK(fourth.lastKnownQueue("work")->maxAttempts == 3);
+    REQUIRE(fourth.lastKnownQueue("work"));
+    CHECK(fourth.lastKnownQueue("work")->settings->maxAttempts == 3);
+}
+
+/// Guards against jobs that get other settings when the configuration changes than when they are loaded.
+TEST_CASE("Looking up all queues gives the same settings as looking up each")
+{
+    ServiceConfiguration first = smallConfiguration(1);
+    first.queues.front().maxAttempts = 7;
+    first.queues.push_back(first.queues.front());
+    first.queues.back().name = "removed";
+    ServiceConfiguration second = smallConfiguration(2);
+    second.retainRemovedQueues(first);
+    const std::map<std::string_view, KnownQueue> all = second.lastKnownQueues();
+    REQUIRE(all.size() == second.queues.size() + 1);
+    for (const auto& [name, known] : all) {
+        const std::optional<KnownQueue> single = second.lastKnownQueue(name);
+        REQUIRE(single);
+        CHECK(single->settings == known.settings);
+        CHECK(single->version == known.version);
+    }
+    CHECK(all.at("removed").policy() == first.queues.back().policy(1));
 }
 
 /// Guards against memory that grows with each queue that operators ever removed.
@@ -237,6 +259,6 @@
         current = without;
     }
     CHECK(current.removedQueues.size() == 1'000);
-    CHECK(current.lastKnownQueue("0") == nullptr);
+    CHECK_FALSE(current.lastKnownQueue("0"));
     CHECK(current.lastKnownQueue(std::to_string(removals - 1)));
 }
