--- a/standins/job_platform/control_service.cpp
+++ b/standins/job_platform/control_service.cpp
@@ -23,9 +23,10 @@
 
 } // namespace
 
-ControlService::ControlService(aio::AsioEventLoop& loop, StoreService& store, Fleet& fleet)
+ControlService::ControlService(aio::AsioEventLoop& loop, StoreService& store, Fleet& fleet, Advisor& advisor)
     : m_store(store)
     , m_fleet(fleet)
+    , m_advisor(advisor)
     , m_listener(loop, { .address = { "127.0.0.1", 0 } }, [this](const HttpRequest& request, const aio::HttpResponder& respond) { respond(serve(request)); })
 {
 }
@@ -52,6 +53,10 @@
         m_fleet.refuseStarts(body.value("on", false));
         return answerFound(true);
     }
+    if (path == "/advisor-faults") {
+        m_advisor.setUnresponsive(body.value("silent", false));
+        return answerFound(true);
+    }
     if (path == "/kill")
         return answerFound(m_fleet.kill(textIn(body, "instance"), Millis(integerIn(body, "back_ms")), body.value("keeps_id", false)));
     if (path == "/worker-faults")
--- a/standins/job_platform/control_service.h
+++ b/standins/job_platform/control_service.h
@@ -2,6 +2,7 @@
 /// \file
 /// The interface through which a test injects faults and writes to the store as an operator.
 
+#include "advisor.h"
 #include "fleet.h"
 #include "lanemoor/aio/http_listener.h"
 #include "store_service.h"
@@ -19,9 +20,10 @@
 /// | `/put`, `/remove` | `key`, `value` |
 /// | `/kill` | `instance`, `back_ms`, `keeps_id` |
 /// | `/worker-faults` | `instance`, `mute`, `answer_ms` |
+/// | `/advisor-faults` | `silent` |
 class ControlService {
 public:
-    ControlService(aio::AsioEventLoop& loop, StoreService& store, Fleet& fleet);
+    ControlService(aio::AsioEventLoop& loop, StoreService& store, Fleet& fleet, Advisor& advisor);
 
     [[nodiscard]] std::uint16_t port() const { return m_listener.port(); }
 
@@ -30,6 +32,7 @@
 
     StoreService& m_store;
     Fleet& m_fleet;
+    Advisor& m_advisor;
     aio::HttpListener m_listener;
 };
 
--- a/standins/job_platform/fleet.cpp
+++ b/standins/job_platform/fleet.cpp
@@ -25,10 +25,11 @@
 
 } // namespace
 
-Fleet::Fleet(aio::AsioEventLoop& loop, StoreService& store, EventWriter& events)
+Fleet::Fleet(aio::AsioEventLoop& loop, StoreService& store, EventWriter& events, const Advisor& advisor)
     : m_loop(loop)
     , m_store(store)
     , m_events(events)
+    , m_advisor(advisor)
     , m_listener(loop, { .address = anyPort }, [this](const HttpRequest& request, const aio::HttpResponder& respond) { serve(request, respond); })
 {
 }
@@ -67,7 +68,7 @@
         return;
     const std::string id = previousId.empty() ? "w-" + std::to_string(++m_lastWorker) : previousId;
     const std::int64_t startedAt = m_loop.timeOfDay().time_since_epoch().count();
-    target.worker = std::make_unique<Worker>(m_loop, m_events, WorkerIdentity { .id = id, .instance = instance, .dataHall = target.settings.dataHall, .startedAt = startedAt });
+    target.worker = std::make_unique<Worker>(m_loop, m_events, m_advisor, WorkerIdentity { .id = id, .instance = instance, .dataHall = target.settings.dataHall, .startedAt = startedAt });
     const json entry { { "address", target.address }, { "service", target.settings.pool }, { "zone", target.settings.dataHall }, { "state", "ready" }, { "capacity", capacityOf(target.settings) }, { "labels", { target.settings.kind, target.settings.rack } }, { "born", startedAt } };
     m_store.put("servers/" + id, entry.dump());
     m_events.write("worker-started", { { "worker", id }, { "instance", instance }, { "pool", target.settings.pool } });
@@ -102,6 +103,12 @@
     m_loop.callAt(m_loop.now() + entryRetention, [this, worker] { m_store.remove("servers/" + worker); });
 }
 
+const WorkerIdentity* Fleet::workerOf(const std::string& id) const
+{
+    const auto found = std::find_if(m_instances.begin(), m_instances.end(), [&](const auto& entry) { return entry.second.worker && entry.second.worker->identity().id == id; });
+    return found == m_instances.end() ? nullptr : &found->second.worker->identity();
+}
+
 bool Fleet::setFaults(const std::string& instance, const WorkerFaults& faults)
 {
     const auto found = m_instances.find(instance);
--- a/standins/job_platform/fleet.h
+++ b/standins/job_platform/fleet.h
@@ -40,7 +40,7 @@
 /// \brief Instances with one port each, on which the successive workers of an instance serve.
 class Fleet {
 public:
-    Fleet(aio::AsioEventLoop& loop, StoreService& store, EventWriter& events);
+    Fleet(aio::AsioEventLoop& loop, StoreService& store, EventWriter& events, const Advisor& advisor);
 
     /// \brief Adds an instance, which is down until `begin`.
     void add(const InstanceSettings& settings);
@@ -62,6 +62,9 @@
     /// \returns Whether the instance had a worker.
     bool kill(const std::string& instance, Millis backAfter, bool keepsId);
 
+    /// \returns The current worker with an id, or null.
+    [[nodiscard]] const WorkerIdentity* workerOf(const std::string& id) const;
+
     /// \returns Whether the instance exists.
     bool setFaults(const std::string& instance, const WorkerFaults& faults);
 
@@ -94,6 +97,7 @@
     aio::AsioEventLoop& m_loop;
     StoreService& m_store;
     EventWriter& m_events;
+    const Advisor& m_advisor;
     std::map<std::string, Instance> m_instances;
     std::set<std::string> m_reserves;
     std::set<std::pair<std::int64_t, std::string>> m_maintained; ///< Wave numbers and instances.
--- a/standins/job_platform/main.cpp
+++ b/standins/job_platform/main.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Stand-in for the platform of the job service: store, fleet interface and workers over HTTP on loopback.
-/// Usage: job_platform_standin [--seed N] [--instances N] [--reserve N] [--halls N]
+/// Usage: job_platform_standin [--seed N] [--instances N] [--reserve N] [--halls N] [--callers N]
 ///
 /// The first line of output has the ports. Workers start at the control call `/begin`. SIGTERM ends the process.
 
@@ -28,6 +28,7 @@
     unsigned instances = 12;
     unsigned reserve = 4;
     unsigned halls = 3;
+    unsigned callers = 1; ///< Processes that call the advisor.
 };
 
 Options readOptions(int count, char** arguments)
@@ -40,6 +41,7 @@
     options.seed = value("--seed", options.seed);
     options.instances = static_cast<unsigned>(value("--instances", options.instances));
     options.reserve = static_cast<unsigned>(value("--reserve", options.reserve));
+    options.callers = static_cast<unsigned>(std::max<std::uint64_t>(value("--callers", options.callers), 1));
     options.halls = static_cast<unsigned>(std::max<std::uint64_t>(value("--halls", options.halls), 1));
     return options;
 }
@@ -62,11 +64,13 @@
     aio::AsioEventLoop loop;
     EventWriter events;
     StoreService store(loop, options.seed);
-    Fleet fleet(loop, store, events);
+    Advisor advisor(loop, options.callers);
+    Fleet fleet(loop, store, events, advisor);
+    advisor.find = [&fleet](const std::string& worker) { return fleet.workerOf(worker); };
     addInstances(fleet, options);
-    const ControlService control(loop, store, fleet);
+    const ControlService control(loop, store, fleet, advisor);
     loop.onSignals({ SIGTERM, SIGINT }, [&loop](int) { loop.stop(); });
-    events.write("ready", { { "store", store.port() }, { "fleet", fleet.port() }, { "control", control.port() }, { "workers", fleet.workerPorts() } });
+    events.write("ready", { { "store", store.port() }, { "fleet", fleet.port() }, { "control", control.port() }, { "workers", fleet.workerPorts() }, { "advisors", advisor.ports() } });
     loop.run();
     return 0;
 }
--- a/standins/job_platform/wire_text.h
+++ b/standins/job_platform/wire_text.h
@@ -19,6 +19,7 @@
 constexpr unsigned gone = 410;
 constexpr unsigned conditionFailed = 412;
 constexpr unsigned misdirected = 421;
+constexpr unsigned tooManyRequests = 429;
 constexpr unsigned unavailable = 503;
 } // namespace status
 
--- a/standins/job_platform/worker.cpp
+++ b/standins/job_platform/worker.cpp
@@ -1,5 +1,6 @@
 #include "worker.h"
 
+#include "advisor.h"
 #include "wire_text.h"
 
 #include <algorithm>
@@ -25,9 +26,10 @@
 
 } // namespace
 
-Worker::Worker(EventLoop& loop, EventWriter& events, WorkerIdentity identity)
+Worker::Worker(EventLoop& loop, EventWriter& events, const Advisor& advisor, WorkerIdentity identity)
     : m_loop(loop)
     , m_events(events)
+    , m_advisor(advisor)
     , m_identity(std::move(identity))
     , m_clockStart(loop.now() - clockAtStart)
 {
@@ -62,6 +64,8 @@
         respond(answerConflict("old", clock()));
     else if (instantOf(integerIn(body, "deadline_ms")) <= m_loop.now())
         respond(answerConflict("late", clock()));
+    else if (lacksTicket(body))
+        respond(answerConflict("ticket", clock()));
     else
         respond(begin(run, body));
 }
@@ -133,6 +137,15 @@
     return false;
 }
 
+bool Worker::lacksTicket(const json& body) const
+{
+    const json payload = json::parse(textIn(body, "spec"), nullptr, false);
+    if (!payload.is_object() || !payload.value("advised", false))
+        return false;
+    const std::string task = textIn(body, "task");
+    return !m_advisor.accepts(textIn(body, "ticket"), task.substr(0, task.rfind('.')), m_identity);
+}
+
 void Worker::extendLease(std::int64_t until)
 {
     if (until == 0)
@@ -172,6 +185,8 @@
         const End& end = m_ended.front();
         if (std::strcmp(end.outcome, "done") == 0 && end.sequence > m_expiredUpTo)
             writeEvent("stored", end.run);
+        else if (std::strcmp(end.outcome, "failed") == 0 && end.sequence > m_expiredUpTo)
+            writeEvent("failure-stored", end.run);
         m_ended.pop_front();
     }
 }
--- a/standins/job_platform/worker.h
+++ b/standins/job_platform/worker.h
@@ -17,6 +17,8 @@
 
 namespace lanemoor::standin {
 
+class Advisor;
+
 /// Identity and location of a worker.
 struct WorkerIdentity {
     std::string id;
@@ -27,10 +29,10 @@
 
 /// \brief Handles the calls to one incarnation. Destruction ends its runs.
 ///
-/// A payload is a JSON object: `ms` is the run time, and the optional `fails` makes the run fail.
+/// A payload is a JSON object: `ms` is the run time. The optional `fails` makes the run fail, `advised` makes its start need a ticket.
 class Worker {
 public:
-    Worker(jobs::EventLoop& loop, EventWriter& events, WorkerIdentity identity);
+    Worker(jobs::EventLoop& loop, EventWriter& events, const Advisor& advisor, WorkerIdentity identity);
     ~Worker();
     Worker(const Worker&) = delete;
     Worker& operator=(const Worker&) = delete;
@@ -68,6 +70,7 @@
     };
 
     [[nodiscard]] bool isFenced(const nlohmann::json& body);
+    [[nodiscard]] bool lacksTicket(const nlohmann::json& body) const;
     [[nodiscard]] HttpResponse begin(const Run& run, const nlohmann::json& body);
     void extendLease(std::int64_t until);
     void expireLease();
@@ -81,6 +84,7 @@
 
     jobs::EventLoop& m_loop;
     EventWriter& m_events;
+    const Advisor& m_advisor;
     WorkerIdentity m_identity;
     jobs::MonotonicInstant m_clockStart; ///< Zero of the worker's clock.
     std::int64_t m_fence = 0;
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -2,6 +2,7 @@
 
 #include "lanemoor/decisions/time.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -27,7 +28,6 @@
 constexpr unsigned maxSteps = 2;
 constexpr unsigned maxTasks = 4;
 constexpr unsigned probeTime = 50; // ms
-constexpr std::uint32_t attempts = 3; // Equals max_attempts in the configuration.
 constexpr unsigned failingOneIn = 30;
 constexpr unsigned longOneIn = 15;
 constexpr unsigned cancelledOneIn = 10;
@@ -106,7 +106,10 @@
     json payload { { "ms", time } };
     if (happens(failingOneIn))
         payload["fails"] = true;
-    SubmittedJob job { .id = id.data(), .tasks = {}, .maxAttempts = attempts, .queue = happens(2) ? "alpha" : "beta" };
+    const SoakQueue& queue = soakQueues[m_random() % soakQueues.size()];
+    if (queue.needsAdvice)
+        payload["advised"] = true;
+    SubmittedJob job { .id = id.data(), .tasks = {}, .maxAttempts = queue.maxAttempts, .queue = queue.name };
     json steps = json::array();
     const auto count = 1 + static_cast<unsigned>(m_random() % maxSteps);
     for (unsigned number = 0; number < count; ++number) {
@@ -121,9 +124,10 @@
 
 std::string Callers::probe(unsigned entry)
 {
-    const json body { { "spec", json { { "ms", probeTime } }.dump() }, { "steps", json::array({ stepOf(1, 0, probeTime) }) } };
     Call call = makeCall();
-    m_guarantees.noteSubmitted({ .id = call.id, .tasks = { 1 }, .maxAttempts = attempts, .queue = call.queue });
+    const auto queue = std::find_if(soakQueues.begin(), soakQueues.end(), [&](const SoakQueue& known) { return known.name == call.queue; });
+    const json body { { "spec", json { { "ms", probeTime }, { "advised", queue->needsAdvice } }.dump() }, { "steps", json::array({ stepOf(1, 0, probeTime) }) } };
+    m_guarantees.noteSubmitted({ .id = call.id, .tasks = { 1 }, .maxAttempts = queue->maxAttempts, .queue = call.queue });
     call.body = body.dump();
     call.triesLeft = 1;
     submit(call, entry);
@@ -199,9 +203,10 @@
 
 void Callers::requestCounts()
 {
-    for (const char* queue : { "alpha", "beta" }) {
+    for (const SoakQueue& settings : soakQueues) {
         const unsigned entry = readyEntry();
-        const HttpRequest request { .method = "GET", .target = std::string("/") + queue + '/', .headers = {}, .body = {} };
+        const std::string queue = settings.name;
+        const HttpRequest request { .method = "GET", .target = '/' + queue + '/', .headers = {}, .body = {} };
         send(entry, request, queue, [this, entry, queue, askedAt = now()](const aio::HttpReply& reply) {
             m_drainEvents();
             const json body = json::parse(reply.response.body, nullptr, false);
--- a/tests/soak/checks_test.cpp
+++ b/tests/soak/checks_test.cpp
@@ -45,6 +45,21 @@
     CHECK(brokenIn(guarantees) == Names { guarantee::oneAttemptAtOnce });
 }
 
+/// Guards against a limit of failures that no run of the soak would check.
+TEST_CASE("The soak detects a start after as many acknowledged failures as the limit")
+{
+    GuaranteeMonitor guarantees = withJob();
+    for (std::int64_t at = 0; at < 30; at += 10) {
+        guarantees.noteEvent(event("start", at + 1));
+        guarantees.noteEvent(event("failed", at + 2));
+        CHECK(guarantees.breaches().empty());
+        guarantees.noteEvent(event("failure-stored", at + 3));
+    }
+    CHECK(guarantees.breaches().empty());
+    guarantees.noteEvent(event("start", 40));
+    CHECK(brokenIn(guarantees) == Names { guarantee::attemptsAreBounded });
+}
+
 TEST_CASE("The soak detects a start after an acknowledged success")
 {
     GuaranteeMonitor guarantees = withJob();
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -39,6 +39,13 @@
     return series;
 }
 
+/// Planned after all others, whose random sequences depend on their order.
+const Series& advisorSeries()
+{
+    static const Series series { { FaultKind::HangAdvisor }, Millis(2'000), Millis(8'000), Millis(300), Millis(4'000), true };
+    return series;
+}
+
 Millis between(std::mt19937_64& random, Millis shortest, Millis longest)
 {
     // Not std::uniform_int_distribution: its results differ between standard libraries.
@@ -114,6 +121,8 @@
         return "evacuate-hall";
     case FaultKind::RefuseStarts:
         return "refuse-starts";
+    case FaultKind::HangAdvisor:
+        return "silence-advisor";
     }
     return "";
 }
@@ -134,6 +143,9 @@
         faults.push_back({ .at = at, .duration = refusalDuration, .kind = FaultKind::RefuseStarts });
     for (Millis at = evacuationFrom; at + evacuationDuration <= end; at += cycle)
         faults.push_back({ .at = at, .duration = evacuationDuration, .kind = FaultKind::EvacuateHall, .hall = static_cast<unsigned>(random()) });
+    std::seed_seq advisorNumbers { seed, ++number };
+    std::mt19937_64 advisorRandom(advisorNumbers);
+    planSeries(advisorSeries(), advisorRandom, end, faults);
     std::stable_sort(faults.begin(), faults.end(), [](const PlannedFault& a, const PlannedFault& b) { return a.at < b.at; });
     return faults;
 }
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -34,6 +34,7 @@
     ChangeConfiguration,
     EvacuateHall,
     RefuseStarts, ///< All workers refuse starts.
+    HangAdvisor, ///< Calls to the placement advisor end without an answer.
 };
 
 /// \returns The name of `kind` in the fault log.
--- a/tests/soak/fault_runner.cpp
+++ b/tests/soak/fault_runner.cpp
@@ -93,6 +93,9 @@
     case FaultKind::RefuseStarts:
         refuseStarts(fault);
         return;
+    case FaultKind::HangAdvisor:
+        hangAdvisor(fault);
+        return;
     }
 }
 
@@ -254,6 +257,13 @@
     after(fault.duration, [this] { m_cluster.control("/refuse-starts", { { "on", false } }); });
 }
 
+void FaultRunner::hangAdvisor(const PlannedFault& fault)
+{
+    logFault(nameOf(fault.kind), { { "ms", fault.duration.count() } });
+    m_cluster.control("/advisor-faults", { { "silent", true } });
+    after(fault.duration, [this] { m_cluster.control("/advisor-faults", { { "silent", false } }); });
+}
+
 void FaultRunner::evacuate(const PlannedFault& fault)
 {
     const std::string hall = hallName(fault.hall % m_cluster.options().halls);
--- a/tests/soak/fault_runner.h
+++ b/tests/soak/fault_runner.h
@@ -41,6 +41,7 @@
     void beginOnPath(const PlannedFault& fault);
     void beginOnWorker(const PlannedFault& fault);
     void refuseStarts(const PlannedFault& fault);
+    void hangAdvisor(const PlannedFault& fault);
     void evacuate(const PlannedFault& fault);
     void pause(unsigned process, Millis time);
     void kill(unsigned process, Millis time);
--- a/tests/soak/guarantee_monitor.cpp
+++ b/tests/soak/guarantee_monitor.cpp
@@ -116,6 +116,10 @@
         noteStored(task, event);
         return;
     }
+    if (kind == "failure-stored") {
+        ++task.failuresStored;
+        return;
+    }
     task.running.erase(event.value("worker", ""));
     task.succeeded |= kind == "done";
     task.failures += kind == "failed" ? 1 : 0;
@@ -154,6 +158,8 @@
         return;
     }
     found->second.hasStarted = true;
+    if (task.failuresStored >= found->second.spec.maxAttempts)
+        reportBreach(guarantee::attemptsAreBounded, "task " + name + " starts after " + std::to_string(task.failuresStored) + " of its attempts have failed", { parsed.job }, at);
     checkOrder(found->second, parsed, at);
     checkCancelled(found->second, name, at);
     checkEvacuation(event, at);
--- a/tests/soak/guarantee_monitor.h
+++ b/tests/soak/guarantee_monitor.h
@@ -30,6 +30,7 @@
 constexpr const char* configurationNeverReverts = "configuration-never-reverts"; ///< No process applies an older configuration than before.
 constexpr const char* ownersApart = "owners-apart"; ///< Actions of two owners on one instance are separated by a minimum time.
 constexpr const char* servesAgain = "serves-again"; ///< After the last fault all processes serve with the latest configuration.
+constexpr const char* attemptsAreBounded = "attempts-are-bounded"; ///< No task starts after its limit of failures that were acknowledged.
 constexpr const char* countsAreTrue = "counts-are-true"; ///< A count of waiting jobs covers at least half of those accepted a while before.
 } // namespace guarantee
 ///@}
@@ -133,6 +134,7 @@
         bool successStored = false;
         std::uint64_t startAfterSuccess = 0; ///< Attempt that started after a success which was not stored yet; 0: none.
         std::uint32_t failures = 0;
+        std::uint32_t failuresStored = 0;
         std::uint32_t crashes = 0;
     };
 
--- a/tests/soak/soak_cluster.cpp
+++ b/tests/soak/soak_cluster.cpp
@@ -27,6 +27,7 @@
 constexpr double machineCores = 1;
 constexpr double relayedWorkersPerCore = 4; // Fewer than the workers of a pool, so that calls are relayed.
 constexpr unsigned priorityCount = 3; // Number of priorities; successive configurations differ in the priority of one queue.
+constexpr std::uint64_t removalInterval = 3; // The versions divisible by this lack the removable queue.
 
 /// \returns A loopback address derived from this program's process id and `index`, so that parallel runs don't collide.
 std::string addressOf(unsigned index)
@@ -47,20 +48,28 @@
 {
     const json times { { "handoverMs", 3'000 }, { "configurationApplyMs", 3'000 }, { "maintenanceSeconds", 2 }, { "moveSeconds", 1.5 }, { "stopGraceSeconds", 6 }, { "statusSeconds", 1'800 } };
     json service { { "front", join(entry.ip, frontPort) }, { "readiness", join(entry.ip, readinessPort) }, { "metrics", join(entry.ip, metricsPort) }, { "peers", join(entry.ip, peersPort) }, { "store", entry.storeProxy->address() },
-        { "fleet", entry.fleetProxy->address() }, { "machineCores", machineCores }, { "times", times } };
+        { "fleet", entry.fleetProxy->address() }, { "advisor", entry.advisor }, { "machineCores", machineCores }, { "times", times } };
     service["policies"]["relay"]["workersPerCore"] = relays ? relayedWorkersPerCore : 0;
     return { { "name", entry.name }, { "dataHall", hallName(hall) }, { "jobService", service } };
 }
 
-json queueSettings(const std::string& name, std::uint64_t priority)
+json queueSettings(const SoakQueue& queue, std::uint64_t priority)
 {
-    return { { "name", name }, { "host", names::host }, { "path_prefix", '/' + name + '/' }, { "service", name }, { "priority", priority }, { "max_attempts", 3 }, { "stretch", 3.0 }, { "target_latency_ms", 600 }, { "public", true } };
+    json settings { { "name", queue.name }, { "host", names::host }, { "path_prefix", std::string("/") + queue.name + '/' }, { "service", queue.pool }, { "priority", priority }, { "max_attempts", queue.maxAttempts }, { "stretch", 3.0 }, { "target_latency_ms", 600 }, { "public", true } };
+    if (queue.needsAdvice)
+        settings["advice"] = { { "decide_ms", 20 }, { "each_ms", 5 }, { "valid_ms", 1'500 } };
+    return settings;
 }
 
 json configurationText(std::uint64_t version)
 {
     const json pools { { { "name", "alpha" }, { "max_conns", 64 } }, { { "name", "beta" }, { "max_conns", 64 } }, { { "name", "reserve" }, { "headroom", true } } };
-    return { { "version", version }, { "routes", { queueSettings("alpha", version % priorityCount), queueSettings("beta", 1) } }, { "services", pools }, { "tenants", json::array() } };
+    json routes = json::array();
+    for (const SoakQueue& queue : soakQueues) {
+        if (!queue.isRemovable || version % removalInterval != 0)
+            routes.push_back(queueSettings(queue, routes.empty() ? version % priorityCount : 1));
+    }
+    return { { "version", version }, { "routes", routes }, { "services", pools }, { "tenants", json::array() } };
 }
 
 } // namespace
@@ -86,7 +95,7 @@
     , m_client(loop, {})
     , m_events(m_options.folder + "/standin.log")
 {
-    const std::vector<std::string> arguments { "--seed", std::to_string(m_options.seed), "--instances", std::to_string(m_options.instances), "--reserve", std::to_string(m_options.reserve), "--halls", std::to_string(m_options.halls) };
+    const std::vector<std::string> arguments { "--seed", std::to_string(m_options.seed), "--instances", std::to_string(m_options.instances), "--reserve", std::to_string(m_options.reserve), "--halls", std::to_string(m_options.halls), "--callers", std::to_string(m_options.processes) };
     m_standin = std::make_unique<Child>(m_options.programs + "/job_platform_standin", arguments, m_options.folder + "/standin.log");
     awaitStandin();
 }
@@ -127,6 +136,7 @@
     };
     entry.storeProxy = proxy("store", entry.toStore);
     entry.fleetProxy = proxy("fleet", entry.toFleet);
+    entry.advisor = join("127.0.0.1", ports.at("advisors").at(index).get<std::uint16_t>());
     std::ofstream(entry.settings) << settingsOf(entry, index % m_options.halls, m_options.relays).dump(2);
 }
 
@@ -180,6 +190,12 @@
     control("/put", { { "key", names::configurationKey }, { "value", configurationText(m_version).dump() } });
 }
 
+void SoakCluster::restoreQueues()
+{
+    if (m_version % removalInterval == 0)
+        configure();
+}
+
 std::string SoakCluster::instance(unsigned index) const
 {
     return "m-" + std::to_string(index % m_options.instances);
--- a/tests/soak/soak_cluster.h
+++ b/tests/soak/soak_cluster.h
@@ -8,6 +8,7 @@
 #include "log_tail.h"
 #include "tcp_proxy.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -37,6 +38,23 @@
 constexpr const char* evacuationPrefix = "op/evacuate/";
 } // namespace names
 
+/// A queue of the cluster.
+struct SoakQueue {
+    const char* name;
+    const char* pool;
+    std::uint32_t maxAttempts;
+    bool needsAdvice = false;
+    bool isRemovable = false; ///< Missing in some versions of the configuration.
+};
+
+/// All queues; each version of the configuration gives the first one another priority.
+inline constexpr std::array<SoakQueue, 4> soakQueues { {
+    { .name = "alpha", .pool = "alpha", .maxAttempts = 3 },
+    { .name = "beta", .pool = "beta", .maxAttempts = 3 },
+    { .name = "advised", .pool = "alpha", .maxAttempts = 3, .needsAdvice = true },
+    { .name = "removable", .pool = "beta", .maxAttempts = 5, .isRemovable = true },
+} };
+
 /// \returns The name of data hall number `hall`.
 [[nodiscard]] std::string hallName(unsigned hall);
 
@@ -51,6 +69,7 @@
         std::string ip; ///< Loopback address that no other process listens on.
         std::string settings;
         std::string log;
+        std::string advisor; ///< Address of the advisor for this process.
         std::unique_ptr<Child> process; ///< Null if not running.
         std::unique_ptr<LogTail> tail;
         unsigned incarnation = 0;
@@ -81,6 +100,8 @@
 
     /// \brief Writes the configuration with the next version.
     void configure();
+    /// \brief Writes another configuration if the latest one lacks a queue.
+    void restoreQueues();
     [[nodiscard]] std::uint64_t configurationVersion() const noexcept { return m_version; }
 
     /// \returns The id of instance `index`, modulo the number of instances that have a worker from the start.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -51,6 +51,7 @@
 
     void recover()
     {
+        m_session.cluster().restoreQueues();
         static_cast<void>(m_session.waitFor(recoveryLimit, [this] { return m_session.areAllReady() && m_session.haveLastConfiguration(); }));
         checkServing();
         std::vector<std::string> probes;
