--- a/standins/job_platform/advisor.cpp
+++ b/standins/job_platform/advisor.cpp
@@ -86,7 +86,7 @@
         if (!worker || !mayRun(step, *worker))
             continue;
         const std::string ticket = "t-" + std::to_string(++m_lastTicket);
-        m_tickets[ticket] = { .step = step, .startedAt = worker->startedAt, .validUntil = m_loop.now() + validity };
+        m_tickets[ticket] = { .step = step, .worker = id, .startedAt = worker->startedAt, .validUntil = m_loop.now() + validity };
         rows.push_back({ id, ticket });
     }
     return rows;
@@ -95,7 +95,10 @@
 bool Advisor::accepts(const std::string& ticket, const std::string& step, const WorkerIdentity& worker) const
 {
     const auto found = m_tickets.find(ticket);
-    return found != m_tickets.end() && found->second.step == step && found->second.startedAt == worker.startedAt && m_loop.now() < found->second.validUntil;
+    if (found == m_tickets.end() || m_loop.now() >= found->second.validUntil)
+        return false;
+    const Ticket& known = found->second;
+    return known.step == step && known.worker == worker.id && known.startedAt == worker.startedAt;
 }
 
 } // namespace lanemoor::standin
--- a/standins/job_platform/advisor.h
+++ b/standins/job_platform/advisor.h
@@ -42,7 +42,8 @@
 
     struct Ticket {
         std::string step;
-        std::int64_t startedAt = 0; ///< Of the incarnation.
+        std::string worker;
+        std::int64_t startedAt = 0; ///< Of the worker's incarnation.
         jobs::MonotonicInstant validUntil;
     };
 
