--- a/src/jobs/model/job_state.cpp
+++ b/src/jobs/model/job_state.cpp
@@ -219,7 +219,7 @@
     // A report between the starts of two members changes only the checkpoint of the next attempt.
     if (isGang(task) && number > step.gangAttempt) {
         step.gangAttempt = number;
-        step.gangCheckpoint = find(countedTask(task))->checkpoint;
+        step.gangCheckpoint = step.tasks[countedTask(task).index].checkpoint;
     }
     m_hasPlannedStart = true;
 }
--- a/src/jobs/owner/advice_client.cpp
+++ b/src/jobs/owner/advice_client.cpp
@@ -95,8 +95,7 @@
     }
     m_failures = 0;
     // The advisor may issue a ticket at any time between the call and its answer.
-    const Millis validity = advice.validity.count() > 0 ? advice.validity : query.policy.validity;
-    const MonotonicInstant validUntil = std::max(sentAt + validity - ticketMargin, m_state.now() + minTicketUse);
+    const MonotonicInstant validUntil = std::max(sentAt + ticketValidity(query, advice) - ticketMargin, m_state.now() + minTicketUse);
     Step& step = m_steps[query.key];
     step.lastUsedAt = m_state.now();
     StepAdvice& known = step.advice;
@@ -114,6 +113,12 @@
     sendNext();
 }
 
+/// \returns The validity that the answer states, otherwise that of the queue's policy.
+Millis AdviceClient::ticketValidity(const Query& query, const Advice& advice)
+{
+    return advice.validity.count() > 0 ? advice.validity : query.policy.validity;
+}
+
 void AdviceClient::pauseAfterFailure()
 {
     m_isPaused = true;
@@ -159,7 +164,7 @@
     const auto millis = [](MonotonicInstant::duration time) { return std::chrono::duration_cast<Millis>(time).count(); };
     m_state.options.log->decision("advice-answered",
         { { "job", query.key.first }, { "step", std::int64_t { query.key.second.step } }, { "outcome", std::string(advice.answered ? "answered" : "failed") }, { "asked", static_cast<std::int64_t>(query.workers.size()) },
-            { "allowed", static_cast<std::int64_t>(advice.workers.size()) }, { "ms", millis(m_state.now() - sentAt) }, { "queued_ms", millis(sentAt - query.queuedAt) }, { "valid_ms", static_cast<std::int64_t>(advice.validity.count()) } });
+            { "allowed", static_cast<std::int64_t>(advice.workers.size()) }, { "ms", millis(m_state.now() - sentAt) }, { "queued_ms", millis(sentAt - query.queuedAt) }, { "valid_ms", std::int64_t { ticketValidity(query, advice).count() } } });
 }
 
 } // namespace lanemoor::jobs
--- a/src/jobs/owner/advice_client.h
+++ b/src/jobs/owner/advice_client.h
@@ -59,6 +59,7 @@
     [[nodiscard]] bool isObsolete(const Key& key) const;
     void sendNext();
     void handleAnswer(const Query& query, const Advice& advice, MonotonicInstant sentAt);
+    [[nodiscard]] static Millis ticketValidity(const Query& query, const Advice& advice);
     void pauseAfterFailure();
     void eraseStep(const Key& key);
     void evict();
--- a/standins/job_platform/main.cpp
+++ b/standins/job_platform/main.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Stand-in for the platform of the job service: store, fleet interface and workers over HTTP on loopback.
+/// Stand-in for the platform of the job service: store, fleet interface, placement advisor and workers over HTTP on loopback.
 /// Usage: job_platform_standin [--seed N] [--instances N] [--reserve N] [--halls N] [--callers N]
 ///
 /// The first line of output has the ports. Workers start at the control call `/begin`. SIGTERM ends the process.
