Owner load shows held passes and the replica's age; a failing test counts the reads of a large response

To tell the hypotheses apart: owner-load and the metrics count passes that started nothing because the ownership, the evacuations or the replica of the jobs were outdated, and show the highest age of that replica; the HTTP client counts its reads. No change of logic.

--- a/include/lanemoor/aio/http_client.h
+++ b/include/lanemoor/aio/http_client.h
@@ -54,6 +54,7 @@
     std::uint64_t connections = 0;
     std::uint64_t unanswered = 0;
     std::uint64_t notSent = 0;
+    std::uint64_t reads = 0; ///< Reads from connections; each takes a turn of the event loop.
 };
 
 /// \brief Sends calls over persistent connections. The client never retries a call, even if a
--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -121,6 +121,7 @@
     std::uint64_t suspicions = 0; ///< Worker crashes attributed to a task.
     std::uint64_t permanentFailures = 0; ///< Poison tasks that failed permanently.
     std::uint64_t passes = 0; ///< Placement passes.
+    std::uint64_t heldPasses = 0; ///< Passes that started nothing, since the ownership, the evacuations or the replica of the jobs were outdated.
     std::uint64_t ejections = 0; ///< Worker ejections.
     std::uint64_t sitesInspected = 0; ///< Workers inspected for a task, summed over all passes.
 };
--- a/src/aio/http_client.cpp
+++ b/src/aio/http_client.cpp
@@ -220,6 +220,7 @@
     void read(Peer& peer, const ConnectionPointer& connection)
     {
         http::async_read_some(connection->stream, connection->buffer, *connection->parser, [self = shared_from_this(), &peer, connection](const beast::error_code& error, std::size_t) {
+            ++self->counts.reads;
             if (error) {
                 self->finish(peer, connection, {}, false);
                 return;
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -661,6 +661,7 @@
         const bool areCancelsCurrent = term->state.areCancelsCurrent();
         noteReplica(areCancelsCurrent);
         if (!m_options.ownership->isHeld() || !areCancelsCurrent || !m_options.evacuations->isConfirmed()) {
+            ++counts.heldPasses;
             schedulePass(begin + idlePassInterval);
             return;
         }
--- a/src/jobs/owner/owner_load.h
+++ b/src/jobs/owner/owner_load.h
@@ -31,6 +31,7 @@
     MonotonicInstant m_dueAt;
     MonotonicInstant m_loggedAt;
     std::chrono::microseconds m_maxDelay {}; ///< Maximum delay of the timer since the last line.
+    std::chrono::microseconds m_maxReplicaAge {}; ///< Maximum age of the replica of the jobs since the last line, as of each tick.
     SchedulerCounts m_logged; ///< Counts at the last line.
 };
 
--- a/tests/jobs/http_test.cpp
+++ b/tests/jobs/http_test.cpp
@@ -299,6 +299,24 @@
 
 } // namespace
 
+// Guards against large responses that are read in small pieces. Each piece waits for a turn of the event loop: the owner of 1,100 workers read
+// an answer to its watch in 512-byte pieces, so that its replica of the jobs became too old and it started no tasks.
+TEST_CASE("A large response is read in large pieces")
+{
+    constexpr std::size_t bodyBytes = 400'000;
+    constexpr std::size_t minBytesPerRead = 8'192;
+    Exchange exchange;
+    const HttpListener listener(exchange.loop, { .address = { "127.0.0.1", 0 } }, [](const HttpRequest&, const HttpResponder& respond) {
+        respond({ .status = 200, .headers = {}, .body = std::string(bodyBytes, 'x') });
+    });
+    HttpClient client(exchange.loop, {});
+    for (std::uint64_t calls = 1; calls <= 3; ++calls) {
+        const HttpReply reply = exchange.call(client, { "127.0.0.1", listener.port() }, post("body"));
+        CHECK(reply.response.body.size() == bodyBytes);
+        CHECK(client.counts().reads <= calls * bodyBytes / minBytesPerRead);
+    }
+}
+
 // Guards against large responses that time out while they arrive, and are requested again over the same link.
 TEST_CASE("A response that keeps arriving may take longer than the deadline for its beginning")
 {
