Responses are read in pieces of up to 64 KB

Cause: Beast reads as much as its buffer has room for, and 512 bytes if nothing is reserved, so that an answer of 350 KB to the watch of the jobs took some 700 reads. Each read waits for its turn of the event loop. With a busy loop the owner's replica became older than 2 s, and the owner starts nothing with such a replica, since it may lack cancels; the answers after the pause were larger still. Change: room for the rest of a body is reserved once its length is known, and given back when the connection is idle.

--- a/src/aio/http_client.cpp
+++ b/src/aio/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "asio_event_loop_impl.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
@@ -20,6 +21,9 @@
 namespace http = beast::http;
 using Tcp = boost::asio::ip::tcp;
 
+/// Max bytes of one read. Each read takes a turn of the event loop, so a busy loop delays a response by a turn per piece.
+constexpr std::size_t maxReadBytes = 65'536;
+
 /// A call that is queued or in progress.
 struct PendingCall {
     HttpCall call;
@@ -83,6 +87,13 @@
     return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Makes room for the rest of a body. Beast reads as many bytes as the buffer has room for, and only 512 if nothing is reserved.
+void reserveForBody(Connection& connection)
+{
+    if (connection.parser->is_header_done())
+        connection.buffer.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(connection.parser->content_length_remaining().value_or(maxReadBytes), maxReadBytes)));
+}
+
 /// Makes every close of the socket a reset, including that of `tcp_stream` when a deadline passes. After an orderly close, a partitioned
 /// network would still deliver the request seconds after its call has timed out.
 void resetOnClose(Connection& connection)
@@ -219,6 +230,7 @@
     /// Reads the response in chunks: each one shows that the transfer progresses.
     void read(Peer& peer, const ConnectionPointer& connection)
     {
+        reserveForBody(*connection);
         http::async_read_some(connection->stream, connection->buffer, *connection->parser, [self = shared_from_this(), &peer, connection](const beast::error_code& error, std::size_t) {
             ++self->counts.reads;
             if (error) {
@@ -257,6 +269,7 @@
         const std::function<void(HttpReply)> done = std::move(connection->pending.done);
         if (keep) {
             connection->stream.expires_never();
+            connection->buffer.shrink_to_fit();
             connection->idleSince = m_loop.now();
             peer.idle.push_back(connection);
         } else {
