The capacity plan reads sums of reservations in place of each one

Ten times a second the plan visited each reservation of 1,100 workers twice, and each unfinished job twice, to sum what had hardly changed. Change: the reservations of a worker keep their use by requirement class, the counts of long-running and pinned tasks, and the expected end of the others; only jobs with steps that need several instances are visited for these. The part of the use by jobs that can't meet their objective is gone: a job counts as such only before its first start, so that it was always 0.

--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -96,7 +96,6 @@
 struct ClassDemand {
     WaitingTasks waiting;
     std::int64_t runningMilliCpu = 0;
-    std::int64_t runningBacklogMilliCpu = 0; ///< The part used by jobs that can no longer meet their objective.
     std::uint32_t minInstances = 0; ///< Minimum for steps whose tasks must not share an instance.
     std::int64_t forecastMilliCpu = 0; ///< Expected usage at the current arrival rate.
 };
--- a/include/lanemoor/jobs/policy/reservations.h
+++ b/include/lanemoor/jobs/policy/reservations.h
@@ -4,6 +4,7 @@
 
 #include "lanemoor/jobs/model/event_loop.h"
 #include "lanemoor/jobs/model/job_record.h"
+#include "lanemoor/jobs/model/requirement.h"
 #include "lanemoor/jobs/model/worker_control.h"
 
 #include <cstddef>
@@ -24,7 +25,7 @@
     std::uint32_t suspectedCrashes = 0; ///< Crashes that its task may have caused; 0 once the worker has survived the start.
 };
 
-/// \brief The reservations at one worker and their sums, which placement reads in each pass.
+/// \brief The reservations at one worker and their sums, which placement reads in each pass and the capacity plan in each plan.
 ///
 /// \code
 /// reservations.put(attempt, { .step = step });
@@ -77,6 +78,18 @@
 
     [[nodiscard]] std::uint32_t bestEffortTasks() const noexcept { return m_bestEffortTasks; }
 
+    /// \returns Number of long-running tasks.
+    [[nodiscard]] std::uint32_t longRunningTasks() const noexcept { return m_longRunningTasks; }
+
+    /// \returns Number of long-running tasks that require a label.
+    [[nodiscard]] std::uint32_t pinnedTasks() const noexcept { return m_pinnedTasks; }
+
+    /// \returns The expected end of all tasks that are not long-running; the epoch of the clock without any.
+    [[nodiscard]] MonotonicInstant expectedBatchEnd() const noexcept { return m_expectedBatchEnd; }
+
+    /// \returns The part of the worker's capacity that all reservations take, by requirement class.
+    [[nodiscard]] const std::map<Requirement, Resources>& usedByRequirement() const noexcept { return m_usedByRequirement; }
+
     /// \returns Suspect attempts whose start the worker has not survived yet, with the crashes that their tasks may have caused.
     [[nodiscard]] const std::map<Attempt, std::uint32_t>& suspects() const noexcept { return m_suspects; }
     ///@}
@@ -84,12 +97,18 @@
 private:
     void count(const Reservation& reservation, int sign);
     void countAccount(const Reservation& reservation, int sign);
+    void countRequirements(const StepSpec& step, int sign);
+    void updateExpectedBatchEnd();
 
     Map m_reservations;
     Resources m_used;
     std::map<const OrganisationAccount*, Resources> m_usedByAccount;
     std::uint32_t m_servingTasks = 0;
     std::uint32_t m_bestEffortTasks = 0;
+    std::uint32_t m_longRunningTasks = 0;
+    std::uint32_t m_pinnedTasks = 0;
+    MonotonicInstant m_expectedBatchEnd;
+    std::map<Requirement, Resources> m_usedByRequirement;
     std::map<Attempt, std::uint32_t> m_suspects;
 };
 
--- a/src/jobs/owner/fleet_controller.cpp
+++ b/src/jobs/owner/fleet_controller.cpp
@@ -505,8 +505,8 @@
         for (const PoolSettings& pool : m_options.configuration()->pools) {
             PoolLoad load { .pool = pool.name, .reserve = pool.reserve, .requirements = { { Requirement {}, RequirementLoad {} } }, .instances = {} };
             for (const auto& [requirement, demand] : demands[pool.name]) {
-                const std::int64_t backlog = demand.runningBacklogMilliCpu + demand.waiting.backlogMilliCpu;
-                const std::int64_t timely = demand.runningMilliCpu + demand.waiting.milliCpu - demand.runningBacklogMilliCpu;
+                const std::int64_t backlog = demand.waiting.backlogMilliCpu;
+                const std::int64_t timely = demand.runningMilliCpu + demand.waiting.milliCpu;
                 const bool isSeparate = m_options.capacity.separatesBacklog;
                 load.requirements[requirement] = { .demandMilliCpu = std::max(isSeparate ? timely : timely + backlog, demand.forecastMilliCpu),
                     .backlogMilliCpu = isSeparate ? backlog : 0,
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -21,8 +21,6 @@
 #include "status_reconciler.h"
 
 #include <algorithm>
-#include <string_view>
-#include <unordered_set>
 #include <utility>
 
 namespace lanemoor::jobs {
@@ -84,36 +82,11 @@
     }
 }
 
-/// Adds the usage of the attempts on a worker. \param infeasibleJobs Jobs that can no longer meet their objective.
-void noteRunning(const WorkerRecord& record, const std::unordered_set<std::string_view>& infeasibleJobs, PoolDemand& demand)
+/// Adds the usage of the attempts on a worker.
+void noteRunning(const WorkerRecord& record, PoolDemand& demand)
 {
-    std::map<Requirement, Resources> used;
-    std::map<Requirement, Resources> usedByLateJobs;
-    Resources usedAnywhere;
-    Resources usedAnywhereByLateJobs;
-    for (const auto& [attempt, reservation] : record.reservations) {
-        const bool isLate = infeasibleJobs.contains(attempt.job);
-        // Fast path: most tasks have no placement requirement.
-        if (reservation.step->requiredLabel.empty() && reservation.step->preferredRack.empty()) {
-            usedAnywhere += footprint(*reservation.step);
-            if (isLate)
-                usedAnywhereByLateJobs += footprint(*reservation.step);
-            continue;
-        }
-        for (const Requirement& requirement : requirementsOf(*reservation.step)) {
-            used[requirement] += footprint(*reservation.step);
-            if (isLate)
-                usedByLateJobs[requirement] += footprint(*reservation.step);
-        }
-    }
-    if (!record.reservations.empty()) {
-        used[Requirement {}] += usedAnywhere;
-        usedByLateJobs[Requirement {}] += usedAnywhereByLateJobs;
-    }
-    for (const auto& [requirement, resources] : used)
-        demand[requirement].runningMilliCpu += asMilliCpu(resources, record.entry.capacity);
-    for (const auto& [requirement, resources] : usedByLateJobs)
-        demand[requirement].runningBacklogMilliCpu += asMilliCpu(resources, record.entry.capacity);
+    for (const auto& [requirement, used] : record.reservations.usedByRequirement())
+        demand[requirement].runningMilliCpu += asMilliCpu(used, record.entry.capacity);
 }
 
 /// \returns How many instances there are of each kind, for example `a 30, b 19`.
@@ -309,12 +282,9 @@
         const MonotonicInstant now = m_options.loop->now();
         for (const auto& [id, record] : m_term->state.workers) {
             WorkerUse use { .free = record.free(), .attempts = static_cast<std::uint32_t>(record.reservations.size()), .evacuating = record.evacuating, .evacuatingSince = record.evacuatingSince };
-            for (const auto& [attempt, reservation] : record.reservations) {
-                use.longRunning += reservation.step->longRunning ? 1 : 0;
-                if (!reservation.step->longRunning)
-                    use.expectedEmptyAt = std::max(use.expectedEmptyAt, reservation.expectedEnd);
-                use.pinned += reservation.step->longRunning && !reservation.step->requiredLabel.empty() ? 1 : 0;
-            }
+            use.longRunning = record.reservations.longRunningTasks();
+            use.pinned = record.reservations.pinnedTasks();
+            use.expectedEmptyAt = record.reservations.expectedBatchEnd();
             use.known = record.session->hasReportedAll() || now >= record.session->leaseExpiresBy();
             use.healthy = record.listed && !record.entry.draining && record.isHallOpen() && record.session->hasAnswered() && !record.session->isUnresponsive() && !record.session->hasIncarnationEnded() && !record.health.isEjected(now);
             uses.emplace(id, use);
@@ -472,14 +442,9 @@
             for (const auto& [requirement, waiting] : classes)
                 demands[pool][requirement].waiting = waiting;
         }
-        std::unordered_set<std::string_view> infeasibleJobs;
-        for (const auto& [id, job] : state.individualJobs) {
-            if (!isFinal(job->state.status()) && state.isInfeasible(*job, now))
-                infeasibleJobs.insert(id);
-        }
         for (const auto& [id, record] : state.workers)
-            noteRunning(record, infeasibleJobs, demands[record.entry.pool]);
-        for (const auto& [id, job] : state.individualJobs) {
+            noteRunning(record, demands[record.entry.pool]);
+        for (const auto& [id, job] : state.spreadJobs) {
             if (!isFinal(job->state.status()))
                 noteSpread(job->state, demands[job->pool]);
         }
--- a/src/jobs/policy/reservations.cpp
+++ b/src/jobs/policy/reservations.cpp
@@ -3,6 +3,7 @@
 #include "lanemoor/jobs/policy/organisation_use.h"
 #include "lanemoor/jobs/policy/placement.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lanemoor::jobs {
@@ -13,6 +14,8 @@
     count(reservation, 1);
     if (reservation.suspectedCrashes > 0)
         m_suspects[attempt] = reservation.suspectedCrashes;
+    if (!reservation.step->longRunning)
+        m_expectedBatchEnd = std::max(m_expectedBatchEnd, reservation.expectedEnd);
     m_reservations.emplace(attempt, std::move(reservation));
 }
 
@@ -23,7 +26,10 @@
         return;
     count(found->second, -1);
     m_suspects.erase(attempt);
+    const bool wasLastBatchEnd = !found->second.step->longRunning && found->second.expectedEnd == m_expectedBatchEnd;
     m_reservations.erase(found);
+    if (wasLastBatchEnd)
+        updateExpectedBatchEnd();
 }
 
 Reservations::Map Reservations::takeAll()
@@ -32,9 +38,19 @@
     for (const auto& [attempt, reservation] : all)
         count(reservation, -1);
     m_suspects.clear();
+    m_expectedBatchEnd = {};
     return all;
 }
 
+void Reservations::updateExpectedBatchEnd()
+{
+    m_expectedBatchEnd = {};
+    for (const auto& [attempt, reservation] : m_reservations) {
+        if (!reservation.step->longRunning)
+            m_expectedBatchEnd = std::max(m_expectedBatchEnd, reservation.expectedEnd);
+    }
+}
+
 void Reservations::noteThrottled(const Attempt& attempt, std::uint32_t percent)
 {
     const auto found = m_reservations.find(attempt);
@@ -75,6 +91,29 @@
     const auto add = static_cast<std::uint32_t>(sign);
     m_servingTasks += step.latencyTarget.count() > 0 ? add : 0;
     m_bestEffortTasks += step.bestEffort ? add : 0;
+    m_longRunningTasks += step.longRunning ? add : 0;
+    m_pinnedTasks += step.longRunning && !step.requiredLabel.empty() ? add : 0;
+    countRequirements(step, sign);
+}
+
+void Reservations::countRequirements(const StepSpec& step, int sign)
+{
+    const auto add = [&](const Requirement& requirement) {
+        Resources& used = m_usedByRequirement[requirement];
+        if (sign > 0)
+            used += footprint(step);
+        else
+            used -= footprint(step);
+        if (used == Resources {})
+            m_usedByRequirement.erase(requirement);
+    };
+    // Fast path: most tasks have no placement requirement.
+    if (step.requiredLabel.empty() && step.preferredRack.empty()) {
+        add(Requirement {});
+        return;
+    }
+    for (const Requirement& requirement : requirementsOf(step))
+        add(requirement);
 }
 
 void Reservations::countAccount(const Reservation& reservation, int sign)
