Waiters for stored progress are found without a search over all

After each write, some 200 a second, the writer went over all changed jobs and all waiters to find those whose marks are stored. Change: the sequence numbers that are not stored are kept in order, and so are the waiters for all marks; only ready ones are visited.

--- a/src/jobs/store/progress_writer.cpp
+++ b/src/jobs/store/progress_writer.cpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <iterator>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace lanemoor::jobs {
@@ -46,6 +47,7 @@
         // A job that is being written is written again, since it changed after its progress was read.
         if (!m_marked.emplace(id, ++m_sequence).second)
             return;
+        m_unsaved.insert(m_sequence);
         m_marks.push_back({ m_sequence, m_loop.now() });
         m_writeQueue.push_back(id);
         sendSoon();
@@ -57,7 +59,7 @@
             stored();
             return;
         }
-        m_waiting.push_back({ m_sequence, {}, std::move(stored) });
+        m_waitingForAll.push_back({ m_sequence, std::move(stored) });
     }
 
     void whenJobStored(const std::string& id, std::function<void()> stored)
@@ -65,7 +67,7 @@
         if (!m_marked.contains(id) && !m_writing.contains(id))
             stored();
         else
-            m_waiting.push_back({ m_sequence, id, std::move(stored) });
+            m_waitingForJob.push_back({ { m_sequence, std::move(stored) }, id });
     }
 
     [[nodiscard]] UnsavedChanges unsaved() const
@@ -78,10 +80,15 @@
 private:
     struct Waiter {
         std::uint64_t sequence = 0; ///< All marks up to this one must be stored.
-        std::string job; ///< Only the marks of this job count; empty: those of all jobs.
         std::function<void()> stored;
     };
 
+    /// Waits for the marks of one job.
+    struct JobWaiter {
+        Waiter waiter;
+        std::string job;
+    };
+
     /// When a job was marked.
     struct Mark {
         std::uint64_t sequence = 0;
@@ -137,6 +144,8 @@
             m_marked.erase(mark);
             if (const std::optional<ProgressRecord> progress = m_source.read(id))
                 taken.push_back({ id, encode(*progress), sequence });
+            else
+                m_unsaved.erase(sequence);
         }
         m_writeQueue.insert(m_writeQueue.begin(), std::make_move_iterator(skipped.begin()), std::make_move_iterator(skipped.end()));
         return taken;
@@ -183,6 +192,8 @@
         for (const SentJob& job : sent)
             m_writing.erase(job.id);
         if (result.outcome == StoreOutcome::Done) {
+            for (const SentJob& job : sent)
+                m_unsaved.erase(job.sequence);
             for (const SentJob& job : sent)
                 m_mirror.noteWritten({ .key = progressKey(job.id), .value = job.value, .revision = result.revision });
             notifyWaiters();
@@ -195,9 +206,12 @@
         // been applied, which the next conflict will show.
         for (const SentJob& job : sent) {
             const auto [mark, inserted] = m_marked.emplace(job.id, job.sequence);
-            mark->second = std::min(mark->second, job.sequence);
-            if (inserted)
+            if (inserted) {
                 m_writeQueue.push_back(job.id);
+                continue;
+            }
+            m_unsaved.erase(std::max(mark->second, job.sequence));
+            mark->second = std::min(mark->second, job.sequence);
         }
         if (result.outcome == StoreOutcome::Conflict)
             sendSoon();
@@ -220,20 +234,23 @@
         return true;
     }
 
-    /// Calls the waiters whose marks are all stored.
+    /// Calls the waiters whose marks are all stored. Only these are inspected, apart from the few that wait for one job.
     void notifyWaiters()
     {
-        std::uint64_t oldest = m_sequence + 1;
-        for (const auto& [id, sequence] : m_marked)
-            oldest = std::min(oldest, sequence);
-        for (const auto& [id, sequence] : m_writing)
-            oldest = std::min(oldest, sequence);
+        const std::uint64_t oldest = m_unsaved.empty() ? m_sequence + 1 : *m_unsaved.begin();
         while (!m_marks.empty() && m_marks.front().sequence < oldest)
             m_marks.pop_front();
         std::vector<Waiter> ready;
-        const auto isReady = [&](const Waiter& waiter) { return waiter.sequence < (waiter.job.empty() ? oldest : oldestMark(waiter.job)); };
-        std::copy_if(m_waiting.begin(), m_waiting.end(), std::back_inserter(ready), isReady);
-        std::erase_if(m_waiting, isReady);
+        while (!m_waitingForAll.empty() && m_waitingForAll.front().sequence < oldest) {
+            ready.push_back(std::move(m_waitingForAll.front()));
+            m_waitingForAll.pop_front();
+        }
+        std::erase_if(m_waitingForJob, [&](JobWaiter& waiting) {
+            const bool isReady = waiting.waiter.sequence < oldestMark(waiting.job);
+            if (isReady)
+                ready.push_back(std::move(waiting.waiter));
+            return isReady;
+        });
         for (const Waiter& waiter : ready)
             waiter.stored();
     }
@@ -259,7 +276,9 @@
     std::deque<std::string> m_writeQueue; ///< The jobs of `m_marked`, oldest first.
     std::map<std::string, std::uint64_t> m_writing; ///< Jobs being written, with the sequence of the mark that is written.
     std::size_t m_writes = 0; ///< In progress.
-    std::vector<Waiter> m_waiting;
+    std::set<std::uint64_t> m_unsaved; ///< The sequences in `m_marked` and `m_writing`.
+    std::deque<Waiter> m_waitingForAll; ///< Oldest first.
+    std::vector<JobWaiter> m_waitingForJob;
     std::uint64_t m_sequence = 0;
     MonotonicInstant m_sentAt;
     TimerId m_timer = 0;
