Without reachability, calls through relays leave no evidence on paths

Where a deployment does not track which paths reach a data hall, each call was still entered as outstanding, and searched for overdue ones. Change: only with reachability. The relay's own answers count as before.

--- a/src/jobs/relay/relayed_workers.cpp
+++ b/src/jobs/relay/relayed_workers.cpp
@@ -111,7 +111,8 @@
         ++m_counts.relayed;
         const std::uint64_t call = ++m_lastCall;
         Relay& used = m_relays.at(relay);
-        m_outstandingCalls.add(call, { .path = used.name, .worker = worker.id, .dataHall = hallOf(worker), .expectedAt = now + wait });
+        if (m_reachability.enabled)
+            m_outstandingCalls.add(call, { .path = used.name, .worker = worker.id, .dataHall = hallOf(worker), .expectedAt = now + wait });
         m_pendingCalls.emplace(call, PendingCall { .relay = relay, .worker = worker.id, .deadline = now + wait + callTimeout, .done = std::move(done) });
         // After a pause the timeout starts at the first call: idle links have few heartbeats.
         if (now - used.lastCallAt >= activeLinkTimeout)
@@ -229,7 +230,9 @@
     [[nodiscard]] std::string pathTo(const WorkerIncarnation& worker)
     {
         const MonotonicInstant now = m_parts.loop->now();
-        const std::string path = m_plan.relayOf(worker.id, now, hallOf(worker));
+        std::string path = m_plan.relayOf(worker.id, now, hallOf(worker));
+        if (!m_reachability.enabled)
+            return path;
         const std::set<std::string> overdue = m_outstandingCalls.overduePaths(worker.id);
         return overdue.contains(path) ? m_plan.alternativePath(hallOf(worker), overdue, now).value_or(path) : path;
     }
@@ -419,7 +422,10 @@
             return;
         }
         const auto outcome = commandResultOf(answer).outcome;
-        noteOutcome(call, isAnswer(outcome), outcome == CommandOutcome::NotDone && pending.isPayloadInStore);
+        if (m_reachability.enabled)
+            noteOutcome(call, isAnswer(outcome), outcome == CommandOutcome::NotDone && pending.isPayloadInStore);
+        else if (isAnswer(outcome))
+            noteChange(m_plan.noteAnswered(relay->second.name, pending.worker, m_parts.loop->now(), {}));
         if (!isAnswer(outcome))
             m_plan.noteUnanswered(relay->second.name, pending.worker, m_parts.loop->now());
     }
