Lines on starts and ends are composed only within their budget

For each of 3,000 starts and as many ends a second the owner composed a line, with the attempt's name and copies of ids, which the log then omitted. Change: the log is asked first; what it would omit is counted as before.

--- a/include/lanemoor/adapters/event_log.h
+++ b/include/lanemoor/adapters/event_log.h
@@ -48,6 +48,10 @@
     /// event name are omitted; the first line of the next second is preceded by their count.
     void decision(std::string_view event, std::initializer_list<LogField> fields);
 
+    /// \brief Spares the caller the fields of a decision that would be omitted.
+    /// \returns Whether the budget of `event` admits a line now; otherwise the line counts as omitted.
+    [[nodiscard]] bool admitsDecision(std::string_view event);
+
     /// \returns The number of lines dropped because standard output was slow.
     [[nodiscard]] std::uint64_t dropped() const;
 
--- a/src/adapters/event_log.cpp
+++ b/src/adapters/event_log.cpp
@@ -75,6 +75,19 @@
         write(event, fields);
     }
 
+    bool admitsDecision(std::string_view event)
+    {
+        if (m_options.discard)
+            return false;
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_budgets.find(event);
+        if (found == m_budgets.end() || found->second.written < m_options.decisionsPerSecond || std::chrono::steady_clock::now() >= found->second.secondEnds)
+            return true;
+        ++found->second.omitted;
+        ++m_omitted;
+        return false;
+    }
+
     [[nodiscard]] std::uint64_t dropped() const { return m_pool ? m_pool->overrun_counter() : 0; }
 
     [[nodiscard]] std::uint64_t omitted() const
@@ -139,6 +152,11 @@
     m_impl->writeDecision(event, fields);
 }
 
+bool EventLog::admitsDecision(std::string_view event)
+{
+    return m_impl->admitsDecision(event);
+}
+
 std::uint64_t EventLog::dropped() const
 {
     return m_impl->dropped();
--- a/src/jobs/owner/command_dispatcher.cpp
+++ b/src/jobs/owner/command_dispatcher.cpp
@@ -149,8 +149,9 @@
         .ticket = ticket };
     ++m_counts.starts;
     m_health.noteStartSent(worker, command);
-    m_state.options.log->decision("task-start",
-        { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id }, { "epoch", static_cast<std::int64_t>(m_state.ownership.epoch) }, { "crashes", std::int64_t { task.crashes.total() } }, { "recorded", std::int64_t { task.probationOf(attempt.number) != nullptr } }, { "worker_verified", std::int64_t { task.live->sentAtWorkerClock > 0 } } });
+    if (m_state.options.log->admitsDecision("task-start"))
+        m_state.options.log->decision("task-start",
+            { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id }, { "epoch", static_cast<std::int64_t>(m_state.ownership.epoch) }, { "crashes", std::int64_t { task.crashes.total() } }, { "recorded", std::int64_t { task.probationOf(attempt.number) != nullptr } }, { "worker_verified", std::int64_t { task.live->sentAtWorkerClock > 0 } } });
     m_state.options.workers->start(worker.session->incarnation(), command, [self = weak_from_this(), attempt, id = worker.entry.id, session = std::weak_ptr(worker.session)](const CommandResult& result) {
         const auto dispatcher = self.lock();
         if (dispatcher && !dispatcher->m_closed)
--- a/src/jobs/owner/status_reconciler.cpp
+++ b/src/jobs/owner/status_reconciler.cpp
@@ -113,8 +113,9 @@
     m_crashes.noteSurvived(worker, *job, ended.attempt);
     const EndEffect effect = job->state.end(ended, worker.entry.id, job->maxAttempts(), m_state.now());
     m_state.noteStartable(*job);
-    m_state.options.log->decision("task-end",
-        { { "attempt", nameOf(ended.attempt) }, { "worker", worker.entry.id }, { "end", std::string(nameOf(ended.end)) }, { "counted", std::int64_t { effect.counted } } });
+    if (m_state.options.log->admitsDecision("task-end"))
+        m_state.options.log->decision("task-end",
+            { { "attempt", nameOf(ended.attempt) }, { "worker", worker.entry.id }, { "end", std::string(nameOf(ended.end)) }, { "counted", std::int64_t { effect.counted } } });
     m_counts.successes += effect.counted && ended.end == AttemptEnd::Succeeded ? 1 : 0;
     m_counts.failures += effect.counted && ended.end == AttemptEnd::Failed ? 1 : 0;
     m_counts.leaseExpirations += effect.counted && ended.end == AttemptEnd::LeaseExpired ? 1 : 0;
