A pass reads the workers of its pools, and skips what a full pool is known to refuse

Each pass sorted all 1,100 workers into pools, and prepared a full search for each waiting step though an earlier choice of the same pass had shown that the pool has no room for it. Change: the workers of a pool are indexed until one is added, removed or changes its pool; a step that is known not to fit is counted as waiting at once, and its wait is looked up only when it may be explained.

--- a/include/lanemoor/jobs/policy/placement.h
+++ b/include/lanemoor/jobs/policy/placement.h
@@ -76,6 +76,9 @@
     /// \returns The index of the best site for a task of `step`; empty: none has room.
     [[nodiscard]] std::optional<std::size_t> choose(const StepSpec& step, const PlacementQuery& query) const;
 
+    /// \returns Whether an earlier choice has shown that no site has room for a task of `step`.
+    [[nodiscard]] bool isKnownFull(const StepSpec& step) const;
+
     /// \brief Reserves resources for a task of `step` on site `index`.
     void reserve(std::size_t index, const StepSpec& step);
 
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -564,6 +564,7 @@
         record.entry = entry.worker;
         record.listed = entry.listed;
         record.knownSince = entry.knownSince;
+        m_term->state.noteWorkersChanged();
         beginSession(record, entry.worker.startedAt);
     }
 
@@ -595,6 +596,8 @@
         const std::int64_t startedAt = entry.worker.startedAt;
         if (startedAt != 0 && record.previousStarts.contains(startedAt))
             return;
+        if (record.entry.pool != entry.worker.pool)
+            m_term->state.noteWorkersChanged();
         record.entry = entry.worker;
         updateHallEvacuated(record);
         if (record.session->incarnation().startedAt != 0 && !record.isEntryOfIncarnation())
@@ -742,7 +745,7 @@
 
     void dropEndedWorkers()
     {
-        std::erase_if(m_term->state.workers, [&](const auto& entry) {
+        const std::size_t dropped = std::erase_if(m_term->state.workers, [&](const auto& entry) {
             const WorkerRecord& record = entry.second;
             const bool ended = record.session->hasIncarnationEnded() || m_options.loop->now() >= record.session->leaseExpiresBy();
             const bool isDropped = !record.listed && ended && record.reservations.empty() && (record.session->hasIncarnationEnded() || record.session->isUnresponsive());
@@ -750,6 +753,8 @@
                 m_term->state.hallLosses.removeWorker(entry.first);
             return isDropped;
         });
+        if (dropped > 0)
+            m_term->state.noteWorkersChanged();
         if (m_term->isInheritedSettled)
             m_term->reconciler.crashes().settleUnknownIncarnations(false);
     }
--- a/src/jobs/owner/owner_state.cpp
+++ b/src/jobs/owner/owner_state.cpp
@@ -118,6 +118,15 @@
     return found == workers.end() ? nullptr : &found->second;
 }
 
+const std::vector<WorkerRecord*>& OwnerState::workersOf(const std::string& pool)
+{
+    if (workersByPool.empty()) {
+        for (auto& [id, record] : workers)
+            workersByPool[record.entry.pool].push_back(&record);
+    }
+    return workersByPool[pool];
+}
+
 const TaskState* OwnerState::liveTask(const Attempt& attempt, const std::string& worker)
 {
     const OwnerJob* job = this->job(attempt.job);
--- a/src/jobs/owner/owner_state.h
+++ b/src/jobs/owner/owner_state.h
@@ -73,6 +73,7 @@
     WaitingJobs waitingJobs; ///< In groups by queue and organisation.
     ShareDeficits deficits { options.admission.deficitMemory };
     std::map<std::string, WorkerRecord> workers; ///< By worker id.
+    std::map<std::string, std::vector<WorkerRecord*>> workersByPool; ///< Read by `workersOf`; empty: outdated.
     std::unique_ptr<ProgressWriter> writer;
     LoadForecast forecast;
     HallLossDetector hallLosses;
@@ -133,6 +134,12 @@
     [[nodiscard]] OwnerJob* job(const std::string& id);
     [[nodiscard]] WorkerRecord* worker(const std::string& id);
 
+    /// \returns The workers of a pool by id, valid until `noteWorkersChanged`.
+    [[nodiscard]] const std::vector<WorkerRecord*>& workersOf(const std::string& pool);
+
+    /// \brief Notes that a worker was added or removed, or has changed its pool.
+    void noteWorkersChanged() { workersByPool.clear(); }
+
     /// \returns The task whose live attempt at the worker is `attempt`, or null.
     [[nodiscard]] const TaskState* liveTask(const Attempt& attempt, const std::string& worker);
 
--- a/src/jobs/owner/placement_pass.cpp
+++ b/src/jobs/owner/placement_pass.cpp
@@ -199,18 +199,15 @@
         candidate.job->account->heldTasks += static_cast<std::uint32_t>(tasks);
     if (m_fair)
         m_fair->noteUnplaced(candidate, true);
-    noteWait(candidate, sites, queryFor(candidate, sites), tasks, candidate.job->state.record().organisation);
+    noteWait(candidate, sites, tasks, candidate.job->state.record().organisation);
 }
 
 PlacementPass::PoolSites& PlacementPass::sitesOf(const std::string& pool)
 {
-    if (m_sites.empty()) {
-        for (auto& [id, record] : m_state.workers)
-            m_sites[record.entry.pool].records.push_back(&record);
-    }
     PoolSites& sites = m_sites[pool];
     if (sites.placer)
         return sites;
+    sites.records = m_state.workersOf(pool);
     std::vector<PlacementSite> list;
     list.reserve(sites.records.size());
     for (const WorkerRecord* record : sites.records) {
@@ -255,6 +252,15 @@
         return;
     }
     const bool needsTickets = candidate.job->policy && candidate.job->policy->advice;
+    // Fast path: most candidates of a full pool only wait.
+    if (!needsTickets && !step.gang && !hasSuspects(candidate) && sites.placer->isKnownFull(step)) {
+        m_stepAdvice = nullptr;
+        if (m_fair)
+            m_fair->noteUnplaced(candidate, false);
+        noteWaiting(candidate, pool, candidate.tasks.size());
+        noteWait(candidate, sites, candidate.tasks.size());
+        return;
+    }
     m_stepAdvice = needsTickets ? &m_advice.adviceOn(candidate.job->state.id(), candidate.step) : nullptr;
     if (step.gang)
         placeGang(candidate, sites, pool);
@@ -397,6 +403,12 @@
     }
 }
 
+bool PlacementPass::hasSuspects(const Candidate& candidate) const
+{
+    const std::vector<TaskState>& states = candidate.job->state.steps().at(candidate.step).tasks;
+    return m_state.options.crashes.isolatesSuspects && std::any_of(candidate.tasks.begin(), candidate.tasks.end(), [&](const TaskId& task) { return states[task.index].suspectedCrashes() > 0; });
+}
+
 /// \returns Crashes that the task may have caused; 0 if placement does not isolate suspects.
 std::uint32_t PlacementPass::suspectedCrashesOf(const Candidate& candidate, const TaskId& task) const
 {
@@ -420,7 +432,7 @@
     if (!awaitsAdvice)
         noteWaiting(candidate, pool, tasks);
     if (!awaitsAdvice || m_advice.isFailing())
-        noteWait(candidate, sites, query, tasks);
+        noteWait(candidate, sites, tasks);
 }
 
 /// Asks the advisor for tickets, and about workers without an answer as long as tasks have no place on the allowed ones.
@@ -496,9 +508,12 @@
 }
 
 /// Records and logs why a step waits, at a limited rate.
-void PlacementPass::noteWait(const Candidate& candidate, const PoolSites& sites, const PlacementQuery& query, std::size_t tasks, const std::string& heldByQuotaOf)
+void PlacementPass::noteWait(const Candidate& candidate, const PoolSites& sites, std::size_t tasks, const std::string& heldByQuotaOf)
 {
     const MonotonicInstant now = m_now;
+    const auto [explainedUntil, isNew] = candidate.job->waitExplainedUntil.try_emplace(candidate.step);
+    if (!isNew && (now < explainedUntil->second || m_waitsExplained == maxWaitsExplained))
+        return;
     OwnerState::WaitingStep& waiting = m_state.waits.try_emplace({ candidate.job->state.id(), candidate.step }, OwnerState::WaitingStep { .since = now, .explainedAt = std::nullopt, .wait = {} }).first->second;
     if ((waiting.explainedAt && now - *waiting.explainedAt < waitLogPause) || m_waitsExplained == maxWaitsExplained)
         return;
@@ -519,10 +534,11 @@
             wait.asked += advice != AdviceState::Unasked ? 1 : 0;
             wait.allowed += advice == AdviceState::Allowed ? 1 : 0;
         }
-        wait.belowSpread += step.maxPerInstance == 0 || query.tasksOfStep(i) < step.maxPerInstance ? 1 : 0;
+        wait.belowSpread += step.maxPerInstance == 0 || sites.records[i]->tasksOf(candidate.job->state.id(), candidate.step) < step.maxPerInstance ? 1 : 0;
     }
     waiting.explainedAt = now;
     waiting.wait = wait;
+    explainedUntil->second = now + waitLogPause;
     m_state.options.log->decision("step-waits",
         { { "job", candidate.job->state.id() }, { "step", std::int64_t { candidate.step.step } }, { "tasks", std::int64_t { wait.tasks } }, { "sites", std::int64_t { wait.workers } }, { "open", std::int64_t { wait.open } },
             { "with_room", std::int64_t { wait.withRoom } }, { "label", wait.label }, { "labelled", std::int64_t { wait.labelled } }, { "labelled_with_room", std::int64_t { wait.labelledWithRoom } }, { "rack", wait.rack }, { "held_by_quota_of", wait.heldByQuotaOf }, { "needs_advice", std::int64_t { wait.needsAdvice } }, { "asked", std::int64_t { wait.asked } }, { "allowed", std::int64_t { wait.allowed } }, { "near", std::int64_t { wait.near } }, { "below_spread_limit", std::int64_t { wait.belowSpread } }, { "memory_mb", step.needs.memoryMb }, { "milli_cpu", footprint(step).milliCpu } });
--- a/src/jobs/owner/placement_pass.h
+++ b/src/jobs/owner/placement_pass.h
@@ -59,7 +59,8 @@
     void requestAdvice(const Candidate& candidate, PoolSites& sites, const PlacementQuery& query, std::size_t tasks);
     [[nodiscard]] std::vector<std::size_t> placesOnAllowed(const Candidate& candidate, PoolSites& sites, PlacementQuery query, std::size_t tasks) const;
     void noteWaiting(const Candidate& candidate, const std::string& pool, std::size_t tasks);
-    void noteWait(const Candidate& candidate, const PoolSites& sites, const PlacementQuery& query, std::size_t tasks, const std::string& heldByQuotaOf = {});
+    void noteWait(const Candidate& candidate, const PoolSites& sites, std::size_t tasks, const std::string& heldByQuotaOf = {});
+    [[nodiscard]] bool hasSuspects(const Candidate& candidate) const;
     void placeGang(const Candidate& candidate, PoolSites& sites, const std::string& pool);
     bool placeGangIn(const Candidate& candidate, PoolSites& sites, const std::string& rack);
     [[nodiscard]] bool mayIgnoreRack(const Candidate& candidate);
--- a/src/jobs/policy/placement.cpp
+++ b/src/jobs/policy/placement.cpp
@@ -119,6 +119,11 @@
     return std::any_of(m_noRoom.begin(), m_noRoom.end(), [&](const NoRoom& full) { return full.label == step.requiredLabel && needs.covers(full.needs); });
 }
 
+bool Placer::isKnownFull(const StepSpec& step) const
+{
+    return isKnownFull(step, footprint(step));
+}
+
 /// Best site of a range.
 struct Placer::Choice {
     std::optional<Rank> best;
