A malformed entry in the platform's list of instances hides only itself

What operators would see: one entry with a missing or mistyped field, left by another writer, made the daemon on the platform's instance list refuse the whole list, again and again, and so stop following it; a port of 99,999 was read as 34,463, the port of another process. Change: each entry is read by itself, numbers are checked against their range, and what is malformed is left out. The job service reads each entry of the workers by itself already, on standbys, owners and operators' pages; relays get only checked addresses.

--- a/include/lanemoor/adapters/http_platform.h
+++ b/include/lanemoor/adapters/http_platform.h
@@ -11,8 +11,8 @@
 
 namespace lanemoor {
 
-/// \brief Parses the JSON text of the platform's instance list.
-/// \returns Nothing if `text` is malformed.
+/// \brief Parses the JSON text of the platform's instance list. Leaves out malformed entries and entries with a number out of range.
+/// \returns Nothing if `text` is no JSON array.
 [[nodiscard]] std::optional<Instances> parseInstanceList(std::string_view text);
 
 /// \brief Creates HTTP store clients. Versions are entity tags; conditions are If-Match
--- a/src/adapters/http_platform.cpp
+++ b/src/adapters/http_platform.cpp
@@ -2,6 +2,7 @@
 
 #include "lanemoor/net/http_connection.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -209,25 +210,40 @@
     return text == "gone" ? InstanceState::Gone : InstanceState::Leaving;
 }
 
-Instance instanceFrom(const nlohmann::json& json)
+/// Reads field `name`; an absent one leaves `number` unchanged. \returns Whether the field is absent or in the range of `Number`.
+template <typename Number>
+bool readNumber(const nlohmann::json& json, const char* name, Number& number)
+{
+    const auto found = json.find(name);
+    if (found == json.end())
+        return true;
+    if (!found->is_number_unsigned() || found->get<std::uint64_t>() > std::numeric_limits<Number>::max())
+        return false;
+    number = found->get<Number>();
+    return true;
+}
+
+/// \returns Nothing if the entry is malformed or a number is out of range.
+std::optional<Instance> readInstance(const nlohmann::json& json)
 {
     Instance instance;
-    instance.id = json.at("id").get<std::string>();
-    instance.address = json.at("ip").get<std::string>();
-    instance.port = json.at("port").get<std::uint16_t>();
-    instance.dataHall = json.at("dataHall").get<std::string>();
-    instance.rack = json.at("rack").get<std::string>();
-    instance.state = stateFrom(json.at("state").get<std::string>());
-    instance.bootId = json.value("bootId", std::uint64_t { 0 });
-    instance.drained = json.value("drained", false);
-    instance.slots = json.value("slots", instance.slots);
-    instance.connections = json.value("connections", instance.connections);
-    instance.longSessions = json.value("longSessions", instance.longSessions);
-    std::vector<Label> labels;
-    for (const auto& [key, value] : json.at("labels").items())
-        labels.push_back({ .key = key, .value = value.get<std::string>() });
-    instance.labels = LabelSet(std::move(labels));
-    return instance;
+    try {
+        instance.id = json.at("id").get<std::string>();
+        instance.address = json.at("ip").get<std::string>();
+        instance.dataHall = json.at("dataHall").get<std::string>();
+        instance.rack = json.at("rack").get<std::string>();
+        instance.state = stateFrom(json.at("state").get<std::string>());
+        instance.drained = json.value("drained", false);
+        std::vector<Label> labels;
+        for (const auto& [key, value] : json.at("labels").items())
+            labels.push_back({ .key = key, .value = value.get<std::string>() });
+        instance.labels = LabelSet(std::move(labels));
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    }
+    const bool areNumbersValid = readNumber(json, "port", instance.port) && readNumber(json, "bootId", instance.bootId) && readNumber(json, "slots", instance.slots)
+        && readNumber(json, "connections", instance.connections) && readNumber(json, "longSessions", instance.longSessions);
+    return areNumbersValid && instance.port > 0 ? std::optional(std::move(instance)) : std::nullopt;
 }
 
 } // namespace
@@ -270,11 +286,9 @@
     if (!json.is_array())
         return std::nullopt;
     Instances instances;
-    try {
-        for (const nlohmann::json& element : json)
-            instances.push_back(instanceFrom(element));
-    } catch (const nlohmann::json::exception&) {
-        return std::nullopt;
+    for (const nlohmann::json& element : json) {
+        if (std::optional<Instance> instance = readInstance(element))
+            instances.push_back(std::move(*instance));
     }
     return instances;
 }
--- a/tests/jobs/worker_entry_test.cpp
+++ b/tests/jobs/worker_entry_test.cpp
@@ -78,6 +78,38 @@
     }
 }
 
+// Guards against readers of the workers' entries that end by recursion, or that use a number after an overflow.
+TEST_CASE("A deeply nested entry and one with a number or port out of range are ignored")
+{
+    constexpr std::size_t depth = 500'000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    CHECK_FALSE(platform::readWorker("i", nested).has_value());
+    for (const char* field : { "labels", "capacity", "seq", "address" }) {
+        json entry = validEntry();
+        entry[field] = "nested";
+        std::string text = entry.dump();
+        text.replace(text.find("\"nested\""), std::string("\"nested\"").size(), nested);
+        CAPTURE(field);
+        CHECK_FALSE(platform::readWorker("i", text).has_value());
+    }
+    for (const char* number : { "1e999", "-1e999", "1e300", "99999999999999999999999999", "-1" }) {
+        for (const char* field : { "seq", "slots", "cold_left_ms", "born" }) {
+            json entry = validEntry();
+            entry[field] = "number";
+            std::string text = entry.dump();
+            text.replace(text.find("\"number\""), std::string("\"number\"").size(), number);
+            CAPTURE(field, number);
+            CHECK_FALSE(platform::readWorker("i", text).has_value());
+        }
+    }
+    for (const char* address : { "10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:99999999999999999999", "10.0.0.1:" }) {
+        json entry = validEntry();
+        entry["address"] = address;
+        CAPTURE(address);
+        CHECK_FALSE(platform::readWorker("i", entry.dump()).has_value());
+    }
+}
+
 TEST_CASE("A worker of an unconfigured pool receives no calls")
 {
     SmallCluster cluster(1, 1, 4, 0);
