Operators see why and for how long workers are closed to new tasks

`fleet-use` counted the workers that are being emptied, but nothing said which drain, move or wave they are emptied for, and a drain that is dropped left no line, so that the hypotheses of the incident could only be told apart by reading whole logs.

Now a drain that is dropped is logged with what the list shows in place of its instance; `fleet-use` has the workers that nothing in progress names and the longest evacuation; the metrics have the workers by reason. A maintenance plan records which workers it keeps empty, as drains and moves already do.

--- a/include/lanemoor/jobs/owner/fleet_controller.h
+++ b/include/lanemoor/jobs/owner/fleet_controller.h
@@ -5,6 +5,7 @@
 #include "lanemoor/jobs/model/event_loop.h"
 #include "lanemoor/jobs/model/forward_declarations.h"
 #include "lanemoor/jobs/model/service_configuration.h"
+#include "lanemoor/jobs/owner/evacuation_reason.h"
 #include "lanemoor/jobs/owner/ownership_manager.h"
 #include "lanemoor/jobs/policy/capacity_plan.h"
 
@@ -80,6 +81,9 @@
 
     [[nodiscard]] const FleetCounts& counts() const noexcept;
 
+    /// \returns The evacuations of the current term as of the last plan; none without a term.
+    [[nodiscard]] const EvacuationReading& evacuations() const noexcept;
+
 private:
     class Impl;
     std::shared_ptr<Impl> m_impl;
--- a/include/lanemoor/jobs/service/job_metrics.h
+++ b/include/lanemoor/jobs/service/job_metrics.h
@@ -5,6 +5,7 @@
 #include "lanemoor/jobs/intake/job_intake.h"
 #include "lanemoor/jobs/model/store_condition.h"
 #include "lanemoor/jobs/model/work_meter.h"
+#include "lanemoor/jobs/owner/evacuation_reason.h"
 #include "lanemoor/jobs/owner/evacuation_report.h"
 #include "lanemoor/jobs/owner/job_report.h"
 #include "lanemoor/jobs/owner/job_scheduler.h"
@@ -51,6 +52,7 @@
     std::uint64_t decisionsOmitted = 0;
     std::uint64_t callsForOtherOwners = 0; ///< Calls that this process relayed for another owner.
     std::vector<OrganisationReport> organisations; ///< Empty unless this process is the owner.
+    EvacuationReading workerEvacuations; ///< Empty unless this process is the owner.
     EvacuationsReport evacuations; ///< Without data halls unless this process is the owner.
     std::map<std::string, std::uint32_t> ejectedWorkers; ///< Ejected or probing workers by pool; empty unless this process is the owner.
     WorkReading work; ///< Time of the process's thread by kind of work.
--- a/src/jobs/owner/fleet_controller.cpp
+++ b/src/jobs/owner/fleet_controller.cpp
@@ -39,6 +39,23 @@
 
 } // namespace
 
+std::string_view nameOf(EvacuationReason reason) noexcept
+{
+    switch (reason) {
+    case EvacuationReason::None:
+        return "none";
+    case EvacuationReason::Drain:
+        return "drain";
+    case EvacuationReason::Move:
+        return "move";
+    case EvacuationReason::UnansweredMove:
+        return "unanswered-move";
+    case EvacuationReason::Wave:
+        return "wave";
+    }
+    return "";
+}
+
 class FleetController::Impl : public std::enable_shared_from_this<FleetController::Impl> {
 public:
     explicit Impl(FleetControllerOptions options)
@@ -92,6 +109,7 @@
         m_options.loop->cancel(std::exchange(m_planTimer, 0));
         m_active = false;
         m_plans.clear();
+        evacuations = {};
     }
 
     void onWave(const WaveRequest& wave)
@@ -104,8 +122,15 @@
     }
 
     FleetCounts counts;
+    EvacuationReading evacuations;
 
 private:
+    /// A move without a response yet.
+    struct PendingMove {
+        std::string to;
+        std::string worker; ///< Empty for an instance that is off.
+    };
+
     /// The incarnation that the list last showed on an instance.
     struct ListedIncarnation {
         std::string worker;
@@ -459,9 +484,42 @@
         m_domains = m_options.scheduler->failureDomains();
         planWaves();
         planCapacity();
+        readEvacuations();
         logUse();
     }
 
+    /// \returns The workers that drains, calls and waves in progress keep empty.
+    [[nodiscard]] EvacuationReasons evacuationReasons() const
+    {
+        EvacuationReasons reasons;
+        for (const auto& [number, plan] : m_plans) {
+            for (const auto& [instance, worker] : plan.evacuated())
+                reasons[worker] = EvacuationReason::Wave;
+        }
+        for (const auto& [instance, drain] : m_draining)
+            reasons[drain.worker] = EvacuationReason::Drain;
+        for (const auto& [instance, instanceOverride] : m_overrides)
+            reasons[instanceOverride.emptied] = EvacuationReason::UnansweredMove;
+        for (const auto& [instance, pending] : m_moving)
+            reasons[pending.worker] = EvacuationReason::Move;
+        reasons.erase(std::string());
+        return reasons;
+    }
+
+    void readEvacuations()
+    {
+        const EvacuationReasons reasons = evacuationReasons();
+        EvacuationReading reading;
+        for (const auto& [worker, use] : m_uses) {
+            if (!use.evacuating)
+                continue;
+            const auto reason = reasons.find(worker);
+            ++reading.workers[reason == reasons.end() ? EvacuationReason::None : reason->second];
+            reading.longest = std::max(reading.longest, std::chrono::duration_cast<Millis>(m_options.loop->now() - use.evacuatingSince));
+        }
+        evacuations = std::move(reading);
+    }
+
     /// Logs the use of the fleet once per second.
     void logUse()
     {
@@ -494,7 +552,7 @@
                 free += use->free.milliCpu;
             }
         }
-        m_options.log->decision("fleet-use", { { "off", off }, { "away", unavailable }, { "evacuating", evacuating }, { "unsound", unhealthy }, { "open", open }, { "free_mcpu_of_open", free }, { "plan_inspected", static_cast<std::int64_t>(m_capacity.inspected()) } });
+        m_options.log->decision("fleet-use", { { "off", off }, { "away", unavailable }, { "evacuating", evacuating }, { "evacuating_without_reason", std::int64_t { evacuations.workers[EvacuationReason::None] } }, { "longest_evacuation_ms", evacuations.longest.count() }, { "unsound", unhealthy }, { "open", open }, { "free_mcpu_of_open", free }, { "plan_inspected", static_cast<std::int64_t>(m_capacity.inspected()) } });
     }
 
     /// \returns The load of each pool, without its instances.
@@ -555,7 +613,7 @@
     {
         const auto moving = m_moving.find(instance.id);
         if (moving != m_moving.end())
-            return moving->second;
+            return moving->second.to;
         const auto draining = m_draining.find(instance.id);
         return draining == m_draining.end() ? instance.pool : draining->second.to;
     }
@@ -685,12 +743,20 @@
             const bool isThere = use != m_uses.end() && listed != m_list.end() && listed->second.state == FleetState::Up && listed->second.worker == drain.worker;
             if (isThere && use->second.attempts == 0)
                 empty.push_back(drain);
+            if (!isThere)
+                logDroppedDrain(drain, listed == m_list.end() ? FleetInstance {} : listed->second);
             return !isThere || use->second.attempts == 0;
         });
         for (const CapacityDrain& drain : empty)
             move({ drain.instance, drain.from, drain.to });
     }
 
+    /// \param listed The instance according to the list; an empty id: not listed.
+    void logDroppedDrain(const CapacityDrain& drain, const FleetInstance& listed)
+    {
+        m_options.log->decision("instance-drain-dropped", { { "instance", drain.instance }, { "worker", drain.worker }, { "listed", std::int64_t { !listed.id.empty() } }, { "up", std::int64_t { listed.state == FleetState::Up } }, { "listed_worker", listed.worker } });
+    }
+
     /// Logs each change of a pool's size or target.
     void logSize(const PoolLoad& pool)
     {
@@ -706,7 +772,7 @@
     void move(const CapacityMove& move)
     {
         const std::string worker = m_list[move.instance].worker;
-        m_moving[move.instance] = move.to;
+        m_moving[move.instance] = { move.to, worker };
         // No task may be placed there between this decision and the call.
         setEvacuating(worker, true);
         m_options.log->decision("instance-move", { { "instance", move.instance }, { "from", move.from }, { "to", move.to }, { "worker", worker } });
@@ -892,7 +958,7 @@
     std::set<std::uint64_t> m_finished;
     std::map<std::string, FleetInstance> m_list;
     std::map<std::string, InstanceOverride> m_overrides; ///< Instances that the list may show in their previous state.
-    std::map<std::string, std::string> m_moving; ///< Destinations of moves without a response yet, by instance.
+    std::map<std::string, PendingMove> m_moving; ///< By instance.
     std::map<std::string, CapacityDrain> m_draining; ///< Instances that are drained for another pool.
     std::map<std::string, ListedIncarnation> m_incarnations; ///< By instance.
     std::map<std::string, MonotonicInstant> m_idleSince;
@@ -941,4 +1007,9 @@
     return m_impl->counts;
 }
 
+const EvacuationReading& FleetController::evacuations() const noexcept
+{
+    return m_impl->evacuations;
+}
+
 } // namespace lanemoor::jobs
--- a/src/jobs/policy/maintenance_plan.cpp
+++ b/src/jobs/policy/maintenance_plan.cpp
@@ -58,6 +58,7 @@
     std::vector<const MaintenanceCandidate*> due;
     for (const MaintenanceCandidate& candidate : fleet) {
         ++sizes[candidate.pool];
+        dropIfReplaced(candidate);
         const bool wanted = m_wave.contains(candidate.instance);
         const auto back = m_backBy.find(candidate.instance);
         if (candidate.evacuating || (back != m_backBy.end() && back->second > now))
@@ -82,12 +83,15 @@
             if (slots == 0)
                 continue;
             step.maintain.push_back(candidate->instance);
+            if (!candidate->worker.empty())
+                m_evacuated[candidate->instance] = candidate->worker;
             --slots;
             continue;
         }
         if (candidate->evacuating && candidate->pinned && now - candidate->evacuatingSince > maxEvacuationTime) {
             m_retryAt[candidate->instance] = now + evacuationInterval;
             step.release.push_back(candidate->worker);
+            m_evacuated.erase(candidate->instance);
             continue;
         }
         if (evacuations == 0 || (candidate->pinned && candidate->lastOfKind && !candidate->evacuating))
@@ -99,10 +103,19 @@
             continue;
         ++taken[candidate->pool];
         step.evacuate.push_back(candidate->worker);
+        m_evacuated[candidate->instance] = candidate->worker;
     }
     return step;
 }
 
+/// An evacuation ends with the worker that it was decided for.
+void MaintenancePlan::dropIfReplaced(const MaintenanceCandidate& candidate)
+{
+    const auto evacuated = m_evacuated.find(candidate.instance);
+    if (evacuated != m_evacuated.end() && evacuated->second != candidate.worker)
+        m_evacuated.erase(evacuated);
+}
+
 void MaintenancePlan::noteRequested(const std::string& instance)
 {
     m_requested.insert(instance);
@@ -110,8 +123,7 @@
 
 void MaintenancePlan::noteAccepted(const std::string& instance, MonotonicInstant backBy)
 {
-    m_requested.erase(instance);
-    m_done.insert(instance);
+    noteRemoved(instance);
     m_backBy[instance] = backBy;
 }
 
@@ -129,6 +141,7 @@
 void MaintenancePlan::noteRemoved(const std::string& instance)
 {
     m_requested.erase(instance);
+    m_evacuated.erase(instance);
     m_done.insert(instance);
 }
 
--- a/src/jobs/service/job_metrics.cpp
+++ b/src/jobs/service/job_metrics.cpp
@@ -3,6 +3,7 @@
 #include "lanemoor/jobs/owner/fleet_controller.h"
 #include "lanemoor/jobs/relay/relayed_workers.h"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <prometheus/counter.h>
@@ -201,6 +202,19 @@
     families.push_back(byOrganisation("lanemoor_organisation_jobs_beyond_rate", "Jobs of this term beyond its rate", organisations, [](const OrganisationReport& each) { return static_cast<double>(each.beyondRate); }));
 }
 
+void addWorkerEvacuations(std::vector<prometheus::MetricFamily>& families, const EvacuationReading& reading)
+{
+    prometheus::MetricFamily workers { "lanemoor_workers_evacuating", "Workers that are emptied and closed to new tasks, by reason", prometheus::MetricType::Gauge, {} };
+    for (const auto& [reason, count] : reading.workers) {
+        prometheus::ClientMetric metric;
+        metric.label.push_back({ "reason", std::string(nameOf(reason)) });
+        metric.gauge.value = count;
+        workers.metric.push_back(std::move(metric));
+    }
+    families.push_back(std::move(workers));
+    families.push_back(gauge("lanemoor_worker_evacuation_longest_seconds", "Since the earliest evacuation of a worker that has not ended", std::chrono::duration<double>(reading.longest).count()));
+}
+
 void addHalls(std::vector<prometheus::MetricFamily>& families, const EvacuationsReport& report)
 {
     constexpr double milli = 1'000;
@@ -330,6 +344,7 @@
     addWork(families, reading.work);
     addEjected(families, reading.ejectedWorkers);
     addOrganisations(families, reading.organisations);
+    addWorkerEvacuations(families, reading.workerEvacuations);
     addHalls(families, reading.evacuations);
     std::ostringstream out;
     prometheus::TextSerializer().Serialize(out, families);
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -461,6 +461,7 @@
             .decisionsOmitted = m_parts.log->omitted(),
             .callsForOtherOwners = m_relay.calls(),
             .organisations = m_scheduler.organisations(),
+            .workerEvacuations = m_fleet.evacuations(),
             .evacuations = evacuations(),
             .ejectedWorkers = m_scheduler.ejectedByPool(),
             .work = m_meter.total(),
