Failing tests: workers stay closed to tasks after the drain, call or wave that closed them is over

Callers see tasks that never run though most of the pool's workers are empty. The tests check the state behind the rare lost task, which must not be: a worker is closed to new tasks, and nothing in progress needs it empty.

--- /dev/null
+++ b/tests/jobs/evacuated_worker_test.cpp
@@ -0,0 +1,114 @@
+/// A worker is closed to new tasks only while a drain, a call or a maintenance wave needs it empty.
+///
+/// Guards against workers that stay closed after the drain that closed them was dropped: tasks waited until the end of the day
+/// while a pool's workers were empty (docs/incidents/workers-closed-after-a-restart.md).
+
+#include "support.h"
+
+#include <catch2/catch.hpp>
+#include <sstream>
+#include <string>
+#include <vector>
+
+using namespace lanemoor;
+using namespace lanemoor::jobs;
+using namespace lanemoor::jobs::test;
+
+namespace {
+
+constexpr std::size_t instanceCount = 12;
+constexpr Millis settleTime { 30'000 }; ///< Longer than all tasks, drains, moves and timeouts of these tests together.
+
+/// Pools `main`, which has all instances at first, and `side`; the reserve is empty.
+struct TwoPoolCluster : SmallCluster {
+    TwoPoolCluster()
+        : SmallCluster(1, 1, instanceCount, 0)
+    {
+        workers.runTimes = [](const Attempt&) { return Millis(3'000); };
+        configure(twoPools());
+        clock.runFor(Millis(2'000));
+    }
+
+    /// \returns The workers that the owner keeps empty.
+    [[nodiscard]] double evacuating()
+    {
+        double total = 0;
+        std::istringstream lines(entry(*owner()).metrics());
+        for (std::string line; std::getline(lines, line);) {
+            if (line.rfind("lanemoor_workers_evacuating{", 0) == 0)
+                total += std::stod(line.substr(line.rfind(' ')));
+        }
+        return total;
+    }
+
+    /// Fills `main`, so that `side` can only get instances that are drained first.
+    void drainForSide()
+    {
+        for (std::uint64_t i = 1; i <= instanceCount; ++i)
+            submit(0, "work", jobId(i), job({ step(8) }));
+        clock.runFor(Millis(300));
+        submit(0, "other", jobId(sideJob), job({ step(64) }));
+        REQUIRE(waitFor(Millis(3'000), [this] { return evacuating() > 0; }));
+    }
+
+    void restartAll(Millis returnsAfter)
+    {
+        for (std::size_t i = 1; i <= instanceCount; ++i)
+            workers.restart("i-" + std::to_string(i), returnsAfter);
+    }
+
+    void checkNoneStaysClosed()
+    {
+        clock.runFor(settleTime);
+        CHECK(evacuating() == 0);
+        CHECK(checker.breaches().empty());
+    }
+
+    static constexpr std::uint64_t sideJob = 100;
+};
+
+} // namespace
+
+TEST_CASE("A worker that restarts under its id while its instance is drained gets tasks again")
+{
+    TwoPoolCluster cluster;
+    cluster.drainForSide();
+    cluster.restartAll(Millis(600));
+    cluster.checkNoneStaysClosed();
+    CHECK(cluster.shows(jobId(TwoPoolCluster::sideJob), JobStatus::Succeeded));
+}
+
+TEST_CASE("A worker that restarts under its id while a call to move its instance has no response gets tasks again")
+{
+    TwoPoolCluster cluster;
+    cluster.workers.fleetFaults.dropped = 1;
+    cluster.submit(0, "other", jobId(TwoPoolCluster::sideJob), job({ step(64) }));
+    REQUIRE(cluster.waitFor(Millis(3'000), [&] { return cluster.evacuating() > 0; }));
+    cluster.clock.runFor(Millis(2'000));
+    cluster.restartAll(Millis(4'000));
+    cluster.clock.runFor(Millis(5'000));
+    cluster.workers.fleetFaults.dropped = 0;
+    cluster.checkNoneStaysClosed();
+    CHECK(cluster.shows(jobId(TwoPoolCluster::sideJob), JobStatus::Succeeded));
+}
+
+TEST_CASE("A worker whose instance leaves a maintenance wave unserved gets tasks again")
+{
+    // The list lacks the instance for a while, so that the wave goes on without it.
+    TwoPoolCluster cluster;
+    cluster.submit(0, "work", jobId(1), job({ longStep(3) }));
+    cluster.clock.runFor(Millis(2'000));
+    std::vector<std::string> instances;
+    for (const auto& [id, instance] : cluster.workers.instances())
+        instances.push_back(id);
+    for (std::uint64_t i = 2; i <= instanceCount; ++i)
+        cluster.submit(0, "work", jobId(i), job({ step(8) }));
+    cluster.clock.runFor(Millis(200));
+    cluster.requestWave({ .number = 1, .instances = instances, .duration = Millis(60'000), .maxConcurrent = 2 });
+    REQUIRE(cluster.waitFor(Millis(3'000), [&] { return cluster.evacuating() > 0; }));
+    for (const std::string& instance : instances)
+        cluster.workers.hidden.insert(instance);
+    cluster.clock.runFor(Millis(10'000));
+    cluster.workers.hidden.clear();
+    cluster.checkNoneStaysClosed();
+}
