A worker is closed to tasks exactly while a drain, a move or a wave in progress needs it empty

Cause: that a worker is being emptied was kept twice, as the drain, call or wave in the fleet controller and as a flag on the worker's record. Each way out of the first had to remember the second, and three did not: a drain dropped because the list showed its instance in another state, as during a restart (the new incarnation inherits the flag); a move without a response whose instance was down or not listed when it was settled; a wave that went on without an instance missing in the list.

The flag is now derived: the controller names the workers that something in progress needs empty, and the scheduler replaces its former set with these. Whatever ends a drain, a call or a place in a wave ends the closing, without a line of code for it; there is no call left to open or close a single worker.

A unit test of the plan of a wave comes with the change.

--- a/include/lanemoor/jobs/owner/evacuation_reason.h
+++ b/include/lanemoor/jobs/owner/evacuation_reason.h
@@ -14,7 +14,6 @@
 
 /// Why a worker is emptied and closed to new tasks.
 enum class EvacuationReason {
-    None, ///< No drain, call or wave in progress names the worker.
     Drain, ///< Its instance is drained for another pool.
     Move, ///< A call that moves its instance is in progress.
     UnansweredMove, ///< Such a call got no response and may still be carried out.
@@ -26,6 +25,14 @@
 
 [[nodiscard]] std::string_view nameOf(EvacuationReason reason) noexcept;
 
+/// A change by `JobScheduler::setEvacuations`.
+struct WorkerEvacuation {
+    std::string worker;
+    bool isEvacuating = false;
+
+    [[nodiscard]] bool operator==(const WorkerEvacuation&) const = default;
+};
+
 /// Workers that are emptied and closed to new tasks.
 struct EvacuationReading {
     std::map<EvacuationReason, std::uint32_t> workers; ///< Count by reason.
--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -7,6 +7,7 @@
 #include "lanemoor/jobs/model/forward_declarations.h"
 #include "lanemoor/jobs/model/requirement.h"
 #include "lanemoor/jobs/model/service_configuration.h"
+#include "lanemoor/jobs/owner/evacuation_reason.h"
 #include "lanemoor/jobs/owner/evacuation_report.h"
 #include "lanemoor/jobs/owner/job_report.h"
 #include "lanemoor/jobs/owner/ownership_manager.h"
@@ -171,8 +172,9 @@
     /// \returns Demand by pool; a pool without demand may be missing.
     std::map<std::string, PoolDemand> demands();
 
-    /// \brief Starts or ends the evacuation of a worker.
-    void setEvacuating(const std::string& worker, bool evacuating);
+    /// \brief Evacuates exactly these workers: they are emptied and closed to new tasks. All other evacuations end.
+    /// \returns The changes, without those of unknown workers.
+    std::vector<WorkerEvacuation> setEvacuations(const EvacuationReasons& reasons);
 
     /// \brief Handles the platform's instance list. The list names incarnations whose entries may be missing in the
     /// store and that may run tasks of an earlier owner.
--- a/src/jobs/owner/fleet_controller.cpp
+++ b/src/jobs/owner/fleet_controller.cpp
@@ -42,8 +42,6 @@
 std::string_view nameOf(EvacuationReason reason) noexcept
 {
     switch (reason) {
-    case EvacuationReason::None:
-        return "none";
     case EvacuationReason::Drain:
         return "drain";
     case EvacuationReason::Move:
@@ -355,6 +353,7 @@
             noteListedIncarnation(instance);
         }
         std::erase_if(m_overrides, [&](const auto& instanceOverride) { return isReflected(instanceOverride.second); });
+        updateEvacuations();
         m_list.clear();
         for (const FleetInstance& instance : instances) {
             const auto instanceOverride = m_overrides.find(instance.id);
@@ -365,17 +364,14 @@
     /// \returns Whether lists reflect the outcome of the call by now.
     [[nodiscard]] bool isReflected(const InstanceOverride& instanceOverride) const { return m_options.loop->now() >= instanceOverride.until; }
 
-    /// If a call without a response left the listed worker unchanged, it was not carried out: the
-    /// worker may be open for tasks again.
+    /// If a call without a response left the listed worker unchanged, it was not carried out.
     void settleUnansweredCall(const FleetInstance& instance)
     {
         const auto instanceOverride = m_overrides.find(instance.id);
         if (instanceOverride == m_overrides.end() || !isReflected(instanceOverride->second) || instanceOverride->second.emptied.empty())
             return;
-        if (instance.state == FleetState::Up && instance.worker == instanceOverride->second.emptied) {
+        if (instance.state == FleetState::Up && instance.worker == instanceOverride->second.emptied)
             m_options.log->decision("instance-move-not-seen", { { "instance", instance.id }, { "worker", instance.worker } });
-            setEvacuating(instance.worker, false);
-        }
     }
 
     /// An incarnation that the list showed and no longer shows has ended, whether or not its worker responds.
@@ -439,15 +435,17 @@
         return all == (isOpenForTasks(use) ? 1U : 0U);
     }
 
-    /// Starts or stops the evacuation of a worker, and updates the current plan accordingly.
-    void setEvacuating(const std::string& worker, bool evacuating)
+    /// Has exactly the workers evacuated that something in progress needs empty. To be called after each change of what is in
+    /// progress, and before tasks may be placed.
+    void updateEvacuations()
     {
-        m_options.scheduler->setEvacuating(worker, evacuating);
-        const auto use = m_uses.find(worker);
-        if (use == m_uses.end() || use->second.evacuating == evacuating)
-            return;
-        use->second.evacuating = evacuating;
-        use->second.evacuatingSince = m_options.loop->now();
+        for (const WorkerEvacuation& change : m_options.scheduler->setEvacuations(evacuationReasons())) {
+            const auto use = m_uses.find(change.worker);
+            if (use == m_uses.end())
+                continue;
+            use->second.evacuating = change.isEvacuating;
+            use->second.evacuatingSince = m_options.loop->now();
+        }
     }
 
     [[nodiscard]] std::vector<MaintenanceCandidate> candidates() const
@@ -484,6 +482,7 @@
         m_domains = m_options.scheduler->failureDomains();
         planWaves();
         planCapacity();
+        updateEvacuations();
         readEvacuations();
         logUse();
     }
@@ -508,14 +507,13 @@
 
     void readEvacuations()
     {
-        const EvacuationReasons reasons = evacuationReasons();
         EvacuationReading reading;
-        for (const auto& [worker, use] : m_uses) {
-            if (!use.evacuating)
+        for (const auto& [worker, reason] : evacuationReasons()) {
+            const auto use = m_uses.find(worker);
+            if (use == m_uses.end())
                 continue;
-            const auto reason = reasons.find(worker);
-            ++reading.workers[reason == reasons.end() ? EvacuationReason::None : reason->second];
-            reading.longest = std::max(reading.longest, std::chrono::duration_cast<Millis>(m_options.loop->now() - use.evacuatingSince));
+            ++reading.workers[reason];
+            reading.longest = std::max(reading.longest, std::chrono::duration_cast<Millis>(m_options.loop->now() - use->second.evacuatingSince));
         }
         evacuations = std::move(reading);
     }
@@ -552,7 +550,7 @@
                 free += use->free.milliCpu;
             }
         }
-        m_options.log->decision("fleet-use", { { "off", off }, { "away", unavailable }, { "evacuating", evacuating }, { "evacuating_without_reason", std::int64_t { evacuations.workers[EvacuationReason::None] } }, { "longest_evacuation_ms", evacuations.longest.count() }, { "unsound", unhealthy }, { "open", open }, { "free_mcpu_of_open", free }, { "plan_inspected", static_cast<std::int64_t>(m_capacity.inspected()) } });
+        m_options.log->decision("fleet-use", { { "off", off }, { "away", unavailable }, { "evacuating", evacuating }, { "longest_evacuation_ms", evacuations.longest.count() }, { "unsound", unhealthy }, { "open", open }, { "free_mcpu_of_open", free }, { "plan_inspected", static_cast<std::int64_t>(m_capacity.inspected()) } });
     }
 
     /// \returns The load of each pool, without its instances.
@@ -719,7 +717,6 @@
     {
         m_draining[drain.instance] = drain;
         m_options.log->decision("instance-drain", { { "instance", drain.instance }, { "from", drain.from }, { "to", drain.to }, { "worker", drain.worker } });
-        setEvacuating(drain.worker, true);
     }
 
     void undrain(const std::string& instance)
@@ -728,7 +725,6 @@
         if (found == m_draining.end())
             return;
         m_options.log->decision("instance-drain-ended", { { "instance", instance }, { "to", found->second.to } });
-        setEvacuating(found->second.worker, false);
         m_draining.erase(found);
     }
 
@@ -773,8 +769,6 @@
     {
         const std::string worker = m_list[move.instance].worker;
         m_moving[move.instance] = { move.to, worker };
-        // No task may be placed there between this decision and the call.
-        setEvacuating(worker, true);
         m_options.log->decision("instance-move", { { "instance", move.instance }, { "from", move.from }, { "to", move.to }, { "worker", worker } });
         recordCall(move.instance, [this, move, worker](bool maySend) {
             if (maySend)
@@ -796,6 +790,7 @@
             ++counts.moved;
             overrideInstance(move.instance, move.to, FleetState::Moving, m_options.moveTime);
             m_options.scheduler->noteIncarnationOver(worker, true);
+            updateEvacuations();
             return;
         }
         m_options.log->decision("instance-move-failed", { { "instance", move.instance }, { "outcome", std::string(nameOf(outcome)) } });
@@ -809,8 +804,7 @@
         overrideInstance(move.instance, move.from, FleetState::Moving, outcome == FleetOutcome::Unknown ? unansweredCallTimeout : busyRetryPause);
         if (outcome == FleetOutcome::Unknown)
             m_overrides[move.instance].emptied = worker;
-        else
-            setEvacuating(worker, false);
+        updateEvacuations();
     }
 
     void planWaves()
@@ -825,14 +819,11 @@
             if (!maySendCalls() || m_list.empty())
                 continue;
             const MaintenanceStep step = plan.next(candidates(), m_capacity.isShort(), m_options.loop->now());
-            for (const std::string& worker : step.evacuate)
-                setEvacuating(worker, true);
-            for (const std::string& worker : step.release) {
+            for (const std::string& worker : step.release)
                 m_options.log->decision("evacuation-put-off", { { "worker", worker }, { "wave", static_cast<std::int64_t>(number) } });
-                setEvacuating(worker, false);
-            }
             for (const std::string& instance : step.maintain)
                 maintain(plan, instance);
+            updateEvacuations();
         }
     }
 
@@ -892,7 +883,6 @@
         case FleetOutcome::Refused:
             ++counts.refused;
             plan.noteRemoved(instance);
-            setEvacuating(worker, false);
             break;
         case FleetOutcome::Unknown:
             ++counts.unknown;
@@ -902,6 +892,7 @@
             plan.noteRefused(instance, now + busyRetryPause);
             break;
         }
+        updateEvacuations();
         planSoon();
     }
 
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -146,6 +146,7 @@
     std::optional<std::uint32_t> unknownInstances;
     bool isInheritedSettled = false; ///< The probations that previous owners left are settled as far as possible.
     ReportedIncarnations reportedIncarnations;
+    std::set<std::string> evacuated; ///< Workers that are to be evacuated, known or not.
     std::set<std::string> unreportedWorkers; ///< Workers that may run inherited tasks and have not reported yet.
 };
 
@@ -314,15 +315,32 @@
         return state.demands;
     }
 
-    void setEvacuating(const std::string& worker, bool evacuating)
+    std::vector<WorkerEvacuation> setEvacuations(const EvacuationReasons& reasons)
     {
-        WorkerRecord* record = m_term ? m_term->state.worker(worker) : nullptr;
-        if (!record || record->evacuating == evacuating)
-            return;
-        record->evacuating = evacuating;
-        record->evacuatingSince = m_options.loop->now();
-        m_options.log->decision("worker-evacuating", { { "worker", worker }, { "on", std::int64_t { evacuating } }, { "attempts", static_cast<std::int64_t>(record->reservations.size()) } });
-        requestPass();
+        std::vector<WorkerEvacuation> changes;
+        if (!m_term)
+            return changes;
+        const auto set = [&](const std::string& worker, bool isEvacuating, std::string_view reason) {
+            WorkerRecord* record = m_term->state.worker(worker);
+            if (!record || record->evacuating == isEvacuating)
+                return;
+            record->evacuating = isEvacuating;
+            record->evacuatingSince = m_options.loop->now();
+            m_options.log->decision("worker-evacuating", { { "worker", worker }, { "on", std::int64_t { isEvacuating } }, { "reason", std::string(reason) }, { "attempts", static_cast<std::int64_t>(record->reservations.size()) } });
+            changes.push_back({ worker, isEvacuating });
+        };
+        for (const std::string& worker : m_term->evacuated) {
+            if (!reasons.contains(worker))
+                set(worker, false, {});
+        }
+        m_term->evacuated.clear();
+        for (const auto& [worker, reason] : reasons) {
+            set(worker, true, nameOf(reason));
+            m_term->evacuated.insert(m_term->evacuated.end(), worker);
+        }
+        if (!changes.empty())
+            requestPass();
+        return changes;
     }
 
     void noteFleet(const std::vector<FleetInstance>& instances, MonotonicInstant requestedAt)
@@ -841,9 +859,9 @@
     m_impl->noteDemand(demand);
 }
 
-void JobScheduler::setEvacuating(const std::string& worker, bool evacuating)
+std::vector<WorkerEvacuation> JobScheduler::setEvacuations(const EvacuationReasons& reasons)
 {
-    m_impl->setEvacuating(worker, evacuating);
+    return m_impl->setEvacuations(reasons);
 }
 
 void JobScheduler::noteFleet(const std::vector<FleetInstance>& instances, MonotonicInstant requestedAt)
--- a/tests/jobs/plan_test.cpp
+++ b/tests/jobs/plan_test.cpp
@@ -198,6 +198,35 @@
     CHECK(plan.next({ candidate }, false, start + Millis(13'000)).evacuate.empty());
 }
 
+TEST_CASE("A wave keeps a worker empty only until its instance is maintained or put off or has another worker")
+{
+    // Guards against a worker that stays closed to tasks although the wave no longer needs it empty.
+    using Evacuated = std::map<std::string, std::string>;
+    MaintenancePlan plan({ .number = 1, .instances = { "a", "b" }, .duration = Millis(60'000), .maxConcurrent = 2 }, {}, start);
+    std::vector<MaintenanceCandidate> fleet {
+        { .instance = "a", .pool = "main", .worker = "wa", .attempts = 2 },
+        { .instance = "b", .pool = "side", .worker = "wb", .attempts = 2, .pinned = true },
+    };
+    (void)plan.next(fleet, false, start);
+    REQUIRE(plan.evacuated() == Evacuated { { "a", "wa" }, { "b", "wb" } });
+    for (MaintenanceCandidate& candidate : fleet) {
+        candidate.evacuating = true;
+        candidate.evacuatingSince = start;
+    }
+    (void)plan.next(fleet, false, start + Millis(8'001));
+    CHECK(plan.evacuated() == Evacuated { { "a", "wa" } });
+    fleet.front().worker = "wa-2";
+    fleet.front().up = false;
+    (void)plan.next(fleet, false, start + Millis(8'002));
+    CHECK(plan.evacuated().empty());
+    fleet.front().up = true;
+    fleet.front().attempts = 0;
+    CHECK(plan.next(fleet, false, start + Millis(8'003)).maintain == std::vector<std::string> { "a" });
+    CHECK(plan.evacuated() == Evacuated { { "a", "wa-2" } });
+    plan.noteAccepted("a", start + Millis(10'000));
+    CHECK(plan.evacuated().empty());
+}
+
 TEST_CASE("A wave is paced while a pool is short, and hurries when its time runs out")
 {
     std::vector<std::string> instances;
