Test: random runs in which load alternates between pools while workers restart

The random runs with restarts have one pool, so that no instance is ever drained for another one, and no run combined a drain with a restart. In these runs load alternates between two pools while workers restart under their ids, calls for instances get no response, instances are missing in the list and a wave is in progress; afterwards no worker may be closed to tasks.

--- a/tests/jobs/evacuated_worker_test.cpp
+++ b/tests/jobs/evacuated_worker_test.cpp
@@ -21,8 +21,8 @@
 
 /// Pools `main`, which has all instances at first, and `side`; the reserve is empty.
 struct TwoPoolCluster : SmallCluster {
-    TwoPoolCluster()
-        : SmallCluster(1, 1, instanceCount, 0)
+    explicit TwoPoolCluster(std::uint64_t seed = 1)
+        : SmallCluster(seed, 1, instanceCount, 0)
     {
         workers.runTimes = [](const Attempt&) { return Millis(3'000); };
         configure(twoPools());
@@ -112,3 +112,31 @@
     cluster.workers.hidden.clear();
     cluster.checkNoneStaysClosed();
 }
+
+TEST_CASE("No worker stays closed to tasks in random runs where load alternates between pools while workers restart")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        TwoPoolCluster cluster(seed);
+        const auto pick = [&](std::uint64_t max) { return std::uniform_int_distribution<std::uint64_t>(0, max)(cluster.random); };
+        cluster.requestWave({ .number = 1, .instances = { "m-0", "m-3", "m-6" }, .duration = Millis(20'000), .maxConcurrent = 2 });
+        for (std::uint64_t round = 1; round <= 20; ++round) {
+            const bool isSideBusy = round / 4 % 2 == 1;
+            for (std::uint64_t number = 0; number < 3; ++number)
+                cluster.submit(0, isSideBusy ? "other" : "work", jobId(round * 10 + number), job({ step(24) }));
+            cluster.clock.runFor(Millis(500 + pick(1'000)));
+            const std::string instance = "m-" + std::to_string(pick(instanceCount - 1));
+            if (model::WorkerModel* worker = cluster.workers.workerOn(instance))
+                cluster.workers.restart(std::string(worker->entry.id), Millis(100 + pick(3'000)));
+            cluster.workers.fleetFaults.dropped = pick(3) == 0 ? 1 : 0;
+            if (pick(3) == 0)
+                cluster.workers.hidden.insert(instance);
+            else
+                cluster.workers.hidden.clear();
+        }
+        cluster.workers.fleetFaults = {};
+        cluster.workers.hidden.clear();
+        cluster.clock.runFor(settleTime);
+        cluster.checkNoneStaysClosed();
+    }
+}
