The soak checks that no worker stays closed to tasks after the last fault and job

No soak run looked at workers that are closed to new tasks for nothing; a run ended with the jobs' success. Now a run also waits until the owner reports that no worker is being emptied, within the time that it allows for recovery. A test shows that the check fires.

--- a/tests/soak/checks_test.cpp
+++ b/tests/soak/checks_test.cpp
@@ -178,6 +178,14 @@
     CHECK(brokenIn(guarantees) == Names { guarantee::configurationNeverReverts, guarantee::ownersApart });
 }
 
+TEST_CASE("The soak detects workers that stay closed to tasks, and an owner that does not report them")
+{
+    GuaranteeMonitor guarantees = withJob();
+    guarantees.noteStillClosed("entry-0", 2, 1);
+    guarantees.noteStillClosed("entry-0", std::nullopt, 1);
+    CHECK(brokenIn(guarantees) == Names { guarantee::workersOpenAgain, guarantee::workersOpenAgain });
+}
+
 TEST_CASE("A seed determines the fault plan, whose calm phases disturb neither processes nor the store")
 {
     constexpr unsigned seconds = 60;
--- a/tests/soak/guarantee_monitor.cpp
+++ b/tests/soak/guarantee_monitor.cpp
@@ -227,6 +227,12 @@
     reportBreach(guarantee::servesAgain, entry + ": " + detail, { entry }, at);
 }
 
+void GuaranteeMonitor::noteStillClosed(const std::string& owner, std::optional<std::int64_t> workers, std::int64_t at)
+{
+    const std::string detail = workers ? "keeps " + std::to_string(*workers) + " workers closed" : "has not reported the use of the fleet";
+    reportBreach(guarantee::workersOpenAgain, owner + ' ' + detail, { owner }, at);
+}
+
 std::vector<std::string> GuaranteeMonitor::unfinishedJobs() const
 {
     std::vector<std::string> open;
--- a/tests/soak/guarantee_monitor.h
+++ b/tests/soak/guarantee_monitor.h
@@ -30,6 +30,7 @@
 constexpr const char* configurationNeverReverts = "configuration-never-reverts"; ///< No process applies an older configuration than before.
 constexpr const char* ownersApart = "owners-apart"; ///< Actions of two owners on one instance are separated by a minimum time.
 constexpr const char* servesAgain = "serves-again"; ///< After the last fault all processes serve with the latest configuration.
+constexpr const char* workersOpenAgain = "workers-open-again"; ///< After the last fault and job no worker stays closed to new tasks.
 constexpr const char* attemptsAreBounded = "attempts-are-bounded"; ///< No task starts after its limit of failures that were acknowledged.
 constexpr const char* countsAreTrue = "counts-are-true"; ///< A count of waiting jobs covers at least half of those accepted a while before.
 } // namespace guarantee
@@ -94,6 +95,9 @@
     void noteConfiguration(const std::string& entry, std::uint64_t version, std::int64_t at);
     void noteStopTooLong(const std::string& entry, std::int64_t at);
     void noteNotServing(const std::string& entry, const std::string& detail, std::int64_t at);
+    /// \brief Records that an owner still keeps workers closed to new tasks long after the last fault and job.
+    /// \param workers Unset: the owner has not reported their number.
+    void noteStillClosed(const std::string& owner, std::optional<std::int64_t> workers, std::int64_t at);
     ///@}
 
     /// \returns Accepted jobs without a final status.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -62,6 +62,8 @@
             if (!m_session.guarantees().hasSucceeded(probes[index]))
                 m_session.guarantees().noteNotServing(nameOf(index), "job " + probes[index] + " submitted after the last fault has not succeeded", unixNow());
         }
+        if (!m_session.waitFor(recoveryLimit, [this] { return m_session.evacuatingWorkers() == 0; }))
+            m_session.guarantees().noteStillClosed(nameOf(m_session.owner()), m_session.evacuatingWorkers(), unixNow());
     }
 
     void checkServing()
--- a/tests/soak/soak_session.cpp
+++ b/tests/soak/soak_session.cpp
@@ -75,6 +75,9 @@
         m_versions[index] = version;
     } else if (event == "ownership-taken") {
         m_owner = index;
+        m_evacuatingWorkers.reset();
+    } else if (event == "fleet-use" && index == m_owner) {
+        m_evacuatingWorkers = line.value("evacuating", std::int64_t { 0 });
     } else if (event == "started") {
         m_versions.erase(index);
     }
--- a/tests/soak/soak_session.h
+++ b/tests/soak/soak_session.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace lanemoor::soak {
@@ -33,6 +34,8 @@
 
     /// \returns The index of the process that took the ownership last, according to the logs.
     [[nodiscard]] unsigned owner() const noexcept { return m_owner; }
+    /// \returns The number of workers that the owner last reported as closed to new tasks; unset before its first report.
+    [[nodiscard]] std::optional<std::int64_t> evacuatingWorkers() const noexcept { return m_evacuatingWorkers; }
 
     /// \returns The longest delay of a timer on the loop. The proxies delay calls by up to this much.
     [[nodiscard]] Millis maxLateness() const noexcept { return m_maxLateness; }
@@ -68,6 +71,7 @@
     SoakCluster m_cluster;
     Callers m_callers;
     unsigned m_owner = 0;
+    std::optional<std::int64_t> m_evacuatingWorkers; ///< As reported by the current owner.
     Millis m_maxLateness { 0 };
     std::map<unsigned, std::uint64_t> m_versions; ///< Configuration version in force according to the logs, by process.
 };
