A wave keeps a worker closed until the call that maintains its instance is answered

Tasks could be placed on a worker that a maintenance call takes down: the plan of a wave dropped the worker as soon as a list showed its instance without one, which is what a list shows once the platform carries out a call whose response is slow or lost.

Cause: an instance without a worker was taken for one with another worker. Now only another incarnation in the list ends the evacuation, and an instance that lists lack counts as removed only when no call for it is in progress.

--- a/include/lanemoor/jobs/policy/maintenance_plan.h
+++ b/include/lanemoor/jobs/policy/maintenance_plan.h
@@ -78,8 +78,8 @@
     [[nodiscard]] const WaveRequest& wave() const noexcept { return m_wave; }
     [[nodiscard]] const std::set<std::string>& done() const noexcept { return m_done; }
 
-    /// \returns The workers that this wave keeps empty, by instance.
-    [[nodiscard]] const std::map<std::string, std::string>& evacuated() const noexcept { return m_evacuated; }
+    /// \returns The workers that this wave needs empty, by instance.
+    [[nodiscard]] const std::map<std::string, std::string>& workersToEvacuate() const noexcept { return m_workersToEvacuate; }
 
 private:
     void dropIfReplaced(const MaintenanceCandidate& candidate);
@@ -91,7 +91,7 @@
     MonotonicInstant m_paceDeadline; ///< Planned end of the wave while it is paced.
     std::set<std::string> m_done;
     std::set<std::string> m_requested; ///< Requested and not answered yet.
-    std::map<std::string, std::string> m_evacuated; ///< Workers by instance, until the maintenance is accepted or put off.
+    std::map<std::string, std::string> m_workersToEvacuate; ///< By instance, until the maintenance is accepted or put off or the list shows another worker.
     std::map<std::string, MonotonicInstant> m_backBy;
     std::map<std::string, MonotonicInstant> m_retryAt;
     std::map<std::string, MonotonicInstant> m_unlistedSince; ///< When the first of the lists that do not name an instance was requested.
--- a/src/jobs/owner/fleet_controller.cpp
+++ b/src/jobs/owner/fleet_controller.cpp
@@ -492,7 +492,7 @@
     {
         EvacuationReasons reasons;
         for (const auto& [number, plan] : m_plans) {
-            for (const auto& [instance, worker] : plan.evacuated())
+            for (const auto& [instance, worker] : plan.workersToEvacuate())
                 reasons[worker] = EvacuationReason::Wave;
         }
         for (const auto& [instance, drain] : m_draining)
--- a/src/jobs/policy/maintenance_plan.cpp
+++ b/src/jobs/policy/maintenance_plan.cpp
@@ -84,14 +84,14 @@
                 continue;
             step.maintain.push_back(candidate->instance);
             if (!candidate->worker.empty())
-                m_evacuated[candidate->instance] = candidate->worker;
+                m_workersToEvacuate[candidate->instance] = candidate->worker;
             --slots;
             continue;
         }
         if (candidate->evacuating && candidate->pinned && now - candidate->evacuatingSince > maxEvacuationTime) {
             m_retryAt[candidate->instance] = now + evacuationInterval;
             step.release.push_back(candidate->worker);
-            m_evacuated.erase(candidate->instance);
+            m_workersToEvacuate.erase(candidate->instance);
             continue;
         }
         if (evacuations == 0 || (candidate->pinned && candidate->lastOfKind && !candidate->evacuating))
@@ -103,17 +103,18 @@
             continue;
         ++taken[candidate->pool];
         step.evacuate.push_back(candidate->worker);
-        m_evacuated[candidate->instance] = candidate->worker;
+        m_workersToEvacuate[candidate->instance] = candidate->worker;
     }
     return step;
 }
 
-/// An evacuation ends with the worker that it was decided for.
+/// An evacuation ends with the incarnation that it was decided for. An instance without a worker may be in the maintenance that a call without
+/// a response has begun.
 void MaintenancePlan::dropIfReplaced(const MaintenanceCandidate& candidate)
 {
-    const auto evacuated = m_evacuated.find(candidate.instance);
-    if (evacuated != m_evacuated.end() && evacuated->second != candidate.worker)
-        m_evacuated.erase(evacuated);
+    const auto evacuated = m_workersToEvacuate.find(candidate.instance);
+    if (evacuated != m_workersToEvacuate.end() && !candidate.worker.empty() && evacuated->second != candidate.worker)
+        m_workersToEvacuate.erase(evacuated);
 }
 
 void MaintenancePlan::noteRequested(const std::string& instance)
@@ -141,7 +142,7 @@
 void MaintenancePlan::noteRemoved(const std::string& instance)
 {
     m_requested.erase(instance);
-    m_evacuated.erase(instance);
+    m_workersToEvacuate.erase(instance);
     m_done.insert(instance);
 }
 
@@ -156,7 +157,7 @@
             continue;
         }
         const MonotonicInstant since = m_unlistedSince.emplace(instance, requestedAt).first->second;
-        if (requestedAt - since >= maxFleetListLag && !m_done.contains(instance))
+        if (requestedAt - since >= maxFleetListLag && !m_done.contains(instance) && !m_requested.contains(instance))
             removed.push_back(instance);
     }
     for (const std::string& instance : removed)
--- a/tests/jobs/evacuated_worker_test.cpp
+++ b/tests/jobs/evacuated_worker_test.cpp
@@ -140,3 +140,30 @@
         cluster.checkNoneStaysClosed();
     }
 }
+
+TEST_CASE("A worker stays closed to tasks while a call to maintain its instance has no response")
+{
+    // Guards against starts on a worker that the call has taken down: the list shows the maintenance before the call times out.
+    TwoPoolCluster cluster;
+    std::vector<std::string> instances;
+    for (const auto& [id, instance] : cluster.workers.instances())
+        instances.push_back(id);
+    for (std::uint64_t i = 1; i <= 10 * instanceCount; ++i)
+        cluster.submit(0, "work", jobId(i), job({ step(8) }));
+    cluster.clock.runFor(Millis(200));
+    cluster.workers.fleetFaults.lostAnswers = 1;
+    cluster.requestWave({ .number = 1, .instances = instances, .duration = Millis(60'000), .maxConcurrent = 2 });
+    // Entries are removed after some heartbeats of silence.
+    cluster.workers.onGone = [&cluster](const std::string& id) {
+        cluster.clock.after(Millis(4'500), [&cluster, id] { cluster.store.remove(cluster.documents.workerPrefix() + id); });
+    };
+    std::size_t openThoughDown = 0;
+    for (int i = 0; i < 2'000; ++i) {
+        cluster.clock.runFor(Millis(10));
+        for (const WorkerReport& worker : cluster.entry(*cluster.owner()).workers().workers) {
+            const model::WorkerModel* model = cluster.workers.find(worker.worker);
+            openThoughDown += worker.open && model && !model->alive ? 1 : 0;
+        }
+    }
+    CHECK(openThoughDown == 0);
+}
--- a/tests/jobs/plan_test.cpp
+++ b/tests/jobs/plan_test.cpp
@@ -208,23 +208,42 @@
         { .instance = "b", .pool = "side", .worker = "wb", .attempts = 2, .pinned = true },
     };
     (void)plan.next(fleet, false, start);
-    REQUIRE(plan.evacuated() == Evacuated { { "a", "wa" }, { "b", "wb" } });
+    REQUIRE(plan.workersToEvacuate() == Evacuated { { "a", "wa" }, { "b", "wb" } });
     for (MaintenanceCandidate& candidate : fleet) {
         candidate.evacuating = true;
         candidate.evacuatingSince = start;
     }
     (void)plan.next(fleet, false, start + Millis(8'001));
-    CHECK(plan.evacuated() == Evacuated { { "a", "wa" } });
+    CHECK(plan.workersToEvacuate() == Evacuated { { "a", "wa" } });
     fleet.front().worker = "wa-2";
     fleet.front().up = false;
     (void)plan.next(fleet, false, start + Millis(8'002));
-    CHECK(plan.evacuated().empty());
+    CHECK(plan.workersToEvacuate().empty());
     fleet.front().up = true;
     fleet.front().attempts = 0;
     CHECK(plan.next(fleet, false, start + Millis(8'003)).maintain == std::vector<std::string> { "a" });
-    CHECK(plan.evacuated() == Evacuated { { "a", "wa-2" } });
+    CHECK(plan.workersToEvacuate() == Evacuated { { "a", "wa-2" } });
     plan.noteAccepted("a", start + Millis(10'000));
-    CHECK(plan.evacuated().empty());
+    CHECK(plan.workersToEvacuate().empty());
+}
+
+TEST_CASE("A wave keeps a worker empty while its maintenance call has no response whatever lists show")
+{
+    // Guards against starts on a worker that a call in flight takes down.
+    using Evacuated = std::map<std::string, std::string>;
+    MaintenancePlan plan({ .number = 1, .instances = { "a" }, .duration = Millis(60'000), .maxConcurrent = 2 }, {}, start);
+    std::vector<MaintenanceCandidate> fleet { { .instance = "a", .pool = "main", .worker = "wa", .attempts = 1 } };
+    (void)plan.next(fleet, false, start);
+    fleet.front().evacuating = true;
+    fleet.front().evacuatingSince = start;
+    fleet.front().attempts = 0;
+    REQUIRE(plan.next(fleet, false, start + Millis(500)).maintain == std::vector<std::string> { "a" });
+    plan.noteRequested("a");
+    // The list shows the maintenance before the call is answered: an instance without a worker.
+    fleet.front().worker.clear();
+    fleet.front().up = false;
+    (void)plan.next(fleet, false, start + Millis(600));
+    CHECK(plan.workersToEvacuate() == Evacuated { { "a", "wa" } });
 }
 
 TEST_CASE("A wave is paced while a pool is short, and hurries when its time runs out")
