Closed workers are counted from their records, so that one without a reason shows

The metric and `fleet-use` count the records again, by reason, with `none` and `evacuating_without_reason` for those that nothing in progress names. The tests also count, from outside, the workers that answer and get no tasks; two more restart workers twice during a wave, and while the owner changes. A record that is added under an id which is being emptied begins closed, not at the next plan.

--- a/include/lanemoor/jobs/owner/evacuation_reason.h
+++ b/include/lanemoor/jobs/owner/evacuation_reason.h
@@ -14,6 +14,7 @@
 
 /// Why a worker is emptied and closed to new tasks.
 enum class EvacuationReason {
+    None, ///< No drain, call or wave in progress names the worker: a fault of the owner.
     Drain, ///< Its instance is drained for another pool.
     Move, ///< A call that moves its instance is in progress.
     UnansweredMove, ///< Such a call got no response and may still be carried out.
@@ -25,10 +26,10 @@
 
 [[nodiscard]] std::string_view nameOf(EvacuationReason reason) noexcept;
 
-/// A change by `JobScheduler::setEvacuations`.
+/// A worker whose evacuation has begun or ended.
 struct WorkerEvacuation {
     std::string worker;
-    bool isEvacuating = false;
+    bool isEvacuating = false; ///< From now on.
 
     [[nodiscard]] bool operator==(const WorkerEvacuation&) const = default;
 };
--- a/src/jobs/owner/fleet_controller.cpp
+++ b/src/jobs/owner/fleet_controller.cpp
@@ -42,6 +42,8 @@
 std::string_view nameOf(EvacuationReason reason) noexcept
 {
     switch (reason) {
+    case EvacuationReason::None:
+        return "none";
     case EvacuationReason::Drain:
         return "drain";
     case EvacuationReason::Move:
@@ -139,7 +141,7 @@
     struct InstanceOverride {
         FleetInstance instance;
         MonotonicInstant until;
-        std::string emptied; ///< The worker kept empty because its call got no response; empty: none.
+        std::string keptEmpty; ///< The worker whose call got no response and may still be carried out; empty: none.
     };
 
     [[nodiscard]] bool maySendCalls() const { return m_active && m_options.ownership->isHeld() && m_isCallRecordReady; }
@@ -368,9 +370,9 @@
     void settleUnansweredCall(const FleetInstance& instance)
     {
         const auto instanceOverride = m_overrides.find(instance.id);
-        if (instanceOverride == m_overrides.end() || !isReflected(instanceOverride->second) || instanceOverride->second.emptied.empty())
+        if (instanceOverride == m_overrides.end() || !isReflected(instanceOverride->second) || instanceOverride->second.keptEmpty.empty())
             return;
-        if (instance.state == FleetState::Up && instance.worker == instanceOverride->second.emptied)
+        if (instance.state == FleetState::Up && instance.worker == instanceOverride->second.keptEmpty)
             m_options.log->decision("instance-move-not-seen", { { "instance", instance.id }, { "worker", instance.worker } });
     }
 
@@ -498,7 +500,7 @@
         for (const auto& [instance, drain] : m_draining)
             reasons[drain.worker] = EvacuationReason::Drain;
         for (const auto& [instance, instanceOverride] : m_overrides)
-            reasons[instanceOverride.emptied] = EvacuationReason::UnansweredMove;
+            reasons[instanceOverride.keptEmpty] = EvacuationReason::UnansweredMove;
         for (const auto& [instance, pending] : m_moving)
             reasons[pending.worker] = EvacuationReason::Move;
         reasons.erase(std::string());
@@ -507,13 +509,14 @@
 
     void readEvacuations()
     {
+        const EvacuationReasons reasons = evacuationReasons();
         EvacuationReading reading;
-        for (const auto& [worker, reason] : evacuationReasons()) {
-            const auto use = m_uses.find(worker);
-            if (use == m_uses.end())
+        for (const auto& [worker, use] : m_uses) {
+            if (!use.evacuating)
                 continue;
-            ++reading.workers[reason];
-            reading.longest = std::max(reading.longest, std::chrono::duration_cast<Millis>(m_options.loop->now() - use->second.evacuatingSince));
+            const auto reason = reasons.find(worker);
+            ++reading.workers[reason == reasons.end() ? EvacuationReason::None : reason->second];
+            reading.longest = std::max(reading.longest, std::chrono::duration_cast<Millis>(m_options.loop->now() - use.evacuatingSince));
         }
         evacuations = std::move(reading);
     }
@@ -550,7 +553,7 @@
                 free += use->free.milliCpu;
             }
         }
-        m_options.log->decision("fleet-use", { { "off", off }, { "away", unavailable }, { "evacuating", evacuating }, { "longest_evacuation_ms", evacuations.longest.count() }, { "unsound", unhealthy }, { "open", open }, { "free_mcpu_of_open", free }, { "plan_inspected", static_cast<std::int64_t>(m_capacity.inspected()) } });
+        m_options.log->decision("fleet-use", { { "off", off }, { "away", unavailable }, { "evacuating", evacuating }, { "evacuating_without_reason", std::int64_t { evacuations.workers[EvacuationReason::None] } }, { "longest_evacuation_ms", evacuations.longest.count() }, { "unsound", unhealthy }, { "open", open }, { "free_mcpu_of_open", free }, { "plan_inspected", static_cast<std::int64_t>(m_capacity.inspected()) } });
     }
 
     /// \returns The load of each pool, without its instances.
@@ -803,7 +806,7 @@
         // the list will show its pool.
         overrideInstance(move.instance, move.from, FleetState::Moving, outcome == FleetOutcome::Unknown ? unansweredCallTimeout : busyRetryPause);
         if (outcome == FleetOutcome::Unknown)
-            m_overrides[move.instance].emptied = worker;
+            m_overrides[move.instance].keptEmpty = worker;
         updateEvacuations();
     }
 
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -146,7 +146,7 @@
     std::optional<std::uint32_t> unknownInstances;
     bool isInheritedSettled = false; ///< The probations that previous owners left are settled as far as possible.
     ReportedIncarnations reportedIncarnations;
-    std::set<std::string> evacuated; ///< Workers that are to be evacuated, known or not.
+    std::set<std::string> workersToEvacuate; ///< Known or not.
     std::set<std::string> unreportedWorkers; ///< Workers that may run inherited tasks and have not reported yet.
 };
 
@@ -329,14 +329,14 @@
             m_options.log->decision("worker-evacuating", { { "worker", worker }, { "on", std::int64_t { isEvacuating } }, { "reason", std::string(reason) }, { "attempts", static_cast<std::int64_t>(record->reservations.size()) } });
             changes.push_back({ worker, isEvacuating });
         };
-        for (const std::string& worker : m_term->evacuated) {
+        for (const std::string& worker : m_term->workersToEvacuate) {
             if (!reasons.contains(worker))
                 set(worker, false, {});
         }
-        m_term->evacuated.clear();
+        m_term->workersToEvacuate.clear();
         for (const auto& [worker, reason] : reasons) {
             set(worker, true, nameOf(reason));
-            m_term->evacuated.insert(m_term->evacuated.end(), worker);
+            m_term->workersToEvacuate.insert(m_term->workersToEvacuate.end(), worker);
         }
         if (!changes.empty())
             requestPass();
@@ -582,6 +582,8 @@
         record.entry = entry.worker;
         record.listed = entry.listed;
         record.knownSince = entry.knownSince;
+        record.evacuating = m_term->workersToEvacuate.contains(entry.worker.id);
+        record.evacuatingSince = m_options.loop->now();
         m_term->state.noteWorkersChanged();
         beginSession(record, entry.worker.startedAt);
     }
--- a/tests/jobs/evacuated_worker_test.cpp
+++ b/tests/jobs/evacuated_worker_test.cpp
@@ -41,6 +41,15 @@
         return total;
     }
 
+    /// \returns The workers that answer and get no new tasks.
+    [[nodiscard]] std::size_t closed()
+    {
+        std::size_t count = 0;
+        for (const WorkerReport& worker : entry(*owner()).workers().workers)
+            count += !worker.open && !worker.unresponsive ? 1 : 0;
+        return count;
+    }
+
     /// Fills `main`, so that `side` can only get instances that are drained first.
     void drainForSide()
     {
@@ -61,6 +70,7 @@
     {
         clock.runFor(settleTime);
         CHECK(evacuating() == 0);
+        CHECK(closed() == 0);
         CHECK(checker.breaches().empty());
     }
 
@@ -141,6 +151,40 @@
     }
 }
 
+TEST_CASE("A worker that restarts twice under its id during a wave gets tasks again")
+{
+    TwoPoolCluster cluster;
+    std::vector<std::string> instances;
+    for (const auto& [id, instance] : cluster.workers.instances())
+        instances.push_back(id);
+    for (std::uint64_t i = 1; i <= instanceCount; ++i)
+        cluster.submit(0, "work", jobId(i), job({ step(8) }));
+    cluster.clock.runFor(Millis(200));
+    cluster.requestWave({ .number = 1, .instances = instances, .duration = Millis(60'000), .maxConcurrent = 2 });
+    REQUIRE(cluster.waitFor(Millis(3'000), [&] { return cluster.evacuating() > 0; }));
+    for (const Millis down : { Millis(600), Millis(4'000) }) {
+        cluster.restartAll(down);
+        cluster.clock.runFor(down + Millis(1'500));
+    }
+    cluster.checkNoneStaysClosed();
+}
+
+TEST_CASE("A worker that restarts while the owner changes and a move has no response gets tasks again")
+{
+    TwoPoolCluster cluster;
+    cluster.workers.fleetFaults.dropped = 1;
+    cluster.submit(0, "other", jobId(TwoPoolCluster::sideJob), job({ step(64) }));
+    REQUIRE(cluster.waitFor(Millis(3'000), [&] { return cluster.evacuating() > 0; }));
+    const std::size_t owner = *cluster.owner();
+    cluster.kill(owner);
+    cluster.restartAll(Millis(600));
+    cluster.clock.runFor(Millis(500));
+    cluster.start(owner);
+    cluster.clock.runFor(Millis(3'000));
+    cluster.workers.fleetFaults.dropped = 0;
+    cluster.checkNoneStaysClosed();
+}
+
 TEST_CASE("A worker stays closed to tasks while a call to maintain its instance has no response")
 {
     // Guards against starts on a worker that the call has taken down: the list shows the maintenance before the call times out.
