A successor restores the speed of a throttled best-effort task

Operators saw nothing yet; a best-effort task that an owner throttled to 0 percent stayed there for good once another owner took over.

Cause: the owner assumed 100 percent for an adopted attempt, and again after each call without a response, and sends nothing that it assumes in force. Now the percentage is unset in both cases, so that the next report makes the owner send the present one.

A takeover costs one call for each adopted best-effort task; what that costs on a large fleet was not measured.

--- a/include/lanemoor/jobs/policy/reservations.h
+++ b/include/lanemoor/jobs/policy/reservations.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace lanemoor::jobs {
 
@@ -20,7 +21,7 @@
 struct Reservation {
     std::shared_ptr<const StepSpec> step;
     OrganisationAccount* account = nullptr; ///< Account charged with the step's full needs; null: none.
-    std::uint32_t throttledTo = 100; ///< Percent last sent to the worker.
+    std::optional<std::uint32_t> throttledTo = 100; ///< Percent last sent to the worker; unset: another one may be in force there.
     MonotonicInstant expectedEnd; ///< From the declared time, corrected by observed run times.
     std::uint32_t suspectedCrashes = 0; ///< Crashes that its task may have caused; 0 once the worker has survived the start.
 };
@@ -45,7 +46,7 @@
     Map takeAll();
 
     /// \brief Records the percent last sent to the worker; ignored if the attempt has no reservation.
-    void noteThrottled(const Attempt& attempt, std::uint32_t percent);
+    void noteThrottled(const Attempt& attempt, std::optional<std::uint32_t> percent);
 
     /// \brief Records that the worker may not survive the attempt's start; ignored if the attempt has no reservation.
     /// \param suspectedCrashes Crashes that the task may have caused, this one included.
--- a/src/jobs/owner/command_dispatcher.cpp
+++ b/src/jobs/owner/command_dispatcher.cpp
@@ -473,7 +473,7 @@
                     return;
                 // The throttle is sent again after the next report.
                 if (WorkerRecord* record = dispatcher->m_state.worker(id))
-                    record->reservations.noteThrottled(attempt, 100);
+                    record->reservations.noteThrottled(attempt, std::nullopt);
             });
     }
 }
--- a/src/jobs/owner/status_reconciler.cpp
+++ b/src/jobs/owner/status_reconciler.cpp
@@ -143,7 +143,7 @@
     if (task && job->state.adopt(report.attempt, worker.entry.id, m_state.now())) {
         m_state.endWait(*job);
         m_dispatcher.noteBegun(*job);
-        worker.reservations.put(report.attempt, { .step = job->state.sharedSpec(report.attempt.task.step), .account = job->account, .expectedEnd = m_state.expectedEnd(*job, report.attempt.task) });
+        worker.reservations.put(report.attempt, { .step = job->state.sharedSpec(report.attempt.task.step), .account = job->account, .throttledTo = std::nullopt, .expectedEnd = m_state.expectedEnd(*job, report.attempt.task) });
         job->state.noteReport(report, m_state.now());
         m_state.options.log->decision("task-adopted", { { "attempt", nameOf(report.attempt) }, { "worker", worker.entry.id } });
         m_crashes.noteAdopted(worker, *job, report.attempt, workerClock);
--- a/src/jobs/policy/reservations.cpp
+++ b/src/jobs/policy/reservations.cpp
@@ -51,7 +51,7 @@
     }
 }
 
-void Reservations::noteThrottled(const Attempt& attempt, std::uint32_t percent)
+void Reservations::noteThrottled(const Attempt& attempt, std::optional<std::uint32_t> percent)
 {
     const auto found = m_reservations.find(attempt);
     if (found != m_reservations.end())
--- a/tests/jobs/inherited_start_test.cpp
+++ b/tests/jobs/inherited_start_test.cpp
@@ -124,3 +124,24 @@
         }
     }
 }
+
+TEST_CASE("A successor restores the speed of a best-effort task that its predecessor throttled")
+{
+    // Guards against a task that stays throttled because the owner that would restore its speed is gone.
+    SmallCluster cluster(1, 3, 2, 0);
+    StepSpec spec = step(1);
+    spec.bestEffort = true;
+    spec.longRunning = true;
+    cluster.submit(0, "work", jobId(1), job({ spec }));
+    cluster.clock.runFor(Millis(2'000));
+    const std::string id = cluster.checker.workerOf(jobId(1), {});
+    REQUIRE(!id.empty());
+    model::WorkerModel& worker = *cluster.workers.find(id);
+    REQUIRE(worker.running.size() == 1);
+    worker.running.begin()->second.percentAllowed = 0;
+    cluster.kill(*cluster.owner());
+    cluster.clock.runFor(Millis(30'000));
+    REQUIRE(cluster.owner());
+    REQUIRE(cluster.checker.workerOf(jobId(1), {}) == id);
+    CHECK(worker.running.begin()->second.percentAllowed == 100);
+}
