A restarted worker rejects delayed calls to its previous incarnation

Tasks ran twice, and tasks that had succeeded ran again.

Cause: the incarnations of a worker that share an id also shared the owner's fencing token. A delayed start began at the next incarnation after its task had been started elsewhere; a delayed renewal made it discard ends that nobody had read, so that their tasks counted as vanished. Class: state of one incarnation (token, end numbers) that is valid for the next one.

Change: each session with an incarnation has its own fencing token, higher than that of the ended one, so its first call fences off the calls to the predecessor. The token is the revision of the newest write of progress. The write depends on the ownership, so its revision is below the epoch of every later owner. An acknowledged end is stored before it is acknowledged, so a renewal that acknowledges ends always has a lower token than the next session. A session without any write since its predecessor keeps the token. Fenced answers to calls of a previous session no longer end the ownership.

The model of the workers dropped delayed commands with their incarnation; they now reach the next one up to 6 s after they were sent, and renewals can be delayed too.

No test let these calls reach another incarnation.

--- a/include/lanemoor/jobs/owner/worker_session.h
+++ b/include/lanemoor/jobs/owner/worker_session.h
@@ -16,7 +16,7 @@
 
 /// Settings of a session.
 struct WorkerSessionOptions {
-    std::uint64_t epoch = 0; ///< Epoch of the ownership.
+    std::uint64_t epoch = 0; ///< Fencing token of all commands to this incarnation.
     MonotonicInstant inheritedLeaseExpiresBy; ///< Latest expiry of a lease of an earlier owner.
     /// Lease of all attempts at the worker. A short lease fails running tasks when the owner crashes; a long
     /// lease delays the tasks of a crashed worker.
@@ -115,6 +115,9 @@
 
     [[nodiscard]] const WorkerIncarnation& incarnation() const noexcept { return m_incarnation; }
 
+    /// \returns The fencing token of all commands to this incarnation.
+    [[nodiscard]] std::uint64_t epoch() const noexcept { return m_options.epoch; }
+
     /// \returns Whether the worker has answered a renewal of this owner, which fences off all earlier owners.
     [[nodiscard]] bool hasAnswered() const noexcept { return m_hasAnswered; }
 
--- a/include/lanemoor/jobs/store/progress_writer.h
+++ b/include/lanemoor/jobs/store/progress_writer.h
@@ -6,6 +6,7 @@
 #include "lanemoor/jobs/model/job_record.h"
 #include "lanemoor/jobs/model/key_value_store.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -53,6 +54,10 @@
     /// \brief Calls `stored` once the changes of one job that are marked now are in the store, regardless of other jobs.
     void whenJobStored(const std::string& id, std::function<void()> stored);
 
+    /// \returns The newest revision of a write of this writer: the ownership lasted then, so it is below the epochs of all later owners;
+    /// 0: none.
+    [[nodiscard]] std::uint64_t newestRevision() const noexcept;
+
     /// \returns Jobs that are marked and not yet stored.
     [[nodiscard]] UnsavedChanges unsaved() const noexcept;
 
--- a/src/jobs/owner/command_dispatcher.cpp
+++ b/src/jobs/owner/command_dispatcher.cpp
@@ -144,14 +144,14 @@
     const StartCommand command { .attempt = attempt,
         .payload = job.record().spec.payload,
         .leaseUntil = worker.session->leaseForCommand().value_or(0),
-        .epoch = m_state.ownership.epoch,
+        .epoch = worker.session->epoch(),
         .checkpoint = job.checkpointOf(attempt.task),
         .ticket = ticket };
     ++m_counts.starts;
     m_health.noteStartSent(worker, command);
     if (m_state.options.log->admitsDecision("task-start"))
         m_state.options.log->decision("task-start",
-            { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id }, { "epoch", static_cast<std::int64_t>(m_state.ownership.epoch) }, { "crashes", std::int64_t { task.crashes.total() } }, { "recorded", std::int64_t { task.probationOf(attempt.number) != nullptr } }, { "worker_verified", std::int64_t { task.live->sentAtWorkerClock > 0 } } });
+            { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id }, { "epoch", static_cast<std::int64_t>(command.epoch) }, { "crashes", std::int64_t { task.crashes.total() } }, { "recorded", std::int64_t { task.probationOf(attempt.number) != nullptr } }, { "worker_verified", std::int64_t { task.live->sentAtWorkerClock > 0 } } });
     m_state.options.workers->start(worker.session->incarnation(), command, [self = weak_from_this(), attempt, id = worker.entry.id, session = std::weak_ptr(worker.session)](const CommandResult& result) {
         const auto dispatcher = self.lock();
         if (dispatcher && !dispatcher->m_closed)
@@ -236,7 +236,9 @@
             record->session->noteIncarnationOver();
         return;
     case CommandOutcome::Fenced:
-        m_state.options.ownership->noteSuperseded();
+        // A session with the next incarnation has a higher epoch.
+        if (record)
+            m_state.options.ownership->noteSuperseded();
         return;
     default:
         onStartRefused(attempt, worker, result.outcome);
@@ -317,7 +319,7 @@
     if (OwnerJob* job = m_state.job(attempt.job))
         job->state.setPhase(attempt, AttemptPhase::Stopping, m_state.now());
     m_state.options.log->decision("task-stop", { { "attempt", nameOf(attempt) }, { "worker", worker } });
-    m_state.options.workers->stop(record->session->incarnation(), attempt, m_state.ownership.epoch, [self = weak_from_this(), attempt, worker, number, session = std::weak_ptr(record->session)](const CommandResult& result) {
+    m_state.options.workers->stop(record->session->incarnation(), attempt, record->session->epoch(), [self = weak_from_this(), attempt, worker, number, session = std::weak_ptr(record->session)](const CommandResult& result) {
         const auto dispatcher = self.lock();
         if (dispatcher && !dispatcher->m_closed)
             dispatcher->onStopAnswered(attempt, worker, number, session.lock().get(), result);
@@ -466,7 +468,7 @@
             continue;
         worker.reservations.noteThrottled(attempt, percent);
         m_state.options.log->decision("task-throttle", { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id }, { "percent", std::int64_t { percent } } });
-        m_state.options.workers->throttle(worker.session->incarnation(), attempt, percent, m_state.ownership.epoch,
+        m_state.options.workers->throttle(worker.session->incarnation(), attempt, percent, worker.session->epoch(),
             [self = weak_from_this(), attempt = attempt, id = worker.entry.id](const CommandResult& result) {
                 const auto dispatcher = self.lock();
                 if (!dispatcher || dispatcher->m_closed || result.outcome == CommandOutcome::Done)
--- a/src/jobs/owner/owner_state.h
+++ b/src/jobs/owner/owner_state.h
@@ -16,6 +16,7 @@
 #include "lanemoor/jobs/store/progress_writer.h"
 #include "waiting_jobs.h"
 
+#include <algorithm>
 #include <limits>
 #include <map>
 #include <memory>
@@ -63,7 +64,7 @@
 /// \brief Jobs and workers of one term, shared by the components of the owner.
 struct OwnerState {
     const JobSchedulerOptions& options;
-    Ownership ownership;
+    Ownership ownership; ///< Its epoch rises within the term, see `raiseEpoch`.
     MonotonicInstant inheritedLeaseExpiresBy; ///< Leases granted by earlier owners have expired by then.
     OrganisationUse organisations; ///< Outlives the reservations, which point into it.
     std::map<std::string, OwnerJob> jobs;
@@ -110,6 +111,10 @@
     [[nodiscard]] MonotonicInstant now() const { return options.loop->now(); }
     [[nodiscard]] std::shared_ptr<const ServiceConfiguration> configuration() const { return options.configuration(); }
 
+    /// \brief Raises the epoch for sessions that begin from now on, after an incarnation of a worker has ended. A later incarnation with
+    /// its id then rejects delayed commands to the ended one, as it does those of earlier owners.
+    void raiseEpoch() { ownership.epoch = std::max(ownership.epoch, writer->newestRevision()); }
+
     /// \brief Adds a job to the waiting group of its queue and organisation, if it qualifies.
     /// \returns Whether the job was added.
     bool beginWait(OwnerJob& job, MonotonicInstant now);
--- a/src/jobs/owner/status_reconciler.cpp
+++ b/src/jobs/owner/status_reconciler.cpp
@@ -356,6 +356,7 @@
         { { "worker", session.incarnation().id }, { "life_over", std::int64_t { hasIncarnationEnded } }, { "attempts", static_cast<std::int64_t>(worker->reservations.size()) } });
     releaseAll(*worker, {}, hasIncarnationEnded);
     if (hasIncarnationEnded) {
+        m_state.raiseEpoch();
         noteHallStop(*worker, true);
         m_state.options.workers->closeConnections(session.incarnation());
     }
@@ -432,13 +433,14 @@
     next.evacuating = worker->evacuating;
     next.evacuatingSince = worker->evacuatingSince;
     *worker = std::move(next);
+    m_state.raiseEpoch();
     m_state.beginSession(*worker, startedAt);
     m_state.requestPass();
 }
 
 void StatusReconciler::onFenced(WorkerSession& session)
 {
-    m_state.options.log->change("fenced", { { "worker", session.incarnation().id }, { "epoch", static_cast<std::int64_t>(m_state.ownership.epoch) } });
+    m_state.options.log->change("fenced", { { "worker", session.incarnation().id }, { "epoch", static_cast<std::int64_t>(session.epoch()) } });
     m_state.options.ownership->noteSuperseded();
 }
 
--- a/src/jobs/store/progress_writer.cpp
+++ b/src/jobs/store/progress_writer.cpp
@@ -70,6 +70,8 @@
             m_waitingForJob.push_back({ { m_sequence, std::move(stored) }, id });
     }
 
+    [[nodiscard]] std::uint64_t newestRevision() const { return m_newestRevision; }
+
     [[nodiscard]] UnsavedChanges unsaved() const
     {
         const std::size_t jobs = m_marked.size() + m_writing.size();
@@ -178,8 +180,10 @@
             const auto impl = self.lock();
             if (!impl || impl->m_stopped)
                 return;
-            if (result.outcome == StoreOutcome::Done && !result.isInferred)
+            if (result.outcome == StoreOutcome::Done && !result.isInferred) {
+                impl->m_newestRevision = std::max(impl->m_newestRevision, result.revision);
                 impl->m_mirror.noteStoreRevision(result.revision, sentAt);
+            }
             impl->written(sent, result);
         });
         sendSoon();
@@ -280,6 +284,7 @@
     std::deque<Waiter> m_waitingForAll; ///< Oldest first.
     std::vector<JobWaiter> m_waitingForJob;
     std::uint64_t m_sequence = 0;
+    std::uint64_t m_newestRevision = 0;
     MonotonicInstant m_sentAt;
     TimerId m_timer = 0;
     MonotonicInstant m_timerAt;
@@ -311,6 +316,11 @@
     m_impl->whenJobStored(id, std::move(stored));
 }
 
+std::uint64_t ProgressWriter::newestRevision() const noexcept
+{
+    return m_impl->newestRevision();
+}
+
 UnsavedChanges ProgressWriter::unsaved() const noexcept
 {
     return m_impl->unsaved();
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -20,6 +20,9 @@
 constexpr Millis checkpointInterval { 500 }; // Interval between checkpoints of a task.
 constexpr Millis checkpointRestoreTime { 600 }; // Time to restore a checkpoint.
 constexpr Millis clockAtStart { 1'000 }; // Clock value of a worker that restarts under its id.
+constexpr int minLateness = 2'000; // Of late commands, in ms, as the maximum.
+constexpr int maxLateness = 12'000;
+constexpr Millis maxLatenessAfterRestart { 6'000 }; // The platform's bound; within one incarnation, commands later than this have no effect either way.
 constexpr std::int64_t simulationStart = 1'700'000'000'000; // Unix ms at the epoch of the simulated clock.
 
 } // namespace
@@ -334,6 +337,34 @@
     return { .outcome = CommandOutcome::Done, .workerClock = clockOf(model) };
 }
 
+/// \returns False if the epoch is outdated.
+bool WorkersModel::renew(const std::string& worker, const RenewCommand& command)
+{
+    WorkerModel& model = m_workers[worker];
+    if (command.epoch < model.epoch)
+        return false;
+    model.epoch = command.epoch;
+    extendLease(model, command.leaseUntil);
+    while (!model.ended.empty() && model.ended.front().sequence <= command.endsStoredUpTo) {
+        if (checker && model.ended.front().sequence > model.expiredUpTo)
+            checker->onStored(worker, model.ended.front());
+        model.ended.pop_front();
+    }
+    return true;
+}
+
+/// Carries out a command late, at whichever incarnation then has the worker's id.
+void WorkersModel::carryOutLate(const std::string& worker, std::function<void()> operation)
+{
+    const WorkerModel& model = m_workers[worker];
+    const Millis lateness = model.faults.lateBy > Millis(0) ? model.faults.lateBy : Millis(std::uniform_int_distribution<int>(minLateness, maxLateness)(m_random));
+    m_clock.after(lateness, [this, worker, operation = std::move(operation), incarnation = model.incarnation, lateness] {
+        const bool reaches = isCurrentIncarnation(worker, incarnation) || lateness <= maxLatenessAfterRestart;
+        if (reaches && m_workers[worker].alive)
+            operation();
+    });
+}
+
 FleetOutcome WorkersModel::takeDown(const std::string& instance, const FleetHolder& holder, const std::string& pool, FleetState state, Millis time)
 {
     const auto found = m_instances.find(instance);
@@ -368,12 +399,7 @@
         return;
     }
     if (share(m_workers.m_random) < model->faults.lateCommands) {
-        std::uniform_int_distribution<int> pause(2'000, 12'000);
-        // The command travels on a connection to this incarnation and is dropped with it.
-        clock.after(Millis(pause(m_workers.m_random)), [this, worker, operation, incarnation = model->incarnation] {
-            if (m_workers.isCurrentIncarnation(worker, incarnation) && m_workers.find(worker)->alive)
-                static_cast<void>(operation(true));
-        });
+        m_workers.carryOutLate(worker, [operation] { static_cast<void>(operation(true)); });
         clock.after(callTimeout, [answer] { answer({}); });
         return;
     }
@@ -435,6 +461,11 @@
         clock.after(command.wait + callTimeout, [answer] { answer({}); });
         return;
     }
+    if (target->faults.lateRenewals > 0 && share(m_workers.m_random) < target->faults.lateRenewals) {
+        m_workers.carryOutLate(worker.id, [this, id = worker.id, command] { m_workers.renew(id, command); });
+        clock.after(command.wait + callTimeout, [answer] { answer({}); });
+        return;
+    }
     const auto report = [this, id = worker.id, answer, unreachable, timesOutAt = clock.now() + command.wait + callTimeout](std::uint64_t incarnation) {
         SimClock& later = m_workers.m_clock;
         const bool isCut = !answerArrives(m_workers.m_workers[id].entry);
@@ -451,17 +482,10 @@
             report(model.incarnation);
             return;
         }
-        if (command.epoch < model.epoch) {
+        if (!m_workers.renew(id, command)) {
             later.after(oneWayLatency, [answer] { answer({ .outcome = CommandOutcome::Fenced, .running = {}, .ended = {} }); });
             return;
         }
-        model.epoch = command.epoch;
-        m_workers.extendLease(model, command.leaseUntil);
-        while (!model.ended.empty() && model.ended.front().sequence <= command.endsStoredUpTo) {
-            if (m_workers.checker && model.ended.front().sequence > model.expiredUpTo)
-                m_workers.checker->onStored(id, model.ended.front());
-            model.ended.pop_front();
-        }
         if (command.wait.count() == 0 || !model.ended.empty()) {
             report(model.incarnation);
             return;
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -29,6 +29,8 @@
     double lostCommands = 0; ///< Share of commands without effect and response.
     double lateCommands = 0; ///< Share of commands that take effect seconds later, without a response.
     double lostRenewals = 0; ///< Share of renewals without effect and response.
+    double lateRenewals = 0; ///< Share of renewals that take effect seconds later, without a response.
+    Millis lateBy { 0 }; ///< Delay of late commands and renewals; 0: random.
     double failing = 0; ///< Share of tasks that fail.
     int slowdown = 1; ///< Factor on the run time of tasks.
     bool refusing = false; ///< Starts are refused without effect.
@@ -172,6 +174,8 @@
 
     jobs::CommandResult start(const std::string& worker, const jobs::StartCommand& command, bool late);
     jobs::CommandResult stop(const std::string& worker, const jobs::Attempt& attempt, std::uint64_t epoch, bool late);
+    bool renew(const std::string& worker, const jobs::RenewCommand& command);
+    void carryOutLate(const std::string& worker, std::function<void()> operation);
     void startIncarnation(const std::string& instance);
     /// Ends an incarnation and calls `begin` with its instance after `returnsAfter`.
     void endAndReturn(const std::string& worker, Millis returnsAfter, std::function<void(const std::string& instance)> begin);
--- a/tests/jobs/random_test.cpp
+++ b/tests/jobs/random_test.cpp
@@ -36,6 +36,7 @@
     Mixed, ///< The faults of `All` on two pools, with instances of two kinds that accept tasks beyond their capacity, labels and racks.
     Callers, ///< The faults of `All`, with callers that cancel any id at any instance, counts of waiting jobs, jobs of many short tasks, and workers that refuse starts.
     Policies, ///< The faults of `All`, with a queue whose tasks need advice, gangs that save checkpoints, and queues that are removed and come back with other limits of attempts.
+    DelayedCalls, ///< The faults of `All`, with workers whose calls are delayed and that restart under their ids meanwhile.
 };
 
 /// One run: jobs arrive, faults come and go, then all faults are cleared and every job must end.
@@ -89,6 +90,8 @@
                 restart();
             if (m_faults == Faults::UnreportedFaults && pickSecondary(0, 12) == 0)
                 injectUnreportedFault();
+            if (m_faults == Faults::DelayedCalls && pickSecondary(0, 8) == 0)
+                delayCalls();
             if (m_faults == Faults::RestartingOften && pickSecondary(0, 8) == 0)
                 restart();
             if (m_faults == Faults::Callers)
@@ -263,6 +266,23 @@
             m_cluster.workers.restart(std::string(worker->entry.id), Millis(pickSecondary(0, 1) == 0 ? pickSecondary(1, 300) : pickSecondary(300, 9'000)));
     }
 
+    /// Delays calls to a worker, which restarts under its id in most cases.
+    void delayCalls()
+    {
+        model::WorkerModel* worker = anyWorker();
+        if (!worker)
+            return;
+        worker->faults.lateCommands = worker->faults.lateRenewals = 0.5;
+        const bool restarts = pickSecondary(0, 3) > 0;
+        const Millis returnsAfter(pickSecondary(0, 1) == 0 ? pickSecondary(1, 300) : pickSecondary(300, 4'000));
+        m_cluster.clock.after(Millis(pickSecondary(20, 1'500)), [this, id = worker->entry.id, restarts, returnsAfter] {
+            if (restarts)
+                m_cluster.workers.restart(id, returnsAfter);
+            else
+                m_cluster.workers.find(id)->faults = {};
+        });
+    }
+
     void submitJob()
     {
         std::vector<StepSpec> steps { step(static_cast<std::uint32_t>(pick(1, 5))) };
@@ -799,6 +819,23 @@
         RandomRun(seed, Faults::Policies).execute();
 }
 
+/// Guards against delayed calls that take effect at a later incarnation after its first contact with the owner: starts, and acknowledgements
+/// of ends.
+TEST_CASE("Random runs with delayed calls that failed once keep the guarantees")
+{
+    for (const std::uint64_t seed : { 4, 5, 7, 8, 11, 15, 28, 29, 30, 34, 36, 37, 41 })
+        RandomRun(seed, Faults::DelayedCalls).execute();
+}
+
+/// Guards against effects of delayed calls on a later incarnation: ends that are discarded unread, and starts and leases of its predecessor.
+TEST_CASE("No guarantee is violated in random runs with delayed calls to workers that restart under their ids")
+{
+    const std::uint64_t first = numberFrom("LANEMOOR_SEED", 1);
+    const std::uint64_t runs = numberFrom("LANEMOOR_RUNS", 200);
+    for (std::uint64_t seed = first; seed < first + runs; ++seed)
+        RandomRun(seed, Faults::DelayedCalls).execute();
+}
+
 /// Seeds of this kind that failed are kept in the first test and in the next one.
 TEST_CASE("No guarantee is violated in random runs with workers that restart under their ids")
 {
