A lease of one incarnation is not compared with the clock of another

Tasks of a worker did not start elsewhere while it was unresponsive, for as long as the worker's previous clock was ahead of its new one.

Cause: WorkerSession computes the expiry of the longest lease from the newest clock sample. An answer to a start or a stop does not name its incarnation. If a restarted worker answered one and was partitioned before any report, the sample was on the new clock and the lease on the previous one: a lease of 5 s expired after a quarter of an hour. Class: values of two clocks in one expression.

Change: while a restart is suspected, because a clock went back, the lease is bounded by the time at which it was sent: at most 18 s, for the delay of a call and the worker's limit on leases. A report of either incarnation ends the suspicion.

Evidence: "Tasks of a restarted worker start elsewhere if it is partitioned before its incarnation is known" fails without the change (neither task runs within 30 s) and passes with it. In the other direction, a clock that went forward, the bound is lower than needed only for commands that the new incarnation rejects, as their leases have expired on its clock.

--- a/include/lanemoor/jobs/owner/worker_session.h
+++ b/include/lanemoor/jobs/owner/worker_session.h
@@ -177,6 +177,7 @@
     std::int64_t m_lastSeenOnClock = 0; ///< Newest time on the worker's clock, ms; responses may overtake each other.
     MonotonicInstant m_answeredAt; ///< When `m_lastSeenOnClock` was received.
     std::int64_t m_latestLease = 0; ///< Latest granted lease, on the worker's clock, ms.
+    MonotonicInstant m_latestLeaseSentAt; ///< When the last lease was granted.
     TimerId m_timer = 0;
     MonotonicInstant m_timerAt;
 };
--- a/src/jobs/owner/worker_session.cpp
+++ b/src/jobs/owner/worker_session.cpp
@@ -9,6 +9,9 @@
 
 /// Min speed of a worker's clock: by the platform's bound it may be slow by 2%.
 constexpr double minClockRate = 0.98;
+/// Max time from sending a command until its lease has expired at any incarnation: it may be carried out some 6 s late, and the
+/// worker limits the lease to 10 s by a clock that may be slow by 2%.
+constexpr Millis maxLeaseOfLateCommand { 18'000 };
 /// For rounding and the worker's own timer.
 constexpr Millis leaseSlack { 50 };
 /// Responses on different connections overtake each other by less than this, unless one is delayed.
@@ -49,6 +52,7 @@
         return std::nullopt;
     const std::int64_t lease = clockNow() + m_options.leaseTime.count();
     m_latestLease = std::max(m_latestLease, lease);
+    m_latestLeaseSentAt = m_loop.now();
     m_leaseExpired = false;
     return lease;
 }
@@ -81,6 +85,9 @@
 {
     if (m_latestLease == 0)
         return m_options.inheritedLeaseExpiresBy;
+    // The clock sample may be that of another incarnation, and the lease is not on its clock.
+    if (m_restartSuspected)
+        return std::max(m_options.inheritedLeaseExpiresBy, m_latestLeaseSentAt + maxLeaseOfLateCommand);
     const auto left = static_cast<double>(m_latestLease - m_clockSample);
     const Millis worst(static_cast<std::int64_t>(left / minClockRate));
     return std::max(m_options.inheritedLeaseExpiresBy, m_clockSampledBy + worst + leaseSlack);
--- a/tests/jobs/previous_incarnation_test.cpp
+++ b/tests/jobs/previous_incarnation_test.cpp
@@ -152,3 +152,24 @@
     CHECK(cluster.checker.starts() == 4);
     cluster.checkGuarantees();
 }
+
+/// Guards against a lease on the clock of the previous incarnation that is compared with the clock of the next one: the tasks of an
+/// unresponsive worker counted as running for a quarter of an hour.
+TEST_CASE("Tasks of a restarted worker start elsewhere if it is partitioned before its incarnation is known")
+{
+    DelayedCallCluster cluster(2, Millis(6'000));
+    cluster.submitToFirst(jobId(1));
+    REQUIRE(cluster.workerOfTask(jobId(1)) == "i-1");
+    cluster.workers.onEntry = [](const model::WorkerModel&) {};
+    cluster.worker("i-1").faults.lostRenewals = 1;
+    cluster.workers.restart("i-1", Millis(10));
+    cluster.clock.runFor(Millis(20));
+    cluster.worker("i-1").faults.lostRenewals = 1;
+    cluster.submitToFirst(jobId(2));
+    REQUIRE(cluster.workerOfTask(jobId(2)) == "i-1");
+    cluster.worker("i-1").faults = { .partitioned = true };
+    cluster.clock.runFor(Millis(30'000));
+    CHECK(cluster.shows(jobId(1), JobStatus::Succeeded));
+    CHECK(cluster.shows(jobId(2), JobStatus::Succeeded));
+    cluster.checkGuarantees();
+}
