A start that was lost with a restart does not reserve its worker without end

A task could run, workers were free, and it did not run while its worker left stops unanswered.

Cause: the start was unacknowledged when the worker restarted, so the attempt stayed reserved until a stop would settle it. Within one incarnation a start that no report shows expires after 7 s even if no stop is answered. The record of the next incarnation did not take over when the start was sent, so that the wait had no end. Class: a wait whose bound is lost with the record that holds it.

Change: the next record takes over the starts of the previous one without their leases, which are on another clock. The latest delivery bounds them.

--- a/include/lanemoor/jobs/policy/unacknowledged_starts.h
+++ b/include/lanemoor/jobs/policy/unacknowledged_starts.h
@@ -50,6 +50,10 @@
     /// \returns Whether no probe is overdue.
     [[nodiscard]] bool isAnswering() const noexcept { return !m_probeOverdue; }
 
+    /// \returns The starts that may still reach the next incarnation under the same id. Their leases are not on its clock: only the
+    /// latest delivery bounds them.
+    [[nodiscard]] UnacknowledgedStarts forNextIncarnation() const;
+
     /// \returns Number of further starts that may be sent.
     [[nodiscard]] std::uint32_t startsLeft(MonotonicInstant now) const;
 
@@ -65,7 +69,7 @@
     static constexpr Millis latestDelivery { 7'000 };
 
     struct SentStart {
-        std::int64_t leaseUntil = 0; ///< On the worker's clock, ms.
+        std::int64_t leaseUntil = 0; ///< On the worker's clock, ms; 0: sent to a previous incarnation.
         MonotonicInstant deliveredBy; ///< Latest possible delivery.
         bool overdue = false;
     };
--- a/src/jobs/owner/status_reconciler.cpp
+++ b/src/jobs/owner/status_reconciler.cpp
@@ -427,7 +427,7 @@
         settleExpired(*worker);
     else
         releaseAll(*worker, unacknowledged, true);
-    WorkerRecord next { .entry = worker->entry, .knownSince = m_state.now(), .previousStarts = std::move(worker->previousStarts), .listed = worker->listed, .session = nullptr, .reservations = std::move(worker->reservations) };
+    WorkerRecord next { .entry = worker->entry, .knownSince = m_state.now(), .previousStarts = std::move(worker->previousStarts), .listed = worker->listed, .session = nullptr, .reservations = std::move(worker->reservations), .starts = worker->starts.forNextIncarnation() };
     next.previousStarts.insert(session.incarnation().startedAt);
     noteHallStop(*worker, true);
     next.evacuating = worker->evacuating;
--- a/src/jobs/policy/unacknowledged_starts.cpp
+++ b/src/jobs/policy/unacknowledged_starts.cpp
@@ -37,7 +37,15 @@
 bool UnacknowledgedStarts::hasExpired(const Attempt& attempt, std::int64_t workerClock, MonotonicInstant now) const
 {
     const auto pending = m_unacknowledged.find(attempt);
-    return pending != m_unacknowledged.end() && pending->second.leaseUntil > 0 && workerClock > pending->second.leaseUntil && now >= pending->second.deliveredBy;
+    return pending != m_unacknowledged.end() && workerClock > pending->second.leaseUntil && now >= pending->second.deliveredBy;
+}
+
+UnacknowledgedStarts UnacknowledgedStarts::forNextIncarnation() const
+{
+    UnacknowledgedStarts next;
+    for (const auto& [attempt, sent] : m_unacknowledged)
+        next.m_unacknowledged.emplace(attempt, SentStart { .leaseUntil = 0, .deliveredBy = sent.deliveredBy });
+    return next;
 }
 
 std::uint32_t UnacknowledgedStarts::startsLeft(MonotonicInstant now) const
--- a/tests/jobs/previous_incarnation_test.cpp
+++ b/tests/jobs/previous_incarnation_test.cpp
@@ -173,3 +173,27 @@
     CHECK(cluster.shows(jobId(2), JobStatus::Succeeded));
     cluster.checkGuarantees();
 }
+
+/// Guards against an attempt that stays reserved without end: its start was never carried out, and no incarnation answers its stop.
+TEST_CASE("A task whose start and stop stay unanswered over a restart runs elsewhere")
+{
+    for (const bool isStartAnswered : { false }) {
+        CAPTURE(isStartAnswered);
+        DelayedCallCluster cluster(2, Millis(1'000));
+        cluster.worker("i-1").faults.lostCommands = isStartAnswered ? 0 : 1;
+        cluster.worker("i-2").faults.refusing = true;
+        cluster.submit(0, "work", jobId(1), job({ step(1) }));
+        REQUIRE(cluster.waitFor(Millis(500), [&] { return !isStartAnswered || cluster.workerOfTask(jobId(1)) == "i-1"; }));
+        cluster.clock.runFor(Millis(isStartAnswered ? 5 : 300));
+        cluster.worker("i-2").faults.refusing = false;
+        cluster.workers.onEntry = [&cluster, write = cluster.workers.onEntry](const model::WorkerModel& restarted) {
+            cluster.worker(restarted.entry.id).faults.lostCommands = 1;
+            cluster.worker(restarted.entry.id).clockBehind = Millis(0);
+            write(restarted);
+        };
+        cluster.workers.restart("i-1", Millis(50));
+        cluster.clock.runFor(Millis(20'000)); // Two starts at i-1, each of which can take effect for 7 s.
+        CHECK(cluster.shows(jobId(1), JobStatus::Succeeded));
+        cluster.checkGuarantees();
+    }
+}
