An answered start that a restarted worker does not report is over without a stop

Cause: such an attempt was released only if the clock of the new incarnation was behind the time of the answer. With a clock that runs on over the restart, a stop had to settle it, without end if no stop was answered. Class: two incarnations distinguished by their clocks where the restart is already proved.

Change: a start is sent once, and its answer proves that it was carried out. A complete report of the new incarnation that lacks the attempt therefore settles it, whatever the clocks. Ends that such a report lacks can't have been discarded, since the owner had acknowledged none.

Evidence: the second case of "A task whose start and stop stay unanswered over a restart runs elsewhere" fails without the change (not run within 15 s) and passes with it.

--- a/src/jobs/owner/status_reconciler.cpp
+++ b/src/jobs/owner/status_reconciler.cpp
@@ -256,8 +256,8 @@
     case AttemptPhase::OutcomeUnknown:
         if (live.phaseSince > sentAt)
             return;
-        // Confirmed at a time that this incarnation's clock has not reached: the attempt ended with a previous incarnation.
-        if (live.confirmedAtWorkerClock > workerClock)
+        // An answered start is not carried out again: the attempt ended with a previous incarnation.
+        if (live.confirmedAtWorkerClock > 0)
             m_dispatcher.release(attempt, worker.entry.id, m_state.now() + m_crashes.retryPause(attempt));
         else
             m_dispatcher.stop(attempt, worker.entry.id);
--- a/tests/jobs/previous_incarnation_test.cpp
+++ b/tests/jobs/previous_incarnation_test.cpp
@@ -177,7 +177,7 @@
 /// Guards against an attempt that stays reserved without end: its start was never carried out, and no incarnation answers its stop.
 TEST_CASE("A task whose start and stop stay unanswered over a restart runs elsewhere")
 {
-    for (const bool isStartAnswered : { false }) {
+    for (const bool isStartAnswered : { false, true }) {
         CAPTURE(isStartAnswered);
         DelayedCallCluster cluster(2, Millis(1'000));
         cluster.worker("i-1").faults.lostCommands = isStartAnswered ? 0 : 1;
