KNOWN-RED: a restarted worker that applies a lease on the previous clock

A worker restarts, and neither its entry nor a report shows this to the owner before it takes a start and is partitioned. The lease in the start is on the previous clock, which is ahead; the worker cuts it to 10 s, while the owner counts 5 s and 2%. The task starts elsewhere while the first attempt runs.

--- a/tests/jobs/previous_incarnation_test.cpp
+++ b/tests/jobs/previous_incarnation_test.cpp
@@ -174,6 +174,21 @@
     cluster.checkGuarantees();
 }
 
+/// Guards against a lease that the next incarnation applies to its own clock and that the owner takes for expired too early.
+TEST_CASE("A start with a time on the previous clock lets no task run twice if the worker is partitioned before its incarnation is known")
+{
+    DelayedCallCluster cluster(2, Millis(20'000));
+    cluster.workers.onEntry = [](const model::WorkerModel&) {};
+    cluster.workers.restart("i-1", Millis(10));
+    cluster.clock.runFor(Millis(20));
+    cluster.worker("i-1").faults = { .lostAnswers = 1, .lostRenewals = 1 };
+    cluster.submitToFirst(jobId(1));
+    REQUIRE(cluster.workerOfTask(jobId(1)) == "i-1");
+    cluster.clock.runFor(Millis(60'000));
+    CHECK(cluster.shows(jobId(1), JobStatus::Succeeded));
+    cluster.checkGuarantees();
+}
+
 /// Guards against an attempt that stays reserved without end: its start was never carried out, and no incarnation answers its stop.
 TEST_CASE("A task whose start and stop stay unanswered over a restart runs elsewhere")
 {
