--- a/src/jobs/owner/status_reconciler.cpp
+++ b/src/jobs/owner/status_reconciler.cpp
@@ -256,8 +256,8 @@
     case AttemptPhase::OutcomeUnknown:
         if (live.phaseSince > sentAt)
             return;
-        // Confirmed at a time that this incarnation's clock has not reached: the attempt ended with a previous incarnation.
-        if (live.confirmedAtWorkerClock > workerClock)
+        // An answered start is not carried out again: the attempt ended with a previous incarnation.
+        if (live.confirmedAtWorkerClock > 0)
             m_dispatcher.release(attempt, worker.entry.id, m_state.now() + m_crashes.retryPause(attempt));
         else
             m_dispatcher.stop(attempt, worker.entry.id);
@@ -356,6 +356,7 @@
         { { "worker", session.incarnation().id }, { "life_over", std::int64_t { hasIncarnationEnded } }, { "attempts", static_cast<std::int64_t>(worker->reservations.size()) } });
     releaseAll(*worker, {}, hasIncarnationEnded);
     if (hasIncarnationEnded) {
+        m_state.raiseEpoch();
         noteHallStop(*worker, true);
         m_state.options.workers->closeConnections(session.incarnation());
     }
@@ -426,19 +427,20 @@
         settleExpired(*worker);
     else
         releaseAll(*worker, unacknowledged, true);
-    WorkerRecord next { .entry = worker->entry, .knownSince = m_state.now(), .previousStarts = std::move(worker->previousStarts), .listed = worker->listed, .session = nullptr, .reservations = std::move(worker->reservations) };
+    WorkerRecord next { .entry = worker->entry, .knownSince = m_state.now(), .previousStarts = std::move(worker->previousStarts), .listed = worker->listed, .session = nullptr, .reservations = std::move(worker->reservations), .starts = worker->starts.forNextIncarnation() };
     next.previousStarts.insert(session.incarnation().startedAt);
     noteHallStop(*worker, true);
     next.evacuating = worker->evacuating;
     next.evacuatingSince = worker->evacuatingSince;
     *worker = std::move(next);
+    m_state.raiseEpoch();
     m_state.beginSession(*worker, startedAt);
     m_state.requestPass();
 }
 
 void StatusReconciler::onFenced(WorkerSession& session)
 {
-    m_state.options.log->change("fenced", { { "worker", session.incarnation().id }, { "epoch", static_cast<std::int64_t>(m_state.ownership.epoch) } });
+    m_state.options.log->change("fenced", { { "worker", session.incarnation().id }, { "epoch", static_cast<std::int64_t>(session.epoch()) } });
     m_state.options.ownership->noteSuperseded();
 }
 
