Settings for the limits on connections, with the values that were compiled in

The limits of the listeners and of the calls to the platform were defaults in code: 1,500 connections at each address, 16 KB of header, 1 MB of body, 10 s for a request, 75 s idle, 8 MB for a response.

--- a/include/lanemoor/jobs/service/job_service_settings.h
+++ b/include/lanemoor/jobs/service/job_service_settings.h
@@ -14,6 +14,18 @@
 
 namespace lanemoor::jobs {
 
+/// Limits on the connections of a process and on what is read from them.
+struct ConnectionLimits {
+    std::uint32_t connections = 1'500; ///< Open at once, of callers and other clients.
+    std::uint32_t headerBytes = 16'384; ///< Of a request's header.
+    std::uint64_t bodyBytes = 1'048'576; ///< Of a request's body.
+    std::uint64_t responseBytes = 8'388'608; ///< Of the body of a response that this process reads; more than eight times the store's largest page.
+    Millis requestTime { 10'000 }; ///< From the first byte of a request to its last, and for the response to be taken.
+    Millis idleTime { 75'000 }; ///< Between requests; longer than the pauses of the balancer's clients.
+
+    [[nodiscard]] bool operator==(const ConnectionLimits&) const = default;
+};
+
 /// Settings of the job service, read at the start and when the file is reloaded.
 struct JobServiceSettings {
     std::string name; ///< Of this entry instance; unique among its peers.
@@ -43,6 +55,7 @@
     Millis evacuationTime { 0 }; ///< Time after an evacuation request from which no task may start in the data hall; 0: no bound.
     std::uint32_t survivedDataHalls = 0; ///< Data hall failures to survive; above 0, long-running tasks are spread over data halls.
     Millis restoreTime { 600 }; ///< Duration of the restore of a checkpoint.
+    ConnectionLimits limits;
     Policies policies;
     bool logAsJson = true;
 
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -59,6 +59,29 @@
     readSeconds(reader, "statusSeconds", settings.statusTime);
 }
 
+template <typename Size>
+void readSize(ObjectReader& reader, const char* name, std::int64_t minimum, std::int64_t maximum, Size& size)
+{
+    if (const std::optional<std::int64_t> value = reader.integer(name, minimum, maximum))
+        size = static_cast<Size>(*value);
+}
+
+void readLimits(ObjectReader& reader, ConnectionLimits& limits)
+{
+    constexpr std::int64_t minConnections = 8;
+    constexpr std::int64_t maxConnections = 1'000'000;
+    constexpr std::int64_t minBytes = 1'024;
+    constexpr std::int64_t maxHeaderBytes = 1'048'576;
+    constexpr std::int64_t maxBodyBytes = 1'073'741'824;
+    constexpr std::int64_t minTime = 100;
+    readSize(reader, "connections", minConnections, maxConnections, limits.connections);
+    readSize(reader, "headerBytes", minBytes, maxHeaderBytes, limits.headerBytes);
+    readSize(reader, "bodyBytes", minBytes, maxBodyBytes, limits.bodyBytes);
+    readSize(reader, "responseBytes", minBytes, maxBodyBytes, limits.responseBytes);
+    readMillis(reader, "requestMs", minTime, limits.requestTime);
+    readMillis(reader, "idleMs", minTime, limits.idleTime);
+}
+
 void readNumber(ObjectReader& reader, const char* name, double minimum, double maximum, double& number)
 {
     if (const std::optional<double> value = reader.number(name, minimum, maximum))
@@ -202,6 +225,7 @@
             if (const std::optional<std::int64_t> halls = service.integer("survivedDataHalls", 0, maxHalls))
                 settings.survivedDataHalls = static_cast<std::uint32_t>(*halls);
             service.object("times", [&](ObjectReader& times) { readTimes(times, settings); });
+            service.object("limits", [&](ObjectReader& limits) { readLimits(limits, settings.limits); });
             service.object("policies", [&](ObjectReader& policies) { readPolicies(policies, settings.policies); });
         },
         true);
