--- a/include/lanemoor/aio/http_listener.h
+++ b/include/lanemoor/aio/http_listener.h
@@ -19,7 +19,7 @@
 struct HttpListenerOptions {
     HttpAddress address; ///< Port 0: chosen by the kernel.
     std::uint32_t maxConnections = 1'500; ///< Further ones are closed at once; well below an entry's limit of file descriptors.
-    std::uint32_t maxHeaderBytes = 16'384;
+    std::uint32_t maxHeaderBytes = 16'384; ///< Of a header; a chunk header or trailer may have 4 KB more.
     std::uint64_t maxBodyBytes = 1'048'576;
     Millis requestTimeout { 10'000 }; ///< From the first byte of a request to its last.
     Millis idleTimeout { 75'000 }; ///< Between requests; longer than the pauses of the balancer's clients.
--- a/src/aio/http_listener.cpp
+++ b/src/aio/http_listener.cpp
@@ -47,6 +47,7 @@
     Session(Tcp::socket socket, std::shared_ptr<ListenerState> state)
         : m_stream(std::move(socket))
         , m_state(std::move(state))
+        , m_buffer(m_state->options.maxHeaderBytes + readSize)
     {
         ++m_state->connections;
     }
--- a/tests/jobs/http_test.cpp
+++ b/tests/jobs/http_test.cpp
@@ -209,6 +209,32 @@
     CHECK(exchange.call(client, { "127.0.0.1", listener.port() }, post("ok")).response.status == 200);
 }
 
+// Guards against input outside of header and body, which their limits do not bound: trailers without end took a process to 2.8 GB.
+TEST_CASE("A chunk header or trailer over the limit of a header gets 400")
+{
+    Exchange exchange;
+    int handled = 0;
+    const HttpListener listener(exchange.loop, { .address = { "127.0.0.1", 0 }, .maxHeaderBytes = 1'024 }, [&](const HttpRequest&, const HttpResponder& respond) {
+        ++handled;
+        respond({ .status = 200, .headers = {}, .body = {} });
+    });
+    const std::string head = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(6'000, 'x');
+    std::vector<std::string> answers;
+    std::thread peer([&] {
+        answers.push_back(rawExchange(listener.port(), head + "2;x=" + filler));
+        answers.push_back(rawExchange(listener.port(), head + "2\r\n{}\r\n0\r\nX-Trailer: " + filler));
+        answers.push_back(rawExchange(listener.port(), head + "2;x=y\r\n{}\r\n0\r\nX-Trailer: y\r\n\r\n" + "GET / HTTP/1.1\r\nConnection: close\r\n\r\n"));
+        exchange.loop.stop();
+    });
+    exchange.loop.run();
+    peer.join();
+    CHECK(answers[0].find(" 400 ") != std::string::npos);
+    CHECK(answers[1].find(" 400 ") != std::string::npos);
+    CHECK(answers[2].find(" 200 ") != std::string::npos);
+    CHECK(handled == 2);
+}
+
 // Guards against calls that wait for a connection and are sent after their callers timed out.
 TEST_CASE("A call whose deadline passes before a connection is free is never sent")
 {
