--- a/src/aio/http_client.cpp
+++ b/src/aio/http_client.cpp
@@ -24,6 +24,9 @@
 /// Max bytes of one read. Each read takes a turn of the event loop, so a busy loop delays a response by a turn per piece.
 constexpr std::size_t maxReadBytes = 65'536;
 
+/// Max bytes of a response that are read and not parsed yet: bounds each chunk header and trailer.
+constexpr std::size_t maxBufferBytes = 2 * maxReadBytes;
+
 /// A call that is queued or in progress.
 struct PendingCall {
     HttpCall call;
@@ -38,7 +41,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { maxBufferBytes };
     http::request<http::string_body> request;
     std::optional<http::response_parser<http::string_body>> parser;
     PendingCall pending;
--- a/tests/jobs/http_test.cpp
+++ b/tests/jobs/http_test.cpp
@@ -2,6 +2,7 @@
 
 #include "lanemoor/aio/http_client.h"
 #include "lanemoor/aio/http_listener.h"
+#include "support/hostile_crowd.h"
 
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
@@ -343,6 +344,21 @@
     }
 }
 
+// Guards against a server that ends the process by trailers, which the limit of the body does not bound.
+TEST_CASE("A response with a trailer or chunk header without end is not answered")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string& opening : { head + "2;x=", head + "2\r\n{}\r\n0\r\n" }) {
+        const test::HostileServer server({ .opening = opening, .repeated = "x", .maxBytes = 10'000'000 }, [] { return true; });
+        Exchange exchange;
+        HttpClient client(exchange.loop, {});
+        const std::optional<HttpAddress> address = parseAddress(server.address());
+        REQUIRE(address);
+        CHECK(exchange.call(client, *address, post("x"), Millis(20'000)).delivery == Delivery::Unanswered);
+        CHECK(server.sentBytes() < 10'000'000);
+    }
+}
+
 // Guards against large responses that time out while they arrive, and are requested again over the same link.
 TEST_CASE("A response that keeps arriving may take longer than the deadline for its beginning")
 {
