Listeners: one budget of connections and memory for a process; the idlest and slowest make room

What callers saw: while more clients were connected than the limit, and sent nothing or half a header, no ordinary request was answered. Clients that each sent most of a body and stopped took the process's memory.

Cause: limits held for one connection or one listener, never for the process: 1,500 connections of 1 MB each are more than any entry has, and three listeners with 1,500 each more than its descriptors. When all were taken the newest was closed, whatever the others did.

Change: ConnectionBudget, shared by front, readiness and metrics, accounts for connections and for the memory of requests being read, of requests without an answer and of responses being written. A connection reserves memory before it reads or writes. For a new connection the one that has been idle longest is closed, then the one whose message began first; for memory the one whose message began first. A connection whose request was read whole and has no answer yet is never closed. If nothing can be closed, the request gets 503 with Retry-After, is not passed on, and the connection is closed. Requests are read in two steps, so that an announced body over the limit gets 413 before any of it is read. After a refusal the listener discards up to 1 MB of input: a close with unread input resets the connection, and the client would lose the response. jobService.limits.connections now covers all addresses together; connectionBytes is new, 32 MB, a fifth of the smallest entry's memory.

Ruled out: a smaller limit on a body alone, since the sum over connections stays without a bound; shorter timeouts alone, since a crowd that comes back keeps all connections taken.

--- a/include/lanemoor/jobs/service/job_service_settings.h
+++ b/include/lanemoor/jobs/service/job_service_settings.h
@@ -16,7 +16,8 @@
 
 /// Limits on the connections of a process and on what is read from them.
 struct ConnectionLimits {
-    std::uint32_t connections = 1'500; ///< Open at once, of callers and other clients.
+    std::uint32_t connections = 1'500; ///< Open at once, of all clients at all addresses; well below the limit of descriptors.
+    std::uint64_t connectionBytes = 33'554'432; ///< Memory of all these connections together; a fifth of the smallest entry's.
     std::uint32_t headerBytes = 16'384; ///< Of a request's header.
     std::uint64_t bodyBytes = 1'048'576; ///< Of a request's body.
     std::uint64_t responseBytes = 8'388'608; ///< Of the body of a response that this process reads; more than eight times the store's largest page.
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -73,8 +73,11 @@
     constexpr std::int64_t minBytes = 1'024;
     constexpr std::int64_t maxHeaderBytes = 1'048'576;
     constexpr std::int64_t maxBodyBytes = 1'073'741'824;
+    constexpr std::int64_t minConnectionBytes = 1'048'576;
+    constexpr std::int64_t maxConnectionBytes = 1'099'511'627'776;
     constexpr std::int64_t minTime = 100;
     readSize(reader, "connections", minConnections, maxConnections, limits.connections);
+    readSize(reader, "connectionBytes", minConnectionBytes, maxConnectionBytes, limits.connectionBytes);
     readSize(reader, "headerBytes", minBytes, maxHeaderBytes, limits.headerBytes);
     readSize(reader, "bodyBytes", minBytes, maxBodyBytes, limits.bodyBytes);
     readSize(reader, "responseBytes", minBytes, maxBodyBytes, limits.responseBytes);
--- a/tests/jobs/http_test.cpp
+++ b/tests/jobs/http_test.cpp
@@ -236,6 +236,78 @@
     CHECK(handled == 2);
 }
 
+// Guards against a reset that discards the response, since the client's input was not read to its end.
+TEST_CASE("A refused client that still sends can read its response")
+{
+    Exchange exchange;
+    const HttpListener listener(exchange.loop, { .address = { "127.0.0.1", 0 }, .maxBodyBytes = 10 }, [](const HttpRequest&, const HttpResponder& respond) { respond({ .status = 200, .headers = {}, .body = {} }); });
+    std::string answer;
+    std::thread peer([&] {
+        answer = rawExchange(listener.port(), "POST / HTTP/1.1\r\nContent-Length: 500000\r\n\r\n" + std::string(500'000, 'x'));
+        exchange.loop.stop();
+    });
+    exchange.loop.run();
+    peer.join();
+    CHECK(answer.find(" 413 ") != std::string::npos);
+}
+
+// Guards against a refusal of a job that is taken all the same, and against losing a request that was read whole.
+TEST_CASE("A request without memory gets 503 and is not handled, and the one that has it is answered")
+{
+    Exchange exchange;
+    std::vector<HttpResponder> held;
+    std::vector<RefusalReason> refused;
+    const auto budget = std::make_shared<ConnectionBudget>(ConnectionBudgetOptions { .maxBytes = 100'000 });
+    const HttpListener listener(
+        exchange.loop, { .address = { "127.0.0.1", 0 }, .budget = budget, .handlingBytes = [](const HttpRequest&) { return 60'000; }, .onRefused = [&](RefusalReason reason) { refused.push_back(reason); } },
+        [&](const HttpRequest&, const HttpResponder& respond) {
+            held.push_back(respond);
+            exchange.loop.stop();
+        });
+    HttpClient client(exchange.loop, {});
+    const HttpAddress address { "127.0.0.1", listener.port() };
+    std::optional<HttpReply> first;
+    client.send(address, { .request = post("first"), .deadline = exchange.loop.now() + timeout }, [&](HttpReply reply) {
+        first = std::move(reply);
+        exchange.loop.stop();
+    });
+    exchange.loop.run(); // Until the first request is being handled.
+    REQUIRE(held.size() == 1);
+    const HttpReply second = exchange.call(client, address, post("second"));
+    CHECK(second.response.status == 503);
+    CHECK(second.response.headers.find("Retry-After") == "1");
+    CHECK(held.size() == 1);
+    CHECK(refused == std::vector { RefusalReason::Memory });
+    held.front()({ .status = 200, .headers = {}, .body = {} });
+    exchange.loop.run();
+    REQUIRE(first);
+    CHECK(first->response.status == 200);
+}
+
+// Guards against limits that ordinary clients meet.
+TEST_CASE("With the default limits the largest body and pipelined requests are answered in order")
+{
+    Exchange exchange;
+    const HttpListener listener(exchange.loop, { .address = { "127.0.0.1", 0 } }, [](const HttpRequest& request, const HttpResponder& respond) { respond({ .status = 200, .headers = {}, .body = request.target + ':' + std::to_string(request.body.size()) + ';' }); });
+    const std::string body(HttpListenerOptions {}.maxBodyBytes, 'x');
+    std::string answer;
+    std::thread peer([&] {
+        std::string requests;
+        for (int i = 0; i < 50; ++i)
+            requests += "POST /" + std::to_string(i) + " HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}";
+        answer = rawExchange(listener.port(), requests + "POST /last HTTP/1.1\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        exchange.loop.stop();
+    });
+    exchange.loop.run();
+    peer.join();
+    std::size_t position = 0;
+    for (int i = 0; i < 50; ++i) {
+        position = answer.find('/' + std::to_string(i) + ":2;", position);
+        REQUIRE(position != std::string::npos);
+    }
+    CHECK(answer.find("/last:" + std::to_string(body.size()) + ';', position) != std::string::npos);
+}
+
 // Guards against calls that wait for a connection and are sent after their callers timed out.
 TEST_CASE("A call whose deadline passes before a connection is free is never sent")
 {
