Listener: a connection that is closed for its memory frees its body at once

The budget granted the memory of a closed connection to another one, while its body stayed allocated until the cancelled read ended, in a later turn of the event loop: for that turn both held it. The body is now freed together with the close.

--- a/src/aio/http_listener.cpp
+++ b/src/aio/http_listener.cpp
@@ -89,6 +89,9 @@
     {
         m_state->noteRefused(reason);
         m_stream.close();
+        // The cancelled read ends later, in a turn of its own; the memory is needed now.
+        if (m_parser)
+            std::string().swap(m_parser->get().body());
     }
 
     void waitForRequest()
