Intake: what a body becomes once it is parsed is bounded before it is parsed

What callers saw: nothing yet; found while the memory of the listeners was bounded. A body of an allowed size may take many times as much memory as a JSON document (an array of empty arrays 25 times), and again as steps: each {"count":1} of 12 bytes is a StepSpec of more than 250 bytes, and all were made before faultOf counted the tasks.

Change: one scan finds depth and number of values of the text. A job that is nested more than 16 levels deep (a job has four) is malformed and gets 400. A list of more steps than tasks are allowed gets TooManyTasks before any step is made.

New tests in wire_test.cpp on shape, depth and steps.

--- a/tests/jobs/wire_test.cpp
+++ b/tests/jobs/wire_test.cpp
@@ -1,5 +1,6 @@
 /// The platform's messages in both directions, tested by examples.
 
+#include "platform/json_shape.h"
 #include "platform/wire.h"
 
 #include <array>
@@ -22,6 +23,31 @@
 
 } // namespace
 
+TEST_CASE("The depth and the number of values of a JSON text are found before it is parsed")
+{
+    CHECK(platform::shapeOf("") == platform::JsonShape {});
+    CHECK(platform::shapeOf(R"({"a":[1,2,{"b":"x"}],"c":0})") == platform::JsonShape { .depth = 3, .values = 6 });
+    CHECK(platform::shapeOf(R"({"text":"[[[{,,, \" \\"})") == platform::JsonShape { .depth = 1, .values = 1 });
+    CHECK(platform::shapeOf(R"("no end [,)") == platform::JsonShape {});
+    CHECK(platform::shapeOf("]]}[") == platform::JsonShape { .depth = 1, .values = 1 });
+}
+
+// Guards against a body of an allowed size that takes many times its size once it is parsed.
+TEST_CASE("A job that is nested too deeply is malformed")
+{
+    const std::string deep = R"({"steps":[{"count":1}],"x":)" + std::string(50, '[') + std::string(50, ']') + '}';
+    CHECK(std::get<JobFault>(platform::readJob(deep)) == JobFault::Malformed);
+    CHECK(std::holds_alternative<JobSpec>(platform::readJob(R"({"steps":[{"count":1,"constraints":["a"]}],"x":[[[[]]]]})")));
+}
+
+TEST_CASE("A job with more steps than tasks are allowed has too many tasks")
+{
+    std::string steps = "{}";
+    for (std::uint32_t step = 0; step < maxTasksPerJob; ++step)
+        steps += ",{}";
+    CHECK(std::get<JobFault>(platform::readJob("{\"steps\":[" + steps + "]}")) == JobFault::TooManyTasks);
+}
+
 TEST_CASE("A caller's job is decoded completely, and faults of invalid ones are distinguished")
 {
     const auto read = platform::readJob(R"({"spec":"text","steps":[{"count":2,"cpu":500,"mem_mb":64,"est_ms":900,"affinity":"r1"},
