--- a/tests/jobs/http_test.cpp
+++ b/tests/jobs/http_test.cpp
@@ -2,6 +2,7 @@
 
 #include "lanemoor/aio/http_client.h"
 #include "lanemoor/aio/http_listener.h"
+#include "support/hostile_crowd.h"
 
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
@@ -209,6 +210,104 @@
     CHECK(exchange.call(client, { "127.0.0.1", listener.port() }, post("ok")).response.status == 200);
 }
 
+// Guards against input outside of header and body, which their limits do not bound: trailers without end took a process to 2.8 GB.
+TEST_CASE("A chunk header or trailer over the limit of a header gets 400")
+{
+    Exchange exchange;
+    int handled = 0;
+    const HttpListener listener(exchange.loop, { .address = { "127.0.0.1", 0 }, .maxHeaderBytes = 1'024 }, [&](const HttpRequest&, const HttpResponder& respond) {
+        ++handled;
+        respond({ .status = 200, .headers = {}, .body = {} });
+    });
+    const std::string head = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(6'000, 'x');
+    std::vector<std::string> answers;
+    std::thread peer([&] {
+        answers.push_back(rawExchange(listener.port(), head + "2;x=" + filler));
+        answers.push_back(rawExchange(listener.port(), head + "2\r\n{}\r\n0\r\nX-Trailer: " + filler));
+        answers.push_back(rawExchange(listener.port(), head + "2;x=y\r\n{}\r\n0\r\nX-Trailer: y\r\n\r\n" + "GET / HTTP/1.1\r\nConnection: close\r\n\r\n"));
+        exchange.loop.stop();
+    });
+    exchange.loop.run();
+    peer.join();
+    CHECK(answers[0].find(" 400 ") != std::string::npos);
+    CHECK(answers[1].find(" 400 ") != std::string::npos);
+    CHECK(answers[2].find(" 200 ") != std::string::npos);
+    CHECK(handled == 2);
+}
+
+// Guards against a reset that discards the response, since the client's input was not read to its end.
+TEST_CASE("A refused client that still sends can read its response")
+{
+    Exchange exchange;
+    const HttpListener listener(exchange.loop, { .address = { "127.0.0.1", 0 }, .maxBodyBytes = 10 }, [](const HttpRequest&, const HttpResponder& respond) { respond({ .status = 200, .headers = {}, .body = {} }); });
+    std::string answer;
+    std::thread peer([&] {
+        answer = rawExchange(listener.port(), "POST / HTTP/1.1\r\nContent-Length: 500000\r\n\r\n" + std::string(500'000, 'x'));
+        exchange.loop.stop();
+    });
+    exchange.loop.run();
+    peer.join();
+    CHECK(answer.find(" 413 ") != std::string::npos);
+}
+
+// Guards against a refusal of a job that is taken all the same, and against losing a request that was read whole.
+TEST_CASE("A request without memory gets 503 and is not handled, and the one that has it is answered")
+{
+    Exchange exchange;
+    std::vector<HttpResponder> held;
+    std::vector<RefusalReason> refused;
+    const auto budget = std::make_shared<ConnectionBudget>(ConnectionBudgetOptions { .maxBytes = 100'000 });
+    const HttpListener listener(
+        exchange.loop, { .address = { "127.0.0.1", 0 }, .budget = budget, .handlingBytes = [](const HttpRequest&) { return 60'000; }, .onRefused = [&](RefusalReason reason) { refused.push_back(reason); } },
+        [&](const HttpRequest&, const HttpResponder& respond) {
+            held.push_back(respond);
+            exchange.loop.stop();
+        });
+    HttpClient client(exchange.loop, {});
+    const HttpAddress address { "127.0.0.1", listener.port() };
+    std::optional<HttpReply> first;
+    client.send(address, { .request = post("first"), .deadline = exchange.loop.now() + timeout }, [&](HttpReply reply) {
+        first = std::move(reply);
+        exchange.loop.stop();
+    });
+    exchange.loop.run(); // Until the first request is being handled.
+    REQUIRE(held.size() == 1);
+    const HttpReply second = exchange.call(client, address, post("second"));
+    CHECK(second.response.status == 503);
+    CHECK(second.response.headers.find("Retry-After") == "1");
+    CHECK(held.size() == 1);
+    CHECK(refused == std::vector { RefusalReason::Memory });
+    held.front()({ .status = 200, .headers = {}, .body = {} });
+    exchange.loop.run();
+    REQUIRE(first);
+    CHECK(first->response.status == 200);
+}
+
+// Guards against limits that ordinary clients meet.
+TEST_CASE("With the default limits the largest body and pipelined requests are answered in order")
+{
+    Exchange exchange;
+    const HttpListener listener(exchange.loop, { .address = { "127.0.0.1", 0 } }, [](const HttpRequest& request, const HttpResponder& respond) { respond({ .status = 200, .headers = {}, .body = request.target + ':' + std::to_string(request.body.size()) + ';' }); });
+    const std::string body(HttpListenerOptions {}.maxBodyBytes, 'x');
+    std::string answer;
+    std::thread peer([&] {
+        std::string requests;
+        for (int i = 0; i < 50; ++i)
+            requests += "POST /" + std::to_string(i) + " HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}";
+        answer = rawExchange(listener.port(), requests + "POST /last HTTP/1.1\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        exchange.loop.stop();
+    });
+    exchange.loop.run();
+    peer.join();
+    std::size_t position = 0;
+    for (int i = 0; i < 50; ++i) {
+        position = answer.find('/' + std::to_string(i) + ":2;", position);
+        REQUIRE(position != std::string::npos);
+    }
+    CHECK(answer.find("/last:" + std::to_string(body.size()) + ';', position) != std::string::npos);
+}
+
 // Guards against calls that wait for a connection and are sent after their callers timed out.
 TEST_CASE("A call whose deadline passes before a connection is free is never sent")
 {
@@ -317,6 +416,21 @@
     }
 }
 
+// Guards against a server that ends the process by trailers, which the limit of the body does not bound.
+TEST_CASE("A response with a trailer or chunk header without end is not answered")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string& opening : { head + "2;x=", head + "2\r\n{}\r\n0\r\n" }) {
+        const test::HostileServer server({ .opening = opening, .repeated = "x", .maxBytes = 10'000'000 }, [] { return true; });
+        Exchange exchange;
+        HttpClient client(exchange.loop, {});
+        const std::optional<HttpAddress> address = parseAddress(server.address());
+        REQUIRE(address);
+        CHECK(exchange.call(client, *address, post("x"), Millis(20'000)).delivery == Delivery::Unanswered);
+        CHECK(server.sentBytes() < 10'000'000);
+    }
+}
+
 // Guards against large responses that time out while they arrive, and are requested again over the same link.
 TEST_CASE("A response that keeps arriving may take longer than the deadline for its beginning")
 {
