Setting limits.peerLinks, with the value that was compiled in

Tests of crowds of peers need a small bound on accepted links, so that a small crowd exceeds it. jobService.limits.peerLinks passes PeerSocketsOptions::maxLinks through; its default is the former constant, 512. Nothing changes for a deployment without the key.

--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -78,6 +78,7 @@
     readSize(reader, "headerBytes", minBytes, maxHeaderBytes, limits.headerBytes);
     readSize(reader, "bodyBytes", minBytes, maxBodyBytes, limits.bodyBytes);
     readSize(reader, "responseBytes", minBytes, maxBodyBytes, limits.responseBytes);
+    readSize(reader, "peerLinks", minConnections, maxConnections, limits.peerLinks);
     readMillis(reader, "requestMs", minTime, limits.requestTime);
     readMillis(reader, "idleMs", minTime, limits.idleTime);
 }
