--- a/standins/fleet_standin.cpp
+++ b/standins/fleet_standin.cpp
@@ -96,6 +96,7 @@
     Worker& worker = m_workers[json["id"].get<std::string>()];
     worker.address = { json["ip"].get<std::string>(), json["port"].get<std::uint16_t>() };
     worker.description = json.dump();
+    worker.isObserved = json.value("observed", true);
     exchange.respond({ 204, {}, {} });
 }
 
@@ -139,14 +140,18 @@
 {
     while (true) {
         std::vector<std::pair<std::string, HttpAddress>> workers;
+        std::map<std::string, std::string> states;
         {
             const std::lock_guard lock(m_mutex);
             if (m_stopping)
                 return;
-            for (const auto& [id, worker] : m_workers)
-                workers.emplace_back(id, worker.address);
+            for (const auto& [id, worker] : m_workers) {
+                if (worker.isObserved)
+                    workers.emplace_back(id, worker.address);
+                else
+                    states[id] = "{}";
+            }
         }
-        std::map<std::string, std::string> states;
         for (const auto& [id, address] : workers)
             states[id] = callWorker(address, "GET", "/platform/state");
         recordListing(states);
--- a/standins/fleet_standin.h
+++ b/standins/fleet_standin.h
@@ -39,6 +39,7 @@
         HttpAddress address;
         std::string description; ///< The JSON of the registration.
         std::string state; ///< The last reported JSON; empty if unreachable.
+        bool isObserved = true; ///< False: listed as registered, without calls to it.
     };
 
     /// The list as of one time.
--- a/tests/support/cluster.cpp
+++ b/tests/support/cluster.cpp
@@ -91,17 +91,23 @@
     Worker worker;
     worker.process = std::make_unique<ChildProcess>(m_options.buildFolder + "/endpoint_standin", std::vector<std::string> { spec.id, std::to_string(m_options.rebootMs) });
     worker.address = { loopback, portOf(*worker.process) };
+    registerWorker(spec, worker.address, true);
+    m_workers[spec.id] = std::move(worker);
+}
+
+void Cluster::registerWorker(const WorkerSpec& spec, const HttpAddress& address, bool isObserved)
+{
     const nlohmann::json description {
         { "id", spec.id },
         { "ip", loopback },
-        { "port", worker.address.port },
+        { "port", address.port },
         { "dataHall", spec.dataHall },
         { "rack", spec.rack },
         { "labels", { { "service", spec.service } } },
         { "state", "live" },
+        { "observed", isObserved },
     };
     static_cast<void>(ask(m_platformAddress, requestOf("POST", "/v1/instances", {}, description.dump())));
-    m_workers[spec.id] = std::move(worker);
 }
 
 std::string Cluster::settingsOf(const std::string& name, const std::vector<std::uint16_t>& morePeers) const
@@ -116,7 +122,7 @@
         { "dataHall", "hall0" },
         { "platform", { { "ip", loopback }, { "port", m_platformAddress.port } } },
         { "peers", peers },
-        { "limits", { { "seats", m_options.shardCount }, { "leaseMs", m_options.leaseMs }, { "unreadyBeforeStopMs", 200 }, { "mostThreads", 128 }, { "mostListeners", 64 }, { "claimsPerSecond", 1000 } } },
+        { "limits", { { "seats", m_options.shardCount }, { "leaseMs", m_options.leaseMs }, { "unreadyBeforeStopMs", 200 }, { "mostThreads", m_options.maxThreads }, { "mostListeners", m_options.maxListeners }, { "claimsPerSecond", 1000 } } },
     };
     if (m_options.secure)
         settings["peer"] = { { "keyFile", keyFile() } };
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -40,6 +40,8 @@
     unsigned rebootMs = 300;
     unsigned shardCount = 3;
     unsigned leaseMs = 1500;
+    unsigned maxThreads = 128; ///< Requests handled at the same time by an entry instance.
+    unsigned maxListeners = 64; ///< Fewer than `maxThreads`.
     bool secure = false; ///< Whether the peer link uses keys.
 };
 
@@ -68,6 +70,9 @@
     Cluster& operator=(const Cluster&) = delete;
 
     void addWorker(const WorkerSpec& spec);
+    /// \brief Registers a worker that listens at `address` already.
+    /// \param isObserved Whether the platform asks the worker for its state; otherwise it is listed as live.
+    void registerWorker(const WorkerSpec& spec, const HttpAddress& address, bool isObserved);
     /// \param morePeers Peer ports in addition to the entries of this cluster.
     void addEntry(const std::string& name, const std::vector<std::uint16_t>& morePeers = {});
 
--- a/tests/support/small_cluster.cpp
+++ b/tests/support/small_cluster.cpp
@@ -8,8 +8,8 @@
 
 namespace lanemoor::test {
 
-SmallCluster::SmallCluster(unsigned entries, unsigned workers, unsigned minimum)
-    : Cluster({ .buildFolder = LANEMOOR_BUILD_FOLDER })
+SmallCluster::SmallCluster(unsigned entries, unsigned workers, unsigned minimum, bool secure)
+    : Cluster({ .buildFolder = LANEMOOR_BUILD_FOLDER, .secure = secure })
 {
     for (unsigned i = 0; i < workers; ++i) {
         const std::string number = std::to_string(i);
--- a/tests/support/small_cluster.h
+++ b/tests/support/small_cluster.h
@@ -11,7 +11,7 @@
 /// \brief Starts entries `a`, `b`, … and workers `w0`, `w1`, … and waits until all are in service.
 class SmallCluster : public Cluster {
 public:
-    explicit SmallCluster(unsigned entries, unsigned workers, unsigned minimum = 2);
+    explicit SmallCluster(unsigned entries, unsigned workers, unsigned minimum = 2, bool secure = false);
 
     /// \returns A configuration with the pool `counter` and the given budget minimum.
     [[nodiscard]] static std::string configuration(unsigned minimum, const std::string& more = {});
