Links between instances: one bound for the frames of all accepted links

Any process on the platform's network can open links to an entry instance, 512 by default, and each could hold a frame of 8 MB that never ends: 4 GB where the machine has 160 MB. Queues for peers that do not read were bounded in the same way, 4 MB each.

Cause: the limits held for each link and bounded nothing for all together. Accepted links now count what they hold: above 8 MB of incomplete frames, or 16 MB of unread ones, the link with most is closed, which frees most and meets no instance with ordinary frames of some kB. On accepted links a frame has at most 1 MB, ten times the reports of 130 workers; links that this process opens itself keep 8 MB.

--- a/include/lanemoor/aio/peer_sockets.h
+++ b/include/lanemoor/aio/peer_sockets.h
@@ -7,19 +7,35 @@
 #include "lanemoor/net/http_message.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 namespace lanemoor::aio {
 
+/// Why an accepted link was closed in favour of others.
+enum class PeerEviction {
+    Links, ///< Another link needed its place.
+    UnfinishedFrames, ///< All links together have received too much of incomplete frames.
+    UnreadFrames, ///< Too much is queued for all peers together.
+};
+
+/// \returns A short English name for `reason`.
+[[nodiscard]] const char* nameOf(PeerEviction reason) noexcept;
+
 /// Address, limits and timeouts of the links.
 struct PeerSocketsOptions {
     HttpAddress address; ///< Where others reach this process; port 0: chosen by the kernel.
     Millis connectTimeout { 1'000 }; ///< A path that drops packets reports no error.
-    std::uint32_t maxFrameBytes = 8'388'608; ///< A frame batches the messages of some ms, usually a few kB.
+    std::uint32_t maxFrameBytes = 8'388'608; ///< On links that this process opens. A frame batches the messages of some ms, usually a few kB.
+    std::uint32_t maxAcceptedFrameBytes = 1'048'576; ///< On accepted links: reports of all workers of a relay at once.
+    std::size_t maxReceivedBytes = 8'388'608; ///< Of incomplete frames on all accepted links; above, the link that holds most is closed.
+    std::size_t maxAllQueuedBytes = 16'777'216; ///< For the peers of all accepted links; above, the link with most is closed.
     /// Bytes queued for a peer that does not read; above this limit the link is closed. Heartbeats detect such a
     /// peer within a second, in which a loaded owner sends some 100 kB.
     std::size_t maxQueuedBytes = 4'194'304;
-    std::uint32_t maxLinks = 512; ///< Accepted links; further ones are closed at once.
+    /// Accepted links. A further one takes the place of one that has delivered no frame, or whose last frame is the oldest.
+    std::uint32_t maxLinks = 512;
+    std::function<void(PeerEviction)> evicted {}; ///< Observer of links closed in favour of others.
 };
 
 /// \brief TCP connections that carry frames: four bytes of length in network byte order, then the
