Links between instances: a new link takes the place of the most idle one

Once limits.peerLinks links were open, further ones were closed at once. Peers that connect and say nothing keep their places until they time out after 5 s, and come back at once: behind 450 of them no ordinary relay was answered in 20 attempts, so that an owner has no relays and can't call workers that only relays reach.

A new link is now always accepted. If all places are taken, the link that has delivered no complete frame for the longest time is closed; if all have, the one whose last frame is the oldest. A relay names itself right after connecting and answers a heartbeat each 2 s or less, so that silent links and half frames go first. Should an ordinary relay be met, it connects again at once.

--- a/src/aio/peer_sockets.cpp
+++ b/src/aio/peer_sockets.cpp
@@ -306,10 +306,8 @@
 
 void AcceptedLinks::add(const std::shared_ptr<PeerSocket>& link)
 {
-    if (prune() >= m_options.maxLinks) {
-        evict(*link, PeerEviction::Links);
-        return;
-    }
+    while (prune() >= std::max<std::size_t>(m_options.maxLinks, 1))
+        evict(*first([](const PeerSocket& a, const PeerSocket& b) { return a.delivery() < b.delivery(); }), PeerEviction::Links);
     m_links.push_back(link);
 }
 
