Frames of relays whose messages take many times their size are refused

A frame of empty answers has two bytes for each message of more than 100 bytes in memory: 8 frames of 8 MB took the owner to 567 MB where the test allows 96, and all kinds of hostile peers together to 216 MB.

Cause: the size of a frame does not bound what the decoder makes of it. Frames over 200 kB are now scanned before they are decoded; one with more than 100,000 fields (ten times those of the reports of 130 workers, and at most some 13 MB decoded) is refused as unreadable, which ends its link. Smaller frames can't have that many and are decoded without the scan.

--- a/src/jobs/relay/relay_codec.cpp
+++ b/src/jobs/relay/relay_codec.cpp
@@ -1,5 +1,8 @@
 #include "relay_codec.h"
 
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/wire_format_lite.h>
+
 namespace lanemoor::jobs {
 
 namespace {
@@ -8,6 +11,33 @@
 /// headers, and a job has about 24 tasks with up to 4,000 bytes each.
 constexpr std::size_t maxInlinePayload = 200;
 
+/// Of a frame of a relay. The reports of all workers of a relay have some 10,000; decoded, a field takes up to about 128 bytes.
+constexpr std::size_t maxReportFields = 100'000;
+constexpr std::size_t minFieldBytes = 2;
+
+using google::protobuf::internal::WireFormatLite;
+
+/// Counts the fields of a message, and of the answers in it if `isFrame`. \returns False once there are more than `maxReportFields`.
+bool countFields(google::protobuf::io::CodedInputStream& in, bool isFrame, std::size_t& count)
+{
+    while (const std::uint32_t tag = in.ReadTag()) {
+        if (++count > maxReportFields)
+            return false;
+        const bool isAnswer = isFrame && tag == WireFormatLite::MakeTag(wire::RelayFrame::kAnswersFieldNumber, WireFormatLite::WIRETYPE_LENGTH_DELIMITED);
+        std::uint32_t length = 0;
+        if (!isAnswer) {
+            if (!WireFormatLite::SkipField(&in, tag))
+                return true; // Malformed, which the decoder reports.
+        } else if (in.ReadVarint32(&length)) {
+            const auto limit = in.PushLimit(static_cast<int>(length));
+            if (!countFields(in, false, count))
+                return false;
+            in.PopLimit(limit);
+        }
+    }
+    return true;
+}
+
 void write(wire::RelayAttempt& message, const Attempt& attempt)
 {
     message.set_job(attempt.job);
@@ -37,6 +67,18 @@
 
 } // namespace
 
+std::optional<wire::RelayFrame> reportOf(const std::string& text)
+{
+    if (text.size() > maxReportFields * minFieldBytes) {
+        google::protobuf::io::CodedInputStream in(reinterpret_cast<const std::uint8_t*>(text.data()), static_cast<int>(text.size()));
+        std::size_t count = 0;
+        if (!countFields(in, true, count))
+            return std::nullopt;
+    }
+    wire::RelayFrame frame;
+    return frame.ParseFromString(text) ? std::optional(std::move(frame)) : std::nullopt;
+}
+
 bool isLongPayload(const StartCommand& command) noexcept
 {
     return command.payload.size() > maxInlinePayload;
--- a/src/jobs/relay/relay_codec.h
+++ b/src/jobs/relay/relay_codec.h
@@ -7,6 +7,9 @@
 
 #include <cstdint>
 
+#include <optional>
+#include <string>
+
 namespace lanemoor::jobs {
 
 /// \returns Whether the relay should read the payload from the store instead of receiving it with each call.
@@ -24,6 +27,10 @@
 void fill(wire::RelayAnswer& message, const RenewResult& result);
 ///@}
 
+/// \brief Decodes a frame of a relay, which any process on the network can send.
+/// \returns Nothing if the frame is malformed, or so dense that its messages would take many times its size.
+[[nodiscard]] std::optional<wire::RelayFrame> reportOf(const std::string& text);
+
 /// \name Decoding
 /// An outcome that this version does not define is decoded as `Unknown`.
 ///@{
--- a/src/jobs/relay/relayed_workers.cpp
+++ b/src/jobs/relay/relayed_workers.cpp
@@ -361,11 +361,12 @@
         const auto found = m_relays.find(number);
         if (found == m_relays.end())
             return;
-        wire::RelayFrame frame;
-        if (!frame.ParseFromString(text)) {
+        const std::optional<wire::RelayFrame> report = reportOf(text);
+        if (!report) {
             dropLink(number, "unreadable");
             return;
         }
+        const wire::RelayFrame& frame = *report;
         found->second.lastReceivedAt = m_parts.loop->now();
         if (frame.has_hello())
             onHello(number, found->second, frame.hello());
