Budget: a slow message does not take the memory of younger ones

A connection that needed memory was given that of the oldest other one, even if its own message had begun before all others. A client that sends its body slowly could so close the connections of ordinary clients one after the other; found by a test in which the response that began first closed the second one.

Change: a message that began first of several gets no more memory and is refused itself; idle connections still make room for it. A request that was read whole enters the phase Handling before it reserves, and takes memory from those that are still being read.

--- a/include/lanemoor/aio/connection_budget.h
+++ b/include/lanemoor/aio/connection_budget.h
@@ -65,8 +65,8 @@
     void enter(Id id, ConnectionPhase phase, jobs::MonotonicInstant now);
 
     /// \brief Sets the memory of a connection to `bytes`. May close others. Less than before is always granted.
-    /// \returns False if the connection is unknown or the memory would not suffice without the others that can be closed; then
-    /// nothing has changed.
+    /// \returns False if the connection is unknown, if it is reading and its message began first of several, or if the memory would not suffice
+    /// without the others that can be closed; the memory of the connection is then unchanged.
     [[nodiscard]] bool reserve(Id id, std::uint64_t bytes);
 
     [[nodiscard]] std::size_t connections() const noexcept { return m_entries.size(); }
@@ -84,7 +84,8 @@
     static constexpr std::size_t phaseCount = 5;
 
     [[nodiscard]] Order& orderOf(ConnectionPhase phase) { return m_orders[static_cast<std::size_t>(phase)]; }
-    [[nodiscard]] std::optional<Id> oldestOtherWithMemory(Id id);
+    /// \returns The connection to close for the memory that `requester` needs: itself if its message began first of several.
+    [[nodiscard]] std::optional<Id> oldestWithMemory(Id requester);
     void evict(Id id, RefusalReason reason);
 
     ConnectionBudgetOptions m_options;
--- a/src/aio/connection_budget.cpp
+++ b/src/aio/connection_budget.cpp
@@ -85,8 +85,8 @@
         if (fixed + bytes > m_options.maxBytes)
             return false;
         while (m_bytes - entry.bytes + bytes > m_options.maxBytes) {
-            const std::optional<Id> victim = oldestOtherWithMemory(id);
-            if (!victim)
+            const std::optional<Id> victim = oldestWithMemory(id);
+            if (!victim || *victim == id)
                 return false;
             evict(*victim, RefusalReason::Memory);
         }
@@ -97,12 +97,15 @@
     return true;
 }
 
-std::optional<ConnectionBudget::Id> ConnectionBudget::oldestOtherWithMemory(Id id)
+std::optional<ConnectionBudget::Id> ConnectionBudget::oldestWithMemory(Id requester)
 {
+    bool isRequesterOldest = false;
     for (const ConnectionPhase phase : orderForMemory) {
         for (const auto& [since, candidate] : orderOf(phase)) {
-            if (candidate != id && m_entries.at(candidate).bytes > 0)
-                return candidate;
+            if (candidate == requester)
+                isRequesterOldest = phase == ConnectionPhase::Reading;
+            else if (m_entries.at(candidate).bytes > 0)
+                return isRequesterOldest && phase != ConnectionPhase::Idle ? requester : candidate;
         }
     }
     return std::nullopt;
--- a/src/aio/http_listener.cpp
+++ b/src/aio/http_listener.cpp
@@ -187,11 +187,11 @@
         m_stream.expires_never();
         const HttpRequest request = makeRequest(message);
         const std::uint64_t handlingBytes = m_state->options.handlingBytes ? m_state->options.handlingBytes(request) : 0;
+        enter(ConnectionPhase::Handling); // From here on memory is taken from others.
         if (!reserve(request.body.capacity() + handlingBytes)) {
             refuse(unavailable, RefusalReason::Memory);
             return;
         }
-        enter(ConnectionPhase::Handling);
         ++m_state->inFlight;
         m_state->handler(request, [self = shared_from_this(), answered = false](HttpResponse response) mutable {
             if (answered)
--- a/tests/jobs/connection_budget_test.cpp
+++ b/tests/jobs/connection_budget_test.cpp
@@ -78,6 +78,8 @@
     fixture.enter(3, ConnectionPhase::Reading, 10);
     fixture.enter(2, ConnectionPhase::Reading, 11);
     fixture.enter(4, ConnectionPhase::Reading, 12);
+    CHECK_FALSE(fixture.reserve(3, 50)); // Its own message began first.
+    CHECK(fixture.closed.empty());
     CHECK(fixture.reserve(4, 50));
     CHECK(fixture.closed == std::vector { 3 });
     CHECK(fixture.reserve(4, 100));
