HTTP client: one budget of memory for all responses that are being read

What operators saw: nothing yet; found by reading. A response may have 8 MB, and there may be 24 calls to the store and six to each worker at the same time: far more than an entry has, if the servers misbehave.

A connection reserves before each read; if the memory is used up, the call whose response began first is unanswered and its connection reset. A call that waits without any part of a response holds nothing and is never ended so. A read that had completed before its connection was closed does not count as an answer, as its body is gone.

--- a/include/lanemoor/aio/http_client.h
+++ b/include/lanemoor/aio/http_client.h
@@ -3,6 +3,7 @@
 /// A single-threaded HTTP client for concurrent calls.
 
 #include "lanemoor/aio/asio_event_loop.h"
+#include "lanemoor/aio/connection_budget.h"
 #include "lanemoor/net/http_message.h"
 
 #include <cstdint>
@@ -43,7 +44,10 @@
 struct HttpClientOptions {
     std::uint32_t maxConnections = 8; ///< Per address; further calls wait.
     Millis connectTimeout { 1'000 }; ///< A path that drops packets reports no error, and the kernel retries for minutes.
-    std::uint64_t maxResponseBytes = 8'388'608; ///< More than eight times the store's largest page.
+    std::uint64_t maxResponseBytes = 8'388'608; ///< Of a body; more than eight times the store's largest page.
+    /// Bounds the memory of the responses that are being read, and may be shared by clients. If it is used up, the calls that were sent
+    /// first are unanswered. Null: no bound.
+    std::shared_ptr<ConnectionBudget> budget {};
     Millis stallTimeout { 1'000 }; ///< A response of which nothing more arrives for this time is lost.
     Millis idleTimeout { 20'000 }; ///< A connection unused for this time is closed.
 };
--- a/include/lanemoor/jobs/service/job_service_settings.h
+++ b/include/lanemoor/jobs/service/job_service_settings.h
@@ -21,6 +21,7 @@
     std::uint32_t headerBytes = 16'384; ///< Of a request's header.
     std::uint64_t bodyBytes = 1'048'576; ///< Of a request's body.
     std::uint64_t responseBytes = 8'388'608; ///< Of the body of a response that this process reads; more than eight times the store's largest page.
+    std::uint64_t allResponsesBytes = 33'554'432; ///< Memory of all responses that are being read.
     Millis requestTime { 10'000 }; ///< From the first byte of a request to its last, and for the response to be taken.
     Millis idleTime { 75'000 }; ///< Between requests; longer than the pauses of the balancer's clients.
 
--- a/src/aio/http_client.cpp
+++ b/src/aio/http_client.cpp
@@ -46,6 +46,8 @@
     std::optional<http::response_parser<http::string_body>> parser;
     PendingCall pending;
     jobs::MonotonicInstant idleSince;
+    std::optional<ConnectionBudget::Id> budgetId; ///< While a call is in progress.
+    bool isEvicted = false; ///< Closed by the budget; the response is incomplete.
 };
 
 using ConnectionPointer = std::shared_ptr<Connection>;
@@ -111,6 +113,13 @@
     connection.stream.socket().close(ignored);
 }
 
+/// \returns The memory of the response after the next read: an unknown length doubles the memory when it is used up.
+std::uint64_t responseBytes(const Connection& connection)
+{
+    const std::uint64_t bytes = connection.parser->get().body().size() + connection.buffer.capacity();
+    return connection.parser->is_header_done() && connection.parser->content_length() ? bytes : 2 * bytes;
+}
+
 /// Closes a connection on which no request is pending.
 void closeOrderly(Connection& connection)
 {
@@ -126,7 +135,7 @@
     Impl(AsioEventLoop& loop, HttpClientOptions options)
         : m_loop(loop)
         , m_context(loop.impl().context)
-        , m_options(options)
+        , m_options(std::move(options))
     {
     }
 
@@ -221,6 +230,7 @@
         connection->parser.emplace();
         connection->parser->body_limit(m_options.maxResponseBytes);
         connection->stream.expires_at(m_loop.impl().toTimerClock(connection->pending.call.deadline));
+        openBudget(connection);
         http::async_write(connection->stream, connection->request, [self = shared_from_this(), &peer, connection](const beast::error_code& error, std::size_t) {
             if (error) {
                 self->finish(peer, connection, {}, false);
@@ -230,13 +240,39 @@
         });
     }
 
+    void openBudget(const ConnectionPointer& connection)
+    {
+        if (!m_options.budget)
+            return;
+        connection->budgetId = m_options.budget->open(m_loop.now(), [weak = std::weak_ptr(connection)](RefusalReason) {
+            const ConnectionPointer evicted = weak.lock();
+            if (!evicted)
+                return;
+            evicted->isEvicted = true;
+            closeByReset(*evicted); // The cancelled operation ends the call later; the memory is needed now.
+            std::string().swap(evicted->parser->get().body());
+        });
+        if (connection->budgetId)
+            m_options.budget->enter(*connection->budgetId, ConnectionPhase::Reading, m_loop.now());
+    }
+
+    /// \returns Whether there is memory for the next part of the response.
+    [[nodiscard]] bool reserve(const Connection& connection) const
+    {
+        return !m_options.budget || (connection.budgetId && m_options.budget->reserve(*connection.budgetId, responseBytes(connection)));
+    }
+
     /// Reads the response in chunks: each one shows that the transfer progresses.
     void read(Peer& peer, const ConnectionPointer& connection)
     {
         reserveForBody(*connection);
+        if (!reserve(*connection)) {
+            finish(peer, connection, {}, false);
+            return;
+        }
         http::async_read_some(connection->stream, connection->buffer, *connection->parser, [self = shared_from_this(), &peer, connection](const beast::error_code& error, std::size_t) {
             ++self->counts.reads;
-            if (error) {
+            if (error || connection->isEvicted) {
                 self->finish(peer, connection, {}, false);
                 return;
             }
@@ -270,6 +306,8 @@
         counts.notSent += reply.delivery == Delivery::NotSent ? 1 : 0;
         counts.unanswered += reply.delivery == Delivery::Unanswered ? 1 : 0;
         const std::function<void(HttpReply)> done = std::move(connection->pending.done);
+        if (const auto id = std::exchange(connection->budgetId, std::nullopt))
+            m_options.budget->remove(*id);
         if (keep) {
             connection->stream.expires_never();
             connection->buffer.shrink_to_fit();
@@ -293,7 +331,7 @@
 };
 
 HttpClient::HttpClient(AsioEventLoop& loop, HttpClientOptions options)
-    : m_impl(std::make_shared<Impl>(loop, options))
+    : m_impl(std::make_shared<Impl>(loop, std::move(options)))
 {
 }
 
--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -81,6 +81,7 @@
     readSize(reader, "headerBytes", minBytes, maxHeaderBytes, limits.headerBytes);
     readSize(reader, "bodyBytes", minBytes, maxBodyBytes, limits.bodyBytes);
     readSize(reader, "responseBytes", minBytes, maxBodyBytes, limits.responseBytes);
+    readSize(reader, "allResponsesBytes", minConnectionBytes, maxConnectionBytes, limits.allResponsesBytes);
     readMillis(reader, "requestMs", minTime, limits.requestTime);
     readMillis(reader, "idleMs", minTime, limits.idleTime);
 }
--- a/tests/jobs/codec_test.cpp
+++ b/tests/jobs/codec_test.cpp
@@ -191,9 +191,9 @@
         return R"({"name":"e","dataHall":"h","jobService":{"front":"10.0.0.1:1","readiness":"10.0.0.1:2","store":"10.0.0.2:3","fleet":"10.0.0.3:4","limits":{)" + limits + "}}}";
     };
     JobServiceSettingsReader reader;
-    const auto settings = reader.read(with(R"("connections":20,"connectionBytes":2000000,"headerBytes":2048,"bodyBytes":4096,"responseBytes":8192,"requestMs":500,"idleMs":600)"));
+    const auto settings = reader.read(with(R"("connections":20,"connectionBytes":2000000,"headerBytes":2048,"bodyBytes":4096,"responseBytes":8192,"allResponsesBytes":3000000,"requestMs":500,"idleMs":600)"));
     REQUIRE(settings);
-    const ConnectionLimits expected { .connections = 20, .connectionBytes = 2'000'000, .headerBytes = 2'048, .bodyBytes = 4'096, .responseBytes = 8'192, .requestTime = Millis(500), .idleTime = Millis(600) };
+    const ConnectionLimits expected { .connections = 20, .connectionBytes = 2'000'000, .headerBytes = 2'048, .bodyBytes = 4'096, .responseBytes = 8'192, .allResponsesBytes = 3'000'000, .requestTime = Millis(500), .idleTime = Millis(600) };
     CHECK(settings->limits == expected);
     CHECK(reader.read(with(""))->limits == ConnectionLimits {});
     for (const char* bad : { R"("connections":0)", R"("connectionBytes":1000)", R"("headerBytes":10)", R"("bodyBytes":-1)", R"("requestMs":0)", R"("odd":1)" })
--- a/tests/jobs/http_test.cpp
+++ b/tests/jobs/http_test.cpp
@@ -431,6 +431,32 @@
     }
 }
 
+// Guards against servers whose responses together hold more memory than the process has, each within the limit of one.
+TEST_CASE("Responses beyond the memory of all of them end the call that was sent first")
+{
+    const test::HostileServer server({ .opening = "HTTP/1.1 200 OK\r\nContent-Length: 800000\r\n\r\n" + std::string(700'000, 'x') }, [] { return true; });
+    Exchange exchange;
+    const auto budget = std::make_shared<ConnectionBudget>(ConnectionBudgetOptions { .maxBytes = 1'000'000 });
+    HttpClient client(exchange.loop, { .budget = budget });
+    const std::optional<HttpAddress> address = parseAddress(server.address());
+    REQUIRE(address);
+    std::vector<int> ended;
+    const auto send = [&](int call, std::function<bool()> onBodyStart) {
+        client.send(*address, { .request = post("x"), .deadline = exchange.loop.now() + Millis(20'000), .onBodyStart = std::move(onBodyStart) }, [&ended, &exchange, call](const HttpReply& reply) {
+            CHECK(reply.delivery == Delivery::Unanswered);
+            ended.push_back(call);
+            exchange.loop.stop();
+        });
+    };
+    send(1, [&] {
+        send(2, {});
+        return true;
+    });
+    exchange.loop.run();
+    CHECK(ended == std::vector { 1 });
+    CHECK(budget->bytes() <= 1'000'000);
+}
+
 // Guards against large responses that time out while they arrive, and are requested again over the same link.
 TEST_CASE("A response that keeps arriving may take longer than the deadline for its beginning")
 {
