Listeners: refusals are counted and logged

What operators saw: nothing. A connection that was closed for a newer one or for its memory, and a request that was refused before it was handled, left no trace.

Change: lanemoor_connections_refused_total{address,reason} and the log line connection-refused, whose budget of lines per second is that of all decisions, so that a crowd does not fill the log.

--- a/include/lanemoor/jobs/service/job_metrics.h
+++ b/include/lanemoor/jobs/service/job_metrics.h
@@ -85,6 +85,10 @@
     /// \brief Counts a job description that could not be parsed.
     void noteRejected();
 
+    /// \brief Counts a connection that was closed early, or whose request was refused before it was handled.
+    /// \param address,reason Each one of a fixed set of names.
+    void noteConnectionRefused(const std::string& address, const std::string& reason);
+
     /// \brief Counts a call that was refused for its route or key, or deferred.
     /// \param reason One of a fixed set of names.
     void noteCallerRefused(const std::string& reason);
--- a/include/lanemoor/jobs/service/job_service.h
+++ b/include/lanemoor/jobs/service/job_service.h
@@ -98,6 +98,10 @@
     void submit(const Caller& caller, const std::string& id, JobSpec spec, std::function<void(AcceptOutcome)> done);
     void noteRejected(const std::string& id, JobFault fault);
 
+    /// \brief Counts and logs a connection that was closed early, or whose request was refused before it was handled.
+    /// \param address,reason Each one of a fixed set of names.
+    void noteConnectionRefused(std::string_view address, std::string_view reason);
+
     void status(const Caller& caller, const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done);
     void cancel(const Caller& caller, const std::string& id, std::function<void(LookupOutcome)> done);
 
--- a/src/jobs/service/job_metrics.cpp
+++ b/src/jobs/service/job_metrics.cpp
@@ -263,6 +263,7 @@
     prometheus::Family<prometheus::Counter>& rejections = prometheus::BuildCounter().Name("lanemoor_jobs_rejected_total").Help("Descriptions that could not be read").Register(registry);
     prometheus::Counter& rejected = rejections.Add({});
     prometheus::Family<prometheus::Counter>& callersRefused = prometheus::BuildCounter().Name("lanemoor_callers_refused_total").Help("Calls refused for their key, by reason").Register(registry);
+    prometheus::Family<prometheus::Counter>& connectionsRefused = prometheus::BuildCounter().Name("lanemoor_connections_refused_total").Help("Connections closed early or refused a request, by address and reason").Register(registry);
 };
 
 JobMetrics::JobMetrics()
@@ -299,6 +300,11 @@
     m_impl->lookups.Add({ { "outcome", std::string(nameOf(outcome)) } }).Increment();
 }
 
+void JobMetrics::noteConnectionRefused(const std::string& address, const std::string& reason)
+{
+    m_impl->connectionsRefused.Add({ { "address", address }, { "reason", reason } }).Increment();
+}
+
 void JobMetrics::noteRejected()
 {
     m_impl->rejected.Increment();
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -927,6 +927,12 @@
     m_impl->m_parts.log->decision("job-rejected", { { "job", id }, { "reason", std::string(describe(fault)) } });
 }
 
+void JobService::noteConnectionRefused(std::string_view address, std::string_view reason)
+{
+    m_impl->metrics.noteConnectionRefused(std::string(address), std::string(reason));
+    m_impl->m_parts.log->decision("connection-refused", { { "address", std::string(address) }, { "reason", std::string(reason) } });
+}
+
 void JobService::status(const std::string& id, const std::function<void(LookupOutcome, JobStatus)>& done)
 {
     m_impl->status(id, done);
