--- a/src/jobs/service/job_service_settings.cpp
+++ b/src/jobs/service/job_service_settings.cpp
@@ -82,6 +82,7 @@
     readSize(reader, "bodyBytes", minBytes, maxBodyBytes, limits.bodyBytes);
     readSize(reader, "responseBytes", minBytes, maxBodyBytes, limits.responseBytes);
     readSize(reader, "peerLinks", minConnections, maxConnections, limits.peerLinks);
+    readSize(reader, "allResponsesBytes", minConnectionBytes, maxConnectionBytes, limits.allResponsesBytes);
     readMillis(reader, "requestMs", minTime, limits.requestTime);
     readMillis(reader, "idleMs", minTime, limits.idleTime);
 }
