Instance lists that take many times their size are refused before they are decoded

The platform's answers are read up to 8 MB each by six readers, and a list of 8 MB of small values takes many times that once decoded: 165 to 178 MB where the smallest machine has 160 (the test stops at the bound).

Cause: the bound on the bytes of a list does not bound its values. A linear scan without allocation now refuses a list with more than 600,000 values (40,000 instances of 15) as malformed, and the former list stays in force. Values of the store are read up to 1 MB, as much as is ever written, instead of 8 MB.

--- a/src/adapters/http_platform.cpp
+++ b/src/adapters/http_platform.cpp
@@ -1,6 +1,7 @@
 #include "lanemoor/adapters/http_platform.h"
 
 #include "lanemoor/net/http_connection.h"
+#include "lanemoor/state/json_bounds.h"
 
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -13,16 +14,18 @@
 constexpr Millis callTimeout { 2'000 };
 /// Added to the wait time of a watch.
 constexpr Millis watchTimeoutMargin { 2'000 };
-constexpr std::size_t maxAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t maxListBytes = 8 * 1024 * 1024;
 constexpr std::size_t maxValueBytes = 1024 * 1024;
+constexpr std::size_t maxListValues = 600'000; ///< Those of 40,000 instances.
 
 /// Sends calls over one connection and reconnects when it was closed. Never resends a call that
 /// may have been sent.
 class CallConnection {
 public:
-    explicit CallConnection(HttpAddress address)
+    CallConnection(HttpAddress address, std::size_t maxAnswerBytes)
         : m_address(std::move(address))
         , m_connection(m_address)
+        , m_maxAnswerBytes(maxAnswerBytes)
     {
     }
 
@@ -31,7 +34,7 @@
     {
         if (!m_connection.isReusable())
             m_connection = HttpConnection(m_address);
-        BufferSink sink(maxAnswerBytes);
+        BufferSink sink(m_maxAnswerBytes);
         m_lastResult = m_connection.exchange(request, sink, { .deadline = currentInstant() + limit });
         if (m_lastResult.fault != ExchangeFault::None)
             return std::nullopt;
@@ -43,6 +46,7 @@
 private:
     HttpAddress m_address;
     HttpConnection m_connection;
+    std::size_t m_maxAnswerBytes;
     ExchangeResult m_lastResult;
 };
 
@@ -63,7 +67,7 @@
 class HttpStore final : public Store {
 public:
     explicit HttpStore(const HttpAddress& address)
-        : m_callConnection(address)
+        : m_callConnection(address, maxValueBytes)
     {
     }
 
@@ -160,7 +164,7 @@
 class HttpPlatform final : public Platform {
 public:
     explicit HttpPlatform(const HttpAddress& address)
-        : m_callConnection(address)
+        : m_callConnection(address, maxListBytes)
     {
     }
 
@@ -282,6 +286,8 @@
 
 std::optional<Instances> parseInstanceList(std::string_view text)
 {
+    if (hasMoreValues(text, maxListValues))
+        return std::nullopt;
     const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
     if (!json.is_array())
         return std::nullopt;
