Documents that take many times their size are refused before they are decoded

A configuration of 1 MB may be sent to the operators' port. Decoded with the position of each value, one of small values takes some hundred times its size; 16 callers with such documents take the process to 301 MB where the machine has 160. Repeated fields give a fault each, and each searches the text for its position.

Settings and configurations with more than 50,000 values are refused with one fault, "too many values", by the scan that instance lists have; reading ends after 100 repeated fields. A configuration of 180 teams and 120 pools is far below the bound by count of its fields; no deployment's file was measured.

--- a/src/state/json_document.cpp
+++ b/src/state/json_document.cpp
@@ -1,5 +1,7 @@
 #include "lanemoor/state/json_document.h"
 
+#include "lanemoor/state/json_bounds.h"
+
 #include <algorithm>
 #include <iterator>
 #include <set>
@@ -10,6 +12,10 @@
 
 /// Documents with deeper nesting are refused.
 constexpr std::size_t maxNestingDepth = 32;
+/// Documents with more values are refused: with its position, a small value takes some 200 bytes.
+constexpr std::size_t maxValues = 50'000;
+/// Reading ends after so many faults.
+constexpr std::size_t maxFaults = 100;
 
 /// Iterator that counts the bytes read, so that a SAX handler can derive positions.
 class CountingIterator {
@@ -102,7 +108,7 @@
         if (!level.seen.insert(name).second)
             m_faults.push_back({ .code = DocumentFaultCode::DuplicateField, .field = currentPointer(), .position = positionAt(m_text, tokenStart()), .detail = {} });
         m_tokenEnd = m_offset;
-        return true;
+        return m_faults.size() < maxFaults;
     }
 
     bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception& error) override
@@ -224,6 +230,10 @@
     m_text = text;
     m_offsets.clear();
     m_faults.clear();
+    if (hasMoreValues(text, maxValues)) {
+        m_faults.push_back({ .code = DocumentFaultCode::Syntax, .field = {}, .position = positionAt(text, 0), .detail = "too many values" });
+        return false;
+    }
     std::size_t offset = 0;
     PositionHandler handler(text, offset, m_offsets, m_faults);
     const CountingIterator begin(text.data(), &offset);
--- a/tests/unit/document_test.cpp
+++ b/tests/unit/document_test.cpp
@@ -2,6 +2,7 @@
 
 #include "lanemoor/jobs/service/job_service_settings.h"
 #include "lanemoor/state/configuration_document.h"
+#include "lanemoor/state/json_bounds.h"
 #include "lanemoor/state/settings.h"
 #include "lanemoor/state/time_text.h"
 
@@ -135,3 +136,25 @@
             CHECK(ConfigurationReader().read(text, 1));
     }
 }
+
+// Guards against documents of an allowed size that take many times their size in memory once read.
+TEST_CASE("documents with very many values are refused, and values in strings do not count")
+{
+    const std::string many(100'000, ',');
+    JsonDocument document;
+    CHECK_FALSE(document.parse("[0" + many + "]"));
+    CHECK(hasMoreValues("[0" + many + "]", 50'000));
+    CHECK_FALSE(hasMoreValues("[\"" + many + "\\\"" + many + "\"]", 2));
+    CHECK(document.parse("{\"text\":\"" + many + "\"}"));
+}
+
+// Guards against a fault for each of very many fields, each with a search for its position.
+TEST_CASE("reading ends after many faults")
+{
+    std::string text = "{\"a\":0";
+    for (int i = 0; i < 10'000; ++i)
+        text += ",\"a\":0";
+    JsonDocument document;
+    CHECK_FALSE(document.parse(text + "}"));
+    CHECK(document.faults().size() <= 101);
+}
