Request service: one limit for the bodies of all requests together

Cause: the limit of a body holds for each request, and nothing for all. Bodies now reserve their memory from one budget for each port as they arrive, 24 MB at the front and 8 MB at the operators' port, and the memory doubles at most to the announced length. Beyond the budget a request gets 503 with Retry-After: it was not read whole and not handled. A refused request frees its body at once. Each refusal is counted and logged.

--- a/include/lanemoor/adapters/metrics.h
+++ b/include/lanemoor/adapters/metrics.h
@@ -63,6 +63,8 @@
 
     void onRequest(const RequestMeasure& measure);
     void onBreach(InvariantCode code);
+    /// \brief Counts a request that was refused before it was handled.
+    void onRefused(const std::string& port, unsigned status);
     void count(EventCounter counter, std::uint64_t times = 1);
     void set(StateGauge gauge, double value);
 
--- a/include/lanemoor/net/http_server.h
+++ b/include/lanemoor/net/http_server.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -54,9 +55,12 @@
     std::string certificateFile; ///< PEM; empty disables TLS.
     std::string keyFile;
     std::size_t maxBodyBytes = 1024 * 1024;
+    std::size_t maxAllBodyBytes = 24 * 1024 * 1024; ///< Of all requests that are being read or handled; above it, 503.
     unsigned maxThreads = 64; ///< Requests handled concurrently; further ones wait.
     std::chrono::milliseconds readTimeout { 5'000 }; ///< For one complete body.
     std::chrono::milliseconds idleTimeout { 30'000 }; ///< For a connection between requests.
+    /// Called with the status of each request that is refused before it is handled, by several threads concurrently; may be null.
+    std::function<void(unsigned status)> onRefused;
 };
 
 /// \brief A server that listens from construction to destruction.
--- a/src/adapters/metrics.cpp
+++ b/src/adapters/metrics.cpp
@@ -56,6 +56,7 @@
     Impl()
         : m_requests(prometheus::BuildCounter().Name("lanemoor_requests_total").Help("Finished requests by class, team, outcome and refusal.").Register(m_registry))
         , m_breaches(prometheus::BuildCounter().Name("lanemoor_invariant_breaches_total").Help("Invariants found broken.").Register(m_registry))
+        , m_refused(prometheus::BuildCounter().Name("lanemoor_requests_refused_unread_total").Help("Requests refused before they were handled, by port and status.").Register(m_registry))
         , m_latency(prometheus::BuildHistogram().Name("lanemoor_request_seconds").Help("Time from arrival to the end of the answer.").Register(m_registry))
         , m_wait(prometheus::BuildHistogram().Name("lanemoor_wait_seconds").Help("Time from arrival to the start.").Register(m_registry))
     {
@@ -79,6 +80,11 @@
         m_breaches.Add({ { "invariant", std::string(describe(code)) } }).Increment();
     }
 
+    void onRefused(const std::string& port, unsigned status)
+    {
+        m_refused.Add({ { "port", port }, { "status", std::to_string(status) } }).Increment();
+    }
+
     void count(EventCounter counter, std::uint64_t times)
     {
         m_counters.at(static_cast<std::size_t>(counter))->Increment(static_cast<double>(times));
@@ -98,6 +104,7 @@
     prometheus::Registry m_registry;
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_breaches;
+    prometheus::Family<prometheus::Counter>& m_refused;
     prometheus::Family<prometheus::Histogram>& m_latency;
     prometheus::Family<prometheus::Histogram>& m_wait;
     std::array<prometheus::Counter*, counterNames.size()> m_counters {};
@@ -116,6 +123,11 @@
     m_impl->onRequest(measure);
 }
 
+void Metrics::onRefused(const std::string& port, unsigned status)
+{
+    m_impl->onRefused(port, status);
+}
+
 void Metrics::onBreach(InvariantCode code)
 {
     m_impl->onBreach(code);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "lanemoor/net/http_server.h"
 
+#include "body_budget.h"
 #include "port_reservation.h"
 
 #include <algorithm>
@@ -161,17 +162,18 @@
 
 class Responder final : public cxxtools::http::Responder {
 public:
-    Responder(cxxtools::http::Service& service, const HttpServerOptions& options, HttpHandler& handler)
+    Responder(cxxtools::http::Service& service, const HttpServerOptions& options, BodyBudget& budget, HttpHandler& handler)
         : cxxtools::http::Responder(service)
         , m_options(options)
         , m_handler(handler)
+        , m_reservation(budget)
     {
     }
 
     void beginRequest(cxxtools::net::TcpSocket& socket, std::istream&, cxxtools::http::Request& request) override
     {
         m_socket = &socket;
-        m_body.clear();
+        releaseBody();
         m_deadline = SteadyClock::now() + m_options.readTimeout;
         m_remaining = checkFraming(request.header(), m_options.maxBodyBytes);
     }
@@ -184,6 +186,7 @@
         const auto wanted = static_cast<std::size_t>(std::max<std::streamsize>(available, 0));
         const std::size_t bytes = std::min(wanted, m_remaining);
         const std::size_t before = m_body.size();
+        makeRoom(before + bytes);
         m_body.resize(before + bytes);
         in.read(m_body.data() + before, static_cast<std::streamsize>(bytes));
         m_remaining -= bytes;
@@ -195,12 +198,19 @@
         Exchange exchange(convert(request), *m_socket, out, reply);
         m_handler.handle(exchange);
         exchange.finish();
+        m_reservation.clear();
     }
 
     void replyError(std::ostream& out, cxxtools::http::Request&, cxxtools::http::Reply& reply, const std::exception& error) override
     {
+        constexpr unsigned unavailable = 503;
         const auto* refused = dynamic_cast<const RefusedRequest*>(&error);
         const unsigned status = refused ? refused->status() : 400;
+        releaseBody();
+        if (m_options.onRefused)
+            m_options.onRefused(status);
+        if (status == unavailable)
+            reply.setHeader("Retry-After", "1");
         reply.httpReturn(status, reasonPhrase(status));
         reply.setHeader("Content-Type", "application/problem+json");
         reply.setHeader("Connection", "close");
@@ -208,6 +218,23 @@
     }
 
 private:
+    void releaseBody()
+    {
+        std::string().swap(m_body);
+        m_reservation.clear();
+    }
+
+    /// Doubles the memory of the body up to its announced length, within the budget of all bodies.
+    void makeRoom(std::size_t bytes)
+    {
+        if (bytes <= m_body.capacity())
+            return;
+        const std::size_t capacity = std::min(std::max(bytes, 2 * m_body.capacity()), m_body.size() + m_remaining);
+        if (!m_reservation.growTo(capacity))
+            throw RefusedRequest(503, "too many bodies are being read");
+        m_body.reserve(capacity);
+    }
+
     HttpRequest convert(const cxxtools::http::Request& request)
     {
         HttpRequest converted;
@@ -223,6 +250,7 @@
     HttpHandler& m_handler;
     cxxtools::net::TcpSocket* m_socket = nullptr;
     std::string m_body;
+    BodyReservation m_reservation;
     std::size_t m_remaining = 0;
     SteadyClock::time_point m_deadline;
 };
@@ -232,13 +260,14 @@
     ResponderService(const HttpServerOptions& options, HttpHandler& handler)
         : m_options(options)
         , m_handler(handler)
+        , m_budget(options.maxAllBodyBytes)
     {
     }
 
 protected:
     cxxtools::http::Responder* createResponder(const cxxtools::http::Request&) override
     {
-        return new Responder(*this, m_options, m_handler);
+        return new Responder(*this, m_options, m_budget, m_handler);
     }
 
     void releaseResponder(cxxtools::http::Responder* responder) override
@@ -249,6 +278,7 @@
 private:
     const HttpServerOptions& m_options;
     HttpHandler& m_handler;
+    BodyBudget m_budget;
 };
 
 } // namespace
--- a/src/serve/process/daemon.cpp
+++ b/src/serve/process/daemon.cpp
@@ -22,9 +22,11 @@
 namespace {
 
 constexpr unsigned operatorThreads = 8;
+constexpr std::size_t operatorBodyBytes = 8 * 1024 * 1024; // Of all requests together.
 constexpr Millis stopCheckInterval { 20 };
 
-HttpServerOptions serverOptions(const ListenSettings& listen, unsigned maxThreads)
+/// \param port Name of the port, for the metric and the log.
+HttpServerOptions serverOptions(const char* port, const ListenSettings& listen, unsigned maxThreads, SharedState& state)
 {
     HttpServerOptions options;
     options.ip = listen.ip;
@@ -32,6 +34,10 @@
     options.certificateFile = listen.certificateFile;
     options.keyFile = listen.keyFile;
     options.maxThreads = maxThreads;
+    options.onRefused = [port, &state](unsigned status) {
+        state.metrics().onRefused(port, status);
+        state.log().decision("request-refused", { { "port", std::string(port) }, { "status", std::int64_t { status } } });
+    };
     return options;
 }
 
@@ -113,8 +119,10 @@
         threads.start(list);
         threads.start(shardLease);
         threads.start(control);
-        const HttpServer frontServer(serverOptions(settings.front, settings.maxThreads), front);
-        const HttpServer operatorServer(serverOptions(settings.operators, operatorThreads), operators);
+        const HttpServer frontServer(serverOptions("front", settings.front, settings.maxThreads, state), front);
+        HttpServerOptions operatorOptions = serverOptions("operators", settings.operators, operatorThreads, state);
+        operatorOptions.maxAllBodyBytes = operatorBodyBytes;
+        const HttpServer operatorServer(operatorOptions, operators);
         log.change("listening", { { "front", std::int64_t { frontServer.port() } }, { "operators", std::int64_t { operatorServer.port() } }, { "peer", peers.address() } });
         int signal = 0;
         sigwait(&signals, &signal);
