A request that needs more than all memory gets 413, not 503

A very wide or deep body whose estimate exceeds the memory of all connections was answered with 503 and Retry-After, though no retry can succeed. Such a request now gets 413 and is not handled. Whether a smaller one fits still depends on the others, and it gets 503 then.

--- a/include/lanemoor/aio/connection_budget.h
+++ b/include/lanemoor/aio/connection_budget.h
@@ -71,6 +71,7 @@
 
     [[nodiscard]] std::size_t connections() const noexcept { return m_entries.size(); }
     [[nodiscard]] std::uint64_t bytes() const noexcept { return m_bytes; }
+    [[nodiscard]] std::uint64_t maxBytes() const noexcept { return m_options.maxBytes; }
 
 private:
     struct Entry {
--- a/src/aio/http_listener.cpp
+++ b/src/aio/http_listener.cpp
@@ -82,8 +82,10 @@
 
     void enter(ConnectionPhase phase) { budget().enter(m_id, phase, m_state->loop.now()); }
 
-    /// Reserves memory for this connection with `bytes` beyond its buffer.
-    [[nodiscard]] bool reserve(std::uint64_t bytes) { return budget().reserve(m_id, connectionBytes + m_buffer.capacity() + bytes); }
+    /// \returns The memory of this connection with `bytes` beyond its buffer.
+    [[nodiscard]] std::uint64_t memoryWith(std::uint64_t bytes) const { return connectionBytes + m_buffer.capacity() + bytes; }
+
+    [[nodiscard]] bool reserve(std::uint64_t bytes) { return budget().reserve(m_id, memoryWith(bytes)); }
 
     void evict(RefusalReason reason)
     {
@@ -187,8 +189,13 @@
         m_stream.expires_never();
         const HttpRequest request = makeRequest(message);
         const std::uint64_t handlingBytes = m_state->options.handlingBytes ? m_state->options.handlingBytes(request) : 0;
+        const std::uint64_t bytes = request.body.capacity() + handlingBytes;
+        if (memoryWith(bytes) > budget().maxBytes()) {
+            refuse(tooLarge, RefusalReason::Body); // A retry would not succeed either.
+            return;
+        }
         enter(ConnectionPhase::Handling); // From here on memory is taken from others.
-        if (!reserve(request.body.capacity() + handlingBytes)) {
+        if (!reserve(bytes)) {
             refuse(unavailable, RefusalReason::Memory);
             return;
         }
--- a/tests/jobs/http_test.cpp
+++ b/tests/jobs/http_test.cpp
@@ -284,6 +284,22 @@
     CHECK(first->response.status == 200);
 }
 
+// Guards against a client that is told to come back with a request that can never be handled.
+TEST_CASE("A request that needs more than all memory gets 413 and is not handled")
+{
+    Exchange exchange;
+    const auto budget = std::make_shared<ConnectionBudget>(ConnectionBudgetOptions { .maxBytes = 100'000 });
+    bool isHandled = false;
+    const HttpListener listener(
+        exchange.loop, { .address = { "127.0.0.1", 0 }, .budget = budget, .handlingBytes = [](const HttpRequest&) { return 100'000; } },
+        [&](const HttpRequest&, const HttpResponder&) { isHandled = true; });
+    HttpClient client(exchange.loop, {});
+    const HttpReply reply = exchange.call(client, { "127.0.0.1", listener.port() }, post("wide"));
+    CHECK(reply.response.status == 413);
+    CHECK_FALSE(reply.response.headers.find("Retry-After"));
+    CHECK_FALSE(isHandled);
+}
+
 // Guards against limits that ordinary clients meet.
 TEST_CASE("With the default limits the largest body and pipelined requests are answered in order")
 {
