--- a/tests/jobs/http_test.cpp
+++ b/tests/jobs/http_test.cpp
@@ -284,7 +284,7 @@
     CHECK(first->response.status == 200);
 }
 
-// Guards against a client that is told to come back with a request that can never be handled.
+// Guards against a Retry-After for a request that can never be handled.
 TEST_CASE("A request that needs more than all memory gets 413 and is not handled")
 {
     Exchange exchange;
--- a/tests/jobs/plan_test.cpp
+++ b/tests/jobs/plan_test.cpp
@@ -227,7 +227,7 @@
     CHECK(plan.workersToEvacuate().empty());
 }
 
-TEST_CASE("A wave keeps a worker empty while its maintenance call has no response whatever lists show")
+TEST_CASE("A wave keeps a worker empty while its maintenance call is unanswered")
 {
     // Guards against starts on a worker that a call in flight takes down.
     using Evacuated = std::map<std::string, std::string>;
--- a/tests/jobs/previous_incarnation_test.cpp
+++ b/tests/jobs/previous_incarnation_test.cpp
@@ -1,5 +1,5 @@
-/// A worker that is back under its id carries out delayed calls that were sent to its previous incarnation: the platform can't tell
-/// these incarnations apart.
+/// A worker that is back under its id carries out delayed calls that were sent to its previous incarnation: the platform does not distinguish
+/// them.
 
 #include "support.h"
 
@@ -77,7 +77,7 @@
 }
 
 /// Guards against a task that runs twice: the stop of an unacknowledged start was carried out by one incarnation, and the start by the next one.
-TEST_CASE("A delayed start does not begin at the incarnation after the one that was told to stop it")
+TEST_CASE("A delayed start does not begin at the incarnation after the one that was ordered to stop it")
 {
     DelayedCallCluster cluster(2, Millis(9'000));
     cluster.delayCommands(Millis(5'500));
