--- a/review/third/cases.h
+++ b/review/third/cases.h
@@ -22,9 +22,15 @@
 /// A job with more tasks than 64 bits count.
 Verdict playCountlessTasks(const CaseInput& input);
 
+/// Large jobs come at once.
+Verdict playLargeJobs(const CaseInput& input);
+
 /// Sound jobs whose tasks take long.
 Verdict playLongTasks(const CaseInput& input);
 
+/// A worker starts again under its id and is cut off.
+Verdict playRestartedWorker(const CaseInput& input);
+
 /// The rack with a job's data is lost.
 Verdict playLostRack(const CaseInput& input);
 
--- a/review/third/harness.cpp
+++ b/review/third/harness.cpp
@@ -7,6 +7,7 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -117,6 +118,7 @@
     m_pid = ::fork();
     if (m_pid != 0)
         return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL); // No process outlives this program.
     constexpr mode_t mode = 0644;
     const int log = ::open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, mode);
     ::dup2(log, STDOUT_FILENO);
--- a/review/third/main.cpp
+++ b/review/third/main.cpp
@@ -20,8 +20,10 @@
     { "hopeless-jobs", playHopelessJobs },
     { "unanswered-upkeep", playUnansweredUpkeep },
     { "countless-tasks", playCountlessTasks },
+    { "large-jobs", playLargeJobs },
     { "long-tasks", playLongTasks },
     { "lost-rack", playLostRack },
+    { "restarted-worker", playRestartedWorker },
 };
 
 Verdict play(const std::string& name, const std::string& folder)
