--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 set -u
 cd "$(dirname "$0")/../.."
 [ -x target/review-3/bin/third_cases ] || exit 2
-exec target/review-3/bin/third_cases hopeless-jobs review/10
+exec target/review-3/bin/third_cases countless-tasks review/10
--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 set -u
 cd "$(dirname "$0")/../.."
 [ -x target/review-3/bin/third_cases ] || exit 2
-exec target/review-3/bin/third_cases lost-rack review/13
+exec target/review-3/bin/third_cases unanswered-upkeep review/13
