--- a/review/third/harness.cpp
+++ b/review/third/harness.cpp
@@ -323,6 +323,12 @@
     m_record.line("operator writes " + key + " " + value.dump() + " -> " + std::to_string(answer.status));
 }
 
+void Cluster::remove(const std::string& key)
+{
+    const Answer answer = call(m_control, "POST", "/remove", Json { { "key", key } }.dump(), "control", startTimeout);
+    m_record.line("the store drops " + key + " -> " + std::to_string(answer.status));
+}
+
 void Cluster::crash(const std::string& machine)
 {
     constexpr unsigned forGood = 3'600'000;
--- a/review/third/harness.h
+++ b/review/third/harness.h
@@ -102,6 +102,9 @@
     /// \brief Acts as an operator: writes a key of the store.
     void put(const std::string& key, const Json& value);
 
+    /// \brief Removes a key of the store, as the platform does with the entry of a silent worker.
+    void remove(const std::string& key);
+
     /// \returns The value of a key of the store; null if there is none.
     [[nodiscard]] Json value(const std::string& key) const;
 
--- a/review/third/restarted_worker.cpp
+++ b/review/third/restarted_worker.cpp
@@ -11,7 +11,8 @@
 constexpr Millis timeBefore { 14'000 }; // The clock of a worker that has been up for a while.
 constexpr unsigned workerCount = 8;
 constexpr Millis downTime { 300 };
-constexpr Millis cutTime { 9'000 };
+constexpr Millis cutTime { 5'500 }; // The most that the site files list for `servers`.
+constexpr Millis entryTime { 4'500 }; // Three heartbeats: the store drops the entry of a worker that has been silent for so long.
 constexpr Millis observed { 25'000 };
 constexpr std::int64_t taskMs = 20'000;
 
@@ -80,7 +81,10 @@
         pause(downTime);
     }
     cluster.submit(1, "qa", idOf(0xa1), jobOf({ { "ms", taskMs } }, { { "count", 1 }, { "cpu", 500 }, { "est_ms", taskMs } }));
-    const bool isTwice = runTwice(workers, input.record, cutTime);
+    const bool isTwiceEarly = runTwice(workers, input.record, entryTime - downTime);
+    if (input.hasTrouble)
+        cluster.remove("servers/" + struck.id());
+    const bool isTwice = runTwice(workers, input.record, cutTime - entryTime + downTime) || isTwiceEarly;
     const std::vector<std::string> stillRunning = struck.running();
     if (input.hasTrouble && !isTwice && stillRunning.empty())
         return Verdict::NotRun; // The start did not reach the worker in its new life.
