--- a/review/third/hopeless_jobs.cpp
+++ b/review/third/hopeless_jobs.cpp
@@ -5,7 +5,8 @@
 
 namespace {
 
-constexpr unsigned soundJobs = 80;
+constexpr unsigned soundJobs = 40; // Beside each two hopeless ones, within the same 3 s: a share of 0.048.
+constexpr Millis gap { 25 };
 constexpr Millis untilProbed { 3'000 }; // The workers are back on probation 2 s after the first ejection.
 constexpr Millis calmTime { 4'500 }; // Above `contact_ms` and the 4 s before a span of LOST.
 
@@ -31,7 +32,7 @@
     ClusterOptions options = input.options;
     options.instances = 16; // Eight of the service, eight that the configuration does not name.
     Cluster cluster(options, input.record);
-    if (!cluster.start(oneService()) || !runSoundJobs(cluster, soundJobs))
+    if (!cluster.start(oneService()) || !submitSoundJobs(cluster, 0x1000, soundJobs, gap))
         return Verdict::NotRun;
     if (input.hasTrouble) {
         cluster.submit(0, "qa", idOf(0xf1), hopelessJob());
@@ -42,6 +43,8 @@
         cluster.submit(2, "qa", idOf(0xf3), hopelessJob());
         cluster.submit(0, "qa", idOf(0xf4), hopelessJob());
     }
+    if (!submitSoundJobs(cluster, 0x2000, soundJobs, gap))
+        return Verdict::NotRun;
     pause(calmTime);
     const std::string last = idOf(0xa1);
     if (cluster.submit(2, "qa", last, soundJob()).status != 200)
