Attribute failed tasks to their step where it fails on every worker

Cause: a failed task counted against its worker only. Two jobs that fail everywhere eject each worker that they run on; with health scores off nothing limited the share of a pool; and the probes were tasks of the oldest job, a hopeless one, so that each backoff doubled.

Change: a step that has failed on several workers and worked on none is at fault itself (StepOutcomes). Its failures are no evidence against workers, those before included, an ejection that was based on them alone is revoked, and a failed probe by such a step shows nothing. A step that works elsewhere counts as before. EjectionBound applies with health scores off too.

Why it works: what tells a bad worker from a bad step is whether the step works elsewhere, and that is now asked at the time of each decision, not at the time of the failure.

--- a/include/lanemoor/decisions/ejection_backoff.h
+++ b/include/lanemoor/decisions/ejection_backoff.h
@@ -31,6 +31,13 @@
     /// \brief Moves the end of the current pause to `until`. The next pause still doubles.
     void postpone(TimePoint until) noexcept { m_until = until; }
 
+    /// \brief Ends the current pause and undoes its doubling.
+    void revoke(TimePoint now) noexcept
+    {
+        m_until = std::min(m_until, now);
+        m_ejections -= std::min(m_ejections, 1U);
+    }
+
     /// \brief Resets the length of the next pause to that of the first one.
     void reset() noexcept { m_ejections = 0; }
 
--- a/include/lanemoor/jobs/policy/placement.h
+++ b/include/lanemoor/jobs/policy/placement.h
@@ -44,6 +44,7 @@
     std::string avoidWorker; ///< Only used if no other site is available.
     std::string quarantineKey; ///< Of the task, from the function of this name.
     std::uint32_t suspectedCrashes = 0; ///< Crashes that the task may have caused.
+    bool isStepAtFault = false; ///< The failures of the step's tasks are attributed to the step.
     std::string rack; ///< Only sites of this rack; empty: any.
     bool nearOnly = false; ///< Only sites in the rack that the step prefers, if it prefers one.
     /// \returns Tasks of the same step and occurrence at site `index`; only called for steps with a limit per instance.
--- a/include/lanemoor/jobs/policy/worker_health.h
+++ b/include/lanemoor/jobs/policy/worker_health.h
@@ -4,18 +4,20 @@
 
 #include "lanemoor/decisions/ejection_backoff.h"
 #include "lanemoor/jobs/model/event_loop.h"
+#include "lanemoor/jobs/policy/step_outcomes.h"
 
 #include <array>
 #include <cstdint>
-#include <set>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lanemoor::jobs {
 
 /// Settings of health scoring and ejection.
 struct WorkerHealthOptions {
-    bool enabled = true; ///< False: only task failures are scored, and ejections are not limited.
+    bool enabled = true; ///< False: only task failures are scored.
     double maxShareOfPool = 0.2; ///< Max share of a pool's workers that is ejected at once.
     double maxShareOfDomain = 0.5; ///< The same for a rack and for a data hall.
     Millis firstBackoff { 2'000 };
@@ -51,7 +53,7 @@
     HealthFault fault = HealthFault::None; ///< Why the worker is, or should be, ejected.
     double score = 0; ///< From 0 (healthy) to 1.
     WorkerEvidence evidence;
-    std::uint32_t failures = 0; ///< Failed tasks since the last success.
+    std::uint32_t failures = 0; ///< Failed tasks since the last success, without those attributed to their steps.
     bool ejected = false;
     bool probing = false; ///< It gets one task at a time, to show that it is healthy again.
     MonotonicInstant ejectedUntil; ///< Meaningful only while ejected.
@@ -77,7 +79,8 @@
     void noteSuccess(MonotonicInstant now);
 
     /// \brief Records a failed task of `job`.
-    void noteFailure(const std::string& job, MonotonicInstant now);
+    /// \param step Outcomes of its step, which decide on the attribution of the failure at any later time; null: it counts against the worker.
+    void noteFailure(const std::string& job, MonotonicInstant now, std::shared_ptr<const StepOutcomes> step = nullptr);
 
     /// \brief Records an answer to a start, accepted or refused.
     void noteStartAnswered(MonotonicInstant now);
@@ -108,6 +111,12 @@
     /// worker.
     void postponeProbe(const WorkerHealthOptions& options, MonotonicInstant now);
 
+    /// \returns Whether the last ejection was based only on failures that are attributed to their steps by now.
+    [[nodiscard]] bool isEjectionUnfounded() const;
+
+    /// \brief Revokes the last ejection: the worker is back in service, or probed again if a probe had failed.
+    void revokeEjection(MonotonicInstant now);
+
     /// \returns Whether the worker gets no task now.
     [[nodiscard]] bool isEjected(MonotonicInstant now) const noexcept { return now < m_backoff.until(); }
 
@@ -135,17 +144,28 @@
         WorkerEvidence evidence;
     };
 
+    /// Failed tasks of one step.
+    struct StepFailures {
+        std::string job;
+        std::shared_ptr<const StepOutcomes> step; ///< Null: unknown.
+        std::uint32_t tasks = 0;
+
+        [[nodiscard]] bool isAttributedToStep() const noexcept { return step && step->isStepAtFault(); }
+    };
+
     void add(const WorkerEvidence& evidence, MonotonicInstant now);
     void noteProbeFault(HealthFault fault, MonotonicInstant now);
     void readmit();
     [[nodiscard]] WorkerEvidence evidence(MonotonicInstant now) const;
     [[nodiscard]] bool isFailing() const noexcept;
+    [[nodiscard]] std::uint32_t failures() const noexcept;
 
     std::array<Slot, windowSeconds> m_window;
-    std::set<std::string> m_failedJobs; ///< Since the last success.
-    std::uint32_t m_failures = 0; ///< Since the last success.
+    std::vector<StepFailures> m_failures; ///< Since the last success, the latest steps last.
+    std::vector<StepFailures> m_ejectionFailures; ///< Failures that the last ejection was based on.
     HealthFault m_ejectedFor = HealthFault::None; ///< `None`: it was readmitted.
     HealthFault m_probeFault = HealthFault::None; ///< Fault that a probe has shown.
+    bool m_hasFailedProbe = false; ///< The last ejection followed a failed probe.
     EjectionBackoff<MonotonicInstant> m_backoff;
     WorkerHealthScore m_ejectionScore; ///< Score at the last ejection.
 };
--- a/src/jobs/owner/health_monitor.cpp
+++ b/src/jobs/owner/health_monitor.cpp
@@ -28,6 +28,18 @@
     return worker.listed && worker.isHallOpen() && !worker.entry.draining;
 }
 
+/// \returns Whether a task of the same step has succeeded, or is ready if it is long-running.
+bool hasWorked(const JobState& job, const TaskId& task)
+{
+    const auto step = job.steps().find({ task.occurrence, task.step });
+    if (step == job.steps().end())
+        return false;
+    if (!job.spec(task.step).longRunning)
+        return step->second.succeeded > 0;
+    constexpr std::uint32_t ready = 100;
+    return std::any_of(step->second.tasks.begin(), step->second.tasks.end(), [](const TaskState& state) { return state.live && state.live->percent >= ready; });
+}
+
 } // namespace
 
 HealthMonitor::HealthMonitor(OwnerState& state, SchedulerCounts& counts)
@@ -97,14 +109,25 @@
     m_state.requestPass();
 }
 
-void HealthMonitor::noteSuccess(WorkerRecord& worker)
+void HealthMonitor::noteSuccess(WorkerRecord& worker, OwnerJob& job, const TaskId& task)
 {
+    if (const auto outcomes = job.failedSteps.find(task.step); outcomes != job.failedSteps.end())
+        outcomes->second->noteSuccess();
     worker.health.noteSuccess(m_state.now());
 }
 
-void HealthMonitor::noteFailure(WorkerRecord& worker, const std::string& job)
+void HealthMonitor::noteFailure(WorkerRecord& worker, OwnerJob& job, const TaskId& task)
 {
-    worker.health.noteFailure(job, m_state.now());
+    std::shared_ptr<StepOutcomes>& outcomes = job.failedSteps[task.step];
+    if (!outcomes)
+        outcomes = std::make_shared<StepOutcomes>();
+    if (hasWorked(job.state, task))
+        outcomes->noteSuccess();
+    const bool wasAtFault = outcomes->isStepAtFault();
+    outcomes->noteFailure(worker.entry.id);
+    if (!wasAtFault && outcomes->isStepAtFault())
+        m_state.options.log->decision("step-at-fault", { { "job", job.state.id() }, { "step", std::int64_t { task.step } }, { "worker", worker.entry.id } });
+    worker.health.noteFailure(job.state.id(), m_state.now(), outcomes);
     queueIfFailing(worker);
 }
 
@@ -135,8 +158,10 @@
 {
     if (!m_failing.empty() && m_state.now() >= m_nextEjectionAt)
         ejectFailing();
-    if (!m_ejected.empty())
-        findReadmitted();
+    if (m_ejected.empty())
+        return;
+    revokeUnfounded();
+    findReadmitted();
 }
 
 std::vector<EjectionMember> HealthMonitor::members() const
@@ -178,8 +203,7 @@
     }
     if (candidates.empty())
         return;
-    if (isEnabled())
-        candidates = EjectionBound(m_state.options.health, members(), minInstances()).choose(std::move(candidates));
+    candidates = EjectionBound(m_state.options.health, members(), minInstances()).choose(std::move(candidates));
     for (const EjectionCandidate& candidate : candidates)
         eject(*m_state.worker(candidate.member.worker->id), candidate.fault);
     if (!m_failing.empty())
@@ -235,6 +259,18 @@
     return ejected;
 }
 
+/// The first workers that a failing step ran on may be ejected before it has failed elsewhere.
+void HealthMonitor::revokeUnfounded()
+{
+    for (const std::string& id : m_ejected) {
+        WorkerRecord* record = m_state.worker(id);
+        if (!record || !record->health.isEjectionUnfounded())
+            continue;
+        record->health.revokeEjection(m_state.now());
+        m_state.options.log->change("worker-ejection-revoked", { { "worker", id }, { "pool", record->entry.pool } });
+    }
+}
+
 void HealthMonitor::findReadmitted()
 {
     const MonotonicInstant now = m_state.now();
--- a/src/jobs/owner/health_monitor.h
+++ b/src/jobs/owner/health_monitor.h
@@ -41,8 +41,8 @@
 
     /// \name Ends
     ///@{
-    void noteSuccess(WorkerRecord& worker);
-    void noteFailure(WorkerRecord& worker, const std::string& job);
+    void noteSuccess(WorkerRecord& worker, OwnerJob& job, const TaskId& task);
+    void noteFailure(WorkerRecord& worker, OwnerJob& job, const TaskId& task);
 
     /// \brief Compares a run time with those on the worker's peers. \param observed From the command to the report.
     void noteRunTime(WorkerRecord& worker, const JobState& job, const Attempt& attempt, Millis observed);
@@ -61,6 +61,7 @@
     void queueIfFailing(WorkerRecord& worker);
     void ejectFailing();
     void eject(WorkerRecord& worker, HealthFault fault);
+    void revokeUnfounded();
     void findReadmitted();
     [[nodiscard]] std::vector<EjectionMember> members() const;
     [[nodiscard]] MinInstances minInstances() const;
--- a/src/jobs/owner/owner_state.h
+++ b/src/jobs/owner/owner_state.h
@@ -40,9 +40,17 @@
     Millis criticalPath { 0 }; ///< Declared work time of the critical path of its steps.
     OrganisationAccount* account = nullptr; ///< Account of the submitting organisation; null: unknown.
     std::map<StepId, MonotonicInstant> waitExplainedUntil; ///< Steps whose wait was noted, with the time from which it is explained again.
+    std::map<std::uint32_t, std::shared_ptr<StepOutcomes>> failedSteps; ///< Outcomes of the steps of which a task has failed in this term, by step.
     bool beyondRate = false; ///< Submitted beyond the rate of its organisation.
     bool waitsInGroup = false; ///< See OwnerState::beginWait.
 
+    /// \returns Whether the failures of a step are attributed to the step itself.
+    [[nodiscard]] bool isStepAtFault(std::uint32_t step) const
+    {
+        const auto found = failedSteps.find(step);
+        return found != failedSteps.end() && found->second->isStepAtFault();
+    }
+
     /// \returns The priority; jobs whose policy is unknown are placed last.
     [[nodiscard]] std::uint32_t priority() const noexcept { return policy ? policy->priority : std::numeric_limits<std::uint32_t>::max(); }
 
--- a/src/jobs/owner/placement_pass.cpp
+++ b/src/jobs/owner/placement_pass.cpp
@@ -272,6 +272,7 @@
 {
     PlacementQuery query;
     query.quarantineKey = candidate.job->state.id();
+    query.isStepAtFault = candidate.job->isStepAtFault(candidate.step.step);
     query.tasksOfStep = [&sites, &candidate](std::size_t index) { return sites.records[index]->tasksOf(candidate.job->state.id(), candidate.step); };
     if (m_stepAdvice)
         query.admits = [this, &sites](std::size_t index) { return m_stepAdvice->ticketOf(sites.records[index]->incarnation, m_now) != nullptr; };
--- a/src/jobs/owner/status_reconciler.cpp
+++ b/src/jobs/owner/status_reconciler.cpp
@@ -120,9 +120,9 @@
     m_counts.failures += effect.counted && ended.end == AttemptEnd::Failed ? 1 : 0;
     m_counts.leaseExpirations += effect.counted && ended.end == AttemptEnd::LeaseExpired ? 1 : 0;
     if (effect.counted && ended.end == AttemptEnd::Succeeded)
-        m_health.noteSuccess(worker);
+        m_health.noteSuccess(worker, *job, ended.attempt.task);
     if (effect.counted && ended.end == AttemptEnd::Failed)
-        m_health.noteFailure(worker, ended.attempt.job);
+        m_health.noteFailure(worker, *job, ended.attempt.task);
     m_dispatcher.noteBegun(*job);
     if (effect.toBeStored)
         m_state.store(ended.attempt.job);
@@ -289,12 +289,12 @@
     for (const Attempt& attempt : stalled) {
         // A stalled task may become ready while it is stopped, so the disruption budget applies. After a long stall it does not:
         // stalled tasks of one step count as unavailable and would block each other's stop permanently.
-        const OwnerJob* job = m_state.job(attempt.job);
+        OwnerJob* job = m_state.job(attempt.job);
         const bool hasStalledTooLong = now - job->state.find(attempt.task)->live->lastProgressAt() > unconditionalStopAfter;
         if (job->state.spec(attempt.task.step).longRunning && !hasStalledTooLong && !mayDisrupt(m_state, job->state, attempt.task))
             continue;
         m_state.options.log->decision("task-stuck", { { "attempt", nameOf(attempt) }, { "worker", worker.entry.id } });
-        m_health.noteFailure(worker, attempt.job);
+        m_health.noteFailure(worker, *job, attempt.task);
         m_dispatcher.stop(attempt, worker.entry.id);
     }
 }
--- a/src/jobs/policy/placement.cpp
+++ b/src/jobs/policy/placement.cpp
@@ -52,9 +52,9 @@
     const bool avoided = !query.avoidWorker.empty() && site.worker->id == query.avoidWorker;
     const bool besideSuspect = !site.suspects.empty() && hasSuspect(site, query, 1);
     const bool besideRecent = query.suspectedCrashes >= crashesToIsolate && site.hasRecentStarts;
-    // A crash caused by a suspect says nothing about the worker's health.
-    const bool probedBySuspect = query.suspectedCrashes > 0 && site.probing;
-    return { avoided, probedBySuspect, besideSuspect, besideRecent, !site.preferred, isFar(site, step), wouldMix(site, step), step.requiredLabel.empty() ? site.labelDemand : 0 };
+    // A crash caused by a suspect, or a failure of a step at fault, shows nothing about the worker's health.
+    const bool isUselessProbe = (query.suspectedCrashes > 0 || query.isStepAtFault) && site.probing;
+    return { avoided, isUselessProbe, besideSuspect, besideRecent, !site.preferred, isFar(site, step), wouldMix(site, step), step.requiredLabel.empty() ? site.labelDemand : 0 };
 }
 
 std::int64_t fullnessOf(const PlacementSite& site, const StepSpec& step, const PlacementQuery& query)
--- a/src/jobs/policy/worker_health.cpp
+++ b/src/jobs/policy/worker_health.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <bit>
+#include <set>
+#include <utility>
 
 namespace lanemoor::jobs {
 
@@ -11,6 +13,7 @@
 /// failures of two jobs without a success in between count against the worker.
 constexpr std::uint32_t failuresToEject = 3;
 constexpr std::size_t jobsToEject = 2;
+constexpr std::size_t maxFailedSteps = 16; // Enough to find `jobsToEject` jobs.
 
 /// There is no score with fewer samples; from `fullWeightAt` samples on, the share alone counts.
 constexpr std::int32_t minSamples = 4;
@@ -77,17 +80,24 @@
 
 void WorkerHealth::noteSuccess(MonotonicInstant now)
 {
-    m_failedJobs.clear();
-    m_failures = 0;
+    m_failures.clear();
     if (isProbing(now) && m_probeFault == HealthFault::None)
         readmit();
 }
 
-void WorkerHealth::noteFailure(const std::string& job, MonotonicInstant now)
+void WorkerHealth::noteFailure(const std::string& job, MonotonicInstant now, std::shared_ptr<const StepOutcomes> step)
 {
-    m_failedJobs.insert(job);
-    ++m_failures;
-    noteProbeFault(HealthFault::Failures, now);
+    const auto found = std::find_if(m_failures.begin(), m_failures.end(), [&](const StepFailures& failures) { return failures.job == job && failures.step == step; });
+    StepFailures failures = found == m_failures.end() ? StepFailures { .job = job, .step = std::move(step), .tasks = 0 } : std::move(*found);
+    if (found != m_failures.end())
+        m_failures.erase(found);
+    ++failures.tasks;
+    // A probe by a step that fails everywhere shows nothing.
+    if (!failures.isAttributedToStep())
+        noteProbeFault(HealthFault::Failures, now);
+    m_failures.push_back(std::move(failures));
+    if (m_failures.size() > maxFailedSteps)
+        m_failures.erase(m_failures.begin());
 }
 
 void WorkerHealth::noteStartAnswered(MonotonicInstant now)
@@ -150,7 +160,20 @@
 
 bool WorkerHealth::isFailing() const noexcept
 {
-    return m_failures >= failuresToEject && m_failedJobs.size() >= jobsToEject;
+    std::set<std::string_view> jobs;
+    for (const StepFailures& failed : m_failures) {
+        if (!failed.isAttributedToStep())
+            jobs.insert(failed.job);
+    }
+    return failures() >= failuresToEject && jobs.size() >= jobsToEject;
+}
+
+std::uint32_t WorkerHealth::failures() const noexcept
+{
+    std::uint32_t tasks = 0;
+    for (const StepFailures& failed : m_failures)
+        tasks += failed.isAttributedToStep() ? 0 : failed.tasks;
+    return tasks;
 }
 
 HealthFault WorkerHealth::fault(MonotonicInstant now) const
@@ -183,13 +206,25 @@
         m_backoff.reset();
     const auto ratio = static_cast<std::uint64_t>(options.maxBackoff / std::max(options.firstBackoff, Millis(1)));
     const auto doublings = static_cast<std::uint32_t>(std::bit_width(std::max<std::uint64_t>(ratio, 1)) - 1);
-    m_ejectionScore = { .fault = fault, .score = score(now), .evidence = evidence(now), .failures = m_failures };
+    m_ejectionScore = { .fault = fault, .score = score(now), .evidence = evidence(now), .failures = failures() };
     m_backoff.begin(now, options.firstBackoff, doublings);
     m_ejectedFor = fault;
-    m_probeFault = HealthFault::None;
+    m_hasFailedProbe = std::exchange(m_probeFault, HealthFault::None) != HealthFault::None;
     m_window = {};
-    m_failedJobs.clear();
-    m_failures = 0;
+    m_ejectionFailures = std::exchange(m_failures, {});
+}
+
+bool WorkerHealth::isEjectionUnfounded() const
+{
+    return m_ejectedFor == HealthFault::Failures && !m_ejectionFailures.empty() && std::all_of(m_ejectionFailures.begin(), m_ejectionFailures.end(), [](const StepFailures& failed) { return failed.isAttributedToStep(); });
+}
+
+void WorkerHealth::revokeEjection(MonotonicInstant now)
+{
+    m_backoff.revoke(now);
+    m_ejectionFailures.clear();
+    if (!m_hasFailedProbe)
+        readmit();
 }
 
 void WorkerHealth::postponeProbe(const WorkerHealthOptions& options, MonotonicInstant now)
@@ -200,7 +235,7 @@
 
 WorkerHealthScore WorkerHealth::report(MonotonicInstant now) const
 {
-    WorkerHealthScore report { .fault = fault(now), .score = score(now), .evidence = evidence(now), .failures = m_failures };
+    WorkerHealthScore report { .fault = fault(now), .score = score(now), .evidence = evidence(now), .failures = failures() };
     if (isOutOfService(now))
         report = m_ejectionScore;
     report.ejected = isEjected(now);
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -306,7 +306,8 @@
     const Millis time = work - doneBefore + (restores ? checkpointRestoreTime : Millis(0));
     WorkerModel::Run run { .checkpoint = command.checkpoint, .startedAt = m_clock.now(), .endsAt = m_clock.now() + time, .needs = step.needs, .longRunning = step.longRunning, .doneBefore = doneBefore };
     std::uniform_real_distribution<double> share(0, 1);
-    const AttemptEnd end = share(m_random) < model.faults.failing ? AttemptEnd::Failed : AttemptEnd::Succeeded;
+    const bool fails = share(m_random) < model.faults.failing || (failsEverywhere && failsEverywhere(command.attempt));
+    const AttemptEnd end = fails ? AttemptEnd::Failed : AttemptEnd::Succeeded;
     if (!model.faults.stalled && (!step.longRunning || end == AttemptEnd::Failed))
         run.end = m_clock.after(time, [this, worker, attempt = command.attempt, end] { endRun(m_workers[worker], Attempt(attempt), end, false); });
     model.running[command.attempt] = run;
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -114,6 +114,8 @@
     double farFactor = 2.0; ///< Factor on the run time of tasks outside their preferred rack.
     /// \returns The specification of an attempt's step, which a real worker has from the payload.
     std::function<jobs::StepSpec(const jobs::Attempt&)> stepOf;
+    /// \returns Whether an attempt fails on every worker; null if no attempt does.
+    std::function<bool(const jobs::Attempt&)> failsEverywhere;
     /// \returns Whether an attempt crashes its worker; null if no attempt does.
     std::function<bool(const jobs::Attempt&)> crashesWorker;
     Millis crashesWorkerAfter { 10 }; ///< Time from the start to the crash; 0 for a crash before the response to the start.
--- a/tests/jobs/failing_workers_test.cpp
+++ b/tests/jobs/failing_workers_test.cpp
@@ -5,6 +5,7 @@
 #include "support.h"
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 
 using namespace lanemoor;
@@ -238,3 +239,94 @@
         CHECK(pool.checker.breaches().empty());
     }
 }
+
+namespace {
+
+constexpr std::uint64_t firstHopelessJob = 9'000;
+
+/// Submits a job of which each task fails on every worker. Large enough for several of its tasks on each worker.
+std::string submitHopelessJob(BusyPool& pool, std::uint64_t number)
+{
+    std::string id = jobId(firstHopelessJob + number);
+    pool.workers.failsEverywhere = [](const Attempt& attempt) { return attempt.job >= jobId(firstHopelessJob); };
+    pool.submit(1, "work", id, job({ step(80) }));
+    return id;
+}
+
+/// \returns How long it takes until the worker is ejected.
+Millis timeToEjection(BusyPool& pool, const std::string& worker, bool hasHopelessJobs)
+{
+    const MonotonicInstant begin = pool.clock.now();
+    std::uint64_t hopelessJobs = 0;
+    const auto isEjected = [&] {
+        const std::vector<WorkerReport> workers = pool.entry(pool.owner().value()).workers().workers;
+        return std::any_of(workers.begin(), workers.end(), [&](const WorkerReport& report) { return report.worker == worker && (report.health.ejected || report.health.probing); });
+    };
+    while (!isEjected() && pool.clock.now() - begin < Millis(10'000)) {
+        if (hasHopelessJobs)
+            submitHopelessJob(pool, hopelessJobs++);
+        pool.runWithJobs(Millis(100));
+    }
+    return std::chrono::duration_cast<Millis>(pool.clock.now() - begin);
+}
+
+} // namespace
+
+/// Guards against a pool without a worker in service: the failures of hopeless jobs counted against every worker that they ran on, and each
+/// probe was a task of such a job.
+TEST_CASE("Jobs that fail everywhere keep no worker out of service, and a sound job starts at once")
+{
+    for (const bool isHealthEnabled : { false, true }) {
+        CAPTURE(isHealthEnabled);
+        BusyPool pool(isHealthEnabled);
+        pool.awaitJobs(Millis(5'000));
+        std::vector<std::string> hopeless;
+        std::size_t maxEjected = 0;
+        for (std::uint64_t i = 0; i < 60; ++i) {
+            if (i % 15 == 0) {
+                hopeless.push_back(submitHopelessJob(pool, 2 * i));
+                hopeless.push_back(submitHopelessJob(pool, 2 * i + 1));
+            }
+            pool.clock.runFor(Millis(100));
+            maxEjected = std::max(maxEjected, ejectedAt(pool));
+        }
+        CHECK(maxEjected <= 4);
+        CHECK(ejectedAt(pool) == 0);
+        const std::string sound = jobId(1'000);
+        pool.submit(1, "work", sound, job({ step(1) }));
+        CHECK(pool.waitFor(Millis(3'000), [&] { return !pool.checker.workerOf(sound, {}).empty(); }));
+        pool.clock.runFor(Millis(1'000));
+        CHECK(pool.status(1, sound) == JobStatus::Succeeded);
+        CHECK(std::all_of(hopeless.begin(), hopeless.end(), [&](const std::string& id) { return pool.status(1, id) == JobStatus::Failed; }));
+        CHECK(pool.checker.breaches().empty());
+    }
+}
+
+/// Guards against hopeless jobs that hide a faulty worker.
+TEST_CASE("A worker that fails all its tasks is ejected as fast beside jobs that fail everywhere")
+{
+    for (const bool isHealthEnabled : { false, true }) {
+        CAPTURE(isHealthEnabled);
+        std::array<Millis, 2> times {};
+        for (const bool hasHopelessJobs : { false, true }) {
+            BusyPool pool(isHealthEnabled);
+            const std::string faulty = pool.workers.workers().begin()->first;
+            pool.workers.find(faulty)->faults = { .failing = 1 };
+            times.at(hasHopelessJobs ? 1 : 0) = timeToEjection(pool, faulty, hasHopelessJobs);
+        }
+        CHECK(times[0] <= Millis(2'000));
+        CHECK(times[1] <= times[0]);
+    }
+}
+
+/// Guards against a pool without a worker in service where health scores are off.
+TEST_CASE("Ejections are limited while only task failures are scored")
+{
+    BusyPool pool(false);
+    pool.setFaults({ .failing = 1 }, 3);
+    for (int i = 0; i < 20; ++i) {
+        pool.runWithJobs(Millis(200));
+        CHECK(ejectedAt(pool) <= 4);
+    }
+    CHECK(ejectedAt(pool) > 0);
+}
--- a/tests/jobs/random_test.cpp
+++ b/tests/jobs/random_test.cpp
@@ -37,6 +37,7 @@
     Callers, ///< The faults of `All`, with callers that cancel any id at any instance, counts of waiting jobs, jobs of many short tasks, and workers that refuse starts.
     Policies, ///< The faults of `All`, with a queue whose tasks need advice, gangs that save checkpoints, and queues that are removed and come back with other limits of attempts.
     DelayedCalls, ///< The faults of `All`, with workers whose calls are delayed and that restart under their ids meanwhile.
+    HopelessJobs, ///< The faults of `All`, with jobs that fail on every worker, workers that fail all tasks, and health scores on or off.
 };
 
 /// One run: jobs arrive, faults come and go, then all faults are cleared and every job must end.
@@ -57,6 +58,8 @@
             addHalls();
         if (faults == Faults::Policies)
             addAdvisedQueue();
+        if (faults == Faults::HopelessJobs)
+            addHopelessJobs();
         if (faults == Faults::PoisonTasks) {
             m_cluster.workers.enforcesCapacity = false;
             m_cluster.workers.crashesWorker = [this](const Attempt& attempt) { return m_poisonJobs.contains(attempt.job) && attempt.task.index == 0; };
@@ -96,6 +99,10 @@
                 restart();
             if (m_faults == Faults::Callers)
                 callAtRandom();
+            if (m_faults == Faults::HopelessJobs && pickSecondary(0, 10) == 0)
+                submitHopelessJob();
+            if (m_faults == Faults::HopelessJobs && pickSecondary(0, 40) == 0)
+                failTasksOfWorker();
             if (m_faults == Faults::Policies && pickSecondary(0, 15) == 0)
                 changePolicies();
             if (m_faults == Faults::Policies && pickSecondary(0, 30) == 0)
@@ -123,6 +130,35 @@
     /// \returns Whether the common faults are less frequent, to leave time for those specific to this kind of run.
     [[nodiscard]] bool hasFewFaults() const { return m_faults == Faults::PoisonTasks || m_faults == Faults::Halls || (m_faults == Faults::Callers && m_seed % 2 == 0); }
 
+    void addHopelessJobs()
+    {
+        Policies policies;
+        policies.workerHealth.enabled = m_seed % 2 == 0;
+        m_cluster.setPolicies(policies);
+        m_cluster.workers.failsEverywhere = [this](const Attempt& attempt) { return m_hopelessJobs.contains(attempt.job); };
+        for (std::size_t i = 0; i < m_cluster.entries(); ++i) {
+            m_cluster.kill(i);
+            m_cluster.start(i);
+        }
+        m_cluster.clock.runFor(Millis(3'000));
+    }
+
+    void submitHopelessJob()
+    {
+        const std::string id = jobId(++m_jobs);
+        m_hopelessJobs.insert(id);
+        m_cluster.submit(pickSecondary(0, m_cluster.entries() - 1), "work", id, job({ step(static_cast<std::uint32_t>(pickSecondary(1, 24))) }));
+    }
+
+    void failTasksOfWorker()
+    {
+        model::WorkerModel* worker = anyWorker();
+        if (!worker)
+            return;
+        worker->faults.failing = 1;
+        m_cluster.clock.after(Millis(pickSecondary(500, 5'000)), [this, id = worker->entry.id] { m_cluster.workers.find(id)->faults.failing = 0; });
+    }
+
     /// Adds two data halls to the one of the other instances.
     void addHalls()
     {
@@ -673,6 +709,7 @@
     std::uint64_t m_jobs = 0;
     std::uint64_t m_waves = 0;
     std::set<std::string> m_poisonJobs; ///< Jobs whose first tasks crash their workers.
+    std::set<std::string> m_hopelessJobs; ///< Jobs of which each task fails.
     std::set<std::string> m_advisedJobs; ///< Jobs whose starts need tickets.
     std::uint64_t m_version = 1; ///< Version of the configuration, in runs that change it.
 };
@@ -819,6 +856,15 @@
         RandomRun(seed, Faults::Policies).execute();
 }
 
+/// Guards against workers that are ejected for the failures of jobs, so that sound jobs wait.
+TEST_CASE("No guarantee is violated in random runs with jobs that fail everywhere")
+{
+    const std::uint64_t first = numberFrom("LANEMOOR_SEED", 1);
+    const std::uint64_t runs = numberFrom("LANEMOOR_RUNS", 60);
+    for (std::uint64_t seed = first; seed < first + runs; ++seed)
+        RandomRun(seed, Faults::HopelessJobs).execute();
+}
+
 /// Guards against delayed calls that take effect at a later incarnation after its first contact with the owner: starts, and acknowledgements
 /// of ends.
 TEST_CASE("Random runs with delayed calls that failed once keep the guarantees")
--- a/tests/jobs/worker_health_test.cpp
+++ b/tests/jobs/worker_health_test.cpp
@@ -47,6 +47,75 @@
 
 } // namespace
 
+/// Guards against workers that are ejected for steps that fail everywhere.
+TEST_CASE("Failures that are attributed to their steps are no evidence against a worker")
+{
+    const auto hopeless = std::make_shared<StepOutcomes>();
+    const auto sound = std::make_shared<StepOutcomes>();
+    WorkerHealth health;
+    for (const auto& [job, outcomes] : { std::pair("a", hopeless), std::pair("b", sound) }) {
+        outcomes->noteFailure("w-1");
+        health.noteFailure(job, start, outcomes);
+        health.noteFailure(job, start, outcomes);
+    }
+    CHECK(health.fault(start) == HealthFault::Failures);
+    // Failed on one worker only: the worker may be at fault.
+    CHECK_FALSE(hopeless->isStepAtFault());
+    hopeless->noteFailure("w-2");
+    CHECK(hopeless->isStepAtFault());
+    CHECK(health.fault(start) == HealthFault::None);
+    // It works elsewhere, so two faulty workers have hidden each other.
+    hopeless->noteSuccess();
+    CHECK(health.fault(start) == HealthFault::Failures);
+}
+
+/// Guards against a worker that stays ejected for the failures of a step that was found at fault afterwards.
+TEST_CASE("An ejection is unfounded once all its failures are attributed to their steps")
+{
+    const auto first = std::make_shared<StepOutcomes>();
+    const auto second = std::make_shared<StepOutcomes>();
+    WorkerHealth health;
+    for (const auto& [job, outcomes] : { std::pair("a", first), std::pair("b", second) }) {
+        outcomes->noteFailure("w-1");
+        health.noteFailure(job, start, outcomes);
+        health.noteFailure(job, start, outcomes);
+    }
+    REQUIRE(ejectIfFaulty(health, start));
+    first->noteFailure("w-2");
+    CHECK_FALSE(health.isEjectionUnfounded());
+    second->noteFailure("w-2");
+    REQUIRE(health.isEjectionUnfounded());
+    health.revokeEjection(start + Millis(10));
+    CHECK_FALSE(health.isOutOfService(start + Millis(10)));
+    // The backoff starts anew.
+    health.eject(HealthFault::Failures, options, start + Millis(20));
+    CHECK(health.ejectedUntil() == start + Millis(20) + options.firstBackoff);
+}
+
+/// Guards against a probe whose failure is the step's own: it doubled the backoff of a sound worker.
+TEST_CASE("A failed probe of a step at fault leaves the worker on probation")
+{
+    const auto hopeless = std::make_shared<StepOutcomes>();
+    hopeless->noteFailure("w-1");
+    WorkerHealth health;
+    health.eject(HealthFault::Failures, options, start);
+    const MonotonicInstant probed = start + options.firstBackoff;
+    REQUIRE(health.isProbing(probed));
+    hopeless->noteFailure("w-2");
+    health.noteFailure("a", probed, hopeless);
+    CHECK(health.fault(probed) == HealthFault::None);
+    CHECK(health.isProbing(probed));
+    // A probe that failed before its step was found at fault is revoked.
+    const auto other = std::make_shared<StepOutcomes>();
+    other->noteFailure("w-1");
+    health.noteFailure("b", probed, other);
+    REQUIRE(ejectIfFaulty(health, probed));
+    other->noteFailure("w-2");
+    REQUIRE(health.isEjectionUnfounded());
+    health.revokeEjection(probed);
+    CHECK(health.isProbing(probed));
+}
+
 TEST_CASE("A worker that fails tasks of several jobs in a row is ejected, and probed again")
 {
     WorkerHealth health;
