Keep unanswered starts reserved until no later incarnation can run them

Cause: the lease of a start is a time on the clock of the incarnation last heard. A later incarnation, whose clock begins afresh, cuts it to the longest lease, 10 s, but the owner released all attempts at the silent worker after the 5 s that it had asked for.

Change: when the lease of a silent worker expires, attempts that it has reported or acknowledged are released as before. Starts without any answer stay reserved until no command of the session can be in effect at any incarnation, 18 s after the last one with a lease, unless a report or the list settles them. Only where ids have start times, which is where the platform reuses them.

Why it works: an answer or a report names the incarnation that runs the task; only without one may it be another. The wait is that of single attempts, not of every silent worker.

--- a/include/lanemoor/jobs/owner/worker_session.h
+++ b/include/lanemoor/jobs/owner/worker_session.h
@@ -53,6 +53,10 @@
     /// \param hasIncarnationEnded False: only the lease has expired; the worker may respond again, with no running attempts.
     virtual void onEnded(WorkerSession& session, bool hasIncarnationEnded) = 0;
 
+    /// \brief The worker has not responded since its lease expired, and no command of this session is in effect any more, at a later
+    /// incarnation either.
+    virtual void onCommandsExpired(WorkerSession& session) = 0;
+
     /// \brief The worker has restarted under its id. No attempt of the previous incarnation runs any more; an unacknowledged
     /// command to the previous incarnation may still reach the new one.
     /// \param startedAt Start time of the new incarnation. \param hadEnded The previous incarnation, or its lease, was already known to have ended.
@@ -130,7 +134,11 @@
     /// \returns Whether the incarnation is known to have ended.
     [[nodiscard]] bool hasIncarnationEnded() const noexcept { return m_incarnationEnded; }
 
-    /// \returns When every lease granted to this worker has certainly expired.
+    /// \returns Whether another incarnation may answer under this id. Ids that the platform does not reuse come without a start time.
+    [[nodiscard]] bool mayShareId() const noexcept { return m_incarnation.startedAt != 0; }
+
+    /// \returns When every lease granted to this worker has certainly expired, unless a command without a response has reached a later
+    /// incarnation.
     [[nodiscard]] MonotonicInstant leaseExpiresBy() const;
 
     /// \brief Notes the end of the incarnation, proved by another source.
@@ -147,6 +155,9 @@
     void handleResponse(const RenewResult& result, MonotonicInstant sentAt);
     void checkLeaseExpiry();
     void scheduleLeaseExpiry();
+    void scheduleCommandExpiry();
+    /// \returns When no command of this session is in effect any more, at any incarnation.
+    [[nodiscard]] MonotonicInstant commandsExpireBy() const;
     void suspectRestart();
     void confirmIncarnation();
     [[nodiscard]] bool mayHaveRestarted() const;
--- a/src/jobs/owner/status_reconciler.cpp
+++ b/src/jobs/owner/status_reconciler.cpp
@@ -354,7 +354,9 @@
         return;
     m_state.options.log->decision("worker-over",
         { { "worker", session.incarnation().id }, { "life_over", std::int64_t { hasIncarnationEnded } }, { "attempts", static_cast<std::int64_t>(worker->reservations.size()) } });
-    releaseAll(*worker, {}, hasIncarnationEnded);
+    // A start without a response may have reached a later incarnation, which applies the lease to its own clock.
+    const bool mayRunLater = !hasIncarnationEnded && session.mayShareId();
+    releaseAll(*worker, mayRunLater ? unconfirmedStarts(*worker) : std::set<Attempt> {}, hasIncarnationEnded);
     if (hasIncarnationEnded) {
         m_state.raiseEpoch();
         noteHallStop(*worker, true);
@@ -363,6 +365,18 @@
     m_state.requestPass();
 }
 
+void StatusReconciler::onCommandsExpired(WorkerSession& session)
+{
+    WorkerRecord* worker = m_state.worker(session.incarnation().id);
+    if (!worker)
+        return;
+    for (const Attempt& attempt : unconfirmedStarts(*worker)) {
+        m_state.options.log->decision("start-expired", { { "attempt", nameOf(attempt) }, { "worker", worker->entry.id } });
+        m_dispatcher.release(attempt, worker->entry.id, m_state.now() + m_crashes.retryPause(attempt));
+    }
+    m_state.requestPass();
+}
+
 /// A planned end is no evidence of a lost data hall. A move whose answer was lost shows only as an unresponsive worker.
 void StatusReconciler::noteHallStop(const WorkerRecord& worker, bool hasEnded)
 {
@@ -373,7 +387,7 @@
 }
 
 /// Releases the attempts of a worker whose incarnation has ended or whose lease has expired.
-/// \param unacknowledged Attempts whose start may still reach a new incarnation; they stay reserved, with unknown outcome.
+/// \param unacknowledged Attempts whose start may reach, or may have reached, a later incarnation; they stay reserved, with unknown outcome.
 /// \param hasIncarnationEnded False: only the lease has expired.
 void StatusReconciler::releaseAll(WorkerRecord& worker, const std::set<Attempt>& unacknowledged, bool hasIncarnationEnded)
 {
@@ -402,17 +416,29 @@
         m_dispatcher.failPermanently(*m_state.job(failed->job), failed->task);
 }
 
-/// \returns Live attempts that no report of the worker has shown. An answer to their start does not identify the incarnation, and
-/// without an answer the start may be executed later.
-std::set<Attempt> StatusReconciler::unacknowledgedStarts(const WorkerRecord& worker) const
+/// \returns Live attempts whose start was sent and that pass the filter.
+std::set<Attempt> StatusReconciler::sentStarts(const WorkerRecord& worker, const std::function<bool(const LiveAttempt&)>& filter) const
 {
-    std::set<Attempt> unacknowledged;
+    std::set<Attempt> starts;
     for (const auto& [attempt, reservation] : worker.reservations) {
         const TaskState* task = m_state.liveTask(attempt, worker.entry.id);
-        if (task && !task->live->reported && task->live->phase != AttemptPhase::Recording)
-            unacknowledged.insert(attempt);
+        if (task && task->live->phase != AttemptPhase::Recording && filter(*task->live))
+            starts.insert(attempt);
     }
-    return unacknowledged;
+    return starts;
+}
+
+/// \returns Live attempts that no report of the worker has shown. An answer to their start does not identify the incarnation, and
+/// without an answer the start may be executed later.
+std::set<Attempt> StatusReconciler::unreportedStarts(const WorkerRecord& worker) const
+{
+    return sentStarts(worker, [](const LiveAttempt& live) { return !live.reported; });
+}
+
+/// \returns Live attempts that the worker has neither reported nor acknowledged.
+std::set<Attempt> StatusReconciler::unconfirmedStarts(const WorkerRecord& worker) const
+{
+    return sentStarts(worker, [](const LiveAttempt& live) { return !live.wasConfirmed(); });
 }
 
 void StatusReconciler::onRestart(WorkerSession& session, std::int64_t startedAt, bool hadEnded)
@@ -420,7 +446,7 @@
     WorkerRecord* worker = m_state.worker(session.incarnation().id);
     if (!worker)
         return;
-    const std::set<Attempt> unacknowledged = unacknowledgedStarts(*worker);
+    const std::set<Attempt> unacknowledged = unreportedStarts(*worker);
     m_state.options.log->decision("worker-restarted",
         { { "worker", session.incarnation().id }, { "started_at", startedAt }, { "former_start", session.incarnation().startedAt }, { "was_over", std::int64_t { hadEnded } }, { "attempts", static_cast<std::int64_t>(worker->reservations.size()) }, { "open_orders", static_cast<std::int64_t>(unacknowledged.size()) } });
     if (hadEnded)
--- a/src/jobs/owner/status_reconciler.h
+++ b/src/jobs/owner/status_reconciler.h
@@ -24,6 +24,7 @@
     void onProbeOverdue(WorkerSession& session) override;
     void onUnresponsive(WorkerSession& session) override;
     void onEnded(WorkerSession& session, bool hasIncarnationEnded) override;
+    void onCommandsExpired(WorkerSession& session) override;
     void onRestart(WorkerSession& session, std::int64_t startedAt, bool hadEnded) override;
     void onFenced(WorkerSession& session) override;
 
@@ -45,7 +46,9 @@
     void releaseAll(WorkerRecord& worker, const std::set<Attempt>& unacknowledged, bool hasIncarnationEnded);
     void noteHallStop(const WorkerRecord& worker, bool hasEnded);
     void settleExpired(WorkerRecord& worker);
-    [[nodiscard]] std::set<Attempt> unacknowledgedStarts(const WorkerRecord& worker) const;
+    [[nodiscard]] std::set<Attempt> sentStarts(const WorkerRecord& worker, const std::function<bool(const LiveAttempt&)>& filter) const;
+    [[nodiscard]] std::set<Attempt> unreportedStarts(const WorkerRecord& worker) const;
+    [[nodiscard]] std::set<Attempt> unconfirmedStarts(const WorkerRecord& worker) const;
     void adjustThrottle(WorkerRecord& worker, const RenewResult& result);
 
     OwnerState& m_state;
--- a/src/jobs/owner/worker_session.cpp
+++ b/src/jobs/owner/worker_session.cpp
@@ -87,7 +87,7 @@
         return m_options.inheritedLeaseExpiresBy;
     // The clock sample may be that of another incarnation, and the lease is not on its clock.
     if (m_restartSuspected)
-        return std::max(m_options.inheritedLeaseExpiresBy, m_latestLeaseSentAt + maxLeaseOfLateCommand);
+        return commandsExpireBy();
     const auto left = static_cast<double>(m_latestLease - m_clockSample);
     const Millis worst(static_cast<std::int64_t>(left / minClockRate));
     return std::max(m_options.inheritedLeaseExpiresBy, m_clockSampledBy + worst + leaseSlack);
@@ -277,6 +277,22 @@
         return;
     m_leaseExpired = true;
     m_observer.onEnded(*this, false);
+    if (mayShareId())
+        scheduleCommandExpiry();
+}
+
+MonotonicInstant WorkerSession::commandsExpireBy() const
+{
+    return std::max(m_options.inheritedLeaseExpiresBy, m_latestLeaseSentAt + maxLeaseOfLateCommand);
+}
+
+void WorkerSession::scheduleCommandExpiry()
+{
+    m_loop.callAt(commandsExpireBy(), [self = weak_from_this()] {
+        const auto session = self.lock();
+        if (session && !session->m_closed && session->m_leaseExpired && session->m_loop.now() >= session->commandsExpireBy())
+            session->m_observer.onCommandsExpired(*session);
+    });
 }
 
 /// The renewals of an unresponsive worker time out one after another, and the lease may expire long before the next one does.
--- a/tests/jobs/previous_incarnation_test.cpp
+++ b/tests/jobs/previous_incarnation_test.cpp
@@ -189,6 +189,22 @@
     cluster.checkGuarantees();
 }
 
+/// Guards against a lost worker whose tasks all wait for the longest lease of another incarnation.
+TEST_CASE("At a worker that stops responding only unconfirmed starts wait for the longest lease of a later incarnation")
+{
+    DelayedCallCluster cluster(2, Millis(30'000));
+    cluster.submitToFirst(jobId(1));
+    REQUIRE(cluster.workerOfTask(jobId(1)) == "i-1");
+    cluster.clock.runFor(Millis(1'500));
+    cluster.worker("i-1").faults = { .lostAnswers = 1, .lostRenewals = 1 };
+    cluster.submitToFirst(jobId(2));
+    REQUIRE(cluster.workerOfTask(jobId(2)) == "i-1");
+    cluster.worker("i-1").faults = { .partitioned = true };
+    CHECK(cluster.waitFor(Millis(7'000), [&] { return cluster.workerOfTask(jobId(1)) == "i-2"; }));
+    CHECK(cluster.waitFor(Millis(14'000), [&] { return cluster.workerOfTask(jobId(2)) == "i-2"; }));
+    cluster.checkGuarantees();
+}
+
 /// Guards against an attempt that stays reserved without end: its start was never carried out, and no incarnation answers its stop.
 TEST_CASE("A task whose start and stop stay unanswered over a restart runs elsewhere")
 {
