Limit the numbers of jobs, and set aside stored jobs beyond the limits

Cause: the limit of 20,000 tasks multiplied tasks and times in 64 bits; the product is 0.

Change: the limit divides. Each number of a job has a limit, beyond which it is rejected with 400; sums and products of accepted numbers stay within 64 bits or are capped. Records from the store pass the same checks: a job that an earlier version accepted is set aside with the log line record-unreadable and the existing counter.

Why it works: no job beyond the limits reaches the state of an owner, by a request or by the store.

--- a/include/lanemoor/jobs/model/job_policy.h
+++ b/include/lanemoor/jobs/model/job_policy.h
@@ -4,6 +4,7 @@
 
 #include "lanemoor/decisions/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -28,15 +29,16 @@
     std::optional<AdvicePolicy> advice;
 
     /// \returns Time from the submission of a job in which it should end.
-    [[nodiscard]] Millis objective(Millis criticalPath) const noexcept { return Millis(static_cast<Millis::rep>(stretch * static_cast<double>(criticalPath.count()))) + latencyTarget; }
+    [[nodiscard]] Millis objective(Millis criticalPath) const noexcept { return Millis(static_cast<Millis::rep>(std::min(stretch * static_cast<double>(criticalPath.count()), static_cast<double>(maxObjective.count())))) + latencyTarget; }
 
     /// \returns Whether the irreversible decisions on a job are the same under both policies.
     [[nodiscard]] bool hasSameLimits(const JobPolicy& other) const noexcept { return maxAttempts == other.maxAttempts && advice == other.advice; }
 
     /// \returns Whether all numbers are in their ranges; a stored policy may be corrupt.
-    [[nodiscard]] bool isValid() const noexcept { return maxAttempts > 0 && stretch >= 0 && stretch <= maxStretch; }
+    [[nodiscard]] bool isValid() const noexcept { return maxAttempts > 0 && stretch >= 0 && stretch <= maxStretch && latencyTarget >= Millis(0) && latencyTarget <= maxObjective; }
 
-    static constexpr double maxStretch = 1e6; ///< Keeps objectives within the range of Millis.
+    static constexpr double maxStretch = 1e6;
+    static constexpr Millis maxObjective { std::chrono::hours(24 * 365 * 100) }; ///< Deadlines stay within the range of the clocks.
 
     [[nodiscard]] bool operator==(const JobPolicy&) const = default;
 };
--- a/include/lanemoor/jobs/model/job_spec.h
+++ b/include/lanemoor/jobs/model/job_spec.h
@@ -70,6 +70,7 @@
     UnknownDependency,
     CyclicDependency,
     BadNumber,
+    OutOfRange, ///< A number is beyond its limit.
 };
 
 /// \returns A short English text for `fault`.
@@ -78,7 +79,14 @@
 constexpr std::size_t maxPayloadBytes = 4'000; // The platform's limit on a task's payload.
 constexpr std::uint32_t maxTasksPerJob = 20'000; // Keeps a job's progress record below a tenth of the store's size limit for a value.
 
-/// \returns A fault of `job`, or nothing.
+constexpr std::int64_t maxResource = 1'000'000'000; // Of each kind, of a task or an instance. Products of two of them fit into 64 bits.
+constexpr Millis maxDuration { std::chrono::hours(24 * 365) }; // The sums over all tasks of a job stay within the range of the clocks.
+constexpr Instant maxStart { std::chrono::hours(24 * 365 * 1'000) }; // Due times of all occurrences stay within the range of the clocks.
+
+/// \returns Whether computations with the instant stay within the range of the clocks.
+[[nodiscard]] bool isInRange(Instant instant) noexcept;
+
+/// \returns A fault of `job`, or nothing. Records from the store are checked too: another version may have written them.
 [[nodiscard]] std::optional<JobFault> faultOf(const JobSpec& job);
 
 /// \returns Whether `text` is 16 lower-case hexadecimal digits.
@@ -111,10 +119,15 @@
 /// \returns A short name of `status`.
 [[nodiscard]] std::string_view nameOf(JobStatus status) noexcept;
 
-/// \returns The duration of the critical path: the largest sum of estimates along a chain of dependent steps.
+/// \returns The duration of the critical path: the largest sum of estimates along a chain of dependent steps, up to `maxDuration`.
 [[nodiscard]] Millis criticalPathDuration(const JobSpec& spec);
 
-/// \returns The declared work of all tasks of one occurrence, in thousandths of a core times ms.
+constexpr std::int64_t maxDeclaredWork = 1'000'000'000'000'000; // 11,000 core-days. Sums over thousands of jobs fit into 64 bits.
+
+/// \returns The declared work of all tasks of a step, in thousandths of a core times ms, up to `maxDeclaredWork`.
+[[nodiscard]] std::int64_t declaredWork(const StepSpec& step) noexcept;
+
+/// \returns The declared work of all tasks of one occurrence, in thousandths of a core times ms, up to `maxDeclaredWork`.
 [[nodiscard]] std::int64_t declaredWork(const JobSpec& job) noexcept;
 
 /// \returns Whether the job has a completion-time objective; recurring and long-running jobs have none.
--- a/src/jobs/intake/demand_report.cpp
+++ b/src/jobs/intake/demand_report.cpp
@@ -10,7 +10,7 @@
     std::int64_t work = 0;
     for (const StepSpec& step : job.steps) {
         if (!step.longRunning)
-            work += std::int64_t { step.count } * step.needs.milliCpu * step.estimate.count() / milliCpuOfCore;
+            work = std::min(work + declaredWork(step) / milliCpuOfCore, maxDeclaredWork);
     }
     return static_cast<std::uint64_t>(std::max<std::int64_t>(work, 0));
 }
--- a/src/jobs/model/job_record.cpp
+++ b/src/jobs/model/job_record.cpp
@@ -201,7 +201,7 @@
     record.organisation = document.organisation();
     if (document.has_policy())
         record.policy = readPolicy(document.policy());
-    if (faultOf(record.spec) || (record.policy && !record.policy->isValid()))
+    if (!isInRange(record.acceptedAt) || faultOf(record.spec) || (record.policy && !record.policy->isValid()))
         return std::nullopt;
     return record;
 }
--- a/src/jobs/model/job_spec.cpp
+++ b/src/jobs/model/job_spec.cpp
@@ -12,6 +12,11 @@
         || step.latencyTarget.count() < 0;
 }
 
+bool isOutOfRange(const StepSpec& step)
+{
+    return !Resources { .milliCpu = maxResource, .memoryMb = maxResource, .accelerators = maxResource }.covers(step.needs) || step.estimate > maxDuration || step.latencyTarget > maxDuration;
+}
+
 /// \returns Whether the steps can be ordered so that each follows what it depends on.
 bool isAcyclic(const std::vector<StepSpec>& steps)
 {
@@ -37,6 +42,8 @@
         return JobFault::EmptyStep;
     if (hasBadNumber(step))
         return JobFault::BadNumber;
+    if (isOutOfRange(step))
+        return JobFault::OutOfRange;
     for (const std::uint32_t dependency : step.dependsOn) {
         if (dependency >= steps)
             return JobFault::UnknownDependency;
@@ -88,6 +95,8 @@
         return "steps depend on each other in a circle";
     case JobFault::BadNumber:
         return "a number is negative or not whole";
+    case JobFault::OutOfRange:
+        return "a number is beyond its limit: 10^9 for a resource, 365 days for a time, 1000 years for a start";
     }
     return "unknown fault";
 }
@@ -106,13 +115,21 @@
     }
     if (job.interval.count() < 0)
         return JobFault::BadNumber;
-    if (tasks * std::max(job.occurrences, 1U) > maxTasksPerJob)
+    // The product of the counts may exceed 64 bits.
+    if (tasks > maxTasksPerJob || job.occurrences > maxTasksPerJob / tasks)
         return JobFault::TooManyTasks;
+    if (job.interval > maxDuration || !isInRange(job.firstStart))
+        return JobFault::OutOfRange;
     if (!isAcyclic(job.steps))
         return JobFault::CyclicDependency;
     return std::nullopt;
 }
 
+bool isInRange(Instant instant) noexcept
+{
+    return instant <= maxStart && instant.time_since_epoch() >= -maxStart.time_since_epoch();
+}
+
 bool isJobId(std::string_view text) noexcept
 {
     constexpr std::size_t idDigits = 16;
@@ -146,17 +163,24 @@
             Millis begin(0);
             for (const std::uint32_t dependency : spec.steps[i].dependsOn)
                 begin = std::max(begin, ends[dependency]);
-            ends[i] = begin + spec.steps[i].estimate;
+            ends[i] = std::min(begin + spec.steps[i].estimate, maxDuration);
         }
     }
     return ends.empty() ? Millis(0) : *std::max_element(ends.begin(), ends.end());
 }
 
+std::int64_t declaredWork(const StepSpec& step) noexcept
+{
+    // The product may exceed 64 bits; below the limit it is exact.
+    const double work = static_cast<double>(step.count) * static_cast<double>(step.needs.milliCpu) * static_cast<double>(step.estimate.count());
+    return work < static_cast<double>(maxDeclaredWork) ? static_cast<std::int64_t>(work) : maxDeclaredWork;
+}
+
 std::int64_t declaredWork(const JobSpec& job) noexcept
 {
     std::int64_t work = 0;
     for (const StepSpec& step : job.steps)
-        work += static_cast<std::int64_t>(step.count) * step.needs.milliCpu * step.estimate.count();
+        work = std::min(work + declaredWork(step), maxDeclaredWork);
     return work;
 }
 
--- a/src/jobs/service/job_service.cpp
+++ b/src/jobs/service/job_service.cpp
@@ -598,7 +598,16 @@
         const WorkMeter::Piece piece(&m_meter, WorkKind::StoreChanges);
         if (item.key.compare(0, ownershipPrefix.size(), ownershipPrefix) == 0)
             m_owners.noteWritten(item);
+        applyItem(item);
+    }
+
+    /// An unreadable record is set aside: a job that cannot be carried out must not end each owner in turn.
+    void applyItem(const StoreItem& item)
+    {
+        const std::uint64_t unreadable = m_catalog.unreadable();
         static_cast<void>(m_catalog.apply(item));
+        if (m_catalog.unreadable() != unreadable)
+            m_parts.log->decision("record-unreadable", { { "key", item.key }, { "revision", static_cast<std::int64_t>(item.revision) }, { "bytes", static_cast<std::int64_t>(item.value.size()) } });
     }
 
     void onConfiguration(const StoreItem& item)
