Do not end a worker by the response to a repeated maintenance request

Cause: the request is repeated, and 200 is also returned if it is done already. The owner took this 200 for a new maintenance and ended the session with the listed worker, the successor. Nothing opens a session again while the entry stays in the store.

Change: after an unanswered request, or one that a previous owner may have made, a 200 tells only that the maintenance is done. The worker is kept empty until lists must show what has ended, and stays known. The request is repeated while the list still shows the instance in maintenance, before there is a successor; it occupies the slot of the earlier request. The loss of a wave's progress costs such a repetition and no worker. Beyond this path, a worker that the store and a later list show is reopened if it was taken for ended, and counted (lanemoor_workers_reopened_total).

Why it works: only the list can tell which worker an accepted repetition has ended, and what is concluded wrongly is now undone by the list and the store.

--- a/include/lanemoor/jobs/owner/evacuation_reason.h
+++ b/include/lanemoor/jobs/owner/evacuation_reason.h
@@ -19,6 +19,7 @@
     Move, ///< A call that moves its instance is in progress.
     UnansweredMove, ///< Such a call got no response and may still be carried out.
     Wave, ///< A maintenance wave needs its instance empty.
+    RepeatedMaintenance, ///< The platform accepted a repeated maintenance request, which ended this worker or an earlier one.
 };
 
 /// Reasons by worker id.
--- a/include/lanemoor/jobs/owner/job_scheduler.h
+++ b/include/lanemoor/jobs/owner/job_scheduler.h
@@ -123,6 +123,7 @@
     std::uint64_t passes = 0; ///< Placement passes.
     std::uint64_t heldPasses = 0; ///< Passes that started nothing, since the ownership, the evacuations or the replica of the jobs were outdated.
     std::uint64_t ejections = 0; ///< Worker ejections.
+    std::uint64_t reopenedWorkers = 0; ///< Workers that were wrongly taken for ended.
     std::uint64_t sitesInspected = 0; ///< Workers inspected for a task, summed over all passes.
     std::uint64_t jobsInspected = 0; ///< Jobs inspected, summed over all passes.
 };
--- a/include/lanemoor/jobs/owner/worker_session.h
+++ b/include/lanemoor/jobs/owner/worker_session.h
@@ -141,6 +141,9 @@
     /// incarnation.
     [[nodiscard]] MonotonicInstant leaseExpiresBy() const;
 
+    /// \returns When the end of the incarnation was noted; meaningful only after its end.
+    [[nodiscard]] MonotonicInstant endedAt() const noexcept { return m_endedAt; }
+
     /// \brief Notes the end of the incarnation, proved by another source.
     void noteIncarnationOver();
 
@@ -175,6 +178,7 @@
     bool m_hasReportedAll = false;
     bool m_unresponsive = false;
     bool m_incarnationEnded = false;
+    MonotonicInstant m_endedAt;
     bool m_restartSuspected = false; ///< Another incarnation may respond under this id.
     MonotonicInstant m_nextProbeAt; ///< No probe is sent before this.
     MonotonicInstant m_reducedWaitUntil;
--- a/include/lanemoor/jobs/policy/maintenance_plan.h
+++ b/include/lanemoor/jobs/policy/maintenance_plan.h
@@ -21,6 +21,7 @@
     std::string worker; ///< Id of its worker incarnation; empty: unknown.
     bool reserve = false; ///< Its pool is the reserve, whose instances are off.
     bool up = true; ///< According to the instance list; other instances cannot be maintained.
+    bool inMaintenance = false; ///< According to the instance list.
     bool evacuating = false;
     std::uint32_t attempts = 0; ///< Unfinished attempts at its worker.
     bool pinned = false; ///< It has long-running tasks that need an instance of its kind.
@@ -61,6 +62,13 @@
     /// \param backBy Latest time at which the instance is back.
     void noteMayBeDown(const std::string& instance, MonotonicInstant backBy);
 
+    /// \brief Records that an earlier request of another owner may have been carried out for any instance that is not done.
+    void noteMayBeMaintained();
+
+    /// \returns Whether an earlier request may have been carried out, so that the acceptance of the next one does not tell which worker
+    /// has ended.
+    [[nodiscard]] bool mayBeMaintained(const std::string& instance) const { return m_mayBeMaintained.contains(instance); }
+
     /// \brief Records that the platform refused the request; it may be retried at `retryAt`.
     void noteRefused(const std::string& instance, MonotonicInstant retryAt);
 
@@ -83,6 +91,8 @@
 
 private:
     void dropIfReplaced(const MaintenanceCandidate& candidate);
+    [[nodiscard]] bool mayBeDown(const std::string& instance, MonotonicInstant now) const;
+    [[nodiscard]] bool isDue(const MaintenanceCandidate& candidate, MonotonicInstant now) const;
     [[nodiscard]] std::uint32_t requiredConcurrency(MonotonicInstant now) const;
     [[nodiscard]] std::uint32_t down(MonotonicInstant now) const;
 
@@ -92,6 +102,7 @@
     std::set<std::string> m_done;
     std::set<std::string> m_requested; ///< Requested and not answered yet.
     std::map<std::string, std::string> m_workersToEvacuate; ///< By instance, until the maintenance is accepted or put off or the list shows another worker.
+    std::set<std::string> m_mayBeMaintained; ///< An earlier request may have been carried out.
     std::map<std::string, MonotonicInstant> m_backBy;
     std::map<std::string, MonotonicInstant> m_retryAt;
     std::map<std::string, MonotonicInstant> m_unlistedSince; ///< When the first of the lists that do not name an instance was requested.
--- a/src/jobs/owner/fleet_controller.cpp
+++ b/src/jobs/owner/fleet_controller.cpp
@@ -52,6 +52,8 @@
         return "unanswered-move";
     case EvacuationReason::Wave:
         return "wave";
+    case EvacuationReason::RepeatedMaintenance:
+        return "repeated-maintenance";
     }
     return "";
 }
@@ -141,7 +143,8 @@
     struct InstanceOverride {
         FleetInstance instance;
         MonotonicInstant until;
-        std::string keptEmpty; ///< The worker whose call got no response and may still be carried out; empty: none.
+        std::string keptEmpty; ///< The worker that the call may still end, or may have ended; empty: none.
+        EvacuationReason reason = EvacuationReason::UnansweredMove; ///< Why it is kept empty.
     };
 
     [[nodiscard]] bool maySendCalls() const { return m_active && m_options.ownership->isHeld() && m_isCallRecordReady; }
@@ -293,6 +296,9 @@
             const std::set<std::string> done = decodeInstances(result.item.value).value_or(std::set<std::string> {});
             const auto [plan, inserted] = m_plans.emplace(wave.number, MaintenancePlan(wave, done, m_options.loop->now()));
             notePreviousMaintenance(plan->second);
+            // The progress of the previous owner may not have been stored.
+            if (m_ownership.term > 1)
+                plan->second.noteMayBeMaintained();
             writeStatus(wave.number, false);
             planSoon();
         }));
@@ -372,7 +378,8 @@
         const auto instanceOverride = m_overrides.find(instance.id);
         if (instanceOverride == m_overrides.end() || !isReflected(instanceOverride->second) || instanceOverride->second.keptEmpty.empty())
             return;
-        if (instance.state == FleetState::Up && instance.worker == instanceOverride->second.keptEmpty)
+        const bool isMove = instanceOverride->second.reason == EvacuationReason::UnansweredMove;
+        if (isMove && instance.state == FleetState::Up && instance.worker == instanceOverride->second.keptEmpty)
             m_options.log->decision("instance-move-not-seen", { { "instance", instance.id }, { "worker", instance.worker } });
     }
 
@@ -404,7 +411,15 @@
         instance.pool = pool;
         instance.state = state;
         instance.worker.clear();
-        m_overrides[id] = { instance, m_options.loop->now() + time + maxFleetListLag, {} };
+        m_overrides[id] = { instance, m_options.loop->now() + time + maxFleetListLag, {}, EvacuationReason::UnansweredMove };
+    }
+
+    /// Keeps the worker of an overridden instance empty for as long.
+    void keepEmpty(const std::string& instance, const std::string& worker, EvacuationReason reason)
+    {
+        InstanceOverride& instanceOverride = m_overrides.at(instance);
+        instanceOverride.keptEmpty = worker;
+        instanceOverride.reason = reason;
     }
 
     /// Instances open for tasks, by pool and kind.
@@ -459,7 +474,7 @@
             const PoolSettings* pool = configuration->pool(instance.pool);
             if (m_moving.contains(id) || m_draining.contains(id) || isBlocked(id))
                 continue;
-            MaintenanceCandidate candidate { .instance = id, .pool = instance.pool, .worker = {}, .reserve = pool && pool->reserve, .up = instance.state == FleetState::Up };
+            MaintenanceCandidate candidate { .instance = id, .pool = instance.pool, .worker = {}, .reserve = pool && pool->reserve, .up = instance.state == FleetState::Up, .inMaintenance = instance.state == FleetState::InMaintenance && !hasPendingCall(id) };
             if (const WorkerUse* use = useOf(instance)) {
                 candidate.worker = instance.worker;
                 candidate.evacuating = use->evacuating;
@@ -500,7 +515,7 @@
         for (const auto& [instance, drain] : m_draining)
             reasons[drain.worker] = EvacuationReason::Drain;
         for (const auto& [instance, instanceOverride] : m_overrides)
-            reasons[instanceOverride.keptEmpty] = EvacuationReason::UnansweredMove;
+            reasons[instanceOverride.keptEmpty] = instanceOverride.reason;
         for (const auto& [instance, pending] : m_moving)
             reasons[pending.worker] = EvacuationReason::Move;
         reasons.erase(std::string());
@@ -806,7 +821,7 @@
         // the list will show its pool.
         overrideInstance(move.instance, move.from, FleetState::Moving, outcome == FleetOutcome::Unknown ? unansweredCallTimeout : busyRetryPause);
         if (outcome == FleetOutcome::Unknown)
-            m_overrides[move.instance].keptEmpty = worker;
+            keepEmpty(move.instance, worker, EvacuationReason::UnansweredMove);
         updateEvacuations();
     }
 
@@ -872,13 +887,17 @@
             return;
         MaintenancePlan& plan = found->second;
         const MonotonicInstant now = m_options.loop->now();
-        m_options.log->decision("maintenance-answered", { { "instance", instance }, { "outcome", std::string(nameOf(outcome)) } });
+        m_options.log->decision("maintenance-answered", { { "instance", instance }, { "outcome", std::string(nameOf(outcome)) }, { "worker", worker }, { "repeated", std::int64_t { plan.mayBeMaintained(instance) } } });
         switch (outcome) {
         case FleetOutcome::Done:
             ++counts.maintained;
-            plan.noteAccepted(instance, maintenanceEndsBy(now));
             overrideInstance(instance, m_list[instance].pool, FleetState::InMaintenance, m_options.maintenanceTime);
-            m_options.scheduler->noteIncarnationOver(worker, true);
+            // The response is the same if an earlier request ended the predecessor of this worker. The list shows which one has ended.
+            if (plan.mayBeMaintained(instance))
+                keepEmpty(instance, worker, EvacuationReason::RepeatedMaintenance);
+            else
+                m_options.scheduler->noteIncarnationOver(worker, true);
+            plan.noteAccepted(instance, maintenanceEndsBy(now));
             writeWaveProgress(plan);
             later(m_options.maintenanceTime + returnMargin, [this] { planSoon(); });
             break;
@@ -890,7 +909,8 @@
         case FleetOutcome::Unknown:
             ++counts.unknown;
             plan.noteMayBeDown(instance, maintenanceEndsBy(now));
-            [[fallthrough]];
+            plan.noteRefused(instance, now);
+            break;
         default:
             plan.noteRefused(instance, now + busyRetryPause);
             break;
@@ -924,7 +944,7 @@
     }
 
     /// Stores the progress for a successor. If this write is lost, the successor requests some maintenance again, which the
-    /// platform recognises as done.
+    /// platform recognises as done, and leaves it to the list which workers have ended.
     void writeWaveProgress(const MaintenancePlan& plan)
     {
         const Transaction transaction { .expected = { m_options.ownership->condition() }, .writes = { { waveKey(plan.wave().number), encode(plan.done()), 0 } }, .removals = {} };
--- a/src/jobs/owner/job_scheduler.cpp
+++ b/src/jobs/owner/job_scheduler.cpp
@@ -361,6 +361,7 @@
         m_term->unknownInstances = unknown;
         noteReportedIncarnations(instances, requestedAt, *configuration);
         endUnlistedIncarnations();
+        reopenListedWorkers(instances, requestedAt);
         if (first)
             m_options.log->change("fleet-listed", { { "instances", static_cast<std::int64_t>(instances.size()) }, { "kinds", kindsText(instances) }, { "unknown", std::int64_t { unknown } }, { "unmet", static_cast<std::int64_t>(m_term->unreportedWorkers.size()) } });
         requestPass();
@@ -748,6 +749,23 @@
             noteIncarnationOver(id);
     }
 
+    /// Opens a session with each worker that its entry and a later list show, although its incarnation was taken for ended: otherwise it
+    /// would get no tasks until the end of the term.
+    void reopenListedWorkers(const std::vector<FleetInstance>& instances, MonotonicInstant requestedAt)
+    {
+        for (const FleetInstance& instance : instances) {
+            WorkerRecord* record = instance.state == FleetState::Up ? m_term->state.worker(instance.worker) : nullptr;
+            if (!record || !record->listed || !record->session->hasIncarnationEnded() || requestedAt - record->session->endedAt() < maxFleetListLag)
+                continue;
+            ++counts.reopenedWorkers;
+            m_options.log->change("worker-reopened", { { "worker", instance.worker }, { "instance", instance.id }, { "end_ordered", std::int64_t { record->isEndOrdered } } });
+            record->isEndOrdered = false;
+            record->isEndAttributed = false;
+            record->unlistedSince.reset();
+            beginSession(*record, record->session->incarnation().startedAt);
+        }
+    }
+
     /// Drops jobs that have ended, are stored, and have no live attempt.
     void dropFinished()
     {
--- a/src/jobs/owner/worker_session.cpp
+++ b/src/jobs/owner/worker_session.cpp
@@ -317,6 +317,7 @@
     if (m_incarnationEnded)
         return;
     m_incarnationEnded = true;
+    m_endedAt = m_loop.now();
     close();
     m_observer.onEnded(*this, true);
 }
--- a/src/jobs/policy/maintenance_plan.cpp
+++ b/src/jobs/policy/maintenance_plan.cpp
@@ -59,11 +59,9 @@
     for (const MaintenanceCandidate& candidate : fleet) {
         ++sizes[candidate.pool];
         dropIfReplaced(candidate);
-        const bool wanted = m_wave.contains(candidate.instance);
-        const auto back = m_backBy.find(candidate.instance);
-        if (candidate.evacuating || (back != m_backBy.end() && back->second > now))
+        if (candidate.evacuating || mayBeDown(candidate.instance, now))
             ++taken[candidate.pool];
-        if (wanted && candidate.up && !m_done.contains(candidate.instance) && !m_requested.contains(candidate.instance))
+        if (isDue(candidate, now))
             due.push_back(&candidate);
     }
     std::sort(due.begin(), due.end(), [](const auto* a, const auto* b) {
@@ -78,6 +76,11 @@
         const auto retry = m_retryAt.find(candidate->instance);
         if (retry != m_retryAt.end() && retry->second > now)
             continue;
+        // A request that was carried out without a response is confirmed before there is a worker that its repetition could affect.
+        if (candidate->inMaintenance) {
+            step.maintain.push_back(candidate->instance);
+            continue;
+        }
         const bool isEmpty = candidate->reserve || candidate->worker.empty() || (candidate->evacuating && candidate->attempts == 0);
         if (isEmpty) {
             if (slots == 0)
@@ -108,6 +111,22 @@
     return step;
 }
 
+bool MaintenancePlan::mayBeDown(const std::string& instance, MonotonicInstant now) const
+{
+    const auto back = m_backBy.find(instance);
+    return back != m_backBy.end() && back->second > now;
+}
+
+/// \returns Whether the instance's maintenance is to be requested, or requested again.
+bool MaintenancePlan::isDue(const MaintenanceCandidate& candidate, MonotonicInstant now) const
+{
+    const std::string& instance = candidate.instance;
+    if (!m_wave.contains(instance) || m_done.contains(instance) || m_requested.contains(instance))
+        return false;
+    // A repeated request needs no slot while the instance occupies that of the earlier one.
+    return candidate.up || (candidate.inMaintenance && mayBeMaintained(instance) && mayBeDown(instance, now));
+}
+
 /// An evacuation ends with the incarnation that it was decided for. An instance without a worker may be in the maintenance that a call without
 /// a response has begun.
 void MaintenancePlan::dropIfReplaced(const MaintenanceCandidate& candidate)
@@ -131,6 +150,12 @@
 void MaintenancePlan::noteMayBeDown(const std::string& instance, MonotonicInstant backBy)
 {
     m_backBy[instance] = std::max(m_backBy[instance], backBy);
+    m_mayBeMaintained.insert(instance);
+}
+
+void MaintenancePlan::noteMayBeMaintained()
+{
+    m_mayBeMaintained.insert(m_wave.instances.begin(), m_wave.instances.end());
 }
 
 void MaintenancePlan::noteRefused(const std::string& instance, MonotonicInstant retryAt)
--- a/src/jobs/service/job_metrics.cpp
+++ b/src/jobs/service/job_metrics.cpp
@@ -60,6 +60,7 @@
     families.push_back(counter("lanemoor_jobs_failed_total", "Jobs that failed", counts.jobsFailed));
     families.push_back(counter("lanemoor_jobs_cancelled_total", "Jobs that callers cancelled", counts.jobsCancelled));
     families.push_back(counter("lanemoor_worker_ejections_total", "Times that a worker was left out", counts.ejections));
+    families.push_back(counter("lanemoor_workers_reopened_total", "Workers that were wrongly taken for ended", counts.reopenedWorkers));
     families.push_back(counter("lanemoor_placement_passes_total", "Passes over the tasks that could start", counts.passes));
     families.push_back(counter("lanemoor_placement_passes_held_total", "Passes that started nothing since the ownership, the evacuations or the replica of the jobs were outdated", counts.heldPasses));
     families.push_back(counter("lanemoor_placement_sites_inspected_total", "How many times a worker was looked at for a task", counts.sitesInspected));
--- a/standins/model/workers_model.cpp
+++ b/standins/model/workers_model.cpp
@@ -513,6 +513,9 @@
         if (m_workers.hidden.contains(id))
             continue;
         list.instances.push_back(instance);
+        const auto misnamed = m_workers.misnamed.find(id);
+        if (misnamed != m_workers.misnamed.end())
+            list.instances.back().worker = misnamed->second;
         if (m_workers.unlisted.contains(instance.worker))
             list.instances.back().worker.clear();
     }
--- a/standins/model/workers_model.h
+++ b/standins/model/workers_model.h
@@ -127,6 +127,7 @@
     const HallCuts* cuts = nullptr; ///< Cuts between data halls; may be null.
     std::set<std::string> hidden; ///< Instances missing from the fleet list.
     std::set<std::string> unlisted; ///< Worker ids missing from the fleet list.
+    std::map<std::string, std::string> misnamed; ///< Wrong worker ids in the fleet list, by instance.
     Millis moveTime { 1'500 };
     Millis maintenanceTime { 2'000 };
 
