--- a/include/lanemoor/jobs/policy/maintenance_plan.h
+++ b/include/lanemoor/jobs/policy/maintenance_plan.h
@@ -65,7 +65,7 @@
     /// \brief Records that an earlier request of another owner may have been carried out for any instance that is not done.
     void noteMayBeMaintained();
 
-    /// \returns Whether an earlier request may have been carried out, so that the acceptance of the next one does not tell which worker
+    /// \returns Whether an earlier request may have been carried out: the acceptance of the next one then does not identify the worker that
     /// has ended.
     [[nodiscard]] bool mayBeMaintained(const std::string& instance) const { return m_mayBeMaintained.contains(instance); }
 
--- a/include/lanemoor/jobs/policy/step_outcomes.h
+++ b/include/lanemoor/jobs/policy/step_outcomes.h
@@ -27,7 +27,7 @@
     static constexpr std::size_t workersToAttribute = 2;
 
     bool m_hasSucceeded = false;
-    std::set<std::string> m_failedOn; ///< Distinct workers, no more than needed; empty once a task has succeeded.
+    std::set<std::string> m_failedOn; ///< Distinct workers, up to `workersToAttribute`; empty once a task has succeeded.
 };
 
 } // namespace lanemoor::jobs
--- a/tests/jobs/extreme_numbers_test.cpp
+++ b/tests/jobs/extreme_numbers_test.cpp
@@ -73,7 +73,7 @@
 }
 
 /// Guards against sums and products of accepted numbers that overflow.
-TEST_CASE("Whatever is computed from the numbers of an accepted job stays in its range")
+TEST_CASE("Results computed from the numbers of an accepted job stay in range")
 {
     REQUIRE(rc::check([] {
         JobSpec spec;
@@ -103,7 +103,7 @@
 }
 
 /// Guards against numbers beyond 64 bits, whose conversion differs between processors.
-TEST_CASE("Numbers beyond the limits are rejected whatever their form")
+TEST_CASE("Numbers beyond the limits are rejected in any JSON form")
 {
     const std::string number = GENERATE("1e300", "18446744073709551615", "9223372036854775808", "1000000000001");
     CAPTURE(number);
--- a/tests/jobs/unanswered_maintenance_test.cpp
+++ b/tests/jobs/unanswered_maintenance_test.cpp
@@ -1,4 +1,4 @@
-/// The response to a maintenance request does not tell whether that request or an earlier one without a response was carried out.
+/// The response to a maintenance request does not identify the request that was carried out: this one, or an earlier one without a response.
 
 #include "support.h"
 
@@ -59,7 +59,7 @@
     }
 }
 
-/// Guards against the same after a change of owner: the record of the wave's progress is lost with the previous owner.
+/// Guards against the same after a change of owner, if the previous owner failed before it stored the wave's progress.
 TEST_CASE("A worker whose predecessor was maintained by a previous owner gets tasks")
 {
     MaintainedCluster cluster(2, 1);
