Mechanisms of the fixes are noticed by their tests when taken out

The test of a predecessor that was maintained without a response now also has a maintenance that is shorter than the timeout of the request, and requires that no worker had to be reopened; it passes, and fails without the mechanism (1 of 15 assertions).

--- a/tests/jobs/unanswered_maintenance_test.cpp
+++ b/tests/jobs/unanswered_maintenance_test.cpp
@@ -44,7 +44,7 @@
 /// Guards against a living worker that is written off: a repeated maintenance request is answered as done, for the worker's predecessor.
 TEST_CASE("A worker whose predecessor was maintained without a response gets tasks")
 {
-    for (const Millis maintenanceTime : { Millis(1'000), Millis(2'000) }) {
+    for (const Millis maintenanceTime : { Millis(300), Millis(1'000), Millis(2'000) }) {
         CAPTURE(maintenanceTime.count());
         MaintainedCluster cluster(1, 1);
         cluster.workers.maintenanceTime = maintenanceTime;
@@ -54,6 +54,7 @@
         cluster.workers.fleetFaults.lostAnswers = 0;
         REQUIRE(cluster.awaitWave());
         cluster.clock.runFor(Millis(4'000));
+        CHECK(cluster.entry(0).schedulerCounts().reopenedWorkers == 0);
         CHECK(cluster.runsOnRack("r-0"));
         CHECK(cluster.checker.breaches().empty());
     }
